Lay the ground: identities, findings, INI, settings, views, topology, peer links

Workspace, house style, glossary, protocols of the four borders and the borders between the slices, so that the slices can be built side by side.

--- /dev/null
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! The stand-ins and experiments of ebonyfork.
--- /dev/null
+++ b/crates/ebonyfork/src/ident_tests.rs
@@ -0,0 +1,32 @@
+use googletest::prelude::*;
+
+use super::*;
+
+#[gtest]
+fn names_keep_to_their_form() {
+    for text in [
+        "",
+        "A",
+        "a b",
+        "-a",
+        "a/b",
+        "ä",
+        &"a".repeat(NAME_LIMIT + 1),
+    ] {
+        expect_that!(text.parse::<ServiceName>(), err(anything()), "{text}");
+    }
+    for text in ["a", "0", "tender-00", "a_b.c"] {
+        expect_that!(
+            text.parse::<ServiceName>().map(|name| name.to_string()),
+            ok(eq(text))
+        );
+    }
+}
+
+#[gtest]
+fn attempts_read_back() {
+    let session = SessionId::new(VmAddress("::1".parse().unwrap()), IncarnationNumber(9));
+    let query = QueryId { session, number: 3 };
+    let attempt = AttemptId { query, number: 4 };
+    expect_that!(attempt.to_string().parse::<AttemptId>(), ok(eq(&attempt)));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/topology/mod.rs
@@ -0,0 +1,11 @@
+//! Who is there: our live VMs, the upstreams of each service, and which VM owns which upstream.
+//!
+//! A [`TopologyView`] is an immutable snapshot that is replaced as a whole. It joins the platform's lagging VM list with
+//! what membership has learned. Decisions take it by reference; two VMs may hold different views for a while, and
+//! every rule built on it has to bear that.
+
+mod ownership;
+mod view;
+
+pub use ownership::{OwnerPair, owner_pair};
+pub use view::{TopologyView, UpstreamEntry, VmEntry};
--- /dev/null
+++ b/crates/ebonyfork/src/wire/link.rs
@@ -0,0 +1,213 @@
+//! One established link: a sender handle, and the loops that write and read frames.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::ident::SessionId;
+use crate::wire::message::{LinkHello, PROTOCOL_VERSION, PeerMessage};
+
+/// Largest frame, in bytes: a configuration part (1 MiB) with room for its envelope.
+const FRAME_LIMIT: usize = 2 << 20;
+/// Messages that may wait for a link's writer.
+pub(super) const QUEUE_LIMIT: usize = 8_192;
+
+/// Why a message can't be sent, or a link can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum LinkError {
+    /// The link is closed.
+    #[snafu(display("the link to {peer} is closed"))]
+    Closed {
+        /// The peer, as far as known.
+        peer: String,
+    },
+    /// Too many messages wait for the link's writer.
+    #[snafu(display("{QUEUE_LIMIT} messages wait for the link to {peer}"))]
+    Full {
+        /// The peer, as far as known.
+        peer: String,
+    },
+    /// The socket failed.
+    #[snafu(display("socket: {source}"))]
+    Socket {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A frame did not hold a message.
+    #[snafu(display("malformed frame: {source}"))]
+    Malformed {
+        /// The cause.
+        source: postcard::Error,
+    },
+    /// The peer did not start with a `Hello` of our protocol version.
+    #[snafu(display("expected a hello of protocol {PROTOCOL_VERSION}"))]
+    Handshake,
+    /// The peer did not answer in time.
+    #[snafu(display("no answer within {within:?}"))]
+    Timeout {
+        /// The time that was allowed.
+        within: Duration,
+    },
+}
+
+/// A message that waits for the writer, with the time it was handed over.
+#[derive(Debug)]
+pub(super) struct QueuedMessage {
+    pub(super) message: PeerMessage,
+    pub(super) queued: Instant,
+}
+
+/// Sends messages on one link. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct LinkSender {
+    pub(super) peer: Option<SessionId>,
+    pub(super) queue: mpsc::Sender<QueuedMessage>,
+}
+
+impl LinkSender {
+    /// The peer's process incarnation; none on a link that is still being opened.
+    pub fn peer(&self) -> Option<SessionId> {
+        self.peer
+    }
+
+    /// Hands a message to the writer without waiting. On an error it was not sent and never will be.
+    pub fn send(&self, message: PeerMessage) -> Result<(), LinkError> {
+        let queued = QueuedMessage {
+            message,
+            queued: Instant::now(),
+        };
+        self.queue.try_send(queued).map_err(|error| {
+            let peer = self.peer.map(|peer| peer.to_string()).unwrap_or_default();
+            match error {
+                mpsc::error::TrySendError::Full(_) => LinkError::Full { peer },
+                mpsc::error::TrySendError::Closed(_) => LinkError::Closed { peer },
+            }
+        })
+    }
+
+    /// Tells whether the link can no longer send.
+    pub fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+}
+
+pub(super) type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+pub(super) type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Splits a connected socket into framed halves.
+pub(super) fn frame(stream: TcpStream) -> Result<(FrameReader, FrameWriter), LinkError> {
+    stream
+        .set_nodelay(true)
+        .map_err(|source| LinkError::Socket { source })?;
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(FRAME_LIMIT);
+    let (read, write) = stream.into_split();
+    Ok((codec.new_read(read), codec.new_write(write)))
+}
+
+/// Exchanges hellos and returns the peer's session.
+pub(super) async fn shake_hands(
+    reader: &mut FrameReader,
+    writer: &mut FrameWriter,
+    own: SessionId,
+) -> Result<SessionId, LinkError> {
+    let hello = LinkHello {
+        protocol: PROTOCOL_VERSION,
+        session: own,
+    };
+    write_one(writer, &PeerMessage::Hello(hello)).await?;
+    match read_one(reader).await? {
+        Some(PeerMessage::Hello(hello)) if hello.protocol == PROTOCOL_VERSION => Ok(hello.session),
+        _ => Err(LinkError::Handshake),
+    }
+}
+
+/// Reads the next message; none when the peer has closed the link.
+pub(super) async fn read_one(reader: &mut FrameReader) -> Result<Option<PeerMessage>, LinkError> {
+    let Some(frame) = reader.next().await else {
+        return Ok(None);
+    };
+    let frame = frame.map_err(|source| LinkError::Socket { source })?;
+    let message = decode(&frame)?;
+    Ok(Some(message))
+}
+
+fn decode(frame: &BytesMut) -> Result<PeerMessage, LinkError> {
+    postcard::from_bytes(frame).map_err(|source| LinkError::Malformed { source })
+}
+
+fn encode(message: &PeerMessage) -> Result<Bytes, LinkError> {
+    let bytes = postcard::to_stdvec(message).map_err(|source| LinkError::Malformed { source })?;
+    Ok(bytes.into())
+}
+
+async fn flush_frames(writer: &mut FrameWriter) -> Result<(), std::io::Error> {
+    SinkExt::<Bytes>::flush(writer).await
+}
+
+async fn write_one(writer: &mut FrameWriter, message: &PeerMessage) -> Result<(), LinkError> {
+    let frame = encode(message)?;
+    writer
+        .send(frame)
+        .await
+        .map_err(|source| LinkError::Socket { source })
+}
+
+/// Writes queued messages until the queue closes or the socket fails; returns those that were never handed to the
+/// socket. With a `delay`, each message leaves that long after it was queued: the measuring tool's stand-in for
+/// distance.
+pub(super) async fn write_queued(
+    mut writer: FrameWriter,
+    mut queue: mpsc::Receiver<QueuedMessage>,
+    delay: Duration,
+) -> VecDeque<PeerMessage> {
+    const BATCH: usize = 256;
+    let mut batch = Vec::with_capacity(BATCH);
+    while queue.recv_many(&mut batch, BATCH).await > 0 {
+        let mut waiting: VecDeque<QueuedMessage> = batch.drain(..).collect();
+        while let Some(next) = waiting.pop_front() {
+            if !delay.is_zero() {
+                let leaves = next.queued + delay;
+                if leaves > Instant::now() {
+                    if flush_frames(&mut writer).await.is_err() {
+                        waiting.push_front(next);
+                        return give_back(waiting, queue);
+                    }
+                    tokio::time::sleep_until(leaves).await;
+                }
+            }
+            // A message that can't be encoded was never sent; dropping it is the only choice left.
+            let Ok(frame) = encode(&next.message) else {
+                continue;
+            };
+            if writer.feed(frame).await.is_err() {
+                return give_back(waiting, queue);
+            }
+        }
+        if flush_frames(&mut writer).await.is_err() {
+            return give_back(waiting, queue);
+        }
+    }
+    VecDeque::new()
+}
+
+fn give_back(
+    waiting: VecDeque<QueuedMessage>,
+    mut queue: mpsc::Receiver<QueuedMessage>,
+) -> VecDeque<PeerMessage> {
+    queue.close();
+    let mut unsent: VecDeque<PeerMessage> = waiting.into_iter().map(|next| next.message).collect();
+    while let Ok(next) = queue.try_recv() {
+        unsent.push_back(next.message);
+    }
+    unsent
+}
--- /dev/null
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -0,0 +1,31 @@
+//! The messages of a link, by duty.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ident::SessionId;
+use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
+
+/// Version of the protocol between our processes; a peer of another version is refused.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// The first message each way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkHello {
+    /// The sender's [`PROTOCOL_VERSION`].
+    pub protocol: u16,
+    /// The sender's process incarnation.
+    pub session: SessionId,
+}
+
+/// One message between two of our processes. Variants are only ever appended: their order is their code on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// First message each way.
+    Hello(LinkHello),
+    /// Entry to relay: attempts to run.
+    Submit(SubmitBatch),
+    /// Entry to relay: attempts no longer wanted.
+    Cancel(CancelBatch),
+    /// Relay to entry: what became of attempts.
+    Outcomes(OutcomeBatch),
+}
--- /dev/null
+++ b/crates/ebonyforkd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the first thin path.
+fn main() {}
