Hand back what a closing peer link never wrote

Cause: when the reading side of a link ended first, the writer was dropped together with its queue, so messages that had provably not been sent were lost without a word. The writer now gives them back on every way a link can end, and links to unwanted VMs can be closed. Tests: request and reply order over one link, an unreachable peer, strangers on the listener, a closed link, the local link.

--- a/crates/ebonyfork/src/wire/link.rs
+++ b/crates/ebonyfork/src/wire/link.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
 
 use crate::ident::SessionId;
 use crate::wire::message::{LinkHello, PROTOCOL_VERSION, PeerMessage};
@@ -162,50 +163,79 @@
         .map_err(|source| LinkError::Socket { source })
 }
 
-/// Writes queued messages until the queue closes or the socket fails; returns those that were never handed to the
-/// socket. With a `delay`, each message leaves that long after it was queued: the measuring tool's stand-in for
-/// distance.
+/// Writes queued messages until the queue closes, the socket fails or `closing` is cancelled; returns those that were
+/// never handed to the socket, so that their sender can truthfully say so. With a `delay`, each message leaves that
+/// long after it was queued: the measuring tool's stand-in for distance.
 pub(super) async fn write_queued(
     mut writer: FrameWriter,
     mut queue: mpsc::Receiver<QueuedMessage>,
     delay: Duration,
+    closing: CancellationToken,
 ) -> VecDeque<PeerMessage> {
     const BATCH: usize = 256;
+    let mut waiting = VecDeque::with_capacity(BATCH);
     let mut batch = Vec::with_capacity(BATCH);
-    while queue.recv_many(&mut batch, BATCH).await > 0 {
-        let mut waiting: VecDeque<QueuedMessage> = batch.drain(..).collect();
-        while let Some(next) = waiting.pop_front() {
-            if !delay.is_zero() {
-                let leaves = next.queued + delay;
-                if leaves > Instant::now() {
-                    if flush_frames(&mut writer).await.is_err() {
-                        waiting.push_front(next);
-                        return give_back(waiting, queue);
-                    }
-                    tokio::time::sleep_until(leaves).await;
-                }
-            }
-            // A message that can't be encoded was never sent; dropping it is the only choice left.
-            let Ok(frame) = encode(&next.message) else {
-                continue;
-            };
-            if writer.feed(frame).await.is_err() {
-                return give_back(waiting, queue);
-            }
+    loop {
+        let received = tokio::select! {
+            received = queue.recv_many(&mut batch, BATCH) => received,
+            () = closing.cancelled() => 0,
+        };
+        if received == 0 {
+            return give_back(waiting, queue);
         }
-        if flush_frames(&mut writer).await.is_err() {
+        waiting.extend(batch.drain(..));
+        let written = tokio::select! {
+            written = write_batch(&mut writer, &mut waiting, delay) => written,
+            () = closing.cancelled() => false,
+        };
+        if !written {
             return give_back(waiting, queue);
         }
     }
-    VecDeque::new()
+}
+
+/// Writes a batch and flushes once. A message leaves `waiting` before the socket sees any of it, so that what stays
+/// behind was provably never sent. Returns false when the socket has failed.
+async fn write_batch(
+    writer: &mut FrameWriter,
+    waiting: &mut VecDeque<QueuedMessage>,
+    delay: Duration,
+) -> bool {
+    while let Some(next) = waiting.front() {
+        let leaves = next.queued + delay;
+        if !delay.is_zero() && leaves > Instant::now() {
+            if flush_frames(writer).await.is_err() {
+                return false;
+            }
+            tokio::time::sleep_until(leaves).await;
+        }
+        let Some(next) = waiting.pop_front() else {
+            break;
+        };
+        // A message that can't be encoded was never sent; dropping it is the only choice left.
+        let Ok(frame) = encode(&next.message) else {
+            continue;
+        };
+        if writer.feed(frame).await.is_err() {
+            return false;
+        }
+    }
+    flush_frames(writer).await.is_ok()
 }
 
 fn give_back(
     waiting: VecDeque<QueuedMessage>,
     mut queue: mpsc::Receiver<QueuedMessage>,
 ) -> VecDeque<PeerMessage> {
-    queue.close();
     let mut unsent: VecDeque<PeerMessage> = waiting.into_iter().map(|next| next.message).collect();
+    unsent.extend(drain_queue(&mut queue));
+    unsent
+}
+
+/// Closes a queue and returns what waits in it: a sender that comes later gets an error instead.
+pub(super) fn drain_queue(queue: &mut mpsc::Receiver<QueuedMessage>) -> VecDeque<PeerMessage> {
+    queue.close();
+    let mut unsent = VecDeque::new();
     while let Ok(next) = queue.try_recv() {
         unsent.push_back(next.message);
     }
--- a/crates/ebonyfork/src/wire/pool.rs
+++ b/crates/ebonyfork/src/wire/pool.rs
@@ -14,8 +14,8 @@
 
 use crate::ident::{SessionId, VmAddress};
 use crate::wire::link::{
-    FrameReader, LinkError, LinkSender, QUEUE_LIMIT, QueuedMessage, frame, read_one, shake_hands,
-    write_queued,
+    FrameReader, FrameWriter, LinkError, LinkSender, QUEUE_LIMIT, QueuedMessage, drain_queue,
+    frame, read_one, shake_hands, write_queued,
 };
 use crate::wire::message::PeerMessage;
 
@@ -98,10 +98,16 @@
 struct PoolShared {
     settings: PoolSettings,
     handler: Box<EventHandler>,
-    links: Mutex<FxHashMap<VmAddress, LinkSender>>,
+    links: Mutex<FxHashMap<VmAddress, OpenedLink>>,
     stop: CancellationToken,
 }
 
+/// A link that this process opened.
+struct OpenedLink {
+    sender: LinkSender,
+    closing: CancellationToken,
+}
+
 impl fmt::Debug for PeerPool {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("PeerPool")
@@ -155,6 +161,23 @@
         }
     }
 
+    /// Closes the links to VMs that are not wanted any more, such as failed ones: TCP alone notices a peer that went
+    /// silent only after minutes. What waits on them comes back with [`LinkEvent::Down`].
+    pub fn retain(&self, keeps: impl Fn(VmAddress) -> bool) {
+        let mut links = self
+            .shared
+            .links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        links.retain(|vm, link| {
+            let kept = *vm == self.shared.settings.own.vm || keeps(*vm);
+            if !kept {
+                link.closing.cancel();
+            }
+            kept
+        });
+    }
+
     fn link(&self, vm: VmAddress) -> LinkSender {
         let mut links = self
             .shared
@@ -162,23 +185,27 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if let Some(link) = links.get(&vm)
-            && !link.is_closed()
+            && !link.sender.is_closed()
         {
-            return link.clone();
+            return link.sender.clone();
         }
-        let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
-        let link = LinkSender {
-            peer: None,
-            queue: sender,
-        };
-        links.insert(vm, link.clone());
+        let (queue, receiver) = mpsc::channel(QUEUE_LIMIT);
+        let sender = LinkSender { peer: None, queue };
+        let closing = self.shared.stop.child_token();
+        links.insert(
+            vm,
+            OpenedLink {
+                sender: sender.clone(),
+                closing: closing.clone(),
+            },
+        );
         let pool = self.clone();
         if vm == self.shared.settings.own.vm {
             tokio::spawn(pool.serve_local(receiver));
         } else {
-            tokio::spawn(pool.serve_opened(vm, receiver));
+            tokio::spawn(pool.serve_opened(vm, receiver, closing));
         }
-        link
+        sender
     }
 
     /// A link to this process itself: messages go straight to the handler, and so do the replies.
@@ -212,10 +239,14 @@
         }
     }
 
-    async fn serve_opened(self, vm: VmAddress, queue: mpsc::Receiver<QueuedMessage>) {
+    async fn serve_opened(
+        self,
+        vm: VmAddress,
+        mut queue: mpsc::Receiver<QueuedMessage>,
+        closing: CancellationToken,
+    ) {
         let address = SocketAddr::new(vm.0, self.shared.settings.peer_port);
         let delay = (self.shared.settings.delay)(vm);
-        let mut queue = queue;
         let opened = tokio::time::timeout(OPEN_TIMEOUT, self.open(address)).await;
         let unsent = match opened {
             Ok(Ok((reader, writer, peer))) => {
@@ -224,16 +255,16 @@
                     peer: Some(peer),
                     queue: sender,
                 };
-                let writing = write_queued(writer, queue, delay);
-                self.run_link(reader, from, writing).await
+                let writing = write_queued(writer, queue, delay, closing.clone());
+                self.run_link(reader, from, writing, closing).await
             }
             Ok(Err(error)) => {
                 log::debug!("link to {vm}: {error}");
-                drain(&mut queue)
+                drain_queue(&mut queue)
             }
             Err(_elapsed) => {
                 log::debug!("link to {vm}: no answer within {OPEN_TIMEOUT:?}");
-                drain(&mut queue)
+                drain_queue(&mut queue)
             }
         };
         (self.shared.handler)(LinkEvent::Down { vm, unsent }).await;
@@ -242,7 +273,7 @@
     async fn open(
         &self,
         address: SocketAddr,
-    ) -> Result<(FrameReader, super::link::FrameWriter, SessionId), LinkError> {
+    ) -> Result<(FrameReader, FrameWriter, SessionId), LinkError> {
         let stream = TcpStream::connect(address).await;
         let stream = stream.map_err(|source| LinkError::Socket { source })?;
         let (mut reader, mut writer) = frame(stream)?;
@@ -269,8 +300,9 @@
             peer: Some(peer),
             queue: sender,
         };
-        let writing = write_queued(writer, receiver, delay);
-        self.run_link(reader, link, writing).await;
+        let closing = self.shared.stop.child_token();
+        let writing = write_queued(writer, receiver, delay, closing.clone());
+        self.run_link(reader, link, writing, closing).await;
     }
 
     /// Runs both directions until either ends; returns what was never handed to the socket.
@@ -279,38 +311,44 @@
         mut reader: FrameReader,
         from: LinkSender,
         writing: impl Future<Output = VecDeque<PeerMessage>>,
+        closing: CancellationToken,
     ) -> VecDeque<PeerMessage> {
         let reading = async {
-            loop {
-                match read_one(&mut reader).await {
-                    Ok(Some(message)) => {
-                        let event = LinkEvent::Message {
-                            from: from.clone(),
-                            message,
-                        };
-                        (self.shared.handler)(event).await;
-                    }
-                    Ok(None) => return,
-                    Err(error) => {
-                        log::debug!("link with {:?}: {error}", from.peer());
-                        return;
-                    }
-                }
+            tokio::select! {
+                () = self.read_messages(&mut reader, &from) => {}
+                () = closing.cancelled() => {}
             }
+            closing.cancel();
         };
-        tokio::select! {
-            unsent = writing => unsent,
-            () = reading => VecDeque::new(),
-            () = self.shared.stop.cancelled() => VecDeque::new(),
-        }
+        let writing = async {
+            let unsent = writing.await;
+            closing.cancel();
+            unsent
+        };
+        let ((), unsent) = tokio::join!(reading, writing);
+        unsent
     }
-}
 
-fn drain(queue: &mut mpsc::Receiver<QueuedMessage>) -> VecDeque<PeerMessage> {
-    queue.close();
-    let mut unsent = VecDeque::new();
-    while let Ok(next) = queue.try_recv() {
-        unsent.push_back(next.message);
+    async fn read_messages(&self, reader: &mut FrameReader, from: &LinkSender) {
+        loop {
+            match read_one(reader).await {
+                Ok(Some(message)) => {
+                    let event = LinkEvent::Message {
+                        from: from.clone(),
+                        message,
+                    };
+                    (self.shared.handler)(event).await;
+                }
+                Ok(None) => return,
+                Err(error) => {
+                    log::debug!("link with {:?}: {error}", from.peer());
+                    return;
+                }
+            }
+        }
     }
-    unsent
 }
+
+#[cfg(test)]
+#[path = "pool_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/wire/pool_tests.rs
@@ -0,0 +1,163 @@
+use std::net::{IpAddr, Ipv4Addr};
+
+use googletest::prelude::*;
+use smallvec::smallvec;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::*;
+use crate::ident::IncarnationNumber;
+use crate::relay::CancelBatch;
+
+type EventReceiver = mpsc::UnboundedReceiver<LinkEvent>;
+
+fn loopback(host: u8) -> VmAddress {
+    VmAddress(IpAddr::V4(Ipv4Addr::new(127, 0, 0, host)))
+}
+
+fn session(host: u8) -> SessionId {
+    SessionId::new(loopback(host), IncarnationNumber(u64::from(host)))
+}
+
+fn message(query: u64) -> PeerMessage {
+    PeerMessage::Cancel(CancelBatch {
+        query,
+        attempts: smallvec![1, 2],
+    })
+}
+
+fn pool(own: SessionId, peer_port: u16) -> (PeerPool, EventReceiver) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let settings = PoolSettings::new(own, peer_port);
+    let pool = PeerPool::new(settings, CancellationToken::new(), move |event| {
+        let sent = sender.send(event);
+        Box::pin(async move { drop(sent) })
+    });
+    (pool, receiver)
+}
+
+async fn listener(host: u8, port: u16) -> (TcpListener, u16) {
+    let listener = TcpListener::bind((loopback(host).0, port)).await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    (listener, port)
+}
+
+#[gtest]
+#[tokio::test]
+async fn requests_and_replies_use_one_link() {
+    let (listener, port) = listener(2, 0).await;
+    let (server, mut received) = pool(session(2), port);
+    let (client, mut replies) = pool(session(1), port);
+    tokio::spawn(async move { server.accept(listener).await });
+    for query in 0..100 {
+        client.send(loopback(2), message(query)).unwrap();
+    }
+    for query in 0..100 {
+        let Some(LinkEvent::Message {
+            from,
+            message: found,
+        }) = received.recv().await
+        else {
+            fail!("the link went down").unwrap();
+            return;
+        };
+        expect_that!(found, eq(&message(query)));
+        expect_that!(from.peer(), some(eq(session(1))));
+        from.send(message(query + 1_000)).unwrap();
+    }
+    for query in 0..100 {
+        let Some(LinkEvent::Message {
+            from,
+            message: found,
+        }) = replies.recv().await
+        else {
+            fail!("the link went down").unwrap();
+            return;
+        };
+        expect_that!(found, eq(&message(query + 1_000)));
+        expect_that!(from.peer(), some(eq(session(2))));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn messages_for_an_unreachable_peer_come_back_unsent() {
+    let (listener, port) = listener(3, 0).await;
+    drop(listener);
+    let (client, mut events) = pool(session(1), port);
+    client.send(loopback(3), message(1)).unwrap();
+    client.send(loopback(3), message(2)).unwrap();
+    let Some(LinkEvent::Down { vm, unsent }) = events.recv().await else {
+        fail!("a message arrived from nowhere").unwrap();
+        return;
+    };
+    expect_that!(vm, eq(loopback(3)));
+    expect_that!(unsent, eq(&VecDeque::from([message(1), message(2)])));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stranger_is_refused_and_the_listener_goes_on() {
+    let (listener, port) = listener(4, 0).await;
+    let (server, mut received) = pool(session(4), port);
+    tokio::spawn(async move { server.accept(listener).await });
+    for junk in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0, 0, 0, 2, 0, 99],
+        &[255; 64],
+    ] {
+        let mut stream = TcpStream::connect((loopback(4).0, port)).await.unwrap();
+        stream.write_all(junk).await.unwrap();
+        let mut answer = Vec::new();
+        // The server ends the connection, whether cleanly or by a reset.
+        let _ended = stream.read_to_end(&mut answer).await;
+    }
+    let (client, _events) = pool(session(1), port);
+    client.send(loopback(4), message(7)).unwrap();
+    expect_that!(
+        received.recv().await,
+        some(matches_pattern!(LinkEvent::Message {
+            message: eq(&message(7)),
+            ..
+        }))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_link_to_an_unwanted_peer_is_closed() {
+    let (listener, port) = listener(5, 0).await;
+    let (server, mut received) = pool(session(5), port);
+    tokio::spawn(async move { server.accept(listener).await });
+    let (client, mut events) = pool(session(1), port);
+    client.send(loopback(5), message(1)).unwrap();
+    expect_that!(received.recv().await, some(anything()));
+    client.retain(|_vm| false);
+    expect_that!(
+        events.recv().await,
+        some(matches_pattern!(LinkEvent::Down {
+            vm: eq(&loopback(5)),
+            unsent: is_empty()
+        }))
+    );
+    client.send(loopback(5), message(2)).unwrap();
+    expect_that!(received.recv().await, some(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_process_reaches_itself() {
+    let (client, mut events) = pool(session(1), 1);
+    client.send(loopback(1), message(1)).unwrap();
+    let Some(LinkEvent::Message { from, .. }) = events.recv().await else {
+        fail!("the link went down").unwrap();
+        return;
+    };
+    from.send(message(2)).unwrap();
+    expect_that!(
+        events.recv().await,
+        some(matches_pattern!(LinkEvent::Message {
+            message: eq(&message(2)),
+            ..
+        }))
+    );
+}
