Join the VM list with membership into the topology view; choose locate addresses

The view needs both: the list lags and has outages, membership is quick but knows only our own VMs. Membership's word about a VM goes first; a listed VM that never answered is dropped after 10 s, but only once some peer has answered. A sign of leaving for an upstream holds until the list shows it gone, or still says live 60 s later.

TopologySettings hands out the seeds before the feed starts, because membership needs them and the feed needs membership.

Locate: own zone first, the less loaded of two in front, the last address in another zone; 8 VMs per zone and customer by rendezvous hashing, so a VM that goes changes one of a customer's eight (test with 490 VMs).

--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod finding;
 pub mod ident;
 pub mod ini;
+pub mod locate;
+pub mod membership;
 pub mod platform;
 pub mod quantity;
 pub mod query;
--- /dev/null
+++ b/crates/ebonyfork/src/locate/answer_tests.rs
@@ -0,0 +1,137 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::membership::{MemberDigest, MemberEntry, MemberState};
+use crate::topology::VmEntry;
+
+fn vm(number: u32) -> VmAddress {
+    VmAddress(std::net::Ipv4Addr::from(0x0a00_0000 + number).into())
+}
+
+fn entry(number: u32, zone: &str) -> VmEntry {
+    VmEntry {
+        vm: vm(number),
+        zone: zone.parse().unwrap(),
+        incarnation: Some(IncarnationNumber(u64::from(number))),
+        leaving: false,
+    }
+}
+
+fn settings() -> LocateSettings {
+    LocateSettings {
+        own: SessionId::new(vm(1), IncarnationNumber(1)),
+        zone: "a".parse().unwrap(),
+        caller_port: 7100,
+        ttl: Duration::from_secs(5),
+    }
+}
+
+fn locate(vms: &[VmEntry], customer: Option<&str>, rng: &mut ChaCha8Rng) -> LocateAnswer {
+    let view = TopologyView::new(vms.iter().cloned(), []);
+    let customer = customer.map(|name| name.parse().unwrap());
+    let members = MemberSnapshot::default();
+    locate_addresses(&view, &members, &settings(), customer.as_ref(), rng)
+}
+
+#[gtest]
+fn near_first_leaving_and_unknown_left_out() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let leaving = VmEntry {
+        leaving: true,
+        ..entry(3, "a")
+    };
+    let unknown = VmEntry {
+        incarnation: None,
+        ..entry(4, "a")
+    };
+    // VMs, then the addresses that the answer may start with, and how many it has.
+    let cases = [
+        (vec![], vec![1], 1),
+        (vec![entry(1, "a")], vec![1], 1),
+        (vec![entry(1, "a"), entry(2, "a")], vec![1, 2], 2),
+        (
+            vec![entry(1, "a"), leaving.clone(), unknown.clone()],
+            vec![1],
+            1,
+        ),
+        (vec![leaving, unknown, entry(5, "b")], vec![5], 1),
+        (
+            vec![entry(1, "a"), entry(5, "b"), entry(6, "c")],
+            vec![1],
+            3,
+        ),
+    ];
+    for (vms, firsts, count) in cases {
+        for _round in 0..20 {
+            let answer = locate(&vms, None, &mut rng);
+            let first = answer.session.vm;
+            expect_that!(firsts.iter().any(|number| vm(*number) == first), eq(true));
+            expect_that!(answer.addresses[0].ip(), eq(first.0));
+            expect_that!(answer.addresses.len(), eq(count), "{vms:?}");
+        }
+    }
+}
+
+#[gtest]
+fn the_last_address_lies_in_another_zone() {
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let vms: Vec<_> = (1..20)
+        .map(|number| entry(number, if number < 10 { "a" } else { "b" }))
+        .collect();
+    for _round in 0..50 {
+        let answer = locate(&vms, Some("roofers"), &mut rng);
+        let far: Vec<bool> = answer
+            .addresses
+            .iter()
+            .map(|address| address.ip() >= vm(10).0)
+            .collect();
+        expect_that!(
+            far,
+            elements_are![eq(&false), eq(&false), eq(&false), eq(&true)]
+        );
+    }
+}
+
+#[gtest]
+fn a_customer_keeps_its_subset_when_vms_come_and_go() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut vms: Vec<_> = (1..=490).map(|number| entry(number, "a")).collect();
+    let mut firsts = |vms: &[VmEntry]| -> BTreeSet<VmAddress> {
+        (0..400)
+            .map(|_| locate(vms, Some("roofers"), &mut rng).session.vm)
+            .collect()
+    };
+    let before = firsts(&vms);
+    expect_that!(before.len(), eq(CUSTOMER_SUBSET));
+    vms.retain(|entry| entry.vm != *before.first().unwrap());
+    let after = firsts(&vms);
+    expect_that!(after.intersection(&before).count(), eq(CUSTOMER_SUBSET - 1));
+}
+
+#[gtest]
+fn a_loaded_vm_is_first_less_often() {
+    let vms = [entry(1, "a"), entry(2, "a"), entry(3, "a"), entry(4, "a")];
+    let members = MemberSnapshot::new(vms.iter().map(|entry| MemberEntry {
+        vm: entry.vm,
+        zone: entry.zone.clone(),
+        incarnation: entry.incarnation.unwrap(),
+        state: MemberState::Alive,
+        digest: MemberDigest {
+            load: if entry.vm == vm(4) { 900 } else { 100 },
+            ..MemberDigest::default()
+        },
+    }));
+    let view = TopologyView::new(vms, []);
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut counts: BTreeMap<VmAddress, u32> = BTreeMap::new();
+    for _round in 0..1_000 {
+        let answer = locate_addresses(&view, &members, &settings(), None, &mut rng);
+        *counts.entry(answer.session.vm).or_default() += 1;
+    }
+    expect_that!(counts.get(&vm(4)), none());
+    expect_that!(counts[&vm(1)], all![gt(250), lt(420)]);
+}
--- /dev/null
+++ b/crates/ebonyfork/src/topology/feed.rs
@@ -0,0 +1,267 @@
+//! Feeds the topology view: polls the VM list, follows membership, takes signs that an upstream leaves.
+//!
+//! One poller reads the list; while that fails the last one stays in force. Each change becomes one new view.
+
+use std::fmt::Display;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use crate::ident::{SessionId, UpstreamAddress, VmAddress, ZoneName};
+use crate::membership::MemberSnapshot;
+use crate::platform::VmRecord;
+use crate::topology::join::TopologyJoin;
+use crate::topology::view::TopologyView;
+
+/// Time between two reads of the VM list.
+pub const LIST_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two looks at what has aged.
+const AGE_PERIOD: Duration = Duration::from_secs(1);
+
+/// What the feed needs to know.
+#[derive(Debug)]
+pub struct TopologySettings {
+    own: SessionId,
+    zone: ZoneName,
+    list_period: Duration,
+    seeds: watch::Sender<Arc<[VmAddress]>>,
+}
+
+impl TopologySettings {
+    /// Settings of the process `own` in `zone`.
+    pub fn new(own: SessionId, zone: ZoneName) -> Self {
+        Self {
+            own,
+            zone,
+            list_period: LIST_PERIOD,
+            seeds: watch::Sender::new(Arc::from([])),
+        }
+    }
+
+    /// Replaces the time between two reads of the VM list.
+    #[must_use]
+    pub fn with_list_period(mut self, period: Duration) -> Self {
+        self.list_period = period;
+        self
+    }
+
+    /// Our other VMs on the list, as the feed will learn them. Membership needs them before the feed can start.
+    pub fn seeds(&self) -> watch::Receiver<Arc<[VmAddress]>> {
+        self.seeds.subscribe()
+    }
+}
+
+/// The running feed. Cheap to clone; the feed stops when the last clone is dropped.
+#[derive(Debug, Clone)]
+pub struct TopologyHandle {
+    actor: Address<FeedActor>,
+    seeds: watch::Receiver<Arc<[VmAddress]>>,
+    _tasks: Arc<JoinSet<()>>,
+}
+
+impl TopologyHandle {
+    /// Starts the feed. `list` reads the VM list once; `members` is membership's view; `writer` receives the result.
+    pub fn start<E: Display + Send + 'static>(
+        settings: TopologySettings,
+        list: impl Fn() -> BoxFuture<'static, Result<Vec<VmRecord>, E>> + Send + Sync + 'static,
+        members: watch::Receiver<Arc<MemberSnapshot>>,
+        writer: watch::Sender<Arc<TopologyView>>,
+    ) -> Self {
+        let seeds = settings.seeds();
+        let period = settings.list_period;
+        let mut actor = FeedActor {
+            started: Instant::now(),
+            join: TopologyJoin::new(settings.own, settings.zone),
+            members: members.clone(),
+            seeds: settings.seeds,
+            writer,
+        };
+        actor.take_members();
+        let (address, mailbox) = Mailbox::unbounded();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(xtra::run(mailbox, actor));
+        tasks.spawn(poll_list(address.downgrade(), list, period));
+        tasks.spawn(follow_members(address.downgrade(), members));
+        tasks.spawn(tick(address.downgrade()));
+        Self {
+            actor: address,
+            seeds,
+            _tasks: Arc::new(tasks),
+        }
+    }
+
+    /// Notes that an upstream has said that it leaves; it gets no new work from now on.
+    pub fn note_leaving(&self, upstream: UpstreamAddress) {
+        // An unbounded mailbox takes a message at the first poll; the result is not awaited.
+        let _queued = self
+            .actor
+            .send(LeavingSign(upstream))
+            .detach()
+            .now_or_never();
+    }
+
+    /// Our other VMs on the list.
+    pub fn seeds(&self) -> watch::Receiver<Arc<[VmAddress]>> {
+        self.seeds.clone()
+    }
+}
+
+async fn poll_list<E: Display>(
+    actor: WeakAddress<FeedActor>,
+    list: impl Fn() -> BoxFuture<'static, Result<Vec<VmRecord>, E>>,
+    period: Duration,
+) {
+    loop {
+        match list().await {
+            Ok(records) => {
+                if actor.send(ListRead(records)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::warn!("VM list: {error}; the last one stays in force"),
+        }
+        tokio::time::sleep(period).await;
+    }
+}
+
+async fn follow_members(
+    actor: WeakAddress<FeedActor>,
+    mut members: watch::Receiver<Arc<MemberSnapshot>>,
+) {
+    while members.changed().await.is_ok() {
+        if actor.send(MembersChanged).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(actor: WeakAddress<FeedActor>) {
+    loop {
+        tokio::time::sleep(AGE_PERIOD).await;
+        if actor.send(AgeTick).await.is_err() {
+            return;
+        }
+    }
+}
+
+struct ListRead(Vec<VmRecord>);
+struct MembersChanged;
+struct LeavingSign(UpstreamAddress);
+struct AgeTick;
+
+#[derive(Debug, xtra::Actor)]
+struct FeedActor {
+    started: Instant,
+    join: TopologyJoin,
+    members: watch::Receiver<Arc<MemberSnapshot>>,
+    seeds: watch::Sender<Arc<[VmAddress]>>,
+    writer: watch::Sender<Arc<TopologyView>>,
+}
+
+impl FeedActor {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn take_members(&mut self) {
+        let members = Arc::clone(&self.members.borrow_and_update());
+        self.join.take_members(members);
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let view = self.join.view(self.now());
+        self.writer.send_if_modified(|current| {
+            let changed = **current != view;
+            if changed {
+                log_changes(current, &view);
+                *current = Arc::new(view);
+            }
+            changed
+        });
+    }
+}
+
+impl Handler<ListRead> for FeedActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ListRead, _context: &mut Context<Self>) {
+        self.join.take_list(self.now(), message.0);
+        let peers = self.join.listed_peers();
+        self.seeds.send_if_modified(|seeds| {
+            let changed = **seeds != *peers;
+            if changed {
+                *seeds = peers.into();
+            }
+            changed
+        });
+        self.publish();
+    }
+}
+
+impl Handler<MembersChanged> for FeedActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: MembersChanged, _context: &mut Context<Self>) {
+        self.take_members();
+    }
+}
+
+impl Handler<LeavingSign> for FeedActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: LeavingSign, _context: &mut Context<Self>) {
+        self.join.note_leaving(self.now(), message.0);
+        self.publish();
+    }
+}
+
+impl Handler<AgeTick> for FeedActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: AgeTick, _context: &mut Context<Self>) {
+        self.publish();
+    }
+}
+
+/// Writes one decision line per VM or upstream that is placed differently from now on.
+fn log_changes(old: &TopologyView, new: &TopologyView) {
+    if !log::log_enabled!(target: "ebonyfork::decision", log::Level::Info) {
+        return;
+    }
+    for (vm, entry) in &new.vms {
+        let before = old.vms.get(vm);
+        if before == Some(entry) {
+            continue;
+        }
+        let incarnation = entry.incarnation.map(|number| number.0);
+        log::info!(target: "ebonyfork::decision",
+            "topology vm={vm} zone={} incarnation={incarnation:?} leaving={}", entry.zone, entry.leaving);
+    }
+    for vm in old.vms.keys().filter(|vm| !new.vms.contains_key(vm)) {
+        log::info!(target: "ebonyfork::decision", "topology vm={vm} out");
+    }
+    for (upstream, entry) in &new.upstreams {
+        let before = old.upstreams.get(upstream).map(|entry| entry.leaving);
+        if before != Some(entry.leaving) {
+            log::info!(target: "ebonyfork::decision",
+                "topology upstream={upstream} service={} leaving={}", entry.service, entry.leaving);
+        }
+    }
+    for upstream in old.upstreams.keys() {
+        if !new.upstreams.contains_key(upstream) {
+            log::info!(target: "ebonyfork::decision", "topology upstream={upstream} out");
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "feed_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/topology/feed_tests.rs
@@ -0,0 +1,62 @@
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use compact_str::CompactString;
+use googletest::prelude::*;
+
+use super::*;
+use crate::ident::IncarnationNumber;
+use crate::platform::{OWN_GROUP, VmState};
+
+fn record(last: u8, group: &str, port: Option<u16>) -> VmRecord {
+    VmRecord {
+        ip: [10, 0, 0, last].into(),
+        port,
+        zone: "a".parse().unwrap(),
+        group: CompactString::new(group),
+        state: VmState::Live,
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn feeds_list_outages_members_and_signs() {
+    let own = SessionId::new(VmAddress([10, 0, 0, 1].into()), IncarnationNumber(5));
+    let peer = VmAddress([10, 0, 0, 2].into());
+    let reads = Arc::new(AtomicU32::new(0));
+    let list = {
+        let reads = Arc::clone(&reads);
+        move || -> BoxFuture<'static, std::result::Result<Vec<VmRecord>, &'static str>> {
+            let number = reads.fetch_add(1, Ordering::Relaxed);
+            let records = vec![
+                record(1, OWN_GROUP, None),
+                record(2, OWN_GROUP, None),
+                record(9, "tender-00", Some(80)),
+            ];
+            Box::pin(async move {
+                if number == 1 {
+                    Ok(records)
+                } else {
+                    Err("outage")
+                }
+            })
+        }
+    };
+    let settings = TopologySettings::new(own, "a".parse().unwrap());
+    let mut seeds = settings.seeds();
+    let (writer, mut view) = watch::channel(Arc::default());
+    let (_members, members) = watch::channel(Arc::default());
+    let handle = TopologyHandle::start(settings, list, members, writer);
+    // The first read fails: only the own VM is known. The second succeeds; the later ones fail again.
+    expect_that!(view.borrow_and_update().vms.len(), eq(1));
+    seeds.changed().await.unwrap();
+    expect_that!(&**seeds.borrow(), elements_are![eq(&peer)]);
+    view.wait_for(|view| view.vms.len() == 2).await.unwrap();
+    let upstream: UpstreamAddress = "10.0.0.9:80".parse().unwrap();
+    expect_that!(view.borrow().upstreams[&upstream].leaving, eq(false));
+    handle.note_leaving(upstream);
+    let left = view.wait_for(|view| view.upstreams[&upstream].leaving);
+    expect_that!(left.await.is_ok(), eq(true));
+    tokio::time::sleep(LIST_PERIOD * 60).await;
+    expect_that!(reads.load(Ordering::Relaxed), gt(30));
+    expect_that!(view.borrow().upstreams[&upstream].leaving, eq(true));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -0,0 +1,186 @@
+//! Joins the VM list with what membership has learnt into one view.
+//!
+//! The list lags and has outages; membership is quick but knows only our own VMs. Membership's word about a VM goes
+//! first. A listed VM that membership has never heard of is trusted for [`UNHEARD_GRACE`], and for as long as no peer
+//! at all has answered: then the fault may be our own.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::ident::{SessionId, UpstreamAddress, VmAddress, ZoneName};
+use crate::membership::{MemberEntry, MemberSnapshot, MemberState};
+use crate::platform::{OWN_GROUP, VmRecord, VmState};
+use crate::topology::view::{TopologyView, UpstreamEntry, VmEntry};
+
+/// How long a listed VM is used that has never answered membership.
+pub const UNHEARD_GRACE: Duration = Duration::from_secs(10);
+/// How long a sign of leaving counts against a list that goes on saying live.
+pub const LEAVING_SIGN_AGE: Duration = Duration::from_mins(1);
+
+/// State of the join. Times are spans since the process started.
+#[derive(Debug)]
+pub struct TopologyJoin {
+    own: SessionId,
+    zone: ZoneName,
+    vms: BTreeMap<VmAddress, ListedVm>,
+    upstreams: BTreeMap<UpstreamAddress, UpstreamEntry>,
+    signs: FxHashMap<UpstreamAddress, Duration>,
+    members: Arc<MemberSnapshot>,
+}
+
+#[derive(Debug)]
+struct ListedVm {
+    zone: ZoneName,
+    leaving: bool,
+    first_listed: Duration,
+}
+
+impl TopologyJoin {
+    /// A join that knows only its own process.
+    pub fn new(own: SessionId, zone: ZoneName) -> Self {
+        Self {
+            own,
+            zone,
+            vms: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            signs: FxHashMap::default(),
+            members: Arc::default(),
+        }
+    }
+
+    /// Takes in a VM list that was read at `now`.
+    pub fn take_list(&mut self, now: Duration, records: impl IntoIterator<Item = VmRecord>) {
+        let mut vms = BTreeMap::new();
+        let mut upstreams = BTreeMap::new();
+        for record in records {
+            let leaving = record.state == VmState::Leaving;
+            if record.group == OWN_GROUP {
+                let vm = VmAddress(record.ip);
+                let known = self.vms.get(&vm);
+                let listed = ListedVm {
+                    zone: record.zone,
+                    leaving,
+                    first_listed: known.map_or(now, |known| known.first_listed),
+                };
+                vms.insert(vm, listed);
+                continue;
+            }
+            let Some(entry) = read_upstream(record, leaving) else {
+                continue;
+            };
+            upstreams.insert(entry.upstream, entry);
+        }
+        self.vms = vms;
+        self.upstreams = upstreams;
+        self.age_signs(now);
+    }
+
+    /// Takes in what membership has learnt.
+    pub fn take_members(&mut self, members: Arc<MemberSnapshot>) {
+        self.members = members;
+    }
+
+    /// Notes at `now` that an upstream has said that it leaves.
+    pub fn note_leaving(&mut self, now: Duration, upstream: UpstreamAddress) {
+        self.signs.insert(upstream, now);
+    }
+
+    /// Drops signs whose upstream is gone, and those that a list read much later does not bear out.
+    fn age_signs(&mut self, now: Duration) {
+        let upstreams = &self.upstreams;
+        self.signs.retain(|upstream, noted| {
+            let listed_live = upstreams.get(upstream).map(|entry| !entry.leaving);
+            match listed_live {
+                Some(true) => now.saturating_sub(*noted) < LEAVING_SIGN_AGE,
+                Some(false) => true,
+                None => false,
+            }
+        });
+    }
+
+    /// Our VMs on the list, the own one left out.
+    pub fn listed_peers(&self) -> Vec<VmAddress> {
+        let peers = self.vms.keys().filter(|vm| **vm != self.own.vm);
+        peers.copied().collect()
+    }
+
+    /// Builds the view at `now`.
+    pub fn view(&self, now: Duration) -> TopologyView {
+        let mut vms = Vec::with_capacity(self.vms.len().max(self.members.members().len()) + 1);
+        for member in self.members.members() {
+            if member.vm == self.own.vm || !member.state.is_present() {
+                continue;
+            }
+            vms.push(self.present_entry(member));
+        }
+        for (vm, listed) in &self.vms {
+            if *vm == self.own.vm || !self.trusts_unheard(now, *vm, listed) {
+                continue;
+            }
+            vms.push(VmEntry {
+                vm: *vm,
+                zone: listed.zone.clone(),
+                incarnation: None,
+                leaving: listed.leaving,
+            });
+        }
+        vms.push(self.own_entry());
+        let upstreams = self.upstreams.values().map(|entry| {
+            let mut entry = entry.clone();
+            entry.leaving |= self.signs.contains_key(&entry.upstream);
+            entry
+        });
+        TopologyView::new(vms, upstreams)
+    }
+
+    fn own_entry(&self) -> VmEntry {
+        let member = self.members.get(self.own.vm);
+        let announced = member.is_some_and(|member| member.state == MemberState::Leaving);
+        let listed = self.vms.get(&self.own.vm);
+        VmEntry {
+            vm: self.own.vm,
+            zone: self.zone.clone(),
+            incarnation: Some(self.own.incarnation),
+            leaving: announced || listed.is_some_and(|listed| listed.leaving),
+        }
+    }
+
+    fn present_entry(&self, member: &MemberEntry) -> VmEntry {
+        let listed = self.vms.get(&member.vm);
+        VmEntry {
+            vm: member.vm,
+            zone: member.zone.clone(),
+            incarnation: Some(member.incarnation),
+            leaving: member.state == MemberState::Leaving
+                || listed.is_some_and(|listed| listed.leaving),
+        }
+    }
+
+    /// Tells whether a listed VM that membership does not know is used all the same.
+    fn trusts_unheard(&self, now: Duration, vm: VmAddress, listed: &ListedVm) -> bool {
+        if self.members.get(vm).is_some() {
+            return false;
+        }
+        let mut peers = self.members.members().iter();
+        let peers_answer = peers.any(|member| member.vm != self.own.vm);
+        !peers_answer || now.saturating_sub(listed.first_listed) < UNHEARD_GRACE
+    }
+}
+
+fn read_upstream(record: VmRecord, leaving: bool) -> Option<UpstreamEntry> {
+    let service = record.group.parse().ok()?;
+    let port = record.port?;
+    Some(UpstreamEntry {
+        upstream: UpstreamAddress(std::net::SocketAddr::new(record.ip, port)),
+        zone: record.zone,
+        service,
+        leaving,
+    })
+}
+
+#[cfg(test)]
+#[path = "join_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/topology/join_tests.rs
@@ -0,0 +1,118 @@
+use compact_str::CompactString;
+use googletest::prelude::*;
+
+use super::*;
+use crate::ident::IncarnationNumber;
+use crate::membership::MemberDigest;
+
+fn vm(last: u8) -> VmAddress {
+    VmAddress([10, 0, 0, last].into())
+}
+
+fn own() -> SessionId {
+    SessionId::new(vm(1), IncarnationNumber(100))
+}
+
+fn record(last: u8, state: VmState) -> VmRecord {
+    VmRecord {
+        ip: vm(last).0,
+        port: None,
+        zone: "a".parse().unwrap(),
+        group: CompactString::new(OWN_GROUP),
+        state,
+    }
+}
+
+fn server(last: u8, state: VmState) -> VmRecord {
+    VmRecord {
+        port: Some(80),
+        group: "tender-00".into(),
+        ..record(last, state)
+    }
+}
+
+fn member(last: u8, state: MemberState) -> MemberEntry {
+    MemberEntry {
+        vm: vm(last),
+        zone: "a".parse().unwrap(),
+        incarnation: IncarnationNumber(7),
+        state,
+        digest: MemberDigest::default(),
+    }
+}
+
+fn upstream(last: u8) -> UpstreamAddress {
+    format!("10.0.0.{last}:80").parse().unwrap()
+}
+
+fn join() -> TopologyJoin {
+    TopologyJoin::new(own(), "a".parse().unwrap())
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[gtest]
+fn a_vm_is_placed_by_list_and_membership() {
+    use MemberState::{Alive, Failed, Leaving, Suspect};
+    use VmState::Live;
+    // What the list says, what membership says, whether some other peer answers, seconds since listed: in, leaving.
+    let cases = [
+        (Some(Live), None, false, 0, Some(false)),
+        (Some(Live), None, false, 1_000, Some(false)),
+        (Some(Live), None, true, 9, Some(false)),
+        (Some(Live), None, true, 10, None),
+        (Some(Live), Some(Alive), true, 1_000, Some(false)),
+        (Some(Live), Some(Suspect), true, 0, Some(false)),
+        (Some(Live), Some(Failed), true, 0, None),
+        (Some(Live), Some(Leaving), true, 0, Some(true)),
+        (Some(VmState::Leaving), Some(Alive), true, 0, Some(true)),
+        (Some(VmState::Leaving), None, false, 0, Some(true)),
+        (None, Some(Alive), true, 0, Some(false)),
+        (None, Some(Failed), true, 0, None),
+        (None, None, true, 0, None),
+    ];
+    for (listed, believed, answered, age, expected) in cases {
+        let mut join = join();
+        join.take_list(seconds(5), listed.map(|state| record(2, state)));
+        let other = answered.then(|| member(3, Alive));
+        let members = believed.map(|state| member(2, state)).into_iter();
+        join.take_members(Arc::new(MemberSnapshot::new(members.chain(other))));
+        let view = join.view(seconds(5 + age));
+        let placed = view.vms.get(&vm(2)).map(|entry| entry.leaving);
+        expect_that!(
+            placed,
+            eq(expected),
+            "{listed:?} {believed:?} {answered} {age}"
+        );
+        expect_that!(
+            view.vms[&vm(1)].incarnation,
+            some(eq(IncarnationNumber(100)))
+        );
+    }
+}
+
+#[gtest]
+fn a_sign_of_leaving_holds_until_the_list_refutes_it() {
+    let leaving = |join: &TopologyJoin, now| {
+        let view = join.view(seconds(now));
+        view.upstreams.get(&upstream(9)).map(|entry| entry.leaving)
+    };
+    let mut join = join();
+    join.take_list(seconds(0), [server(9, VmState::Live)]);
+    expect_that!(leaving(&join, 0), some(eq(false)));
+    join.note_leaving(seconds(1), upstream(9));
+    expect_that!(leaving(&join, 1), some(eq(true)));
+    // The list lags and goes on saying live; an outage of the list changes nothing either.
+    join.take_list(seconds(30), [server(9, VmState::Live)]);
+    expect_that!(leaving(&join, 1_000), some(eq(true)));
+    join.take_list(seconds(61), [server(9, VmState::Live)]);
+    expect_that!(leaving(&join, 61), some(eq(false)));
+    // Gone and listed again is a new instance.
+    join.note_leaving(seconds(70), upstream(9));
+    join.take_list(seconds(71), []);
+    expect_that!(leaving(&join, 71), none());
+    join.take_list(seconds(72), [server(9, VmState::Live)]);
+    expect_that!(leaving(&join, 72), some(eq(false)));
+}
--- a/crates/ebonyfork/src/topology/mod.rs
+++ b/crates/ebonyfork/src/topology/mod.rs
@@ -4,8 +4,12 @@
 //! what membership has learned. Decisions take it by reference; two VMs may hold different views for a while, and
 //! every rule built on it has to bear that.
 
+mod feed;
+mod join;
 mod ownership;
 mod view;
 
+pub use feed::{LIST_PERIOD, TopologyHandle, TopologySettings};
+pub use join::{LEAVING_SIGN_AGE, TopologyJoin, UNHEARD_GRACE};
 pub use ownership::{OwnerPair, owner_pair};
 pub use view::{TopologyView, UpstreamEntry, VmEntry};
