Add the platform stand-in: keys, leases, watches, VM list, faults on demand

The contract tests of the platform's clients and the experiments need a platform that counts calls and can be down, slow, rate limited, lose an answer after the change took effect, and restart with older data. The stored state is plain code; the server beside it plays the faults.

--- /dev/null
+++ b/crates/ebonyfork-lab/src/command/command_tests.rs
@@ -0,0 +1,6 @@
+use super::command;
+
+#[test]
+fn the_command_line_is_consistent() {
+    command().debug_assert();
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -0,0 +1,45 @@
+//! The command line: one folder of subcommands over the library.
+
+mod platform;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+use crate::error::LabError;
+
+/// Describes the command line.
+fn command() -> Command {
+    Command::new("ebonyfork-lab")
+        .about("Stand-ins for the platform and the upstreams, load generator and experiments")
+        .subcommand_required(true)
+        .subcommand(platform::command())
+}
+
+/// Runs the command line of this process.
+pub async fn run() -> Result<ExitCode, LabError> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("platform", matches)) => platform::run(matches).await,
+        _ => Ok(ExitCode::FAILURE),
+    }
+}
+
+/// Waits for the interrupt key or a termination request.
+async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let interrupt = tokio::signal::ctrl_c();
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => {
+            tokio::select! {
+                _ = interrupt => {}
+                _ = terminate.recv() => {}
+            }
+        }
+        Err(_) => drop(interrupt.await),
+    }
+}
+
+#[cfg(test)]
+#[path = "command_tests.rs"]
+mod tests;
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! The stand-ins and experiments of ebonyfork.
+//! Stand-ins for what surrounds the tier, and the tool that measures it.
+//!
+//! The platform and the upstreams are small HTTP servers that behave as `docs/PROTOCOLS.md` says, with faults on
+//! demand, and record what reaches them. The load generator plays the callers. The judge reads the records of both
+//! and never asks the tier: a violation is something that the tier can't talk its way out of.
+
+pub mod clock;
+pub mod command;
+pub mod error;
+pub mod http_client;
+pub mod http_server;
+pub mod platform;
--- a/crates/ebonyfork-lab/src/main.rs
+++ b/crates/ebonyfork-lab/src/main.rs
@@ -1,2 +1,17 @@
-//! Placeholder until the first thin path.
-fn main() {}
+//! The stand-ins and experiments of ebonyfork.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match ebonyfork_lab::command::run().await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
