Quarantine requests that crash upstreams: suspect, run alone, convict by sending times

A lost upstream breaks every connection at once and a query is in flight at many upstreams, so counting losses convicts innocents. The table compares when an attempt was sent with when the earlier loss was: only an attempt sent after a known loss that loses its upstream too is evidence, and an answer clears.

--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod platform;
 pub mod quantity;
+pub mod quarantine;
 pub mod query;
 pub mod relay;
 pub mod settings;
--- /dev/null
+++ b/crates/ebonyfork/src/quarantine/handle_tests.rs
@@ -0,0 +1,24 @@
+use googletest::prelude::*;
+
+use super::*;
+
+#[tokio::test(start_paused = true)]
+async fn two_losses_quarantine_and_an_operator_lifts() {
+    let quarantine = QuarantineHandle::new();
+    let request = RequestFingerprint(9);
+    for server in ["10.0.0.1:80", "10.0.0.2:80"] {
+        tokio::time::advance(Duration::from_millis(5)).await;
+        assert_that!(quarantine.refuses(request), eq(false));
+        tokio::time::advance(Duration::from_millis(5)).await;
+        quarantine.report_loss(server.parse().unwrap(), &[request]);
+    }
+    assert_that!(quarantine.refuses(request), eq(true));
+    assert_that!(quarantine.entries().len(), eq(1));
+    let other = QuarantineHandle::new();
+    for notice in quarantine.take_notices() {
+        other.merge(notice);
+    }
+    assert_that!(other.refuses(request), eq(true));
+    assert_that!(quarantine.lift(request), eq(true));
+    assert_that!(quarantine.refuses(request), eq(false));
+}
