Add the platform client, declarations, publishing by compare-and-swap and thin feeds

The node assembly and the lab need configuration and catalogues end to end. Publishing is a pure run of steps over the store's answers; a lost answer is resolved by reading the head and walking the parents. The feeds still watch the store from every node; few watchers per zone come next. A value may now end in a comment: a semicolon after white space.

--- a/crates/ebonyfork/src/catalog/mod.rs
+++ b/crates/ebonyfork/src/catalog/mod.rs
@@ -3,6 +3,10 @@
 //! The users' indexers publish it in the platform's service, one JSON value per index. The pinned version's shard list
 //! is the denominator of an answer's coverage, so it is kept as published and never merged with another version's.
 
+mod feed;
+
+pub use feed::CatalogHandle;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ident::{ServiceName, ShardNumber, SnapshotVersion};
--- a/crates/ebonyfork/src/declaration/mod.rs
+++ b/crates/ebonyfork/src/declaration/mod.rs
@@ -5,7 +5,9 @@
 //! passed along by reference and never changes. A new revision is a new value.
 
 mod model;
+mod parse;
 
 pub use model::{
     ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, ServiceEntry, TargetPriority,
 };
+pub use parse::{BOUND_FACTOR, DeclaredFile, PERCENTILE};
--- a/crates/ebonyfork/src/ini.rs
+++ b/crates/ebonyfork/src/ini.rs
@@ -2,7 +2,7 @@
 //!
 //! `ini_core` splits the lines; this module keeps the line of every section and property, takes typed values out and
 //! records a finding for whatever is missing, malformed, doubled or unknown. A section header is a kind with an
-//! optional name: `[node]`, `[class tender-search]`.
+//! optional name: `[node]`, `[class tender-search]`. Comments start with `;`, at a line's start or after white space.
 
 use std::fmt::Display;
 use std::str::FromStr;
@@ -149,11 +149,26 @@
             );
             return;
         }
-        let (key, value) = (CompactString::new(key), CompactString::new(value));
+        let (key, value) = (
+            CompactString::new(key),
+            CompactString::new(strip_comment(value)),
+        );
         section.properties.push(IniProperty { key, value, line });
     }
 }
 
+/// Cuts off a comment at a value's end: a `;` after white space.
+fn strip_comment(value: &str) -> &str {
+    let mut earlier = ' ';
+    for (place, letter) in value.char_indices() {
+        if letter == ';' && earlier.is_ascii_whitespace() {
+            return value[..place].trim_end();
+        }
+        earlier = letter;
+    }
+    value
+}
+
 /// Takes typed values out of one section and records findings.
 #[derive(Debug)]
 pub struct SectionReader<'a> {
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod quarantine;
 pub mod query;
 pub mod relay;
+pub mod revision;
 pub mod settings;
 pub mod topology;
 pub mod views;
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -4,6 +4,7 @@
 
 use crate::ident::SessionId;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
+use crate::revision::RevisionMessage;
 
 /// Version of the protocol between our processes; a peer of another version is refused.
 pub const PROTOCOL_VERSION: u16 = 1;
@@ -28,4 +29,6 @@
     Cancel(CancelBatch),
     /// Relay to entry: what became of attempts.
     Outcomes(OutcomeBatch),
+    /// Configuration: what is held, and the parts of revisions.
+    Revision(RevisionMessage),
 }
