--- a/crates/ebonyfork-lab/src/command/mod.rs
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one folder of subcommands over the library.
 
 mod platform;
+mod upstream;
 
 use std::process::ExitCode;
 
@@ -14,6 +15,7 @@
         .about("Stand-ins for the platform and the upstreams, load generator and experiments")
         .subcommand_required(true)
         .subcommand(platform::command())
+        .subcommand(upstream::command())
 }
 
 /// Runs the command line of this process.
@@ -21,6 +23,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("platform", matches)) => platform::run(matches).await,
+        Some(("upstream", matches)) => upstream::run(matches).await,
         _ => Ok(ExitCode::FAILURE),
     }
 }
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod error;
 pub mod http_client;
 pub mod http_server;
+pub mod journal;
 pub mod platform;
+pub mod upstream;
