Take a query from HTTP to the shards and back: the entry's decisions, its actor, the callers' border

The thin whole path: bounds and the one error form at the callers' border; class and customer looked up; the newest version pinned; power of two choices per shard; one batch per relay; gathering until complete, the class's latency or the deadline, with the coverage counted from the bodies held. Decisions are a pure state machine beside an xtra actor.

serde_json gains `raw_value`, so that the shards' rows are joined as text and not read one by one.

--- /dev/null
+++ b/crates/ebonyfork/src/caller/message.rs
@@ -0,0 +1,190 @@
+//! What callers see: the forms of answers, errors and locate answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::ident::{RunState, SessionId, ShardNumber};
+use crate::query::{QueryAnswer, QueryRefusal, RefusalCode};
+
+/// Which addresses a caller should use.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use ebonyfork::caller::LocateAnswer;
+///
+/// let text = r#"{"addresses":["127.0.0.1:7100"],"ttl_ms":5000,"session":"127.0.0.1-17"}"#;
+/// let answer: LocateAnswer = serde_json::from_str(text)?;
+/// assert_eq!(answer.ttl, Duration::from_secs(5));
+/// assert_eq!(serde_json::to_string(&answer)?, text);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocateAnswer {
+    /// Addresses for callers, best first.
+    pub addresses: SmallVec<[SocketAddr; 4]>,
+    /// How long the answer may be kept.
+    #[serde(rename = "ttl_ms", with = "millis")]
+    pub ttl: Duration,
+    /// The process incarnation at the first address.
+    #[serde(with = "session_text")]
+    pub session: SessionId,
+}
+
+mod millis {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(span: &Duration, out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(span.as_millis() as u64)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
+}
+
+mod session_text {
+    use serde::de::Error;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    use crate::ident::SessionId;
+
+    pub(super) fn serialize<S: Serializer>(session: &SessionId, out: S) -> Result<S::Ok, S::Error> {
+        out.collect_str(session)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<SessionId, D::Error> {
+        let text = compact_str::CompactString::deserialize(from)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
+#[derive(Serialize)]
+struct ErrorForm<'a> {
+    error: ErrorBody<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    code: &'static str,
+    ran: RunState,
+    message: &'a str,
+    field: Option<&'a str>,
+    retry_after_ms: Option<u64>,
+    query: Option<&'a str>,
+}
+
+/// The one JSON form of every outcome without an answer.
+pub(super) fn refusal_body(refusal: &QueryRefusal, query: Option<&str>) -> Bytes {
+    let retry_after = refusal.retry_after;
+    let form = ErrorForm {
+        error: ErrorBody {
+            code: refusal.code.as_str(),
+            ran: refusal.ran,
+            message: &refusal.message,
+            field: refusal.field.as_deref(),
+            retry_after_ms: retry_after.map(|after| after.as_millis() as u64),
+            query,
+        },
+    };
+    // Serialising plain texts and numbers to memory can't fail.
+    serde_json::to_vec(&form).unwrap_or_default().into()
+}
+
+/// HTTP status of a refusal.
+pub(super) fn refusal_status(code: RefusalCode) -> http::StatusCode {
+    use http::StatusCode;
+    match code {
+        RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalCode::UnknownCustomer => StatusCode::FORBIDDEN,
+        RefusalCode::UnknownClass | RefusalCode::NotFound => StatusCode::NOT_FOUND,
+        RefusalCode::OutcomeUnknown => StatusCode::CONFLICT,
+        RefusalCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalCode::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalCode::UpstreamFailed => StatusCode::BAD_GATEWAY,
+        RefusalCode::Overloaded
+        | RefusalCode::NotReady
+        | RefusalCode::Stopping
+        | RefusalCode::NoUpstream => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalCode::Deadline => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+#[derive(Serialize)]
+struct AnswerHead<'a> {
+    query: &'a str,
+    snapshot: u64,
+    coverage: CoverageForm<'a>,
+}
+
+#[derive(Serialize)]
+struct CoverageForm<'a> {
+    answered: u32,
+    total: u32,
+    missing: &'a [ShardNumber],
+}
+
+/// The rows of one shard, still as JSON text.
+#[derive(Deserialize)]
+struct ShardRows<'a> {
+    #[serde(borrow)]
+    rows: &'a serde_json::value::RawValue,
+}
+
+/// The JSON form of an answer; the shards' rows are joined without being read one by one.
+pub(super) fn answer_body(answer: &QueryAnswer) -> Result<Bytes, QueryRefusal> {
+    let head = AnswerHead {
+        query: &answer.query,
+        snapshot: answer.snapshot.0,
+        coverage: CoverageForm {
+            answered: answer.coverage.answered,
+            total: answer.coverage.total,
+            missing: &answer.coverage.missing,
+        },
+    };
+    let mut body = serde_json::to_vec(&head).unwrap_or_default();
+    let rows_size: usize = answer.bodies.iter().map(Bytes::len).sum();
+    body.reserve(rows_size + ROWS_KEY.len() + 2);
+    body.pop();
+    body.extend_from_slice(ROWS_KEY);
+    let mut first = true;
+    for shard in &answer.bodies {
+        let Some(rows) = inner_rows(shard) else {
+            return Err(malformed_rows());
+        };
+        if rows.is_empty() {
+            continue;
+        }
+        if !first {
+            body.push(b',');
+        }
+        first = false;
+        body.extend_from_slice(rows.as_bytes());
+    }
+    body.extend_from_slice(b"]}");
+    Ok(body.into())
+}
+
+const ROWS_KEY: &[u8] = b",\"rows\":[";
+
+/// The text between the brackets of a shard's `rows`.
+fn inner_rows(shard: &[u8]) -> Option<&str> {
+    let shard: ShardRows<'_> = serde_json::from_slice(shard).ok()?;
+    let rows = shard.rows.get().trim();
+    let rows = rows.strip_prefix('[')?.strip_suffix(']')?;
+    Some(rows.trim())
+}
+
+fn malformed_rows() -> QueryRefusal {
+    let message = CompactString::const_new("an upstream's rows are malformed");
+    QueryRefusal::new(RefusalCode::UpstreamFailed, RunState::Ran, message)
+}
--- /dev/null
+++ b/crates/ebonyfork/src/caller/server_tests.rs
@@ -0,0 +1,212 @@
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use googletest::prelude::*;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1 as client;
+use tokio::sync::Notify;
+
+use super::*;
+use crate::caller::LocateAnswer;
+use crate::ident::{RunState, SnapshotVersion};
+use crate::query::{QueryAnswer, QueryCoverage, QueryOutcome, QueryRefusal, RefusalCode};
+use crate::views::{NodeReadiness, view_channels};
+
+struct CallerFixture {
+    address: std::net::SocketAddr,
+    stop: CancellationToken,
+    outcome: Arc<Mutex<QueryOutcome>>,
+    entered: Arc<Notify>,
+    gate: Arc<Notify>,
+    serving: tokio::task::JoinHandle<()>,
+    writers: crate::views::ViewWriters,
+}
+
+fn whole_answer() -> QueryAnswer {
+    QueryAnswer {
+        query: "q1".into(),
+        snapshot: SnapshotVersion(17),
+        coverage: QueryCoverage {
+            answered: 2,
+            total: 2,
+            missing: Vec::new(),
+        },
+        bodies: vec![
+            Bytes::from_static(br#"{"rows":["a","b"]}"#),
+            Bytes::from_static(br#"{ "rows": [ ] }"#),
+            Bytes::from_static(br#"{"rows":["c"]}"#),
+        ],
+    }
+}
+
+/// Serves queries with a settable outcome; those of class `held` wait for the gate.
+async fn serve() -> CallerFixture {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (writers, views) = view_channels();
+    writers.readiness.send_replace(NodeReadiness::Ready);
+    let outcome = Arc::new(Mutex::new(Ok(whole_answer())));
+    let gate = Arc::new(Notify::new());
+    let entered = Arc::new(Notify::new());
+    let entering = Arc::clone(&entered);
+    let (given, held) = (Arc::clone(&outcome), Arc::clone(&gate));
+    let run = move |request: crate::query::QueryRequest| {
+        let (given, held) = (Arc::clone(&given), Arc::clone(&held));
+        entering.notify_one();
+        async move {
+            if request.class.as_str() == "held" {
+                held.notified().await;
+            }
+            given.lock().unwrap().clone()
+        }
+        .boxed()
+    };
+    let locate = |_customer| LocateAnswer {
+        addresses: smallvec::smallvec!["127.0.0.1:7100".parse().unwrap()],
+        ttl: Duration::from_secs(5),
+        session: "127.0.0.1-17".parse().unwrap(),
+    };
+    let stop = CancellationToken::new();
+    let service = CallerService::new(run, locate, views);
+    let serving = tokio::spawn(serve_callers(listener, service, stop.clone()));
+    CallerFixture {
+        address,
+        stop,
+        outcome,
+        entered,
+        gate,
+        serving,
+        writers,
+    }
+}
+
+async fn ask(address: std::net::SocketAddr, request: Request<Full<Bytes>>) -> Response<Bytes> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.unwrap();
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    Response::from_parts(head, body)
+}
+
+fn query(class: &str, headers: &[(&str, &str)], body: Vec<u8>) -> Request<Full<Bytes>> {
+    let path = format!("/v1/query/{class}");
+    let mut request = Request::post(path).header("x-customer", "roofers");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::new(body.into())).unwrap()
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_joins_the_rows_of_all_shards() {
+    let fixture = serve().await;
+    let response = ask(fixture.address, query("search", &[], Vec::new())).await;
+    expect_that!(response.status(), eq(StatusCode::OK));
+    expect_that!(response.headers()["x-coverage"], eq("2/2"));
+    expect_that!(response.headers()["x-snapshot"], eq("17"));
+    let expected = br#"{"query":"q1","snapshot":17,"coverage":{"answered":2,"total":2,"missing":[]},"rows":["a","b","c"]}"#;
+    expect_that!(response.body().as_ref(), eq(&expected[..]));
+    let locate = Request::get("/v1/locate").body(Full::default()).unwrap();
+    let response = ask(fixture.address, locate).await;
+    let answer: LocateAnswer = serde_json::from_slice(response.body()).unwrap();
+    expect_that!(answer.ttl, eq(Duration::from_secs(5)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn each_bad_request_names_its_field_and_was_not_run() {
+    let fixture = serve().await;
+    let long = "x".repeat(257);
+    let cases = [
+        (
+            query("search", &[("x-deadline-ms", "soon")], vec![]),
+            400,
+            "x-deadline-ms",
+        ),
+        (
+            query("search", &[("x-customer", "twice")], vec![]),
+            400,
+            "x-customer",
+        ),
+        (
+            query("search", &[("x-record", &long)], vec![]),
+            400,
+            "x-record",
+        ),
+        (
+            query("search", &[("idempotency-key", "7")], vec![]),
+            400,
+            "idempotency-key",
+        ),
+        (
+            query("search", &[("x-query-id", "")], vec![]),
+            400,
+            "x-query-id",
+        ),
+        (query("Search", &[], vec![]), 400, "class"),
+        (query("search", &[], vec![0; 70_000]), 413, "body"),
+        (
+            Request::get("/v1/query/search")
+                .body(Full::default())
+                .unwrap(),
+            405,
+            "method",
+        ),
+        (
+            Request::get("/other").body(Full::default()).unwrap(),
+            404,
+            "",
+        ),
+    ];
+    for (request, status, field) in cases {
+        let response = ask(fixture.address, request).await;
+        expect_that!(response.status().as_u16(), eq(status), "{field}");
+        expect_that!(response.headers()["x-ran"], eq("not-run"), "{field}");
+        let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+        let named = body["error"]["field"].as_str().unwrap_or_default();
+        expect_that!(named, eq(field));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refusal_tells_when_to_come_back() {
+    let fixture = serve().await;
+    let refusal = QueryRefusal::new(RefusalCode::Overloaded, RunState::NotRun, "full")
+        .with_retry_after(Duration::from_millis(250));
+    *fixture.outcome.lock().unwrap() = Err(refusal);
+    let request = query("search", &[("x-query-id", "mine")], vec![]);
+    let response = ask(fixture.address, request).await;
+    expect_that!(response.status().as_u16(), eq(503));
+    expect_that!(response.headers()["retry-after"], eq("1"));
+    let expected = br#"{"error":{"code":"overloaded","ran":"not-run","message":"full","field":null,"retry_after_ms":250,"query":"mine"}}"#;
+    expect_that!(response.body().as_ref(), eq(&expected[..]));
+    fixture
+        .writers
+        .readiness
+        .send_replace(NodeReadiness::Fenced);
+    let response = ask(fixture.address, query("search", &[], vec![])).await;
+    let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+    expect_that!(body["error"]["code"].as_str(), some(eq("not-ready")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stop_finishes_what_is_in_flight_and_closes() {
+    let fixture = serve().await;
+    let address = fixture.address;
+    let asking = tokio::spawn(async move { ask(address, query("held", &[], vec![])).await });
+    fixture.entered.notified().await;
+    fixture.stop.cancel();
+    fixture.gate.notify_one();
+    let response = asking.await.unwrap();
+    expect_that!(response.status(), eq(StatusCode::OK));
+    expect_that!(response.headers()["connection"], eq("close"));
+    fixture.serving.await.unwrap();
+    expect_that!(TcpStream::connect(address).await.is_err(), eq(true));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/caller/service.rs
@@ -0,0 +1,210 @@
+//! The callers' HTTP service.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::future::BoxFuture;
+use http::header::{ALLOW, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use super::message::{LocateAnswer, answer_body, refusal_body, refusal_status};
+use super::request::{QUERY_HEADER, caller_id, read_customer, read_query};
+use crate::ident::{CustomerName, RunState};
+use crate::query::{
+    QueryAnswer, QueryOutcome, QueryRefusal, QueryRequest, RefusalCode, SELECTION_LIMIT,
+};
+use crate::views::{NodeReadiness, NodeViews};
+
+const RAN_HEADER: HeaderName = HeaderName::from_static("x-ran");
+const SNAPSHOT_HEADER: HeaderName = HeaderName::from_static("x-snapshot");
+const COVERAGE_HEADER: HeaderName = HeaderName::from_static("x-coverage");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const QUERY_PATH: &str = "/v1/query/";
+const LOCATE_PATH: &str = "/v1/locate";
+/// Longest time that a caller may take to send its selection.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a caller should come back that met a VM which is not ready.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+type RunFunction = dyn Fn(QueryRequest) -> BoxFuture<'static, QueryOutcome> + Send + Sync;
+type LocateFunction = dyn Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync;
+
+/// Answers callers' requests. Cheap to clone.
+#[derive(Clone)]
+pub struct CallerService {
+    run: Arc<RunFunction>,
+    locate: Arc<LocateFunction>,
+    views: NodeViews,
+}
+
+impl fmt::Debug for CallerService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerService").finish_non_exhaustive()
+    }
+}
+
+impl CallerService {
+    /// Makes a service that runs queries by `run` and answers locate requests by `locate`.
+    pub fn new(
+        run: impl Fn(QueryRequest) -> BoxFuture<'static, QueryOutcome> + Send + Sync + 'static,
+        locate: impl Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync + 'static,
+        views: NodeViews,
+    ) -> Self {
+        Self {
+            run: Arc::new(run),
+            locate: Arc::new(locate),
+            views,
+        }
+    }
+
+    /// Answers one request.
+    pub(super) async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let query = caller_id(request.headers());
+        let reply = self.route(request).await;
+        Ok(reply.unwrap_or_else(|refusal| refusal_response(&refusal, query.as_ref())))
+    }
+
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, QueryRefusal> {
+        let path = request.uri().path();
+        if path == LOCATE_PATH {
+            if request.method() != Method::GET {
+                return Ok(wrong_method("GET"));
+            }
+            let customer = read_customer(request.headers())?;
+            let answer = (self.locate)(customer);
+            let body = serde_json::to_vec(&answer).unwrap_or_default();
+            return Ok(json_response(StatusCode::OK, body.into()));
+        }
+        let Some(class) = path.strip_prefix(QUERY_PATH) else {
+            return Err(not_run(
+                RefusalCode::NotFound,
+                "there is nothing at this path",
+            ));
+        };
+        if request.method() != Method::POST {
+            return Ok(wrong_method("POST"));
+        }
+        let class = CompactString::new(class);
+        self.run_query(&class, request).await
+    }
+
+    async fn run_query(
+        &self,
+        class: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, QueryRefusal> {
+        self.check_ready()?;
+        let (head, body) = request.into_parts();
+        let query = read_query(class, &head.headers, Bytes::new())?;
+        let selection = read_selection(body).await?;
+        let query = QueryRequest { selection, ..query };
+        let answer = (self.run)(query).await?;
+        answer_response(&answer)
+    }
+
+    fn check_ready(&self) -> Result<(), QueryRefusal> {
+        let readiness = *self.views.readiness.borrow();
+        if readiness.takes_work() {
+            return Ok(());
+        }
+        let refusal = match readiness {
+            NodeReadiness::Stopping => not_run(RefusalCode::Stopping, "this VM is stopping"),
+            _ => not_run(RefusalCode::NotReady, "this VM has not synchronised yet"),
+        };
+        Err(refusal.with_retry_after(NOT_READY_RETRY))
+    }
+}
+
+async fn read_selection(body: Incoming) -> Result<Bytes, QueryRefusal> {
+    let reading = Limited::new(body, SELECTION_LIMIT).collect();
+    let read = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(read) => read,
+        Err(_elapsed) => return Err(bad_body("the body did not come in time")),
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = "the selection exceeds 64 KiB";
+            Err(not_run(RefusalCode::TooLarge, message).with_field("body"))
+        }
+        Err(_error) => Err(bad_body("the body broke off")),
+    }
+}
+
+fn bad_body(message: &str) -> QueryRefusal {
+    not_run(RefusalCode::BadRequest, message).with_field("body")
+}
+
+fn not_run(code: RefusalCode, message: &str) -> QueryRefusal {
+    QueryRefusal::new(code, RunState::NotRun, message)
+}
+
+fn json_response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, JSON);
+    response
+}
+
+fn wrong_method(allowed: &'static str) -> Response<Full<Bytes>> {
+    let refusal = not_run(RefusalCode::BadRequest, "the method is not allowed here");
+    let mut response = refusal_response(&refusal.with_field("method"), None);
+    *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+    let allowed = HeaderValue::from_static(allowed);
+    response.headers_mut().insert(ALLOW, allowed);
+    response
+}
+
+fn answer_response(answer: &QueryAnswer) -> Result<Response<Full<Bytes>>, QueryRefusal> {
+    let mut response = json_response(StatusCode::OK, answer_body(answer)?);
+    let headers = response.headers_mut();
+    headers.insert(SNAPSHOT_HEADER, HeaderValue::from(answer.snapshot.0));
+    headers.insert(RAN_HEADER, HeaderValue::from_static("ran"));
+    let coverage = compact_str::format_compact!("{}", answer.coverage);
+    insert_text(&mut response, COVERAGE_HEADER, &coverage);
+    let query = HeaderName::from_static(QUERY_HEADER);
+    insert_text(&mut response, query, &answer.query);
+    Ok(response)
+}
+
+fn refusal_response(
+    refusal: &QueryRefusal,
+    query: Option<&CompactString>,
+) -> Response<Full<Bytes>> {
+    let body = refusal_body(refusal, query.map(CompactString::as_str));
+    let mut response = json_response(refusal_status(refusal.code), body);
+    insert_text(
+        &mut response,
+        RAN_HEADER,
+        &compact_str::format_compact!("{}", refusal.ran),
+    );
+    if let Some(query) = query {
+        insert_text(&mut response, HeaderName::from_static(QUERY_HEADER), query);
+    }
+    if let Some(after) = refusal.retry_after {
+        let seconds = after.as_millis().div_ceil(1_000) as u64;
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn insert_text(response: &mut Response<Full<Bytes>>, name: HeaderName, text: &str) {
+    // Names and numbers of ours are visible ASCII, and a caller's name came in a header.
+    if let Ok(value) = HeaderValue::from_str(text) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/entry/core_tests.rs
@@ -0,0 +1,104 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::entry::fixture::{EntryFixture, ms, request, rows};
+use crate::ident::{ShardNumber, SnapshotVersion};
+use crate::relay::FailureReason;
+
+#[gtest]
+fn a_whole_answer_comes_at_once_when_every_shard_has_answered() {
+    let mut fixture = EntryFixture::new(20, |_class| {});
+    let query = fixture.start(request());
+    let sent = fixture.take_sent();
+    expect_that!(sent.len(), eq(20));
+    for attempt in sent.iter().rev() {
+        expect_that!(fixture.finished.is_empty(), eq(true));
+        fixture.settle(attempt, rows(17));
+    }
+    let answer = fixture.outcome(query).as_ref().unwrap();
+    expect_that!(answer.coverage.answered, eq(20));
+    expect_that!(answer.bodies.len(), eq(20));
+    expect_that!(answer.snapshot, eq(SnapshotVersion(17)));
+    expect_that!(fixture.core.in_flight(), eq(0));
+}
+
+#[gtest]
+fn latency_first_answers_thin_at_the_target_and_names_what_is_missing() {
+    let mut fixture = EntryFixture::new(4, |_class| {});
+    let query = fixture.start(request());
+    for attempt in &fixture.take_sent()[1..] {
+        fixture.settle(attempt, rows(17));
+    }
+    fixture.advance(ms(400));
+    let (at, outcome) = &fixture.finished[&query];
+    let answer = outcome.as_ref().unwrap();
+    expect_that!(*at, le(ms(310)));
+    expect_that!(answer.coverage.missing, elements_are![eq(&ShardNumber(0))]);
+    expect_that!(answer.bodies.len(), eq(3));
+}
+
+#[gtest]
+fn what_a_broken_link_never_sent_goes_by_the_standby_and_the_rest_is_unknown() {
+    let mut fixture = EntryFixture::new(1, |class| class.idempotent = false);
+    let query = fixture.start(QueryRequest {
+        key: Some("127.0.0.1-7.1".parse().unwrap()),
+        ..request()
+    });
+    let first = fixture.take_sent().remove(0);
+    fixture.core.not_sent(fixture.now, first.vm, query, &[0]);
+    fixture.pump();
+    let second = fixture.take_sent().remove(0);
+    expect_that!(second.attempt, eq(1));
+    fixture
+        .core
+        .link_down(fixture.now, second.vm, VecDeque::new());
+    fixture.pump();
+    let refusal = fixture.outcome(query).as_ref().unwrap_err();
+    expect_that!(refusal.ran, eq(RunState::Unknown));
+    expect_that!(refusal.code, eq(RefusalCode::UpstreamFailed));
+    expect_that!(fixture.take_sent(), is_empty());
+}
+
+#[gtest]
+fn requests_that_name_nothing_known_are_not_run() {
+    let mut fixture = EntryFixture::new(1, |class| class.idempotent = false);
+    let cases = [
+        ("class", RefusalCode::UnknownClass),
+        ("customer", RefusalCode::UnknownCustomer),
+        ("key", RefusalCode::BadRequest),
+        ("deadline", RefusalCode::Deadline),
+    ];
+    for (field, code) in cases {
+        let mut query = QueryRequest {
+            key: Some("127.0.0.1-7.1".parse().unwrap()),
+            ..request()
+        };
+        match field {
+            "class" => query.class = "other".parse().unwrap(),
+            "customer" => query.customer = "other".parse().unwrap(),
+            "key" => query.key = None,
+            _ => query.deadline = Some(Duration::ZERO),
+        }
+        let number = fixture.start(query);
+        let refusal = fixture.outcome(number).as_ref().unwrap_err();
+        expect_that!((refusal.code, refusal.ran), eq((code, RunState::NotRun)));
+    }
+    expect_that!(fixture.take_sent(), is_empty());
+}
+
+#[gtest]
+fn the_second_upstream_that_breaks_ends_the_query() {
+    let mut fixture = EntryFixture::new(4, |_class| {});
+    let query = fixture.start(request());
+    let broken = || ShardVerdict::Failed {
+        ran: RunState::Unknown,
+        reason: FailureReason::Broken,
+    };
+    let sent = fixture.take_sent();
+    fixture.settle(&sent[0], broken());
+    expect_that!(fixture.finished.is_empty(), eq(true));
+    fixture.settle(&sent[1], broken());
+    let refusal = fixture.outcome(query).as_ref().unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::UpstreamFailed));
+    expect_that!(fixture.cancelled.len(), eq(3));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/entry/fixture.rs
@@ -0,0 +1,256 @@
+//! A small deployment for tests of the decisions: one index, one service of two upstreams per shard, three VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rustc_hash::FxHashMap;
+
+use super::{EntryAction, EntryCore, EntryViews};
+use crate::catalog::{IndexCatalog, VersionShards};
+use crate::declaration::{ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, TargetPriority};
+use crate::ident::{IncarnationNumber, SessionId, SnapshotVersion, UpstreamAddress, VmAddress};
+use crate::query::{QueryOutcome, QueryRequest};
+use crate::relay::{
+    AttemptPurpose, OutcomeBatch, ShardOutcome, ShardVerdict, SubmitBatch, UpstreamLoad,
+};
+use crate::settings::ExperimentSwitches;
+use crate::topology::{TopologyView, UpstreamEntry, VmEntry};
+use crate::wire::PeerMessage;
+
+/// An attempt that the entry has sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct SentAttempt {
+    pub(super) query: u64,
+    pub(super) attempt: u32,
+    pub(super) shard: u32,
+    pub(super) upstream: UpstreamAddress,
+    pub(super) vm: VmAddress,
+    pub(super) purpose: AttemptPurpose,
+    pub(super) version: SnapshotVersion,
+}
+
+/// The decisions of one entry, with what they have asked for.
+pub(super) struct EntryFixture {
+    pub(super) core: EntryCore,
+    pub(super) views: EntryViews,
+    pub(super) now: Duration,
+    pub(super) sent: Vec<SentAttempt>,
+    pub(super) cancelled: Vec<(u64, u32)>,
+    pub(super) finished: FxHashMap<u64, (Duration, QueryOutcome)>,
+}
+
+pub(super) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(super) fn vm(number: u8) -> VmAddress {
+    VmAddress([127, 0, 1, number].into())
+}
+
+/// The address of one upstream of a service.
+pub(super) fn upstream(service: usize, replica: usize) -> UpstreamAddress {
+    let ip = [127, 0, 2 + replica as u8, service as u8];
+    UpstreamAddress((ip, 80).into())
+}
+
+pub(super) fn rows(version: u64) -> ShardVerdict {
+    ShardVerdict::Rows {
+        version: SnapshotVersion(version),
+        body: Bytes::from_static(br#"{"rows":["r"]}"#),
+    }
+}
+
+fn version_shards(version: u64, services: usize) -> VersionShards {
+    let names = (0..services).map(|number| format!("tender-{number:02}").parse().unwrap());
+    VersionShards {
+        version: SnapshotVersion(version),
+        shards: names.collect(),
+    }
+}
+
+fn topology(services: usize) -> TopologyView {
+    let zone = |number: usize| format!("zone-{}", number % 3).parse().unwrap();
+    let vms = (0..3).map(|number| VmEntry {
+        vm: vm(number as u8 + 1),
+        zone: zone(number),
+        incarnation: None,
+        leaving: false,
+    });
+    let upstreams = (0..services * 2).map(|number| UpstreamEntry {
+        upstream: upstream(number / 2, number % 2),
+        zone: zone(number),
+        service: format!("tender-{:02}", number / 2).parse().unwrap(),
+        leaving: false,
+    });
+    TopologyView::new(vms, upstreams)
+}
+
+fn search_class() -> ClassTarget {
+    ClassTarget {
+        name: "search".parse().unwrap(),
+        index: "tenders".parse().unwrap(),
+        scope: ClassScope::All,
+        latency: ms(300),
+        percentile: 99.0,
+        coverage: 0.9,
+        priority: TargetPriority::LatencyFirst,
+        bound: ms(1_000),
+        idempotent: true,
+    }
+}
+
+pub(super) fn request() -> QueryRequest {
+    QueryRequest {
+        class: "search".parse().unwrap(),
+        customer: "roofers".parse().unwrap(),
+        deadline: None,
+        record: Some("a record".into()),
+        selection: Bytes::from_static(b"roofs"),
+        key: None,
+        caller_id: None,
+    }
+}
+
+impl EntryFixture {
+    /// An entry before `shards` services of two upstreams each, at version 17; `change` may alter the class.
+    pub(super) fn new(shards: usize, change: impl FnOnce(&mut ClassTarget)) -> Self {
+        let mut class = search_class();
+        change(&mut class);
+        let customers = ["roofers", "builders", "idlers"].map(|name| CustomerEntry {
+            name: name.parse().unwrap(),
+            classes: vec![class.name.clone()],
+        });
+        let mut config = DeclaredConfig::default();
+        for customer in customers {
+            config.customers.insert(customer.name.clone(), customer);
+        }
+        config.classes.insert(class.name.clone(), class);
+        let session = SessionId::new(vm(1), IncarnationNumber(7));
+        let zone = "zone-0".parse().unwrap();
+        let mut fixture = Self {
+            core: EntryCore::new(session, zone, ExperimentSwitches::default()),
+            views: EntryViews {
+                topology: Arc::new(topology(shards)),
+                config: Arc::new(config),
+                ..EntryViews::default()
+            },
+            now: ms(10),
+            sent: Vec::new(),
+            cancelled: Vec::new(),
+            finished: FxHashMap::default(),
+        };
+        fixture.publish(5, &[(17, shards)]);
+        fixture
+    }
+
+    /// Publishes versions, newest first, each with its number of shards.
+    pub(super) fn publish(&mut self, epoch: u64, versions: &[(u64, usize)]) {
+        let versions = versions
+            .iter()
+            .map(|&(version, shards)| version_shards(version, shards));
+        let catalog = IndexCatalog {
+            epoch,
+            versions: versions.collect(),
+        };
+        let index = "tenders".parse().unwrap();
+        self.views.catalog = Arc::new([(index, catalog)].into());
+        self.core.refresh(&self.views);
+    }
+
+    pub(super) fn start(&mut self, request: QueryRequest) -> u64 {
+        let number = self.core.start(self.now, request);
+        self.pump();
+        number
+    }
+
+    /// Takes what the decisions ask for.
+    pub(super) fn pump(&mut self) {
+        while let Some(action) = self.core.next_action() {
+            match action {
+                EntryAction::Send { vm, message } => self.take_message(vm, message),
+                EntryAction::Finish { query, outcome } => {
+                    let before = self.finished.insert(query, (self.now, outcome));
+                    assert!(before.is_none(), "query {query} finished twice");
+                }
+            }
+        }
+    }
+
+    fn take_message(&mut self, vm: VmAddress, message: PeerMessage) {
+        match message {
+            PeerMessage::Submit(batch) => self.take_submit(vm, &batch),
+            PeerMessage::Cancel(batch) => {
+                let attempts = batch.attempts.iter();
+                let cancelled = attempts.map(|attempt| (batch.query, *attempt));
+                self.cancelled.extend(cancelled);
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    fn take_submit(&mut self, vm: VmAddress, batch: &SubmitBatch) {
+        let sent = batch.targets.iter().map(|target| SentAttempt {
+            query: batch.query,
+            attempt: target.attempt,
+            shard: target.shard.0,
+            upstream: target.upstream,
+            vm,
+            purpose: target.purpose,
+            version: batch.version,
+        });
+        self.sent.extend(sent);
+    }
+
+    /// The attempts sent since the last call.
+    pub(super) fn take_sent(&mut self) -> Vec<SentAttempt> {
+        std::mem::take(&mut self.sent)
+    }
+
+    /// Lets an attempt come back after `served` at the upstream.
+    pub(super) fn settle(&mut self, attempt: &SentAttempt, verdict: ShardVerdict) {
+        self.settle_with(attempt, verdict, None);
+    }
+
+    /// Lets an attempt come back, with a load report.
+    pub(super) fn settle_with(
+        &mut self,
+        attempt: &SentAttempt,
+        verdict: ShardVerdict,
+        load: Option<UpstreamLoad>,
+    ) {
+        let outcome = ShardOutcome {
+            query: attempt.query,
+            attempt: attempt.attempt,
+            upstream: attempt.upstream,
+            verdict,
+            waited_us: 0,
+            served_us: 5_000,
+        };
+        let batch = OutcomeBatch {
+            outcomes: [outcome].into_iter().collect(),
+            loads: load.into_iter().collect(),
+        };
+        self.core.take_outcomes(self.now, attempt.vm, batch);
+        self.pump();
+    }
+
+    /// Lets time pass, with every wake that the decisions ask for.
+    pub(super) fn advance(&mut self, to: Duration) {
+        while let Some(at) = self.core.next_wake() {
+            if at > to {
+                break;
+            }
+            self.now = self.now.max(at);
+            self.core.wake(self.now);
+            self.pump();
+        }
+        self.now = to;
+    }
+
+    /// The outcome of a query that must be finished.
+    pub(super) fn outcome(&self, query: u64) -> &QueryOutcome {
+        let (_, outcome) = self.finished.get(&query).expect("the query is in flight");
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/entry/mod.rs
@@ -0,0 +1,36 @@
+//! The entry: takes one query, pins a version of the index, asks every shard it needs and gathers one truthful answer.
+//!
+//! [`EntryCore`] holds all decisions as plain code over values: events and the time go in, [`EntryAction`]s come out.
+//! A query passes through these, in order:
+//!
+//! 1. `terms`: the class target, tightened by the caller's deadline.
+//! 2. `route`: the pinned version's shards; their number is the denominator of the coverage.
+//! 3. `choice`: a replica and a relay for each shard, by what `replica` and `directory` have learnt.
+//! 4. `run`: attempts, matched with their outcomes; `hedge` says when a second attempt is worth its load.
+//! 5. `gather`: rows at the pinned version, the first per shard.
+//! 6. `verdict`: when the query is over, and what the caller is told.
+//!
+//! [`EntryHandle`] is the actor around it.
+
+mod actor;
+mod choice;
+mod core;
+mod decision;
+mod directory;
+mod gather;
+mod hedge;
+mod metrics;
+mod outbox;
+mod replica;
+mod route;
+mod run;
+mod terms;
+mod tools;
+mod verdict;
+
+pub use self::core::{EntryAction, EntryCore, EntryViews};
+pub use actor::{EntryHandle, EntrySettings};
+pub use choice::ChoiceReason;
+pub use decision::RouteDecision;
+#[cfg(test)]
+mod fixture;
--- /dev/null
+++ b/crates/ebonyfork/src/entry/outbox.rs
@@ -0,0 +1,58 @@
+//! What one event makes an entry send: attempts and cancellations, grouped by relay.
+
+use cranelift_entity::SecondaryMap;
+use smallvec::SmallVec;
+
+use super::directory::RelayId;
+use crate::relay::{CancelBatch, ShardTarget, SubmitBatch};
+use crate::wire::PeerMessage;
+
+/// Messages collected while one event of one query is handled.
+#[derive(Debug, Default)]
+pub struct RelayOutbox {
+    submits: Vec<(RelayId, SubmitBatch)>,
+    /// Position in `submits` plus one, so that the default says "none".
+    submit_at: SecondaryMap<RelayId, u32>,
+    cancels: Vec<(RelayId, CancelBatch)>,
+}
+
+impl RelayOutbox {
+    /// Adds an attempt to the batch for a relay; `head` makes the batch if it is the first.
+    pub fn submit(
+        &mut self,
+        relay: RelayId,
+        target: ShardTarget,
+        head: impl FnOnce() -> SubmitBatch,
+    ) {
+        let mut position = self.submit_at[relay];
+        if position == 0 {
+            self.submits.push((relay, head()));
+            position = self.submits.len() as u32;
+            self.submit_at[relay] = position;
+        }
+        let (_, batch) = &mut self.submits[position as usize - 1];
+        batch.targets.push(target);
+    }
+
+    /// Adds a cancellation.
+    pub fn cancel(&mut self, relay: RelayId, query: u64, attempt: u32) {
+        let same = |(to, batch): &&mut (RelayId, CancelBatch)| *to == relay && batch.query == query;
+        if let Some((_, batch)) = self.cancels.iter_mut().find(same) {
+            batch.attempts.push(attempt);
+            return;
+        }
+        let attempts = SmallVec::from_slice(&[attempt]);
+        self.cancels.push((relay, CancelBatch { query, attempts }));
+    }
+
+    /// Hands everything to `send` and starts afresh.
+    pub fn flush(&mut self, mut send: impl FnMut(RelayId, PeerMessage)) {
+        for (relay, batch) in self.submits.drain(..) {
+            self.submit_at[relay] = 0;
+            send(relay, PeerMessage::Submit(batch));
+        }
+        for (relay, batch) in self.cancels.drain(..) {
+            send(relay, PeerMessage::Cancel(batch));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -0,0 +1,95 @@
+//! What all queries of an entry share: the directory, what has been learnt, the budget, the outbox.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+
+use super::choice::RouteChoice;
+use super::decision::RouteDecision;
+use super::directory::{Directory, ServiceId};
+use super::hedge::{AttemptBudget, DelayModel};
+use super::outbox::RelayOutbox;
+use super::route::RouteCache;
+use super::run::QueryRun;
+use super::terms::ClassId;
+use crate::ident::{SessionId, ZoneName};
+use crate::relay::ShardTarget;
+use crate::settings::ExperimentSwitches;
+
+/// Shortest time after which a refused caller is told to come back.
+const RETRY_SHORTEST: Duration = Duration::from_millis(100);
+
+/// Shared state of an entry's decisions.
+#[derive(Debug)]
+pub(super) struct EntryTools {
+    pub(super) session: SessionId,
+    pub(super) switches: ExperimentSwitches,
+    pub(super) directory: Directory,
+    pub(super) routes: RouteCache,
+    pub(super) outbox: RelayOutbox,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) budget: AttemptBudget,
+    pub(super) delays: FxHashMap<(ClassId, ServiceId), DelayModel>,
+    /// Whether routing decisions are noted for the log.
+    pub(super) noting: bool,
+    pub(super) noted: Vec<RouteDecision>,
+}
+
+impl EntryTools {
+    pub(super) fn new(session: SessionId, zone: ZoneName, switches: ExperimentSwitches) -> Self {
+        Self {
+            session,
+            switches,
+            directory: Directory::new(session.vm, zone, switches.ownership),
+            routes: RouteCache::default(),
+            outbox: RelayOutbox::default(),
+            rng: ChaCha8Rng::seed_from_u64(session.incarnation.0),
+            budget: AttemptBudget::default(),
+            delays: FxHashMap::default(),
+            noting: false,
+            noted: Vec::new(),
+        }
+    }
+
+    pub(super) fn hedge_delay(
+        &self,
+        class: ClassId,
+        service: ServiceId,
+        expected: Duration,
+    ) -> Duration {
+        match self.delays.get(&(class, service)) {
+            Some(model) => model.delay(expected),
+            None => DelayModel::default().delay(expected),
+        }
+    }
+
+    pub(super) fn note_route(&mut self, query: u64, target: &ShardTarget, choice: RouteChoice) {
+        if !self.noting {
+            return;
+        }
+        self.noted.push(RouteDecision {
+            query,
+            attempt: target.attempt,
+            shard: target.shard,
+            upstream: target.upstream,
+            relay: self.directory.relays[choice.relay].vm,
+            standby: choice.standby,
+            purpose: target.purpose,
+            reason: choice.reason,
+        });
+    }
+
+    /// When a refused caller should come back: when the longest backlog that it met has drained.
+    pub(super) fn retry_after(&mut self, run: &QueryRun, now: Duration) -> Duration {
+        let mut longest = RETRY_SHORTEST;
+        for slot in run.gather.slots() {
+            for replica in self.directory.replicas_of(slot.service) {
+                let health = &self.directory.replicas[replica].health;
+                longest = longest.max(health.wait(now));
+            }
+        }
+        longest
+    }
+}
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -7,8 +7,10 @@
 //! One module per duty. In each, the decisions are plain code over values: they take the time, a seeded random source
 //! and messages, and return what is to be done. A thin actor beside them owns sockets and timers.
 
+pub mod caller;
 pub mod catalog;
 pub mod declaration;
+pub mod entry;
 pub mod finding;
 pub mod ident;
 pub mod ini;
