Give each VM a share of an upstream's connections that holds while views differ

Two VMs whose views differ may both take themselves for an upstream's owner. The owner by a VM's own view may hold a third of the upstream's connections, any other VM a sixth (the standby at least one), so that any three views fit, also three that each name another owner.

Shown by a table over nine limits and all 127 views of seven VMs: the three largest shares never exceed the limit, and the owner by a view always has a connection.

--- a/crates/ebonyfork/src/topology/mod.rs
+++ b/crates/ebonyfork/src/topology/mod.rs
@@ -11,5 +11,5 @@
 
 pub use feed::{LIST_PERIOD, TopologyHandle, TopologySettings};
 pub use join::{LEAVING_SIGN_AGE, TopologyJoin, UNHEARD_GRACE};
-pub use ownership::{OwnerPair, owner_pair};
+pub use ownership::{OwnerPair, connection_share, direct_share, owner_pair};
 pub use view::{TopologyView, UpstreamEntry, VmEntry};
--- a/crates/ebonyfork/src/topology/ownership.rs
+++ b/crates/ebonyfork/src/topology/ownership.rs
@@ -22,6 +22,47 @@
     pair_within(view, upstream, Some(zone)).or_else(|| pair_within(view, upstream, None))
 }
 
+/// Connections that the owner of an upstream may hold, as a part of what the upstream accepts.
+const PRIMARY_PART: u32 = 3;
+/// Connections that any other VM may hold, as a part of what the upstream accepts.
+const OTHER_PART: u32 = 6;
+
+/// How many of an upstream's `limit` connections a VM may hold by its own view.
+///
+/// The owner may hold a third, any other VM a sixth. Whatever three VMs believe, they fit together: at worst each of
+/// them takes itself for the owner. The standby of an upstream with few connections may hold one.
+///
+/// # Examples
+///
+/// ```
+/// use ebonyfork::topology::{TopologyView, connection_share};
+///
+/// let unknown = "10.0.0.9:80".parse()?;
+/// let vm = "10.0.0.1".parse()?;
+/// assert_eq!(connection_share(&TopologyView::default(), vm, unknown, 25), 4);
+/// # Ok::<(), ebonyfork::ident::IdentError>(())
+/// ```
+pub fn connection_share(
+    view: &TopologyView,
+    vm: VmAddress,
+    upstream: UpstreamAddress,
+    limit: u32,
+) -> u32 {
+    let pair = owner_pair(view, upstream);
+    let least = u32::from(limit >= PRIMARY_PART);
+    match pair {
+        Some(pair) if pair.primary == vm => u32::max(limit / PRIMARY_PART, 1),
+        Some(pair) if pair.standby == vm => u32::max(limit / OTHER_PART, least),
+        _ => limit / OTHER_PART,
+    }
+}
+
+/// How many of an upstream's `limit` connections each VM may hold when every VM connects for itself.
+pub fn direct_share(view: &TopologyView, limit: u32) -> u32 {
+    let vms = u32::max(view.vms.len() as u32, 1);
+    u32::max(limit / vms, 1)
+}
+
 fn pair_within(
     view: &TopologyView,
     upstream: UpstreamAddress,
@@ -59,3 +100,7 @@
     hasher.update(&upstream.0.port().to_be_bytes());
     hasher.digest()
 }
+
+#[cfg(test)]
+#[path = "ownership_tests.rs"]
+mod tests;
