Run shard requests at upstreams: queue, limit, connections, truthful verdicts

A fresh connection proves itself by a status call before any attempt is handed over: an upstream beyond its connection limit accepts and closes at once, which would otherwise look like a request that may have run, and like a crash.

--- /dev/null
+++ b/crates/ebonyfork/src/relay/answer_tests.rs
@@ -0,0 +1,68 @@
+use googletest::prelude::*;
+use http::Response;
+
+use super::*;
+
+fn answer(status: u16, headers: &[(&str, &str)], body: &str) -> Answer {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let body = Some(Bytes::copy_from_slice(body.as_bytes()));
+    builder.body(body).unwrap()
+}
+
+/// Status, headers, body, and what they mean.
+type AnswerCase<'a> = (u16, &'a [(&'a str, &'a str)], &'a str, ShardVerdict);
+
+/// What is asked and answered, and how it has to be taken. Nothing but a clear statement counts as not run.
+#[gtest]
+fn verdicts_say_no_more_than_the_upstream_said() {
+    let rows = ShardVerdict::Rows {
+        version: SnapshotVersion(18),
+        body: Bytes::from_static(br#"{"rows":["a"]}"#),
+    };
+    let unknown = |reason| failed(RunState::Unknown, reason);
+    let version = [("x-index-version", "18")];
+    let moved = ShardVerdict::Moved {
+        service: "notice-01".parse().unwrap(),
+    };
+    let newest = SnapshotVersion(18);
+    let cases: [AnswerCase<'_>; 11] = [
+        (200, &version, r#"{"rows":["a"]}"#, rows),
+        (
+            200,
+            &[],
+            r#"{"rows":[]}"#,
+            failed(RunState::Ran, FailureReason::Malformed),
+        ),
+        (
+            200,
+            &version,
+            r#"{"rows":["#,
+            failed(RunState::Ran, FailureReason::Malformed),
+        ),
+        (409, &version, "", ShardVerdict::VersionGone { newest }),
+        (409, &[], "", unknown(FailureReason::Malformed)),
+        (421, &[("x-moved-to", "notice-01")], "", moved),
+        (
+            421,
+            &[("x-moved-to", "No Name")],
+            "",
+            unknown(FailureReason::Malformed),
+        ),
+        (
+            503,
+            &[("x-not-run", "1")],
+            "",
+            ShardVerdict::NotRun(RefusalReason::Shed),
+        ),
+        (503, &[], "", unknown(FailureReason::Status)),
+        (500, &[], "", unknown(FailureReason::Status)),
+        (404, &[], "", unknown(FailureReason::Status)),
+    ];
+    for (status, headers, body, expected) in cases {
+        let verdict = read_answer(answer(status, headers, body));
+        expect_that!(verdict, eq(&expected), "{status} {headers:?} {body}");
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/relay/canceller.rs
@@ -0,0 +1,70 @@
+//! Tells an upstream which attempts are no longer wanted, on one connection of its own that counts against the share.
+//!
+//! Best effort: an upstream that can't be told soon enough learns it from the deadline.
+
+use std::time::Duration;
+
+use http::Method;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::ident::{AttemptId, UpstreamAddress};
+use crate::relay::connection::{OpenConnection, plain_request};
+
+/// Cancellations that may wait for one upstream; more are dropped.
+pub(super) const CANCEL_QUEUE: usize = 64;
+/// Longest time for one cancellation, opening the connection included.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(250);
+/// The connection is closed after being idle for this long.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Sends cancellations until `attempts` closes.
+pub(super) async fn run_canceller(
+    upstream: UpstreamAddress,
+    mut attempts: mpsc::Receiver<AttemptId>,
+) {
+    let mut connection = None;
+    loop {
+        let attempt = match timeout(IDLE_LIMIT, attempts.recv()).await {
+            Ok(Some(attempt)) => attempt,
+            Ok(None) => return,
+            Err(_idle) => {
+                connection = None;
+                match attempts.recv().await {
+                    Some(attempt) => attempt,
+                    None => return,
+                }
+            }
+        };
+        let cancelling = cancel(upstream, connection.take(), attempt);
+        connection = timeout(CANCEL_TIMEOUT, cancelling).await.ok().flatten();
+    }
+}
+
+/// Cancels one attempt; gives the connection back if it can be used again.
+async fn cancel(
+    upstream: UpstreamAddress,
+    connection: Option<OpenConnection>,
+    attempt: AttemptId,
+) -> Option<OpenConnection> {
+    if let Some(mut connection) = connection
+        && call_cancel(&mut connection, upstream, attempt).await
+    {
+        return Some(connection);
+    }
+    let mut connection = OpenConnection::connect(upstream).await?;
+    let reusable = call_cancel(&mut connection, upstream, attempt).await;
+    reusable.then_some(connection)
+}
+
+async fn call_cancel(
+    connection: &mut OpenConnection,
+    upstream: UpstreamAddress,
+    attempt: AttemptId,
+) -> bool {
+    let path = format!("/v1/cancel/{attempt}");
+    let Some(request) = plain_request(upstream, Method::POST, &path) else {
+        return true;
+    };
+    connection.call(request).await.is_ok()
+}
--- /dev/null
+++ b/crates/ebonyfork/src/relay/settings.rs
@@ -0,0 +1,80 @@
+//! What a relay needs to know, and whom it tells.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::ident::{RequestFingerprint, UpstreamAddress, VmAddress, ZoneName};
+use crate::relay::action::UpstreamLoss;
+use crate::settings::ExperimentSwitches;
+use crate::views::NodeViews;
+
+type RefusalCheck = dyn Fn(RequestFingerprint) -> bool + Send + Sync;
+type LossReport = dyn Fn(UpstreamLoss) + Send + Sync;
+type LeavingReport = dyn Fn(UpstreamAddress) + Send + Sync;
+
+/// Settings of a relay.
+#[derive(Clone)]
+pub struct RelaySettings {
+    pub(super) vm: VmAddress,
+    pub(super) zone: ZoneName,
+    pub(super) views: NodeViews,
+    pub(super) experiment: ExperimentSwitches,
+    pub(super) refuses: Arc<RefusalCheck>,
+    pub(super) report_loss: Arc<LossReport>,
+    pub(super) note_leaving: Arc<LeavingReport>,
+}
+
+impl fmt::Debug for RelaySettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RelaySettings")
+            .field("vm", &self.vm)
+            .field("zone", &self.zone)
+            .field("experiment", &self.experiment)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RelaySettings {
+    /// Settings of the relay on one VM, without a quarantine.
+    pub fn new(vm: VmAddress, zone: ZoneName, views: NodeViews) -> Self {
+        Self {
+            vm,
+            zone,
+            views,
+            experiment: ExperimentSwitches::default(),
+            refuses: Arc::new(|_fingerprint| false),
+            report_loss: Arc::new(|_loss| ()),
+            note_leaving: Arc::new(|_upstream| ()),
+        }
+    }
+
+    /// Replaces the experiment switches.
+    #[must_use]
+    pub fn with_experiment(mut self, experiment: ExperimentSwitches) -> Self {
+        self.experiment = experiment;
+        self
+    }
+
+    /// Asks `refuses` about each attempt before it is queued and again before it is sent, and tells `report_loss` of
+    /// connections that broke under attempts.
+    #[must_use]
+    pub fn with_quarantine(
+        mut self,
+        refuses: impl Fn(RequestFingerprint) -> bool + Send + Sync + 'static,
+        report_loss: impl Fn(UpstreamLoss) + Send + Sync + 'static,
+    ) -> Self {
+        self.refuses = Arc::new(refuses);
+        self.report_loss = Arc::new(report_loss);
+        self
+    }
+
+    /// Tells `note` of each upstream that says it is leaving.
+    #[must_use]
+    pub fn with_leaving_sign(
+        mut self,
+        note: impl Fn(UpstreamAddress) + Send + Sync + 'static,
+    ) -> Self {
+        self.note_leaving = Arc::new(note);
+        self
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/relay/state_tests.rs
@@ -0,0 +1,437 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use super::*;
+use crate::declaration::ServiceEntry;
+use crate::ident::{RunState, SnapshotVersion};
+use crate::relay::action::UpstreamLoss;
+use crate::relay::message::{FailureReason, ShardVerdict};
+use crate::settings::LimitMode;
+use crate::topology::{UpstreamEntry, VmEntry};
+
+const CONNECTIONS: u32 = 25;
+/// A third of the connections, without the one for cancelling.
+const SHARE: usize = 7;
+
+/// The relay's decisions with connections played by the test.
+struct Bench {
+    state: RelayState,
+    topology: TopologyView,
+    config: DeclaredConfig,
+    now: Duration,
+    actions: Vec<RelayAction>,
+    verdicts: BTreeMap<u64, ShardVerdict>,
+    numbers: BTreeMap<WorkId, u64>,
+    opening: Vec<ConnectionId>,
+    busy: Vec<(ConnectionId, WorkId)>,
+    closing: Vec<ConnectionId>,
+    /// Connections that were opened and have not ended.
+    open: usize,
+    cancels: usize,
+    losses: Vec<UpstreamLoss>,
+    submitted: u64,
+}
+
+fn upstream() -> UpstreamAddress {
+    "10.1.0.1:80".parse().unwrap()
+}
+
+fn vm() -> VmAddress {
+    "10.0.0.1".parse().unwrap()
+}
+
+fn topology(leaving: bool) -> TopologyView {
+    let own = VmEntry {
+        vm: vm(),
+        zone: "zone-a".parse().unwrap(),
+        incarnation: None,
+        leaving: false,
+    };
+    let upstream = UpstreamEntry {
+        upstream: upstream(),
+        zone: "zone-a".parse().unwrap(),
+        service: "tender-00".parse().unwrap(),
+        leaving,
+    };
+    TopologyView::new([own], [upstream])
+}
+
+fn rows() -> ShardVerdict {
+    ShardVerdict::Rows {
+        version: SnapshotVersion(1),
+        body: Bytes::from_static(b"{\"rows\":[]}"),
+    }
+}
+
+impl Bench {
+    fn new(limit: LimitMode) -> Self {
+        let mut config = DeclaredConfig::default();
+        let name: crate::ident::ServiceName = "tender-00".parse().unwrap();
+        let service = ServiceEntry {
+            name: name.clone(),
+            connections: CONNECTIONS,
+            drain: Duration::from_secs(1),
+        };
+        config.services.insert(name, service);
+        let switches = ExperimentSwitches {
+            limit,
+            ..Default::default()
+        };
+        Self {
+            state: RelayState::new(vm(), switches),
+            topology: topology(false),
+            config,
+            now: Duration::ZERO,
+            actions: Vec::new(),
+            verdicts: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            opening: Vec::new(),
+            busy: Vec::new(),
+            closing: Vec::new(),
+            open: 0,
+            cancels: 0,
+            losses: Vec::new(),
+            submitted: 0,
+        }
+    }
+
+    fn key(query: u64) -> AttemptKey {
+        let session = SessionId::new(vm(), crate::ident::IncarnationNumber(1));
+        AttemptKey {
+            session,
+            query,
+            attempt: 0,
+        }
+    }
+
+    fn submit(&mut self, customer: u32, within: u64) -> u64 {
+        let query = self.submitted;
+        self.submitted += 1;
+        let request = WorkRequest {
+            key: Self::key(query),
+            upstream: upstream(),
+            customer: CustomerId::from_u32(customer),
+            class: ClassId::from_u32(0),
+            deadline: self.now + Duration::from_millis(within),
+            fingerprint: RequestFingerprint(query),
+        };
+        let views = ViewPair {
+            topology: &self.topology,
+            config: &self.config,
+        };
+        let work = self.state.submit(self.now, views, &request).unwrap();
+        self.numbers.insert(work, query);
+        self.run();
+        query
+    }
+
+    fn cancel(&mut self, query: u64) {
+        self.state.cancel(self.now, Self::key(query));
+        self.run();
+    }
+
+    fn report(&mut self, connection: ConnectionId, event: ConnectionEvent) {
+        match event {
+            ConnectionEvent::Opened { .. } => self.open += 1,
+            ConnectionEvent::Broken { .. }
+            | ConnectionEvent::Dropped { .. }
+            | ConnectionEvent::Closed => self.open -= 1,
+            _ => {}
+        }
+        self.state.connection_event(self.now, connection, event);
+        self.run();
+    }
+
+    fn open_all(&mut self) {
+        while let Some(connection) = self.opening.pop() {
+            let sign = OpenSign::Ready;
+            self.report(connection, ConnectionEvent::Opened { sign });
+        }
+    }
+
+    fn answer(&mut self, busy: usize, verdict: ShardVerdict, draining: bool) {
+        let (connection, work) = self.busy.swap_remove(busy);
+        let answer = UpstreamAnswer {
+            verdict,
+            draining,
+            served: Duration::from_millis(5),
+        };
+        self.report(connection, ConnectionEvent::Answered { work, answer });
+    }
+
+    fn break_one(&mut self, busy: usize) {
+        let (connection, work) = self.busy.swap_remove(busy);
+        self.report(connection, ConnectionEvent::Broken { work });
+    }
+
+    fn set_leaving(&mut self, leaving: bool) {
+        self.topology = topology(leaving);
+        let views = ViewPair {
+            topology: &self.topology,
+            config: &self.config,
+        };
+        self.state.apply_views(self.now, views);
+        self.run();
+    }
+
+    fn tick(&mut self, by: u64) {
+        self.now += Duration::from_millis(by);
+        self.state.tick(self.now);
+        self.run();
+    }
+
+    fn run(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.state.take_actions(&mut actions);
+        for action in actions.drain(..) {
+            self.run_action(action);
+        }
+        self.actions = actions;
+        let held = self.opening.len() + self.open;
+        assert!(held <= SHARE, "{held} connections");
+        assert!(self.state.connections() as usize == held);
+    }
+
+    fn run_action(&mut self, action: RelayAction) {
+        match action {
+            RelayAction::Open { connection, .. } => self.opening.push(connection),
+            RelayAction::Close { connection } => self.closing.push(connection),
+            RelayAction::Send {
+                connection, work, ..
+            } => {
+                let query = self.numbers[&work];
+                assert!(
+                    !self.verdicts.contains_key(&query),
+                    "{query} sent after its verdict"
+                );
+                assert!(!self.busy.iter().any(|(other, _)| *other == connection));
+                self.busy.push((connection, work));
+            }
+            RelayAction::CancelSent { .. } => self.cancels += 1,
+            RelayAction::Finish { work, verdict } => {
+                let query = self.numbers[&work];
+                let twin = self.verdicts.insert(query, verdict);
+                assert_eq!(twin, None, "{query} finished twice");
+            }
+            RelayAction::ReportLoss(loss) => self.losses.push(loss),
+            RelayAction::NoteLeaving(_) => {}
+        }
+    }
+
+    /// Lets everything come to its end.
+    fn finish(&mut self) {
+        self.open_all();
+        while !self.busy.is_empty() {
+            self.answer(0, rows(), false);
+            self.open_all();
+        }
+        self.tick(60_000);
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit {
+        customer: u32,
+        within: u64,
+    },
+    Cancel(u64),
+    Opened(OpenSign),
+    OpenFailed,
+    Answered {
+        verdict: ShardVerdict,
+        draining: bool,
+    },
+    Unsent,
+    Overdue,
+    Broken,
+    Dropped,
+    Closed,
+    Leaving(bool),
+    Tick(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let verdict = prop_oneof![
+        4 => Just(rows()),
+        1 => Just(ShardVerdict::NotRun(RefusalReason::Shed)),
+        1 => Just(ShardVerdict::VersionGone { newest: SnapshotVersion(2) }),
+    ];
+    let step = prop_oneof![
+        12 => (0..4_u32, 0..300_u64).prop_map(|(customer, within)| Step::Submit { customer, within }),
+        3 => (0..150_u64).prop_map(Step::Cancel),
+        6 => Just(Step::Opened(OpenSign::Ready)),
+        1 => Just(Step::Opened(OpenSign::Draining)),
+        1 => Just(Step::Opened(OpenSign::SaysDraining)),
+        1 => Just(Step::OpenFailed),
+        8 => (verdict, prop::bool::weighted(0.02))
+            .prop_map(|(verdict, draining)| Step::Answered { verdict, draining }),
+        1 => Just(Step::Unsent),
+        1 => Just(Step::Overdue),
+        1 => Just(Step::Broken),
+        1 => Just(Step::Dropped),
+        1 => Just(Step::Closed),
+        1 => prop::bool::weighted(0.3).prop_map(Step::Leaving),
+        3 => (1..100_u64).prop_map(Step::Tick),
+    ];
+    prop::collection::vec(step, 0..250)
+}
+
+fn apply_step(bench: &mut Bench, step: Step) {
+    match step {
+        Step::Submit { customer, within } => {
+            bench.submit(customer, within);
+        }
+        Step::Cancel(query) => bench.cancel(query),
+        Step::Opened(sign) => {
+            if let Some(connection) = bench.opening.pop() {
+                bench.report(connection, ConnectionEvent::Opened { sign });
+            }
+        }
+        Step::OpenFailed => {
+            if let Some(connection) = bench.opening.pop() {
+                bench.report(connection, ConnectionEvent::OpenFailed);
+            }
+        }
+        Step::Closed => {
+            if let Some(connection) = bench.closing.pop() {
+                bench.report(connection, ConnectionEvent::Closed);
+            }
+        }
+        Step::Leaving(leaving) => bench.set_leaving(leaving),
+        Step::Tick(by) => bench.tick(by),
+        step if !bench.busy.is_empty() => apply_busy_step(bench, step),
+        _ => {}
+    }
+}
+
+fn apply_busy_step(bench: &mut Bench, step: Step) {
+    let (connection, work) = bench.busy[0];
+    match step {
+        Step::Answered { verdict, draining } => bench.answer(0, verdict, draining),
+        Step::Overdue => bench.report(connection, ConnectionEvent::Overdue { work }),
+        Step::Broken => bench.break_one(0),
+        Step::Dropped => {
+            bench.report(connection, ConnectionEvent::Overdue { work });
+            bench.busy.swap_remove(0);
+            bench.report(connection, ConnectionEvent::Dropped { work });
+        }
+        Step::Unsent => {
+            bench.busy.swap_remove(0);
+            bench.report(connection, ConnectionEvent::Unsent { work });
+            bench.report(connection, ConnectionEvent::Closed);
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn every_submitted_attempt_gets_exactly_one_verdict() {
+    let config = Config {
+        cases: 600,
+        failure_persistence: None,
+        ..Default::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let run = |steps: Vec<Step>| {
+        let mut bench = Bench::new(LimitMode::Adaptive);
+        for step in steps {
+            apply_step(&mut bench, step);
+        }
+        bench.finish();
+        let finished: BTreeSet<u64> = bench.verdicts.keys().copied().collect();
+        assert_eq!(finished, (0..bench.submitted).collect());
+        assert_eq!(bench.state.occupancy(), (0, 0));
+        Ok(())
+    };
+    runner.run(&steps(), run).unwrap();
+}
+
+#[gtest]
+fn what_was_sent_is_never_called_not_run() {
+    let mut bench = Bench::new(LimitMode::Adaptive);
+    let (first, second) = (bench.submit(0, 100), bench.submit(0, 100));
+    let third = bench.submit(0, 100);
+    bench.open_all();
+    bench.cancel(first);
+    bench.cancel(third);
+    bench.break_one(1);
+    let failed = |reason| ShardVerdict::Failed {
+        ran: RunState::Unknown,
+        reason,
+    };
+    expect_that!(
+        bench.verdicts[&first],
+        eq(&failed(FailureReason::Cancelled))
+    );
+    expect_that!(bench.verdicts[&second], eq(&failed(FailureReason::Broken)));
+    let cancelled = ShardVerdict::NotRun(RefusalReason::Cancelled);
+    expect_that!(bench.verdicts[&third], eq(&cancelled));
+    expect_that!(bench.cancels, eq(1));
+}
+
+#[gtest]
+fn upstream_that_leaves_gets_nothing_more() {
+    for by_answer in [true, false] {
+        let mut bench = Bench::new(LimitMode::Adaptive);
+        let queries: Vec<u64> = (0..6).map(|_| bench.submit(0, 100)).collect();
+        bench.open_all();
+        let sent = bench.busy.len();
+        if by_answer {
+            bench.answer(0, rows(), true);
+        } else {
+            bench.set_leaving(true);
+        }
+        let leaving = ShardVerdict::NotRun(RefusalReason::Leaving);
+        let handed_back = bench
+            .verdicts
+            .values()
+            .filter(|verdict| **verdict == leaving);
+        expect_that!(handed_back.count(), eq(queries.len() - sent));
+        let late = bench.submit(0, 100);
+        expect_that!(bench.verdicts[&late], eq(&leaving));
+    }
+}
+
+#[gtest]
+fn connections_that_break_together_are_one_loss() {
+    let mut bench = Bench::new(LimitMode::Adaptive);
+    for _query in 0..4 {
+        bench.submit(0, 100);
+    }
+    bench.open_all();
+    expect_that!(bench.busy.len(), eq(2));
+    bench.break_one(0);
+    expect_that!(bench.losses.len(), eq(0));
+    bench.break_one(0);
+    expect_that!(bench.losses.len(), eq(1));
+    expect_that!(bench.losses[0].in_flight.len(), eq(2));
+}
+
+#[gtest]
+fn upstream_that_refuses_connections_refuses_at_once() {
+    let mut bench = Bench::new(LimitMode::Adaptive);
+    for _query in 0..4 {
+        bench.submit(0, 100);
+    }
+    while let Some(connection) = bench.opening.pop() {
+        bench.report(connection, ConnectionEvent::OpenFailed);
+    }
+    let unreachable = ShardVerdict::NotRun(RefusalReason::Unreachable);
+    expect_that!(
+        bench
+            .verdicts
+            .values()
+            .filter(|verdict| **verdict == unreachable)
+            .count(),
+        eq(4)
+    );
+    bench.tick(2_000);
+    bench.submit(0, 100);
+    expect_that!(bench.opening.len(), eq(1));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -0,0 +1,547 @@
+//! The decisions about one upstream: what is sent when, on which connection, and what its answers mean for the rest.
+//!
+//! Pure: every function takes the time since the process started and puts what is to be done into an [`RelayTables`].
+//! Each attempt is finished exactly once: refused while it waits, or with the verdict of its sending. An attempt that
+//! was given up after it was sent still counts against the concurrency limit until the upstream lets go of it, so that
+//! what is in flight there is never underestimated.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::ident::UpstreamAddress;
+use crate::relay::action::{RelayAction, RelayTables, UpstreamLoss, WorkOrder};
+use crate::relay::ids::{ConnectionId, UpstreamId, WorkId};
+use crate::relay::limit::ConcurrencyLimit;
+use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict, UpstreamLoad};
+use crate::relay::queue::{PushResult, QueueEntry, RelayQueue};
+use crate::relay::service::ServiceTimes;
+use crate::relay::state::OpenSign;
+use crate::settings::ExperimentSwitches;
+
+/// An idle connection is closed after this time, before the usual upstream closes it under a request.
+pub(super) const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// How long an upstream that said it is draining gets nothing, unless the topology says more.
+const DRAIN_HOLD: Duration = Duration::from_secs(30);
+/// How long an upstream whose status says so gets nothing; then its status is asked again.
+const HINT_HOLD: Duration = Duration::from_secs(2);
+/// Connections that break within this time of each other are one loss.
+const LOSS_WINDOW: Duration = Duration::from_millis(20);
+/// First pause after a connection could not be opened; it doubles up to [`OPEN_PAUSE_LIMIT`].
+const OPEN_PAUSE: Duration = Duration::from_millis(10);
+const OPEN_PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// What came back from an upstream for one attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct UpstreamAnswer {
+    pub(super) verdict: ShardVerdict,
+    /// Whether it said that it is leaving.
+    pub(super) draining: bool,
+    /// Time from the sending to the end of the answer.
+    pub(super) served: Duration,
+}
+
+/// An attempt that is at the upstream.
+#[derive(Debug, Clone, Copy)]
+struct SentWork {
+    work: WorkId,
+    order: WorkOrder,
+    connection: ConnectionId,
+    /// Attempts that were there when it was sent, itself included.
+    in_flight: u32,
+    /// Its verdict was given before the upstream let go of it.
+    given_up: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct IdleConnection {
+    connection: ConnectionId,
+    since: Duration,
+}
+
+/// Connections that broke within one [`LOSS_WINDOW`].
+#[derive(Debug)]
+struct LossWindow {
+    ends: Duration,
+    loss: UpstreamLoss,
+}
+
+/// What one VM knows and does about one upstream.
+#[derive(Debug)]
+pub(super) struct UpstreamState {
+    id: UpstreamId,
+    address: UpstreamAddress,
+    queue: RelayQueue,
+    limit: ConcurrencyLimit,
+    service: ServiceTimes,
+    share: u32,
+    cancelling: bool,
+    leaving: bool,
+    draining_until: Duration,
+    idle: Vec<IdleConnection>,
+    /// Connections opened and not known to have ended.
+    open: u32,
+    /// Connections being opened.
+    opening: u32,
+    sent: Vec<SentWork>,
+    open_failures: u32,
+    open_again: Duration,
+    loss: Option<LossWindow>,
+    taken: Vec<WorkId>,
+}
+
+/// What the views say about an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct UpstreamTerms {
+    /// Connections that this VM may hold to it, the one for cancelling not counted.
+    pub(super) share: u32,
+    /// Whether there is one for cancelling.
+    pub(super) cancelling: bool,
+    /// Whether it is leaving or unknown.
+    pub(super) leaving: bool,
+}
+
+impl UpstreamState {
+    pub(super) fn new(
+        id: UpstreamId,
+        address: UpstreamAddress,
+        switches: ExperimentSwitches,
+    ) -> Self {
+        Self {
+            id,
+            address,
+            queue: RelayQueue::new(switches.queue),
+            limit: ConcurrencyLimit::new(switches.limit, 0),
+            service: ServiceTimes::default(),
+            share: 0,
+            cancelling: false,
+            leaving: false,
+            draining_until: Duration::ZERO,
+            idle: Vec::new(),
+            open: 0,
+            opening: 0,
+            sent: Vec::new(),
+            open_failures: 0,
+            open_again: Duration::ZERO,
+            loss: None,
+            taken: Vec::new(),
+        }
+    }
+
+    /// Takes over what the views say.
+    pub(super) fn apply(&mut self, now: Duration, terms: UpstreamTerms, tables: &mut RelayTables) {
+        self.share = terms.share;
+        self.cancelling = terms.cancelling;
+        self.leaving = terms.leaving;
+        self.limit.set_share(terms.share);
+        self.close_surplus(tables);
+        self.dispatch(now, tables);
+    }
+
+    /// Takes an attempt in, or refuses it at once.
+    pub(super) fn submit(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
+        let Some(order) = tables.order(work) else {
+            return;
+        };
+        if let Some(reason) = self.refusal(now, &order) {
+            tables.refuse(work, reason);
+            return;
+        }
+        let entry = QueueEntry {
+            work,
+            customer: order.customer,
+            deadline: order.deadline,
+            cost: self.service.expected(order.class),
+        };
+        if let PushResult::Evicted(evicted) = self.queue.push(entry) {
+            tables.refuse(evicted, RefusalReason::QueueFull);
+        }
+        self.dispatch(now, tables);
+    }
+
+    fn refusal(&self, now: Duration, order: &WorkOrder) -> Option<RefusalReason> {
+        if self.is_leaving(now) {
+            return Some(RefusalReason::Leaving);
+        }
+        if order.deadline <= now {
+            return Some(RefusalReason::Expired);
+        }
+        if self.share == 0 {
+            return Some(RefusalReason::NotOwner);
+        }
+        if self.open == 0 && now < self.open_again {
+            return Some(RefusalReason::Unreachable);
+        }
+        None
+    }
+
+    /// The entry no longer wants an attempt.
+    pub(super) fn cancel(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
+        if self.queue.cancel(work) {
+            tables.refuse(work, RefusalReason::Cancelled);
+            return;
+        }
+        self.give_up(work, FailureReason::Cancelled, tables);
+        self.dispatch(now, tables);
+    }
+
+    /// The deadline of an attempt passed while it was at the upstream.
+    pub(super) fn overdue(&mut self, work: WorkId, tables: &mut RelayTables) {
+        self.give_up(work, FailureReason::Timeout, tables);
+    }
+
+    fn give_up(&mut self, work: WorkId, reason: FailureReason, tables: &mut RelayTables) {
+        let Some(sent) = self.sent.iter_mut().find(|sent| sent.work == work) else {
+            return;
+        };
+        if sent.given_up {
+            return;
+        }
+        sent.given_up = true;
+        let upstream = self.id;
+        tables
+            .actions
+            .push(RelayAction::CancelSent { upstream, work });
+        tables.fail(work, reason);
+    }
+
+    /// A connection is open.
+    pub(super) fn opened(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        sign: OpenSign,
+        tables: &mut RelayTables,
+    ) {
+        self.opening -= 1;
+        self.open += 1;
+        self.open_failures = 0;
+        self.open_again = now;
+        self.idle.push(IdleConnection {
+            connection,
+            since: now,
+        });
+        match sign {
+            OpenSign::Ready => {}
+            OpenSign::Draining => self.note_draining(now, tables),
+            OpenSign::SaysDraining => {
+                self.draining_until = now + HINT_HOLD;
+                self.close_idle(tables);
+            }
+        }
+        self.dispatch(now, tables);
+    }
+
+    /// A connection could not be opened; nothing was sent on it.
+    pub(super) fn open_failed(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        tables: &mut RelayTables,
+    ) {
+        self.opening -= 1;
+        tables.forget_connection(connection);
+        let pause = OPEN_PAUSE * (1 << u32::min(self.open_failures, 10));
+        self.open_failures += 1;
+        self.open_again = now + Duration::min(pause, OPEN_PAUSE_LIMIT);
+        if self.open + self.opening == 0 {
+            self.hand_back(RefusalReason::Unreachable, tables);
+        }
+    }
+
+    /// An idle connection ended.
+    pub(super) fn closed(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        tables: &mut RelayTables,
+    ) {
+        self.idle.retain(|idle| idle.connection != connection);
+        self.open -= 1;
+        tables.forget_connection(connection);
+        self.dispatch(now, tables);
+    }
+
+    /// An attempt that was to be sent never reached the connection: it waits again.
+    pub(super) fn unsent(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
+        let Some(sent) = self.take_sent(work) else {
+            return;
+        };
+        if sent.given_up {
+            tables.release(work);
+            return;
+        }
+        self.submit(now, work, tables);
+    }
+
+    /// An attempt was not handed to its connection after all; it is refused and the connection is free.
+    pub(super) fn withhold(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        reason: RefusalReason,
+        tables: &mut RelayTables,
+    ) {
+        let Some(sent) = self.take_sent(work) else {
+            return;
+        };
+        let connection = sent.connection;
+        self.idle.push(IdleConnection {
+            connection,
+            since: now,
+        });
+        tables.refuse(work, reason);
+        self.dispatch(now, tables);
+    }
+
+    /// An attempt was answered; the connection is free.
+    pub(super) fn answered(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        answer: UpstreamAnswer,
+        tables: &mut RelayTables,
+    ) {
+        let Some(sent) = self.take_sent(work) else {
+            return;
+        };
+        let connection = sent.connection;
+        self.idle.push(IdleConnection {
+            connection,
+            since: now,
+        });
+        self.learn(now, &sent, &answer);
+        if answer.draining {
+            self.note_draining(now, tables);
+        }
+        if !sent.given_up {
+            tables.finish(work, answer.verdict);
+        }
+        tables.release(work);
+        self.close_surplus(tables);
+        self.dispatch(now, tables);
+    }
+
+    /// The connection broke under an attempt.
+    pub(super) fn broken(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        work: WorkId,
+        tables: &mut RelayTables,
+    ) {
+        self.open -= 1;
+        tables.forget_connection(connection);
+        if let Some(sent) = self.take_sent(work) {
+            if !sent.given_up {
+                tables.fail(work, FailureReason::Broken);
+            }
+            tables.release(work);
+            self.note_loss(now, &sent, tables);
+        }
+        if self.open == 0 {
+            self.limit.restart(now);
+        }
+        self.dispatch(now, tables);
+    }
+
+    /// The connection was closed from here because an attempt that was given up never came back.
+    pub(super) fn dropped(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        work: WorkId,
+        tables: &mut RelayTables,
+    ) {
+        self.open -= 1;
+        tables.forget_connection(connection);
+        if self.take_sent(work).is_some() {
+            tables.release(work);
+        }
+        self.dispatch(now, tables);
+    }
+
+    /// Does what is due by time alone.
+    pub(super) fn tick(&mut self, now: Duration, tables: &mut RelayTables) {
+        self.queue.drop_expired(now, &mut self.taken);
+        tables.refuse_all(&mut self.taken, RefusalReason::Expired);
+        if self.loss.as_ref().is_some_and(|window| window.ends <= now) {
+            self.report_loss(tables);
+        }
+        let keep = |idle: &IdleConnection| idle.since + IDLE_LIMIT > now;
+        for idle in self.idle.iter().filter(|idle| !keep(idle)) {
+            let connection = idle.connection;
+            tables.actions.push(RelayAction::Close { connection });
+        }
+        self.idle.retain(keep);
+        self.dispatch(now, tables);
+    }
+
+    /// Tells whether time alone may bring something to do.
+    pub(super) fn needs_tick(&self) -> bool {
+        !self.queue.is_empty() || !self.idle.is_empty() || self.loss.is_some()
+    }
+
+    /// Attempts that wait.
+    pub(super) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Attempts at the upstream, those given up included.
+    pub(super) fn in_flight(&self) -> usize {
+        self.sent.len()
+    }
+
+    /// Connections open or being opened.
+    pub(super) fn connections(&self) -> u32 {
+        self.open + self.opening
+    }
+
+    /// What entries are told about it.
+    pub(super) fn load(&self, now: Duration) -> UpstreamLoad {
+        let limit = u32::max(1, self.limit.current());
+        let service = self.service.median();
+        let ahead = (self.queue.len() + self.sent.len() + 1).saturating_sub(limit as usize);
+        let wait = service * ahead as u32 / limit;
+        UpstreamLoad {
+            upstream: self.address,
+            wait_us: wait.as_micros() as u32,
+            service_us: service.as_micros() as u32,
+            limit: limit as u16,
+            leaving: self.is_leaving(now),
+        }
+    }
+
+    pub(super) fn address(&self) -> UpstreamAddress {
+        self.address
+    }
+
+    pub(super) fn may_cancel(&self) -> bool {
+        self.cancelling
+    }
+
+    pub(super) fn is_leaving(&self, now: Duration) -> bool {
+        self.leaving || now < self.draining_until
+    }
+
+    /// Sends what may be sent and opens connections for the rest.
+    fn dispatch(&mut self, now: Duration, tables: &mut RelayTables) {
+        if self.is_leaving(now) {
+            self.hand_back(RefusalReason::Leaving, tables);
+            return;
+        }
+        while self.sent.len() < self.limit.current() as usize && !self.idle.is_empty() {
+            let Some(work) = self.queue.pop(now, &mut self.taken) else {
+                break;
+            };
+            self.send(work, tables);
+        }
+        tables.refuse_all(&mut self.taken, RefusalReason::Expired);
+        self.open_needed(now, tables);
+    }
+
+    /// Sends an attempt on the connection that was used last: the others may fall idle and close.
+    fn send(&mut self, work: WorkId, tables: &mut RelayTables) {
+        let Some(order) = tables.order(work) else {
+            return;
+        };
+        let Some(IdleConnection { connection, .. }) = self.idle.pop() else {
+            return;
+        };
+        self.sent.push(SentWork {
+            work,
+            order,
+            connection,
+            in_flight: self.sent.len() as u32 + 1,
+            given_up: false,
+        });
+        let upstream = self.id;
+        tables.actions.push(RelayAction::Send {
+            upstream,
+            connection,
+            work,
+        });
+    }
+
+    /// Opens as many connections as the queue and the limit can use, never more than the share.
+    fn open_needed(&mut self, now: Duration, tables: &mut RelayTables) {
+        if now < self.open_again || !self.idle.is_empty() {
+            return;
+        }
+        let room = (self.limit.current() as usize).saturating_sub(self.sent.len());
+        let wanted = usize::min(self.queue.len(), room) as u32;
+        while self.opening < wanted && self.open + self.opening < self.share {
+            self.opening += 1;
+            tables.open(self.id);
+        }
+    }
+
+    /// Closes idle connections beyond the share.
+    fn close_surplus(&mut self, tables: &mut RelayTables) {
+        let mut surplus = (self.open + self.opening).saturating_sub(self.share);
+        while surplus > 0
+            && let Some(IdleConnection { connection, .. }) = self.idle.pop()
+        {
+            tables.actions.push(RelayAction::Close { connection });
+            surplus -= 1;
+        }
+    }
+
+    fn close_idle(&mut self, tables: &mut RelayTables) {
+        for IdleConnection { connection, .. } in self.idle.drain(..) {
+            tables.actions.push(RelayAction::Close { connection });
+        }
+    }
+
+    fn hand_back(&mut self, reason: RefusalReason, tables: &mut RelayTables) {
+        self.queue.drain(&mut self.taken);
+        tables.refuse_all(&mut self.taken, reason);
+    }
+
+    fn take_sent(&mut self, work: WorkId) -> Option<SentWork> {
+        let position = self.sent.iter().position(|sent| sent.work == work)?;
+        Some(self.sent.swap_remove(position))
+    }
+
+    fn learn(&mut self, now: Duration, sent: &SentWork, answer: &UpstreamAnswer) {
+        match answer.verdict {
+            ShardVerdict::Rows { .. } => {
+                self.service.record(sent.order.class, answer.served);
+            }
+            ShardVerdict::NotRun(RefusalReason::Shed) if !sent.given_up && !answer.draining => {
+                self.limit.shed(now, sent.in_flight);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_draining(&mut self, now: Duration, tables: &mut RelayTables) {
+        if self.draining_until <= now {
+            let address = self.address;
+            tables.actions.push(RelayAction::NoteLeaving(address));
+        }
+        self.draining_until = now + DRAIN_HOLD;
+        self.close_idle(tables);
+    }
+
+    /// Gathers what broke at about the same time, and reports it as soon as nothing is left that could belong to it.
+    fn note_loss(&mut self, now: Duration, sent: &SentWork, tables: &mut RelayTables) {
+        let window = self.loss.get_or_insert_with(|| LossWindow {
+            ends: now + LOSS_WINDOW,
+            loss: UpstreamLoss {
+                upstream: self.address,
+                in_flight: SmallVec::new(),
+            },
+        });
+        window.loss.in_flight.push(sent.order.fingerprint);
+        if self.sent.is_empty() {
+            self.report_loss(tables);
+        }
+    }
+
+    fn report_loss(&mut self, tables: &mut RelayTables) {
+        if let Some(window) = self.loss.take() {
+            tables.actions.push(RelayAction::ReportLoss(window.loss));
+        }
+    }
+}
