--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -10,5 +10,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod journal;
+pub mod judge;
+pub mod load;
 pub mod platform;
 pub mod upstream;
