Put one process together: node, operators' port, daemon with logging off the hot path

The first whole path: callers' HTTP to entry, peer links, relay, upstream HTTP and back, joined to the platform's store and VM list. Readiness and the planned stop are thin; membership and once-only join when they stand.

--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod ini;
 pub mod locate;
 pub mod membership;
+pub mod node;
+pub mod operator;
 pub mod platform;
 pub mod quantity;
 pub mod quarantine;
--- a/crates/ebonyfork/src/locate/answer.rs
+++ b/crates/ebonyfork/src/locate/answer.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
+use crate::caller::LocateAnswer;
 use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::MemberSnapshot;
 use crate::topology::TopologyView;
@@ -15,17 +16,6 @@
 /// VMs of one zone that serve one customer.
 pub const CUSTOMER_SUBSET: usize = 8;
 
-/// What a caller is told.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LocateAnswer {
-    /// Caller addresses, the one to use first.
-    pub addresses: SmallVec<[SocketAddr; 4]>,
-    /// How long the answer may be kept.
-    pub ttl: Duration,
-    /// The process incarnation at the first address.
-    pub session: SessionId,
-}
-
 /// What stays the same from answer to answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LocateSettings {
--- a/crates/ebonyfork/src/locate/mod.rs
+++ b/crates/ebonyfork/src/locate/mod.rs
@@ -6,4 +6,4 @@
 
 mod answer;
 
-pub use answer::{LocateAnswer, LocateSettings, locate_addresses};
+pub use answer::{LocateSettings, locate_addresses};
--- /dev/null
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -0,0 +1,328 @@
+//! The assembly: builds each slice, joins it to its neighbours, and ends them in order.
+
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use prometheus_client::registry::Registry;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::caller::{CallerService, LocateAnswer, serve_callers};
+use crate::catalog::CatalogHandle;
+use crate::entry::{EntryHandle, EntrySettings};
+use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress};
+use crate::locate::{LocateSettings, locate_addresses};
+use crate::membership::MemberSnapshot;
+use crate::node::dispatch::PeerDispatch;
+use crate::node::listening::{NodeError, NodeSockets};
+use crate::node::options::NodeOptions;
+use crate::node::readiness::{StopReport, follow_readiness, stop_node};
+use crate::node::status::StatusReader;
+use crate::operator::{OperatorService, serve_operators};
+use crate::platform::PlatformClient;
+use crate::quarantine::QuarantineHandle;
+use crate::relay::{RelayHandle, RelaySettings};
+use crate::revision::RevisionHandle;
+use crate::settings::NodeSettings;
+use crate::topology::{TopologyHandle, TopologySettings};
+use crate::views::{NodeReadiness, NodeViews, ViewWriters, view_channels};
+use crate::wire::{LinkError, LinkEvent, PeerMessage, PeerPool, PoolSettings};
+
+/// One running process of the tier.
+#[derive(Debug)]
+pub struct Node {
+    session: SessionId,
+    views: NodeViews,
+    dispatch: PeerDispatch,
+    stop: CancellationToken,
+    readiness: watch::Sender<NodeReadiness>,
+    locate_ttl: Duration,
+    hurry: CancellationToken,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Binds all sockets and starts every slice on the current runtime.
+    pub async fn start(settings: NodeSettings, options: NodeOptions) -> Result<Self, NodeError> {
+        let sockets = NodeSockets::bind(&settings).await?;
+        let session = SessionId::new(settings.vm, incarnation());
+        log::info!("node {session} starts in {}", settings.zone);
+        Ok(NodeAssembly::new(settings, options, session).assemble(sockets))
+    }
+
+    /// The identity of this process.
+    pub fn session(&self) -> SessionId {
+        self.session
+    }
+
+    /// Returns once the node takes work.
+    pub async fn ready(&self) {
+        let mut readiness = self.views.readiness.clone();
+        // The writer lives as long as the node, so that the wait can only end in readiness.
+        let _found = readiness.wait_for(|readiness| readiness.takes_work()).await;
+    }
+
+    /// Stops as planned: tells callers to go elsewhere, finishes what is in flight, then ends.
+    pub async fn stop(self) -> StopReport {
+        let Self {
+            dispatch,
+            readiness,
+            locate_ttl,
+            hurry,
+            ..
+        } = &self;
+        let report = stop_node(dispatch, readiness, *locate_ttl, hurry).await;
+        self.stop.cancel();
+        let mut tasks = self.tasks;
+        while tasks.join_next().await.is_some() {}
+        report
+    }
+}
+
+fn incarnation() -> IncarnationNumber {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    IncarnationNumber(since.as_millis() as u64)
+}
+
+/// Sends to peers through a pool that is made after those who send.
+#[derive(Debug, Clone, Default)]
+struct LatePool(Arc<OnceLock<PeerPool>>);
+
+impl LatePool {
+    fn send(&self, vm: VmAddress, message: PeerMessage) -> Result<(), LinkError> {
+        let pool = self.0.get().ok_or(LinkError::Handshake)?;
+        pool.send(vm, message)
+    }
+}
+
+/// What the steps of the assembly share.
+struct NodeAssembly {
+    settings: NodeSettings,
+    options: NodeOptions,
+    session: SessionId,
+    stop: CancellationToken,
+    pool: LatePool,
+    registry: Registry,
+    client: PlatformClient,
+    quarantine: QuarantineHandle,
+    members: watch::Receiver<Arc<MemberSnapshot>>,
+    tasks: JoinSet<()>,
+}
+
+impl NodeAssembly {
+    fn new(settings: NodeSettings, options: NodeOptions, session: SessionId) -> Self {
+        let client = PlatformClient::new(settings.platform, settings.platform_timeout);
+        let (_sender, members) = watch::channel(Arc::default());
+        Self {
+            settings,
+            options,
+            session,
+            stop: CancellationToken::new(),
+            pool: LatePool::default(),
+            registry: Registry::with_prefix("ebonyfork"),
+            client,
+            quarantine: QuarantineHandle::new(),
+            members,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    fn assemble(mut self, sockets: NodeSockets) -> Node {
+        let (writers, views) = view_channels();
+        let ViewWriters {
+            topology,
+            config,
+            catalog,
+            readiness,
+        } = writers;
+        let topology = self.start_topology(topology);
+        let dispatch = PeerDispatch {
+            entry: self.start_entry(&views),
+            relay: self.start_relay(&views, topology),
+            revision: self.start_revision(&views, config),
+        };
+        CatalogHandle::start(self.client.clone(), views.clone(), catalog);
+        self.register(&dispatch);
+        self.start_links(sockets.peers, &dispatch, &views);
+        self.start_callers(sockets.callers, &dispatch, &views);
+        self.start_operators(sockets.operators, &dispatch, &views);
+        self.tasks.spawn(follow_readiness(
+            views.clone(),
+            readiness.clone(),
+            self.stop.clone(),
+        ));
+        Node {
+            session: self.session,
+            views,
+            dispatch,
+            stop: self.stop,
+            readiness,
+            locate_ttl: self.settings.locate_ttl,
+            hurry: self.options.hurry,
+            tasks: self.tasks,
+        }
+    }
+
+    fn start_topology(
+        &self,
+        writer: watch::Sender<Arc<crate::topology::TopologyView>>,
+    ) -> TopologyHandle {
+        let settings = TopologySettings::new(self.session, self.settings.zone.clone());
+        let client = self.client.clone();
+        let list = move || -> futures_util::future::BoxFuture<'static, _> {
+            let client = client.clone();
+            Box::pin(async move { client.vms().await })
+        };
+        TopologyHandle::start(settings, list, self.members.clone(), writer)
+    }
+
+    fn start_entry(&self, views: &NodeViews) -> EntryHandle {
+        let quarantine = self.quarantine.clone();
+        let settings = EntrySettings::new(self.session, self.settings.zone.clone(), views.clone())
+            .with_experiment(self.settings.experiment)
+            .with_quarantine(move |fingerprint| quarantine.refuses(fingerprint));
+        let pool = self.pool.clone();
+        EntryHandle::start(settings, move |vm, message| pool.send(vm, message))
+    }
+
+    fn start_relay(&self, views: &NodeViews, topology: TopologyHandle) -> RelayHandle {
+        let refusing = self.quarantine.clone();
+        let reporting = self.quarantine.clone();
+        let settings =
+            RelaySettings::new(self.settings.vm, self.settings.zone.clone(), views.clone())
+                .with_experiment(self.settings.experiment)
+                .with_quarantine(
+                    move |fingerprint| refusing.refuses(fingerprint),
+                    move |loss| reporting.report_loss(loss.upstream, &loss.in_flight),
+                )
+                .with_leaving_sign(move |upstream| topology.note_leaving(upstream));
+        RelayHandle::start(settings)
+    }
+
+    fn start_revision(
+        &self,
+        views: &NodeViews,
+        writer: watch::Sender<Arc<crate::declaration::DeclaredConfig>>,
+    ) -> RevisionHandle {
+        let pool = self.pool.clone();
+        let send = move |vm, message| pool.send(vm, message);
+        RevisionHandle::start(
+            &self.settings,
+            self.client.clone(),
+            views.clone(),
+            writer,
+            send,
+        )
+    }
+
+    fn register(&mut self, dispatch: &PeerDispatch) {
+        dispatch.entry.register(&mut self.registry);
+        dispatch.relay.register(&mut self.registry);
+        dispatch.revision.register(&mut self.registry);
+        self.client.register(&mut self.registry);
+        self.quarantine.register(&mut self.registry);
+    }
+
+    fn start_links(
+        &mut self,
+        listener: tokio::net::TcpListener,
+        dispatch: &PeerDispatch,
+        views: &NodeViews,
+    ) {
+        let delay = Arc::clone(&self.options.link_delay);
+        let settings = PoolSettings::new(self.session, self.settings.peer_port)
+            .with_delay(move |vm| delay(vm));
+        let dispatch = dispatch.clone();
+        let handler = move |event: LinkEvent| -> crate::wire::EventFuture {
+            Box::pin(dispatch.clone().take(event))
+        };
+        let pool = PeerPool::new(settings, self.stop.clone(), handler);
+        // The cell is set here and nowhere else.
+        let _first = self.pool.0.set(pool.clone());
+        self.tasks.spawn(close_unwanted(
+            pool.clone(),
+            views.clone(),
+            self.stop.clone(),
+        ));
+        self.tasks.spawn(async move { pool.accept(listener).await });
+    }
+
+    fn start_callers(
+        &mut self,
+        listener: tokio::net::TcpListener,
+        dispatch: &PeerDispatch,
+        views: &NodeViews,
+    ) {
+        let entry = dispatch.entry.clone();
+        let run = move |request| -> futures_util::future::BoxFuture<'static, _> {
+            let entry = entry.clone();
+            Box::pin(async move { entry.run(request).await })
+        };
+        let locate = self.locator(views);
+        let service = CallerService::new(run, locate, views.clone());
+        self.tasks
+            .spawn(serve_callers(listener, service, self.stop.clone()));
+    }
+
+    fn locator(
+        &self,
+        views: &NodeViews,
+    ) -> impl Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync + 'static {
+        let settings = LocateSettings {
+            own: self.session,
+            zone: self.settings.zone.clone(),
+            caller_port: self.settings.caller_port,
+            ttl: self.settings.locate_ttl,
+        };
+        let (topology, members) = (views.topology.clone(), self.members.clone());
+        let rng = Mutex::new(ChaCha8Rng::seed_from_u64(self.session.incarnation.0));
+        move |customer| {
+            let mut rng = rng.lock().unwrap_or_else(PoisonError::into_inner);
+            let (view, members) = (topology.borrow().clone(), members.borrow().clone());
+            locate_addresses(&view, &members, &settings, customer.as_ref(), &mut *rng)
+        }
+    }
+
+    fn start_operators(
+        &mut self,
+        listener: tokio::net::TcpListener,
+        dispatch: &PeerDispatch,
+        views: &NodeViews,
+    ) {
+        let reader = StatusReader::new(self.session, &self.settings, views, dispatch);
+        let readiness = views.readiness.clone();
+        let registry = std::mem::take(&mut self.registry);
+        let (listing, lifting) = (self.quarantine.clone(), self.quarantine.clone());
+        let service = OperatorService::new(
+            registry,
+            move || readiness.borrow().takes_work(),
+            move || reader.read(),
+        )
+        .with_quarantine(
+            move || crate::node::status::quarantine_list(&listing),
+            move |fingerprint| lifting.lift(fingerprint),
+        );
+        self.tasks
+            .spawn(serve_operators(listener, service, self.stop.clone()));
+    }
+}
+
+/// Closes links to VMs that have left the topology.
+async fn close_unwanted(pool: PeerPool, mut views: NodeViews, stop: CancellationToken) {
+    loop {
+        let changed = tokio::select! {
+            changed = views.topology.changed() => changed,
+            () = stop.cancelled() => return,
+        };
+        if changed.is_err() {
+            return;
+        }
+        let view = views.topology.borrow_and_update().clone();
+        pool.retain(|vm| view.vms.contains_key(&vm));
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -0,0 +1,39 @@
+//! Which slice hears of what happens on the peer links.
+
+use crate::entry::EntryHandle;
+use crate::relay::RelayHandle;
+use crate::revision::RevisionHandle;
+use crate::wire::{LinkEvent, LinkSender, PeerMessage};
+
+/// The slices that take messages of peers. Cheap to clone.
+#[derive(Debug, Clone)]
+pub(super) struct PeerDispatch {
+    pub(super) entry: EntryHandle,
+    pub(super) relay: RelayHandle,
+    pub(super) revision: RevisionHandle,
+}
+
+impl PeerDispatch {
+    /// Hands one event to the slice that it concerns.
+    pub(super) async fn take(self, event: LinkEvent) {
+        match event {
+            LinkEvent::Message { from, message } => self.take_message(from, message).await,
+            LinkEvent::Down { vm, unsent } => {
+                self.entry.link_down(vm, unsent).await;
+            }
+        }
+    }
+
+    async fn take_message(self, from: LinkSender, message: PeerMessage) {
+        match message {
+            PeerMessage::Submit(batch) => self.relay.submit(from, batch).await,
+            PeerMessage::Cancel(batch) => self.relay.cancel(&from, batch).await,
+            PeerMessage::Outcomes(batch) => {
+                let Some(peer) = from.peer() else { return };
+                self.entry.take_outcomes(peer, batch).await;
+            }
+            PeerMessage::Revision(message) => self.revision.take_message(from, message).await,
+            PeerMessage::Hello(_) => log::debug!("a second hello from {:?}", from.peer()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/node/status.rs
@@ -0,0 +1,119 @@
+//! Reads a node's state for operators.
+
+use compact_str::format_compact;
+
+use crate::ident::{SessionId, ZoneName};
+use crate::node::dispatch::PeerDispatch;
+use crate::operator::{
+    CatalogStatus, InFlightStatus, NodeStatus, QuarantineStatus, UpstreamStatus, VmStatus,
+};
+use crate::quarantine::QuarantineHandle;
+use crate::settings::NodeSettings;
+use crate::topology::{TopologyView, owner_pair};
+use crate::views::{CatalogSet, NodeViews};
+
+/// Puts a [`NodeStatus`] together on request.
+#[derive(Debug)]
+pub(super) struct StatusReader {
+    session: SessionId,
+    zone: ZoneName,
+    views: NodeViews,
+    dispatch: PeerDispatch,
+}
+
+impl StatusReader {
+    pub(super) fn new(
+        session: SessionId,
+        settings: &NodeSettings,
+        views: &NodeViews,
+        dispatch: &PeerDispatch,
+    ) -> Self {
+        let (views, dispatch) = (views.clone(), dispatch.clone());
+        Self {
+            session,
+            zone: settings.zone.clone(),
+            views,
+            dispatch,
+        }
+    }
+
+    pub(super) fn read(&self) -> NodeStatus {
+        let topology = self.views.topology.borrow().clone();
+        let catalogs = self.views.catalog.borrow().clone();
+        let readiness = *self.views.readiness.borrow();
+        NodeStatus {
+            session: NodeStatus::session_text(self.session),
+            zone: self.zone.clone(),
+            readiness: format_compact!("{readiness:?}").to_ascii_lowercase(),
+            revision: self.views.config.borrow().revision,
+            catalogs: catalog_list(&catalogs),
+            vms: vm_list(&topology),
+            upstreams: upstream_list(&topology),
+            in_flight: self.in_flight(),
+        }
+    }
+
+    fn in_flight(&self) -> InFlightStatus {
+        InFlightStatus {
+            queries: self.dispatch.entry.in_flight(),
+            keyed: 0,
+            attempts: self.dispatch.relay.in_flight(),
+        }
+    }
+}
+
+fn catalog_list(catalogs: &CatalogSet) -> Vec<CatalogStatus> {
+    let mut list = Vec::with_capacity(catalogs.len());
+    for (index, catalog) in catalogs {
+        let newest = catalog.newest().map(|shards| shards.version);
+        list.push(CatalogStatus {
+            index: index.clone(),
+            epoch: catalog.epoch,
+            newest,
+        });
+    }
+    list
+}
+
+fn vm_list(topology: &TopologyView) -> Vec<VmStatus> {
+    let mut list = Vec::with_capacity(topology.vms.len());
+    for entry in topology.vms.values() {
+        let session = entry
+            .incarnation
+            .map(|number| SessionId::new(entry.vm, number));
+        list.push(VmStatus {
+            vm: entry.vm,
+            zone: entry.zone.clone(),
+            session: session.map(NodeStatus::session_text),
+            leaving: entry.leaving,
+        });
+    }
+    list
+}
+
+fn upstream_list(topology: &TopologyView) -> Vec<UpstreamStatus> {
+    let mut list = Vec::with_capacity(topology.upstreams.len());
+    for entry in topology.upstreams.values() {
+        let owner = owner_pair(topology, entry.upstream).map(|pair| pair.primary);
+        list.push(UpstreamStatus {
+            upstream: entry.upstream,
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            leaving: entry.leaving,
+            owner,
+        });
+    }
+    list
+}
+
+/// Lists what is quarantined here.
+pub(super) fn quarantine_list(quarantine: &QuarantineHandle) -> Vec<QuarantineStatus> {
+    let mut list = Vec::new();
+    for entry in quarantine.entries() {
+        list.push(QuarantineStatus {
+            fingerprint: entry.fingerprint,
+            expires_in_s: entry.left.as_secs(),
+        });
+    }
+    list
+}
--- a/crates/ebonyfork/src/wire/mod.rs
+++ b/crates/ebonyfork/src/wire/mod.rs
@@ -11,4 +11,4 @@
 
 pub use link::{LinkError, LinkSender};
 pub use message::{LinkHello, PROTOCOL_VERSION, PeerMessage};
-pub use pool::{LinkEvent, PeerPool, PoolSettings};
+pub use pool::{EventFuture, LinkEvent, PeerPool, PoolSettings};
--- a/crates/ebonyforkd/src/main.rs
+++ b/crates/ebonyforkd/src/main.rs
@@ -1,2 +1,166 @@
-//! Placeholder until the first thin path.
-fn main() {}
+//! The daemon of the query tier: reads its settings, starts one node, and stops it when it is told to.
+//!
+//! `SIGTERM` and `SIGINT` start a planned stop, a second one ends it at once. `SIGHUP` reads the settings again and puts
+//! the logging section in force; every other section needs a restart, which the log says.
+
+mod arguments;
+mod logging;
+
+use std::process::ExitCode;
+
+use ebonyfork::finding::FindingList;
+use ebonyfork::node::{Node, NodeError, NodeOptions};
+use ebonyfork::settings::NodeSettings;
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use crate::arguments::DaemonArguments;
+use crate::logging::LoggingError;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit status when the settings have findings.
+const EXIT_FINDINGS: u8 = 2;
+/// Exit status when the process can't start.
+const EXIT_START: u8 = 1;
+
+/// Why the daemon ends with an error.
+#[derive(Debug, Snafu)]
+enum DaemonError {
+    /// The settings file can't be read.
+    #[snafu(display("{file}: {source}"))]
+    Read {
+        file: String,
+        source: std::io::Error,
+    },
+    /// The settings have findings.
+    #[snafu(display("{findings}"))]
+    Settings { findings: FindingList },
+    /// Logging can't be set up.
+    #[snafu(display("{source}"))]
+    Logging { source: LoggingError },
+    /// The runtime or a signal handler can't be set up.
+    #[snafu(display("{source}"))]
+    System { source: std::io::Error },
+    /// The node can't start.
+    #[snafu(display("{source}"))]
+    Start { source: NodeError },
+}
+
+impl DaemonError {
+    fn status(&self) -> u8 {
+        match self {
+            Self::Read { .. } | Self::Settings { .. } => EXIT_FINDINGS,
+            Self::Logging { .. } | Self::System { .. } | Self::Start { .. } => EXIT_START,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = DaemonArguments::parse();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.status())
+        }
+    }
+}
+
+fn run(arguments: &DaemonArguments) -> Result<(), DaemonError> {
+    let settings = read_settings(&arguments.settings)?;
+    if arguments.check {
+        println!("{}: no findings", arguments.settings);
+        return Ok(());
+    }
+    let handle = logging::start_logging(&settings.log).context(LoggingSnafu)?;
+    let runtime = tokio::runtime::Runtime::new().context(SystemSnafu)?;
+    let result = runtime.block_on(serve(arguments, settings, &handle));
+    log::logger().flush();
+    result
+}
+
+fn read_settings(file: &str) -> Result<NodeSettings, DaemonError> {
+    let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
+    NodeSettings::parse(file, &text).map_err(|findings| DaemonError::Settings { findings })
+}
+
+async fn serve(
+    arguments: &DaemonArguments,
+    settings: NodeSettings,
+    handle: &log4rs::Handle,
+) -> Result<(), DaemonError> {
+    let mut signals = StopSignals::new()?;
+    let mut reload = signal(SignalKind::hangup()).context(SystemSnafu)?;
+    let hurry = CancellationToken::new();
+    let options = NodeOptions::new().with_hurry(hurry.clone());
+    let node = Node::start(settings.clone(), options)
+        .await
+        .context(StartSnafu)?;
+    loop {
+        tokio::select! {
+            () = signals.wait() => break,
+            _ = reload.recv() => reload_logging(arguments, &settings, handle),
+        }
+    }
+    log::info!("planned stop begins");
+    let stopping = node.stop();
+    tokio::pin!(stopping);
+    let report = tokio::select! {
+        report = &mut stopping => report,
+        () = signals.wait() => {
+            log::warn!("second signal: the planned stop is cut short");
+            hurry.cancel();
+            stopping.await
+        }
+    };
+    log::info!("planned stop ends: {report}");
+    Ok(())
+}
+
+/// Puts the logging section of the settings file in force; findings leave everything as it is.
+fn reload_logging(arguments: &DaemonArguments, running: &NodeSettings, handle: &log4rs::Handle) {
+    let settings = match read_settings(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => return log::error!("settings not reloaded: {error}"),
+    };
+    match logging::build_config(&settings.log) {
+        Ok(config) => handle.set_config(config),
+        Err(error) => return log::error!("settings not reloaded: {error}"),
+    }
+    let unlogged = NodeSettings {
+        log: running.log.clone(),
+        ..settings
+    };
+    if unlogged == *running {
+        log::info!("logging reloaded");
+    } else {
+        log::warn!("logging reloaded; the other changes need a restart");
+    }
+}
+
+/// The signals that ask for a stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, DaemonError> {
+        let terminate = signal(SignalKind::terminate()).context(SystemSnafu)?;
+        let interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
+        Ok(Self {
+            terminate,
+            interrupt,
+        })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
