Learn revisions from peers: two watchers a zone, the others by telling and asking

Every node watching the store makes its calls grow with the fleet. Now two VMs of a zone, chosen by rendezvous over the staying ones, watch the head; the others hear of a revision from peers and pull only the parts they lack. A fresh VM starts from its peers while the store is down. Watchers write what their zone's VMs hold, and move a head that has gone back forward again.

--- /dev/null
+++ b/crates/ebonyfork-lab/src/config_fleet.rs
@@ -0,0 +1,211 @@
+//! Many configuration feeds in one process, on real sockets: nothing of the tier but revisions and catalogues.
+//!
+//! Every VM has a loopback address of its own and talks to its peers over real links and to the platform stand-in
+//! over HTTP. What membership would gossip is played: once a second every VM is told what the VMs of its zone hold.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ebonyfork::declaration::DeclaredConfig;
+use ebonyfork::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
+use ebonyfork::platform::PlatformClient;
+use ebonyfork::revision::RevisionHandle;
+use ebonyfork::settings::NodeSettings;
+use ebonyfork::topology::{TopologyView, VmEntry};
+use ebonyfork::views::{NodeViews, ViewWriters, view_channels};
+use ebonyfork::wire::{LinkEvent, PeerMessage, PeerPool, PoolSettings};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::LabError;
+
+/// How often the played gossip runs.
+const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
+/// Time allowed for one answer of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One VM's feeds.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Its address.
+    pub vm: VmAddress,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// What it has in force.
+    pub views: NodeViews,
+    /// Its client of the platform.
+    pub client: PlatformClient,
+    revision: RevisionHandle,
+    topology: watch::Sender<Arc<TopologyView>>,
+    /// Breaks the circle of feed, links and feed when the VM stops.
+    linked: watch::Sender<Option<RevisionHandle>>,
+    stop: CancellationToken,
+}
+
+impl FleetNode {
+    /// The revision in force.
+    pub fn revision(&self) -> RevisionNumber {
+        self.views.config.borrow().revision
+    }
+
+    /// The declarations in force.
+    pub fn config(&self) -> Arc<DeclaredConfig> {
+        self.views.config.borrow().clone()
+    }
+}
+
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        self.linked.send_replace(None);
+        self.stop.cancel();
+    }
+}
+
+/// The feeds of many VMs.
+#[derive(Debug)]
+pub struct ConfigFleet {
+    platform: SocketAddr,
+    network: u8,
+    peer_port: u16,
+    next: u16,
+    /// The VMs that run.
+    pub nodes: Vec<FleetNode>,
+}
+
+impl ConfigFleet {
+    /// Makes a fleet without VMs. Its addresses are `127.<network>.x.y`.
+    pub async fn new(platform: SocketAddr, network: u8) -> Result<Self, LabError> {
+        let probe = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, 255, 1)), 0);
+        let listen = |source| LabError::Listen {
+            address: probe,
+            source,
+        };
+        let listener = TcpListener::bind(probe).await.map_err(listen)?;
+        let peer_port = listener.local_addr().map_err(listen)?.port();
+        Ok(Self {
+            platform,
+            network,
+            peer_port,
+            next: 1,
+            nodes: Vec::new(),
+        })
+    }
+
+    /// Starts VMs in a zone and shows them to all.
+    pub async fn add(&mut self, zone: &ZoneName, count: usize) -> Result<(), LabError> {
+        for _ in 0..count {
+            let node = self.start_node(zone).await?;
+            self.nodes.push(node);
+        }
+        self.show_topology();
+        Ok(())
+    }
+
+    /// Stops a VM without notice; the others are shown that it is gone.
+    pub fn remove(&mut self, number: usize) {
+        self.nodes.swap_remove(number);
+        self.show_topology();
+    }
+
+    /// The lowest revision in force anywhere.
+    pub fn lowest(&self) -> RevisionNumber {
+        let revisions = self.nodes.iter().map(FleetNode::revision);
+        revisions.min().unwrap_or_default()
+    }
+
+    /// Plays one round of gossip: every VM learns what the others hold.
+    pub fn gossip(&self) {
+        let held: Vec<(VmAddress, RevisionNumber)> = self
+            .nodes
+            .iter()
+            .map(|node| (node.vm, node.revision()))
+            .collect();
+        for node in &self.nodes {
+            node.revision.note_members(held.iter().copied());
+        }
+    }
+
+    /// Waits, playing gossip, until every VM has at least this revision in force; tells whether it came to that.
+    pub async fn wait_for(&self, revision: RevisionNumber, within: Duration) -> bool {
+        const POLL: Duration = Duration::from_millis(5);
+        let end = tokio::time::Instant::now() + within;
+        let mut next_gossip = tokio::time::Instant::now() + GOSSIP_PERIOD;
+        while self.lowest() < revision {
+            let now = tokio::time::Instant::now();
+            if now >= end {
+                return false;
+            }
+            if now >= next_gossip {
+                self.gossip();
+                next_gossip = now + GOSSIP_PERIOD;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        true
+    }
+
+    fn show_topology(&self) {
+        let entries = self.nodes.iter().map(|node| VmEntry {
+            vm: node.vm,
+            zone: node.zone.clone(),
+            incarnation: None,
+            leaving: false,
+        });
+        let view = Arc::new(TopologyView::new(entries, []));
+        for node in &self.nodes {
+            node.topology.send_replace(Arc::clone(&view));
+        }
+    }
+
+    async fn start_node(&mut self, zone: &ZoneName) -> Result<FleetNode, LabError> {
+        let [high, low] = self.next.to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, self.network, high, low));
+        self.next += 1;
+        let (vm, zone) = (VmAddress(ip), zone.clone());
+        let address = SocketAddr::new(ip, self.peer_port);
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|source| LabError::Listen { address, source })?;
+        let ports = [1, self.peer_port, 2];
+        let settings = NodeSettings::new(vm, zone.clone(), ports, self.platform);
+        let client = PlatformClient::new(self.platform, PLATFORM_TIMEOUT);
+        let (writers, views) = view_channels();
+        let ViewWriters {
+            topology, config, ..
+        } = writers;
+        let stop = CancellationToken::new();
+        let (linked, handles) = watch::channel::<Option<RevisionHandle>>(None);
+        let session = SessionId::new(vm, IncarnationNumber(1));
+        let pool = PeerPool::new(
+            PoolSettings::new(session, self.peer_port),
+            stop.clone(),
+            move |event| {
+                let handle = handles.borrow().clone();
+                Box::pin(async move {
+                    if let (Some(handle), LinkEvent::Message { from, message }) = (handle, event)
+                        && let PeerMessage::Revision(message) = message
+                    {
+                        handle.take_message(from, message).await;
+                    }
+                })
+            },
+        );
+        let accepting = pool.clone();
+        tokio::spawn(async move { accepting.accept(listener).await });
+        let send = move |vm, message| pool.send(vm, message);
+        let revision =
+            RevisionHandle::start(&settings, client.clone(), views.clone(), config, send);
+        linked.send_replace(Some(revision.clone()));
+        Ok(FleetNode {
+            vm,
+            zone,
+            views,
+            client,
+            revision,
+            topology,
+            linked,
+            stop,
+        })
+    }
+}
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod command;
+pub mod config_fleet;
 pub mod error;
 pub mod http_client;
 pub mod http_server;
--- /dev/null
+++ b/crates/ebonyfork/src/revision/assembly_tests.rs
@@ -0,0 +1,55 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::ident::RevisionNumber;
+use crate::revision::{ChangeId, PartSet};
+
+fn change(revision: u64, texts: &[&str]) -> (ChangeRecord, Vec<Bytes>) {
+    let files: Vec<DeclaredFile> = texts
+        .iter()
+        .enumerate()
+        .map(|(number, text)| DeclaredFile::new(format!("{number}.ini"), *text))
+        .collect();
+    let set = PartSet::new(&files).expect("valid files");
+    let change = ChangeRecord {
+        revision: RevisionNumber(revision),
+        change: ChangeId([revision as u8; 16]),
+        parent: None,
+        parts: set.entries,
+        author: "kim".into(),
+        note: "".into(),
+        time_ms: 0,
+    };
+    (change, set.texts)
+}
+
+#[gtest]
+fn a_revision_is_whole_only_with_every_part_and_no_other() {
+    let (change, texts) = change(1, &["; a\n", "; b\n"]);
+    let digests = RevisionAssembly::new(change.clone(), None).missing();
+    let mut assembly = RevisionAssembly::new(change, None);
+    expect_true!(assembly.take_part(digests[0], texts[0].clone()));
+    expect_false!(assembly.take_part(digests[1], texts[0].clone()));
+    expect_false!(assembly.take_part(PartDigest::new("; c\n"), Bytes::from("; c\n")));
+    let unfinished = assembly.finish().expect_err("a part is missing");
+    expect_that!(unfinished.missing(), elements_are![eq(&digests[1])]);
+    let mut assembly = *unfinished;
+    expect_true!(assembly.take_part(digests[1], texts[1].clone()));
+    expect_that!(assembly.finish(), ok(anything()));
+}
+
+#[gtest]
+fn parts_of_the_held_revision_are_kept() {
+    let (first, texts) = change(1, &["; a\n", "; b\n"]);
+    let mut assembly = RevisionAssembly::new(first, None);
+    for text in texts {
+        assembly.take_part(PartDigest::new(&text), text);
+    }
+    let held = assembly.finish().expect("whole");
+    let (second, _) = change(2, &["; a\n", "; c\n"]);
+    let assembly = RevisionAssembly::new(second, Some(&held));
+    expect_that!(
+        assembly.missing(),
+        elements_are![eq(&PartDigest::new("; c\n"))]
+    );
+}
--- /dev/null
+++ b/crates/ebonyfork/src/revision/feed_tests.rs
@@ -0,0 +1,106 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::topology::VmEntry;
+
+fn vm(number: u8) -> VmAddress {
+    VmAddress([127, 0, 1, number].into())
+}
+
+fn view(numbers: impl IntoIterator<Item = u8>) -> TopologyView {
+    let vms = numbers.into_iter().map(|number| VmEntry {
+        vm: vm(number),
+        zone: "zone-a".parse().unwrap(),
+        incarnation: None,
+        leaving: false,
+    });
+    TopologyView::new(vms, [])
+}
+
+fn feed(size: u8) -> FeedState {
+    let mut feed = FeedState::new("config/head", vm(0), "zone-a".parse().unwrap(), 1);
+    feed.take_topology(&view(0..size));
+    feed
+}
+
+const START: Duration = Duration::ZERO;
+
+#[gtest]
+fn only_a_higher_number_starts_a_pull_and_only_one_runs() {
+    let mut feed = feed(9);
+    feed.note_held(5);
+    for (number, expected) in [(4, false), (5, false), (6, true), (7, false)] {
+        let actions = feed.note_peer(START, vm(1), number);
+        expect_that!(!actions.is_empty(), eq(expected), "{number}");
+    }
+}
+
+#[gtest]
+fn a_lower_number_is_never_held() {
+    let mut feed = feed(9);
+    feed.note_held(5);
+    expect_that!(feed.note_held(4).is_empty(), eq(true));
+    expect_that!(feed.shown(vm(0)), eq(5));
+}
+
+#[gtest]
+fn a_pull_without_progress_goes_to_another_peer() {
+    let mut feed = feed(9);
+    feed.note_peer(START, vm(1), 6);
+    feed.note_peer(START, vm(2), 6);
+    feed.note_progress(START + PULL_TIMEOUT / 2);
+    let early: FeedActions = feed.tick(START + PULL_TIMEOUT);
+    expect_that!(early.contains(&FeedAction::Ask(vm(2))), eq(false));
+    let late = feed.tick(START + 2 * PULL_TIMEOUT);
+    expect_that!(late.contains(&FeedAction::Ask(vm(2))), eq(true));
+}
+
+#[gtest]
+fn a_peer_that_fails_is_replaced_at_once() {
+    let mut feed = feed(9);
+    feed.note_peer(START, vm(1), 6);
+    feed.note_peer(START, vm(2), 6);
+    let actions = feed.note_failure(START, vm(1));
+    expect_that!(
+        actions.as_slice(),
+        elements_are![eq(&FeedAction::Ask(vm(2)))]
+    );
+}
+
+#[gtest]
+fn an_unusable_number_is_not_fetched_again() {
+    let mut feed = feed(9);
+    feed.note_peer(START, vm(1), 6);
+    feed.note_rejected(6);
+    expect_that!(feed.note_peer(START, vm(2), 6).is_empty(), eq(true));
+    expect_that!(feed.note_peer(START, vm(2), 7).is_empty(), eq(false));
+}
+
+#[gtest]
+fn what_is_held_newly_is_told_to_peers_that_lack_it() {
+    let mut feed = feed(4);
+    feed.note_peer(START, vm(1), 6);
+    let told = feed.note_held(6);
+    expect_that!(told.contains(&FeedAction::Tell(vm(1))), eq(false));
+    expect_that!(told.contains(&FeedAction::Tell(vm(2))), eq(true));
+    expect_that!(told.contains(&FeedAction::Tell(vm(3))), eq(true));
+}
+
+#[gtest]
+fn an_empty_vm_asks_often() {
+    let asked = |held| {
+        let mut feed = feed(9);
+        feed.note_held(held);
+        let mut asked = 0;
+        for tick in 0..100 {
+            let actions = feed.tick(Duration::from_millis(200) * tick);
+            asked += actions
+                .iter()
+                .filter(|action| matches!(action, FeedAction::Ask(_)))
+                .count();
+        }
+        asked
+    };
+    expect_that!(asked(0), ge(40));
+    expect_that!(asked(1), all!(ge(3), le(10)));
+}
--- a/crates/ebonyfork/src/revision/mod.rs
+++ b/crates/ebonyfork/src/revision/mod.rs
@@ -7,15 +7,27 @@
 //! the parts from them. The watchers write what their zone's VMs hold: a revision counts as accepted when that
 //! evidence shows it for every zone.
 
+mod actor;
+mod assembly;
+mod evidence;
+mod feed;
 mod handle;
 mod message;
+mod metrics;
+mod peers;
 mod publish;
 mod publisher;
 mod record;
+mod serve;
 mod store;
+mod watcher;
 
+pub use assembly::{HeldRevision, PartTexts, RevisionAssembly};
+pub use evidence::{EvidenceState, FENCE_DELAY, REFRESH_PERIOD};
+pub use feed::{ASK_PERIOD, FeedAction, FeedActions, FeedState, PULL_TIMEOUT};
 pub use handle::RevisionHandle;
 pub use message::RevisionMessage;
+pub use peers::{FAN_OUT, WATCHERS_PER_ZONE, ZonePeers};
 pub use publish::{
     EVIDENCE_AGE_MS, ExpectedBase, PublishAction, PublishOutcome, PublishReply, PublishRequest,
     PublishRun, REVISION_STRIDE,
--- /dev/null
+++ b/crates/ebonyfork/src/revision/peers_tests.rs
@@ -0,0 +1,75 @@
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use super::*;
+use crate::topology::VmEntry;
+
+fn vm(number: u8) -> VmAddress {
+    VmAddress([127, 0, 1, number].into())
+}
+
+fn view(zones: &[(u8, &str, bool)]) -> TopologyView {
+    let vms = zones.iter().map(|(number, zone, leaving)| VmEntry {
+        vm: vm(*number),
+        zone: zone.parse().unwrap(),
+        incarnation: None,
+        leaving: *leaving,
+    });
+    TopologyView::new(vms, [])
+}
+
+fn watchers(view: &TopologyView, key: &str) -> Vec<VmAddress> {
+    let mut watchers = Vec::new();
+    for entry in view.vms.values() {
+        let mut peers = ZonePeers::new(entry.vm, entry.zone.clone());
+        peers.update(view);
+        if peers.is_watcher(key) {
+            watchers.push(entry.vm);
+        }
+    }
+    watchers
+}
+
+#[gtest]
+fn each_zone_has_two_watchers_whatever_its_size() {
+    for size in [1, 2, 3, 30, 100] {
+        let mut zones = Vec::new();
+        for number in 0..size {
+            zones.push((number, "zone-a", false));
+            zones.push((number + 100, "zone-b", false));
+        }
+        let expected = 2 * usize::from(size.min(2));
+        expect_that!(watchers(&view(&zones), "config/head").len(), eq(expected));
+    }
+}
+
+#[gtest]
+fn a_leaving_vm_hands_its_watch_over() {
+    let staying: Vec<_> = (0..10).map(|number| (number, "zone-a", false)).collect();
+    let before = watchers(&view(&staying), "config/head");
+    let leaver = before[0];
+    let leaving: Vec<_> = (0..10)
+        .map(|number| (number, "zone-a", vm(number) == leaver))
+        .collect();
+    let after = watchers(&view(&leaving), "config/head");
+    expect_that!(after.len(), eq(2));
+    expect_that!(after, not(contains(eq(&leaver))));
+    expect_that!(after, contains(eq(&before[1])));
+}
+
+#[gtest]
+fn told_peers_differ_and_asked_ones_are_mostly_near() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut zones: Vec<_> = (0..20).map(|number| (number, "zone-a", false)).collect();
+    zones.push((99, "zone-b", false));
+    let mut peers = ZonePeers::new(vm(0), "zone-a".parse().unwrap());
+    expect_that!(peers.draw_asked(&mut rng), none());
+    peers.update(&view(&zones));
+    let mut told = peers.draw_told(&mut rng).to_vec();
+    told.sort_unstable();
+    told.dedup();
+    expect_that!(told.len(), eq(FAN_OUT));
+    let far = (0..400).filter(|_| peers.draw_asked(&mut rng) == Some(vm(99)));
+    expect_that!(far.count(), all!(ge(50), le(150)));
+}
--- a/crates/ebonyfork/src/revision/store.rs
+++ b/crates/ebonyfork/src/revision/store.rs
@@ -77,6 +77,16 @@
     zone.parse().ok()
 }
 
+/// Writes a zone's evidence over whatever is there.
+pub(super) async fn write_evidence(
+    client: &PlatformClient,
+    evidence: &HeldEvidence,
+) -> Result<(), PlatformError> {
+    let key = HeldEvidence::key(&evidence.zone);
+    client.put(key, to_json(evidence), Expectation::Any).await?;
+    Ok(())
+}
+
 /// Writes a value that is named by its content or by a random identity, so that a second writing is harmless.
 pub(super) async fn put_once(
     client: &PlatformClient,
