Find an upstream's slots by short paired trials instead of a fixed limit

Cause: the limit stood at 2 whatever the upstream could run, so that one with 6 slots was used by a third. Now the limit alternates for a short while between two neighbouring values, block by block under saturation, and a sequential test on the logarithms of the service times decides which one holds. A drift of the whole upstream shows under both values and decides nothing; a straggler counts as a factor of four at most.

--- a/crates/ebonyfork/src/relay/mod.rs
+++ b/crates/ebonyfork/src/relay/mod.rs
@@ -22,12 +22,13 @@
 mod service;
 mod settings;
 mod state;
+mod trial;
 mod upstream;
 
 pub use action::UpstreamLoss;
 pub use handle::RelayHandle;
 pub use ids::{ClassId, CustomerId, WorkId};
-pub use limit::ConcurrencyLimit;
+pub use limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
 pub use message::{
     AttemptPurpose, CancelBatch, FailureReason, OutcomeBatch, RefusalReason, ShardOutcome,
     ShardTarget, ShardVerdict, SubmitBatch, UpstreamLoad,
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -12,7 +12,7 @@
 use crate::ident::UpstreamAddress;
 use crate::relay::action::{RelayAction, RelayTables, UpstreamLoss, WorkOrder};
 use crate::relay::ids::{ConnectionId, UpstreamId, WorkId};
-use crate::relay::limit::ConcurrencyLimit;
+use crate::relay::limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
 use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict, UpstreamLoad};
 use crate::relay::queue::{PushResult, QueueEntry, RelayQueue};
 use crate::relay::service::ServiceTimes;
@@ -49,6 +49,7 @@
     connection: ConnectionId,
     /// Attempts that were there when it was sent, itself included.
     in_flight: u32,
+    epoch: LimitEpoch,
     /// Its verdict was given before the upstream let go of it.
     given_up: bool,
 }
@@ -399,7 +400,7 @@
 
     /// What entries are told about it.
     pub(super) fn load(&self, now: Duration) -> UpstreamLoad {
-        let limit = u32::max(1, self.limit.current());
+        let limit = u32::max(1, self.limit.settled());
         let service = self.service.median();
         let ahead = (self.queue.len() + self.sent.len() + 1).saturating_sub(limit as usize);
         let wait = service * ahead as u32 / limit;
@@ -453,6 +454,7 @@
             order,
             connection,
             in_flight: self.sent.len() as u32 + 1,
+            epoch: self.limit.epoch(),
             given_up: false,
         });
         let upstream = self.id;
@@ -506,10 +508,17 @@
     fn learn(&mut self, now: Duration, sent: &SentWork, answer: &UpstreamAnswer) {
         match answer.verdict {
             ShardVerdict::Rows { .. } => {
-                self.service.record(sent.order.class, answer.served);
+                let level = self.service.record(sent.order.class, answer.served);
+                let sample = LimitSample {
+                    epoch: sent.epoch,
+                    in_flight: sent.in_flight,
+                    level,
+                    waiting: !self.queue.is_empty(),
+                };
+                self.limit.record(now, sample);
             }
             ShardVerdict::NotRun(RefusalReason::Shed) if !sent.given_up && !answer.draining => {
-                self.limit.shed(now, sent.in_flight);
+                self.limit.shed(now, sent.epoch);
             }
             _ => {}
         }
