--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod judge;
 pub mod load;
 pub mod platform;
+pub mod scenario;
 pub mod upstream;
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -73,6 +73,36 @@
     }
 }
 
+impl ExperimentSwitches {
+    /// Reads the switches that a section states; the others keep their value.
+    #[must_use]
+    pub fn read(mut self, reader: &mut SectionReader<'_>) -> Self {
+        let ownership = [
+            ("owner", OwnershipMode::Owner),
+            ("direct", OwnershipMode::Direct),
+        ];
+        self.ownership = reader
+            .choice("ownership", &ownership)
+            .unwrap_or(self.ownership);
+        let order = [
+            ("slack", QueueOrder::Slack),
+            ("arrival", QueueOrder::Arrival),
+        ];
+        self.queue = reader.choice("queue", &order).unwrap_or(self.queue);
+        let limit = [
+            ("adaptive", LimitMode::Adaptive),
+            ("static", LimitMode::Static),
+        ];
+        self.limit = reader.choice("limit", &limit).unwrap_or(self.limit);
+        self.hedge = reader.choice("hedge", &SWITCH).unwrap_or(self.hedge);
+        self.admission = reader
+            .choice("admission", &SWITCH)
+            .unwrap_or(self.admission);
+        self.clamp = reader.choice("clamp", &SWITCH).unwrap_or(self.clamp);
+        self
+    }
+}
+
 /// Where and how much a process logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogSettings {
@@ -279,33 +309,12 @@
     }
 
     fn read_experiment(document: &IniDocument, findings: &mut FindingList) -> ExperimentSwitches {
-        let mut switches = ExperimentSwitches::default();
+        let switches = ExperimentSwitches::default();
         let Some(section) = find_section(document, "experiment") else {
             return switches;
         };
         let mut reader = SectionReader::new(&document.file, section, findings);
-        let ownership = [
-            ("owner", OwnershipMode::Owner),
-            ("direct", OwnershipMode::Direct),
-        ];
-        switches.ownership = reader
-            .choice("ownership", &ownership)
-            .unwrap_or(switches.ownership);
-        let order = [
-            ("slack", QueueOrder::Slack),
-            ("arrival", QueueOrder::Arrival),
-        ];
-        switches.queue = reader.choice("queue", &order).unwrap_or(switches.queue);
-        let limit = [
-            ("adaptive", LimitMode::Adaptive),
-            ("static", LimitMode::Static),
-        ];
-        switches.limit = reader.choice("limit", &limit).unwrap_or(switches.limit);
-        switches.hedge = reader.choice("hedge", &SWITCH).unwrap_or(switches.hedge);
-        switches.admission = reader
-            .choice("admission", &SWITCH)
-            .unwrap_or(switches.admission);
-        switches.clamp = reader.choice("clamp", &SWITCH).unwrap_or(switches.clamp);
+        let switches = switches.read(&mut reader);
         reader.finish();
         switches
     }
