--- /dev/null
+++ b/crates/ebonyfork/src/membership/actor_tests.rs
@@ -0,0 +1,64 @@
+use std::net::IpAddr;
+
+use googletest::prelude::*;
+
+use super::*;
+use crate::ident::{IncarnationNumber, RequestFingerprint, RevisionNumber};
+use crate::membership::MemberState;
+
+/// Members in one test share a port and differ in their loopback address.
+async fn start(number: u8, port: u16, seeds: &[VmAddress]) -> (MemberHandle, u16) {
+    let ip: IpAddr = [127, 83, 1, number].into();
+    let socket = UdpSocket::bind((ip, port)).await.unwrap();
+    let port = socket.local_addr().unwrap().port();
+    let own = SessionId::new(VmAddress(ip), IncarnationNumber(5));
+    let settings = MemberSettings::new(own, "a".parse().unwrap(), port, u64::from(number))
+        .with_delay(|_vm| Duration::from_millis(1));
+    let (_sender, seeds) = watch::channel(seeds.into());
+    (MemberHandle::start(settings, socket, seeds), port)
+}
+
+#[gtest]
+#[tokio::test]
+async fn two_members_meet_on_real_sockets() {
+    let (first, port) = start(1, 0, &[]).await;
+    let (second, _) = start(2, port, &[VmAddress([127, 83, 1, 1].into())]).await;
+    let vm = VmAddress([127, 83, 1, 2].into());
+    let mut notices = first.notices();
+    let mut snapshot = first.snapshot();
+    let met = snapshot.wait_for(|snapshot| snapshot.get(vm).is_some());
+    expect_that!(met.await.is_ok(), eq(true));
+    second.set_digest(MemberDigest {
+        revision: RevisionNumber(3),
+        load: 5,
+    });
+    let notice = GossipNotice {
+        fingerprint: RequestFingerprint(8),
+        age_s: 0,
+        lifted: false,
+    };
+    second.publish_notice(notice);
+    second.announce_leaving();
+    let told = snapshot.wait_for(|snapshot| {
+        let member = snapshot.get(vm);
+        member.is_some_and(|member| {
+            member.state == MemberState::Leaving && member.digest.revision == RevisionNumber(3)
+        })
+    });
+    expect_that!(told.await.is_ok(), eq(true));
+    let heard = notices.recv().await;
+    expect_that!(
+        heard.map(|notice| notice.fingerprint),
+        ok(eq(&notice.fingerprint))
+    );
+    expect_that!(first.last_peer_contact(), some(anything()));
+    let mut registry = Registry::default();
+    first.register(&mut registry);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    expect_that!(text, contains_substring("members{state=\"leaving\"} 1"));
+    expect_that!(
+        text,
+        contains_substring("member_dropped_datagrams_total{cause=\"foreign\"} 0")
+    );
+}
--- /dev/null
+++ b/crates/ebonyfork/src/membership/message_tests.rs
@@ -0,0 +1,138 @@
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use super::*;
+use crate::ident::{RequestFingerprint, RevisionNumber};
+use crate::membership::MemberProtocol;
+
+fn sender() -> SenderHeader {
+    SenderHeader {
+        vm: VmAddress([10, 0, 0, 2].into()),
+        life: MemberLife {
+            incarnation: IncarnationNumber(1_800_000_000_000),
+            refutation: 1,
+        },
+        zone: "zone-a".parse().unwrap(),
+        leaving: false,
+        digest: MemberDigest {
+            revision: RevisionNumber(300),
+            load: 900,
+        },
+        stamp: 70,
+    }
+}
+
+fn facts() -> Vec<GossipFact> {
+    let sender = sender();
+    let update = MemberUpdate {
+        vm: sender.vm,
+        life: sender.life,
+        health: MemberHealth::Suspect,
+        leaving: true,
+        zone: Some(sender.zone.clone()),
+    };
+    let notice = GossipNotice {
+        fingerprint: RequestFingerprint(u64::MAX),
+        age_s: 9,
+        lifted: true,
+    };
+    let digest = DigestUpdate {
+        session: sender.session(),
+        stamp: 4,
+        digest: sender.digest,
+    };
+    vec![
+        GossipFact::Member(update),
+        GossipFact::Notice(notice),
+        GossipFact::Digest(digest),
+    ]
+}
+
+fn datagram() -> Vec<u8> {
+    let message = MemberMessage::Ping { sequence: 7 };
+    let mut writer = DatagramWriter::new(0, DATAGRAM_LIMIT, &sender(), message);
+    for fact in facts() {
+        assert!(writer.push(&fact));
+    }
+    writer.finish()
+}
+
+#[gtest]
+fn a_datagram_reads_back_and_stays_small() {
+    let bytes = datagram();
+    let read = MemberDatagram::decode(0, &bytes).unwrap();
+    expect_that!(read.sender, eq(&sender()));
+    expect_that!(read.message, eq(MemberMessage::Ping { sequence: 7 }));
+    expect_that!(read.facts, eq(&facts()));
+    let mut writer = DatagramWriter::new(0, 300, &sender(), read.message);
+    while writer.push(&facts()[0]) {}
+    expect_that!(writer.finish().len(), all![le(300), gt(250)]);
+}
+
+#[gtest]
+fn strangers_are_told_apart() {
+    let changed = |index: usize, byte: u8| {
+        let mut bytes = datagram();
+        bytes[index] = byte;
+        bytes
+    };
+    let cases = [
+        (vec![], DatagramError::Foreign),
+        (b"GET / HTTP/1.1\r\n".to_vec(), DatagramError::Foreign),
+        (vec![0; DATAGRAM_LIMIT + 1], DatagramError::Foreign),
+        (changed(3, 9), DatagramError::Version),
+        (changed(7, 9), DatagramError::Deployment),
+        (datagram()[..20].to_vec(), DatagramError::Malformed),
+        (
+            datagram()[..datagram().len() - 1].to_vec(),
+            DatagramError::Malformed,
+        ),
+        (changed(8, 7), DatagramError::Malformed),
+    ];
+    for (bytes, error) in cases {
+        expect_that!(
+            MemberDatagram::decode(0, &bytes),
+            err(eq(&error)),
+            "{bytes:?}"
+        );
+    }
+}
+
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        cases: 2_000,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever arrives, the protocol neither panics nor sends anything unbounded.
+    #[test]
+    fn any_bytes_are_borne(
+        tail in proptest::collection::vec(any::<u8>(), 0..200),
+        cut in 0_usize..120,
+        flips in proptest::collection::vec((8_usize..100, any::<u8>()), 0..4),
+    ) {
+        let mut bytes = datagram();
+        bytes.truncate(cut.max(8));
+        bytes.extend(tail);
+        for (index, byte) in flips {
+            if let Some(target) = bytes.get_mut(index) {
+                *target = byte;
+            }
+        }
+        let own = SessionId::new(VmAddress([10, 0, 0, 1].into()), IncarnationNumber(5));
+        let now = std::time::Duration::ZERO;
+        let mut protocol = MemberProtocol::new(now, own, "a".parse().unwrap(), 0, 1);
+        let mut out = Vec::new();
+        protocol.take_datagram(now, sender().vm, &bytes, &mut out);
+        protocol.tick(now + std::time::Duration::from_millis(100), &mut out);
+        prop_assert!(out.iter().all(|datagram| datagram.bytes.len() <= DATAGRAM_LIMIT));
+        prop_assert!(out.len() < 16);
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/membership/metrics.rs
@@ -0,0 +1,127 @@
+//! Membership's metrics.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, MetricEncoder};
+use prometheus_client::metrics::MetricType;
+use tokio::time::Instant;
+
+use crate::membership::protocol::MemberCounters;
+
+/// Names of the causes in [`MemberCounters::dropped`].
+const DROP_CAUSES: [&str; 6] = [
+    "foreign",
+    "version",
+    "deployment",
+    "malformed",
+    "source",
+    "stale",
+];
+/// Names of the states in [`MemberFigures::states`].
+const STATE_NAMES: [&str; 4] = ["alive", "suspect", "leaving", "failed"];
+
+/// What one process has counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MemberFigures {
+    /// Counted since the process started.
+    pub counters: MemberCounters,
+    /// Members by state: alive, suspect, leaving, failed; this process is not counted.
+    pub states: [u32; 4],
+    /// When a peer was last heard.
+    pub last_heard: Option<Instant>,
+}
+
+/// Writes the figures when metrics are read.
+#[derive(Debug)]
+pub(super) struct MemberCollector {
+    figures: Arc<Mutex<MemberFigures>>,
+}
+
+impl MemberCollector {
+    pub(super) fn new(figures: Arc<Mutex<MemberFigures>>) -> Self {
+        Self { figures }
+    }
+}
+
+impl Collector for MemberCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let figures = *self.figures.lock().unwrap_or_else(PoisonError::into_inner);
+        let counters = &figures.counters;
+        let plain = [
+            (
+                "member_sent_datagrams",
+                "Datagrams sent",
+                counters.sent_datagrams,
+            ),
+            (
+                "member_sent_bytes",
+                "Bytes sent, with IP and UDP headers",
+                counters.sent_bytes,
+            ),
+            (
+                "member_received_datagrams",
+                "Datagrams believed",
+                counters.received_datagrams,
+            ),
+            (
+                "member_received_bytes",
+                "Bytes received, with headers",
+                counters.received_bytes,
+            ),
+            (
+                "member_withheld_datagrams",
+                "Datagrams that the byte budget did not bear",
+                counters.withheld,
+            ),
+            (
+                "member_suspicions",
+                "Members that this process began to suspect",
+                counters.suspicions,
+            ),
+            (
+                "member_failures",
+                "Suspects whose time ran out here",
+                counters.failures,
+            ),
+            (
+                "member_refutations",
+                "Suspicions of itself refuted",
+                counters.refutations,
+            ),
+            (
+                "member_pauses",
+                "Pauses of this process that it noticed",
+                counters.pauses,
+            ),
+            (
+                "member_superseded",
+                "Words of a newer incarnation on this VM",
+                counters.superseded,
+            ),
+        ];
+        for (name, help, value) in plain {
+            let metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+            encode_counter(metric, value)?;
+        }
+        let help = "Datagrams dropped unbelieved";
+        let name = "member_dropped_datagrams";
+        let mut family = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for (cause, value) in DROP_CAUSES.into_iter().zip(counters.dropped) {
+            encode_counter(family.encode_family(&[("cause", cause)])?, value)?;
+        }
+        let help = "Other members by what is believed about them";
+        let mut family = encoder.encode_descriptor("members", help, None, MetricType::Gauge)?;
+        for (state, value) in STATE_NAMES.into_iter().zip(figures.states) {
+            let labels = [("state", state)];
+            let mut metric = family.encode_family(&labels)?;
+            metric.encode_gauge(&value)?;
+        }
+        Ok(())
+    }
+}
+
+fn encode_counter(metric: MetricEncoder<'_>, value: u64) -> Result<(), fmt::Error> {
+    prometheus_client::metrics::counter::ConstCounter::new(value).encode(metric)
+}
--- /dev/null
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -0,0 +1,398 @@
+//! Many protocols against each other under virtual time, with a lossy delivery in memory.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+
+use super::*;
+use crate::ident::{IncarnationNumber, RevisionNumber};
+
+const STEP: Duration = Duration::from_millis(10);
+const TICK_STEPS: usize = 10;
+
+/// Whether a datagram from one node to another arrives, at this time.
+type Reaches = Box<dyn FnMut(Duration, usize, usize) -> bool>;
+
+struct Fleet {
+    now: Duration,
+    steps: usize,
+    nodes: Vec<MemberProtocol>,
+    running: Vec<bool>,
+    flying: BTreeMap<Duration, Vec<(usize, OutgoingDatagram)>>,
+    reaches: Reaches,
+    rng: ChaCha8Rng,
+    /// Widest that a node has sent in one second, in bytes.
+    peak: u64,
+    sent: Vec<u64>,
+}
+
+fn vm(index: usize) -> VmAddress {
+    VmAddress(std::net::Ipv4Addr::from(0x0a00_0001 + index as u32).into())
+}
+
+fn protocol(now: Duration, index: usize, incarnation: u64) -> MemberProtocol {
+    let own = SessionId::new(vm(index), IncarnationNumber(incarnation));
+    let zone = format!("zone-{}", index % 3).parse().unwrap();
+    MemberProtocol::new(now, own, zone, 0, incarnation * 10_000 + index as u64)
+}
+
+impl Fleet {
+    /// Starts `size` nodes that know the first three from the VM list.
+    fn new(size: usize) -> Self {
+        let seeds: Vec<VmAddress> = (0..size.min(3)).map(vm).collect();
+        let mut nodes: Vec<MemberProtocol> = (0..size)
+            .map(|index| protocol(Duration::ZERO, index, 1))
+            .collect();
+        for node in &mut nodes {
+            node.take_seeds(&seeds);
+        }
+        Self {
+            now: Duration::ZERO,
+            steps: 0,
+            running: vec![true; size],
+            sent: vec![0; size],
+            nodes,
+            flying: BTreeMap::new(),
+            reaches: Box::new(|_, _, _| true),
+            rng: ChaCha8Rng::seed_from_u64(7),
+            peak: 0,
+        }
+    }
+
+    /// Starts nodes and lets them find each other.
+    fn settled(size: usize) -> Self {
+        let mut fleet = Self::new(size);
+        fleet.run(15);
+        for index in 0..size {
+            assert_eq!(fleet.count(index, MemberState::Alive), size, "node {index}");
+        }
+        fleet
+    }
+
+    fn with_loss(mut self, loss: f64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        self.reaches = Box::new(move |_, _, _| !rng.random_bool(loss));
+        self
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _second in 0..seconds {
+            for _step in 0..100 {
+                self.step();
+            }
+            for (index, node) in self.nodes.iter().enumerate() {
+                let sent = node.counters().sent_bytes;
+                self.peak = self.peak.max(sent.saturating_sub(self.sent[index]));
+                self.sent[index] = sent;
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.steps += 1;
+        let mut out = Vec::new();
+        while let Some(entry) = self.flying.first_entry() {
+            if *entry.key() > self.now {
+                break;
+            }
+            for (from, datagram) in entry.remove() {
+                self.deliver(from, &datagram);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            if self.running[index] && (self.steps + index).is_multiple_of(TICK_STEPS) {
+                self.nodes[index].tick(self.now, &mut out);
+                self.post(index, &mut out);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, datagram: &OutgoingDatagram) {
+        let Some(to) = (0..self.nodes.len()).find(|index| vm(*index) == datagram.to) else {
+            return;
+        };
+        if !self.running[to] || !(self.reaches)(self.now, from, to) {
+            return;
+        }
+        let mut out = Vec::new();
+        self.nodes[to].take_datagram(self.now, vm(from), &datagram.bytes, &mut out);
+        self.post(to, &mut out);
+    }
+
+    fn post(&mut self, from: usize, out: &mut Vec<OutgoingDatagram>) {
+        for datagram in out.drain(..) {
+            let arrives = self.now + Duration::from_millis(self.rng.random_range(1..25));
+            self.flying
+                .entry(arrives)
+                .or_default()
+                .push((from, datagram));
+        }
+    }
+
+    fn state(&self, observer: usize, about: usize) -> Option<MemberState> {
+        let snapshot = self.nodes[observer].snapshot();
+        snapshot.get(vm(about)).map(|member| member.state)
+    }
+
+    fn count(&self, observer: usize, state: MemberState) -> usize {
+        let snapshot = self.nodes[observer].snapshot();
+        let members = snapshot.members().iter();
+        members.filter(|member| member.state == state).count()
+    }
+
+    /// Seconds until every running node believes `state` of `about`, and no running node of another.
+    fn seconds_until(&mut self, about: &[usize], state: MemberState, limit: u64) -> Option<u64> {
+        for second in 0..limit {
+            let agreed = self.observers().all(|observer| {
+                about.contains(&observer)
+                    || about
+                        .iter()
+                        .all(|about| self.state(observer, *about) == Some(state))
+            });
+            if agreed {
+                return Some(second);
+            }
+            self.run(1);
+        }
+        None
+    }
+
+    fn observers(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|index| self.running[*index])
+    }
+
+    /// Failures that running nodes wrongly believe of running nodes.
+    fn false_failures(&self) -> usize {
+        let mut count = 0;
+        for observer in self.observers() {
+            for about in self.observers() {
+                count += usize::from(self.state(observer, about) == Some(MemberState::Failed));
+            }
+        }
+        count
+    }
+}
+
+#[gtest]
+fn a_stopped_member_is_failed_everywhere_in_seconds() {
+    // Members, members that stop at once, share of datagrams lost, most seconds until all know.
+    let cases = [
+        (2, 1, 0.0, 8),
+        (3, 1, 0.0, 8),
+        (7, 2, 0.0, 8),
+        (7, 6, 0.0, 8),
+        (9, 1, 0.1, 10),
+        (40, 1, 0.0, 10),
+        (40, 13, 0.05, 12),
+    ];
+    for (size, stopped, loss, limit) in cases {
+        let mut fleet = Fleet::settled(size).with_loss(loss);
+        let stopped: Vec<usize> = (size - stopped..size).collect();
+        for index in &stopped {
+            fleet.running[*index] = false;
+        }
+        let seconds = fleet.seconds_until(&stopped, MemberState::Failed, 60);
+        expect_that!(seconds, some(le(limit)), "{size} {stopped:?} {loss}");
+        fleet.run(30);
+        expect_that!(fleet.false_failures(), eq(0), "{size} {stopped:?} {loss}");
+        expect_that!(fleet.peak, le(u64::from(SEND_RATE + 2 * SEND_BURST)));
+    }
+}
+
+#[gtest]
+fn loss_alone_fails_nobody() {
+    for (size, loss) in [(5, 0.2), (20, 0.1), (20, 0.2)] {
+        let mut fleet = Fleet::settled(size).with_loss(loss);
+        let mut failures = 0;
+        for _second in 0..120 {
+            fleet.run(1);
+            failures += fleet.false_failures();
+        }
+        expect_that!(failures, eq(0), "{size} {loss}");
+    }
+}
+
+#[gtest]
+fn leaving_is_known_everywhere_at_once_and_sticks() {
+    for (size, loss) in [(7, 0.0), (40, 0.1)] {
+        let mut fleet = Fleet::settled(size).with_loss(loss);
+        let mut out = Vec::new();
+        fleet.nodes[1].announce_leaving(fleet.now, &mut out);
+        fleet.post(1, &mut out);
+        let seconds = fleet.seconds_until(&[1], MemberState::Leaving, 10);
+        expect_that!(seconds, some(le(2)), "{size} {loss}");
+        fleet.run(20);
+        expect_that!(
+            fleet.seconds_until(&[1], MemberState::Leaving, 1),
+            some(eq(0))
+        );
+        fleet.running[1] = false;
+        let seconds = fleet.seconds_until(&[1], MemberState::Failed, 30);
+        expect_that!(seconds, some(le(10)), "{size} {loss}");
+    }
+}
+
+#[gtest]
+fn a_paused_member_blames_nobody_and_returns() {
+    for (size, pause) in [(3, 3), (7, 3), (7, 60), (20, 60)] {
+        let mut fleet = Fleet::settled(size);
+        fleet.running[2] = false;
+        fleet.run(pause);
+        fleet.running[2] = true;
+        let mut false_failures = 0;
+        for _second in 0..20 {
+            fleet.run(1);
+            for about in 0..size {
+                false_failures += usize::from(fleet.state(2, about) == Some(MemberState::Failed));
+            }
+        }
+        expect_that!(false_failures, eq(0), "{size} {pause}");
+        expect_that!(fleet.nodes[2].counters().pauses, eq(1));
+        let seconds = fleet.seconds_until(&[2], MemberState::Alive, 1);
+        expect_that!(seconds, some(eq(0)), "{size} {pause}");
+    }
+}
+
+#[gtest]
+fn a_new_life_under_the_old_address_replaces_the_old_one() {
+    // Seconds between the end of the old life and the start of the new one.
+    for gap in [0, 2, 30] {
+        let mut fleet = Fleet::settled(7);
+        fleet.running[4] = false;
+        fleet.run(gap);
+        let seeds: Vec<VmAddress> = (0..3).map(vm).collect();
+        fleet.nodes[4] = protocol(fleet.now, 4, 2);
+        fleet.nodes[4].take_seeds(&seeds);
+        fleet.sent[4] = 0;
+        fleet.running[4] = true;
+        fleet.run(5);
+        for observer in 0..7 {
+            let snapshot = fleet.nodes[observer].snapshot();
+            let member = snapshot.get(vm(4)).unwrap();
+            expect_that!(member.incarnation, eq(IncarnationNumber(2)), "{gap}");
+            expect_that!(member.state, eq(MemberState::Alive), "{gap}");
+        }
+    }
+}
+
+#[gtest]
+fn a_member_that_hears_nobody_blames_nobody_else_to_others() {
+    let mut fleet = Fleet::settled(7);
+    // Node 3 sends but does not receive: the others fail it, and nobody else.
+    fleet.reaches = Box::new(|_, _, to| to != 3);
+    let seconds = fleet.seconds_until(&[3], MemberState::Failed, 30);
+    expect_that!(seconds, some(le(10)));
+    fleet.run(60);
+    for observer in [0, 1, 2, 4, 5, 6] {
+        expect_that!(
+            fleet.count(observer, MemberState::Alive),
+            eq(6),
+            "{observer}"
+        );
+    }
+    // Itself, it holds all others out of reach.
+    expect_that!(fleet.count(3, MemberState::Failed), eq(6));
+    fleet.reaches = Box::new(|_, _, _| true);
+    fleet.run(10);
+    for observer in 0..7 {
+        expect_that!(
+            fleet.count(observer, MemberState::Alive),
+            eq(7),
+            "{observer}"
+        );
+    }
+}
+
+#[gtest]
+fn one_lossy_way_between_two_fails_neither() {
+    let mut fleet = Fleet::settled(7);
+    fleet.reaches = Box::new(|_, from, to| (from, to) != (1, 2));
+    let mut failures = 0;
+    for _second in 0..60 {
+        fleet.run(1);
+        failures += fleet.false_failures();
+    }
+    expect_that!(failures, eq(0));
+}
+
+#[gtest]
+fn a_cut_zone_is_failed_and_comes_back_when_healed() {
+    for (size, cut) in [(9, 60), (30, 300)] {
+        let mut fleet = Fleet::settled(size);
+        let heals = fleet.now + Duration::from_secs(cut);
+        fleet.reaches =
+            Box::new(move |now, from, to| now > heals || (from % 3 == 0) == (to % 3 == 0));
+        fleet.run(cut);
+        expect_that!(fleet.count(0, MemberState::Alive), eq(size / 3));
+        expect_that!(fleet.count(1, MemberState::Failed), eq(size / 3));
+        fleet.run(20);
+        for observer in 0..size {
+            expect_that!(
+                fleet.count(observer, MemberState::Alive),
+                eq(size),
+                "{observer}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn digests_and_notices_reach_everybody() {
+    let mut fleet = Fleet::settled(40).with_loss(0.1);
+    let digest = MemberDigest {
+        revision: RevisionNumber(9),
+        load: 700,
+    };
+    let notice = GossipNotice {
+        fingerprint: RequestFingerprint(5),
+        age_s: 3,
+        lifted: false,
+    };
+    for node in &mut fleet.nodes {
+        node.take_events();
+    }
+    let now = fleet.now;
+    fleet.nodes[0].set_digest(now, digest);
+    fleet.nodes[0].publish_notice(now, notice);
+    fleet.run(5);
+    for node in &mut fleet.nodes[1..] {
+        expect_that!(node.snapshot().get(vm(0)).unwrap().digest, eq(digest));
+        let heard = node
+            .take_events()
+            .into_iter()
+            .find_map(|event| match event {
+                MemberEvent::Notice(notice) => Some(notice.fingerprint),
+                _ => None,
+            });
+        expect_that!(heard, some(eq(notice.fingerprint)));
+    }
+}
+
+#[gtest]
+fn a_newcomer_learns_all_members_page_by_page() {
+    let mut fleet = Fleet::settled(150);
+    let notice = GossipNotice {
+        fingerprint: RequestFingerprint(5),
+        age_s: 3,
+        lifted: false,
+    };
+    fleet.nodes[9].publish_notice(fleet.now, notice);
+    fleet.run(60);
+    fleet.nodes.push(protocol(fleet.now, 150, 2));
+    fleet.nodes[150].take_seeds(&[vm(0), vm(1), vm(2)]);
+    fleet.running.push(true);
+    fleet.sent.push(0);
+    fleet.run(3);
+    expect_that!(fleet.count(150, MemberState::Alive), eq(151));
+    let events = fleet.nodes[150].take_events();
+    let told = events
+        .iter()
+        .any(|event| matches!(event, MemberEvent::Notice(_)));
+    expect_that!(told, eq(true));
+    let known = fleet
+        .observers()
+        .filter(|observer| fleet.state(*observer, 150).is_some());
+    expect_that!(known.count(), eq(151));
+    expect_that!(fleet.peak, le(u64::from(SEND_RATE + 2 * SEND_BURST)));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/membership/spread_tests.rs
@@ -0,0 +1,53 @@
+use googletest::prelude::*;
+
+use super::*;
+
+fn fill(queue: &mut SpreadQueue<u32>, limit: usize, room: usize) -> Vec<u32> {
+    let mut taken = Vec::new();
+    queue.fill(limit, |key| {
+        if taken.len() == room {
+            return OfferResult::Full;
+        }
+        taken.push(key);
+        OfferResult::Taken
+    });
+    taken
+}
+
+#[gtest]
+fn what_was_told_least_goes_first_and_leaves_at_the_limit() {
+    let mut queue = SpreadQueue::default();
+    for key in 1..=3 {
+        queue.push(key);
+    }
+    expect_that!(fill(&mut queue, 2, 2), elements_are![eq(&1), eq(&2)]);
+    queue.push(4);
+    expect_that!(
+        fill(&mut queue, 2, 3),
+        elements_are![eq(&3), eq(&4), eq(&1)]
+    );
+    // 1 has been told twice; pushed again it starts anew.
+    expect_that!(
+        fill(&mut queue, 2, 9),
+        elements_are![eq(&2), eq(&3), eq(&4)]
+    );
+    expect_that!(queue.is_empty(), eq(true));
+    queue.push(1);
+    queue.push(1);
+    queue.remove(2);
+    expect_that!(fill(&mut queue, 2, 9), elements_are![eq(&1)]);
+}
+
+#[gtest]
+fn a_budget_bounds_bytes_over_any_time() {
+    let mut budget = ByteBudget::new(Duration::ZERO, 1_000, 500);
+    let mut taken = 0;
+    for millisecond in 0..10_000_u64 {
+        budget.refill(Duration::from_millis(millisecond));
+        while budget.take_due(100) {
+            taken += 100;
+        }
+    }
+    expect_that!(taken, all![ge(10_000), le(10_000 + 2 * 500)]);
+    expect_that!(budget.available(), eq(0));
+}
--- /dev/null
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -0,0 +1,68 @@
+//! Times, counts and rates of membership, with what they follow from.
+
+use std::time::Duration;
+
+/// Time between two ticks of the protocol.
+pub const TICK_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two probes: a member is probed about once in this time by somebody, whatever their number.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Wait for a direct answer before others are asked to probe; several times the way between regions and back.
+pub const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Members asked to probe on our behalf.
+pub const HELPER_COUNT: usize = 3;
+/// How long an answer to somebody else's probe is passed on.
+pub const RELAY_TIME: Duration = Duration::from_secs(1);
+/// Most probes that are passed on at a time.
+pub const RELAY_LIMIT: usize = 64;
+/// A gap this long between two calls means that the process was paused: its timers prove nothing.
+pub const PAUSE_GAP: Duration = Duration::from_millis(900);
+/// Without any word from a peer for this long, missing answers are laid to ourselves.
+pub const DEAF_TIME: Duration = Duration::from_secs(1);
+/// Without any word from a peer for this long, all of them are out of reach.
+pub const ISOLATION_TIME: Duration = Duration::from_secs(5);
+/// Time between two probes of failed members and of listed VMs that never answered.
+pub const SLOW_PERIOD: Duration = Duration::from_secs(2);
+/// Listed VMs probed per tick until enough members are known.
+pub const SEED_FANOUT: usize = 2;
+/// Members that are enough to learn the others from.
+pub const ENOUGH_MEMBERS: usize = 3;
+/// How long a page of members is waited for.
+pub const PAGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two pages that repair what gossip missed.
+pub const REPAIR_PERIOD: Duration = Duration::from_secs(10);
+/// How long a failed member is remembered that the VM list does not show.
+pub const FORGET_TIME: Duration = Duration::from_mins(10);
+/// Ticks between two datagrams that carry only digests.
+pub const DIGEST_TICKS: u32 = 5;
+/// How often one process tells a digest: a lost one is replaced by the next.
+pub const DIGEST_TELLINGS: usize = 4;
+/// Members told at once that this one leaves.
+pub const LEAVE_FANOUT: usize = 8;
+/// Bytes a second that one process sends at most, IP and UDP headers included: a third of the control budget.
+pub const SEND_RATE: u32 = 10_000;
+/// Bytes that may be saved up.
+pub const SEND_BURST: u32 = 6_000;
+/// Most members that are held; more than twice the fleet we design for.
+pub const MEMBER_LIMIT: usize = 12_000;
+
+const DIGEST_PERIOD_EACH: Duration = Duration::from_millis(15);
+const DIGEST_PERIOD_MIN: Duration = Duration::from_secs(1);
+const DIGEST_PERIOD_MAX: Duration = Duration::from_mins(1);
+
+/// How long a suspect has to refute. The suspicion must reach it and the refutation come back, each in a number of
+/// gossip rounds that grows with the logarithm of the members.
+pub fn suspicion_time(members: usize) -> Duration {
+    let rounds = ((members + 1) as f64).log2();
+    Duration::from_millis((1_000.0 + 500.0 * rounds) as u64)
+}
+
+/// How often one process tells a fact about a member's life.
+pub fn telling_limit(members: usize) -> usize {
+    4 + 2 * (members + 1).next_power_of_two().trailing_zeros() as usize
+}
+
+/// Time between two digests of one member, so that the digests of all keep to a fixed share of the bytes.
+pub fn digest_period(members: usize) -> Duration {
+    let period = DIGEST_PERIOD_EACH * members as u32;
+    period.clamp(DIGEST_PERIOD_MIN, DIGEST_PERIOD_MAX)
+}
