Let two VMs of a zone watch each index catalogue, the others learn from peers

Every VM watched every index, so calls to the store grew with the fleet. The catalogue feed now spreads epochs as the revision feed spreads revisions; a lower epoch never replaces a higher one. The node hands it the peers' catalogue messages and ends both feeds with itself: links and feeds hold each other, so a stopped node's feeds would have gone on watching the store. Metric names lose their prefix, which the node's registry already adds. Shown on sockets by revision_faults.rs (a catalogue reaches 5 VMs, a lower epoch changes nothing, a fresh VM in a zone of its own gets it while the store is down).

--- a/crates/ebonyfork-lab/src/config_fleet.rs
+++ b/crates/ebonyfork-lab/src/config_fleet.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ebonyfork::catalog::CatalogHandle;
 use ebonyfork::declaration::DeclaredConfig;
 use ebonyfork::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
 use ebonyfork::platform::PlatformClient;
@@ -14,7 +15,7 @@
 use ebonyfork::settings::NodeSettings;
 use ebonyfork::topology::{TopologyView, VmEntry};
 use ebonyfork::views::{NodeViews, ViewWriters, view_channels};
-use ebonyfork::wire::{LinkEvent, PeerMessage, PeerPool, PoolSettings};
+use ebonyfork::wire::{LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -39,8 +40,7 @@
     pub client: PlatformClient,
     revision: RevisionHandle,
     topology: watch::Sender<Arc<TopologyView>>,
-    /// Breaks the circle of feed, links and feed when the VM stops.
-    linked: watch::Sender<Option<RevisionHandle>>,
+    catalog: CatalogHandle,
     stop: CancellationToken,
 }
 
@@ -58,7 +58,8 @@
 
 impl Drop for FleetNode {
     fn drop(&mut self) {
-        self.linked.send_replace(None);
+        self.revision.stop();
+        self.catalog.stop();
         self.stop.cancel();
     }
 }
@@ -172,31 +173,35 @@
         let client = PlatformClient::new(self.platform, PLATFORM_TIMEOUT);
         let (writers, views) = view_channels();
         let ViewWriters {
-            topology, config, ..
+            topology,
+            config,
+            catalog,
+            ..
         } = writers;
         let stop = CancellationToken::new();
-        let (linked, handles) = watch::channel::<Option<RevisionHandle>>(None);
+        let (feeds_in, feeds) = watch::channel::<Option<(RevisionHandle, CatalogHandle)>>(None);
         let session = SessionId::new(vm, IncarnationNumber(1));
         let pool = PeerPool::new(
             PoolSettings::new(session, self.peer_port),
             stop.clone(),
             move |event| {
-                let handle = handles.borrow().clone();
+                let feeds = feeds.borrow().clone();
                 Box::pin(async move {
-                    if let (Some(handle), LinkEvent::Message { from, message }) = (handle, event)
-                        && let PeerMessage::Revision(message) = message
-                    {
-                        handle.take_message(from, message).await;
+                    if let (Some(feeds), LinkEvent::Message { from, message }) = (feeds, event) {
+                        dispatch(feeds, from, message).await;
                     }
                 })
             },
         );
         let accepting = pool.clone();
         tokio::spawn(async move { accepting.accept(listener).await });
+        let second = pool.clone();
         let send = move |vm, message| pool.send(vm, message);
         let revision =
             RevisionHandle::start(&settings, client.clone(), views.clone(), config, send);
-        linked.send_replace(Some(revision.clone()));
+        let send = move |vm, message| second.send(vm, message);
+        let catalog = CatalogHandle::start(&settings, client.clone(), views.clone(), catalog, send);
+        feeds_in.send_replace(Some((revision.clone(), catalog.clone())));
         Ok(FleetNode {
             vm,
             zone,
@@ -204,8 +209,17 @@
             client,
             revision,
             topology,
-            linked,
+            catalog,
             stop,
         })
     }
 }
+
+async fn dispatch(feeds: (RevisionHandle, CatalogHandle), from: LinkSender, message: PeerMessage) {
+    let (revision, catalog) = feeds;
+    match message {
+        PeerMessage::Revision(message) => revision.take_message(from, message).await,
+        PeerMessage::Catalog(message) => catalog.take_message(from, message).await,
+        _ => {}
+    }
+}
--- a/crates/ebonyfork-lab/tests/revision_faults.rs
+++ b/crates/ebonyfork-lab/tests/revision_faults.rs
@@ -146,3 +146,44 @@
     assert_that!(restored, ok(anything()));
     assert_that!(bench.connections(1), eq(25));
 }
+
+#[tokio::test]
+async fn catalogues_reach_every_vm_and_a_lower_epoch_changes_nothing() {
+    let mut bench = Bench::start(105, &[("zone-a", 5)]).await;
+    let text = "[class search]\nindex = tenders\nlatency = 300ms\ncoverage = 0.98\n\
+                gives-way = latency\nidempotent = yes\n";
+    let files = [DeclaredFile::new("main.ini", text)];
+    publish(&bench.client, &files, "kim", "a class").await;
+    let put = |epoch: u64| {
+        let value = format!(r#"{{"epoch":{epoch},"versions":[]}}"#);
+        bench.platform.put("index/tenders", value);
+    };
+    put(5);
+    wait_for_epoch(&bench.fleet, 5).await;
+    put(4);
+    put(6);
+    wait_for_epoch(&bench.fleet, 6).await;
+    put(3);
+    bench.platform.set_faults(DOWN);
+    let zone = "zone-b".parse().expect("a zone");
+    bench.fleet.add(&zone, 1).await.expect("free ports");
+    wait_for_epoch(&bench.fleet, 6).await;
+}
+
+/// Waits until every VM holds this epoch; a VM that held it never shows a lower one.
+async fn wait_for_epoch(fleet: &ConfigFleet, epoch: u64) {
+    let reached = async {
+        loop {
+            let epochs = fleet.nodes.iter().map(|node| {
+                let catalogs = node.views.catalog.borrow();
+                catalogs.values().next().map_or(0, |catalog| catalog.epoch)
+            });
+            if epochs.min() == Some(epoch) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let reached = tokio::time::timeout(PATIENCE, reached).await;
+    assert_that!(reached, ok(anything()), "epoch {epoch}");
+}
--- a/crates/ebonyfork/src/catalog/feed.rs
+++ b/crates/ebonyfork/src/catalog/feed.rs
@@ -1,113 +1,338 @@
-//! The part of a process that learns index catalogues.
+//! The part of a process that learns index catalogues: the actor beside [`CatalogSpread`].
 
-use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::FutureExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use rustc_hash::FxHashMap;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::Instant;
+use xtra::WeakAddress;
+use xtra::prelude::*;
 
 use crate::catalog::IndexCatalog;
-use crate::ident::IndexName;
+use crate::declaration::DeclaredConfig;
+use crate::ident::{IndexName, VmAddress};
 use crate::platform::{Backoff, PlatformClient, PlatformError, StoredVersion, WatchChange};
+use crate::revision::ZonePeers;
+use crate::settings::NodeSettings;
+use crate::topology::TopologyView;
 use crate::views::{CatalogSet, NodeViews};
+use crate::wire::{LinkError, LinkSender, PeerMessage};
 
+use super::message::CatalogMessage;
+use super::spread::{CatalogAction, CatalogSpread, catalog_key};
+
+/// How often timers are looked at.
+const TICK_PERIOD: Duration = Duration::from_millis(200);
 /// How long one watch of a catalogue waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// First and longest wait after a failed call.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
 
-/// The feed of index catalogues. Cheap to clone.
+/// The feed of index catalogues. Cheap to clone; the feed ends when the last handle is dropped.
 #[derive(Debug, Clone)]
-pub struct CatalogHandle;
+pub struct CatalogHandle {
+    address: Address<CatalogActor>,
+}
 
 impl CatalogHandle {
-    /// Starts to follow the catalogue of each index that a declared class names.
+    /// Starts to follow the catalogue of each index that a declared class names. Two VMs of a zone watch the store for
+    /// an index, the others learn from them; peers are reached by `send`.
     pub fn start(
+        settings: &NodeSettings,
         client: PlatformClient,
         views: NodeViews,
         writer: watch::Sender<Arc<CatalogSet>>,
+        send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
     ) -> Self {
-        tokio::spawn(follow_indexes(client, views, writer));
-        Self
+        let peers = ZonePeers::new(settings.vm, settings.zone.clone());
+        let actor = CatalogActor::new(peers, client, writer, send);
+        let address = spawn_catalog_actor(actor, views.config, views.topology);
+        Self { address }
+    }
+
+    /// Takes a message of a peer; replies go back by `from`.
+    pub async fn take_message(&self, from: LinkSender, message: CatalogMessage) {
+        // A feed that has ended takes no messages; the process is stopping.
+        let _ended = self.address.send(PeerInput { from, message }).await;
+    }
+
+    /// Ends the feed, although handles may still be around.
+    pub fn stop(&self) {
+        let _ended = self.address.send(StopFeed).detach().now_or_never();
     }
 }
 
-async fn follow_indexes(
+struct StopFeed;
+struct Tick;
+struct TopologyChanged(Arc<TopologyView>);
+struct ConfigChanged(Arc<DeclaredConfig>);
+struct PeerInput {
+    from: LinkSender,
+    message: CatalogMessage,
+}
+struct ValueSeen {
+    index: IndexName,
+    text: Bytes,
+}
+
+/// Learns catalogues and puts them in force.
+#[derive(xtra::Actor)]
+pub struct CatalogActor {
     client: PlatformClient,
-    views: NodeViews,
     writer: watch::Sender<Arc<CatalogSet>>,
-) {
-    let mut config = views.config.clone();
-    let mut followed = BTreeSet::new();
-    let mut tasks = JoinSet::new();
+    send: Arc<SendFunction>,
+    started: Instant,
+    spread: CatalogSpread,
+    watches: FxHashMap<IndexName, AbortHandle>,
+    tasks: JoinSet<()>,
+}
+
+impl fmt::Debug for CatalogActor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CatalogActor").finish_non_exhaustive()
+    }
+}
+
+fn spawn_catalog_actor(
+    actor: CatalogActor,
+    config: watch::Receiver<Arc<DeclaredConfig>>,
+    topology: watch::Receiver<Arc<TopologyView>>,
+) -> Address<CatalogActor> {
+    let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
+    let weak = address.downgrade();
+    tokio::spawn(run_timer(weak.clone()));
+    tokio::spawn(follow_view(weak.clone(), config, ConfigChanged));
+    tokio::spawn(follow_view(weak, topology, TopologyChanged));
+    address
+}
+
+async fn run_timer(address: WeakAddress<CatalogActor>) {
+    let mut interval = tokio::time::interval(TICK_PERIOD);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let named = config.borrow_and_update().clone();
-        for class in named.classes.values() {
-            if followed.insert(class.index.clone()) {
-                tasks.spawn(follow_index(
-                    client.clone(),
-                    class.index.clone(),
-                    writer.clone(),
-                ));
-            }
+        interval.tick().await;
+        if address.send(Tick).await.is_err() {
+            return;
         }
-        if config.changed().await.is_err() {
+    }
+}
+
+/// Hands each value of a view to the actor.
+async fn follow_view<T, M>(
+    address: WeakAddress<CatalogActor>,
+    mut view: watch::Receiver<Arc<T>>,
+    wrap: impl Fn(Arc<T>) -> M + Send,
+) where
+    T: Send + Sync,
+    M: Send + 'static,
+    CatalogActor: Handler<M, Return = ()>,
+{
+    loop {
+        let value = view.borrow_and_update().clone();
+        if address.send(wrap(value)).await.is_err() {
+            return;
+        }
+        if view.changed().await.is_err() {
             return;
         }
     }
 }
 
-async fn follow_index(
+async fn watch_catalog(
     client: PlatformClient,
     index: IndexName,
-    writer: watch::Sender<Arc<CatalogSet>>,
+    address: WeakAddress<CatalogActor>,
 ) {
     let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
-    let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(5));
+    let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
     let mut seen = StoredVersion::ABSENT;
-    loop {
-        match follow_once(&client, &index, &writer, &mut seen).await {
-            Ok(()) => backoff.reset(),
+    while address.is_connected() {
+        match watch_once(&client, &index, &mut seen).await {
+            Ok(text) => {
+                backoff.reset();
+                let Some(text) = text else {
+                    continue;
+                };
+                let index = index.clone();
+                let _ended = address.send(ValueSeen { index, text }).await;
+            }
             Err(error) => {
                 log::debug!("catalogue of {index}: {error}");
+                // A store that restarts with older data may count up to the same version again.
+                seen = StoredVersion::ABSENT;
                 tokio::time::sleep(backoff.next_wait(&mut rng)).await;
             }
         }
     }
 }
 
-async fn follow_once(
+async fn watch_once(
     client: &PlatformClient,
     index: &IndexName,
-    writer: &watch::Sender<Arc<CatalogSet>>,
     seen: &mut StoredVersion,
-) -> Result<(), PlatformError> {
-    let key = format!("index/{index}");
-    match client.watch(&key, *seen, WATCH_WAIT).await? {
+) -> Result<Option<Bytes>, PlatformError> {
+    let changed = client.watch(catalog_key(index), *seen, WATCH_WAIT).await?;
+    Ok(match changed {
+        None => None,
+        Some(WatchChange::Deleted) => {
+            *seen = StoredVersion::ABSENT;
+            None
+        }
         Some(WatchChange::Changed(stored)) => {
             *seen = stored.version;
-            match serde_json::from_slice::<IndexCatalog>(&stored.value) {
-                Ok(catalog) => put_in_force(writer, index, catalog),
-                Err(error) => log::error!("catalogue of {index}: {error}"),
+            Some(stored.value)
+        }
+    })
+}
+
+impl CatalogActor {
+    fn new(
+        peers: ZonePeers,
+        client: PlatformClient,
+        writer: watch::Sender<Arc<CatalogSet>>,
+        send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            client,
+            writer,
+            send: Arc::new(send),
+            started: Instant::now(),
+            spread: CatalogSpread::new(peers, rand::random()),
+            watches: FxHashMap::default(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    fn run(&mut self, actions: Vec<CatalogAction>, address: &WeakAddress<Self>) {
+        for action in actions {
+            match action {
+                CatalogAction::Watch(index) => {
+                    let watching =
+                        watch_catalog(self.client.clone(), index.clone(), address.clone());
+                    let watch = self.tasks.spawn(watching);
+                    self.watches.insert(index, watch);
+                }
+                CatalogAction::Unwatch(index) => {
+                    if let Some(watch) = self.watches.remove(&index) {
+                        watch.abort();
+                    }
+                }
+                CatalogAction::Send(vm, message) => self.send_to(vm, message),
+                CatalogAction::PutInForce(index, catalog) => self.put_in_force(index, catalog),
             }
         }
-        Some(WatchChange::Deleted) => *seen = StoredVersion::ABSENT,
-        None => {}
     }
-    Ok(())
+
+    fn send_to(&self, vm: VmAddress, message: CatalogMessage) {
+        if let Err(error) = (self.send)(vm, PeerMessage::Catalog(message)) {
+            log::debug!("catalogue message to {vm}: {error}");
+        }
+    }
+
+    fn put_in_force(&self, index: IndexName, catalog: IndexCatalog) {
+        let newest = catalog.newest().map(|shards| shards.version);
+        log::info!(
+            target: "ebonyfork::decision",
+            "put catalogue epoch {} of {index} in force, newest version {newest:?}",
+            catalog.epoch,
+        );
+        self.writer.send_modify(|catalogs| {
+            let mut next = CatalogSet::clone(catalogs);
+            next.insert(index, catalog);
+            *catalogs = Arc::new(next);
+        });
+    }
+
+    fn take_value(&mut self, index: &IndexName, text: &Bytes, address: &WeakAddress<Self>) {
+        match self.spread.take_value(index, text) {
+            Ok(actions) => self.run(actions, address),
+            Err(error) => log::error!("catalogue of {index}: {error}"),
+        }
+    }
+}
+
+impl Handler<Tick> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Tick, ctx: &mut Context<Self>) {
+        while self.tasks.try_join_next().is_some() {}
+        let actions = self.spread.tick(self.started.elapsed());
+        self.run(actions, &ctx.mailbox().address());
+    }
+}
+
+impl Handler<StopFeed> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: StopFeed, ctx: &mut Context<Self>) {
+        ctx.stop_self();
+    }
+}
+
+impl Handler<TopologyChanged> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TopologyChanged, ctx: &mut Context<Self>) {
+        let actions = self.spread.take_topology(&message.0);
+        self.run(actions, &ctx.mailbox().address());
+    }
+}
+
+impl Handler<ConfigChanged> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ConfigChanged, ctx: &mut Context<Self>) {
+        let classes = message.0.classes.values();
+        let named = classes.map(|class| class.index.clone());
+        let actions = self.spread.take_indexes(named);
+        self.run(actions, &ctx.mailbox().address());
+    }
 }
 
-/// Replaces an index's catalogue by one of a higher epoch.
-fn put_in_force(writer: &watch::Sender<Arc<CatalogSet>>, index: &IndexName, catalog: IndexCatalog) {
-    writer.send_if_modified(|catalogs| {
-        let held = catalogs.get(index).map(|held| held.epoch);
-        if held.is_some_and(|held| held >= catalog.epoch) {
-            return false;
+impl Handler<ValueSeen> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ValueSeen, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        self.take_value(&message.index, &message.text, &address);
+    }
+}
+
+impl Handler<PeerInput> for CatalogActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerInput, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
+        let PeerInput { from, message } = message;
+        let Some(peer) = from.peer() else {
+            return;
+        };
+        let now = self.started.elapsed();
+        match message {
+            CatalogMessage::Held(shown) => {
+                let actions = self.spread.take_held(now, peer.vm, &shown);
+                self.run(actions, &address);
+            }
+            CatalogMessage::Ask(asked) => {
+                for reply in self.spread.answer(&asked) {
+                    if let Err(error) = from.send(PeerMessage::Catalog(reply)) {
+                        log::debug!("catalogue reply: {error}");
+                    }
+                }
+                let actions = self.spread.take_held(now, peer.vm, &asked);
+                self.run(actions, &address);
+            }
+            CatalogMessage::Value { index, text } => self.take_value(&index, &text, &address),
         }
-        let mut next = CatalogSet::clone(catalogs);
-        next.insert(index.clone(), catalog);
-        *catalogs = Arc::new(next);
-        true
-    });
+    }
 }
--- a/crates/ebonyfork/src/catalog/mod.rs
+++ b/crates/ebonyfork/src/catalog/mod.rs
@@ -4,8 +4,12 @@
 //! is the denominator of an answer's coverage, so it is kept as published and never merged with another version's.
 
 mod feed;
+mod message;
+mod spread;
 
 pub use feed::CatalogHandle;
+pub use message::{CatalogEpoch, CatalogMessage};
+pub use spread::{CatalogAction, CatalogSpread, catalog_key};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -16,7 +16,7 @@
 use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress};
 use crate::locate::{LocateSettings, locate_addresses};
 use crate::membership::MemberSnapshot;
-use crate::node::dispatch::PeerDispatch;
+use crate::node::dispatch::{FeedGuard, PeerDispatch};
 use crate::node::listening::{NodeError, NodeSockets};
 use crate::node::options::NodeOptions;
 use crate::node::readiness::{StopReport, follow_readiness, stop_node};
@@ -28,7 +28,7 @@
 use crate::revision::RevisionHandle;
 use crate::settings::NodeSettings;
 use crate::topology::{TopologyHandle, TopologySettings};
-use crate::views::{NodeReadiness, NodeViews, ViewWriters, view_channels};
+use crate::views::{CatalogSet, NodeReadiness, NodeViews, ViewWriters, view_channels};
 use crate::wire::{LinkError, LinkEvent, PeerMessage, PeerPool, PoolSettings};
 
 /// One running process of the tier.
@@ -42,6 +42,7 @@
     locate_ttl: Duration,
     hurry: CancellationToken,
     tasks: JoinSet<()>,
+    _feeds: FeedGuard,
 }
 
 impl Node {
@@ -145,8 +146,8 @@
             entry: self.start_entry(&views),
             relay: self.start_relay(&views, topology),
             revision: self.start_revision(&views, config),
+            catalog: self.start_catalog(&views, catalog),
         };
-        CatalogHandle::start(self.client.clone(), views.clone(), catalog);
         self.register(&dispatch);
         self.start_links(sockets.peers, &dispatch, &views);
         self.start_callers(sockets.callers, &dispatch, &views);
@@ -156,7 +157,12 @@
             readiness.clone(),
             self.stop.clone(),
         ));
+        let feeds = FeedGuard {
+            revision: dispatch.revision.clone(),
+            catalog: dispatch.catalog.clone(),
+        };
         Node {
+            _feeds: feeds,
             session: self.session,
             views,
             dispatch,
@@ -220,6 +226,22 @@
         )
     }
 
+    fn start_catalog(
+        &self,
+        views: &NodeViews,
+        writer: watch::Sender<Arc<CatalogSet>>,
+    ) -> CatalogHandle {
+        let pool = self.pool.clone();
+        let send = move |vm, message| pool.send(vm, message);
+        CatalogHandle::start(
+            &self.settings,
+            self.client.clone(),
+            views.clone(),
+            writer,
+            send,
+        )
+    }
+
     fn register(&mut self, dispatch: &PeerDispatch) {
         dispatch.entry.register(&mut self.registry);
         dispatch.relay.register(&mut self.registry);
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -1,5 +1,6 @@
 //! Which slice hears of what happens on the peer links.
 
+use crate::catalog::CatalogHandle;
 use crate::entry::EntryHandle;
 use crate::relay::RelayHandle;
 use crate::revision::RevisionHandle;
@@ -11,6 +12,7 @@
     pub(super) entry: EntryHandle,
     pub(super) relay: RelayHandle,
     pub(super) revision: RevisionHandle,
+    pub(super) catalog: CatalogHandle,
 }
 
 impl PeerDispatch {
@@ -33,7 +35,22 @@
                 self.entry.take_outcomes(peer, batch).await;
             }
             PeerMessage::Revision(message) => self.revision.take_message(from, message).await,
+            PeerMessage::Catalog(message) => self.catalog.take_message(from, message).await,
             PeerMessage::Hello(_) => log::debug!("a second hello from {:?}", from.peer()),
         }
     }
 }
+
+/// Ends the configuration feeds when the node ends: links and feeds hold each other, so neither would end by itself.
+#[derive(Debug)]
+pub(super) struct FeedGuard {
+    pub(super) revision: RevisionHandle,
+    pub(super) catalog: CatalogHandle,
+}
+
+impl Drop for FeedGuard {
+    fn drop(&mut self) {
+        self.revision.stop();
+        self.catalog.stop();
+    }
+}
--- a/crates/ebonyfork/src/platform/client.rs
+++ b/crates/ebonyfork/src/platform/client.rs
@@ -166,7 +166,7 @@
     /// Registers the counter of calls by kind and result.
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
-            "ebonyfork_platform_calls",
+            "platform_calls",
             "Calls to the platform's service by kind and result",
             self.shared.counters.clone(),
         );
--- a/crates/ebonyfork/src/revision/actor.rs
+++ b/crates/ebonyfork/src/revision/actor.rs
@@ -36,6 +36,9 @@
 
 type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
 
+/// Ends the feed.
+pub(super) struct StopFeed;
+
 /// Revisions that peers have shown.
 pub(super) struct PeerNote {
     pub(super) shown: Vec<(VmAddress, RevisionNumber)>,
@@ -219,7 +222,7 @@
         self.metrics.watching.set(1);
         let watching = watch_head(self.client.clone(), address);
         self.watch = Some(self.tasks.spawn(watching));
-        log::info!(target: "ebonyfork::decision", "watch {HEAD_KEY} for zone {}", self.feed.peers().zone());
+        log::info!(target: "ebonyfork::decision", "watch {HEAD_KEY} for this zone");
     }
 
     fn stop_watch(&mut self) {
@@ -438,6 +441,14 @@
     }
 }
 
+impl Handler<StopFeed> for RevisionActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: StopFeed, ctx: &mut Context<Self>) {
+        ctx.stop_self();
+    }
+}
+
 impl Handler<TopologyChanged> for RevisionActor {
     type Return = ();
 
--- a/crates/ebonyfork/src/revision/handle.rs
+++ b/crates/ebonyfork/src/revision/handle.rs
@@ -14,7 +14,7 @@
 use crate::views::NodeViews;
 use crate::wire::{LinkError, LinkSender, PeerMessage};
 
-use super::actor::{PeerInput, PeerNote, RevisionActor, spawn_revision_actor};
+use super::actor::{PeerInput, PeerNote, RevisionActor, StopFeed, spawn_revision_actor};
 use super::message::RevisionMessage;
 use super::metrics::RevisionMetrics;
 
@@ -61,6 +61,11 @@
             .now_or_never();
     }
 
+    /// Ends the feed, although handles may still be around.
+    pub fn stop(&self) {
+        let _ended = self.address.send(StopFeed).detach().now_or_never();
+    }
+
     /// Registers the feed's metrics.
     pub fn register(&self, registry: &mut Registry) {
         self.metrics.register(registry);
--- a/crates/ebonyfork/src/revision/metrics.rs
+++ b/crates/ebonyfork/src/revision/metrics.rs
@@ -29,47 +29,47 @@
 impl RevisionMetrics {
     pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
-            "ebonyfork_revision_held",
+            "revision_held",
             "Revision of the configuration that is in force on this VM",
             self.held.clone(),
         );
         registry.register(
-            "ebonyfork_revision_highest",
+            "revision_highest",
             "Highest revision of the configuration that any peer or the store has shown",
             self.highest.clone(),
         );
         registry.register(
-            "ebonyfork_revision_watching",
+            "revision_watching",
             "Whether this VM watches the store for its zone, 1 or 0",
             self.watching.clone(),
         );
         registry.register(
-            "ebonyfork_revision_lagging_vms",
+            "revision_lagging_vms",
             "VMs of the zone below this VM's revision, on the zone's watchers",
             self.lagging.clone(),
         );
         registry.register(
-            "ebonyfork_revision_taken",
+            "revision_taken",
             "Revisions put in force, by where they came from",
             self.taken.clone(),
         );
         registry.register(
-            "ebonyfork_revision_rejected",
+            "revision_rejected",
             "Revisions fetched whole that this VM can't read",
             self.rejected.clone(),
         );
         registry.register(
-            "ebonyfork_revision_diverged",
+            "revision_diverged",
             "Times another change was seen under the number of the one in force",
             self.diverged.clone(),
         );
         registry.register(
-            "ebonyfork_revision_restored",
+            "revision_restored",
             "Times this VM moved the store's head forward again after it had gone back",
             self.restored.clone(),
         );
         registry.register(
-            "ebonyfork_revision_refused_parts",
+            "revision_refused_parts",
             "Parts not given to a peer because the budget of bytes was used up",
             self.refused_parts.clone(),
         );
--- a/crates/ebonyfork/src/revision/peers.rs
+++ b/crates/ebonyfork/src/revision/peers.rs
@@ -68,11 +68,6 @@
         }
     }
 
-    /// The own zone.
-    pub fn zone(&self) -> &ZoneName {
-        &self.zone
-    }
-
     /// The other VMs of the own zone.
     pub fn near(&self) -> &[VmAddress] {
         &self.near
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::catalog::CatalogMessage;
 use crate::ident::SessionId;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
 use crate::revision::RevisionMessage;
@@ -31,4 +32,6 @@
     Outcomes(OutcomeBatch),
     /// Configuration: what is held, and the parts of revisions.
     Revision(RevisionMessage),
+    /// Index catalogues: what is held, and the catalogues themselves.
+    Catalog(CatalogMessage),
 }
