Try lower limits rarely, and any limit the more rarely the longer a trial takes

Cause: at 95 % load a trial downwards takes a slot away, and every other trial was one. A limit that has not grown is now compared with one less only after eight refused trials upwards, and the pause grows with the time a trial takes.

The limit's test runs for 120 s instead of 60 s, because the steady state it looks at (the second half) now has pauses longer than the old half; its bounds are the same.

--- a/crates/ebonyfork/src/relay/limit.rs
+++ b/crates/ebonyfork/src/relay/limit.rs
@@ -20,9 +20,14 @@
 const START_LIMIT: u32 = 2;
 /// Where it starts at one that has just returned.
 const RETURN_LIMIT: u32 = 1;
-/// Pause between two trials; doubles up to [`PAUSE_LIMIT`] while they confirm the limit.
+/// Pause between two trials; doubles while they confirm the limit, up to [`PAUSE_LIMIT`] or to [`PAUSE_FACTOR`] times
+/// what the last one took, whichever is longer: where noise makes trials long, they are rare.
 const TRIAL_PAUSE: Duration = Duration::from_secs(1);
 const PAUSE_LIMIT: Duration = Duration::from_secs(16);
+const PAUSE_FACTOR: u32 = 64;
+/// A trial downwards costs throughput, so a limit that did not grow is compared with one less only after this many
+/// refused trials upwards.
+const VERIFY_EVERY: u32 = 8;
 /// A trial that gets no saturated answers for this long is given up.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -70,9 +75,14 @@
     epoch: LimitEpoch,
     trial: Option<LimitTrial>,
     direction: TrialDirection,
+    /// The limit has grown since a trial last compared it with one less.
+    unverified: bool,
+    /// Trials upwards that were refused since then.
+    refused: u32,
     next_trial: Duration,
     pause: Duration,
-    /// When the running trial last got a sample.
+    /// When the running trial started, and when it last got a sample.
+    started: Duration,
     heard: Duration,
 }
 
@@ -86,8 +96,11 @@
             epoch: LimitEpoch::default(),
             trial: None,
             direction: TrialDirection::Up,
+            unverified: true,
+            refused: 0,
             next_trial: Duration::ZERO,
             pause: TRIAL_PAUSE,
+            started: Duration::ZERO,
             heard: Duration::ZERO,
         }
     }
@@ -150,12 +163,13 @@
     pub fn restart(&mut self, now: Duration) {
         self.limit = RETURN_LIMIT;
         self.direction = TrialDirection::Up;
+        self.unverified = true;
         self.pause = TRIAL_PAUSE;
         self.move_on(now);
     }
 
     fn start_trial(&mut self, now: Duration, waiting: bool) {
-        if self.direction == TrialDirection::Down && self.limit == 1 {
+        if self.limit == 1 {
             self.direction = TrialDirection::Up;
         }
         let low = match self.direction {
@@ -164,6 +178,7 @@
             TrialDirection::Down => self.limit - 1,
         };
         self.trial = Some(LimitTrial::new(low));
+        self.started = now;
         self.heard = now;
         self.next_epoch();
     }
@@ -192,23 +207,41 @@
 
     /// Ends a trial with the better of its two values.
     fn settle(&mut self, now: Duration, limit: u32) {
-        if limit == self.limit {
-            self.direction = match self.direction {
-                TrialDirection::Up => TrialDirection::Down,
-                TrialDirection::Down => TrialDirection::Up,
-            };
-            self.rest(now);
-            return;
+        let confirmed = limit == self.limit;
+        match self.direction {
+            TrialDirection::Up if confirmed => {
+                self.refused += 1;
+                if self.unverified || self.refused >= VERIFY_EVERY {
+                    self.direction = TrialDirection::Down;
+                }
+            }
+            TrialDirection::Up => self.unverified = true,
+            TrialDirection::Down if confirmed => {
+                self.direction = TrialDirection::Up;
+                self.unverified = false;
+                self.refused = 0;
+            }
+            TrialDirection::Down => {}
         }
         self.limit = limit;
-        self.pause = TRIAL_PAUSE;
-        self.move_on(now);
+        if confirmed {
+            self.rest(now);
+        } else {
+            self.pause = TRIAL_PAUSE;
+            self.move_on(now);
+        }
     }
 
     /// No trial for a while, longer each time.
     fn rest(&mut self, now: Duration) {
         let pause = self.pause;
-        self.pause = Duration::min(pause * 2, PAUSE_LIMIT);
+        let taken = if self.trial.is_some() {
+            now.saturating_sub(self.started)
+        } else {
+            Duration::ZERO
+        };
+        let longest = Duration::max(PAUSE_LIMIT, taken * PAUSE_FACTOR);
+        self.pause = Duration::min(pause * 2, longest);
         self.move_on(now + pause);
     }
 
--- a/crates/ebonyfork/src/relay/limit_tests.rs
+++ b/crates/ebonyfork/src/relay/limit_tests.rs
@@ -204,7 +204,7 @@
     ];
     for (name, model) in cases {
         for seed in 1..=3 {
-            let report = run_model(model, 60.0, seed);
+            let report = run_model(model, 120.0, seed);
             let place = format!("{name}, seed {seed}: {report:?}");
             let slots = model.slots as f64;
             expect_that!(report.limit, near(slots, 0.05), "{place}");
--- /dev/null
+++ b/crates/ebonyfork/src/relay/policy_tests.rs
@@ -0,0 +1,370 @@
+//! The relay's decisions under load: a model upstream under virtual time, open arrivals, fixed seeds.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::declaration::ServiceEntry;
+use crate::ident::{IncarnationNumber, ServiceName, SnapshotVersion};
+use crate::relay::message::ShardVerdict;
+use crate::settings::{LimitMode, QueueOrder};
+use crate::topology::{UpstreamEntry, VmEntry};
+
+/// One stream of arrivals.
+#[derive(Debug, Clone, Copy)]
+struct LoadStream {
+    customer: u32,
+    class: u32,
+    /// Attempts per second, as a function of the time in seconds.
+    rate: fn(f64) -> f64,
+    /// Median service time in microseconds.
+    service: f64,
+    /// Time until the deadline in microseconds.
+    within: u64,
+}
+
+/// What became of the attempts of one stream.
+#[derive(Debug, Clone, Default)]
+struct StreamReport {
+    /// Microseconds from arrival to answer, of those answered in time.
+    latencies: Vec<u64>,
+    arrived: usize,
+}
+
+impl StreamReport {
+    /// A latency in milliseconds; what got no answer in time counts as endless.
+    fn quantile(&mut self, share: f64) -> f64 {
+        self.latencies.sort_unstable();
+        let rank = (self.arrived as f64 * share) as usize;
+        let latency = self.latencies.get(rank);
+        latency.map_or(f64::INFINITY, |latency| *latency as f64 / 1e3)
+    }
+
+    fn answered(&self) -> f64 {
+        self.latencies.len() as f64 / self.arrived as f64
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PolicyEvent {
+    Arrive {
+        stream: usize,
+    },
+    Opened {
+        connection: u32,
+    },
+    Answered {
+        connection: u32,
+        work: u32,
+        sent: u64,
+    },
+    Tick,
+}
+
+struct PolicyBench {
+    state: RelayState,
+    topology: TopologyView,
+    config: DeclaredConfig,
+    arrivals: ChaCha8Rng,
+    services: ChaCha8Rng,
+    streams: Vec<LoadStream>,
+    reports: Vec<StreamReport>,
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64, PolicyEvent)>>,
+    order: u64,
+    slots: BinaryHeap<Reverse<u64>>,
+    works: BTreeMap<u32, (usize, u64)>,
+    submitted: u64,
+    actions: Vec<RelayAction>,
+}
+
+impl PolicyBench {
+    fn new(switches: ExperimentSwitches, slots: usize, streams: Vec<LoadStream>) -> Self {
+        let vm = "10.0.0.1".parse().unwrap();
+        let zone: crate::ident::ZoneName = "zone-a".parse().unwrap();
+        let service: ServiceName = "tender-00".parse().unwrap();
+        let own = VmEntry {
+            vm,
+            zone: zone.clone(),
+            incarnation: None,
+            leaving: false,
+        };
+        let upstream = UpstreamEntry {
+            upstream: upstream(),
+            zone,
+            service: service.clone(),
+            leaving: false,
+        };
+        let mut config = DeclaredConfig::default();
+        let declared = ServiceEntry {
+            name: service.clone(),
+            connections: 25,
+            drain: Duration::from_secs(1),
+        };
+        config.services.insert(service, declared);
+        Self {
+            state: RelayState::new(vm, switches),
+            topology: TopologyView::new([own], [upstream]),
+            config,
+            arrivals: ChaCha8Rng::seed_from_u64(5),
+            services: ChaCha8Rng::seed_from_u64(6),
+            reports: vec![StreamReport::default(); streams.len()],
+            streams,
+            now: 0,
+            events: BinaryHeap::new(),
+            order: 0,
+            slots: (0..slots).map(|_| Reverse(0)).collect(),
+            works: BTreeMap::new(),
+            submitted: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    fn run(mut self, seconds: u64) -> Vec<StreamReport> {
+        for stream in 0..self.streams.len() {
+            self.schedule(0, PolicyEvent::Arrive { stream });
+        }
+        self.schedule(10_000, PolicyEvent::Tick);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            if at > seconds * 1_000_000 {
+                break;
+            }
+            self.handle(event);
+            self.run_actions();
+        }
+        self.reports
+    }
+
+    fn schedule(&mut self, after: u64, event: PolicyEvent) {
+        self.order += 1;
+        self.events
+            .push(Reverse((self.now + after, self.order, event)));
+    }
+
+    fn time(&self) -> Duration {
+        Duration::from_micros(self.now)
+    }
+
+    fn handle(&mut self, event: PolicyEvent) {
+        let now = self.time();
+        match event {
+            PolicyEvent::Arrive { stream } => self.arrive(stream),
+            PolicyEvent::Opened { connection } => {
+                let connection = ConnectionId::from_u32(connection);
+                let sign = OpenSign::Ready;
+                let event = ConnectionEvent::Opened { sign };
+                self.state.connection_event(now, connection, event);
+            }
+            PolicyEvent::Answered {
+                connection,
+                work,
+                sent,
+            } => {
+                let answer = UpstreamAnswer {
+                    verdict: ShardVerdict::Rows {
+                        version: SnapshotVersion(1),
+                        body: Bytes::new(),
+                    },
+                    draining: false,
+                    served: Duration::from_micros(self.now - sent),
+                };
+                let work = WorkId::from_u32(work);
+                let event = ConnectionEvent::Answered { work, answer };
+                self.state
+                    .connection_event(now, ConnectionId::from_u32(connection), event);
+            }
+            PolicyEvent::Tick => {
+                self.state.tick(now);
+                self.schedule(10_000, PolicyEvent::Tick);
+            }
+        }
+    }
+
+    fn arrive(&mut self, stream: usize) {
+        let load = self.streams[stream];
+        let rate = (load.rate)(self.now as f64 / 1e6);
+        let pause = -f64::ln(1.0 - self.arrivals.random::<f64>()) / f64::max(rate, 0.1);
+        self.schedule((pause * 1e6) as u64, PolicyEvent::Arrive { stream });
+        let session = SessionId::new("10.0.0.1".parse().unwrap(), IncarnationNumber(1));
+        let request = WorkRequest {
+            key: AttemptKey {
+                session,
+                query: self.submitted,
+                attempt: 0,
+            },
+            upstream: upstream(),
+            customer: CustomerId::from_u32(load.customer),
+            class: ClassId::from_u32(load.class),
+            deadline: self.time() + Duration::from_micros(load.within),
+            fingerprint: RequestFingerprint(self.submitted),
+        };
+        self.submitted += 1;
+        let views = ViewPair {
+            topology: &self.topology,
+            config: &self.config,
+        };
+        self.reports[stream].arrived += 1;
+        let work = self.state.submit(self.time(), views, &request).unwrap();
+        self.works.insert(work.as_u32(), (stream, self.now));
+    }
+
+    fn run_actions(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.state.take_actions(&mut actions);
+        for action in actions.drain(..) {
+            self.run_action(action);
+        }
+        self.actions = actions;
+    }
+
+    fn run_action(&mut self, action: RelayAction) {
+        match action {
+            RelayAction::Open { connection, .. } => {
+                let connection = connection.as_u32();
+                self.schedule(5_000, PolicyEvent::Opened { connection });
+            }
+            RelayAction::Send {
+                connection, work, ..
+            } => self.send(connection.as_u32(), work.as_u32()),
+            RelayAction::Finish { work, verdict } => {
+                let (stream, arrived) = self.works[&work.as_u32()];
+                let latency = self.now - arrived;
+                let in_time = latency <= self.streams[stream].within;
+                if in_time && matches!(verdict, ShardVerdict::Rows { .. }) {
+                    self.reports[stream].latencies.push(latency);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// First in, first out over the slots; one in a hundred takes ten times as long.
+    fn send(&mut self, connection: u32, work: u32) {
+        let (stream, _) = self.works[&work];
+        let normal: f64 = (0..12).map(|_| self.services.random::<f64>()).sum::<f64>() - 6.0;
+        let straggler = if self.services.random::<f64>() < 0.01 {
+            10.0
+        } else {
+            1.0
+        };
+        let taken = self.streams[stream].service * (normal * 0.3).exp() * straggler;
+        let Reverse(free) = self.slots.pop().unwrap();
+        let done = u64::max(free, self.now) + taken as u64;
+        self.slots.push(Reverse(done));
+        let event = PolicyEvent::Answered {
+            connection,
+            work,
+            sent: self.now,
+        };
+        self.schedule(done - self.now, event);
+    }
+}
+
+fn upstream() -> UpstreamAddress {
+    "10.1.0.1:80".parse().unwrap()
+}
+
+fn switches(queue: QueueOrder, limit: LimitMode) -> ExperimentSwitches {
+    ExperimentSwitches {
+        queue,
+        limit,
+        ..Default::default()
+    }
+}
+
+const POLICIES: [(&str, QueueOrder, LimitMode); 3] = [
+    ("arrival, static", QueueOrder::Arrival, LimitMode::Static),
+    (
+        "arrival, adaptive",
+        QueueOrder::Arrival,
+        LimitMode::Adaptive,
+    ),
+    ("slack, adaptive", QueueOrder::Slack, LimitMode::Adaptive),
+];
+
+fn report(name: &str, mut reports: Vec<StreamReport>) -> Vec<StreamReport> {
+    for (number, report) in reports.iter_mut().enumerate() {
+        println!(
+            "{name}, stream {number}: p50 {:.1} ms, p99 {:.1} ms, in time {:.4}",
+            report.quantile(0.5),
+            report.quantile(0.99),
+            report.answered()
+        );
+    }
+    reports
+}
+
+#[gtest]
+fn customer_that_wakes_spoils_no_other() {
+    for (name, queue, limit) in POLICIES {
+        let steady = |customer| LoadStream {
+            customer,
+            class: 0,
+            rate: |_| 20.0,
+            service: 8_000.0,
+            within: 300_000,
+        };
+        let burst = LoadStream {
+            rate: |at| if at % 10.0 < 2.0 { 500.0 } else { 10.0 },
+            ..steady(9)
+        };
+        let streams = vec![steady(0), steady(1), steady(2), burst];
+        let bench = PolicyBench::new(switches(queue, limit), 2, streams);
+        report(name, bench.run(120));
+    }
+}
+
+#[gtest]
+fn bulk_delays_no_lookup() {
+    for (name, queue, limit) in POLICIES {
+        let lookup = LoadStream {
+            customer: 0,
+            class: 0,
+            rate: |_| 60.0,
+            service: 2_000.0,
+            within: 100_000,
+        };
+        let bulk = LoadStream {
+            customer: 1,
+            class: 1,
+            rate: |_| 40.0,
+            service: 30_000.0,
+            within: 2_000_000,
+        };
+        let bench = PolicyBench::new(switches(queue, limit), 2, vec![lookup, bulk]);
+        report(name, bench.run(120));
+    }
+}
+
+#[gtest]
+fn overload_keeps_its_goodput() {
+    for (name, queue, limit) in POLICIES {
+        for (load, rate) in [
+            ("80 %", (|_| 190.0) as fn(f64) -> f64),
+            ("95 %", |_| 226.0),
+            ("130 %", |_| 309.0),
+            ("200 %", |_| 476.0),
+        ] {
+            let stream = LoadStream {
+                customer: 0,
+                class: 0,
+                rate,
+                service: 8_000.0 / 1.14,
+                within: 150_000,
+            };
+            let streams = vec![stream];
+            let bench = PolicyBench::new(switches(queue, limit), 2, streams);
+            let reports = report(&format!("{name}, {load}"), bench.run(60));
+            println!(
+                "   goodput {:.1} per second",
+                reports[0].latencies.len() as f64 / 60.0
+            );
+        }
+    }
+}
--- a/crates/ebonyfork/src/relay/state.rs
+++ b/crates/ebonyfork/src/relay/state.rs
@@ -325,3 +325,7 @@
 #[cfg(test)]
 #[path = "state_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "policy_tests.rs"]
+mod policy_tests;
