Give up at once what can hardly be answered in time while others wait

Cause: with least slack first an overloaded upstream works on attempts that will just miss their deadline. An attempt past its latest start (two usual service times before the deadline) is now refused as not run as soon as others fill the free slots; alone, it is still sent.

--- a/crates/ebonyfork/src/relay/message.rs
+++ b/crates/ebonyfork/src/relay/message.rs
@@ -79,7 +79,7 @@
     Shed,
     /// The relay's queue is full.
     QueueFull,
-    /// The deadline passed before it was sent.
+    /// The deadline passed, or came too near, before it was sent.
     Expired,
     /// The relay does not own the upstream.
     NotOwner,
--- a/crates/ebonyfork/src/relay/policy_tests.rs
+++ b/crates/ebonyfork/src/relay/policy_tests.rs
@@ -75,6 +75,8 @@
     streams: Vec<LoadStream>,
     reports: Vec<StreamReport>,
     now: u64,
+    /// What arrives too late to be decided by then is not counted.
+    ends: u64,
     events: BinaryHeap<Reverse<(u64, u64, PolicyEvent)>>,
     order: u64,
     slots: BinaryHeap<Reverse<u64>>,
@@ -116,6 +118,7 @@
             reports: vec![StreamReport::default(); streams.len()],
             streams,
             now: 0,
+            ends: 0,
             events: BinaryHeap::new(),
             order: 0,
             slots: (0..slots).map(|_| Reverse(0)).collect(),
@@ -126,13 +129,14 @@
     }
 
     fn run(mut self, seconds: u64) -> Vec<StreamReport> {
+        self.ends = seconds * 1_000_000;
         for stream in 0..self.streams.len() {
             self.schedule(0, PolicyEvent::Arrive { stream });
         }
         self.schedule(10_000, PolicyEvent::Tick);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             self.now = at;
-            if at > seconds * 1_000_000 {
+            if at > self.ends {
                 break;
             }
             self.handle(event);
@@ -209,7 +213,8 @@
             topology: &self.topology,
             config: &self.config,
         };
-        self.reports[stream].arrived += 1;
+        let counts = self.now + load.within <= self.ends;
+        self.reports[stream].arrived += usize::from(counts);
         let work = self.state.submit(self.time(), views, &request).unwrap();
         self.works.insert(work.as_u32(), (stream, self.now));
     }
@@ -235,8 +240,9 @@
             RelayAction::Finish { work, verdict } => {
                 let (stream, arrived) = self.works[&work.as_u32()];
                 let latency = self.now - arrived;
-                let in_time = latency <= self.streams[stream].within;
-                if in_time && matches!(verdict, ShardVerdict::Rows { .. }) {
+                let within = self.streams[stream].within;
+                let counts = arrived + within <= self.ends && latency <= within;
+                if counts && matches!(verdict, ShardVerdict::Rows { .. }) {
                     self.reports[stream].latencies.push(latency);
                 }
             }
@@ -270,31 +276,29 @@
     "10.1.0.1:80".parse().unwrap()
 }
 
-fn switches(queue: QueueOrder, limit: LimitMode) -> ExperimentSwitches {
-    ExperimentSwitches {
+/// What the measurements compare with: order of arrival, and the connection share as the only limit.
+const BASELINE: (QueueOrder, LimitMode) = (QueueOrder::Arrival, LimitMode::Static);
+const POLICY: (QueueOrder, LimitMode) = (QueueOrder::Slack, LimitMode::Adaptive);
+
+/// Runs the streams on an upstream with two slots. `cargo test policy -- --nocapture` shows the figures.
+fn run_policy(
+    (queue, limit): (QueueOrder, LimitMode),
+    streams: &[LoadStream],
+    seconds: u64,
+) -> Vec<StreamReport> {
+    let switches = ExperimentSwitches {
         queue,
         limit,
         ..Default::default()
-    }
-}
-
-const POLICIES: [(&str, QueueOrder, LimitMode); 3] = [
-    ("arrival, static", QueueOrder::Arrival, LimitMode::Static),
-    (
-        "arrival, adaptive",
-        QueueOrder::Arrival,
-        LimitMode::Adaptive,
-    ),
-    ("slack, adaptive", QueueOrder::Slack, LimitMode::Adaptive),
-];
-
-fn report(name: &str, mut reports: Vec<StreamReport>) -> Vec<StreamReport> {
+    };
+    let mut reports = PolicyBench::new(switches, 2, streams.to_vec()).run(seconds);
     for (number, report) in reports.iter_mut().enumerate() {
         println!(
-            "{name}, stream {number}: p50 {:.1} ms, p99 {:.1} ms, in time {:.4}",
+            "{queue:?} {limit:?} stream {number}: p50 {:.1} ms, p99 {:.1} ms, in time {:.4}, goodput {:.1}/s",
             report.quantile(0.5),
             report.quantile(0.99),
-            report.answered()
+            report.answered(),
+            report.latencies.len() as f64 / seconds as f64,
         );
     }
     reports
@@ -302,69 +306,70 @@
 
 #[gtest]
 fn customer_that_wakes_spoils_no_other() {
-    for (name, queue, limit) in POLICIES {
-        let steady = |customer| LoadStream {
-            customer,
-            class: 0,
-            rate: |_| 20.0,
-            service: 8_000.0,
-            within: 300_000,
-        };
-        let burst = LoadStream {
-            rate: |at| if at % 10.0 < 2.0 { 500.0 } else { 10.0 },
-            ..steady(9)
-        };
-        let streams = vec![steady(0), steady(1), steady(2), burst];
-        let bench = PolicyBench::new(switches(queue, limit), 2, streams);
-        report(name, bench.run(120));
+    let steady = |customer| LoadStream {
+        customer,
+        class: 0,
+        rate: |_| 20.0,
+        service: 8_000.0,
+        within: 300_000,
+    };
+    let burst = LoadStream {
+        rate: |at| if at % 10.0 < 2.0 { 500.0 } else { 10.0 },
+        ..steady(9)
+    };
+    let streams = [steady(0), steady(1), steady(2), burst];
+    let baseline = run_policy(BASELINE, &streams, 60);
+    let mut reports = run_policy(POLICY, &streams, 60);
+    for number in 0..3 {
+        expect_that!(baseline[number].answered(), le(0.9));
+        expect_that!(reports[number].answered(), ge(0.999));
+        expect_that!(reports[number].quantile(0.99), le(100.0));
     }
 }
 
 #[gtest]
 fn bulk_delays_no_lookup() {
-    for (name, queue, limit) in POLICIES {
-        let lookup = LoadStream {
-            customer: 0,
-            class: 0,
-            rate: |_| 60.0,
-            service: 2_000.0,
-            within: 100_000,
-        };
-        let bulk = LoadStream {
-            customer: 1,
-            class: 1,
-            rate: |_| 40.0,
-            service: 30_000.0,
-            within: 2_000_000,
-        };
-        let bench = PolicyBench::new(switches(queue, limit), 2, vec![lookup, bulk]);
-        report(name, bench.run(120));
-    }
+    let lookup = LoadStream {
+        customer: 0,
+        class: 0,
+        rate: |_| 60.0,
+        service: 2_000.0,
+        within: 100_000,
+    };
+    let bulk = LoadStream {
+        customer: 1,
+        class: 1,
+        rate: |_| 40.0,
+        service: 30_000.0,
+        within: 2_000_000,
+    };
+    let baseline = run_policy(BASELINE, &[lookup, bulk], 60);
+    let mut reports = run_policy(POLICY, &[lookup, bulk], 60);
+    expect_that!(baseline[0].answered(), le(0.95));
+    expect_that!(reports[0].answered(), ge(0.995));
+    expect_that!(reports[0].quantile(0.99), le(60.0));
+    expect_that!(reports[1].answered(), ge(0.995));
 }
 
 #[gtest]
 fn overload_keeps_its_goodput() {
-    for (name, queue, limit) in POLICIES {
-        for (load, rate) in [
-            ("80 %", (|_| 190.0) as fn(f64) -> f64),
-            ("95 %", |_| 226.0),
-            ("130 %", |_| 309.0),
-            ("200 %", |_| 476.0),
-        ] {
-            let stream = LoadStream {
-                customer: 0,
-                class: 0,
-                rate,
-                service: 8_000.0 / 1.14,
-                within: 150_000,
-            };
-            let streams = vec![stream];
-            let bench = PolicyBench::new(switches(queue, limit), 2, streams);
-            let reports = report(&format!("{name}, {load}"), bench.run(60));
-            println!(
-                "   goodput {:.1} per second",
-                reports[0].latencies.len() as f64 / 60.0
-            );
+    let stream = |rate| LoadStream {
+        customer: 0,
+        class: 0,
+        rate,
+        service: 8_000.0 / 1.14,
+        within: 150_000,
+    };
+    let mut peak = 0;
+    // 50, 80, 95, 130 and 200 % of what two slots can do.
+    let rates: [fn(f64) -> f64; 5] = [|_| 119.0, |_| 190.0, |_| 226.0, |_| 309.0, |_| 476.0];
+    for rate in rates {
+        run_policy(BASELINE, &[stream(rate)], 30);
+        let reports = run_policy(POLICY, &[stream(rate)], 30);
+        let goodput = reports[0].latencies.len();
+        peak = usize::max(peak, goodput);
+        if rate(0.0) > 300.0 {
+            expect_that!(goodput * 100, ge(peak * 95));
         }
     }
 }
--- a/crates/ebonyfork/src/relay/queue.rs
+++ b/crates/ebonyfork/src/relay/queue.rs
@@ -1,11 +1,15 @@
 //! The queue of one upstream: least slack first, fair between customers, bounded.
 //!
-//! Each customer has a lane: a heap ordered by the latest time at which an attempt can still start. A lane's *virtual
+//! Each customer has a lane: a heap ordered by the latest time at which an attempt should start to be answered in time,
+//! its usual service time taken [`START_MARGIN`] times. A lane's *virtual
 //! time* grows by the expected cost of what it is served, and a lane that was empty starts at the queue's virtual time:
 //! a customer that wakes owes nothing for the time it slept and is served at once, however long another's backlog is.
 //! Among the lanes that are within [`FAIR_QUANTUM`] of the one furthest behind, the attempt with the least slack goes
 //! first, so that urgency decides as long as nobody is ahead of its share.
 //!
+//! The least slack first is ruinous under overload if what has next to none is still sent: every slot then works on what
+//! will just miss. So an attempt that is past its latest start is given up at once while others wait that are not.
+//!
 //! Ids are dense, heaps and lanes are reused: in a steady state nothing is allocated.
 
 use std::time::Duration;
@@ -22,6 +26,8 @@
 pub const CUSTOMER_LIMIT: usize = QUEUE_LIMIT / 2;
 /// How many attempts of mean cost a customer may be ahead of another before urgency stops to count.
 pub const FAIR_QUANTUM: u64 = 4;
+/// Usual service times that an attempt should have left when it is sent.
+pub const START_MARGIN: u64 = 2;
 /// Lanes kept for customers without a backlog.
 const IDLE_LANES: usize = 64;
 
@@ -56,7 +62,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct LaneEntry {
-    /// Latest start (or order of arrival), then order of arrival.
+    /// Latest start in microseconds (or zero), then order of arrival.
     key: (u64, u64),
     work: WorkId,
     deadline: Duration,
@@ -91,7 +97,7 @@
 /// queue.push(entry(1, 30));
 /// queue.push(entry(2, 5));
 /// let mut expired = Vec::new();
-/// let first = queue.pop(Duration::from_millis(10), &mut expired);
+/// let first = queue.pop(Duration::from_millis(10), 1, &mut expired);
 /// assert_eq!(first, Some(WorkId::from_u32(1)));
 /// assert_eq!(expired, [WorkId::from_u32(2)]);
 /// ```
@@ -150,7 +156,9 @@
         };
         self.arrivals += 1;
         let urgency = match self.order {
-            QueueOrder::Slack => (entry.deadline.as_micros() as u64).saturating_sub(cost),
+            QueueOrder::Slack => {
+                (entry.deadline.as_micros() as u64).saturating_sub(cost * START_MARGIN)
+            }
             QueueOrder::Arrival => 0,
         };
         let stored = LaneEntry {
@@ -170,12 +178,14 @@
         PushResult::Queued
     }
 
-    /// Takes out what is to be sent next; attempts whose deadline has passed are taken out on the way.
-    pub fn pop(&mut self, now: Duration, expired: &mut Vec<WorkId>) -> Option<WorkId> {
+    /// Takes out what is to be sent next when `room` more may be sent. Attempts that are too late are taken out on the
+    /// way: those whose deadline has passed, and those past their latest start as long as others fill the room.
+    pub fn pop(&mut self, now: Duration, room: usize, expired: &mut Vec<WorkId>) -> Option<WorkId> {
         while let Some(lane) = self.next_lane() {
             let head = self.lanes[lane].heap[0];
             self.remove_at(lane, 0);
-            if head.deadline <= now {
+            let late = self.order == QueueOrder::Slack && head.key.0 < now.as_micros() as u64;
+            if head.deadline <= now || late && self.length >= room {
                 expired.push(head.work);
                 continue;
             }
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -431,8 +431,13 @@
             self.hand_back(RefusalReason::Leaving, tables);
             return;
         }
-        while self.sent.len() < self.limit.current() as usize && !self.idle.is_empty() {
-            let Some(work) = self.queue.pop(now, &mut self.taken) else {
+        loop {
+            let free = (self.limit.current() as usize).saturating_sub(self.sent.len());
+            let room = usize::min(free, self.idle.len());
+            if room == 0 {
+                break;
+            }
+            let Some(work) = self.queue.pop(now, room, &mut self.taken) else {
                 break;
             };
             self.send(work, tables);
