Run queries under a key at most once, and hand sealed outcomes to a successor

The key names the only process incarnation that may run it, so neither a lease nor a store write is needed. Foreign keys are asked of that process, then of the VMs that may hold its sealed outcomes; none of them runs the key. wire::PeerMessage gains Once at its end.

--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod locate;
 pub mod membership;
 pub mod node;
+pub mod once;
 pub mod operator;
 pub mod platform;
 pub mod quantity;
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -36,6 +36,7 @@
             }
             PeerMessage::Revision(message) => self.revision.take_message(from, message).await,
             PeerMessage::Catalog(message) => self.catalog.take_message(from, message).await,
+            PeerMessage::Once(_) => log::debug!("no keys yet: message from {:?}", from.peer()),
             PeerMessage::Hello(_) => log::debug!("a second hello from {:?}", from.peer()),
         }
     }
--- /dev/null
+++ b/crates/ebonyfork/src/once/handle_tests.rs
@@ -0,0 +1,228 @@
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::*;
+use crate::declaration::{ClassScope, ClassTarget, DeclaredConfig, TargetPriority};
+use crate::ident::{IncarnationNumber, SnapshotVersion};
+use crate::query::{QueryAnswer, QueryCoverage};
+use crate::topology::{TopologyView, VmEntry};
+use crate::views::{NodeReadiness, ViewWriters, view_channels};
+use crate::wire::{LinkEvent, PeerPool, PoolSettings};
+
+struct TestNode {
+    once: OnceHandle,
+    session: SessionId,
+    runs: Arc<AtomicU32>,
+    stop: CancellationToken,
+    writers: ViewWriters,
+}
+
+fn address(last: u8) -> VmAddress {
+    VmAddress([127, 0, 9, last].into())
+}
+
+fn config() -> DeclaredConfig {
+    let mut config = DeclaredConfig::default();
+    for (name, idempotent) in [("search", true), ("deferral", false)] {
+        let target = ClassTarget {
+            name: name.parse().unwrap(),
+            index: "jurors".parse().unwrap(),
+            scope: ClassScope::One,
+            latency: Duration::from_millis(100),
+            percentile: 99.0,
+            coverage: 1.0,
+            priority: TargetPriority::LatencyFirst,
+            bound: Duration::from_secs(5),
+            idempotent,
+        };
+        config.classes.insert(target.name.clone(), target);
+    }
+    config
+}
+
+impl TestNode {
+    /// Starts a node whose runs take a moment and count.
+    fn start(last: u8, listener: TcpListener, view: &TopologyView) -> Self {
+        let session = SessionId::new(address(last), IncarnationNumber(1));
+        let (writers, views) = view_channels();
+        writers.config.send_replace(Arc::new(config()));
+        writers.topology.send_replace(Arc::new(view.clone()));
+        writers.readiness.send_replace(NodeReadiness::Ready);
+        let port = listener.local_addr().unwrap().port();
+        let stop = CancellationToken::new();
+        let slot: Arc<std::sync::OnceLock<OnceHandle>> = Arc::default();
+        let own = Arc::clone(&slot);
+        let pool = PeerPool::new(
+            PoolSettings::new(session, port),
+            stop.clone(),
+            move |event| {
+                let own = Arc::clone(&own);
+                Box::pin(async move {
+                    let Some(once) = own.get() else { return };
+                    match event {
+                        LinkEvent::Message {
+                            from,
+                            message: PeerMessage::Once(message),
+                        } => {
+                            once.take_message(from, message).await;
+                        }
+                        LinkEvent::Down { vm, unsent } => once.link_down(vm, unsent).await,
+                        LinkEvent::Message { .. } => {}
+                    }
+                })
+            },
+        );
+        let acceptor = pool.clone();
+        tokio::spawn(async move { acceptor.accept(listener).await });
+        let runs = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&runs);
+        let execute = move |request: QueryRequest| -> BoxFuture<'static, QueryOutcome> {
+            let run = counter.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                Ok(QueryAnswer {
+                    query: format!("run {run}").into(),
+                    snapshot: SnapshotVersion(1),
+                    coverage: QueryCoverage::default(),
+                    bodies: vec![request.selection],
+                })
+            })
+        };
+        let once = OnceHandle::start(session, views, execute, move |vm, message| {
+            pool.send(vm, message)
+        });
+        slot.set(once.clone()).unwrap();
+        Self {
+            once,
+            session,
+            runs,
+            stop,
+            writers,
+        }
+    }
+
+    fn runs(&self) -> u32 {
+        self.runs.load(Ordering::Relaxed)
+    }
+}
+
+/// Starts nodes 1 to 3 on one port, each with a view of all.
+async fn start_nodes() -> [TestNode; 3] {
+    let entries = [1, 2, 3].map(|last| VmEntry {
+        vm: address(last),
+        zone: "zone-a".parse().unwrap(),
+        incarnation: Some(IncarnationNumber(1)),
+        leaving: false,
+    });
+    let view = TopologyView::new(entries, []);
+    let mut listeners = Vec::new();
+    let mut port = 0;
+    for last in 1..=3 {
+        let bound = TcpListener::bind(SocketAddr::new(address(last).0, port)).await;
+        let listener = bound.unwrap();
+        port = listener.local_addr().unwrap().port();
+        listeners.push(listener);
+    }
+    let mut listeners = listeners.into_iter();
+    [1, 2, 3].map(|last| TestNode::start(last, listeners.next().unwrap(), &view))
+}
+
+fn request(class: &str, key: Option<IdempotencyKey>) -> QueryRequest {
+    QueryRequest {
+        class: class.parse().unwrap(),
+        customer: "hanbit".parse().unwrap(),
+        deadline: None,
+        record: None,
+        selection: Bytes::from_static(b"juror 7"),
+        key,
+        caller_id: None,
+    }
+}
+
+fn code(outcome: &QueryOutcome) -> Option<(RefusalCode, RunState)> {
+    let refusal = outcome.as_ref().err()?;
+    Some((refusal.code, refusal.ran))
+}
+
+#[gtest]
+#[tokio::test]
+async fn only_classes_that_are_not_idempotent_need_a_key() {
+    let nodes = start_nodes().await;
+    let once = &nodes[0].once;
+    expect_that!(once.run(request("search", None)).await, ok(anything()));
+    expect_that!(once.run(request("search", None)).await, ok(anything()));
+    expect_that!(nodes[0].runs(), eq(2));
+    let refusal = once.run(request("deferral", None)).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::BadRequest));
+    expect_that!(refusal.ran, eq(RunState::NotRun));
+    expect_that!(refusal.field.as_deref(), some(eq(KEY_FIELD)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn resends_through_any_vm_get_the_first_outcome_also_after_a_stop() {
+    let nodes = start_nodes().await;
+    let key = IdempotencyKey {
+        session: nodes[0].session,
+        sequence: 7,
+    };
+    let send = |node: usize| nodes[node].once.run(request("deferral", Some(key)));
+    let (first, second, third) = tokio::join!(send(0), send(1), send(2));
+    expect_that!(first, ok(anything()));
+    expect_that!(second, eq(&first));
+    expect_that!(third, eq(&first));
+    expect_that!(nodes[0].runs(), eq(1));
+    expect_that!(nodes[0].once.in_flight(), eq(0));
+
+    nodes[0]
+        .writers
+        .readiness
+        .send_replace(NodeReadiness::Stopping);
+    let view = nodes[0].once.views.topology.borrow().clone();
+    let successor = crate::once::session_successor(&view, key.session).unwrap();
+    let report = nodes[0].once.hand_over(successor).await;
+    expect_that!(report.taken, eq(true), "{report}");
+    expect_that!(
+        (report.sessions, report.outcomes, report.abandoned),
+        eq((1, 1, 0))
+    );
+    nodes[0].stop.cancel();
+    let new_key = IdempotencyKey { sequence: 8, ..key };
+    for node in &nodes[1..] {
+        let again = node.once.run(request("deferral", Some(key))).await;
+        expect_that!(again, eq(&first));
+        let new = node.once.run(request("deferral", Some(new_key))).await;
+        expect_that!(
+            code(&new),
+            some(eq((RefusalCode::Stopping, RunState::NotRun)))
+        );
+    }
+    expect_that!(nodes[0].runs() + nodes[1].runs() + nodes[2].runs(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_crashed_session_is_unknown_and_a_dropped_caller_loses_nothing() {
+    let nodes = start_nodes().await;
+    let key = IdempotencyKey {
+        session: nodes[0].session,
+        sequence: 7,
+    };
+    let dropped = nodes[1].once.run(request("deferral", Some(key)));
+    let gone = tokio::time::timeout(Duration::from_millis(1), dropped).await;
+    expect_that!(gone.is_err(), eq(true));
+    let again = nodes[2].once.run(request("deferral", Some(key))).await;
+    expect_that!(again, ok(anything()));
+    nodes[0].stop.cancel();
+    let lost = nodes[2].once.run(request("deferral", Some(key))).await;
+    expect_that!(
+        code(&lost),
+        some(eq((RefusalCode::OutcomeUnknown, RunState::Unknown)))
+    );
+    expect_that!(nodes[0].runs() + nodes[1].runs() + nodes[2].runs(), eq(1));
+}
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::CatalogMessage;
 use crate::ident::SessionId;
+use crate::once::OnceMessage;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
 use crate::revision::RevisionMessage;
 
@@ -34,4 +35,6 @@
     Revision(RevisionMessage),
     /// Index catalogues: what is held, and the catalogues themselves.
     Catalog(CatalogMessage),
+    /// Keys of non-idempotent queries.
+    Once(OnceMessage),
 }
