Let gossip carry notices whose content belongs to another duty

Cause: the notice that membership knew (fingerprint, age, lifted) can't carry what the quarantine has to tell: losses, clearances, terms. Membership now keeps an opaque payload of at most 192 bytes with its age; the quarantine names its news so that a copy told on by another VM is not news again.

--- a/crates/ebonyfork/src/membership/mod.rs
+++ b/crates/ebonyfork/src/membership/mod.rs
@@ -28,5 +28,7 @@
 pub use metrics::MemberFigures;
 pub use notice::{NOTICE_AGE, NOTICE_LIMIT};
 pub use protocol::{MemberCounters, MemberEvent, MemberProtocol, OutgoingDatagram, SnapshotChange};
-pub use snapshot::{GossipNotice, MemberDigest, MemberEntry, MemberSnapshot, MemberState};
+pub use snapshot::{
+    GossipNotice, MemberDigest, MemberEntry, MemberSnapshot, MemberState, NOTICE_PAYLOAD_LIMIT,
+};
 pub use timing::{ISOLATION_TIME, PROBE_PERIOD, SEND_RATE, TICK_PERIOD, suspicion_time};
--- a/crates/ebonyfork/src/membership/notice.rs
+++ b/crates/ebonyfork/src/membership/notice.rs
@@ -1,75 +1,66 @@
-//! Notices about requests that crash upstreams: a small board that every member holds.
+//! Notices of other duties: a small board that every member holds.
 //!
-//! One notice per request: the one whose event is later. Ages are rounded up when told, so that a notice can only grow
-//! older on its way and never keeps itself alive by going round.
+//! A notice is told to everybody once and then forgotten after [`NOTICE_AGE`]. Ages are rounded up when told, so that a
+//! notice can only grow older on its way and never keeps itself alive by going round.
 
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
-use crate::ident::RequestFingerprint;
-use crate::membership::snapshot::GossipNotice;
+use crate::membership::snapshot::{GossipNotice, NOTICE_PAYLOAD_LIMIT};
 
 /// Most notices that are held; the oldest goes first.
 pub const NOTICE_LIMIT: usize = 64;
 /// Age at which a notice is forgotten.
 pub const NOTICE_AGE: Duration = Duration::from_mins(15);
-/// An event counts as later if it is by this much; ages travel in whole seconds.
-const LATER_BY: Duration = Duration::from_secs(2);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct HeldNotice {
-    /// When the event was, on this process's clock. Events before its start count as at its start.
-    event: Duration,
-    /// How old the event was when this process started, beyond what `event` can say.
+    /// When it was published, on this process's clock; at its start if it was earlier.
+    published: Duration,
+    /// How old it was when this process started, beyond what `published` can say.
     elder: Duration,
-    lifted: bool,
+    payload: SmallVec<[u8; 64]>,
 }
 
 impl HeldNotice {
     fn age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.event) + self.elder
+        now.saturating_sub(self.published) + self.elder
     }
 }
 
 /// The notices that this process holds.
 #[derive(Debug, Default)]
 pub struct NoticeBoard {
-    held: FxHashMap<RequestFingerprint, HeldNotice>,
+    held: FxHashMap<u64, HeldNotice>,
 }
 
 impl NoticeBoard {
     /// Takes a notice and tells whether it was news.
-    pub fn merge(&mut self, now: Duration, notice: GossipNotice) -> bool {
-        let age = Duration::from_secs(u64::from(notice.age_s));
-        if age >= NOTICE_AGE {
+    pub fn merge(&mut self, now: Duration, notice: &GossipNotice) -> bool {
+        let age = notice.age();
+        let known = self.held.contains_key(&notice.number);
+        if known || age >= NOTICE_AGE || notice.payload.len() > NOTICE_PAYLOAD_LIMIT {
             return false;
         }
-        if let Some(held) = self.held.get(&notice.fingerprint) {
-            let later = age + LATER_BY <= held.age(now);
-            // A lift and the evidence it answers may be seconds apart; the lift then wins.
-            let lifts = notice.lifted && !held.lifted && age <= held.age(now);
-            if !later && !lifts {
-                return false;
-            }
-        }
         let held = HeldNotice {
-            event: now.saturating_sub(age),
+            published: now.saturating_sub(age),
             elder: age.saturating_sub(now),
-            lifted: notice.lifted,
+            payload: notice.payload.clone(),
         };
-        self.held.insert(notice.fingerprint, held);
+        self.held.insert(notice.number, held);
         self.bound(now);
-        self.held.contains_key(&notice.fingerprint)
+        self.held.contains_key(&notice.number)
     }
 
     fn bound(&mut self, now: Duration) {
         while self.held.len() > NOTICE_LIMIT {
             let oldest = self.held.iter().max_by_key(|(_, held)| held.age(now));
-            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+            let Some(number) = oldest.map(|(number, _)| *number) else {
                 return;
             };
-            self.held.remove(&fingerprint);
+            self.held.remove(&number);
         }
     }
 
@@ -78,18 +69,19 @@
         self.held.retain(|_, held| held.age(now) < NOTICE_AGE);
     }
 
-    /// What is told to others about a request.
-    pub fn notice(&self, now: Duration, fingerprint: RequestFingerprint) -> Option<GossipNotice> {
-        let held = self.held.get(&fingerprint)?;
+    /// What is told to others.
+    pub fn notice(&self, now: Duration, number: u64) -> Option<GossipNotice> {
+        let held = self.held.get(&number)?;
+        let age_s = held.age(now).as_millis().div_ceil(1_000) as u32;
         Some(GossipNotice {
-            fingerprint,
-            age_s: held.age(now).as_millis().div_ceil(1_000) as u32,
-            lifted: held.lifted,
+            number,
+            age_s,
+            payload: held.payload.clone(),
         })
     }
 
-    /// The requests that notices are held about.
-    pub fn fingerprints(&self) -> impl Iterator<Item = RequestFingerprint> {
+    /// The notices that are held.
+    pub fn numbers(&self) -> impl Iterator<Item = u64> {
         self.held.keys().copied()
     }
 }
--- a/crates/ebonyfork/src/membership/paging.rs
+++ b/crates/ebonyfork/src/membership/paging.rs
@@ -8,7 +8,7 @@
 
 use rand::{Rng, RngExt};
 
-use crate::ident::{RequestFingerprint, VmAddress};
+use crate::ident::VmAddress;
 use crate::membership::message::{
     DATAGRAM_LIMIT, DatagramWriter, GossipFact, MemberMessage, PACKET_OVERHEAD,
 };
@@ -132,10 +132,10 @@
             writer.push(&GossipFact::Member(accused));
         }
         if after.is_none() {
-            let mut fingerprints: Vec<RequestFingerprint> = self.board.fingerprints().collect();
-            fingerprints.sort_unstable();
-            for fingerprint in fingerprints {
-                let notice = self.board.notice(now, fingerprint);
+            let mut numbers: Vec<u64> = self.board.numbers().collect();
+            numbers.sort_unstable();
+            for number in numbers {
+                let notice = self.board.notice(now, number);
                 // What does not fit comes with gossip, as long as it is news.
                 let _fits = notice.is_some_and(|notice| writer.push(&GossipFact::Notice(notice)));
             }
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::ident::{RequestFingerprint, SessionId, VmAddress, ZoneName};
+use crate::ident::{SessionId, VmAddress, ZoneName};
 use crate::membership::message::{
     DATAGRAM_LIMIT, DatagramWriter, DigestUpdate, GossipFact, MemberHealth, MemberLife,
     MemberMessage, MemberUpdate, PACKET_OVERHEAD, SenderHeader,
@@ -118,7 +118,7 @@
     revision_news: SpreadQueue<VmAddress>,
     /// Members whose load has changed: a lost one is replaced by the next.
     digest_news: SpreadQueue<VmAddress>,
-    notice_news: SpreadQueue<RequestFingerprint>,
+    notice_news: SpreadQueue<u64>,
     suspects: Vec<SuspectTimer>,
     budget: ByteBudget,
     last_call: Duration,
@@ -212,8 +212,8 @@
 
     /// Tells all members about a request that crashes upstreams.
     pub fn publish_notice(&mut self, now: Duration, notice: GossipNotice) {
-        if self.board.merge(now, notice) {
-            self.notice_news.push(notice.fingerprint);
+        if self.board.merge(now, &notice) {
+            self.notice_news.push(notice.number);
         }
     }
 
@@ -402,8 +402,8 @@
     }
 
     pub(super) fn believe_notice(&mut self, now: Duration, notice: GossipNotice) {
-        if self.board.merge(now, notice) {
-            self.notice_news.push(notice.fingerprint);
+        if self.board.merge(now, &notice) {
+            self.notice_news.push(notice.number);
             self.events.push(MemberEvent::Notice(notice));
         }
     }
@@ -482,11 +482,8 @@
             };
             offered(writer, update.map(GossipFact::Member))
         });
-        self.notice_news.fill(tellings, |fingerprint| {
-            offered(
-                writer,
-                board.notice(now, fingerprint).map(GossipFact::Notice),
-            )
+        self.notice_news.fill(tellings, |number| {
+            offered(writer, board.notice(now, number).map(GossipFact::Notice))
         });
         let mut digest = |vm| {
             let update = if vm == own.vm {
--- a/crates/ebonyfork/src/membership/receive.rs
+++ b/crates/ebonyfork/src/membership/receive.rs
@@ -51,7 +51,7 @@
             match fact {
                 GossipFact::Member(update) => self.take_update(now, update, tell),
                 GossipFact::Digest(update) => self.believe_digest(update),
-                GossipFact::Notice(notice) => self.believe_notice(now, *notice),
+                GossipFact::Notice(notice) => self.believe_notice(now, notice.clone()),
             }
         }
         let from = datagram.sender.vm;
--- a/crates/ebonyfork/src/membership/snapshot.rs
+++ b/crates/ebonyfork/src/membership/snapshot.rs
@@ -1,12 +1,12 @@
 //! What membership tells the rest of the process.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
-use crate::ident::{
-    IncarnationNumber, RequestFingerprint, RevisionNumber, SessionId, VmAddress, ZoneName,
-};
+use crate::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
 
 /// What is believed about a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -48,15 +48,53 @@
     pub load: u16,
 }
 
-/// A fact about a request that crashes upstreams, told to every member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// Longest payload of a notice, in bytes, so that several fit into one datagram.
+pub const NOTICE_PAYLOAD_LIMIT: usize = 192;
+
+/// A short text of another duty that every member is told once, such as news about quarantined requests. Membership
+/// does not read the payload; it only keeps count of its age.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GossipNotice {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Seconds since the evidence.
+    /// Names the notice: of two with the same number only the first is told.
+    pub number: u64,
+    /// Seconds since it was published, rounded up.
     pub age_s: u32,
-    /// Whether an operator has lifted the quarantine.
-    pub lifted: bool,
+    /// What it says.
+    pub payload: SmallVec<[u8; 64]>,
+}
+
+impl GossipNotice {
+    /// Makes a new notice that is named by the hash of its payload.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::membership::GossipNotice;
+    ///
+    /// let notice = GossipNotice::new(b"news");
+    /// assert_eq!(notice.number, GossipNotice::new(b"news").number);
+    /// ```
+    pub fn new(payload: impl AsRef<[u8]>) -> Self {
+        let payload = payload.as_ref();
+        let number = xxhash_rust::xxh3::xxh3_64(payload);
+        Self {
+            number,
+            age_s: 0,
+            payload: SmallVec::from_slice(payload),
+        }
+    }
+
+    /// Names the notice by what stays the same when another member publishes the same news.
+    #[must_use]
+    pub fn with_number(mut self, number: u64) -> Self {
+        self.number = number;
+        self
+    }
+
+    /// The time since it was published.
+    pub fn age(&self) -> Duration {
+        Duration::from_secs(u64::from(self.age_s))
+    }
 }
 
 /// One member as this process sees it.
--- a/crates/ebonyfork/src/quarantine/notice.rs
+++ b/crates/ebonyfork/src/quarantine/notice.rs
@@ -61,6 +61,47 @@
 }
 
 impl QuarantineNotice {
+    /// Names the news for gossip: the same on every VM that tells it on. A quarantine whose term was extended is news.
+    pub fn number(&self) -> u64 {
+        /// Terms that differ by less count as one, because ages travel with an error.
+        const TERM_STEP_S: u64 = 30;
+        let (tag, id, term) = match self {
+            Self::Suspected {
+                id, fingerprint, ..
+            } => (0, id.0 ^ fingerprint.0, 0),
+            Self::Cleared {
+                fingerprint,
+                losses,
+            } => {
+                let losses = losses
+                    .iter()
+                    .fold(0, |sum: u64, loss| sum.wrapping_add(loss.0));
+                (1, fingerprint.0 ^ losses, 0)
+            }
+            Self::Quarantined { id, age, left, .. } => (2, id.0, (*age + *left).as_secs()),
+            Self::Lifted { id, .. } => (3, id.0, 0),
+        };
+        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+        for part in [tag, id, (term + TERM_STEP_S / 2) / TERM_STEP_S] {
+            hasher.update(&part.to_le_bytes());
+        }
+        hasher.digest()
+    }
+
+    /// Brings the ages up to date after the notice has been on its way for some time.
+    #[must_use]
+    pub fn with_elapsed(mut self, elapsed: Duration) -> Self {
+        match &mut self {
+            Self::Suspected { age, .. } | Self::Lifted { age, .. } => *age += elapsed,
+            Self::Quarantined { age, left, .. } => {
+                *age += elapsed;
+                *left = left.saturating_sub(elapsed);
+            }
+            Self::Cleared { .. } => {}
+        }
+        self
+    }
+
     /// The request it is about.
     pub fn fingerprint(&self) -> RequestFingerprint {
         match self {
