--- a/crates/ebonyfork-lab/src/command/mod.rs
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one folder of subcommands over the library.
 
 mod platform;
+mod run;
 mod upstream;
 
 use std::process::ExitCode;
@@ -14,6 +15,8 @@
     Command::new("ebonyfork-lab")
         .about("Stand-ins for the platform and the upstreams, load generator and experiments")
         .subcommand_required(true)
+        .subcommand(run::quickstart_command())
+        .subcommand(run::run_command())
         .subcommand(platform::command())
         .subcommand(upstream::command())
 }
@@ -22,6 +25,8 @@
 pub async fn run() -> Result<ExitCode, LabError> {
     let matches = command().get_matches();
     match matches.subcommand() {
+        Some(("quickstart", matches)) => run::quickstart(matches).await,
+        Some(("run", matches)) => run::run(matches).await,
         Some(("platform", matches)) => platform::run(matches).await,
         Some(("upstream", matches)) => upstream::run(matches).await,
         _ => Ok(ExitCode::FAILURE),
--- /dev/null
+++ b/crates/ebonyfork-lab/src/command/run.rs
@@ -0,0 +1,115 @@
+//! `ebonyfork-lab quickstart` and `ebonyfork-lab run SCENARIO.ini`.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::error::{LabError, ReadFileSnafu};
+use crate::experiment::{ProgressFunction, RunReport, run_scenario, write_table};
+use crate::scenario::Scenario;
+
+/// The scenario of `quickstart`.
+const QUICKSTART: &str = include_str!("../../../../scenarios/quickstart.ini");
+
+pub(super) fn quickstart_command() -> Command {
+    Command::new("quickstart")
+        .about("Brings up both deployments' searches on loopback, sends some seconds of load, prints figures")
+        .arg(output_arg())
+        .after_help("Exit status: 0 clean, 1 a violation, 2 the run itself failed.")
+}
+
+pub(super) fn run_command() -> Command {
+    Command::new("run")
+        .about("Runs a scenario and prints its figures")
+        .arg(
+            Arg::new("scenario")
+                .value_name("SCENARIO.ini")
+                .required(true)
+                .help("Scenario; its keys are documented in docs/LAB.md"),
+        )
+        .arg(output_arg())
+        .arg(
+            Arg::new("variant")
+                .long("variant")
+                .value_name("NAME")
+                .help("Runs only this variant"),
+        )
+        .after_help(
+            "Example: ebonyfork-lab run scenarios/straggler.ini --output json\n\
+             Exit status: 0 clean, 1 a violation, 2 the run itself failed.",
+        )
+}
+
+fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .value_name("FORM")
+        .value_parser(["text", "json"])
+        .default_value("text")
+        .help("Form of the figures on standard output")
+}
+
+pub(super) async fn quickstart(matches: &ArgMatches) -> Result<ExitCode, LabError> {
+    let scenario = Scenario::parse("quickstart.ini", QUICKSTART);
+    run_and_print(scenario.map_err(scenario_error)?, matches).await
+}
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<ExitCode, LabError> {
+    let Some(path) = matches.get_one::<String>("scenario") else {
+        return Ok(ExitCode::FAILURE);
+    };
+    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
+    let mut scenario = Scenario::parse(path, &text).map_err(scenario_error)?;
+    if let Some(name) = matches.get_one::<String>("variant") {
+        scenario.variants.retain(|variant| variant.name == *name);
+    }
+    run_and_print(scenario, matches).await
+}
+
+fn scenario_error(findings: ebonyfork::finding::FindingList) -> LabError {
+    LabError::Scenario { findings }
+}
+
+/// Several runs of one load.
+#[derive(Debug, Serialize)]
+struct ComparedRuns<'a> {
+    compare: &'a [RunReport],
+}
+
+async fn run_and_print(scenario: Scenario, matches: &ArgMatches) -> Result<ExitCode, LabError> {
+    let progress = ProgressFunction::new(|line| eprintln!("{line}"));
+    let runs = run_scenario(&scenario, &progress).await?;
+    let json = matches
+        .get_one::<String>("output")
+        .is_some_and(|form| form == "json");
+    if json {
+        print_json(&runs);
+    } else {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = write_table(&mut text, &runs);
+        print!("{text}");
+    }
+    let clean = runs.iter().all(|run| run.violations.total() == 0);
+    Ok(if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(VIOLATED)
+    })
+}
+
+/// Exit status of a run with a violation.
+const VIOLATED: u8 = 1;
+
+fn print_json(runs: &[RunReport]) {
+    let text = match runs {
+        [run] => serde_json::to_string(run),
+        runs => serde_json::to_string(&ComparedRuns { compare: runs }),
+    };
+    match text {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("{error}"),
+    }
+}
--- a/crates/ebonyfork-lab/src/command/upstream.rs
+++ b/crates/ebonyfork-lab/src/command/upstream.rs
@@ -6,7 +6,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use ebonyfork::catalog::IndexCatalog;
-use ebonyfork::ident::{IndexName, ServiceName, ShardNumber};
+use ebonyfork::ident::{IndexName, ServiceName};
 use ebonyfork::quantity::TimeSpan;
 use snafu::ResultExt;
 
@@ -109,8 +109,8 @@
             return Ok(ExitCode::FAILURE);
         };
         let text = std::fs::read(path).context(ReadFileSnafu { path })?;
-        let catalog = serde_json::from_slice(&text).context(JsonSnafu { path })?;
-        hold_listed(&upstream, &index, &catalog);
+        let catalog: IndexCatalog = serde_json::from_slice(&text).context(JsonSnafu { path })?;
+        upstream.hold_listed(&index, &catalog);
     }
     eprintln!("upstream stand-in of {service} on {}", upstream.address());
     interrupted().await;
@@ -121,14 +121,3 @@
     }
     Ok(ExitCode::SUCCESS)
 }
-
-/// Lets an upstream hold what a catalogue lists for its service.
-pub(crate) fn hold_listed(upstream: &UpstreamStandIn, index: &IndexName, catalog: &IndexCatalog) {
-    for listed in &catalog.versions {
-        let own = |(shard, service): (usize, &ServiceName)| {
-            (service == upstream.service()).then_some(ShardNumber(shard as u32))
-        };
-        let shards = listed.shards.iter().enumerate().filter_map(own);
-        upstream.hold(index.clone(), listed.version, shards);
-    }
-}
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod config_fleet;
 pub mod error;
+pub mod experiment;
 pub mod http_client;
 pub mod http_server;
 pub mod journal;
--- a/crates/ebonyfork-lab/src/load/agent.rs
+++ b/crates/ebonyfork-lab/src/load/agent.rs
@@ -29,6 +29,8 @@
 const LOCATE_TIMEOUT: Duration = Duration::from_secs(1);
 /// VMs that are asked for a locate answer before a caller gives up.
 const LOCATE_TRIES: usize = 4;
+/// Of these, how many are asked near the caller.
+const NEAR_TRIES: usize = 2;
 /// Tries of one request.
 const TRIES: usize = 2;
 /// Idle connections that a caller keeps per address.
@@ -43,6 +45,8 @@
     pub delay: Duration,
     /// Caller addresses of VMs near this caller, asked for a locate answer.
     pub known: Vec<SocketAddr>,
+    /// Caller addresses of all other VMs, asked when those near don't answer.
+    pub others: Vec<SocketAddr>,
     /// Name of the customer whose requests this caller sends.
     pub customer: CustomerName,
     /// Number of the caller, unique in the run: it tells apart the keys of callers that share a session.
@@ -210,8 +214,8 @@
             return Some(kept.reply.clone());
         }
         let mut last = None;
-        for _ in 0..LOCATE_TRIES {
-            let address = self.known_address()?;
+        for number in 0..LOCATE_TRIES {
+            let address = self.known_address(number)?;
             let Some(reply) = self.locate_at(address).await else {
                 continue;
             };
@@ -229,9 +233,13 @@
         last
     }
 
-    fn known_address(&self) -> Option<SocketAddr> {
+    /// Picks a VM to ask: near ones first, then any.
+    fn known_address(&self, number: usize) -> Option<SocketAddr> {
+        let AgentSettings { known, others, .. } = &self.settings;
+        let near = !known.is_empty() && (number < NEAR_TRIES || others.is_empty());
+        let addresses = if near { known } else { others };
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-        self.settings.known.choose(&mut *rng).copied()
+        addresses.choose(&mut *rng).copied()
     }
 
     async fn locate_at(&self, address: SocketAddr) -> Option<LocateReply> {
--- a/crates/ebonyfork-lab/src/load/agent_tests.rs
+++ b/crates/ebonyfork-lab/src/load/agent_tests.rs
@@ -107,6 +107,7 @@
         clock: RunClock::start(),
         delay: Duration::ZERO,
         known: vec![known],
+        others: Vec::new(),
         customer: "roofers".parse().expect("a name"),
         number: 3,
     });
--- a/crates/ebonyfork-lab/src/main.rs
+++ b/crates/ebonyfork-lab/src/main.rs
@@ -11,7 +11,8 @@
         Ok(code) => code,
         Err(error) => {
             eprintln!("{error}");
-            ExitCode::FAILURE
+            // 1 means a violation; the run itself failing is told apart.
+            ExitCode::from(2)
         }
     }
 }
--- a/crates/ebonyfork-lab/src/upstream/server.rs
+++ b/crates/ebonyfork-lab/src/upstream/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonyfork::catalog::IndexCatalog;
 use ebonyfork::ident::{IndexName, ServiceName, ShardNumber, SnapshotVersion, UpstreamAddress};
 use ebonyfork::query::SELECTION_LIMIT;
 use http::{Method, Request, StatusCode};
@@ -112,6 +113,17 @@
         self.shared.state().hold(index, version, shards);
     }
 
+    /// Holds what a catalogue lists for its service.
+    pub fn hold_listed(&self, index: &IndexName, catalog: &IndexCatalog) {
+        for listed in &catalog.versions {
+            let own = |(shard, service): (usize, &ServiceName)| {
+                (service == self.service()).then_some(ShardNumber(shard as u32))
+            };
+            let shards = listed.shards.iter().enumerate().filter_map(own);
+            self.hold(index.clone(), listed.version, shards);
+        }
+    }
+
     /// Gives up an index version.
     pub fn drop_version(&self, index: &IndexName, version: SnapshotVersion) {
         self.shared.state().drop_version(index, version);
