Refuse a revision that was made without knowledge of the one in force

A store that fails over to an older copy loses its last writes. Whoever then publishes reuses a number that every VM may already hold: equal numbers split the fleet, a higher one would silently revert an accepted change. Change records now name the changes they follow; a VM takes only what follows the one it holds, and a watcher that sees another head publishes the held files once more on top. Before: the new test a_number_published_anew_... could not pass by construction (equal numbers were kept on both sides). The stride in revision numbers that stood for this is gone.

--- a/crates/ebonyfork-lab/tests/revision_faults.rs
+++ b/crates/ebonyfork-lab/tests/revision_faults.rs
@@ -45,14 +45,18 @@
     }
 
     async fn publish(&self, connections: u32) -> RevisionNumber {
-        let text = format!("[service tender-00]\nconnections = {connections}\ndrain = 10s\n");
-        let files = [DeclaredFile::new("main.ini", text)];
-        match publish(&self.client, &files, "kim", "a change").await {
+        match self.try_publish(connections).await {
             PublishOutcome::Published { head, .. } => head.revision,
             other => panic!("not published: {other:?}"),
         }
     }
 
+    async fn try_publish(&self, connections: u32) -> PublishOutcome {
+        let text = format!("[service tender-00]\nconnections = {connections}\ndrain = 10s\n");
+        let files = [DeclaredFile::new("main.ini", text)];
+        publish(&self.client, &files, "kim", "a change").await
+    }
+
     fn connections(&self, node: usize) -> u32 {
         let config = self.fleet.nodes[node].config();
         let service = config.services.values().next().expect("a service");
@@ -187,3 +191,29 @@
     let reached = tokio::time::timeout(PATIENCE, reached).await;
     assert_that!(reached, ok(anything()), "epoch {epoch}");
 }
+
+#[tokio::test]
+async fn a_number_published_anew_on_a_store_that_went_back_doesnt_replace_what_is_in_force() {
+    let mut bench = Bench::start(106, &[("zone-a", 3), ("zone-b", 2)]).await;
+    let first = bench.publish(25).await;
+    assert_that!(bench.fleet.wait_for(first, PATIENCE).await, eq(true));
+    let backup = bench.platform.backup();
+    let second = bench.publish(50).await;
+    assert_that!(bench.fleet.wait_for(second, PATIENCE).await, eq(true));
+    // An operator publishes onto the older head, under the number that was lost. A watcher that writes its zone's
+    // evidence in between makes the publishing end without effect: then once more from the start.
+    let anew = loop {
+        bench.platform.restart_with(backup.clone());
+        if let PublishOutcome::Published { head, .. } = bench.try_publish(75).await {
+            break head.revision;
+        }
+    };
+    assert_that!(anew, eq(second));
+    let zone = "zone-c".parse().expect("a zone");
+    bench.fleet.add(&zone, 1).await.expect("free ports");
+    let restored = RevisionNumber(second.0 + 1);
+    assert_that!(bench.fleet.wait_for(restored, PATIENCE).await, eq(true));
+    for node in 0..6 {
+        assert_that!(bench.connections(node), eq(50), "node {node}");
+    }
+}
--- a/crates/ebonyfork/src/revision/actor.rs
+++ b/crates/ebonyfork/src/revision/actor.rs
@@ -102,7 +102,9 @@
     held: Option<HeldRevision>,
     assembly: Option<(VmAddress, RevisionAssembly)>,
     sight: StoreSight,
-    /// Since when the store has shown a lower revision than the one held.
+    /// A head that doesn't follow what is held.
+    refused: Option<HeadRecord>,
+    /// Since when the store has shown a head that lacks what is held.
     behind_since: Option<Duration>,
     restoring: bool,
     loading: bool,
@@ -179,6 +181,7 @@
             held: None,
             assembly: None,
             sight: StoreSight::Unread,
+            refused: None,
             behind_since: None,
             restoring: false,
             loading: false,
@@ -257,7 +260,9 @@
         };
         if held.revision == shown.revision && held.change != shown.change {
             self.metrics.diverged.inc();
-            log::error!("{by} shows {shown}, but {held} is in force here: publish a new revision");
+            log::error!(
+                "{by} shows {shown}, but {held} is in force here: see the operators' page on divergence"
+            );
         }
     }
 
@@ -326,6 +331,14 @@
         if !self.feed.is_wanted(head.revision.0) {
             return;
         }
+        let held = self.held.as_ref().map(HeldRevision::head);
+        if held.is_some_and(|held| !whole.change.follows(held)) {
+            self.metrics.diverged.inc();
+            log::error!("{head} was made without knowledge of what is in force here: refused");
+            self.feed.note_rejected(head.revision.0);
+            self.refused = Some(head);
+            return;
+        }
         let config = match whole.parse() {
             Ok(config) => config,
             Err(findings) => {
@@ -370,15 +383,23 @@
         });
     }
 
-    /// Moves the store's head forward again if it has gone back behind what is held.
-    fn restore_behind(&mut self, address: &WeakAddress<Self>) {
-        let now = self.now();
-        let behind = match self.sight {
-            StoreSight::Unread => false,
-            StoreSight::Empty => self.held.is_some(),
-            StoreSight::Head(head) => head.revision < self.held_revision(),
+    /// Tells whether the store's head lacks what is held.
+    fn store_lacks_held(&self) -> bool {
+        let Some(held) = self.held.as_ref().map(HeldRevision::head) else {
+            return false;
         };
-        if !behind {
+        match self.sight {
+            StoreSight::Unread => false,
+            StoreSight::Empty => true,
+            StoreSight::Head(head) if head == held => false,
+            StoreSight::Head(head) => head.revision <= held.revision || self.refused == Some(head),
+        }
+    }
+
+    /// Moves the store's head forward again if it has lost what is held.
+    fn restore_lost(&mut self, address: &WeakAddress<Self>) {
+        let now = self.now();
+        if !self.store_lacks_held() {
             self.behind_since = None;
             return;
         }
@@ -435,7 +456,7 @@
         self.run(actions, &address);
         if self.feed.is_watching() {
             self.load_wanted(&address);
-            self.restore_behind(&address);
+            self.restore_lost(&address);
             self.write_due_evidence(&address);
         }
     }
--- a/crates/ebonyfork/src/revision/assembly_tests.rs
+++ b/crates/ebonyfork/src/revision/assembly_tests.rs
@@ -14,7 +14,8 @@
     let change = ChangeRecord {
         revision: RevisionNumber(revision),
         change: ChangeId([revision as u8; 16]),
-        parent: None,
+        lineage: Vec::new(),
+        restores: None,
         parts: set.entries,
         author: "kim".into(),
         note: "".into(),
--- a/crates/ebonyfork/src/revision/mod.rs
+++ b/crates/ebonyfork/src/revision/mod.rs
@@ -3,7 +3,7 @@
 //! A revision is a whole set of declaration files. Its files are *parts*, stored once under their digest; a *change*
 //! record lists them and names its parent; the *head* names the newest change and is moved by compare-and-swap, so
 //! that of two operators exactly one wins. A VM puts a revision in force once it holds all parts, and never goes back
-//! to a lower one. A few watchers per zone ask the store; the others learn of a revision from their peers and pull
+//! to a lower one, nor to one that was made without knowledge of it. A few watchers per zone ask the store; the others learn of a revision from their peers and pull
 //! the parts from them. The watchers write what their zone's VMs hold: a revision counts as accepted when that
 //! evidence shows it for every zone.
 
@@ -29,12 +29,11 @@
 pub use message::RevisionMessage;
 pub use peers::{FAN_OUT, WATCHERS_PER_ZONE, ZonePeers};
 pub use publish::{
-    EVIDENCE_AGE_MS, ExpectedBase, PublishAction, PublishOutcome, PublishReply, PublishRequest,
-    PublishRun, REVISION_STRIDE,
+    ExpectedBase, PublishAction, PublishOutcome, PublishReply, PublishRequest, PublishRun,
 };
 pub use publisher::{publish, publish_prepared, publish_request, unix_millis};
 pub use record::{
     ChangeId, ChangeRecord, FILE_LIMIT, HEAD_KEY, HELD_PREFIX, HeadRecord, HeldEvidence,
-    LAGGING_LIMIT, LaggingVm, PartDigest, PartEntry, PartSet,
+    LAGGING_LIMIT, LINEAGE_LIMIT, LaggingVm, PartDigest, PartEntry, PartSet,
 };
 pub use store::{StoredHead, read_change, read_evidence, read_head, read_part};
--- a/crates/ebonyfork/src/revision/publish.rs
+++ b/crates/ebonyfork/src/revision/publish.rs
@@ -13,18 +13,11 @@
 use crate::ident::RevisionNumber;
 use crate::platform::{PlatformError, StoredVersion};
 
-use super::record::{
-    ChangeId, ChangeRecord, HeadRecord, HeldEvidence, PartDigest, PartEntry, PartSet,
-};
+use super::record::{ChangeId, ChangeRecord, HeadRecord, HeldEvidence, PartDigest, PartSet};
 use super::store::StoredHead;
 
 /// How often one call is tried before the run gives up.
 const TRY_LIMIT: u32 = 6;
-/// What is added to the revision's number when a zone's evidence is out of date, so that the number can't be one that
-/// a VM of that zone took from a store that has since gone back to older data.
-pub const REVISION_STRIDE: u64 = 1_000;
-/// Evidence older than this doesn't show what its zone holds now.
-pub const EVIDENCE_AGE_MS: u64 = 60_000;
 
 /// The head that a change is made for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -157,7 +150,7 @@
     request: PublishRequest,
     step: PublishStep,
     base: StoredHead,
-    base_parts: Vec<PartEntry>,
+    base_change: Option<ChangeRecord>,
     revision: RevisionNumber,
     /// Failed tries of the current step.
     failures: u32,
@@ -174,7 +167,7 @@
             request,
             step: PublishStep::Base,
             base: None,
-            base_parts: Vec::new(),
+            base_change: None,
             revision: RevisionNumber(0),
             failures: 0,
             swaps: 0,
@@ -261,7 +254,8 @@
         ChangeRecord {
             revision: self.revision,
             change: self.request.change,
-            parent: self.base_head().map(|head| head.change),
+            lineage: self.lineage(),
+            restores: None,
             parts: self.request.parts.entries.clone(),
             author: self.request.author.clone(),
             note: self.request.note.clone(),
@@ -269,6 +263,14 @@
         }
     }
 
+    fn lineage(&self) -> Vec<ChangeId> {
+        match (&self.base_change, self.base_head()) {
+            (Some(base), _) => base.child_lineage(),
+            (None, Some(head)) => vec![head.change],
+            (None, None) => Vec::new(),
+        }
+    }
+
     fn take_head(&mut self, head: StoredHead) -> PublishAction {
         match self.step {
             PublishStep::Resolve => self.resolve(head),
@@ -291,23 +293,20 @@
         self.go(PublishStep::Evidence)
     }
 
-    /// Chooses the revision's number above everything that a VM may hold.
+    /// Refuses to publish onto a head that some zone is already beyond.
     fn take_evidence(&mut self, evidence: &[HeldEvidence]) -> PublishAction {
         let head = self.base_revision();
-        let mut step = 1;
         for zone in evidence {
-            if zone.held.revision > head {
-                let (name, held) = (&zone.zone, zone.held);
-                return not_published(format_compact!(
-                    "the store has gone back to revision {head}, but zone {name} holds {held}; its watchers restore \
-                     the head, then try again"
-                ));
-            }
-            if zone.time_ms.saturating_add(EVIDENCE_AGE_MS) < self.request.time_ms {
-                step = REVISION_STRIDE;
+            if zone.held.revision <= head {
+                continue;
             }
+            let (name, held) = (&zone.zone, zone.held);
+            return not_published(format_compact!(
+                "the store has gone back to revision {head}, but zone {name} holds {held}; its watchers restore the \
+                 head within seconds, then try again"
+            ));
         }
-        self.revision = RevisionNumber(head.0 + step);
+        self.revision = RevisionNumber(head.0 + 1);
         match self.base {
             Some(_) => self.go(PublishStep::BaseChange),
             None => self.next_part(0),
@@ -323,13 +322,14 @@
     }
 
     fn take_base_change(&mut self, change: Option<ChangeRecord>) -> PublishAction {
-        let parts = change.map(|change| change.parts).unwrap_or_default();
+        let parts = &self.request.parts.entries;
+        let same = change.as_ref().is_some_and(|change| change.parts == *parts);
         if let Some(head) = self.base_head()
-            && parts == self.request.parts.entries
+            && same
         {
             return PublishAction::Finish(PublishOutcome::Unchanged { head });
         }
-        self.base_parts = parts;
+        self.base_change = change;
         self.next_part(0)
     }
 
@@ -337,8 +337,8 @@
     fn next_part(&mut self, from: usize) -> PublishAction {
         for number in from..self.request.parts.entries.len() {
             let digest = self.request.parts.entries[number].sha256;
-            let known = self.base_parts.iter().any(|part| part.sha256 == digest);
-            if !known {
+            let base = self.base_change.iter().flat_map(|change| &change.parts);
+            if !base.into_iter().any(|part| part.sha256 == digest) {
                 return self.go(PublishStep::Parts(number));
             }
         }
@@ -389,7 +389,7 @@
             let followed_by = (tip.change != change.change).then(|| tip.head());
             return self.published(followed_by);
         }
-        match change.parent {
+        match change.parent() {
             Some(next) if change.revision > self.revision => {
                 let tip = Some(tip);
                 self.go(PublishStep::Walk { tip, next })
--- a/crates/ebonyfork/src/revision/record.rs
+++ b/crates/ebonyfork/src/revision/record.rs
@@ -154,8 +154,12 @@
     pub revision: RevisionNumber,
     /// Its identity.
     pub change: ChangeId,
-    /// The change that was the head before; none for the first.
-    pub parent: Option<ChangeId>,
+    /// The changes that this one follows, newest first: its parent, the parent's parent and so on, at most
+    /// [`LINEAGE_LIMIT`] of them.
+    pub lineage: Vec<ChangeId>,
+    /// The revision whose files a watcher put in force again after the store had lost it; none for an operator's
+    /// change.
+    pub restores: Option<HeadRecord>,
     /// Its files.
     pub parts: Vec<PartEntry>,
     /// Who published it.
@@ -166,7 +170,59 @@
     pub time_ms: u64,
 }
 
+/// The most earlier changes that a record names.
+pub const LINEAGE_LIMIT: usize = 128;
+
 impl ChangeRecord {
+    /// The change that was the head before; none for the first.
+    pub fn parent(&self) -> Option<ChangeId> {
+        self.lineage.first().copied()
+    }
+
+    /// The lineage of a change that is made onto this one.
+    pub fn child_lineage(&self) -> Vec<ChangeId> {
+        let mut lineage = vec![self.change];
+        lineage.extend(self.lineage.iter().take(LINEAGE_LIMIT - 1));
+        lineage
+    }
+
+    /// Tells whether this change was made in knowledge of another: only then may it replace it.
+    ///
+    /// A store that loses its last writes and is published to again shows a change that wasn't. Against a revision so
+    /// old that the lineage doesn't reach back to it, the higher number decides.
+    pub fn follows(&self, held: HeadRecord) -> bool {
+        if self.revision <= held.revision {
+            return false;
+        }
+        let beyond = self.lineage.len() >= LINEAGE_LIMIT
+            && self.revision.0 - held.revision.0 >= LINEAGE_LIMIT as u64;
+        beyond || self.lineage.contains(&held.change)
+    }
+
+    /// A change that puts this one's files in force again, onto a head that doesn't follow it.
+    #[must_use]
+    pub fn restored_onto(&self, head: &ChangeRecord, change: ChangeId, time_ms: u64) -> Self {
+        let mut lineage = vec![head.change, self.change];
+        for earlier in self.lineage.iter().chain(&head.lineage) {
+            if lineage.len() < LINEAGE_LIMIT && !lineage.contains(earlier) {
+                lineage.push(*earlier);
+            }
+        }
+        Self {
+            revision: RevisionNumber(head.revision.0.max(self.revision.0) + 1),
+            change,
+            lineage,
+            restores: Some(self.head()),
+            parts: self.parts.clone(),
+            author: CompactString::const_new("ebonyfork"),
+            note: format_compact!(
+                "restores revision {}, which the store had lost when {} was published",
+                self.revision,
+                head.revision
+            ),
+            time_ms,
+        }
+    }
     /// The head that names this change.
     pub fn head(&self) -> HeadRecord {
         HeadRecord {
--- a/crates/ebonyfork/src/revision/record_tests.rs
+++ b/crates/ebonyfork/src/revision/record_tests.rs
@@ -20,3 +20,52 @@
     let set = PartSet::new(&[DeclaredFile::new("big.ini", fits)]);
     expect_that!(set.map(|set| set.texts[0].len()), ok(eq(&VALUE_LIMIT)));
 }
+
+fn change(revision: u64, id: u8, lineage: &[u8]) -> ChangeRecord {
+    ChangeRecord {
+        revision: RevisionNumber(revision),
+        change: ChangeId([id; 16]),
+        lineage: lineage.iter().map(|id| ChangeId([*id; 16])).collect(),
+        restores: None,
+        parts: Vec::new(),
+        author: "kim".into(),
+        note: "".into(),
+        time_ms: 0,
+    }
+}
+
+#[gtest]
+fn a_change_replaces_only_what_it_was_made_in_knowledge_of() {
+    // What is held, what comes, whether it may replace it.
+    let cases = [
+        (change(7, 7, &[6, 5]), change(8, 8, &[7, 6]), true),
+        (change(7, 7, &[6, 5]), change(9, 9, &[8, 7]), true),
+        (change(7, 7, &[6, 5]), change(7, 70, &[6, 5]), false),
+        (change(7, 7, &[6, 5]), change(8, 80, &[70, 6]), false),
+        (change(7, 7, &[6, 5]), change(6, 6, &[5]), false),
+    ];
+    for (held, next, expected) in cases {
+        expect_that!(next.follows(held.head()), eq(expected), "{next:?}");
+    }
+}
+
+#[gtest]
+fn a_restoring_change_follows_both_sides_and_so_do_its_children() {
+    let (held, lost_to) = (change(7, 7, &[6, 5]), change(8, 80, &[70, 6]));
+    let restored = held.restored_onto(&lost_to, ChangeId([9; 16]), 0);
+    expect_that!(restored.revision, eq(RevisionNumber(9)));
+    expect_true!(restored.follows(held.head()) && restored.follows(lost_to.head()));
+    let mut child = change(10, 10, &[]);
+    child.lineage = restored.child_lineage();
+    expect_true!(child.follows(held.head()) && child.follows(lost_to.head()));
+}
+
+#[gtest]
+fn a_revision_beyond_the_lineage_gives_way_to_a_higher_number() {
+    let mut far = change(1_000, 1, &[]);
+    far.lineage = (0..LINEAGE_LIMIT)
+        .map(|id| ChangeId([id as u8; 16]))
+        .collect();
+    expect_true!(far.follows(change(3, 200, &[]).head()));
+    expect_false!(far.follows(change(990, 200, &[]).head()));
+}
--- a/crates/ebonyfork/src/revision/watcher.rs
+++ b/crates/ebonyfork/src/revision/watcher.rs
@@ -7,12 +7,12 @@
 use rand_chacha::rand_core::SeedableRng;
 use xtra::WeakAddress;
 
-use crate::ident::RevisionNumber;
 use crate::platform::{Backoff, PlatformClient, PlatformError, StoredVersion, WatchChange};
 
 use super::actor::{HeadSeen, RevisionActor};
 use super::assembly::{HeldRevision, RevisionAssembly};
-use super::record::{HEAD_KEY, HeadRecord};
+use super::publisher::unix_millis;
+use super::record::{ChangeId, HEAD_KEY, HeadRecord};
 use super::store::{move_head, parse_head, put_once, read_change, read_head, read_part, to_json};
 
 /// How long one watch of the head waits.
@@ -92,28 +92,54 @@
         .map_err(|_unfinished| missing(format_compact!("{head} is not whole")))
 }
 
-/// Moves a head that has gone back forward to what is held, if nobody else moves it first. Tells whether it did.
+/// Moves the head forward again if the store has lost what is held, unless somebody else moves it first. Tells
+/// whether it did.
+///
+/// A head that went back along the held revision's own lineage is moved straight to it. If the lost number has been
+/// published anew in the meantime, the held files are published once more on top of that.
 pub(super) async fn restore_head(
     client: &PlatformClient,
     held: &HeldRevision,
 ) -> Result<bool, PlatformError> {
-    let stored = read_head(client).await?;
-    let (version, shown) = match stored {
-        Some((version, head)) => (version, head.revision),
-        None => (StoredVersion::ABSENT, RevisionNumber(0)),
+    let Some((version, head)) = read_head(client).await? else {
+        return move_forward(client, StoredVersion::ABSENT, held.clone()).await;
     };
-    if shown >= held.change.revision {
+    let own = &held.change;
+    if head == held.head() {
         return Ok(false);
     }
+    if head.revision < own.revision && own.lineage.contains(&head.change) {
+        return move_forward(client, version, held.clone()).await;
+    }
+    let Some(change) = read_change(client, head.change).await? else {
+        let reason = format_compact!("{head} has no record");
+        return Err(PlatformError::Malformed { reason });
+    };
+    if change.follows(held.head()) {
+        return Ok(false);
+    }
+    let id = ChangeId::random(&mut rand::rng());
+    let restored = HeldRevision {
+        change: own.restored_onto(&change, id, unix_millis()),
+        texts: held.texts.clone(),
+    };
+    move_forward(client, version, restored).await
+}
+
+async fn move_forward(
+    client: &PlatformClient,
+    version: StoredVersion,
+    held: HeldRevision,
+) -> Result<bool, PlatformError> {
+    let head = held.head();
     log::warn!(
         target: "ebonyfork::decision",
-        "the store has gone back to revision {shown}: restore {}",
-        held.head(),
+        "the store has lost what is held here: move its head from version {version} to {head}",
     );
-    for (sha256, text) in &held.texts {
-        put_once(client, sha256.key(), text.clone()).await?;
+    for (sha256, text) in held.texts {
+        put_once(client, sha256.key(), text).await?;
     }
-    put_once(client, held.change.change.key(), to_json(&held.change)).await?;
-    move_head(client, version, held.head()).await?;
+    put_once(client, head.change.key(), to_json(&held.change)).await?;
+    move_head(client, version, head).await?;
     Ok(true)
 }
