Join membership, gossip and the keyed queries to the node

Members tell revision and load in their digest and news of quarantined requests as notices; the revision feed hears what others hold; non-idempotent queries go through their session; a planned stop announces itself, waits out the locate time to live, finishes, hands its outcomes over and ends.

--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -3,33 +3,41 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use futures_util::future::BoxFuture;
 use prometheus_client::registry::Registry;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::caller::{CallerService, LocateAnswer, serve_callers};
 use crate::catalog::CatalogHandle;
+use crate::declaration::DeclaredConfig;
 use crate::entry::{EntryHandle, EntrySettings};
 use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress};
 use crate::locate::{LocateSettings, locate_addresses};
-use crate::membership::MemberSnapshot;
+use crate::membership::{MemberHandle, MemberSettings};
 use crate::node::dispatch::{FeedGuard, PeerDispatch};
+use crate::node::gossip::join_gossip;
 use crate::node::listening::{NodeError, NodeSockets};
 use crate::node::options::NodeOptions;
 use crate::node::readiness::{StopReport, follow_readiness, stop_node};
 use crate::node::status::StatusReader;
+use crate::once::{OnceHandle, session_successor};
 use crate::operator::{OperatorService, serve_operators};
 use crate::platform::PlatformClient;
 use crate::quarantine::QuarantineHandle;
 use crate::relay::{RelayHandle, RelaySettings};
 use crate::revision::RevisionHandle;
 use crate::settings::NodeSettings;
-use crate::topology::{TopologyHandle, TopologySettings};
+use crate::topology::{TopologyHandle, TopologySettings, TopologyView};
 use crate::views::{CatalogSet, NodeReadiness, NodeViews, ViewWriters, view_channels};
-use crate::wire::{LinkError, LinkEvent, PeerMessage, PeerPool, PoolSettings};
+use crate::wire::{EventFuture, LinkError, LinkEvent, PeerMessage, PeerPool, PoolSettings};
+
+/// Longest wait for the servers to write the answers that are due when a planned stop ends.
+const SERVER_BOUND: Duration = Duration::from_secs(5);
 
 /// One running process of the tier.
 #[derive(Debug)]
@@ -38,10 +46,12 @@
     views: NodeViews,
     dispatch: PeerDispatch,
     stop: CancellationToken,
+    members: MemberHandle,
     readiness: watch::Sender<NodeReadiness>,
     locate_ttl: Duration,
     hurry: CancellationToken,
-    tasks: JoinSet<()>,
+    servers: JoinSet<()>,
+    _tasks: JoinSet<()>,
     _feeds: FeedGuard,
 }
 
@@ -75,10 +85,17 @@
             hurry,
             ..
         } = &self;
+        self.members.announce_leaving();
         let report = stop_node(dispatch, readiness, *locate_ttl, hurry).await;
+        let successor = session_successor(&self.views.topology.borrow(), self.session);
+        if let Some(successor) = successor {
+            let handover = dispatch.once.hand_over(successor).await;
+            log::info!("handed over to {successor}: {handover:?}");
+        }
         self.stop.cancel();
-        let mut tasks = self.tasks;
-        while tasks.join_next().await.is_some() {}
+        // The servers finish the answers they are writing; what is left has no work.
+        let serving = self.servers.join_all();
+        let _finished = tokio::time::timeout(SERVER_BOUND, serving).await;
         report
     }
 }
@@ -111,14 +128,13 @@
     registry: Registry,
     client: PlatformClient,
     quarantine: QuarantineHandle,
-    members: watch::Receiver<Arc<MemberSnapshot>>,
+    servers: JoinSet<()>,
     tasks: JoinSet<()>,
 }
 
 impl NodeAssembly {
     fn new(settings: NodeSettings, options: NodeOptions, session: SessionId) -> Self {
         let client = PlatformClient::new(settings.platform, settings.platform_timeout);
-        let (_sender, members) = watch::channel(Arc::default());
         Self {
             settings,
             options,
@@ -128,7 +144,7 @@
             registry: Registry::with_prefix("ebonyfork"),
             client,
             quarantine: QuarantineHandle::new(),
-            members,
+            servers: JoinSet::new(),
             tasks: JoinSet::new(),
         }
     }
@@ -141,16 +157,26 @@
             catalog,
             readiness,
         } = writers;
-        let topology = self.start_topology(topology);
+        let (members, topology) = self.start_membership(sockets.members, topology);
+        let entry = self.start_entry(&views);
         let dispatch = PeerDispatch {
-            entry: self.start_entry(&views),
             relay: self.start_relay(&views, topology),
             revision: self.start_revision(&views, config),
             catalog: self.start_catalog(&views, catalog),
+            once: self.start_once(&views, &entry),
+            entry,
         };
         self.register(&dispatch);
+        members.register(&mut self.registry);
+        join_gossip(
+            &mut self.tasks,
+            &members,
+            &dispatch,
+            &self.quarantine,
+            &views,
+        );
         self.start_links(sockets.peers, &dispatch, &views);
-        self.start_callers(sockets.callers, &dispatch, &views);
+        self.start_callers(sockets.callers, &dispatch, &views, &members);
         self.start_operators(sockets.operators, &dispatch, &views);
         self.tasks.spawn(follow_readiness(
             views.clone(),
@@ -167,24 +193,34 @@
             views,
             dispatch,
             stop: self.stop,
+            members,
             readiness,
             locate_ttl: self.settings.locate_ttl,
             hurry: self.options.hurry,
-            tasks: self.tasks,
+            servers: self.servers,
+            _tasks: self.tasks,
         }
     }
 
-    fn start_topology(
+    fn start_membership(
         &self,
-        writer: watch::Sender<Arc<crate::topology::TopologyView>>,
-    ) -> TopologyHandle {
-        let settings = TopologySettings::new(self.session, self.settings.zone.clone());
+        socket: UdpSocket,
+        writer: watch::Sender<Arc<TopologyView>>,
+    ) -> (MemberHandle, TopologyHandle) {
+        let topology = TopologySettings::new(self.session, self.settings.zone.clone());
+        let delay = Arc::clone(&self.options.link_delay);
+        let (zone, port) = (self.settings.zone.clone(), self.settings.peer_port);
+        let seed = self.session.incarnation.0;
+        let members =
+            MemberSettings::new(self.session, zone, port, seed).with_delay(move |vm| delay(vm));
+        let members = MemberHandle::start(members, socket, topology.seeds());
         let client = self.client.clone();
-        let list = move || -> futures_util::future::BoxFuture<'static, _> {
+        let list = move || -> BoxFuture<'static, _> {
             let client = client.clone();
             Box::pin(async move { client.vms().await })
         };
-        TopologyHandle::start(settings, list, self.members.clone(), writer)
+        let topology = TopologyHandle::start(topology, list, members.snapshot(), writer);
+        (members, topology)
     }
 
     fn start_entry(&self, views: &NodeViews) -> EntryHandle {
@@ -196,6 +232,17 @@
         EntryHandle::start(settings, move |vm, message| pool.send(vm, message))
     }
 
+    fn start_once(&self, views: &NodeViews, entry: &EntryHandle) -> OnceHandle {
+        let entry = entry.clone();
+        let execute = move |request| -> BoxFuture<'static, _> {
+            let entry = entry.clone();
+            Box::pin(async move { entry.run(request).await })
+        };
+        let pool = self.pool.clone();
+        let send = move |vm, message| pool.send(vm, message);
+        OnceHandle::start(self.session, views.clone(), execute, send)
+    }
+
     fn start_relay(&self, views: &NodeViews, topology: TopologyHandle) -> RelayHandle {
         let refusing = self.quarantine.clone();
         let reporting = self.quarantine.clone();
@@ -213,7 +260,7 @@
     fn start_revision(
         &self,
         views: &NodeViews,
-        writer: watch::Sender<Arc<crate::declaration::DeclaredConfig>>,
+        writer: watch::Sender<Arc<DeclaredConfig>>,
     ) -> RevisionHandle {
         let pool = self.pool.clone();
         let send = move |vm, message| pool.send(vm, message);
@@ -245,24 +292,19 @@
     fn register(&mut self, dispatch: &PeerDispatch) {
         dispatch.entry.register(&mut self.registry);
         dispatch.relay.register(&mut self.registry);
+        dispatch.once.register(&mut self.registry);
         dispatch.revision.register(&mut self.registry);
         self.client.register(&mut self.registry);
         self.quarantine.register(&mut self.registry);
     }
 
-    fn start_links(
-        &mut self,
-        listener: tokio::net::TcpListener,
-        dispatch: &PeerDispatch,
-        views: &NodeViews,
-    ) {
+    fn start_links(&mut self, listener: TcpListener, dispatch: &PeerDispatch, views: &NodeViews) {
         let delay = Arc::clone(&self.options.link_delay);
         let settings = PoolSettings::new(self.session, self.settings.peer_port)
             .with_delay(move |vm| delay(vm));
         let dispatch = dispatch.clone();
-        let handler = move |event: LinkEvent| -> crate::wire::EventFuture {
-            Box::pin(dispatch.clone().take(event))
-        };
+        let handler =
+            move |event: LinkEvent| -> EventFuture { Box::pin(dispatch.clone().take(event)) };
         let pool = PeerPool::new(settings, self.stop.clone(), handler);
         // The cell is set here and nowhere else.
         let _first = self.pool.0.set(pool.clone());
@@ -276,24 +318,26 @@
 
     fn start_callers(
         &mut self,
-        listener: tokio::net::TcpListener,
+        listener: TcpListener,
         dispatch: &PeerDispatch,
         views: &NodeViews,
+        members: &MemberHandle,
     ) {
-        let entry = dispatch.entry.clone();
-        let run = move |request| -> futures_util::future::BoxFuture<'static, _> {
-            let entry = entry.clone();
-            Box::pin(async move { entry.run(request).await })
+        let once = dispatch.once.clone();
+        let run = move |request| -> BoxFuture<'static, _> {
+            let once = once.clone();
+            Box::pin(async move { once.run(request).await })
         };
-        let locate = self.locator(views);
+        let locate = self.locator(views, members);
         let service = CallerService::new(run, locate, views.clone());
-        self.tasks
+        self.servers
             .spawn(serve_callers(listener, service, self.stop.clone()));
     }
 
     fn locator(
         &self,
         views: &NodeViews,
+        members: &MemberHandle,
     ) -> impl Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync + 'static {
         let settings = LocateSettings {
             own: self.session,
@@ -301,7 +345,7 @@
             caller_port: self.settings.caller_port,
             ttl: self.settings.locate_ttl,
         };
-        let (topology, members) = (views.topology.clone(), self.members.clone());
+        let (topology, members) = (views.topology.clone(), members.snapshot());
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(self.session.incarnation.0));
         move |customer| {
             let mut rng = rng.lock().unwrap_or_else(PoisonError::into_inner);
@@ -312,7 +356,7 @@
 
     fn start_operators(
         &mut self,
-        listener: tokio::net::TcpListener,
+        listener: TcpListener,
         dispatch: &PeerDispatch,
         views: &NodeViews,
     ) {
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::CatalogHandle;
 use crate::entry::EntryHandle;
+use crate::once::OnceHandle;
 use crate::relay::RelayHandle;
 use crate::revision::RevisionHandle;
 use crate::wire::{LinkEvent, LinkSender, PeerMessage};
@@ -13,6 +14,7 @@
     pub(super) relay: RelayHandle,
     pub(super) revision: RevisionHandle,
     pub(super) catalog: CatalogHandle,
+    pub(super) once: OnceHandle,
 }
 
 impl PeerDispatch {
@@ -21,6 +23,9 @@
         match event {
             LinkEvent::Message { from, message } => self.take_message(from, message).await,
             LinkEvent::Down { vm, unsent } => {
+                let is_keyed = |message: &PeerMessage| matches!(message, PeerMessage::Once(_));
+                let (keyed, unsent) = unsent.into_iter().partition(is_keyed);
+                self.once.link_down(vm, keyed).await;
                 self.entry.link_down(vm, unsent).await;
             }
         }
@@ -36,7 +41,7 @@
             }
             PeerMessage::Revision(message) => self.revision.take_message(from, message).await,
             PeerMessage::Catalog(message) => self.catalog.take_message(from, message).await,
-            PeerMessage::Once(_) => log::debug!("no keys yet: message from {:?}", from.peer()),
+            PeerMessage::Once(message) => self.once.take_message(from, message).await,
             PeerMessage::Hello(_) => log::debug!("a second hello from {:?}", from.peer()),
         }
     }
--- a/crates/ebonyfork/src/node/listening.rs
+++ b/crates/ebonyfork/src/node/listening.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::settings::NodeSettings;
 
@@ -27,6 +27,7 @@
 pub(super) struct NodeSockets {
     pub(super) callers: TcpListener,
     pub(super) peers: TcpListener,
+    pub(super) members: UdpSocket,
     pub(super) operators: TcpListener,
 }
 
@@ -34,12 +35,19 @@
     /// Binds all sockets of a node.
     pub(super) async fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
         let callers = listen("callers", settings.caller_address(settings.vm)).await?;
-        let peers = listen("peers", settings.peer_address(settings.vm)).await?;
+        let address = settings.peer_address(settings.vm);
+        let peers = listen("peers", address).await?;
+        let members = UdpSocket::bind(address).await;
+        let members = members.context(BindSnafu {
+            role: "membership",
+            address,
+        })?;
         let address = SocketAddr::new(settings.vm.0, settings.operator_port);
         let operators = listen("operators", address).await?;
         Ok(Self {
             callers,
             peers,
+            members,
             operators,
         })
     }
--- a/crates/ebonyfork/src/node/mod.rs
+++ b/crates/ebonyfork/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 mod assembly;
 mod dispatch;
+mod gossip;
 mod listening;
 mod options;
 mod readiness;
--- a/crates/ebonyfork/src/node/readiness.rs
+++ b/crates/ebonyfork/src/node/readiness.rs
@@ -90,5 +90,5 @@
 }
 
 fn in_flight(dispatch: &PeerDispatch) -> usize {
-    dispatch.entry.in_flight() + dispatch.relay.in_flight()
+    dispatch.entry.in_flight() + dispatch.once.in_flight() + dispatch.relay.in_flight()
 }
--- a/crates/ebonyfork/src/node/status.rs
+++ b/crates/ebonyfork/src/node/status.rs
@@ -56,7 +56,7 @@
     fn in_flight(&self) -> InFlightStatus {
         InFlightStatus {
             queries: self.dispatch.entry.in_flight(),
-            keyed: 0,
+            keyed: self.dispatch.once.in_flight(),
             attempts: self.dispatch.relay.in_flight(),
         }
     }
