--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod finding;
 pub mod ident;
 pub mod ini;
+pub mod lifecycle;
 pub mod locate;
 pub mod membership;
 pub mod node;
