--- /dev/null
+++ b/crates/ebonyfork/benches/relay.rs
@@ -0,0 +1,83 @@
+//! Cost of the relay's decisions: the queue and the concurrency limit.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ebonyfork::relay::{
+    ConcurrencyLimit, CustomerId, LimitSample, QueueEntry, RelayQueue, WorkId,
+};
+use ebonyfork::settings::{LimitMode, QueueOrder};
+
+const WAITING: u32 = 512;
+
+fn entry(work: u32, customers: u32, now: Duration) -> QueueEntry {
+    // Deadlines between 60 and 316 ms from now, in no order.
+    let spread = u64::from(work.wrapping_mul(2_654_435_761) >> 24);
+    QueueEntry {
+        work: WorkId::from_u32(work),
+        customer: CustomerId::from_u32(work % customers),
+        deadline: now + Duration::from_millis(60 + spread),
+        cost: Duration::from_millis(8),
+    }
+}
+
+/// One attempt in and one out, with 512 waiting.
+fn push_and_pop(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("queue/push+pop");
+    for customers in [1, 8, 64, 256] {
+        group.bench_function(BenchmarkId::from_parameter(customers), |bencher| {
+            let mut queue = RelayQueue::new(QueueOrder::Slack);
+            let mut expired = Vec::new();
+            let mut now = Duration::ZERO;
+            for work in 0..WAITING {
+                queue.push(entry(work, customers, now));
+            }
+            let mut spare = WorkId::from_u32(WAITING);
+            bencher.iter(|| {
+                now += Duration::from_micros(100);
+                queue.push(entry(spare.as_u32(), customers, now));
+                let popped = queue.pop(now, usize::MAX, &mut expired);
+                spare = popped.or_else(|| expired.pop()).unwrap_or(spare);
+                expired.clear();
+            });
+        });
+    }
+    group.finish();
+}
+
+/// One attempt in and the same out again, with 512 waiting.
+fn push_and_cancel(criterion: &mut Criterion) {
+    criterion.bench_function("queue/push+cancel", |bencher| {
+        let mut queue = RelayQueue::new(QueueOrder::Slack);
+        for work in 0..WAITING {
+            queue.push(entry(work, 64, Duration::ZERO));
+        }
+        let spare = entry(WAITING, 64, Duration::ZERO);
+        bencher.iter(|| {
+            queue.push(black_box(spare));
+            queue.cancel(black_box(spare.work))
+        });
+    });
+}
+
+fn record_sample(criterion: &mut Criterion) {
+    criterion.bench_function("limit/record", |bencher| {
+        let mut limit = ConcurrencyLimit::new(LimitMode::Adaptive, 7);
+        let mut now = Duration::ZERO;
+        bencher.iter(|| {
+            now += Duration::from_micros(100);
+            let sample = LimitSample {
+                epoch: limit.epoch(),
+                in_flight: limit.current(),
+                level: 9.0 + f64::from(now.subsec_micros() % 1_000) / 2_000.0,
+                waiting: true,
+            };
+            limit.record(now, black_box(sample));
+            limit.current()
+        });
+    });
+}
+
+criterion_group!(benches, push_and_pop, push_and_cancel, record_sample);
+criterion_main!(benches);
