--- a/crates/ebonyfork/benches/relay.rs
+++ b/crates/ebonyfork/benches/relay.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use ebonyfork::relay::{
-    ConcurrencyLimit, CustomerId, LimitSample, QueueEntry, RelayQueue, WorkId,
-};
+use ebonyfork::relay::{ConcurrencyLimit, CustomerId, LimitSample, QueueEntry, RelayQueue, WorkId};
 use ebonyfork::settings::{LimitMode, QueueOrder};
 
 const WAITING: u32 = 512;
