Forget upstreams that are gone, and leave small shares whole

It is now forgotten when nothing waits, runs or is connected there, and its id is reused (test). Views are read once per batch.

--- a/crates/ebonyfork/src/relay/actor.rs
+++ b/crates/ebonyfork/src/relay/actor.rs
@@ -64,7 +64,7 @@
     started: Instant,
     tickets: SecondaryMap<WorkId, Option<WorkTicket>>,
     connections: SecondaryMap<ConnectionId, Option<mpsc::Sender<ConnectionJob>>>,
-    cancellers: FxHashMap<UpstreamId, mpsc::Sender<AttemptId>>,
+    cancellers: FxHashMap<UpstreamAddress, mpsc::Sender<AttemptId>>,
     /// Emptied after each event; kept for its allocation.
     actions: Vec<RelayAction>,
     ticking: bool,
@@ -137,6 +137,12 @@
         let class = self.state.class(&batch.class);
         let batch = Arc::new(batch);
         let submitted = Instant::now();
+        let topology = Arc::clone(&self.settings.views.topology.borrow());
+        let config = Arc::clone(&self.settings.views.config.borrow());
+        let views = ViewPair {
+            topology: &topology,
+            config: &config,
+        };
         for target in &batch.targets {
             let ticket = WorkTicket {
                 from: from.clone(),
@@ -158,18 +164,18 @@
                 deadline: ticket.deadline().duration_since(self.started),
                 fingerprint: batch.fingerprint,
             };
-            self.submit_one(&request, ticket, own);
+            self.submit_one(views, &request, ticket, own);
         }
     }
 
-    fn submit_one(&mut self, request: &WorkRequest, ticket: WorkTicket, own: &WeakAddress<Self>) {
+    fn submit_one(
+        &mut self,
+        views: ViewPair<'_>,
+        request: &WorkRequest,
+        ticket: WorkTicket,
+        own: &WeakAddress<Self>,
+    ) {
         let now = self.now();
-        let topology = Arc::clone(&self.settings.views.topology.borrow());
-        let config = Arc::clone(&self.settings.views.config.borrow());
-        let views = ViewPair {
-            topology: &topology,
-            config: &config,
-        };
         let Some(work) = self.state.submit(now, views, request) else {
             return;
         };
@@ -297,7 +303,7 @@
             return;
         }
         let address = self.state.address(upstream);
-        let canceller = self.cancellers.entry(upstream);
+        let canceller = self.cancellers.entry(address);
         let canceller = canceller.or_insert_with(|| spawn_canceller(address));
         // Best effort: the deadline ends what can't be cancelled.
         let _queued = canceller.try_send(ticket.attempt());
@@ -417,6 +423,9 @@
             config: &config,
         };
         self.state.apply_views(self.now(), views);
+        let listed = &topology.upstreams;
+        self.cancellers
+            .retain(|address, _| listed.contains_key(address));
         self.run_actions(&ctx.mailbox().address());
     }
 }
--- a/crates/ebonyfork/src/relay/state.rs
+++ b/crates/ebonyfork/src/relay/state.rs
@@ -19,6 +19,9 @@
 /// Connections assumed for a service that no revision declares yet.
 const UNDECLARED_CONNECTIONS: u32 = 6;
 
+/// Shares up to this one have no connection for cancelling.
+const CANCELLING_BEYOND: u32 = 2;
+
 /// Names one attempt: the peer's session, the query's number, the attempt's number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct AttemptKey {
@@ -86,6 +89,8 @@
     vm: VmAddress,
     switches: ExperimentSwitches,
     upstreams: PrimaryMap<UpstreamId, UpstreamState>,
+    /// Ids of upstreams that were forgotten.
+    spare: Vec<UpstreamId>,
     by_address: FxHashMap<UpstreamAddress, UpstreamId>,
     by_key: FxHashMap<AttemptKey, WorkId>,
     keys: FxHashMap<WorkId, AttemptKey>,
@@ -100,6 +105,7 @@
             vm,
             switches,
             upstreams: PrimaryMap::new(),
+            spare: Vec::new(),
             by_address: FxHashMap::default(),
             by_key: FxHashMap::default(),
             keys: FxHashMap::default(),
@@ -217,11 +223,19 @@
         self.upstreams.values().any(UpstreamState::needs_tick)
     }
 
+    /// Takes over changed views; an upstream that is no longer listed is forgotten once nothing is left there.
     pub(super) fn apply_views(&mut self, now: Duration, views: ViewPair<'_>) {
-        for (address, upstream) in &self.by_address {
-            let terms = terms(self.vm, self.switches, views, *address);
-            self.upstreams[*upstream].apply(now, terms, &mut self.tables);
-        }
+        let (upstreams, tables) = (&mut self.upstreams, &mut self.tables);
+        let (vm, switches, spare) = (self.vm, self.switches, &mut self.spare);
+        self.by_address.retain(|address, upstream| {
+            let state = &mut upstreams[*upstream];
+            state.apply(now, terms(vm, switches, views, *address), tables);
+            let keep = views.topology.upstreams.contains_key(address) || !state.is_unused();
+            if !keep {
+                spare.push(*upstream);
+            }
+            keep
+        });
         self.forget_released();
     }
 
@@ -241,8 +255,10 @@
     }
 
     pub(super) fn loads(&self, now: Duration) -> Vec<UpstreamLoad> {
-        let states = self.upstreams.values();
-        states.map(|state| state.load(now)).collect()
+        let known = self.by_address.values();
+        known
+            .map(|upstream| self.upstreams[*upstream].load(now))
+            .collect()
     }
 
     /// Connections open or being opened, to all upstreams.
@@ -275,11 +291,16 @@
         if let Some(upstream) = self.by_address.get(&address) {
             return *upstream;
         }
-        let upstream = self.upstreams.next_key();
+        let spare = self.spare.pop();
+        let upstream = spare.unwrap_or_else(|| self.upstreams.next_key());
         let mut state = UpstreamState::new(upstream, address, self.switches);
         let terms = terms(self.vm, self.switches, views, address);
         state.apply(now, terms, &mut self.tables);
-        self.upstreams.push(state);
+        if spare.is_some() {
+            self.upstreams[upstream] = state;
+        } else {
+            self.upstreams.push(state);
+        }
         self.by_address.insert(address, upstream);
         upstream
     }
@@ -313,8 +334,8 @@
         OwnershipMode::Owner => connection_share(views.topology, vm, address, limit),
         OwnershipMode::Direct => direct_share(views.topology, limit),
     };
-    // One connection of the share carries cancellations, if there is more than one.
-    let cancelling = u32::from(share > 1);
+    // One connection of the share carries cancellations, if it leaves enough for the attempts.
+    let cancelling = u32::from(share > CANCELLING_BEYOND);
     UpstreamTerms {
         share: share - cancelling,
         cancelling: cancelling == 1,
--- a/crates/ebonyfork/src/relay/state_tests.rs
+++ b/crates/ebonyfork/src/relay/state_tests.rs
@@ -398,6 +398,34 @@
     }
 }
 
+#[gtest]
+fn upstream_that_is_gone_is_forgotten() {
+    let mut bench = Bench::new(LimitMode::Adaptive);
+    bench.submit(0, 100);
+    bench.open_all();
+    bench.topology = TopologyView::default();
+    let views = ViewPair {
+        topology: &bench.topology,
+        config: &bench.config,
+    };
+    bench.state.apply_views(bench.now, views);
+    expect_that!(bench.state.loads(bench.now).len(), eq(1));
+    bench.answer(0, rows(), false);
+    while let Some(connection) = bench.closing.pop() {
+        bench.report(connection, ConnectionEvent::Closed);
+    }
+    bench.tick(5_000);
+    while let Some(connection) = bench.closing.pop() {
+        bench.report(connection, ConnectionEvent::Closed);
+    }
+    let views = ViewPair {
+        topology: &bench.topology,
+        config: &bench.config,
+    };
+    bench.state.apply_views(bench.now, views);
+    expect_that!(bench.state.loads(bench.now).len(), eq(0));
+}
+
 #[gtest]
 fn connections_that_break_together_are_one_loss() {
     let mut bench = Bench::new(LimitMode::Adaptive);
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -135,6 +135,9 @@
         self.cancelling = terms.cancelling;
         self.leaving = terms.leaving;
         self.limit.set_share(terms.share);
+        if terms.leaving {
+            self.close_idle(tables);
+        }
         self.close_surplus(tables);
         self.dispatch(now, tables);
     }
@@ -383,6 +386,11 @@
         !self.queue.is_empty() || !self.idle.is_empty() || self.loss.is_some()
     }
 
+    /// Tells whether nothing waits, runs or is connected.
+    pub(super) fn is_unused(&self) -> bool {
+        self.queue.is_empty() && self.sent.is_empty() && self.connections() == 0
+    }
+
     /// Attempts that wait.
     pub(super) fn queued(&self) -> usize {
         self.queue.len()
