Refuse a query whose target can't be met, and hedge only where that helps

Admission predicts the wait of the slowest shard that the coverage target needs, from the relays' reported waits, and refuses as not run before anything leaves, with the time the backlog takes to drain. How much of the latency a query may wait depends on its customer's share of the use. A class that misses its target tightens its own limit.

A hedge into a replica with a long queue only adds to it.

--- a/crates/ebonyfork/src/entry/choice.rs
+++ b/crates/ebonyfork/src/entry/choice.rs
@@ -48,10 +48,19 @@
     pub reason: ChoiceReason,
     /// Whether the relay is the replica's standby.
     pub standby: bool,
+    /// Part of the expected time that the request waits at the relay.
+    pub wait: Duration,
     /// Expected time until its rows are here.
     pub expected: Duration,
 }
 
+impl RouteChoice {
+    /// Expected time on an idle upstream, the way there included.
+    pub fn work(&self) -> Duration {
+        self.expected.saturating_sub(self.wait)
+    }
+}
+
 /// What a choice must leave out.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ChoiceLimits<'a> {
@@ -174,6 +183,7 @@
         relay: candidate.relay,
         reason,
         standby: candidate.standby,
+        wait: directory.replicas[candidate.replica].health.wait(now),
         expected: expected_time(directory, now, candidate),
     }
 }
--- a/crates/ebonyfork/src/entry/core.rs
+++ b/crates/ebonyfork/src/entry/core.rs
@@ -271,8 +271,7 @@
             self.actions.push_back(EntryAction::Send { vm, message });
         });
         if let Some(outcome) = ended {
-            self.runs.remove(&number);
-            self.finish(number, outcome);
+            self.end(now, number, outcome);
             return;
         }
         let Some(run) = self.runs.get_mut(&number) else {
@@ -285,6 +284,17 @@
         }
     }
 
+    fn end(&mut self, now: Duration, number: u64, outcome: QueryOutcome) {
+        if let Some(run) = self.runs.remove(&number)
+            && run.pressed
+        {
+            let met = run.meets_target(now, &outcome);
+            let admission = &mut self.tools.admission;
+            admission.review(run.terms.class, run.terms.percentile, met);
+        }
+        self.finish(number, outcome);
+    }
+
     fn finish(&mut self, query: u64, outcome: QueryOutcome) {
         self.actions
             .push_back(EntryAction::Finish { query, outcome });
--- a/crates/ebonyfork/src/entry/mod.rs
+++ b/crates/ebonyfork/src/entry/mod.rs
@@ -6,13 +6,15 @@
 //! 1. `terms`: the class target, tightened by the caller's deadline.
 //! 2. `route`: the pinned version's shards; their number is the denominator of the coverage.
 //! 3. `choice`: a replica and a relay for each shard, by what `replica` and `directory` have learnt.
-//! 4. `run`: attempts, matched with their outcomes; `hedge` says when a second attempt is worth its load.
-//! 5. `gather`: rows at the pinned version, the first per shard.
-//! 6. `verdict`: when the query is over, and what the caller is told.
+//! 4. `admission`: whether the target can be met at the present load; else a refusal before anything leaves.
+//! 5. `run`: attempts; `settle` takes their outcomes, `straggler` hedges those that are late, out of `hedge`'s budget.
+//! 6. `gather`: rows at the pinned version, the first per shard.
+//! 7. `verdict`: when the query is over, and what the caller is told.
 //!
 //! [`EntryHandle`] is the actor around it.
 
 mod actor;
+mod admission;
 mod choice;
 mod core;
 mod decision;
@@ -24,6 +26,8 @@
 mod replica;
 mod route;
 mod run;
+mod settle;
+mod straggler;
 mod terms;
 mod tools;
 mod verdict;
@@ -34,3 +38,7 @@
 pub use decision::RouteDecision;
 #[cfg(test)]
 mod fixture;
+#[cfg(test)]
+mod model;
+#[cfg(test)]
+mod policy_tests;
--- a/crates/ebonyfork/src/entry/replica.rs
+++ b/crates/ebonyfork/src/entry/replica.rs
@@ -18,8 +18,12 @@
 const SHED_AVOID: Duration = Duration::from_millis(20);
 /// A probe without an outcome for this long allows the next.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Overdue attempts in a row after which a server counts as failed.
+/// Overdue attempts in a row after which a server that is silent counts as failed.
 const OVERDUE_LIMIT: u32 = 3;
+/// A server is silent when nothing has come from it for this many service times.
+const SILENT_SERVICES: u32 = 8;
+/// A server is not silent before this time.
+const SILENT_LEAST: Duration = Duration::from_millis(100);
 /// Service time assumed of a server that nothing is known of.
 const SERVICE_PRIOR: Duration = Duration::from_millis(10);
 /// Time in which a learnt service time loses half of its excess over the prior while nothing new is heard.
@@ -42,6 +46,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ReplicaHealth {
     wait: Duration,
+    /// When that wait was reported.
+    reported: Duration,
+    /// When anything last came from the server.
     heard: Duration,
     submitted: u32,
     service: Option<Duration>,
@@ -57,7 +64,7 @@
     /// Takes in the load that the owning relay reports.
     pub fn report(&mut self, now: Duration, load: &UpstreamLoad) {
         self.wait = Duration::from_micros(load.wait_us.into());
-        self.heard = now;
+        self.reported = now;
         self.submitted = 0;
         self.limit = load.limit;
         self.leaving = load.leaving;
@@ -74,14 +81,25 @@
         }
     }
 
+    /// Takes back a [`ReplicaHealth::submit`] of a request that is not sent after all.
+    pub fn withdraw(&mut self) {
+        self.submitted = self.submitted.saturating_sub(1);
+        self.probed = None;
+    }
+
+    /// Notes that a submitted request has come back, whatever its outcome.
+    pub fn settle(&mut self, now: Duration) {
+        self.heard = now;
+        self.overdue = 0;
+        self.submitted = self.submitted.saturating_sub(1);
+    }
+
     /// Notes rows, with the time that the upstream took for them.
-    pub fn succeed(&mut self, now: Duration, served: Duration) {
+    pub fn succeed(&mut self, served: Duration) {
         let learnt = self.service.unwrap_or(served);
         let blended = (learnt * (SERVICE_WEIGHT - 1) + served) / SERVICE_WEIGHT;
         self.service = Some(blended);
-        self.heard = now;
         self.strikes = 0;
-        self.overdue = 0;
         self.probed = None;
     }
 
@@ -101,10 +119,13 @@
         self.probed = None;
     }
 
-    /// Notes that an attempt has been out for too long; several in a row count as a failure.
+    /// Notes that an attempt has been out for too long; several in a row count as a failure if nothing else came from
+    /// the server meanwhile. One that is merely slow goes on answering, and its wait says enough.
     pub fn overdue(&mut self, now: Duration) {
         self.overdue += 1;
-        if self.overdue >= OVERDUE_LIMIT {
+        let silent = now.saturating_sub(self.heard);
+        let limit = (self.service(now) * SILENT_SERVICES).max(SILENT_LEAST);
+        if self.overdue >= OVERDUE_LIMIT && silent >= limit {
             self.overdue = 0;
             self.fail(now);
         }
@@ -156,7 +177,7 @@
 
     /// The time that a request submitted now is expected to wait at the relay.
     pub fn wait(&self, now: Duration) -> Duration {
-        let drained = self.wait.saturating_sub(now.saturating_sub(self.heard));
+        let drained = self.wait.saturating_sub(now.saturating_sub(self.reported));
         let own = self.service(now) * self.submitted / u32::from(self.limit());
         let free = u32::from(self.limit());
         if self.submitted < free && drained.is_zero() {
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -7,32 +7,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-
-use super::choice::{ChoiceLimits, RouteChoice, choose_route};
+use super::admission::{AdmissionCase, AdmissionVerdict};
+use super::choice::{ChoiceLimits, ChoiceReason, RouteChoice, choose_route};
 use super::directory::{RelayId, ReplicaId};
-use super::gather::{ShardGather, ShardStanding};
+use super::gather::ShardGather;
 use super::route::RouteTable;
 use super::terms::QueryTerms;
-use super::tools::EntryTools;
+use super::tools::{EntryTools, PlannedAttempt};
 use super::verdict::FinalVerdict;
-use crate::ident::{RequestFingerprint, RunState, ShardNumber, SnapshotVersion};
-use crate::query::{QueryOutcome, QueryRequest};
-use crate::relay::{
-    AttemptPurpose, FailureReason, RefusalReason, ShardTarget, ShardVerdict, SubmitBatch,
-};
+use crate::ident::{RequestFingerprint, RunState, ShardNumber};
+use crate::query::{QueryOutcome, QueryRefusal, QueryRequest, RefusalCode};
+use crate::relay::{AttemptPurpose, RefusalReason, ShardTarget, SubmitBatch};
 
 /// Attempts at one shard, at most.
 const TRIES_PER_SHARD: u8 = 4;
-/// Upstreams that one query may lose.
-const VICTIM_LIMIT: u8 = 2;
-/// A query is planned again only while at least one part in this many of its time is left.
-const REPLAN_SHARE: u32 = 4;
-/// Shortest time between two wakes of one query.
-const WAKE_STEP: Duration = Duration::from_millis(1);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AttemptState {
+pub(super) enum AttemptState {
     /// Its outcome is awaited.
     Out,
     /// Its outcome has been taken, or is no longer wanted.
@@ -40,15 +31,17 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct AttemptSlot {
-    slot: u32,
-    replica: ReplicaId,
-    relay: RelayId,
-    sent: Duration,
-    expected: Duration,
-    /// When it counts as a straggler; none once that has been dealt with.
-    hedge_at: Option<Duration>,
-    state: AttemptState,
+pub(super) struct AttemptSlot {
+    pub(super) slot: u32,
+    pub(super) replica: ReplicaId,
+    pub(super) relay: RelayId,
+    pub(super) sent: Duration,
+    pub(super) expected: Duration,
+    /// When it counts as a straggler, or is looked at again.
+    pub(super) hedge_at: Duration,
+    /// Whether it has counted as a straggler.
+    pub(super) overdue: bool,
+    pub(super) state: AttemptState,
 }
 
 /// Where an attempt spent its time, as the relay measured it.
@@ -86,8 +79,12 @@
     pub(super) trace: RunTrace,
     /// When the entry's timer will wake it next.
     pub(super) armed: Duration,
-    route: Arc<RouteTable>,
-    attempts: Vec<AttemptSlot>,
+    /// Whether it was admitted under pressure.
+    pub(super) pressed: bool,
+    /// When the first straggler may be due.
+    pub(super) straggler_at: Duration,
+    pub(super) route: Arc<RouteTable>,
+    pub(super) attempts: Vec<AttemptSlot>,
 }
 
 impl QueryRun {
@@ -106,128 +103,99 @@
             gather: ShardGather::default(),
             trace: RunTrace::default(),
             armed: Duration::MAX,
+            pressed: false,
+            straggler_at: Duration::MAX,
             route,
             attempts: Vec::new(),
         }
     }
 
-    /// Sends the first attempts at every shard.
+    /// Plans the query, asks admission, and sends the first attempts at every shard.
     pub(super) fn begin(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
-        self.dispatch(tools, now);
-        self.judge(tools, now)
+        self.plan(tools, now);
+        let refused = self.judge(tools, now).or_else(|| self.admit(tools, now));
+        if refused.is_some() {
+            for planned in tools.plan.drain(..) {
+                let replica = planned.choice.replica;
+                tools.directory.replicas[replica].health.withdraw();
+            }
+            return refused;
+        }
+        self.send_plan(tools, now);
+        None
     }
 
-    fn dispatch(&mut self, tools: &mut EntryTools, now: Duration) {
+    /// Chooses a route for every shard that the query needs; a shard without a route is lost.
+    pub(super) fn plan(&mut self, tools: &mut EntryTools, now: Duration) {
         let route = Arc::clone(&self.route);
         let needed = self.terms.scope.needed(&self.request, &route);
         let shards = needed.map(|shard| (ShardNumber(shard), route.shards[shard as usize]));
         self.gather.reset(route.version, shards);
+        let mut plan = std::mem::take(&mut tools.plan);
+        plan.clear();
         for slot in 0..self.gather.slots().len() {
-            self.attempt(tools, now, slot, AttemptPurpose::First);
-        }
-    }
-
-    /// Takes the outcome of an attempt.
-    pub(super) fn settle(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        attempt: u32,
-        verdict: ShardVerdict,
-        times: OutcomeTimes,
-    ) -> Option<QueryOutcome> {
-        let closed = self.close(attempt)?;
-        self.learn(tools, now, closed, &verdict, times);
-        let slot = closed.slot as usize;
-        match verdict {
-            ShardVerdict::Rows { version, body } => {
-                self.trace.ran = true;
-                self.take_rows(tools, now, slot, version, body);
-            }
-            ShardVerdict::VersionGone { newest } => {
-                self.gather.slot_mut(slot).tried.push(closed.replica);
-                self.resend(tools, now, slot);
-                if self.gather.slots()[slot].standing() == ShardStanding::Lost {
-                    self.replan(tools, now, newest);
-                }
-            }
-            ShardVerdict::Moved { service } => {
-                let service = tools.directory.service_id(&service);
-                let slot_state = self.gather.slot_mut(slot);
-                slot_state.service = service;
-                slot_state.tried.clear();
-                slot_state.refused.clear();
-                self.resend(tools, now, slot);
-            }
-            ShardVerdict::NotRun(reason) => {
-                self.take_refusal(tools, now, closed, reason);
-            }
-            ShardVerdict::Failed { ran, reason } => {
-                self.take_failure(tools, now, closed, ran, reason);
-            }
+            let Some(choice) = self.choose(tools, now, slot, self.terms.idempotent) else {
+                self.gather.lose(slot);
+                continue;
+            };
+            let health = &mut tools.directory.replicas[choice.replica].health;
+            health.submit(now);
+            let slot = slot as u32;
+            plan.push(PlannedAttempt { slot, choice });
         }
-        self.judge(tools, now)
+        tools.plan = plan;
     }
 
-    /// Time has passed: hedges stragglers, and finishes at the deadline.
-    pub(super) fn wake(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
-        if let Some(outcome) = self.judge(tools, now) {
-            return Some(outcome);
-        }
-        for number in 0..self.attempts.len() {
-            let attempt = self.attempts[number];
-            let due = attempt.hedge_at.is_some_and(|at| at <= now);
-            if attempt.state != AttemptState::Out || !due {
-                continue;
-            }
-            self.attempts[number].hedge_at = None;
-            tools.directory.replicas[attempt.replica]
-                .health
-                .overdue(now);
-            self.hedge(tools, now, attempt.slot as usize);
+    pub(super) fn send_plan(&mut self, tools: &mut EntryTools, now: Duration) {
+        let mut plan = std::mem::take(&mut tools.plan);
+        for planned in plan.drain(..) {
+            let slot = planned.slot as usize;
+            tools.budget.earn();
+            self.send(tools, now, slot, planned.choice, AttemptPurpose::First);
         }
-        None
+        tools.plan = plan;
     }
 
-    /// When the run wants to be woken.
-    pub(super) fn next_wake(&self, now: Duration) -> Duration {
-        let mut next = self.terms.finish_by;
-        if self.terms.answer_by > now {
-            next = next.min(self.terms.answer_by);
+    /// Refuses the query if its target can't be met at the present load.
+    pub(super) fn admit(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
+        if !tools.switches.admission {
+            return None;
         }
-        for attempt in &self.attempts {
-            if attempt.state != AttemptState::Out {
-                continue;
+        let (wait, work) = self.terms.predict(self.gather.total(), &mut tools.plan);
+        let cost: f64 = tools
+            .plan
+            .iter()
+            .map(|p| p.choice.work().as_secs_f64())
+            .sum();
+        let case = AdmissionCase {
+            class: self.terms.class,
+            customer: &self.request.customer,
+            latency: self.terms.latency,
+            wait,
+            work,
+            cost,
+        };
+        match tools.admission.admit(now, case) {
+            AdmissionVerdict::Admitted { pressed } => {
+                self.pressed = pressed;
+                None
             }
-            if let Some(at) = attempt.hedge_at {
-                next = next.min(at);
+            AdmissionVerdict::Refused { excess } => {
+                let message = "the class's latency can't be met at the present load";
+                let refusal = QueryRefusal::new(RefusalCode::Overloaded, RunState::NotRun, message);
+                let after = tools.spread(excess);
+                Some(Err(refusal.with_retry_after(after)))
             }
         }
-        next.max(now + WAKE_STEP)
     }
 
-    /// The link to a relay broke: what is out there may have run.
-    pub(super) fn lose_link(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        relay: RelayId,
-    ) -> Option<QueryOutcome> {
-        for number in 0..self.attempts.len() {
-            let attempt = self.attempts[number];
-            if attempt.state != AttemptState::Out || attempt.relay != relay {
-                continue;
-            }
-            let verdict = ShardVerdict::Failed {
-                ran: RunState::Unknown,
-                reason: FailureReason::LinkDown,
-            };
-            let outcome = self.settle(tools, now, number as u32, verdict, OutcomeTimes::default());
-            if outcome.is_some() {
-                return outcome;
-            }
-        }
-        None
+    /// Tells whether an outcome at `now` meets the class's target.
+    pub(super) fn meets_target(&self, now: Duration, outcome: &QueryOutcome) -> bool {
+        let in_time = now <= self.terms.started + self.terms.latency;
+        in_time
+            && outcome
+                .as_ref()
+                .is_ok_and(|answer| answer.coverage.share() >= self.terms.coverage)
     }
 
     /// Cancels whatever is still out.
@@ -237,7 +205,7 @@
         }
     }
 
-    fn close(&mut self, attempt: u32) -> Option<AttemptSlot> {
+    pub(super) fn close(&mut self, attempt: u32) -> Option<AttemptSlot> {
         let attempt = self.attempts.get_mut(attempt as usize)?;
         if attempt.state != AttemptState::Out {
             return None;
@@ -248,7 +216,7 @@
         Some(closed)
     }
 
-    fn cancel(&mut self, tools: &mut EntryTools, number: usize) {
+    pub(super) fn cancel(&mut self, tools: &mut EntryTools, number: usize) {
         let Some(closed) = self.close(number as u32) else {
             return;
         };
@@ -258,193 +226,13 @@
         self.trace.unknown = true;
     }
 
-    fn learn(
-        &self,
-        tools: &mut EntryTools,
-        now: Duration,
-        closed: AttemptSlot,
-        verdict: &ShardVerdict,
-        times: OutcomeTimes,
-    ) {
-        let elapsed = now.saturating_sub(closed.sent);
-        let health = &mut tools.directory.replicas[closed.replica].health;
-        match verdict {
-            ShardVerdict::Rows { .. } => {
-                health.succeed(now, times.served);
-                let away = elapsed.saturating_sub(times.waited + times.served);
-                tools.directory.relays[closed.relay].learn_round_trip(away);
-                let service = self.gather.slots()[closed.slot as usize].service;
-                let lateness = elapsed.saturating_sub(closed.expected);
-                let model = tools.delays.entry((self.terms.class, service));
-                model.or_default().learn(lateness);
-            }
-            ShardVerdict::NotRun(RefusalReason::Unreachable) => health.fail(now),
-            ShardVerdict::NotRun(RefusalReason::Shed | RefusalReason::QueueFull) => {
-                health.shed(now);
-            }
-            ShardVerdict::Failed { reason, .. } => match reason {
-                FailureReason::Status | FailureReason::Broken | FailureReason::Malformed => {
-                    health.fail(now);
-                }
-                FailureReason::Timeout => health.overdue(now),
-                FailureReason::Cancelled | FailureReason::LinkDown => {}
-            },
-            ShardVerdict::VersionGone { .. }
-            | ShardVerdict::Moved { .. }
-            | ShardVerdict::NotRun(_) => {}
-        }
-    }
-
-    fn take_rows(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        slot: usize,
-        version: SnapshotVersion,
-        body: Bytes,
-    ) {
-        if !self.gather.accept(slot, version, body) {
-            // Rows of another version never enter; the shard is asked again if it still lacks rows.
-            self.retry(tools, now, slot);
-            return;
-        }
-        if self.gather.slots()[slot].out == 0 {
-            return;
-        }
-        for number in 0..self.attempts.len() {
-            if self.attempts[number].slot as usize == slot {
-                self.cancel(tools, number);
-            }
-        }
-    }
-
-    fn take_refusal(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        closed: AttemptSlot,
-        reason: RefusalReason,
-    ) {
-        self.trace.refusal = Some(reason);
-        let slot = self.gather.slot_mut(closed.slot as usize);
-        match reason {
-            RefusalReason::NotOwner | RefusalReason::NotReady | RefusalReason::LinkDown => {
-                slot.refused.push(closed.relay);
-            }
-            RefusalReason::Expired | RefusalReason::Quarantined => {
-                self.lose(closed.slot as usize);
-                return;
-            }
-            _ => slot.tried.push(closed.replica),
-        }
-        self.resend(tools, now, closed.slot as usize);
-    }
-
-    fn take_failure(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        closed: AttemptSlot,
-        ran: RunState,
-        reason: FailureReason,
-    ) {
-        match ran {
-            RunState::Ran => self.trace.ran = true,
-            RunState::Unknown => self.trace.unknown = true,
-            RunState::NotRun => {}
-        }
-        if reason == FailureReason::Broken {
-            self.trace.victims += 1;
-        }
-        let slot = self.gather.slot_mut(closed.slot as usize);
-        slot.tried.push(closed.replica);
-        if ran == RunState::NotRun {
-            self.resend(tools, now, closed.slot as usize);
-        } else {
-            self.retry(tools, now, closed.slot as usize);
-        }
-    }
-
-    /// Plans the whole query once more, at a version that is held, if there is one and time is left. A non-idempotent
-    /// query is never planned again once any part may have run.
-    fn replan(&mut self, tools: &mut EntryTools, now: Duration, held: SnapshotVersion) {
-        let pinned = self.gather.version();
-        let index = self.route.index.clone();
-        tools.routes.avoid(&index, pinned, now);
-        let may_have_run = self.trace.ran || self.trace.unknown;
-        if self.trace.replanned || (!self.terms.idempotent && may_have_run) {
-            return;
-        }
-        let left = self.terms.finish_by.saturating_sub(now);
-        if left < self.terms.span() / REPLAN_SHARE {
-            return;
-        }
-        let Some(route) = tools.routes.other(&index, pinned, held) else {
-            return;
-        };
-        self.cancel_rest(tools);
-        self.trace.replanned = true;
-        self.route = route;
-        self.dispatch(tools, now);
-    }
-
-    /// Makes a further attempt after one that may have run: only idempotent work, and only out of the budget.
-    fn retry(&mut self, tools: &mut EntryTools, now: Duration, slot: usize) {
-        if self.gather.slots()[slot].standing() != ShardStanding::Open {
-            return;
-        }
-        let open = self.gather.slots()[slot].out > 0;
-        if self.trace.victims >= VICTIM_LIMIT || open {
-            return;
-        }
-        if !self.terms.idempotent || !tools.budget.take(now) {
-            self.lose(slot);
-            return;
-        }
-        self.attempt(tools, now, slot, AttemptPurpose::Retry);
-    }
-
-    /// Makes a further attempt after one that was not run.
-    fn resend(&mut self, tools: &mut EntryTools, now: Duration, slot: usize) {
-        let state = &self.gather.slots()[slot];
-        if state.standing() != ShardStanding::Open || state.out > 0 {
-            return;
-        }
-        self.attempt(tools, now, slot, AttemptPurpose::Retry);
-    }
-
-    fn hedge(&mut self, tools: &mut EntryTools, now: Duration, slot: usize) {
-        let state = &self.gather.slots()[slot];
-        let single = state.standing() == ShardStanding::Open && state.out == 1;
-        if !single || !self.terms.idempotent || !tools.switches.hedge {
-            return;
-        }
-        // A query most of whose shards are open waits for load, not for a straggler.
-        if self.gather.open() > (self.gather.total() / 2).max(1) {
-            return;
-        }
-        let Some(choice) = self.choose(tools, now, slot, false) else {
-            return;
-        };
-        if now + choice.expected > self.terms.finish_by || !tools.budget.take(now) {
-            return;
-        }
-        self.send(tools, now, slot, choice, AttemptPurpose::Hedge);
-    }
-
-    fn lose(&mut self, slot: usize) {
+    pub(super) fn lose(&mut self, slot: usize) {
         if self.gather.slots()[slot].out == 0 {
             self.gather.lose(slot);
         }
     }
 
-    fn attempt(
-        &mut self,
-        tools: &mut EntryTools,
-        now: Duration,
-        slot: usize,
-        purpose: AttemptPurpose,
-    ) {
+    pub(super) fn attempt(&mut self, tools: &mut EntryTools, now: Duration, slot: usize) {
         if self.gather.slots()[slot].tries >= TRIES_PER_SHARD {
             self.lose(slot);
             return;
@@ -453,13 +241,11 @@
             self.lose(slot);
             return;
         };
-        if purpose == AttemptPurpose::First {
-            tools.budget.earn();
-        }
-        self.send(tools, now, slot, choice, purpose);
+        tools.directory.replicas[choice.replica].health.submit(now);
+        self.send(tools, now, slot, choice, AttemptPurpose::Retry);
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         tools: &mut EntryTools,
         now: Duration,
@@ -481,7 +267,7 @@
         choose_route(&mut tools.directory, &mut tools.rng, now, service, limits)
     }
 
-    fn send(
+    pub(super) fn send(
         &mut self,
         tools: &mut EntryTools,
         now: Duration,
@@ -494,19 +280,23 @@
         state.out += 1;
         state.tries += 1;
         let (shard, service) = (state.shard, state.service);
-        let delay = tools.hedge_delay(self.terms.class, service, choice.expected);
+        // A server that failed lately is given no more than the expected time.
+        let delay = match choice.reason {
+            ChoiceReason::Probe | ChoiceReason::LastResort => choice.expected,
+            _ => tools.hedge_delay(self.terms.class, service, choice.expected),
+        };
+        self.straggler_at = self.straggler_at.min(now + delay);
         self.attempts.push(AttemptSlot {
             slot: slot as u32,
             replica: choice.replica,
             relay: choice.relay,
             sent: now,
             expected: choice.expected,
-            hedge_at: Some(now + delay),
+            hedge_at: now + delay,
+            overdue: false,
             state: AttemptState::Out,
         });
-        let replica = &mut tools.directory.replicas[choice.replica];
-        replica.health.submit(now);
-        let upstream = replica.address;
+        let upstream = tools.directory.replicas[choice.replica].address;
         let target = ShardTarget {
             attempt,
             shard,
@@ -518,7 +308,7 @@
         tools.outbox.submit(choice.relay, target, head);
     }
 
-    fn batch_head(&self, now: Duration) -> SubmitBatch {
+    pub(super) fn batch_head(&self, now: Duration) -> SubmitBatch {
         let remaining = self.terms.useful_until().saturating_sub(now);
         SubmitBatch {
             query: self.number,
@@ -536,7 +326,7 @@
     }
 
     /// Decides whether the query is finished, and how.
-    fn judge(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
+    pub(super) fn judge(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
         let verdict = FinalVerdict::of(&self.terms, &self.gather, self.trace, now)?;
         self.cancel_rest(tools);
         Some(verdict.outcome(self, tools, now))
--- a/crates/ebonyfork/src/entry/terms.rs
+++ b/crates/ebonyfork/src/entry/terms.rs
@@ -5,6 +5,7 @@
 use cranelift_entity::entity_impl;
 
 use super::route::RouteTable;
+use super::tools::PlannedAttempt;
 use crate::declaration::{ClassScope, ClassTarget, TargetPriority};
 use crate::query::QueryRequest;
 
@@ -18,6 +19,11 @@
 /// Most that is kept for the way back.
 const MARGIN_MOST: Duration = Duration::from_millis(5);
 
+/// A class whose coverage gives way does without at most one shard in this many when it is admitted.
+const SPARE_SHARE: usize = 4;
+/// A shard stands out if it is expected to take this many times the class's latency.
+const SPARE_FROM: u32 = 2;
+
 /// Takes the way back to the caller off a limit that the caller sees.
 fn less_margin(limit: Duration) -> Duration {
     limit.saturating_sub((limit / MARGIN_SHARE).min(MARGIN_MOST))
@@ -49,6 +55,10 @@
     pub scope: ClassScope,
     /// Which part of the target gives way.
     pub priority: TargetPriority,
+    /// Latency of the class, or the caller's deadline if that is shorter.
+    pub latency: Duration,
+    /// The percentile that the latency is stated at, in per cent.
+    pub percentile: f64,
     /// Target coverage, 0 to 1.
     pub coverage: f64,
     /// Whether its attempts may run more than once.
@@ -75,6 +85,8 @@
             class,
             scope: target.scope,
             priority: target.priority,
+            latency,
+            percentile: target.percentile,
             coverage: target.coverage,
             idempotent: target.idempotent,
             started: now,
@@ -88,6 +100,32 @@
         self.finish_by.saturating_sub(self.started)
     }
 
+    /// Predicts wait and work of the slowest shard that counts, out of the routes chosen for a query of `total` shards.
+    ///
+    /// Those count that the coverage target needs. A class whose coverage gives way does without a few shards that stand
+    /// out, so that one overloaded service does not have all queries refused.
+    pub(super) fn predict(&self, total: u32, plan: &mut [PlannedAttempt]) -> (Duration, Duration) {
+        plan.sort_unstable_by_key(|planned| planned.choice.expected);
+        let needed = (f64::from(total) * self.coverage).ceil() as usize;
+        let mut last = needed.clamp(1, plan.len().max(1)) - 1;
+        if self.priority == TargetPriority::LatencyFirst {
+            let spare = total as usize / SPARE_SHARE;
+            for _ in 0..spare {
+                let Some(planned) = plan.get(last) else {
+                    break;
+                };
+                if last == 0 || planned.choice.expected < self.latency * SPARE_FROM {
+                    break;
+                }
+                last -= 1;
+            }
+        }
+        let planned = plan.get(last);
+        planned.map_or((Duration::ZERO, Duration::ZERO), |planned| {
+            (planned.choice.wait, planned.choice.work())
+        })
+    }
+
     /// Until when rows are of use, for the upstreams' deadline.
     pub fn useful_until(&self) -> Duration {
         match (self.priority, self.scope) {
--- a/crates/ebonyfork/src/entry/tools.rs
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
 
+use super::admission::AdmissionControl;
 use super::choice::RouteChoice;
 use super::decision::RouteDecision;
 use super::directory::{Directory, ServiceId};
@@ -21,6 +22,15 @@
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_SHORTEST: Duration = Duration::from_millis(100);
 
+/// A route chosen for a shard, not yet sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PlannedAttempt {
+    /// Position of the shard in the gather.
+    pub(super) slot: u32,
+    /// The route.
+    pub(super) choice: RouteChoice,
+}
+
 /// Shared state of an entry's decisions.
 #[derive(Debug)]
 pub(super) struct EntryTools {
@@ -30,7 +40,10 @@
     pub(super) routes: RouteCache,
     pub(super) outbox: RelayOutbox,
     pub(super) rng: ChaCha8Rng,
+    pub(super) admission: AdmissionControl,
     pub(super) budget: AttemptBudget,
+    /// Scratch space: the routes chosen for a query that is being planned.
+    pub(super) plan: Vec<PlannedAttempt>,
     pub(super) delays: FxHashMap<(ClassId, ServiceId), DelayModel>,
     /// Whether routing decisions are noted for the log.
     pub(super) noting: bool,
@@ -46,7 +59,9 @@
             routes: RouteCache::default(),
             outbox: RelayOutbox::default(),
             rng: ChaCha8Rng::seed_from_u64(session.incarnation.0),
+            admission: AdmissionControl::default(),
             budget: AttemptBudget::default(),
+            plan: Vec::new(),
             delays: FxHashMap::default(),
             noting: false,
             noted: Vec::new(),
@@ -81,15 +96,22 @@
         });
     }
 
+    /// Spreads the time after which a caller is told to come back, so that callers refused together don't come back
+    /// together.
+    pub(super) fn spread(&mut self, after: Duration) -> Duration {
+        let factor = self.rng.random_range(1.0..1.5);
+        after.max(RETRY_SHORTEST).mul_f64(factor)
+    }
+
     /// When a refused caller should come back: when the longest backlog that it met has drained.
     pub(super) fn retry_after(&mut self, run: &QueryRun, now: Duration) -> Duration {
-        let mut longest = RETRY_SHORTEST;
+        let mut longest = Duration::ZERO;
         for slot in run.gather.slots() {
             for replica in self.directory.replicas_of(slot.service) {
                 let health = &self.directory.replicas[replica].health;
                 longest = longest.max(health.wait(now));
             }
         }
-        longest
+        self.spread(longest)
     }
 }
--- a/crates/ebonyfork/src/entry/verdict.rs
+++ b/crates/ebonyfork/src/entry/verdict.rs
@@ -17,7 +17,7 @@
 use crate::relay::RefusalReason;
 
 /// Upstreams that one query may lose.
-const VICTIM_LIMIT: u8 = 2;
+pub(super) const VICTIM_LIMIT: u8 = 2;
 
 /// How a query ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
