Let the lifecycle decide when a node takes work and how it stops

The node's own thin readiness and stop go; fencing after a pause or silence, the counted stop and the handover come from the lifecycle. A request under a key passes the readiness check, because it may be a resend of what ran.

--- a/crates/ebonyfork/src/caller/service.rs
+++ b/crates/ebonyfork/src/caller/service.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 
 use super::message::{LocateAnswer, answer_body, refusal_body, refusal_status};
-use super::request::{QUERY_HEADER, caller_id, read_customer, read_query};
+use super::request::{KEY_HEADER, QUERY_HEADER, caller_id, read_customer, read_query};
 use crate::ident::{CustomerName, RunState};
 use crate::query::{
     QueryAnswer, QueryOutcome, QueryRefusal, QueryRequest, RefusalCode, SELECTION_LIMIT,
@@ -105,7 +105,10 @@
         class: &str,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, QueryRefusal> {
-        self.check_ready()?;
+        // A request under a key may be a resend of what ran, so that "not run" is not for this border to say.
+        if !request.headers().contains_key(KEY_HEADER) {
+            self.check_ready()?;
+        }
         let (head, body) = request.into_parts();
         let query = read_query(class, &head.headers, Bytes::new())?;
         let selection = read_selection(body).await?;
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -17,18 +17,19 @@
 use crate::declaration::DeclaredConfig;
 use crate::entry::{EntryHandle, EntrySettings};
 use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress};
+use crate::lifecycle::{LifecycleHandle, LifecycleSettings, StopPlan, StopReport, StopSteps};
 use crate::locate::{LocateSettings, locate_addresses};
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::node::dispatch::{FeedGuard, PeerDispatch};
-use crate::node::gossip::join_gossip;
+use crate::node::gossip::{join_gossip, newest_revision};
 use crate::node::listening::{NodeError, NodeSockets};
 use crate::node::options::NodeOptions;
-use crate::node::readiness::{StopReport, follow_readiness, stop_node};
 use crate::node::status::StatusReader;
 use crate::once::{OnceHandle, session_successor};
 use crate::operator::{OperatorService, serve_operators};
-use crate::platform::PlatformClient;
+use crate::platform::{PlatformClient, PlatformError};
 use crate::quarantine::QuarantineHandle;
+use crate::query::QueryRequest;
 use crate::relay::{RelayHandle, RelaySettings};
 use crate::revision::RevisionHandle;
 use crate::settings::NodeSettings;
@@ -47,7 +48,7 @@
     dispatch: PeerDispatch,
     stop: CancellationToken,
     members: MemberHandle,
-    readiness: watch::Sender<NodeReadiness>,
+    lifecycle: LifecycleHandle,
     locate_ttl: Duration,
     hurry: CancellationToken,
     servers: JoinSet<()>,
@@ -79,19 +80,23 @@
     /// Stops as planned: tells callers to go elsewhere, finishes what is in flight, then ends.
     pub async fn stop(self) -> StopReport {
         let Self {
+            session,
+            views,
             dispatch,
-            readiness,
-            locate_ttl,
-            hurry,
+            members,
             ..
         } = &self;
-        self.members.announce_leaving();
-        let report = stop_node(dispatch, readiness, *locate_ttl, hurry).await;
-        let successor = session_successor(&self.views.topology.borrow(), self.session);
-        if let Some(successor) = successor {
-            let handover = dispatch.once.hand_over(successor).await;
-            log::info!("handed over to {successor}: {handover:?}");
-        }
+        let plan = StopPlan::new(self.locate_ttl, slowest_bound(views));
+        let steps = StopSteps {
+            announce: || members.announce_leaving(),
+            in_flight: || dispatch.in_flight(),
+            hand_over: || async {
+                let successor = session_successor(&views.topology.borrow(), *session)?;
+                Some(dispatch.once.hand_over(successor).await)
+            },
+            hurry: self.hurry.clone(),
+        };
+        let report = self.lifecycle.stop(plan, steps).await;
         self.stop.cancel();
         // The servers finish the answers they are writing; what is left has no work.
         let serving = self.servers.join_all();
@@ -100,6 +105,21 @@
     }
 }
 
+/// Tells whether a request's class is known to be idempotent, so that a key on it means nothing.
+fn is_idempotent(config: &DeclaredConfig, request: &QueryRequest) -> bool {
+    config
+        .classes
+        .get(&request.class)
+        .is_some_and(|class| class.idempotent)
+}
+
+/// The longest that any class allows a query to take.
+fn slowest_bound(views: &NodeViews) -> Duration {
+    let config = views.config.borrow();
+    let bounds = config.classes.values().map(|class| class.bound);
+    bounds.max().unwrap_or_default()
+}
+
 fn incarnation() -> IncarnationNumber {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -157,7 +177,10 @@
             catalog,
             readiness,
         } = writers;
-        let (members, topology) = self.start_membership(sockets.members, topology);
+        let topology_settings = TopologySettings::new(self.session, self.settings.zone.clone());
+        let members = self.start_membership(sockets.members, &topology_settings);
+        let lifecycle = start_lifecycle(&views, &members, readiness);
+        let topology = self.start_topology(topology_settings, &members, &lifecycle, topology);
         let entry = self.start_entry(&views);
         let dispatch = PeerDispatch {
             relay: self.start_relay(&views, topology),
@@ -168,6 +191,7 @@
         };
         self.register(&dispatch);
         members.register(&mut self.registry);
+        lifecycle.register(&mut self.registry);
         join_gossip(
             &mut self.tasks,
             &members,
@@ -176,13 +200,8 @@
             &views,
         );
         self.start_links(sockets.peers, &dispatch, &views);
-        self.start_callers(sockets.callers, &dispatch, &views, &members);
+        self.start_callers(sockets.callers, &dispatch, &views, &members, &lifecycle);
         self.start_operators(sockets.operators, &dispatch, &views);
-        self.tasks.spawn(follow_readiness(
-            views.clone(),
-            readiness.clone(),
-            self.stop.clone(),
-        ));
         let feeds = FeedGuard {
             revision: dispatch.revision.clone(),
             catalog: dispatch.catalog.clone(),
@@ -194,7 +213,7 @@
             dispatch,
             stop: self.stop,
             members,
-            readiness,
+            lifecycle,
             locate_ttl: self.settings.locate_ttl,
             hurry: self.options.hurry,
             servers: self.servers,
@@ -202,25 +221,32 @@
         }
     }
 
-    fn start_membership(
-        &self,
-        socket: UdpSocket,
-        writer: watch::Sender<Arc<TopologyView>>,
-    ) -> (MemberHandle, TopologyHandle) {
-        let topology = TopologySettings::new(self.session, self.settings.zone.clone());
+    fn start_membership(&self, socket: UdpSocket, topology: &TopologySettings) -> MemberHandle {
         let delay = Arc::clone(&self.options.link_delay);
         let (zone, port) = (self.settings.zone.clone(), self.settings.peer_port);
         let seed = self.session.incarnation.0;
-        let members =
+        let settings =
             MemberSettings::new(self.session, zone, port, seed).with_delay(move |vm| delay(vm));
-        let members = MemberHandle::start(members, socket, topology.seeds());
-        let client = self.client.clone();
+        MemberHandle::start(settings, socket, topology.seeds())
+    }
+
+    fn start_topology(
+        &self,
+        settings: TopologySettings,
+        members: &MemberHandle,
+        lifecycle: &LifecycleHandle,
+        writer: watch::Sender<Arc<TopologyView>>,
+    ) -> TopologyHandle {
+        let (client, lifecycle) = (self.client.clone(), lifecycle.clone());
         let list = move || -> BoxFuture<'static, _> {
-            let client = client.clone();
-            Box::pin(async move { client.vms().await })
+            let (client, lifecycle) = (client.clone(), lifecycle.clone());
+            Box::pin(async move {
+                let records = client.vms().await?;
+                lifecycle.note_store_contact();
+                Ok::<_, PlatformError>(records)
+            })
         };
-        let topology = TopologyHandle::start(topology, list, members.snapshot(), writer);
-        (members, topology)
+        TopologyHandle::start(settings, list, members.snapshot(), writer)
     }
 
     fn start_entry(&self, views: &NodeViews) -> EntryHandle {
@@ -322,11 +348,14 @@
         dispatch: &PeerDispatch,
         views: &NodeViews,
         members: &MemberHandle,
+        lifecycle: &LifecycleHandle,
     ) {
-        let once = dispatch.once.clone();
-        let run = move |request| -> BoxFuture<'static, _> {
-            let once = once.clone();
-            Box::pin(async move { once.run(request).await })
+        let (once, lifecycle) = (dispatch.once.clone(), lifecycle.clone());
+        let config = views.config.clone();
+        let run = move |request: QueryRequest| -> BoxFuture<'static, _> {
+            let (once, lifecycle) = (once.clone(), lifecycle.clone());
+            let keyed = request.key.is_some() && !is_idempotent(&config.borrow(), &request);
+            Box::pin(async move { lifecycle.serve(keyed, once.run(request)).await })
         };
         let locate = self.locator(views, members);
         let service = CallerService::new(run, locate, views.clone());
@@ -378,6 +407,20 @@
     }
 }
 
+fn start_lifecycle(
+    views: &NodeViews,
+    members: &MemberHandle,
+    writer: watch::Sender<NodeReadiness>,
+) -> LifecycleHandle {
+    let (config, snapshot) = (views.config.clone(), members.snapshot());
+    let caught_up = move || newest_revision(&snapshot.borrow()) <= config.borrow().revision;
+    let members = members.clone();
+    let settings = LifecycleSettings::new()
+        .with_caught_up(caught_up)
+        .with_peer_contact(move || members.last_peer_contact());
+    LifecycleHandle::start(settings, writer, views.clone())
+}
+
 /// Closes links to VMs that have left the topology.
 async fn close_unwanted(pool: PeerPool, mut views: NodeViews, stop: CancellationToken) {
     loop {
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -18,6 +18,11 @@
 }
 
 impl PeerDispatch {
+    /// Work that has not been answered.
+    pub(super) fn in_flight(&self) -> usize {
+        self.entry.in_flight() + self.once.in_flight() + self.relay.in_flight()
+    }
+
     /// Hands one event to the slice that it concerns.
     pub(super) async fn take(self, event: LinkEvent) {
         match event {
--- a/crates/ebonyfork/src/node/gossip.rs
+++ b/crates/ebonyfork/src/node/gossip.rs
@@ -81,6 +81,15 @@
     present.map(|member| (member.vm, member.digest.revision))
 }
 
+/// The newest revision that any member holds.
+pub(super) fn newest_revision(snapshot: &MemberSnapshot) -> RevisionNumber {
+    let revisions = snapshot
+        .members()
+        .iter()
+        .map(|member| member.digest.revision);
+    revisions.max().unwrap_or_default()
+}
+
 async fn tell_notices(members: MemberHandle, quarantine: QuarantineHandle) {
     loop {
         quarantine.wait_news().await;
--- a/crates/ebonyfork/src/node/mod.rs
+++ b/crates/ebonyfork/src/node/mod.rs
@@ -8,10 +8,8 @@
 mod gossip;
 mod listening;
 mod options;
-mod readiness;
 mod status;
 
 pub use assembly::Node;
 pub use listening::NodeError;
 pub use options::NodeOptions;
-pub use readiness::StopReport;
