Let a scenario build on another one

A dozen fault scenarios differ from their deployment by a few keys. [base] takes everything from another file; own sections change it key by key, declarations as a whole. A test reads every shipped scenario.

--- a/crates/ebonyfork-lab/src/command/run.rs
+++ b/crates/ebonyfork-lab/src/command/run.rs
@@ -4,9 +4,8 @@
 
 use clap::{Arg, ArgMatches, Command};
 use serde::Serialize;
-use snafu::ResultExt;
 
-use crate::error::{LabError, ReadFileSnafu};
+use crate::error::LabError;
 use crate::experiment::{ProgressFunction, RunReport, run_scenario, write_table};
 use crate::scenario::Scenario;
 
@@ -60,8 +59,7 @@
     let Some(path) = matches.get_one::<String>("scenario") else {
         return Ok(ExitCode::FAILURE);
     };
-    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
-    let mut scenario = Scenario::parse(path, &text).map_err(scenario_error)?;
+    let mut scenario = Scenario::load(path)?;
     if let Some(name) = matches.get_one::<String>("variant") {
         scenario.variants.retain(|variant| variant.name == *name);
     }
--- a/crates/ebonyfork-lab/src/scenario/declared.rs
+++ b/crates/ebonyfork-lab/src/scenario/declared.rs
@@ -5,24 +5,28 @@
 use ebonyfork::declaration::{DeclaredConfig, DeclaredFile};
 use ebonyfork::finding::FindingList;
 use ebonyfork::ident::RevisionNumber;
-use ebonyfork::ini::IniDocument;
+use ebonyfork::ini::{IniDocument, IniSection};
 
 use crate::scenario::model::ServiceGroup;
 
 /// Kinds of sections that are declarations.
 pub(super) const DECLARED: [&str; 2] = ["class", "customer"];
 
-/// Takes the declarations out of a scenario's text. All other lines are left empty, so that findings keep their place.
-pub(super) fn extract(document: &IniDocument, text: &str) -> DeclaredFile {
+/// Takes the declarations out of a scenario's text, those that are kept. All other lines are left empty, so that
+/// findings keep their place.
+pub(super) fn extract(
+    document: &IniDocument,
+    text: &str,
+    keep: impl Fn(&IniSection) -> bool,
+) -> DeclaredFile {
     let mut kept = String::with_capacity(text.len());
     for (number, line) in text.lines().enumerate() {
         let line_number = number as u32 + 1;
-        let within = document
-            .sections
-            .iter()
-            .rev()
-            .find(|section| section.line <= line_number);
-        if within.is_some_and(|section| DECLARED.contains(&section.kind.as_str())) {
+        let mut sections = document.sections.iter().rev();
+        let within = sections.find(|section| section.line <= line_number);
+        let declared =
+            |section: &&IniSection| DECLARED.contains(&section.kind.as_str()) && keep(section);
+        if within.as_ref().is_some_and(declared) {
             kept.push_str(line);
         }
         kept.push('\n');
--- a/crates/ebonyfork-lab/src/scenario/mod.rs
+++ b/crates/ebonyfork-lab/src/scenario/mod.rs
@@ -5,10 +5,12 @@
 //! that they are checked by the same code and published to the tier as they stand. Every finding is reported with its
 //! place, all at once. The keys are documented in `docs/LAB.md`.
 
+mod check;
 mod declared;
 mod fault;
 mod model;
 mod read;
+mod sources;
 
 pub use fault::{FaultEntry, FaultKind, ServerChoice, StoreFault};
 pub use model::{
--- a/crates/ebonyfork-lab/src/scenario/read.rs
+++ b/crates/ebonyfork-lab/src/scenario/read.rs
@@ -3,21 +3,25 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::finding::FindingList;
-use ebonyfork::ident::{ClassName, IndexName, SnapshotVersion};
+use ebonyfork::ident::{ClassName, SnapshotVersion};
 use ebonyfork::ini::{IniDocument, IniSection, SectionReader, unknown_message};
 use ebonyfork::quantity::{ByteSize, TimeSpan};
 use ebonyfork::settings::ExperimentSwitches;
 
-use crate::scenario::declared::{DECLARED, declare_services, extract, understand};
-use crate::scenario::fault::{FaultEntry, FaultKind, ServerChoice};
+use crate::scenario::check::check_names;
+use crate::scenario::declared::{declare_services, understand};
+use crate::scenario::fault::FaultEntry;
 use crate::scenario::model::{
     ClassLoadSettings, FleetSettings, IndexSettings, RunSettings, Scenario, ServiceGroup,
     VariantSettings,
 };
+use crate::scenario::sources::{BASE, ScenarioSources};
 use crate::upstream::{ColdStart, ServiceTime};
 
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
+    BASE,
     "run",
     "fleet",
     "services",
@@ -50,16 +54,29 @@
     /// ```
     pub fn parse(file: impl AsRef<str>, text: &str) -> Result<Self, FindingList> {
         let mut findings = FindingList::new();
-        let document = IniDocument::parse(file, text, &mut findings);
-        let draft = ScenarioDraft {
-            document: &document,
-            findings: &mut findings,
-        };
-        let scenario = draft.read(text);
-        match scenario {
-            Some(scenario) => findings.into_result(scenario),
-            None => Err(findings),
-        }
+        let sources = ScenarioSources::new(file.as_ref(), text, &mut findings);
+        read_sources(sources, findings)
+    }
+
+    /// Reads a scenario over its base; each is a file's name and its text.
+    pub fn parse_over(base: (&str, &str), own: (&str, &str)) -> Result<Self, FindingList> {
+        let mut findings = FindingList::new();
+        let sources = ScenarioSources::over(base, own, &mut findings);
+        read_sources(sources, findings)
+    }
+}
+
+fn read_sources(
+    sources: ScenarioSources,
+    mut findings: FindingList,
+) -> Result<Scenario, FindingList> {
+    let draft = ScenarioDraft {
+        document: &sources.document,
+        findings: &mut findings,
+    };
+    match draft.read(sources.declared) {
+        Some(scenario) => findings.into_result(scenario),
+        None => Err(findings),
     }
 }
 
@@ -69,7 +86,7 @@
 }
 
 impl ScenarioDraft<'_> {
-    fn read(mut self, text: &str) -> Option<Scenario> {
+    fn read(mut self, mut declared_files: Vec<DeclaredFile>) -> Option<Scenario> {
         self.check_sections();
         let run = self.read_run();
         let fleet = self.read_fleet();
@@ -79,7 +96,7 @@
         let faults = self.read_faults();
         let experiment = self.read_experiment();
         let variants = self.read_variants(experiment, &run);
-        let declared_files = vec![extract(self.document, text), declare_services(&groups)];
+        declared_files.push(declare_services(&groups));
         let declared = understand(&declared_files, self.findings)?;
         let scenario = Scenario {
             file: self.document.file.clone(),
@@ -93,7 +110,7 @@
             declared_files,
             declared,
         };
-        self.check_names(&scenario);
+        check_names(self.document, &scenario, self.findings);
         Some(scenario)
     }
 
@@ -303,52 +320,13 @@
         }
         variants
     }
-
-    /// Checks what sections say about each other.
-    fn check_names(&mut self, scenario: &Scenario) {
-        let classes: Vec<&str> = scenario
-            .declared
-            .classes
-            .keys()
-            .map(ClassName::as_str)
-            .collect();
-        for section in sections(self.document, "load") {
-            if !classes.contains(&section.name.as_str()) {
-                self.report(section, unknown_message("class", &section.name, &classes));
-            }
-        }
-        let indexes: Vec<&str> = scenario
-            .indexes
-            .iter()
-            .map(|index| index.name.as_str())
-            .collect();
-        for section in sections(self.document, DECLARED[0]) {
-            let property = section
-                .properties
-                .iter()
-                .find(|property| property.key == "index");
-            let Some(property) = property else {
-                continue;
-            };
-            if !indexes.contains(&property.value.as_str()) {
-                let message = unknown_message("index", &property.value, &indexes);
-                self.findings
-                    .push(&self.document.file, property.line, message);
-            }
-        }
-        for fault in &scenario.faults {
-            if let Err(message) = check_fault(scenario, &fault.kind) {
-                self.findings.push(&self.document.file, fault.line, message);
-            }
-        }
-    }
 }
 
 fn find<'a>(document: &'a IniDocument, kind: &'static str) -> Option<&'a IniSection> {
     sections(document, kind).next()
 }
 
-fn sections<'a>(
+pub(super) fn sections<'a>(
     document: &'a IniDocument,
     kind: &'static str,
 ) -> impl Iterator<Item = &'a IniSection> {
@@ -393,61 +371,6 @@
     group
 }
 
-fn check_fault(scenario: &Scenario, kind: &FaultKind) -> Result<(), String> {
-    let declared = &scenario.declared;
-    let known = |found: bool, role: &str, name: &dyn std::fmt::Display| {
-        if found {
-            Ok(())
-        } else {
-            Err(format!("unknown {role} `{name}`"))
-        }
-    };
-    let service = |name| known(declared.services.contains_key(name), "service", name);
-    let index = |name: &IndexName| {
-        let found = scenario.indexes.iter().any(|index| index.name == *name);
-        known(found, "index", name)
-    };
-    match kind {
-        FaultKind::Straggler { target, .. }
-        | FaultKind::Crash { target }
-        | FaultKind::Drain { target, .. }
-        | FaultKind::LyingStatus { target, .. } => check_target(scenario, target),
-        FaultKind::Roll { index: name, .. } => index(name),
-        FaultKind::Move {
-            index: name, to, ..
-        } => index(name).and(service(to)),
-        FaultKind::Killer { class, .. } => {
-            known(declared.classes.contains_key(class), "class", class)
-        }
-        FaultKind::Burst { customer, .. } => known(
-            declared.customers.contains_key(customer),
-            "customer",
-            customer,
-        ),
-        FaultKind::Kill { nodes } if *nodes >= scenario.fleet.nodes => {
-            Err("kills every VM".to_owned())
-        }
-        FaultKind::Freeze { node } if *node >= scenario.fleet.nodes => {
-            Err(format!("there is no VM {node}"))
-        }
-        FaultKind::Store { .. }
-        | FaultKind::Kill { .. }
-        | FaultKind::Freeze { .. }
-        | FaultKind::Restart { .. } => Ok(()),
-    }
-}
-
-fn check_target(scenario: &Scenario, target: &ServerChoice) -> Result<(), String> {
-    let holds = |group: &&ServiceGroup| group.service_names().contains(&target.service);
-    let Some(group) = scenario.groups.iter().find(holds) else {
-        return Err(format!("unknown service `{}`", target.service));
-    };
-    match target.server {
-        Some(server) if server >= group.servers => Err(format!("there is no server {server}")),
-        _ => Ok(()),
-    }
-}
-
 #[cfg(test)]
 #[path = "read_tests.rs"]
 mod tests;
