--- a/crates/ebonyfork/src/relay/actor.rs
+++ b/crates/ebonyfork/src/relay/actor.rs
@@ -14,7 +14,7 @@
 use crate::relay::action::RelayAction;
 use crate::relay::answer::shard_request;
 use crate::relay::canceller::{CANCEL_QUEUE, run_canceller};
-use crate::relay::connection::{ConnectionJob, run_connection};
+use crate::relay::connection::{ConnectionJob, UpstreamRoute, run_connection};
 use crate::relay::decision;
 use crate::relay::ids::{ConnectionId, UpstreamId, WorkId};
 use crate::relay::message::{
@@ -250,9 +250,9 @@
         let (sender, jobs) = mpsc::channel(1);
         self.connections[connection] = Some(sender);
         self.metrics.opened();
-        let address = self.state.address(upstream);
+        let route = self.route(upstream);
         let own = own.clone();
-        tokio::spawn(run_connection(address, jobs, async move |event| {
+        tokio::spawn(run_connection(route, jobs, async move |event| {
             let report = Report { connection, event };
             // The relay may be gone: then nobody waits for the event.
             let _delivered = own.send(report).detach().await;
@@ -295,6 +295,13 @@
         decision::log_dispatch(self.settings.vm, ticket);
     }
 
+    fn route(&self, upstream: UpstreamId) -> UpstreamRoute {
+        UpstreamRoute {
+            from: self.settings.vm,
+            to: self.state.address(upstream),
+        }
+    }
+
     fn cancel_sent(&mut self, upstream: UpstreamId, work: WorkId) {
         let Some(ticket) = &self.tickets[work] else {
             return;
@@ -302,9 +309,9 @@
         if !self.state.may_cancel(upstream) {
             return;
         }
-        let address = self.state.address(upstream);
-        let canceller = self.cancellers.entry(address);
-        let canceller = canceller.or_insert_with(|| spawn_canceller(address));
+        let route = self.route(upstream);
+        let canceller = self.cancellers.entry(route.to);
+        let canceller = canceller.or_insert_with(|| spawn_canceller(route));
         // Best effort: the deadline ends what can't be cancelled.
         let _queued = canceller.try_send(ticket.attempt());
     }
@@ -346,9 +353,9 @@
     }
 }
 
-fn spawn_canceller(upstream: UpstreamAddress) -> mpsc::Sender<AttemptId> {
+fn spawn_canceller(route: UpstreamRoute) -> mpsc::Sender<AttemptId> {
     let (sender, attempts) = mpsc::channel(CANCEL_QUEUE);
-    tokio::spawn(run_canceller(upstream, attempts));
+    tokio::spawn(run_canceller(route, attempts));
     sender
 }
 
--- a/crates/ebonyfork/src/relay/canceller.rs
+++ b/crates/ebonyfork/src/relay/canceller.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::ident::{AttemptId, UpstreamAddress};
-use crate::relay::connection::{OpenConnection, plain_request};
+use crate::relay::connection::{OpenConnection, UpstreamRoute, plain_request};
 
 /// Cancellations that may wait for one upstream; more are dropped.
 pub(super) const CANCEL_QUEUE: usize = 64;
@@ -19,10 +19,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 
 /// Sends cancellations until `attempts` closes.
-pub(super) async fn run_canceller(
-    upstream: UpstreamAddress,
-    mut attempts: mpsc::Receiver<AttemptId>,
-) {
+pub(super) async fn run_canceller(route: UpstreamRoute, mut attempts: mpsc::Receiver<AttemptId>) {
     let mut connection = None;
     loop {
         let attempt = match timeout(IDLE_LIMIT, attempts.recv()).await {
@@ -36,24 +33,24 @@
                 }
             }
         };
-        let cancelling = cancel(upstream, connection.take(), attempt);
+        let cancelling = cancel(route, connection.take(), attempt);
         connection = timeout(CANCEL_TIMEOUT, cancelling).await.ok().flatten();
     }
 }
 
 /// Cancels one attempt; gives the connection back if it can be used again.
 async fn cancel(
-    upstream: UpstreamAddress,
+    route: UpstreamRoute,
     connection: Option<OpenConnection>,
     attempt: AttemptId,
 ) -> Option<OpenConnection> {
     if let Some(mut connection) = connection
-        && call_cancel(&mut connection, upstream, attempt).await
+        && call_cancel(&mut connection, route.to, attempt).await
     {
         return Some(connection);
     }
-    let mut connection = OpenConnection::connect(upstream).await?;
-    let reusable = call_cancel(&mut connection, upstream, attempt).await;
+    let mut connection = OpenConnection::connect(route).await?;
+    let reusable = call_cancel(&mut connection, route.to, attempt).await;
     reusable.then_some(connection)
 }
 
--- a/crates/ebonyfork/src/relay/connection.rs
+++ b/crates/ebonyfork/src/relay/connection.rs
@@ -4,6 +4,7 @@
 //! at once; the status call meets that before any attempt is handed over, so that a refused connection is never
 //! mistaken for a request that may have run, nor for a crash.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,12 +14,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::ident::UpstreamAddress;
+use crate::ident::{UpstreamAddress, VmAddress};
 use crate::relay::answer::{BODY_LIMIT, is_draining, read_answer};
 use crate::relay::ids::WorkId;
 use crate::relay::state::{ConnectionEvent, OpenSign};
@@ -32,6 +33,28 @@
 /// A request with an empty or whole body.
 pub(super) type UpstreamRequest = Request<Full<Bytes>>;
 
+/// Both ends of a connection to an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UpstreamRoute {
+    /// This VM.
+    pub(super) from: VmAddress,
+    /// The upstream.
+    pub(super) to: UpstreamAddress,
+}
+
+impl UpstreamRoute {
+    /// Connects from this VM's own address, so that the upstream sees which VM it is. Where the address is not one of
+    /// this machine, say behind an address translation, the system picks one.
+    async fn connect(self) -> std::io::Result<TcpStream> {
+        let socket = match self.to.0 {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        let _bound = socket.bind(SocketAddr::new(self.from.0, 0));
+        socket.connect(self.to.0).await
+    }
+}
+
 /// One attempt to be sent.
 #[derive(Debug)]
 pub(super) struct ConnectionJob {
@@ -54,8 +77,9 @@
 
 impl OpenConnection {
     /// Connects; nothing is sent yet.
-    pub(super) async fn connect(upstream: UpstreamAddress) -> Option<Self> {
-        let stream = TcpStream::connect(upstream.0).await.ok()?;
+    pub(super) async fn connect(route: UpstreamRoute) -> Option<Self> {
+        let upstream = route.to;
+        let stream = route.connect().await.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let driver = tokio::spawn(async move {
@@ -110,11 +134,11 @@
 
 /// Runs one connection until it ends or `jobs` closes. The last event it reports is its end.
 pub(super) async fn run_connection(
-    upstream: UpstreamAddress,
+    route: UpstreamRoute,
     mut jobs: mpsc::Receiver<ConnectionJob>,
     report: impl AsyncFn(ConnectionEvent),
 ) {
-    let opened = timeout(OPEN_TIMEOUT, open_proven(upstream)).await;
+    let opened = timeout(OPEN_TIMEOUT, open_proven(route)).await;
     let Some((mut connection, sign)) = opened.ok().flatten() else {
         report(ConnectionEvent::OpenFailed).await;
         return;
@@ -189,9 +213,9 @@
 }
 
 /// Opens a connection and proves by a status call that the upstream serves it.
-async fn open_proven(upstream: UpstreamAddress) -> Option<(OpenConnection, OpenSign)> {
-    let mut connection = OpenConnection::connect(upstream).await?;
-    let request = plain_request(upstream, Method::GET, "/v1/status")?;
+async fn open_proven(route: UpstreamRoute) -> Option<(OpenConnection, OpenSign)> {
+    let mut connection = OpenConnection::connect(route).await?;
+    let request = plain_request(route.to, Method::GET, "/v1/status")?;
     let answer = connection.call(request).await.ok()?;
     Some((connection, read_sign(&answer)))
 }
