--- a/crates/ebonyfork-lab/src/command/run.rs
+++ b/crates/ebonyfork-lab/src/command/run.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::Serialize;
 
 use crate::error::LabError;
@@ -35,6 +35,13 @@
                 .value_name("NAME")
                 .help("Runs only this variant"),
         )
+        .arg(
+            Arg::new("load-percent")
+                .long("load-percent")
+                .value_name("N")
+                .value_parser(value_parser!(f64))
+                .help("Load of every variant, in per cent of the slots' capacity"),
+        )
         .after_help(
             "Example: ebonyfork-lab run scenarios/straggler.ini --output json\n\
              Exit status: 0 clean, 1 a violation, 2 the run itself failed.",
@@ -63,6 +70,11 @@
     if let Some(name) = matches.get_one::<String>("variant") {
         scenario.variants.retain(|variant| variant.name == *name);
     }
+    if let Some(percent) = matches.get_one::<f64>("load-percent") {
+        for variant in &mut scenario.variants {
+            variant.load_percent = *percent;
+        }
+    }
     run_and_print(scenario, matches).await
 }
 
