Send suspects alone and convict on exact sending times

The quarantine got bare fingerprints 20 ms after a loss, and took a suspect's last admission for its sending time: an innocent query in flight at two upstreams of a failing rack could be convicted by its own resend, and a killer that was retried at once through another relay escaped, because the first loss was dated later than the retry.

The relay now tells for each lost attempt how long before the loss it was sent, dates the loss by its first broken connection, sends suspects one at a time per upstream, looks again when it sends, and reports their answers. The entry marks attempts that follow a loss (AttemptPurpose::AfterLoss, appended), so that within a query nothing depends on gossip.

The relay's random test now submits suspects too and checks after every step that no two are side by side. It found an attempt that was given up before it was isolated.

--- a/crates/ebonyfork/src/entry/decision.rs
+++ b/crates/ebonyfork/src/entry/decision.rs
@@ -34,6 +34,7 @@
             AttemptPurpose::First => "first",
             AttemptPurpose::Hedge => "hedge",
             AttemptPurpose::Retry => "retry",
+            AttemptPurpose::AfterLoss => "after-loss",
         };
         let role = if self.standby { "standby" } else { "primary" };
         write!(
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -297,6 +297,11 @@
             state: AttemptState::Out,
         });
         let upstream = tools.directory.replicas[choice.replica].address;
+        let purpose = if self.trace.victims > 0 {
+            AttemptPurpose::AfterLoss
+        } else {
+            purpose
+        };
         let target = ShardTarget {
             attempt,
             shard,
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -272,12 +272,17 @@
     fn start_relay(&self, views: &NodeViews, topology: TopologyHandle) -> RelayHandle {
         let refusing = self.quarantine.clone();
         let reporting = self.quarantine.clone();
+        let (standing, answering) = (self.quarantine.clone(), self.quarantine.clone());
         let settings =
             RelaySettings::new(self.settings.vm, self.settings.zone.clone(), views.clone())
                 .with_experiment(self.settings.experiment)
                 .with_quarantine(
                     move |fingerprint| refusing.refuses(fingerprint),
-                    move |loss| reporting.report_loss(loss.upstream, &loss.in_flight),
+                    move |loss| reporting.report_broken(loss.upstream, &loss.in_flight, loss.age),
+                )
+                .with_suspicion(
+                    move |fingerprint| standing.admit(fingerprint),
+                    move |fingerprint, flight| answering.report_answer(fingerprint, flight),
                 )
                 .with_leaving_sign(move |upstream| topology.note_leaving(upstream));
         RelayHandle::start(settings)
--- a/crates/ebonyfork/src/quarantine/handle.rs
+++ b/crates/ebonyfork/src/quarantine/handle.rs
@@ -126,25 +126,22 @@
         for fingerprint in in_flight {
             let admitted = state.admitted.get(fingerprint);
             let flight = admitted.map_or(now, |admitted| now.saturating_sub(*admitted));
-            lost.push(LostRequest {
-                fingerprint: *fingerprint,
-                flight,
-            });
+            lost.push(LostRequest::new(*fingerprint, flight));
         }
         drop(state);
-        self.report_broken(upstream, &lost);
+        self.report_broken(upstream, &lost, Duration::ZERO);
     }
 
     /// Reports that an upstream was lost with these requests in flight, each with the time since it was sent. One call
-    /// per lost upstream, with everything that was in flight there.
-    pub fn report_broken(&self, upstream: UpstreamAddress, lost: &[LostRequest]) {
+    /// per lost upstream, with everything that was in flight there, `age` after it was lost.
+    pub fn report_broken(&self, upstream: UpstreamAddress, lost: &[LostRequest], age: Duration) {
         self.shared.metrics.losses.inc();
         if lost.is_empty() {
             return;
         }
-        let now = self.now();
+        let at = self.now().saturating_sub(age);
         let mut state = self.lock();
-        let decisions = state.table.report_loss(upstream, lost, now);
+        let decisions = state.table.report_loss(upstream, lost, at);
         self.publish(state, &decisions);
     }
 
--- a/crates/ebonyfork/src/quarantine/table.rs
+++ b/crates/ebonyfork/src/quarantine/table.rs
@@ -45,8 +45,21 @@
 pub struct LostRequest {
     /// The request.
     pub fingerprint: RequestFingerprint,
-    /// How long ago it was sent.
+    /// How long before the loss it was sent.
     pub flight: Duration,
+    /// Whether it was sent in the knowledge that it had lost an upstream before, whatever this table has heard.
+    pub after_loss: bool,
+}
+
+impl LostRequest {
+    /// A request that was sent `flight` before the loss.
+    pub fn new(fingerprint: RequestFingerprint, flight: Duration) -> Self {
+        Self {
+            fingerprint,
+            flight,
+            after_loss: false,
+        }
+    }
 }
 
 /// A change that the table has decided.
@@ -158,7 +171,7 @@
         standing
     }
 
-    /// Takes in that an upstream was lost with these requests in flight.
+    /// Takes in that an upstream was lost at `now` with these requests in flight.
     ///
     /// # Examples
     ///
@@ -170,7 +183,7 @@
     ///
     /// let mut table = QuarantineTable::new(1);
     /// let request = RequestFingerprint(7);
-    /// let lost = LostRequest { fingerprint: request, flight: Duration::from_millis(2) };
+    /// let lost = LostRequest::new(request, Duration::from_millis(2));
     /// table.report_loss("10.0.0.1:80".parse()?, &[lost], Duration::from_secs(1));
     /// assert_eq!(table.standing(request, Duration::from_secs(1)), RequestStanding::Suspect);
     /// table.report_loss("10.0.0.2:80".parse()?, &[lost], Duration::from_secs(2));
@@ -199,7 +212,8 @@
             }
             self.tell_suspected(fingerprint, mark, now);
             let record = &self.records[&fingerprint];
-            if record.is_repeated(now) && !convicted.contains(&fingerprint) {
+            let repeated = request.after_loss || record.is_repeated(now);
+            if repeated && !convicted.contains(&fingerprint) {
                 convicted.push(fingerprint);
             }
         }
--- a/crates/ebonyfork/src/quarantine/table_tests.rs
+++ b/crates/ebonyfork/src/quarantine/table_tests.rs
@@ -15,10 +15,7 @@
 const OTHER: RequestFingerprint = RequestFingerprint(3);
 
 fn lost(fingerprint: RequestFingerprint, flight: u64) -> LostRequest {
-    LostRequest {
-        fingerprint,
-        flight: ms(flight),
-    }
+    LostRequest::new(fingerprint, ms(flight))
 }
 
 /// What a relay sees, in order; `at` in ms.
--- a/crates/ebonyfork/src/relay/action.rs
+++ b/crates/ebonyfork/src/relay/action.rs
@@ -2,21 +2,12 @@
 
 use std::time::Duration;
 
-use cranelift_entity::PrimaryMap;
-use smallvec::SmallVec;
-
 use crate::ident::{RequestFingerprint, RunState, UpstreamAddress};
+use crate::quarantine::LostRequest;
 use crate::relay::ids::{ClassId, ConnectionId, CustomerId, UpstreamId, WorkId};
+use crate::relay::loss::UpstreamLoss;
 use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict};
-
-/// An upstream broke connections while attempts were running on them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UpstreamLoss {
-    /// The upstream.
-    pub upstream: UpstreamAddress,
-    /// Fingerprints of everything that was running on those connections.
-    pub in_flight: SmallVec<[RequestFingerprint; 4]>,
-}
+use cranelift_entity::PrimaryMap;
 
 /// One thing to be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,6 +31,11 @@
     Finish { work: WorkId, verdict: ShardVerdict },
     /// Tell the quarantine.
     ReportLoss(UpstreamLoss),
+    /// Tell the quarantine that a suspect was answered.
+    ReportAnswer {
+        fingerprint: RequestFingerprint,
+        flight: Duration,
+    },
     /// Tell the topology that an upstream said it is leaving.
     NoteLeaving(UpstreamAddress),
 }
@@ -52,6 +48,35 @@
     pub(super) class: ClassId,
     pub(super) deadline: Duration,
     pub(super) fingerprint: RequestFingerprint,
+    /// Whether it may have crashed an upstream.
+    pub(super) suspicion: WorkSuspicion,
+}
+
+/// Whether a request may have crashed an upstream, as far as was known when the attempt came in.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum WorkSuspicion {
+    /// Nothing is known.
+    #[default]
+    Clear,
+    /// It was in flight when one was lost.
+    Suspect,
+    /// The same, and its entry has sent this attempt in the knowledge of it.
+    AfterLoss,
+}
+
+impl WorkOrder {
+    pub(super) fn is_suspect(&self) -> bool {
+        self.suspicion != WorkSuspicion::Clear
+    }
+
+    /// What the quarantine is told if the upstream is lost; the flight is filled in by the loss.
+    pub(super) fn lost_request(&self) -> LostRequest {
+        LostRequest {
+            fingerprint: self.fingerprint,
+            flight: Duration::ZERO,
+            after_loss: self.suspicion == WorkSuspicion::AfterLoss,
+        }
+    }
 }
 
 /// Collects actions, and keeps the tables that all upstreams share.
@@ -81,6 +106,13 @@
         self.works.get(work).copied().flatten()
     }
 
+    /// The attempt has become a suspect while it waited.
+    pub(super) fn suspect(&mut self, work: WorkId) {
+        if let Some(order) = &mut self.works[work] {
+            order.suspicion = WorkSuspicion::Suspect;
+        }
+    }
+
     /// Nothing refers to the attempt any more: its id may be used again.
     pub(super) fn release(&mut self, work: WorkId) {
         if self.works[work].take().is_some() {
--- a/crates/ebonyfork/src/relay/actor.rs
+++ b/crates/ebonyfork/src/relay/actor.rs
@@ -11,15 +11,16 @@
 use xtra::{Context, Handler, WeakAddress};
 
 use crate::ident::{AttemptId, QueryId, SessionId, UpstreamAddress};
-use crate::relay::action::RelayAction;
+use crate::quarantine::RequestStanding;
+use crate::relay::action::{RelayAction, WorkSuspicion};
 use crate::relay::answer::shard_request;
 use crate::relay::canceller::{CANCEL_QUEUE, run_canceller};
 use crate::relay::connection::{ConnectionJob, UpstreamRoute, run_connection};
 use crate::relay::decision;
 use crate::relay::ids::{ConnectionId, UpstreamId, WorkId};
 use crate::relay::message::{
-    CancelBatch, OutcomeBatch, RefusalReason, ShardOutcome, ShardTarget, ShardVerdict, SubmitBatch,
-    UpstreamLoad,
+    AttemptPurpose, CancelBatch, OutcomeBatch, RefusalReason, ShardOutcome, ShardTarget,
+    ShardVerdict, SubmitBatch, UpstreamLoad,
 };
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::settings::RelaySettings;
@@ -163,6 +164,7 @@
                 class,
                 deadline: ticket.deadline().duration_since(self.started),
                 fingerprint: batch.fingerprint,
+                suspicion: self.suspicion(&batch, target),
             };
             self.submit_one(views, &request, ticket, own);
         }
@@ -194,6 +196,16 @@
         None
     }
 
+    fn suspicion(&self, batch: &SubmitBatch, target: &ShardTarget) -> WorkSuspicion {
+        if target.purpose == AttemptPurpose::AfterLoss {
+            return WorkSuspicion::AfterLoss;
+        }
+        match (self.settings.standing)(batch.fingerprint) {
+            RequestStanding::Clear => WorkSuspicion::Clear,
+            RequestStanding::Suspect | RequestStanding::Quarantined => WorkSuspicion::Suspect,
+        }
+    }
+
     fn refuse_batch(&self, from: &LinkSender, batch: &SubmitBatch, reason: RefusalReason) {
         let mut outcomes = OutcomeBatch::default();
         for target in &batch.targets {
@@ -242,6 +254,10 @@
             RelayAction::CancelSent { upstream, work } => self.cancel_sent(upstream, work),
             RelayAction::Finish { work, verdict } => self.finish(work, verdict),
             RelayAction::ReportLoss(loss) => (self.settings.report_loss)(loss),
+            RelayAction::ReportAnswer {
+                fingerprint,
+                flight,
+            } => (self.settings.report_answer)(fingerprint, flight),
             RelayAction::NoteLeaving(upstream) => (self.settings.note_leaving)(upstream),
         }
     }
@@ -272,6 +288,11 @@
             self.state.withhold(now, work, RefusalReason::Quarantined);
             return;
         }
+        let standing = (self.settings.standing)(ticket.batch.fingerprint);
+        if standing == RequestStanding::Suspect && !self.state.is_suspect(work) {
+            self.state.isolate(now, work);
+            return;
+        }
         let deadline = ticket.deadline();
         let remaining = deadline.saturating_duration_since(Instant::now());
         let remaining_ms = u64::max(1, remaining.as_millis() as u64);
--- a/crates/ebonyfork/src/relay/message.rs
+++ b/crates/ebonyfork/src/relay/message.rs
@@ -21,6 +21,8 @@
     Hedge,
     /// A further one after an earlier came back without rows.
     Retry,
+    /// One that is sent although the query has lost an upstream before: it runs alone, and is to blame for a further loss.
+    AfterLoss,
 }
 
 /// One attempt within a [`SubmitBatch`].
--- a/crates/ebonyfork/src/relay/mod.rs
+++ b/crates/ebonyfork/src/relay/mod.rs
@@ -16,19 +16,21 @@
 mod handle;
 mod ids;
 mod limit;
+mod loss;
 mod message;
 mod metrics;
 mod queue;
 mod service;
 mod settings;
 mod state;
+mod suspects;
 mod trial;
 mod upstream;
 
-pub use action::UpstreamLoss;
 pub use handle::RelayHandle;
 pub use ids::{ClassId, CustomerId, WorkId};
 pub use limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
+pub use loss::UpstreamLoss;
 pub use message::{
     AttemptPurpose, CancelBatch, FailureReason, OutcomeBatch, RefusalReason, ShardOutcome,
     ShardTarget, ShardVerdict, SubmitBatch, UpstreamLoad,
--- a/crates/ebonyfork/src/relay/policy_tests.rs
+++ b/crates/ebonyfork/src/relay/policy_tests.rs
@@ -207,6 +207,7 @@
             class: ClassId::from_u32(load.class),
             deadline: self.time() + Duration::from_micros(load.within),
             fingerprint: RequestFingerprint(self.submitted),
+            suspicion: WorkSuspicion::Clear,
         };
         self.submitted += 1;
         let views = ViewPair {
--- a/crates/ebonyfork/src/relay/settings.rs
+++ b/crates/ebonyfork/src/relay/settings.rs
@@ -2,14 +2,18 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::ident::{RequestFingerprint, UpstreamAddress, VmAddress, ZoneName};
-use crate::relay::action::UpstreamLoss;
+use crate::quarantine::RequestStanding;
+use crate::relay::loss::UpstreamLoss;
 use crate::settings::ExperimentSwitches;
 use crate::views::NodeViews;
 
 type RefusalCheck = dyn Fn(RequestFingerprint) -> bool + Send + Sync;
 type LossReport = dyn Fn(UpstreamLoss) + Send + Sync;
+type StandingCheck = dyn Fn(RequestFingerprint) -> RequestStanding + Send + Sync;
+type AnswerReport = dyn Fn(RequestFingerprint, Duration) + Send + Sync;
 type LeavingReport = dyn Fn(UpstreamAddress) + Send + Sync;
 
 /// Settings of a relay.
@@ -21,6 +25,8 @@
     pub(super) experiment: ExperimentSwitches,
     pub(super) refuses: Arc<RefusalCheck>,
     pub(super) report_loss: Arc<LossReport>,
+    pub(super) standing: Arc<StandingCheck>,
+    pub(super) report_answer: Arc<AnswerReport>,
     pub(super) note_leaving: Arc<LeavingReport>,
 }
 
@@ -44,6 +50,8 @@
             experiment: ExperimentSwitches::default(),
             refuses: Arc::new(|_fingerprint| false),
             report_loss: Arc::new(|_loss| ()),
+            standing: Arc::new(|_fingerprint| RequestStanding::Clear),
+            report_answer: Arc::new(|_fingerprint, _flight| ()),
             note_leaving: Arc::new(|_upstream| ()),
         }
     }
@@ -68,6 +76,19 @@
         self
     }
 
+    /// Asks `standing` about each attempt that comes in, sends suspects alone, and tells `report_answer` when one was
+    /// answered, with the time since it was sent.
+    #[must_use]
+    pub fn with_suspicion(
+        mut self,
+        standing: impl Fn(RequestFingerprint) -> RequestStanding + Send + Sync + 'static,
+        report_answer: impl Fn(RequestFingerprint, Duration) + Send + Sync + 'static,
+    ) -> Self {
+        self.standing = Arc::new(standing);
+        self.report_answer = Arc::new(report_answer);
+        self
+    }
+
     /// Tells `note` of each upstream that says it is leaving.
     #[must_use]
     pub fn with_leaving_sign(
--- a/crates/ebonyfork/src/relay/state.rs
+++ b/crates/ebonyfork/src/relay/state.rs
@@ -9,7 +9,7 @@
 use crate::ident::{
     ClassName, CustomerName, RequestFingerprint, SessionId, UpstreamAddress, VmAddress,
 };
-use crate::relay::action::{RelayAction, RelayTables, WorkOrder};
+use crate::relay::action::{RelayAction, RelayTables, WorkOrder, WorkSuspicion};
 use crate::relay::ids::{ClassId, ConnectionId, CustomerId, UpstreamId, WorkId};
 use crate::relay::message::{RefusalReason, UpstreamLoad};
 use crate::relay::upstream::{UpstreamAnswer, UpstreamState, UpstreamTerms};
@@ -39,6 +39,7 @@
     pub(super) class: ClassId,
     pub(super) deadline: Duration,
     pub(super) fingerprint: RequestFingerprint,
+    pub(super) suspicion: WorkSuspicion,
 }
 
 /// What an upstream says about itself on a fresh connection.
@@ -150,6 +151,7 @@
             class: request.class,
             deadline: request.deadline,
             fingerprint: request.fingerprint,
+            suspicion: request.suspicion,
         });
         self.by_key.insert(request.key, work);
         self.keys.insert(work, request.key);
@@ -178,6 +180,21 @@
         self.forget_released();
     }
 
+    /// An attempt that was to be sent has to wait until it can be sent alone.
+    pub(super) fn isolate(&mut self, now: Duration, work: WorkId) {
+        let Some(order) = self.tables.order(work) else {
+            return;
+        };
+        self.upstreams[order.upstream].isolate(now, work, &mut self.tables);
+        self.forget_released();
+    }
+
+    /// Tells whether an attempt is sent alone.
+    pub(super) fn is_suspect(&self, work: WorkId) -> bool {
+        let order = self.tables.order(work);
+        order.is_some_and(|order| order.is_suspect())
+    }
+
     /// An attempt that was to be sent found its connection gone.
     pub(super) fn unsent(&mut self, now: Duration, work: WorkId) {
         let Some(order) = self.tables.order(work) else {
--- a/crates/ebonyfork/src/relay/state_tests.rs
+++ b/crates/ebonyfork/src/relay/state_tests.rs
@@ -8,7 +8,7 @@
 use super::*;
 use crate::declaration::ServiceEntry;
 use crate::ident::{RunState, SnapshotVersion};
-use crate::relay::action::UpstreamLoss;
+use crate::relay::loss::UpstreamLoss;
 use crate::relay::message::{FailureReason, ShardVerdict};
 use crate::settings::LimitMode;
 use crate::topology::{UpstreamEntry, VmEntry};
@@ -33,6 +33,7 @@
     open: usize,
     cancels: usize,
     losses: Vec<UpstreamLoss>,
+    answered: Vec<RequestFingerprint>,
     submitted: u64,
 }
 
@@ -95,6 +96,7 @@
             open: 0,
             cancels: 0,
             losses: Vec::new(),
+            answered: Vec::new(),
             submitted: 0,
         }
     }
@@ -109,6 +111,10 @@
     }
 
     fn submit(&mut self, customer: u32, within: u64) -> u64 {
+        self.submit_as(customer, within, WorkSuspicion::Clear)
+    }
+
+    fn submit_as(&mut self, customer: u32, within: u64, suspicion: WorkSuspicion) -> u64 {
         let query = self.submitted;
         self.submitted += 1;
         let request = WorkRequest {
@@ -118,6 +124,7 @@
             class: ClassId::from_u32(0),
             deadline: self.now + Duration::from_millis(within),
             fingerprint: RequestFingerprint(query),
+            suspicion,
         };
         let views = ViewPair {
             topology: &self.topology,
@@ -168,6 +175,15 @@
         self.report(connection, ConnectionEvent::Broken { work });
     }
 
+    /// The attempt that is to be sent last has become a suspect in the meantime.
+    fn isolate(&mut self) {
+        let Some((_connection, work)) = self.busy.pop() else {
+            return;
+        };
+        self.state.isolate(self.now, work);
+        self.run();
+    }
+
     fn set_leaving(&mut self, leaving: bool) {
         self.topology = topology(leaving);
         let views = ViewPair {
@@ -193,6 +209,11 @@
         self.actions = actions;
         let held = self.opening.len() + self.open;
         assert!(held <= SHARE, "{held} connections");
+        let suspects = self
+            .busy
+            .iter()
+            .filter(|(_, work)| self.state.is_suspect(*work));
+        assert!(suspects.count() <= 1, "suspects side by side");
         assert!(self.state.connections() as usize == held);
     }
 
@@ -218,6 +239,7 @@
                 assert_eq!(twin, None, "{query} finished twice");
             }
             RelayAction::ReportLoss(loss) => self.losses.push(loss),
+            RelayAction::ReportAnswer { fingerprint, .. } => self.answered.push(fingerprint),
             RelayAction::NoteLeaving(_) => {}
         }
     }
@@ -252,6 +274,7 @@
     Dropped,
     Closed,
     Leaving(bool),
+    Isolate,
     Tick(u64),
 }
 
@@ -275,6 +298,7 @@
         1 => Just(Step::Broken),
         1 => Just(Step::Dropped),
         1 => Just(Step::Closed),
+        2 => Just(Step::Isolate),
         1 => prop::bool::weighted(0.3).prop_map(Step::Leaving),
         3 => (1..100_u64).prop_map(Step::Tick),
     ];
@@ -284,8 +308,14 @@
 fn apply_step(bench: &mut Bench, step: Step) {
     match step {
         Step::Submit { customer, within } => {
-            bench.submit(customer, within);
+            let suspicion = match within % 5 {
+                0 => WorkSuspicion::Suspect,
+                1 => WorkSuspicion::AfterLoss,
+                _ => WorkSuspicion::Clear,
+            };
+            bench.submit_as(customer, within, suspicion);
         }
+        Step::Isolate if !bench.busy.is_empty() => bench.isolate(),
         Step::Cancel(query) => bench.cancel(query),
         Step::Opened(sign) => {
             if let Some(connection) = bench.opening.pop() {
@@ -441,6 +471,44 @@
     expect_that!(bench.losses[0].in_flight.len(), eq(2));
 }
 
+#[gtest]
+fn suspects_are_sent_alone_and_others_beside_them() {
+    let mut bench = Bench::new(LimitMode::Adaptive);
+    let first = bench.submit_as(0, 100, WorkSuspicion::AfterLoss);
+    let second = bench.submit_as(0, 100, WorkSuspicion::Suspect);
+    let clear = bench.submit(0, 100);
+    bench.open_all();
+    let busy = |bench: &Bench| {
+        let numbers = bench.busy.iter().map(|(_, work)| bench.numbers[work]);
+        numbers.collect::<Vec<_>>()
+    };
+    expect_that!(
+        busy(&bench),
+        unordered_elements_are![eq(&first), eq(&clear)]
+    );
+    let position = busy(&bench)
+        .iter()
+        .position(|query| *query == first)
+        .unwrap();
+    bench.answer(position, rows(), false);
+    expect_that!(
+        bench.answered,
+        elements_are![eq(&RequestFingerprint(first))]
+    );
+    expect_that!(
+        busy(&bench),
+        unordered_elements_are![eq(&second), eq(&clear)]
+    );
+    bench.break_one(0);
+    bench.break_one(0);
+    let lost: Vec<_> = bench.losses[0]
+        .in_flight
+        .iter()
+        .map(|lost| lost.after_loss)
+        .collect();
+    expect_that!(lost, eq(&vec![false, false]));
+}
+
 #[gtest]
 fn upstream_that_refuses_connections_refuses_at_once() {
     let mut bench = Bench::new(LimitMode::Adaptive);
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -7,16 +7,16 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::ident::UpstreamAddress;
-use crate::relay::action::{RelayAction, RelayTables, UpstreamLoss, WorkOrder};
+use crate::relay::action::{RelayAction, RelayTables, WorkOrder};
 use crate::relay::ids::{ConnectionId, UpstreamId, WorkId};
 use crate::relay::limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
+use crate::relay::loss::LossWindow;
 use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict, UpstreamLoad};
 use crate::relay::queue::{PushResult, QueueEntry, RelayQueue};
 use crate::relay::service::ServiceTimes;
 use crate::relay::state::OpenSign;
+use crate::relay::suspects::SuspectQueue;
 use crate::settings::ExperimentSwitches;
 
 /// An idle connection is closed after this time, before the usual upstream closes it under a request.
@@ -25,8 +25,6 @@
 const DRAIN_HOLD: Duration = Duration::from_secs(30);
 /// How long an upstream whose status says so gets nothing; then its status is asked again.
 const HINT_HOLD: Duration = Duration::from_secs(2);
-/// Connections that break within this time of each other are one loss.
-const LOSS_WINDOW: Duration = Duration::from_millis(20);
 /// First pause after a connection could not be opened; it doubles up to [`OPEN_PAUSE_LIMIT`].
 const OPEN_PAUSE: Duration = Duration::from_millis(10);
 const OPEN_PAUSE_LIMIT: Duration = Duration::from_secs(1);
@@ -50,6 +48,8 @@
     /// Attempts that were there when it was sent, itself included.
     in_flight: u32,
     epoch: LimitEpoch,
+    /// When it was sent.
+    since: Duration,
     /// Its verdict was given before the upstream let go of it.
     given_up: bool,
 }
@@ -60,19 +60,13 @@
     since: Duration,
 }
 
-/// Connections that broke within one [`LOSS_WINDOW`].
-#[derive(Debug)]
-struct LossWindow {
-    ends: Duration,
-    loss: UpstreamLoss,
-}
-
 /// What one VM knows and does about one upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamState {
     id: UpstreamId,
     address: UpstreamAddress,
     queue: RelayQueue,
+    suspects: SuspectQueue,
     limit: ConcurrencyLimit,
     service: ServiceTimes,
     share: u32,
@@ -112,6 +106,7 @@
             id,
             address,
             queue: RelayQueue::new(switches.queue),
+            suspects: SuspectQueue::default(),
             limit: ConcurrencyLimit::new(switches.limit, 0),
             service: ServiceTimes::default(),
             share: 0,
@@ -151,6 +146,13 @@
             tables.refuse(work, reason);
             return;
         }
+        if order.is_suspect() {
+            if !self.suspects.push(work, order.deadline) {
+                tables.refuse(work, RefusalReason::QueueFull);
+            }
+            self.dispatch(now, tables);
+            return;
+        }
         let entry = QueueEntry {
             work,
             customer: order.customer,
@@ -181,7 +183,7 @@
 
     /// The entry no longer wants an attempt.
     pub(super) fn cancel(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
-        if self.queue.cancel(work) {
+        if self.queue.cancel(work) || self.suspects.cancel(work) {
             tables.refuse(work, RefusalReason::Cancelled);
             return;
         }
@@ -298,6 +300,24 @@
         self.dispatch(now, tables);
     }
 
+    /// An attempt was not handed to its connection, because it has become a suspect: it waits to be sent alone.
+    pub(super) fn isolate(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
+        let Some(sent) = self.take_sent(work) else {
+            return;
+        };
+        self.idle.push(IdleConnection {
+            connection: sent.connection,
+            since: now,
+        });
+        if sent.given_up {
+            tables.release(work);
+            self.dispatch(now, tables);
+            return;
+        }
+        tables.suspect(work);
+        self.submit(now, work, tables);
+    }
+
     /// An attempt was answered; the connection is free.
     pub(super) fn answered(
         &mut self,
@@ -315,6 +335,12 @@
             since: now,
         });
         self.learn(now, &sent, &answer);
+        if sent.order.is_suspect() && matches!(answer.verdict, ShardVerdict::Rows { .. }) {
+            tables.actions.push(RelayAction::ReportAnswer {
+                fingerprint: sent.order.fingerprint,
+                flight: now.saturating_sub(sent.since),
+            });
+        }
         if answer.draining {
             self.note_draining(now, tables);
         }
@@ -368,9 +394,10 @@
     /// Does what is due by time alone.
     pub(super) fn tick(&mut self, now: Duration, tables: &mut RelayTables) {
         self.queue.drop_expired(now, &mut self.taken);
+        self.suspects.drop_expired(now, &mut self.taken);
         tables.refuse_all(&mut self.taken, RefusalReason::Expired);
-        if self.loss.as_ref().is_some_and(|window| window.ends <= now) {
-            self.report_loss(tables);
+        if self.loss.as_ref().is_some_and(|window| window.is_over(now)) {
+            self.report_loss(now, tables);
         }
         let keep = |idle: &IdleConnection| idle.since + IDLE_LIMIT > now;
         for idle in self.idle.iter().filter(|idle| !keep(idle)) {
@@ -383,7 +410,7 @@
 
     /// Tells whether time alone may bring something to do.
     pub(super) fn needs_tick(&self) -> bool {
-        !self.queue.is_empty() || !self.idle.is_empty() || self.loss.is_some()
+        self.queued() > 0 || !self.idle.is_empty() || self.loss.is_some()
     }
 
     /// Tells whether nothing waits, runs or is connected.
@@ -393,7 +420,7 @@
 
     /// Attempts that wait.
     pub(super) fn queued(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.suspects.len()
     }
 
     /// Attempts at the upstream, those given up included.
@@ -410,7 +437,7 @@
     pub(super) fn load(&self, now: Duration) -> UpstreamLoad {
         let limit = u32::max(1, self.limit.settled());
         let service = self.service.median();
-        let ahead = (self.queue.len() + self.sent.len() + 1).saturating_sub(limit as usize);
+        let ahead = (self.queued() + self.sent.len() + 1).saturating_sub(limit as usize);
         let wait = service * ahead as u32 / limit;
         UpstreamLoad {
             upstream: self.address,
@@ -439,6 +466,7 @@
             self.hand_back(RefusalReason::Leaving, tables);
             return;
         }
+        self.send_suspect(now, tables);
         loop {
             let free = (self.limit.current() as usize).saturating_sub(self.sent.len());
             let room = usize::min(free, self.idle.len());
@@ -448,14 +476,29 @@
             let Some(work) = self.queue.pop(now, room, &mut self.taken) else {
                 break;
             };
-            self.send(work, tables);
+            self.send(now, work, tables);
         }
         tables.refuse_all(&mut self.taken, RefusalReason::Expired);
         self.open_needed(now, tables);
     }
 
+    /// Sends the next suspect if there is room for it and no other one is there.
+    fn send_suspect(&mut self, now: Duration, tables: &mut RelayTables) {
+        let has_room = self.sent.len() < self.limit.current() as usize && !self.idle.is_empty();
+        if !has_room || !self.may_send_suspect() {
+            return;
+        }
+        if let Some(work) = self.suspects.pop(now, &mut self.taken) {
+            self.send(now, work, tables);
+        }
+    }
+
+    fn may_send_suspect(&self) -> bool {
+        !self.suspects.is_empty() && !self.sent.iter().any(|sent| sent.order.is_suspect())
+    }
+
     /// Sends an attempt on the connection that was used last: the others may fall idle and close.
-    fn send(&mut self, work: WorkId, tables: &mut RelayTables) {
+    fn send(&mut self, now: Duration, work: WorkId, tables: &mut RelayTables) {
         let Some(order) = tables.order(work) else {
             return;
         };
@@ -468,6 +511,7 @@
             connection,
             in_flight: self.sent.len() as u32 + 1,
             epoch: self.limit.epoch(),
+            since: now,
             given_up: false,
         });
         let upstream = self.id;
@@ -484,7 +528,8 @@
             return;
         }
         let room = (self.limit.current() as usize).saturating_sub(self.sent.len());
-        let wanted = usize::min(self.queue.len(), room) as u32;
+        let waiting = self.queue.len() + usize::from(self.may_send_suspect());
+        let wanted = usize::min(waiting, room) as u32;
         while self.opening < wanted && self.open + self.opening < self.share {
             self.opening += 1;
             tables.open(self.id);
@@ -510,6 +555,7 @@
 
     fn hand_back(&mut self, reason: RefusalReason, tables: &mut RelayTables) {
         self.queue.drain(&mut self.taken);
+        self.suspects.drain(&mut self.taken);
         tables.refuse_all(&mut self.taken, reason);
     }
 
@@ -548,22 +594,17 @@
 
     /// Gathers what broke at about the same time, and reports it as soon as nothing is left that could belong to it.
     fn note_loss(&mut self, now: Duration, sent: &SentWork, tables: &mut RelayTables) {
-        let window = self.loss.get_or_insert_with(|| LossWindow {
-            ends: now + LOSS_WINDOW,
-            loss: UpstreamLoss {
-                upstream: self.address,
-                in_flight: SmallVec::new(),
-            },
-        });
-        window.loss.in_flight.push(sent.order.fingerprint);
+        let window = self.loss.get_or_insert_with(|| LossWindow::new(now));
+        window.add(sent.order.lost_request(), sent.since);
         if self.sent.is_empty() {
-            self.report_loss(tables);
+            self.report_loss(now, tables);
         }
     }
 
-    fn report_loss(&mut self, tables: &mut RelayTables) {
+    fn report_loss(&mut self, now: Duration, tables: &mut RelayTables) {
         if let Some(window) = self.loss.take() {
-            tables.actions.push(RelayAction::ReportLoss(window.loss));
+            let loss = window.finish(self.address, now);
+            tables.actions.push(RelayAction::ReportLoss(loss));
         }
     }
 }
