Replan on the catalogue of now, and hold the entry's decisions to faults and any order of outcomes

A query that lost a shard to a version roll looked for the newer version in the route tables of its own start, found none and answered thin: 7 of 8 shards instead of all 8 at the new version (table case: Roll alone and with five other faults). The tables are now made anew when the catalogue has changed.

--- a/crates/ebonyfork/src/entry/mod.rs
+++ b/crates/ebonyfork/src/entry/mod.rs
@@ -37,6 +37,8 @@
 pub use choice::ChoiceReason;
 pub use decision::RouteDecision;
 #[cfg(test)]
+mod fault_tests;
+#[cfg(test)]
 mod fixture;
 #[cfg(test)]
 mod model;
--- a/crates/ebonyfork/src/entry/route.rs
+++ b/crates/ebonyfork/src/entry/route.rs
@@ -58,6 +58,16 @@
         directory: &mut Directory,
         now: Duration,
     ) -> Option<Arc<RouteTable>> {
+        let routes = self.current(index, directory)?;
+        let avoided = routes.avoided.filter(|(_, until)| now < *until);
+        let covers =
+            |table: &&Arc<RouteTable>| avoided.is_none_or(|(version, _)| table.version != version);
+        let newest = routes.tables.iter().find(covers);
+        newest.or_else(|| routes.tables.first()).map(Arc::clone)
+    }
+
+    /// The tables of an index, made anew if its catalogue has changed.
+    fn current(&mut self, index: &IndexName, directory: &mut Directory) -> Option<&IndexRoutes> {
         let catalog = self.catalogs.get(index)?;
         if !self.indexes.contains_key(index) {
             self.indexes.insert(index.clone(), IndexRoutes::default());
@@ -67,11 +77,7 @@
             routes.epoch = Some(catalog.epoch);
             routes.tables = make_tables(index, catalog, directory);
         }
-        let avoided = routes.avoided.filter(|(_, until)| now < *until);
-        let covers =
-            |table: &&Arc<RouteTable>| avoided.is_none_or(|(version, _)| table.version != version);
-        let newest = routes.tables.iter().find(covers);
-        newest.or_else(|| routes.tables.first()).map(Arc::clone)
+        Some(routes)
     }
 
     /// Notes that some shard lacks a version.
@@ -83,13 +89,14 @@
 
     /// The newest version on the side of `pinned` where the shard that lacks it stands: newer if `held` is newer.
     pub fn other(
-        &self,
+        &mut self,
         index: &IndexName,
+        directory: &mut Directory,
         pinned: SnapshotVersion,
         held: SnapshotVersion,
     ) -> Option<Arc<RouteTable>> {
         let same_side = |table: &&Arc<RouteTable>| table.version.cmp(&pinned) == held.cmp(&pinned);
-        let routes = self.indexes.get(index)?;
+        let routes = self.current(index, directory)?;
         let newest = routes.tables.iter().find(same_side)?;
         (newest.version != pinned).then(|| Arc::clone(newest))
     }
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -337,3 +337,7 @@
         Some(verdict.outcome(self, tools, now))
     }
 }
+
+#[cfg(test)]
+#[path = "run_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/entry/run_tests.rs
@@ -0,0 +1,183 @@
+//! Properties of one query under any order of outcomes, doubled, late, at mixed versions.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use crate::declaration::{ClassScope, TargetPriority};
+use crate::entry::fixture::{EntryFixture, SentAttempt, ms, request};
+use crate::ident::{RunState, SnapshotVersion};
+use crate::query::{QueryOutcome, QueryRequest};
+use crate::relay::{FailureReason, RefusalReason, ShardVerdict};
+
+const SHARDS: usize = 5;
+
+/// One event: the verdict for one of the attempts sent so far, or time that passes.
+#[derive(Debug, Clone)]
+enum Step {
+    Settle { pick: usize, kind: u8 },
+    Pass { millis: u64 },
+    LinkDown { vm: u8 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let settle = (0..64_usize, 0..10_u8).prop_map(|(pick, kind)| Step::Settle { pick, kind });
+    let pass = (1..60_u64).prop_map(|millis| Step::Pass { millis });
+    let down = (1..4_u8).prop_map(|vm| Step::LinkDown { vm });
+    prop::collection::vec(prop_oneof![12 => settle, 2 => pass, 1 => down], 1..60)
+}
+
+fn config() -> Config {
+    Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn verdict(attempt: &SentAttempt, kind: u8) -> ShardVerdict {
+    let rows = |version| ShardVerdict::Rows {
+        version,
+        body: format!(r#"{{"rows":["{}@{version}"]}}"#, attempt.shard).into(),
+    };
+    match kind {
+        0..=3 => rows(attempt.version),
+        4 => rows(SnapshotVersion(16)),
+        5 => ShardVerdict::VersionGone {
+            newest: SnapshotVersion(18),
+        },
+        6 => ShardVerdict::NotRun(RefusalReason::Shed),
+        7 => ShardVerdict::NotRun(RefusalReason::NotOwner),
+        8 => ShardVerdict::Failed {
+            ran: RunState::Unknown,
+            reason: FailureReason::Status,
+        },
+        _ => ShardVerdict::Moved {
+            service: "tender-00".parse().unwrap(),
+        },
+    }
+}
+
+/// What the steps did, as the fakes saw it.
+#[derive(Default)]
+struct Seen {
+    sent: Vec<SentAttempt>,
+    /// Per attempt: whether it may have run.
+    may_have_run: Vec<bool>,
+    settled: Vec<bool>,
+}
+
+impl Seen {
+    fn take(&mut self, fixture: &mut EntryFixture) {
+        for attempt in fixture.take_sent() {
+            self.sent.push(attempt);
+            // Until an explicit refusal, an attempt that was sent may run.
+            self.may_have_run.push(true);
+            self.settled.push(false);
+        }
+    }
+}
+
+fn run_steps(fixture: &mut EntryFixture, query: u64, steps: &[Step]) -> Seen {
+    let mut seen = Seen::default();
+    seen.take(fixture);
+    for step in steps {
+        match *step {
+            Step::Settle { pick, kind } => {
+                if seen.sent.is_empty() {
+                    continue;
+                }
+                let pick = pick % seen.sent.len();
+                let attempt = seen.sent[pick].clone();
+                let verdict = verdict(&attempt, kind);
+                let refused = matches!(
+                    verdict,
+                    ShardVerdict::NotRun(_)
+                        | ShardVerdict::VersionGone { .. }
+                        | ShardVerdict::Moved { .. }
+                );
+                // Only the first verdict of an attempt is true; the others are doubles.
+                if !seen.settled[pick] && !fixture.finished.contains_key(&query) {
+                    seen.settled[pick] = true;
+                    seen.may_have_run[pick] = !refused;
+                }
+                fixture.settle(&attempt, verdict);
+            }
+            Step::Pass { millis } => fixture.advance(fixture.now + ms(millis)),
+            Step::LinkDown { vm } => {
+                let vm = crate::entry::fixture::vm(vm);
+                let unsent = std::collections::VecDeque::new();
+                fixture.core.link_down(fixture.now, vm, unsent);
+                fixture.pump();
+                for (number, attempt) in seen.sent.iter().enumerate() {
+                    seen.settled[number] |= attempt.vm == vm;
+                }
+            }
+        }
+        seen.take(fixture);
+    }
+    fixture.advance(fixture.now + ms(2_000));
+    seen.take(fixture);
+    seen
+}
+
+fn check_truth(outcome: &QueryOutcome, seen: &Seen) {
+    match outcome {
+        Ok(answer) => {
+            let missing = answer.coverage.missing.iter().map(|shard| shard.0);
+            let missing: Vec<u32> = missing.collect();
+            let answered = (0..SHARDS as u32).filter(|shard| !missing.contains(shard));
+            let expected =
+                answered.map(|shard| format!(r#"{{"rows":["{shard}@{}"]}}"#, answer.snapshot));
+            let bodies = answer
+                .bodies
+                .iter()
+                .map(|body| String::from_utf8_lossy(body).into());
+            let bodies: Vec<String> = bodies.collect();
+            expect_that!(bodies, eq(&expected.collect::<Vec<String>>()));
+            expect_that!(answer.coverage.answered as usize, eq(bodies.len()));
+            expect_that!(answer.coverage.total as usize, eq(SHARDS));
+        }
+        Err(refusal) if refusal.ran == RunState::NotRun => {
+            expect_that!(seen.may_have_run.contains(&true), eq(false), "{refusal}");
+        }
+        Err(_refusal) => {}
+    }
+}
+
+#[gtest]
+fn answers_are_of_one_version_and_their_coverage_is_true() {
+    for priority in [TargetPriority::LatencyFirst, TargetPriority::CoverageFirst] {
+        proptest!(config(), |(steps in steps())| {
+            let mut fixture = EntryFixture::new(SHARDS, |class| class.priority = priority);
+            let query = fixture.start(request());
+            fixture.publish(6, &[(18, SHARDS), (17, SHARDS)]);
+            let seen = run_steps(&mut fixture, query, &steps);
+            check_truth(fixture.outcome(query), &seen);
+            prop_assert_eq!(fixture.core.in_flight(), 0);
+        });
+    }
+}
+
+#[gtest]
+fn a_non_idempotent_query_may_run_at_most_once() {
+    proptest!(config(), |(steps in steps())| {
+        let mut fixture = EntryFixture::new(SHARDS, |class| {
+            class.idempotent = false;
+            class.scope = ClassScope::One;
+        });
+        let query = fixture.start(QueryRequest {
+            key: Some("127.0.0.1-7.1".parse().unwrap()),
+            ..request()
+        });
+        fixture.publish(6, &[(18, SHARDS), (17, SHARDS)]);
+        let seen = run_steps(&mut fixture, query, &steps);
+        let may_have_run = seen.may_have_run.iter().filter(|run| **run).count();
+        prop_assert!(may_have_run <= 1, "{} attempts may have run", may_have_run);
+        if let Err(refusal) = fixture.outcome(query) {
+            let not_run = refusal.ran == RunState::NotRun;
+            prop_assert!(!not_run || may_have_run == 0, "{}", refusal);
+        }
+    });
+}
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -206,7 +206,10 @@
         if left < self.terms.span() / REPLAN_SHARE {
             return;
         }
-        let Some(route) = tools.routes.other(&index, pinned, held) else {
+        let EntryTools {
+            routes, directory, ..
+        } = &mut *tools;
+        let Some(route) = routes.other(&index, directory, pinned, held) else {
             return;
         };
         self.cancel_rest(tools);
