Membership: suspicions keep their age, bad news is shorter, seeds are asked with back-off

Found by a run of 300 members started at once with three seeds: the seeds' byte budget could not answer 6,000 pings a second, and some members stayed alone for good. The wait between such pings now doubles up to 2 s. A suspicion carries its age, so that late hearers don't wait out the whole time again (at least 1.5 s stay for the refutation), and leaves the zone out. Digests are told half as often.

A listed VM's grace grows with the list, as a fleet that starts at once needs longer to hear of itself.

--- a/crates/ebonyfork/src/membership/message.rs
+++ b/crates/ebonyfork/src/membership/message.rs
@@ -132,6 +132,8 @@
     pub health: MemberHealth,
     /// Whether it has announced a planned stop.
     pub leaving: bool,
+    /// Tenths of a second since it got this health; what matters is when a suspicion began.
+    pub age_ds: u16,
     /// Its zone; left out where the receiver must know the member already.
     pub zone: Option<ZoneName>,
 }
--- a/crates/ebonyfork/src/membership/message_tests.rs
+++ b/crates/ebonyfork/src/membership/message_tests.rs
@@ -30,6 +30,7 @@
         life: sender.life,
         health: MemberHealth::Suspect,
         leaving: true,
+        age_ds: 12,
         zone: Some(sender.zone.clone()),
     };
     let notice = GossipNotice::new(b"news");
--- a/crates/ebonyfork/src/membership/paging.rs
+++ b/crates/ebonyfork/src/membership/paging.rs
@@ -10,7 +10,7 @@
 
 use crate::ident::VmAddress;
 use crate::membership::message::{
-    DATAGRAM_LIMIT, DatagramWriter, GossipFact, MemberMessage, PACKET_OVERHEAD,
+    DATAGRAM_LIMIT, DatagramWriter, GossipFact, MemberHealth, MemberMessage, PACKET_OVERHEAD,
 };
 use crate::membership::protocol::{MemberProtocol, OutgoingDatagram};
 use crate::membership::timing::{PAGE_TIMEOUT, REPAIR_PERIOD};
@@ -128,7 +128,7 @@
         message: MemberMessage,
     ) -> (Vec<u8>, Option<VmAddress>) {
         let mut writer = DatagramWriter::new(self.deployment, DATAGRAM_LIMIT, &self.own, message);
-        if let Some(accused) = self.table.update(to) {
+        if let Some(accused) = self.table.update(now, to) {
             writer.push(&GossipFact::Member(accused));
         }
         if after.is_none() {
@@ -141,10 +141,14 @@
             }
         }
         let mut last = after;
-        for (vm, _) in self.table.records_after(after) {
-            let Some(update) = self.table.update(vm) else {
+        for (vm, record) in self.table.records_after(after) {
+            let Some(mut update) = self.table.update(now, vm) else {
                 continue;
             };
+            // Here the suspects' zones matter as well: the asker may know nobody.
+            if record.health != MemberHealth::Failed {
+                update.zone = Some(record.zone.clone());
+            }
             if vm != to && !writer.push(&GossipFact::Member(update)) {
                 return (writer.finish(), last);
             }
--- a/crates/ebonyfork/src/membership/probing.rs
+++ b/crates/ebonyfork/src/membership/probing.rs
@@ -12,7 +12,7 @@
 use crate::membership::table::MemberTable;
 use crate::membership::timing::{
     DIRECT_TIMEOUT, ENOUGH_MEMBERS, HELPER_COUNT, PROBE_PERIOD, RELAY_LIMIT, RELAY_TIME,
-    SEED_FANOUT, SLOW_PERIOD,
+    SEED_FANOUT, SEED_WAIT, SLOW_PERIOD,
 };
 
 /// Draws of a random member before none is found.
@@ -27,6 +27,8 @@
     current: Option<OpenProbe>,
     next: Duration,
     next_slow: Duration,
+    next_seed: Duration,
+    seed_wait: Duration,
     relays: Vec<RelayedProbe>,
 }
 
@@ -59,6 +61,8 @@
             current: None,
             next: now + PROBE_PERIOD.mul_f64(rng.random()),
             next_slow: now,
+            next_seed: now,
+            seed_wait: SEED_WAIT,
             relays: Vec::new(),
         }
     }
@@ -255,7 +259,6 @@
     /// Probes listed VMs that never answered, quickly while few members are known; and failed members, slowly, because
     /// a cut that heals must be noticed by somebody.
     fn probe_seeds(&mut self, now: Duration, out: &mut Vec<OutgoingDatagram>) {
-        let quick = self.table.present() < ENOUGH_MEMBERS;
         let slow = now >= self.probe.next_slow;
         if slow {
             self.probe.next_slow = now + SLOW_PERIOD;
@@ -263,10 +266,15 @@
                 self.ping_once(now, failed, out);
             }
         }
-        if !quick && !slow {
+        let alone = self.table.present() < ENOUGH_MEMBERS;
+        if now < self.probe.next_seed || !(alone || slow) {
             return;
         }
-        let fanout = if quick { SEED_FANOUT } else { 1 };
+        // When a whole fleet starts at once, those that are asked first can't answer everybody.
+        self.probe.seed_wait = (self.probe.seed_wait * 2).min(SLOW_PERIOD);
+        let jitter = 0.5 + self.rng.random::<f64>();
+        self.probe.next_seed = now + self.probe.seed_wait.mul_f64(jitter);
+        let fanout = if alone { SEED_FANOUT } else { 1 };
         for _seed in 0..fanout {
             if let Some(seed) = self.random_seed() {
                 self.ping_once(now, seed, out);
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -27,7 +27,8 @@
 };
 use crate::membership::timing::{
     DEAF_TIME, DIGEST_TELLINGS, DIGEST_TICKS, FORGET_TIME, ISOLATION_TIME, LEAVE_FANOUT,
-    MEMBER_LIMIT, PAUSE_GAP, SEND_BURST, SEND_RATE, digest_period, suspicion_time, telling_limit,
+    MEMBER_LIMIT, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE, digest_period, suspicion_time,
+    telling_limit,
 };
 
 /// A datagram to be sent.
@@ -347,6 +348,7 @@
             life,
             health,
             leaving,
+            age_ds: 0,
             zone: None,
         }
     }
@@ -367,8 +369,9 @@
         let (life, health, state) = (record.life, record.health, record.state());
         let zone = record.zone.clone();
         if health == MemberHealth::Suspect {
-            let limit = suspicion_time(self.table.present());
-            let deadline = now + limit;
+            // The time runs from when the suspicion began, so that late hearers do not wait it out once more.
+            let limit = record.since + suspicion_time(self.table.present());
+            let deadline = limit.max(now + REFUTE_TIME);
             let vm = update.vm;
             self.suspects.push(SuspectTimer { vm, life, deadline });
         }
@@ -454,7 +457,7 @@
         // Whoever is held for dead or dying is told first, so that it can refute.
         let accused = self.table.get(to);
         if accused.is_some_and(|record| record.health != MemberHealth::Alive)
-            && let Some(update) = self.table.update(to)
+            && let Some(update) = self.table.update(now, to)
         {
             writer.push_always(&GossipFact::Member(update));
         }
@@ -478,7 +481,7 @@
             let update = if vm == own.vm {
                 Some(own_update(own))
             } else {
-                table.update(vm)
+                table.update(now, vm)
             };
             offered(writer, update.map(GossipFact::Member))
         });
@@ -583,6 +586,7 @@
         life: own.life,
         health: MemberHealth::Alive,
         leaving: own.leaving,
+        age_ds: 0,
         zone: Some(own.zone.clone()),
     }
 }
--- a/crates/ebonyfork/src/membership/receive.rs
+++ b/crates/ebonyfork/src/membership/receive.rs
@@ -94,6 +94,7 @@
         if sudden {
             let suspicion = MemberUpdate {
                 health: MemberHealth::Suspect,
+                age_ds: 0,
                 ..update.clone()
             };
             self.believe(now, &suspicion, tell);
--- a/crates/ebonyfork/src/membership/table.rs
+++ b/crates/ebonyfork/src/membership/table.rs
@@ -22,7 +22,7 @@
     pub health: MemberHealth,
     /// Whether it has announced a planned stop.
     pub leaving: bool,
-    /// When its health last changed.
+    /// When its health last changed, as far as known.
     pub since: Duration,
     /// What it last said about itself.
     pub digest: MemberDigest,
@@ -130,7 +130,7 @@
         record.life = update.life;
         if record.health != update.health {
             record.health = update.health;
-            record.since = now;
+            record.since = began(now, update);
         }
         if let Some(zone) = &update.zone {
             record.zone.clone_from(zone);
@@ -155,7 +155,7 @@
             life: update.life,
             health: update.health,
             leaving: update.leaving,
-            since: now,
+            since: began(now, update),
             digest: MemberDigest::default(),
             stamp: 0,
         };
@@ -191,16 +191,18 @@
         }
     }
 
-    /// What is said to others about a member.
-    pub fn update(&self, vm: VmAddress) -> Option<MemberUpdate> {
+    /// What is said to others about a member at `now`. Its zone is left out where it does not answer: who has never heard
+    /// of it can wait, and bad news must be short because it comes in heaps.
+    pub fn update(&self, now: Duration, vm: VmAddress) -> Option<MemberUpdate> {
         let record = self.records.get(&vm)?;
-        // Who has never heard of a member needs no news of its failure, and so no zone.
-        let zone = (record.health != MemberHealth::Failed).then(|| record.zone.clone());
+        let zone = (record.health == MemberHealth::Alive).then(|| record.zone.clone());
+        let age = now.saturating_sub(record.since).as_millis() / 100;
         Some(MemberUpdate {
             vm,
             life: record.life,
             health: record.health,
             leaving: record.leaving,
+            age_ds: u16::try_from(age).unwrap_or(u16::MAX),
             zone,
         })
     }
@@ -213,6 +215,11 @@
     }
 }
 
+/// When a member got the health that is told of it.
+fn began(now: Duration, update: &MemberUpdate) -> Duration {
+    now.saturating_sub(Duration::from_millis(u64::from(update.age_ds) * 100))
+}
+
 /// What the rest of the process sees of a record.
 pub fn member_entry(vm: VmAddress, record: &MemberRecord) -> MemberEntry {
     MemberEntry {
--- a/crates/ebonyfork/src/membership/table_tests.rs
+++ b/crates/ebonyfork/src/membership/table_tests.rs
@@ -12,6 +12,7 @@
         },
         health,
         leaving,
+        age_ds: 0,
         zone: zone.then(|| "a".parse().unwrap()),
     }
 }
--- a/crates/ebonyfork/src/membership/timing.rs
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -22,8 +22,10 @@
 pub const ISOLATION_TIME: Duration = Duration::from_secs(5);
 /// Time between two probes of failed members and of listed VMs that never answered.
 pub const SLOW_PERIOD: Duration = Duration::from_secs(2);
-/// Listed VMs probed per tick until enough members are known.
-pub const SEED_FANOUT: usize = 2;
+/// Listed VMs probed at a time until enough members are known.
+pub const SEED_FANOUT: usize = 3;
+/// Half the wait between the first two such probes; it doubles up to [`SLOW_PERIOD`].
+pub const SEED_WAIT: Duration = Duration::from_millis(100);
 /// Members that are enough to learn the others from.
 pub const ENOUGH_MEMBERS: usize = 3;
 /// How long a page of members is waited for.
@@ -45,7 +47,7 @@
 /// Most members that are held; more than twice the fleet we design for.
 pub const MEMBER_LIMIT: usize = 12_000;
 
-const DIGEST_PERIOD_EACH: Duration = Duration::from_millis(15);
+const DIGEST_PERIOD_EACH: Duration = Duration::from_millis(30);
 const DIGEST_PERIOD_MIN: Duration = Duration::from_secs(1);
 const DIGEST_PERIOD_MAX: Duration = Duration::from_mins(1);
 
@@ -56,6 +58,9 @@
     Duration::from_millis((1_000.0 + 500.0 * rounds) as u64)
 }
 
+/// Whoever hears late of a suspicion waits at least this long: the refutation may come right behind it.
+pub const REFUTE_TIME: Duration = Duration::from_millis(1_500);
+
 /// How often one process tells a fact about a member's life.
 pub fn telling_limit(members: usize) -> usize {
     4 + 2 * (members + 1).next_power_of_two().trailing_zeros() as usize
--- a/crates/ebonyfork/src/topology/join.rs
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -17,6 +17,8 @@
 
 /// How long a listed VM is used that has never answered membership.
 pub const UNHEARD_GRACE: Duration = Duration::from_secs(10);
+/// How much longer for each VM on the list: when all start at once, they need longer to hear of each other.
+const UNHEARD_GRACE_EACH: Duration = Duration::from_millis(40);
 /// How long a sign of leaving counts against a list that goes on saying live.
 pub const LEAVING_SIGN_AGE: Duration = Duration::from_mins(1);
 
@@ -166,7 +168,8 @@
         }
         let mut peers = self.members.members().iter();
         let peers_answer = peers.any(|member| member.vm != self.own.vm);
-        !peers_answer || now.saturating_sub(listed.first_listed) < UNHEARD_GRACE
+        let grace = UNHEARD_GRACE + UNHEARD_GRACE_EACH * self.vms.len() as u32;
+        !peers_answer || now.saturating_sub(listed.first_listed) < grace
     }
 }
 
