Wake the reader of quarantine news only when there is news

Taking the notices woke their own reader again, so one loss set the gossip task spinning on a core for good. What no longer counts is now also forgotten without news, so that the check becomes one atomic load again. The test takes the news once and expects silence; it failed before (wait_news was ready at once).

--- a/crates/ebonyfork/src/quarantine/handle.rs
+++ b/crates/ebonyfork/src/quarantine/handle.rs
@@ -19,6 +19,8 @@
 
 /// Suspects whose last admission is remembered at most.
 const ADMISSION_LIMIT: usize = 8_192;
+/// Time between two looks for what no longer counts.
+const SWEEP_PERIOD: Duration = Duration::from_mins(1);
 
 /// The quarantine of one process. Cheap to clone.
 ///
@@ -51,6 +53,8 @@
     table: QuarantineTable,
     /// When a suspect was last admitted here, for callers that don't tell when they sent it.
     admitted: FxHashMap<RequestFingerprint, Duration>,
+    /// When what no longer counts was forgotten last.
+    swept: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -76,6 +80,7 @@
         let state = QuarantineState {
             table: QuarantineTable::new(rand::random()),
             admitted: FxHashMap::default(),
+            swept: Duration::ZERO,
         };
         let shared = QuarantineShared {
             started: Instant::now(),
@@ -110,7 +115,8 @@
                 self.shared.metrics.refusals.inc();
             }
         }
-        drop(state);
+        state.sweep(now);
+        self.publish(state, &[]);
         if standing == RequestStanding::Quarantined {
             log::info!(target: "ebonyfork::decision", "quarantine refuse request={fingerprint}");
         }
@@ -251,6 +257,7 @@
 
     /// Counts and logs decisions, and wakes whoever waits for news.
     fn publish(&self, state: MutexGuard<'_, QuarantineState>, decisions: &[QuarantineDecision]) {
+        let has_news = state.table.has_news();
         let empty = state.table.is_empty();
         self.shared.empty.store(empty, Ordering::Release);
         drop(state);
@@ -258,11 +265,20 @@
             self.shared.metrics.count(decision);
             log_decision(decision);
         }
-        self.shared.news.notify_one();
+        if has_news {
+            self.shared.news.notify_one();
+        }
     }
 }
 
 impl QuarantineState {
+    fn sweep(&mut self, now: Duration) {
+        if now > self.swept + SWEEP_PERIOD {
+            self.swept = now;
+            self.table.forget_old(now);
+        }
+    }
+
     fn note_admitted(&mut self, fingerprint: RequestFingerprint, now: Duration) {
         if self.admitted.len() >= ADMISSION_LIMIT {
             self.admitted.clear();
--- a/crates/ebonyfork/src/quarantine/handle_tests.rs
+++ b/crates/ebonyfork/src/quarantine/handle_tests.rs
@@ -1,3 +1,4 @@
+use futures_util::FutureExt;
 use googletest::prelude::*;
 
 use super::*;
@@ -22,3 +23,18 @@
     assert_that!(quarantine.lift(request), eq(true));
     assert_that!(quarantine.refuses(request), eq(false));
 }
+
+#[tokio::test(start_paused = true)]
+async fn news_wake_their_reader_once_and_are_forgotten_in_the_end() {
+    let quarantine = QuarantineHandle::new();
+    let request = RequestFingerprint(9);
+    assert_that!(quarantine.wait_news().now_or_never(), none());
+    quarantine.report_loss("10.0.0.1:80".parse().unwrap(), &[request]);
+    assert_that!(quarantine.wait_news().now_or_never(), some(eq(())));
+    assert_that!(quarantine.take_notices().len(), eq(1));
+    assert_that!(quarantine.admit(request), eq(RequestStanding::Suspect));
+    assert_that!(quarantine.wait_news().now_or_never(), none());
+    tokio::time::advance(Duration::from_hours(2)).await;
+    assert_that!(quarantine.admit(request), eq(RequestStanding::Clear));
+    assert_that!(quarantine.shared.empty.load(Ordering::Acquire), eq(true));
+}
--- a/crates/ebonyfork/src/quarantine/table.rs
+++ b/crates/ebonyfork/src/quarantine/table.rs
@@ -303,11 +303,16 @@
         self.records.is_empty()
     }
 
+    /// Tells whether there is news to take.
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     /// Takes the news since the last time, own and heard, with their ages brought up to date.
     pub fn take_notices(&mut self, now: Duration) -> Vec<QuarantineNotice> {
         let mut notices = Vec::with_capacity(self.news.len());
         for news in self.news.drain(..) {
-            notices.push(aged(news.notice, now.saturating_sub(news.noted)));
+            notices.push(news.notice.with_elapsed(now.saturating_sub(news.noted)));
         }
         notices
     }
@@ -699,22 +704,6 @@
     }
 }
 
-/// Adds the time that a notice waited to its ages.
-fn aged(notice: QuarantineNotice, waited: Duration) -> QuarantineNotice {
-    let mut notice = notice;
-    match &mut notice {
-        QuarantineNotice::Suspected { age, .. } | QuarantineNotice::Lifted { age, .. } => {
-            *age += waited;
-        }
-        QuarantineNotice::Quarantined { age, left, .. } => {
-            *age += waited;
-            *left = left.saturating_sub(waited);
-        }
-        QuarantineNotice::Cleared { .. } => {}
-    }
-    notice
-}
-
 #[cfg(test)]
 #[path = "table_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/quarantine/table_tests.rs
+++ b/crates/ebonyfork/src/quarantine/table_tests.rs
@@ -212,7 +212,7 @@
         second.merge(notice, ms(60_020));
     }
     for notice in old {
-        let late = aged(notice, ms(59_900));
+        let late = notice.with_elapsed(ms(59_900));
         second.merge(late, ms(60_100));
     }
     expect_that!(
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -415,7 +415,7 @@
 
     /// Tells whether nothing waits, runs or is connected.
     pub(super) fn is_unused(&self) -> bool {
-        self.queue.is_empty() && self.sent.is_empty() && self.connections() == 0
+        self.queued() == 0 && self.sent.is_empty() && self.connections() == 0
     }
 
     /// Attempts that wait.
