Find doubled INI sections by a hash, and measure slopes

Cause: the slope of declarations over customers was not a line: each section header was compared with all earlier ones. The slopes example prints what docs/CAPACITY.md is worked out from: codec, ownership, topology view, catalogue, declarations, each at four sizes or more with fit and residual.

--- /dev/null
+++ b/crates/ebonyfork/examples/slopes.rs
@@ -0,0 +1,309 @@
+//! Measures how costs grow with size and prints one line per slope, for docs/CAPACITY.md.
+//!
+//! Each quantity is measured at four sizes or more; a least-squares line gives the cost at size zero, the cost per
+//! further element, and the residual: the root mean square of the deviations in per cent of the mean.
+//!
+//!     cargo run --release --example slopes
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ebonyfork::catalog::{IndexCatalog, VersionShards};
+use ebonyfork::declaration::{DeclaredConfig, DeclaredFile};
+use ebonyfork::ident::{
+    RequestFingerprint, RevisionNumber, ShardNumber, SnapshotVersion, UpstreamAddress, VmAddress,
+};
+use ebonyfork::relay::{
+    AttemptPurpose, OutcomeBatch, ShardOutcome, ShardTarget, ShardVerdict, SubmitBatch,
+    UpstreamLoad,
+};
+use ebonyfork::topology::{TopologyView, UpstreamEntry, VmEntry, owner_pair};
+use ebonyfork::wire::PeerMessage;
+
+/// Time that each point is measured for.
+const POINT_TIME: Duration = Duration::from_millis(120);
+const SELECTION_BYTES: usize = 200;
+const ROWS_BYTES: usize = 300;
+
+/// A line fitted through measured points.
+struct FittedLine {
+    intercept: f64,
+    slope: f64,
+    residual_percent: f64,
+}
+
+impl FittedLine {
+    /// Fits by least squares.
+    fn new(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+        let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+        let mut covariance = 0.0;
+        let mut variance = 0.0;
+        for (x, y) in points {
+            covariance += (x - mean_x) * (y - mean_y);
+            variance += (x - mean_x).powi(2);
+        }
+        let slope = covariance / variance;
+        let intercept = mean_y - slope * mean_x;
+        let mut squares = 0.0;
+        for (x, y) in points {
+            squares += (intercept + slope * x - y).powi(2);
+        }
+        let residual_percent = (squares / count).sqrt() / mean_y * 100.0;
+        Self {
+            intercept,
+            slope,
+            residual_percent,
+        }
+    }
+}
+
+fn report(name: &str, unit: &str, sizes: &[u32], measure: impl Fn(u32) -> f64) {
+    let mut points = Vec::new();
+    for size in sizes {
+        points.push((f64::from(*size), measure(*size)));
+    }
+    let line = FittedLine::new(&points);
+    let shown: Vec<String> = points
+        .iter()
+        .map(|(size, cost)| format!("{size}: {cost:.0}"))
+        .collect();
+    println!(
+        "| {name} | {} | {:.1} | {:.3} | {:.0} % | {unit} |",
+        shown.join(", "),
+        line.intercept,
+        line.slope,
+        line.residual_percent
+    );
+}
+
+/// Nanoseconds of one call, the fastest of several rounds.
+fn nanoseconds<T>(mut call: impl FnMut() -> T) -> f64 {
+    const ROUNDS: u32 = 5;
+    let mut best = f64::MAX;
+    for _ in 0..ROUNDS {
+        let begun = Instant::now();
+        let mut calls = 0_u32;
+        while begun.elapsed() < POINT_TIME / ROUNDS {
+            black_box(call());
+            calls += 1;
+        }
+        best = best.min(begun.elapsed().as_nanos() as f64 / f64::from(calls));
+    }
+    best
+}
+
+fn upstream(number: u32) -> UpstreamAddress {
+    UpstreamAddress(
+        (
+            [10, (number >> 16) as u8, (number >> 8) as u8, number as u8],
+            8080,
+        )
+            .into(),
+    )
+}
+
+fn vm(number: u32) -> VmAddress {
+    VmAddress(IpAddr::V4(Ipv4Addr::from(0x0b00_0000 + number)))
+}
+
+fn submit(targets: u32) -> PeerMessage {
+    let class = "tender-search".parse().expect("a valid name");
+    let selection = Bytes::from(vec![b'x'; SELECTION_BYTES]);
+    let target = |attempt| ShardTarget {
+        attempt,
+        shard: ShardNumber(attempt),
+        upstream: upstream(attempt),
+        purpose: AttemptPurpose::First,
+    };
+    PeerMessage::Submit(SubmitBatch {
+        query: 1_000_000,
+        fingerprint: RequestFingerprint::new(&class, &selection),
+        class,
+        customer: "roofers-of-tartu".parse().expect("a valid name"),
+        index: "tenders".parse().expect("a valid name"),
+        version: SnapshotVersion(17),
+        remaining_us: 300_000,
+        idempotent: true,
+        key: None,
+        selection,
+        targets: (0..targets).map(target).collect(),
+    })
+}
+
+fn outcomes(count: u32) -> PeerMessage {
+    let outcome = |attempt| ShardOutcome {
+        query: 1_000_000,
+        attempt,
+        upstream: upstream(attempt),
+        verdict: ShardVerdict::Rows {
+            version: SnapshotVersion(17),
+            body: Bytes::from(vec![b'r'; ROWS_BYTES]),
+        },
+        waited_us: 900,
+        served_us: 10_000,
+    };
+    let load = |attempt| UpstreamLoad {
+        upstream: upstream(attempt),
+        wait_us: 2_000,
+        service_us: 10_000,
+        limit: 2,
+        leaving: false,
+    };
+    PeerMessage::Outcomes(OutcomeBatch {
+        outcomes: (0..count).map(outcome).collect(),
+        loads: (0..count).map(load).collect(),
+    })
+}
+
+fn encode(message: &PeerMessage) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("a message encodes")
+}
+
+fn report_codec(name: &str, message: impl Fn(u32) -> PeerMessage) {
+    const SIZES: [u32; 5] = [1, 4, 16, 64, 210];
+    report(&format!("{name}: bytes by attempts"), "B", &SIZES, |size| {
+        encode(&message(size)).len() as f64
+    });
+    report(
+        &format!("{name}: encode by attempts"),
+        "ns",
+        &SIZES,
+        |size| {
+            let message = message(size);
+            nanoseconds(|| encode(&message))
+        },
+    );
+    report(
+        &format!("{name}: decode by attempts"),
+        "ns",
+        &SIZES,
+        |size| {
+            let bytes = encode(&message(size));
+            nanoseconds(|| postcard::from_bytes::<PeerMessage>(&bytes))
+        },
+    );
+}
+
+/// A view of one availability zone: `vms` of ours, and as many upstreams.
+fn view(vms: u32, upstreams: u32) -> TopologyView {
+    let zone: ebonyfork::ident::ZoneName = "zone-a".parse().expect("a valid name");
+    let entry = |number| VmEntry {
+        vm: vm(number),
+        zone: zone.clone(),
+        incarnation: None,
+        leaving: false,
+    };
+    let served = |number: u32| UpstreamEntry {
+        upstream: upstream(number),
+        zone: zone.clone(),
+        service: format!("service-{}", number / 2)
+            .parse()
+            .expect("a valid name"),
+        leaving: false,
+    };
+    TopologyView::new((0..vms).map(entry), (0..upstreams).map(served))
+}
+
+fn report_topology() {
+    report(
+        "ownership: one upstream, by VMs of the zone",
+        "ns",
+        &[10, 50, 150, 490],
+        |vms| {
+            let view = view(vms, 1);
+            nanoseconds(|| owner_pair(&view, upstream(0)))
+        },
+    );
+    report(
+        "topology view: rebuilt, by upstreams",
+        "ns",
+        &[500, 2_000, 8_000, 31_000],
+        |count| nanoseconds(|| view(100, count)),
+    );
+}
+
+fn catalog(shards: u32) -> IndexCatalog {
+    let service = |number: u32| {
+        format!("service-{number:05}")
+            .parse()
+            .expect("a valid name")
+    };
+    let shards = VersionShards {
+        version: SnapshotVersion(17),
+        shards: (0..shards).map(service).collect(),
+    };
+    IndexCatalog {
+        epoch: 5,
+        versions: vec![shards],
+    }
+}
+
+fn report_catalog() {
+    const SIZES: [u32; 4] = [20, 210, 1_000, 5_000];
+    report(
+        "index catalogue: bytes by shards of a version",
+        "B",
+        &SIZES,
+        |shards| {
+            serde_json::to_vec(&catalog(shards))
+                .expect("a catalogue encodes")
+                .len() as f64
+        },
+    );
+    report(
+        "index catalogue: read by shards of a version",
+        "ns",
+        &SIZES,
+        |shards| {
+            let bytes = serde_json::to_vec(&catalog(shards)).expect("a catalogue encodes");
+            nanoseconds(|| serde_json::from_slice::<IndexCatalog>(&bytes))
+        },
+    );
+}
+
+fn declarations(customers: u32) -> DeclaredFile {
+    let mut text = String::from(
+        "[service tender-00]\nconnections = 25\n[class tender-search]\nindex = tenders\n\
+         scope = all\nlatency = 300ms\npercentile = 99\ncoverage = 0.98\ngives-way = latency\n\
+         idempotent = yes\n",
+    );
+    for number in 0..customers {
+        text.push_str("[customer customer-");
+        text.push_str(&number.to_string());
+        text.push_str("]\nclasses = tender-search\n");
+    }
+    DeclaredFile::new("all.ini", text)
+}
+
+fn report_declarations() {
+    const SIZES: [u32; 4] = [50, 250, 1_000, 4_000];
+    report(
+        "declarations: bytes by customers",
+        "B",
+        &SIZES,
+        |customers| declarations(customers).text.len() as f64,
+    );
+    report(
+        "declarations: parsed and checked by customers",
+        "ns",
+        &SIZES,
+        |customers| {
+            let files = [declarations(customers)];
+            nanoseconds(|| DeclaredConfig::parse(&files, RevisionNumber(1)))
+        },
+    );
+}
+
+fn main() {
+    println!("| what, by which size | points | at size 0 | per element | residual | unit |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    report_codec("submit batch", submit);
+    report_codec("outcome batch", outcomes);
+    report_topology();
+    report_catalog();
+    report_declarations();
+}
--- a/crates/ebonyfork/src/ini.rs
+++ b/crates/ebonyfork/src/ini.rs
@@ -4,11 +4,13 @@
 //! records a finding for whatever is missing, malformed, doubled or unknown. A section header is a kind with an
 //! optional name: `[node]`, `[class tender-search]`. Comments start with `;`, at a line's start or after white space.
 
+use std::collections::hash_map::Entry;
 use std::fmt::Display;
 use std::str::FromStr;
 
 use compact_str::CompactString;
 use ini_core::{Item, Parser};
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use crate::finding::{FindingList, nearest_name};
@@ -62,16 +64,33 @@
     /// assert_eq!(document.sections[0].properties[0].line, 2);
     /// ```
     pub fn parse(file: impl AsRef<str>, text: &str, findings: &mut FindingList) -> Self {
-        let mut document = Self {
-            file: CompactString::new(file),
-            sections: Vec::new(),
-        };
+        let mut builder = DocumentBuilder::new(file);
         let mut parser = Parser::new(text).auto_trim(true);
         while let Some(item) = parser.next() {
             let line = parser.line();
-            document.take_item(item, line, findings);
+            builder.take_item(item, line, findings);
+        }
+        builder.document
+    }
+}
+
+/// Builds a document line by line.
+struct DocumentBuilder {
+    document: IniDocument,
+    /// Line of each header seen, so that a doubled one is found without a search.
+    headers: FxHashMap<(CompactString, CompactString), u32>,
+}
+
+impl DocumentBuilder {
+    fn new(file: impl AsRef<str>) -> Self {
+        let document = IniDocument {
+            file: CompactString::new(file),
+            sections: Vec::new(),
+        };
+        Self {
+            document,
+            headers: FxHashMap::default(),
         }
-        document
     }
 
     fn take_item(&mut self, item: Item<'_>, line: u32, findings: &mut FindingList) {
@@ -79,11 +98,8 @@
             Item::Section(header) => self.open_section(header, line, findings),
             Item::Property(key, value) => self.take_property(key, value, line, findings),
             Item::Error(text) => {
-                findings.push(
-                    &self.file,
-                    line,
-                    format!("malformed section header `{text}`"),
-                );
+                let message = format!("malformed section header `{text}`");
+                findings.push(&self.document.file, line, message);
             }
             Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
         }
@@ -92,19 +108,16 @@
     fn open_section(&mut self, header: &str, line: u32, findings: &mut FindingList) {
         let (kind, name) = header.trim().split_once(' ').unwrap_or((header.trim(), ""));
         let (kind, name) = (CompactString::new(kind), CompactString::new(name.trim()));
-        let twin = self
-            .sections
-            .iter()
-            .find(|other| other.kind == kind && other.name == name);
-        if let Some(twin) = twin {
-            let first = twin.line;
-            findings.push(
-                &self.file,
-                line,
-                format!("section [{header}] already stands at line {first}"),
-            );
+        match self.headers.entry((kind.clone(), name.clone())) {
+            Entry::Vacant(entry) => {
+                entry.insert(line);
+            }
+            Entry::Occupied(entry) => {
+                let message = format!("section [{header}] already stands at line {}", entry.get());
+                findings.push(&self.document.file, line, message);
+            }
         }
-        self.sections.push(IniSection {
+        self.document.sections.push(IniSection {
             kind,
             name,
             line,
@@ -122,7 +135,7 @@
         let Some(value) = value else {
             if !key.starts_with('#') {
                 findings.push(
-                    &self.file,
+                    &self.document.file,
                     line,
                     format!("expected `key = value`, found `{key}`"),
                 );
@@ -132,9 +145,9 @@
         if key.starts_with('#') {
             return;
         }
-        let Some(section) = self.sections.last_mut() else {
+        let Some(section) = self.document.sections.last_mut() else {
             findings.push(
-                &self.file,
+                &self.document.file,
                 line,
                 format!("`{key}` stands before the first section"),
             );
@@ -143,7 +156,7 @@
         if let Some(twin) = section.properties.iter().find(|other| other.key == key) {
             let first = twin.line;
             findings.push(
-                &self.file,
+                &self.document.file,
                 line,
                 format!("`{key}` already stands at line {first}"),
             );
