Model publishing over random histories; mend the three faults it found

The first revision is now provisional for ten seconds: it gives way to a settled peer's and is never restored; evidence doesn't count a process that has just started. - A swap succeeded on a store that had lost the change's record meanwhile: the head named nothing. The publisher reads the record back and writes it again; watchers take a head without its record as lost. - A change made onto a head without its record knew no lineage. It is refused.

--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod judge;
 pub mod load;
 pub mod platform;
+pub mod publish_model;
 pub mod scenario;
 pub mod upstream;
--- a/crates/ebonyfork/src/revision/actor.rs
+++ b/crates/ebonyfork/src/revision/actor.rs
@@ -1,10 +1,12 @@
 //! The actor of the revision feed: runs the decisions of [`FeedState`] and [`EvidenceState`] on links and store.
 
+mod inbox;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::{CompactString, ToCompactString};
+use compact_str::ToCompactString;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -16,7 +18,10 @@
 use crate::platform::PlatformClient;
 use crate::settings::NodeSettings;
 use crate::topology::TopologyView;
-use crate::wire::{LinkError, LinkSender, PeerMessage};
+use crate::wire::{LinkError, PeerMessage};
+
+use inbox::{EvidenceWritten, RestoreEnded, StoreLoaded, Tick, TopologyChanged};
+pub(super) use inbox::{HeadSeen, PeerInput, PeerNote, StopFeed};
 
 use super::assembly::{HeldRevision, RevisionAssembly};
 use super::evidence::EvidenceState;
@@ -25,6 +30,7 @@
 use super::metrics::{RevisionMetrics, SourceLabels};
 use super::publisher::unix_millis;
 use super::record::{ChangeRecord, HEAD_KEY, HeadRecord, PartDigest};
+use super::restore::{PROVISIONAL_TIME, may_take, must_adopt};
 use super::serve::ServeBudget;
 use super::store::write_evidence;
 use super::watcher::{load_revision, restore_head, watch_head};
@@ -34,47 +40,10 @@
 /// How long the store has to show a lower revision before it counts as gone back: peers may simply be faster.
 const BEHIND_DELAY: Duration = Duration::from_secs(2);
 
-type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
-
-/// Ends the feed.
-pub(super) struct StopFeed;
+/// Time between two tries to read a revision from the store.
+const LOAD_PAUSE: Duration = Duration::from_secs(1);
 
-/// Revisions that peers have shown.
-pub(super) struct PeerNote {
-    pub(super) shown: Vec<(VmAddress, RevisionNumber)>,
-}
-
-/// A message of a peer.
-pub(super) struct PeerInput {
-    pub(super) from: LinkSender,
-    pub(super) message: RevisionMessage,
-}
-
-/// The head as the store shows it; no head if it is absent.
-pub(super) struct HeadSeen {
-    pub(super) head: Option<HeadRecord>,
-}
-
-/// How the restoring of a head that went back ended: whether it was moved.
-struct RestoreEnded {
-    restored: Result<bool, CompactString>,
-}
-
-/// A revision read from the store, or why not.
-pub(super) struct StoreLoaded {
-    pub(super) loaded: Result<HeldRevision, CompactString>,
-}
-
-/// How the writing of evidence ended.
-struct EvidenceWritten {
-    failed: bool,
-}
-
-/// Time has passed.
-struct Tick;
-
-/// The topology view has changed.
-struct TopologyChanged(Arc<TopologyView>);
+type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
 
 /// What the store has shown last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,14 +69,20 @@
     evidence: EvidenceState,
     served: ServeBudget,
     held: Option<HeldRevision>,
+    /// Until when the held revision is provisional.
+    provisional_until: Duration,
     assembly: Option<(VmAddress, RevisionAssembly)>,
     sight: StoreSight,
+    /// What a settled peer holds, to replace a provisional revision.
+    adopting: Option<HeadRecord>,
     /// A head that doesn't follow what is held.
     refused: Option<HeadRecord>,
     /// Since when the store has shown a head that lacks what is held.
     behind_since: Option<Duration>,
     restoring: bool,
     loading: bool,
+    /// When a failed reading of a revision may be tried again.
+    next_load: Duration,
     writing: bool,
     watch: Option<AbortHandle>,
     tasks: JoinSet<()>,
@@ -179,12 +154,15 @@
             evidence: EvidenceState::new(own, zone),
             served: ServeBudget::default(),
             held: None,
+            provisional_until: Duration::ZERO,
             assembly: None,
             sight: StoreSight::Unread,
+            adopting: None,
             refused: None,
             behind_since: None,
             restoring: false,
             loading: false,
+            next_load: Duration::ZERO,
             writing: false,
             watch: None,
             tasks: JoinSet::new(),
@@ -195,6 +173,14 @@
         self.started.elapsed()
     }
 
+    fn is_provisional(&self) -> bool {
+        self.now() < self.provisional_until
+    }
+
+    fn held_change(&self) -> Option<&ChangeRecord> {
+        self.held.as_ref().map(|held| &held.change)
+    }
+
     fn held_revision(&self) -> RevisionNumber {
         self.held
             .as_ref()
@@ -275,6 +261,10 @@
         if running.is_some_and(|(_, running)| running.change().revision >= change.revision) {
             return;
         }
+        self.collect(vm, change, address);
+    }
+
+    fn collect(&mut self, vm: VmAddress, change: ChangeRecord, address: &WeakAddress<Self>) {
         let now = self.now();
         self.feed.note_progress(now);
         let assembly = RevisionAssembly::new(change, self.held.as_ref());
@@ -319,7 +309,7 @@
         }
     }
 
-    /// Puts a whole revision in force, unless a higher one already is.
+    /// Puts a whole revision in force if it may replace what is held.
     fn put_in_force(
         &mut self,
         whole: HeldRevision,
@@ -328,11 +318,14 @@
         address: &WeakAddress<Self>,
     ) {
         let head = whole.head();
-        if !self.feed.is_wanted(head.revision.0) {
+        let adopted = self
+            .adopting
+            .take_if(|adopting| *adopting == head)
+            .is_some();
+        if !adopted && !self.feed.is_wanted(head.revision.0) {
             return;
         }
-        let held = self.held.as_ref().map(HeldRevision::head);
-        if held.is_some_and(|held| !whole.change.follows(held)) {
+        if !adopted && !may_take(self.held_change(), self.is_provisional(), &whole.change) {
             self.metrics.diverged.inc();
             log::error!("{head} was made without knowledge of what is in force here: refused");
             self.feed.note_rejected(head.revision.0);
@@ -354,6 +347,12 @@
             self.held_revision(),
         );
         self.writer.send_replace(Arc::new(config));
+        if self.held.is_none() {
+            self.provisional_until = self.now() + PROVISIONAL_TIME;
+        }
+        if adopted {
+            self.provisional_until = self.now();
+        }
         self.held = Some(whole);
         self.metrics.held.set(head.revision.0 as i64);
         self.metrics
@@ -361,25 +360,52 @@
             .get_or_create(&SourceLabels { source })
             .inc();
         self.note_highest(head.revision);
-        let actions = self.feed.note_held(head.revision.0);
+        let actions = if adopted {
+            self.feed.note_adopted(head.revision.0)
+        } else {
+            self.feed.note_held(head.revision.0)
+        };
         self.run(actions, address);
         self.write_due_evidence(address);
     }
 
+    /// Looks whether a peer stands on another line than a provisional revision.
+    fn check_line(&self, vm: VmAddress, shown: HeadRecord) {
+        let Some(held) = self.held_change() else {
+            return;
+        };
+        let differs = shown.revision <= held.revision && must_adopt(held, shown);
+        if differs && self.is_provisional() {
+            self.send_to(vm, RevisionMessage::AskSettled);
+        }
+    }
+
+    /// Starts to collect what a settled peer holds if it must replace a provisional revision.
+    fn take_settled(&mut self, vm: VmAddress, change: ChangeRecord, address: &WeakAddress<Self>) {
+        let provisional = self.is_provisional();
+        let head = change.head();
+        let held = self.held_change();
+        if !provisional || !held.is_some_and(|held| must_adopt(held, head)) {
+            return;
+        }
+        log::warn!(target: "ebonyfork::decision", "adopt {head} of the settled peer {vm}");
+        self.adopting = Some(head);
+        self.collect(vm, change, address);
+    }
+
     /// Reads the wanted revision from the store unless it is being read or held.
     fn load_wanted(&mut self, address: &WeakAddress<Self>) {
         let StoreSight::Head(head) = self.sight else {
             return;
         };
-        if self.loading || !self.feed.is_wanted(head.revision.0) {
+        if self.loading || self.now() < self.next_load || !self.feed.is_wanted(head.revision.0) {
             return;
         }
         self.loading = true;
         let (client, held, address) = (self.client.clone(), self.held.clone(), address.clone());
         self.tasks.spawn(async move {
             let loaded = load_revision(&client, head, held.as_ref()).await;
-            let loaded = loaded.map_err(|error| error.to_compact_string());
-            let _ended = address.send(StoreLoaded { loaded }).await;
+            let _ended = address.send(StoreLoaded { head, loaded }).await;
         });
     }
 
@@ -399,7 +425,7 @@
     /// Moves the store's head forward again if it has lost what is held.
     fn restore_lost(&mut self, address: &WeakAddress<Self>) {
         let now = self.now();
-        if !self.store_lacks_held() {
+        if self.is_provisional() || !self.store_lacks_held() {
             self.behind_since = None;
             return;
         }
@@ -444,168 +470,3 @@
         });
     }
 }
-
-impl Handler<Tick> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: Tick, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        while self.tasks.try_join_next().is_some() {}
-        let now = self.now();
-        let actions = self.feed.tick(now);
-        self.run(actions, &address);
-        if self.feed.is_watching() {
-            self.load_wanted(&address);
-            self.restore_lost(&address);
-            self.write_due_evidence(&address);
-        }
-    }
-}
-
-impl Handler<StopFeed> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: StopFeed, ctx: &mut Context<Self>) {
-        ctx.stop_self();
-    }
-}
-
-impl Handler<TopologyChanged> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: TopologyChanged, ctx: &mut Context<Self>) {
-        let TopologyChanged(view) = message;
-        let now = self.now();
-        self.evidence.take_topology(now, &view, &self.feed);
-        let actions = self.feed.take_topology(&view);
-        self.run(actions, &ctx.mailbox().address());
-    }
-}
-
-impl Handler<PeerNote> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: PeerNote, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        for (vm, revision) in message.shown {
-            self.take_peer(vm, revision, &address);
-        }
-    }
-}
-
-impl Handler<PeerInput> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: PeerInput, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        let PeerInput { from, message } = message;
-        let Some(peer) = from.peer() else {
-            return;
-        };
-        let vm = peer.vm;
-        match message {
-            RevisionMessage::Held(head) => {
-                self.check_divergence(head, vm);
-                self.take_peer(vm, head.revision, &address);
-            }
-            RevisionMessage::Ask { above } => {
-                let reply = self.answer_ask(above);
-                reply_by(&from, reply);
-                self.take_peer(vm, above, &address);
-            }
-            RevisionMessage::Change(change) => self.take_change(vm, change, &address),
-            RevisionMessage::AskPart { sha256 } => {
-                let text = self.answer_part(sha256);
-                reply_by(&from, Some(RevisionMessage::Part { sha256, text }));
-            }
-            RevisionMessage::Part { sha256, text } => self.take_part(vm, sha256, text, &address),
-        }
-    }
-}
-
-impl RevisionActor {
-    fn answer_ask(&self, above: RevisionNumber) -> Option<RevisionMessage> {
-        let held = self.held.as_ref()?;
-        if held.change.revision > above {
-            return Some(RevisionMessage::Change(held.change.clone()));
-        }
-        Some(RevisionMessage::Held(held.head()))
-    }
-
-    fn answer_part(&mut self, sha256: PartDigest) -> Option<bytes::Bytes> {
-        let now = self.now();
-        let text = self.held.as_ref()?.texts.get(&sha256)?.clone();
-        if !self.served.take(now, text.len()) {
-            self.metrics.refused_parts.inc();
-            return None;
-        }
-        Some(text)
-    }
-}
-
-fn reply_by(from: &LinkSender, reply: Option<RevisionMessage>) {
-    let Some(reply) = reply else {
-        return;
-    };
-    if let Err(error) = from.send(PeerMessage::Revision(reply)) {
-        log::debug!("revision reply: {error}");
-    }
-}
-
-impl Handler<HeadSeen> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: HeadSeen, ctx: &mut Context<Self>) {
-        let HeadSeen { head } = message;
-        if let Some(head) = head {
-            self.note_highest(head.revision);
-            self.check_divergence(head, "the store");
-        }
-        self.sight = head.map_or(StoreSight::Empty, StoreSight::Head);
-        self.load_wanted(&ctx.mailbox().address());
-    }
-}
-
-impl Handler<RestoreEnded> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: RestoreEnded, _ctx: &mut Context<Self>) {
-        self.restoring = false;
-        match message.restored {
-            Ok(true) => self.metrics.restored.inc(),
-            Ok(false) => 0,
-            Err(error) => {
-                log::info!("restoring the head: {error}");
-                0
-            }
-        };
-    }
-}
-
-impl Handler<StoreLoaded> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: StoreLoaded, ctx: &mut Context<Self>) {
-        let address = ctx.mailbox().address();
-        self.loading = false;
-        match message.loaded {
-            Ok(whole) => {
-                self.put_in_force(whole, "store", "", &address);
-                self.load_wanted(&address);
-            }
-            // The next tick tries again.
-            Err(error) => log::debug!("revision from the store: {error}"),
-        }
-    }
-}
-
-impl Handler<EvidenceWritten> for RevisionActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: EvidenceWritten, _ctx: &mut Context<Self>) {
-        self.writing = false;
-        if message.failed {
-            self.evidence.note_failure();
-        }
-    }
-}
--- a/crates/ebonyfork/src/revision/evidence.rs
+++ b/crates/ebonyfork/src/revision/evidence.rs
@@ -1,7 +1,7 @@
 //! What a zone's VMs hold, and when a watcher writes it to the store.
 //!
 //! Evidence must never claim more than is so. A VM counts with the number it has shown last, zero if it has shown
-//! none. One that vanishes from the view counts on for [`FENCE_DELAY`]: by then it has found that it reaches neither
+//! none or has just started. One that vanishes from the view counts on for [`FENCE_DELAY`]: by then it has found that it reaches neither
 //! store nor peers and refuses new work, or it has caught up.
 
 use std::time::Duration;
@@ -13,21 +13,33 @@
 
 use super::feed::FeedState;
 use super::record::{HeadRecord, HeldEvidence, LAGGING_LIMIT, LaggingVm};
+use super::restore::PROVISIONAL_TIME;
 
 /// How long a VM that vanished without announcing it still counts as a member of its zone.
 pub const FENCE_DELAY: Duration = Duration::from_secs(10);
 /// How often evidence is written although nothing has changed.
 pub const REFRESH_PERIOD: Duration = Duration::from_secs(10);
+/// How long a process has to run before what it holds counts: its first revision may still give way to a peer's.
+const SETTLE_MS: u64 = PROVISIONAL_TIME.as_millis() as u64 + 2_000;
 /// Shortest time between two writings.
 const WRITE_PERIOD: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ZoneMember {
     leaving: bool,
+    /// When its process started, in milliseconds since the Unix epoch, as far as membership has learned.
+    started_ms: Option<u64>,
     /// Since when the view no longer shows it, and what it had shown last.
     departed: Option<(Duration, u64)>,
 }
 
+impl ZoneMember {
+    fn has_just_started(&self, time_ms: u64) -> bool {
+        self.started_ms
+            .is_some_and(|started| started + SETTLE_MS > time_ms)
+    }
+}
+
 /// Decides what evidence says and when it is written.
 #[derive(Debug, Clone)]
 pub struct EvidenceState {
@@ -58,6 +70,7 @@
             }
             let member = ZoneMember {
                 leaving: entry.leaving,
+                started_ms: entry.incarnation.map(|incarnation| incarnation.0),
                 departed: None,
             };
             self.members.insert(entry.vm, member);
@@ -114,6 +127,7 @@
         for (vm, member) in &self.members {
             vms += 1;
             let revision = match member.departed {
+                _ if member.has_just_started(time_ms) => RevisionNumber(0),
                 _ if *vm == self.own => held.revision,
                 Some((_, shown)) => RevisionNumber(shown),
                 None => RevisionNumber(feed.shown(*vm)),
--- a/crates/ebonyfork/src/revision/evidence_tests.rs
+++ b/crates/ebonyfork/src/revision/evidence_tests.rs
@@ -109,3 +109,31 @@
         some(anything())
     );
 }
+
+#[gtest]
+fn a_process_that_has_just_started_counts_as_holding_nothing() {
+    let started = 1_000_000;
+    let vms = [0, 1].map(|number| VmEntry {
+        vm: vm(number),
+        zone: zone(),
+        incarnation: (number == 1).then_some(crate::ident::IncarnationNumber(started)),
+        leaving: false,
+    });
+    let mut zone = Zone::new(&[0]);
+    let view = TopologyView::new(vms, []);
+    zone.evidence.take_topology(START, &view, &zone.feed);
+    zone.feed.take_topology(&view);
+    zone.feed.note_peer(START, vm(1), 7);
+    for (age_ms, lowest) in [(0, 0), (SETTLE_MS - 1_000, 0), (SETTLE_MS, 7)] {
+        let now = Duration::from_millis(age_ms + 1_000);
+        let evidence = zone
+            .evidence
+            .due(now, started + age_ms, held(7), &zone.feed);
+        expect_that!(
+            evidence.map(|evidence| evidence.lowest.0),
+            some(eq(lowest)),
+            "{age_ms}"
+        );
+        zone.evidence.note_failure();
+    }
+}
--- a/crates/ebonyfork/src/revision/feed.rs
+++ b/crates/ebonyfork/src/revision/feed.rs
@@ -167,6 +167,13 @@
         actions
     }
 
+    /// Notes that a settled peer's revision has replaced a provisional one; it may have a lower number.
+    pub fn note_adopted(&mut self, number: u64) -> FeedActions {
+        self.held = self.held.min(number.saturating_sub(1));
+        self.rejected = 0;
+        self.note_held(number)
+    }
+
     /// Notes that a number was fetched but can't be used, so that it isn't fetched again and again.
     pub fn note_rejected(&mut self, number: u64) {
         self.rejected = self.rejected.max(number);
--- a/crates/ebonyfork/src/revision/message.rs
+++ b/crates/ebonyfork/src/revision/message.rs
@@ -31,4 +31,8 @@
         /// Its text.
         text: Option<Bytes>,
     },
+    /// A VM that has just started asks for the change that the receiver holds, whatever its number.
+    AskSettled,
+    /// The record of the change that the sender holds and doesn't doubt.
+    Settled(ChangeRecord),
 }
--- a/crates/ebonyfork/src/revision/mod.rs
+++ b/crates/ebonyfork/src/revision/mod.rs
@@ -18,6 +18,7 @@
 mod publish;
 mod publisher;
 mod record;
+mod restore;
 mod serve;
 mod store;
 mod watcher;
@@ -36,4 +37,5 @@
     ChangeId, ChangeRecord, FILE_LIMIT, HEAD_KEY, HELD_PREFIX, HeadRecord, HeldEvidence,
     LAGGING_LIMIT, LINEAGE_LIMIT, LaggingVm, PartDigest, PartEntry, PartSet,
 };
+pub use restore::{PROVISIONAL_TIME, RestorePlan, may_take, must_adopt, plan_restore};
 pub use store::{StoredHead, read_change, read_evidence, read_head, read_part};
--- a/crates/ebonyfork/src/revision/publish.rs
+++ b/crates/ebonyfork/src/revision/publish.rs
@@ -142,6 +142,10 @@
     },
     /// Reading whose change stands where another base was expected.
     Theirs(ChangeId),
+    /// Reading the own record back once the head has moved; `followed_by` is a later head, if any.
+    Verify {
+        followed_by: Option<HeadRecord>,
+    },
 }
 
 /// One attempt to publish.
@@ -158,6 +162,8 @@
     swaps: u32,
     /// Whether the answer to a swap was lost.
     swap_lost: bool,
+    /// The outcome, while the record is written once more because the store has lost it.
+    rewriting: Option<PublishOutcome>,
 }
 
 impl PublishRun {
@@ -172,6 +178,7 @@
             failures: 0,
             swaps: 0,
             swap_lost: false,
+            rewriting: None,
         }
     }
 
@@ -247,6 +254,7 @@
             }
             PublishStep::Walk { next, .. } => PublishAction::ReadChange(*next),
             PublishStep::Theirs(change) => PublishAction::ReadChange(*change),
+            PublishStep::Verify { .. } => PublishAction::ReadChange(self.request.change),
         }
     }
 
@@ -264,11 +272,8 @@
     }
 
     fn lineage(&self) -> Vec<ChangeId> {
-        match (&self.base_change, self.base_head()) {
-            (Some(base), _) => base.child_lineage(),
-            (None, Some(head)) => vec![head.change],
-            (None, None) => Vec::new(),
-        }
+        let base = self.base_change.as_ref();
+        base.map_or_else(Vec::new, ChangeRecord::child_lineage)
     }
 
     fn take_head(&mut self, head: StoredHead) -> PublishAction {
@@ -316,7 +321,8 @@
     fn take_change(&mut self, change: Option<ChangeRecord>) -> PublishAction {
         match self.step.clone() {
             PublishStep::Theirs(_) => self.conflict(change),
-            PublishStep::Walk { tip, .. } => self.walk(tip, change),
+            PublishStep::Walk { tip, next } => self.walk(tip, next, change),
+            PublishStep::Verify { followed_by } => self.verify(followed_by, change),
             _ => self.take_base_change(change),
         }
     }
@@ -329,6 +335,11 @@
         {
             return PublishAction::Finish(PublishOutcome::Unchanged { head });
         }
+        if change.is_none() {
+            return not_published(
+                "the store has lost the record of its head; a watcher restores it within seconds, then try again",
+            );
+        }
         self.base_change = change;
         self.next_part(0)
     }
@@ -348,7 +359,10 @@
     fn take_written(&mut self) -> PublishAction {
         match self.step {
             PublishStep::Parts(number) => self.next_part(number + 1),
-            _ => self.go(PublishStep::Move),
+            _ => match self.rewriting.take() {
+                Some(outcome) => PublishAction::Finish(outcome),
+                None => self.go(PublishStep::Move),
+            },
         }
     }
 
@@ -380,15 +394,19 @@
     }
 
     /// Follows the parents of another head, looking for the own change.
-    fn walk(&mut self, tip: Option<ChangeRecord>, change: Option<ChangeRecord>) -> PublishAction {
+    fn walk(
+        &mut self,
+        tip: Option<ChangeRecord>,
+        next: ChangeId,
+        change: Option<ChangeRecord>,
+    ) -> PublishAction {
+        if next == self.request.change {
+            return self.published(tip.map(|tip| tip.head()));
+        }
         let Some(change) = change else {
             return self.give_up("a parent of the head is missing from the store");
         };
         let tip = tip.unwrap_or_else(|| change.clone());
-        if change.change == self.request.change {
-            let followed_by = (tip.change != change.change).then(|| tip.head());
-            return self.published(followed_by);
-        }
         match change.parent() {
             Some(next) if change.revision > self.revision => {
                 let tip = Some(tip);
@@ -403,8 +421,14 @@
         if self.failures < TRY_LIMIT {
             return PublishAction::Pause;
         }
-        match self.step {
-            PublishStep::Theirs(_) => self.conflict(None),
+        let head = self.own_head();
+        match (&self.step, self.rewriting.take()) {
+            (PublishStep::Theirs(_), _) => self.conflict(None),
+            (_, Some(outcome)) => PublishAction::Finish(outcome),
+            (PublishStep::Verify { followed_by }, None) => {
+                let followed_by = *followed_by;
+                PublishAction::Finish(PublishOutcome::Published { head, followed_by })
+            }
             _ => self.give_up(error),
         }
     }
@@ -418,9 +442,24 @@
         PublishAction::Finish(PublishOutcome::Unknown { head, reason })
     }
 
-    fn published(&self, followed_by: Option<HeadRecord>) -> PublishAction {
+    /// The head has moved. What it names must be there: a store that went back after the record was written, and
+    /// before the swap, has the one without the other.
+    fn published(&mut self, followed_by: Option<HeadRecord>) -> PublishAction {
+        self.go(PublishStep::Verify { followed_by })
+    }
+
+    fn verify(
+        &mut self,
+        followed_by: Option<HeadRecord>,
+        change: Option<ChangeRecord>,
+    ) -> PublishAction {
         let head = self.own_head();
-        PublishAction::Finish(PublishOutcome::Published { head, followed_by })
+        let outcome = PublishOutcome::Published { head, followed_by };
+        if change.is_some() {
+            return PublishAction::Finish(outcome);
+        }
+        self.rewriting = Some(outcome);
+        self.go(PublishStep::Parts(0))
     }
 
     fn conflict(&self, theirs: Option<ChangeRecord>) -> PublishAction {
--- a/crates/ebonyfork/src/revision/record.rs
+++ b/crates/ebonyfork/src/revision/record.rs
@@ -174,6 +174,20 @@
 pub const LINEAGE_LIMIT: usize = 128;
 
 impl ChangeRecord {
+    /// Stands for a change whose record the store has lost.
+    pub fn lost(head: HeadRecord) -> Self {
+        Self {
+            revision: head.revision,
+            change: head.change,
+            lineage: Vec::new(),
+            restores: None,
+            parts: Vec::new(),
+            author: CompactString::default(),
+            note: CompactString::default(),
+            time_ms: 0,
+        }
+    }
+
     /// The change that was the head before; none for the first.
     pub fn parent(&self) -> Option<ChangeId> {
         self.lineage.first().copied()
--- a/crates/ebonyfork/src/revision/watcher.rs
+++ b/crates/ebonyfork/src/revision/watcher.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use snafu::Snafu;
 use xtra::WeakAddress;
 
 use crate::platform::{Backoff, PlatformClient, PlatformError, StoredVersion, WatchChange};
@@ -12,7 +13,8 @@
 use super::actor::{HeadSeen, RevisionActor};
 use super::assembly::{HeldRevision, RevisionAssembly};
 use super::publisher::unix_millis;
-use super::record::{ChangeId, HEAD_KEY, HeadRecord};
+use super::record::{ChangeId, ChangeRecord, HEAD_KEY, HeadRecord};
+use super::restore::{RestorePlan, plan_restore};
 use super::store::{move_head, parse_head, put_once, read_change, read_head, read_part, to_json};
 
 /// How long one watch of the head waits.
@@ -67,63 +69,75 @@
     }
 }
 
+/// Why a revision can't be read from the store.
+#[derive(Debug, Snafu)]
+pub(super) enum LoadFault {
+    /// The call failed; later it may not.
+    #[snafu(display("{source}"), context(false))]
+    Store {
+        /// The failure.
+        source: PlatformError,
+    },
+    /// The head names something that isn't there: it was written before the head was moved, so the store lost it.
+    #[snafu(display("the store has lost {what}"))]
+    Lost {
+        /// What is missing.
+        what: CompactString,
+    },
+}
+
 /// Reads a revision whole; parts that are held already aren't read again.
 pub(super) async fn load_revision(
     client: &PlatformClient,
     head: HeadRecord,
     held: Option<&HeldRevision>,
-) -> Result<HeldRevision, PlatformError> {
-    let missing = |what| PlatformError::Malformed { reason: what };
+) -> Result<HeldRevision, LoadFault> {
+    let lost = |what| LoadFault::Lost { what };
     let change = read_change(client, head.change).await?;
-    let change = change.ok_or_else(|| missing(format_compact!("{head} has no record")))?;
-    if change.head() != head {
-        return Err(missing(format_compact!(
-            "the record of {head} names another revision"
-        )));
-    }
+    let change = change.filter(|change| change.head() == head);
+    let change = change.ok_or_else(|| lost(format_compact!("the record of {head}")))?;
     let mut assembly = RevisionAssembly::new(change, held);
     for sha256 in assembly.missing() {
         let text = read_part(client, sha256).await?;
-        let text = text.ok_or_else(|| missing(format_compact!("part {sha256} is missing")))?;
+        let text = text.ok_or_else(|| lost(format_compact!("part {sha256}")))?;
         assembly.take_part(sha256, text);
     }
     assembly
         .finish()
-        .map_err(|_unfinished| missing(format_compact!("{head} is not whole")))
+        .map_err(|_unfinished| lost(format_compact!("a part of {head}")))
 }
 
 /// Moves the head forward again if the store has lost what is held, unless somebody else moves it first. Tells
 /// whether it did.
-///
-/// A head that went back along the held revision's own lineage is moved straight to it. If the lost number has been
-/// published anew in the meantime, the held files are published once more on top of that.
 pub(super) async fn restore_head(
     client: &PlatformClient,
     held: &HeldRevision,
 ) -> Result<bool, PlatformError> {
-    let Some((version, head)) = read_head(client).await? else {
-        return move_forward(client, StoredVersion::ABSENT, held.clone()).await;
+    let (version, change) = match read_head(client).await? {
+        Some((version, head)) => (version, Some(read_known(client, held, head).await?)),
+        None => (StoredVersion::ABSENT, None),
     };
-    let own = &held.change;
-    if head == held.head() {
-        return Ok(false);
-    }
-    if head.revision < own.revision && own.lineage.contains(&head.change) {
-        return move_forward(client, version, held.clone()).await;
+    let id = ChangeId::random(&mut rand::rng());
+    match plan_restore(change.as_ref(), &held.change, id, unix_millis()) {
+        RestorePlan::Nothing => Ok(false),
+        RestorePlan::Move(change) => {
+            let texts = held.texts.clone();
+            move_forward(client, version, HeldRevision { change, texts }).await
+        }
     }
-    let Some(change) = read_change(client, head.change).await? else {
-        let reason = format_compact!("{head} has no record");
-        return Err(PlatformError::Malformed { reason });
-    };
-    if change.follows(held.head()) {
-        return Ok(false);
+}
+
+/// Reads the record of a head. A head is moved only after its record was written, so one without was lost.
+async fn read_known(
+    client: &PlatformClient,
+    held: &HeldRevision,
+    head: HeadRecord,
+) -> Result<ChangeRecord, PlatformError> {
+    if head == held.head() {
+        return Ok(held.change.clone());
     }
-    let id = ChangeId::random(&mut rand::rng());
-    let restored = HeldRevision {
-        change: own.restored_onto(&change, id, unix_millis()),
-        texts: held.texts.clone(),
-    };
-    move_forward(client, version, restored).await
+    let change = read_change(client, head.change).await?;
+    Ok(change.unwrap_or_else(|| ChangeRecord::lost(head)))
 }
 
 async fn move_forward(
