Topology: doubt a list that lost most, keep signs of leaving longer, build views only when needed

A VM list that lacks more than half of the last one is believed only when the next read bears it out: an empty answer of a faulty platform would have taken every upstream away. A sign of leaving now holds 2 min against a list that goes on saying live (before: 1 min), and ends at once when the list shows the upstream leaving and then live, which is a new instance. Digests no longer rebuild the view, nor does each second. The time between two reads grows by 4 ms for each line beyond 500, so that a list of 36,000 lines is read every 144 s by each VM: drain replies carry the news meanwhile.

Processes that start in the same millisecond drew the same random members; the seed now differs by VM.

--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -139,7 +139,8 @@
 impl MemberProtocol {
     /// The protocol of the process `own` in `zone`; `seed` makes its random choices repeatable.
     pub fn new(now: Duration, own: SessionId, zone: ZoneName, deployment: u32, seed: u64) -> Self {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // Processes that start at the same moment must not draw the same members.
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ vm_number(own.vm));
         let life = MemberLife {
             incarnation: own.incarnation,
             refutation: 0,
@@ -579,6 +580,14 @@
     }
 }
 
+/// A number that differs from VM to VM.
+fn vm_number(vm: VmAddress) -> u64 {
+    match vm.0 {
+        std::net::IpAddr::V4(ip) => xxhash_rust::xxh3::xxh3_64(&ip.octets()),
+        std::net::IpAddr::V6(ip) => xxhash_rust::xxh3::xxh3_64(&ip.octets()),
+    }
+}
+
 /// What this process says about its own life.
 pub(super) fn own_update(own: &SenderHeader) -> MemberUpdate {
     MemberUpdate {
--- a/crates/ebonyfork/src/topology/feed.rs
+++ b/crates/ebonyfork/src/topology/feed.rs
@@ -20,8 +20,10 @@
 use crate::topology::join::TopologyJoin;
 use crate::topology::view::TopologyView;
 
-/// Time between two reads of the VM list.
+/// Time between two reads of a short VM list.
 pub const LIST_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two reads for each line of a long one, so that what all VMs read of it stays bounded.
+const LIST_PERIOD_EACH: Duration = Duration::from_millis(4);
 /// Time between two looks at what has aged.
 const AGE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -82,8 +84,10 @@
             members: members.clone(),
             seeds: settings.seeds,
             writer,
+            next_change: None,
         };
         actor.take_members();
+        actor.publish();
         let (address, mailbox) = Mailbox::unbounded();
         let mut tasks = JoinSet::new();
         tasks.spawn(xtra::run(mailbox, actor));
@@ -118,16 +122,18 @@
     list: impl Fn() -> BoxFuture<'static, Result<Vec<VmRecord>, E>>,
     period: Duration,
 ) {
+    let mut wait = period;
     loop {
         match list().await {
             Ok(records) => {
+                wait = period.max(LIST_PERIOD_EACH * records.len() as u32);
                 if actor.send(ListRead(records)).await.is_err() {
                     return;
                 }
             }
             Err(error) => log::warn!("VM list: {error}; the last one stays in force"),
         }
-        tokio::time::sleep(period).await;
+        tokio::time::sleep(wait).await;
     }
 }
 
@@ -163,6 +169,8 @@
     members: watch::Receiver<Arc<MemberSnapshot>>,
     seeds: watch::Sender<Arc<[VmAddress]>>,
     writer: watch::Sender<Arc<TopologyView>>,
+    /// When the view has to be built again though nothing was heard.
+    next_change: Option<Duration>,
 }
 
 impl FeedActor {
@@ -172,12 +180,15 @@
 
     fn take_members(&mut self) {
         let members = Arc::clone(&self.members.borrow_and_update());
-        self.join.take_members(members);
-        self.publish();
+        if self.join.take_members(members) {
+            self.publish();
+        }
     }
 
-    fn publish(&self) {
-        let view = self.join.view(self.now());
+    fn publish(&mut self) {
+        let now = self.now();
+        self.next_change = self.join.next_change(now);
+        let view = self.join.view(now);
         self.writer.send_if_modified(|current| {
             let changed = **current != view;
             if changed {
@@ -193,7 +204,10 @@
     type Return = ();
 
     async fn handle(&mut self, message: ListRead, _context: &mut Context<Self>) {
-        self.join.take_list(self.now(), message.0);
+        if !self.join.take_list(self.now(), message.0) {
+            log::warn!("VM list lacks more than half of the last one; it must be read again");
+            return;
+        }
         let peers = self.join.listed_peers();
         self.seeds.send_if_modified(|seeds| {
             let changed = **seeds != *peers;
@@ -227,7 +241,9 @@
     type Return = ();
 
     async fn handle(&mut self, _message: AgeTick, _context: &mut Context<Self>) {
-        self.publish();
+        if self.next_change.is_some_and(|change| change <= self.now()) {
+            self.publish();
+        }
     }
 }
 
--- a/crates/ebonyfork/src/topology/join.rs
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -19,8 +19,10 @@
 pub const UNHEARD_GRACE: Duration = Duration::from_secs(10);
 /// How much longer for each VM on the list: when all start at once, they need longer to hear of each other.
 const UNHEARD_GRACE_EACH: Duration = Duration::from_millis(40);
-/// How long a sign of leaving counts against a list that goes on saying live.
-pub const LEAVING_SIGN_AGE: Duration = Duration::from_mins(1);
+/// How long a sign of leaving counts against a list that goes on saying live: longer than the list lags.
+pub const LEAVING_SIGN_AGE: Duration = Duration::from_mins(2);
+/// Lists shorter than this are believed whatever they lack.
+const DOUBT_SIZE: usize = 8;
 
 /// State of the join. Times are spans since the process started.
 #[derive(Debug)]
@@ -31,6 +33,7 @@
     upstreams: BTreeMap<UpstreamAddress, UpstreamEntry>,
     signs: FxHashMap<UpstreamAddress, Duration>,
     members: Arc<MemberSnapshot>,
+    doubted: bool,
 }
 
 #[derive(Debug)]
@@ -50,11 +53,17 @@
             upstreams: BTreeMap::new(),
             signs: FxHashMap::default(),
             members: Arc::default(),
+            doubted: false,
         }
     }
 
-    /// Takes in a VM list that was read at `now`.
-    pub fn take_list(&mut self, now: Duration, records: impl IntoIterator<Item = VmRecord>) {
+    /// Takes in a VM list that was read at `now`. One that lacks more than half of what the last one had is believed
+    /// only when the next read bears it out; returns whether it was believed.
+    pub fn take_list(
+        &mut self,
+        now: Duration,
+        records: impl IntoIterator<Item = VmRecord>,
+    ) -> bool {
         let mut vms = BTreeMap::new();
         let mut upstreams = BTreeMap::new();
         for record in records {
@@ -75,14 +84,30 @@
             };
             upstreams.insert(entry.upstream, entry);
         }
+        let before = self.vms.len() + self.upstreams.len();
+        let after = vms.len() + upstreams.len();
+        self.doubted = !self.doubted && before >= DOUBT_SIZE && after * 2 < before;
+        if self.doubted {
+            return false;
+        }
+        self.age_signs(now, &upstreams);
         self.vms = vms;
         self.upstreams = upstreams;
-        self.age_signs(now);
+        true
     }
 
-    /// Takes in what membership has learnt.
-    pub fn take_members(&mut self, members: Arc<MemberSnapshot>) {
+    /// Takes in what membership has learnt, and tells whether anything but digests has changed.
+    pub fn take_members(&mut self, members: Arc<MemberSnapshot>) -> bool {
+        let same = members.members().len() == self.members.members().len()
+            && members
+                .members()
+                .iter()
+                .zip(self.members.members())
+                .all(|(new, old)| {
+                    (new.session(), new.state, &new.zone) == (old.session(), old.state, &old.zone)
+                });
         self.members = members;
+        !same
     }
 
     /// Notes at `now` that an upstream has said that it leaves.
@@ -90,19 +115,34 @@
         self.signs.insert(upstream, now);
     }
 
-    /// Drops signs whose upstream is gone, and those that a list read much later does not bear out.
-    fn age_signs(&mut self, now: Duration) {
-        let upstreams = &self.upstreams;
+    /// Drops the signs that a new list refutes: the upstream is gone, is live again after it was shown leaving, or is
+    /// still shown live long after the sign.
+    fn age_signs(&mut self, now: Duration, upstreams: &BTreeMap<UpstreamAddress, UpstreamEntry>) {
+        let before = &self.upstreams;
         self.signs.retain(|upstream, noted| {
-            let listed_live = upstreams.get(upstream).map(|entry| !entry.leaving);
-            match listed_live {
-                Some(true) => now.saturating_sub(*noted) < LEAVING_SIGN_AGE,
-                Some(false) => true,
-                None => false,
-            }
+            let Some(entry) = upstreams.get(upstream) else {
+                return false;
+            };
+            let returned = before.get(upstream).is_some_and(|entry| entry.leaving);
+            let aged = now.saturating_sub(*noted) >= LEAVING_SIGN_AGE;
+            entry.leaving || !(returned || aged)
         });
     }
 
+    /// When the view will change by itself: the next listed VM that has not been heard of loses its grace.
+    pub fn next_change(&self, now: Duration) -> Option<Duration> {
+        let unheard = self
+            .vms
+            .iter()
+            .filter(|(vm, _)| self.members.get(**vm).is_none());
+        let ends = unheard.map(|(_, listed)| listed.first_listed + self.unheard_grace());
+        ends.filter(|end| *end > now).min()
+    }
+
+    fn unheard_grace(&self) -> Duration {
+        UNHEARD_GRACE + UNHEARD_GRACE_EACH * self.vms.len() as u32
+    }
+
     /// Our VMs on the list, the own one left out.
     pub fn listed_peers(&self) -> Vec<VmAddress> {
         let peers = self.vms.keys().filter(|vm| **vm != self.own.vm);
@@ -168,8 +208,7 @@
         }
         let mut peers = self.members.members().iter();
         let peers_answer = peers.any(|member| member.vm != self.own.vm);
-        let grace = UNHEARD_GRACE + UNHEARD_GRACE_EACH * self.vms.len() as u32;
-        !peers_answer || now.saturating_sub(listed.first_listed) < grace
+        !peers_answer || now.saturating_sub(listed.first_listed) < self.unheard_grace()
     }
 }
 
