Locate: a customer that fills its subset gets a larger one

Eight VMs per zone and customer bound what one large customer can use. The subset now doubles, up to 128 VMs, while its mean load is 600 per mille or more; each size contains the smaller ones, so a customer spreads and never moves.

--- a/crates/ebonyfork/src/locate/answer.rs
+++ b/crates/ebonyfork/src/locate/answer.rs
@@ -13,8 +13,12 @@
 
 /// Most addresses in one answer.
 pub const ADDRESS_LIMIT: usize = 4;
-/// VMs of one zone that serve one customer.
+/// VMs of one zone that serve one customer, as long as they are not busy.
 pub const CUSTOMER_SUBSET: usize = 8;
+/// Most VMs of one zone that serve one customer.
+const SUBSET_LIMIT: usize = 128;
+/// Mean load of a subset, in per mille, from which on it is doubled.
+const BUSY_LOAD: u32 = 600;
 
 /// What stays the same from answer to answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -129,15 +133,32 @@
             score: customer.map_or(0, |customer| score(customer, entry.vm)),
         });
     }
-    if customer.is_some() && candidates.len() > CUSTOMER_SUBSET {
-        candidates.select_nth_unstable_by_key(CUSTOMER_SUBSET, |candidate| {
-            std::cmp::Reverse(candidate.score)
-        });
-        candidates.truncate(CUSTOMER_SUBSET);
+    if customer.is_some() {
+        keep_subset(&mut candidates);
     }
     candidates
 }
 
+/// Keeps the VMs with the highest scores: few while they have room, more for a customer that fills them. Each step
+/// contains the smaller ones, so that a customer never moves, it only spreads.
+fn keep_subset(candidates: &mut Vec<Candidate>) {
+    let by_score = |candidate: &Candidate| std::cmp::Reverse(candidate.score);
+    if candidates.len() > SUBSET_LIMIT {
+        candidates.select_nth_unstable_by_key(SUBSET_LIMIT, by_score);
+        candidates.truncate(SUBSET_LIMIT);
+    }
+    candidates.sort_unstable_by_key(by_score);
+    let mut size = CUSTOMER_SUBSET;
+    while size < candidates.len() {
+        let load: u32 = candidates[..size].iter().map(|vm| u32::from(vm.load)).sum();
+        if load < BUSY_LOAD * size as u32 {
+            break;
+        }
+        size *= 2;
+    }
+    candidates.truncate(size);
+}
+
 /// Orders candidates at random, the less loaded of the first two in front.
 fn spread(mut candidates: Vec<Candidate>, rng: &mut impl Rng) -> Vec<Candidate> {
     let drawn = candidates.len().min(ADDRESS_LIMIT);
--- a/crates/ebonyfork/src/locate/answer_tests.rs
+++ b/crates/ebonyfork/src/locate/answer_tests.rs
@@ -135,3 +135,36 @@
     expect_that!(counts.get(&vm(4)), none());
     expect_that!(counts[&vm(1)], all![gt(250), lt(420)]);
 }
+
+#[gtest]
+fn a_customer_that_fills_its_subset_gets_a_larger_one() {
+    let vms: Vec<_> = (1..=200).map(|number| entry(number, "a")).collect();
+    let view = TopologyView::new(vms.iter().cloned(), []);
+    let customer = "roofers".parse().unwrap();
+    let mut before = BTreeSet::new();
+    // Load of every VM in per mille, and how many then serve the customer.
+    for (load, size) in [(0, 8), (599, 8), (600, 128), (1_000, 128)] {
+        let members = MemberSnapshot::new(vms.iter().map(|entry| MemberEntry {
+            vm: entry.vm,
+            zone: entry.zone.clone(),
+            incarnation: entry.incarnation.unwrap(),
+            state: MemberState::Alive,
+            digest: MemberDigest {
+                load,
+                ..MemberDigest::default()
+            },
+        }));
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let firsts: BTreeSet<VmAddress> = (0..4_000)
+            .map(|_| {
+                let customer = Some(&customer);
+                locate_addresses(&view, &members, &settings(), customer, &mut rng)
+                    .session
+                    .vm
+            })
+            .collect();
+        expect_that!(firsts.len(), eq(size), "{load}");
+        expect_that!(firsts.is_superset(&before), eq(true), "{load}");
+        before = firsts;
+    }
+}
