Membership: a process whose own probes are never answered accuses nobody

It now draws no conclusion when no probe of its own was answered for 3 s. Five of seven stopped at once are still failed by the two that are left within 12 s (test).

--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -246,6 +246,7 @@
     figures: Arc<Mutex<MemberFigures>>,
     out: Vec<OutgoingDatagram>,
     pending: SnapshotChange,
+    states: [u32; 4],
     ticks: u32,
 }
 
@@ -269,6 +270,7 @@
             figures: Arc::default(),
             out: Vec::new(),
             pending: SnapshotChange::None,
+            states: [0; 4],
             ticks: 0,
         }
     }
@@ -334,6 +336,7 @@
 
     fn publish(&mut self) {
         self.pending = SnapshotChange::None;
+        self.states = self.protocol.count_states();
         let snapshot = self.protocol.snapshot();
         self.snapshot.send_if_modified(|current| {
             let changed = **current != snapshot;
@@ -355,12 +358,10 @@
 
     fn update_figures(&self) {
         let heard = self.protocol.last_heard();
-        let figures = MemberFigures {
-            counters: *self.protocol.counters(),
-            states: self.protocol.count_states(),
-            last_heard: heard.map(|heard| self.started + heard),
-        };
-        *self.figures.lock().unwrap_or_else(PoisonError::into_inner) = figures;
+        let mut figures = self.figures.lock().unwrap_or_else(PoisonError::into_inner);
+        figures.counters = *self.protocol.counters();
+        figures.states = self.states;
+        figures.last_heard = heard.map(|heard| self.started + heard);
     }
 }
 
--- a/crates/ebonyfork/src/membership/probing.rs
+++ b/crates/ebonyfork/src/membership/probing.rs
@@ -147,7 +147,7 @@
             return;
         };
         let heard_since = self.last_heard.is_some_and(|heard| heard > probe.sent);
-        if !heard_since || !self.hears(now) {
+        if !heard_since || !self.hears(now) || !self.is_answered(now) {
             return;
         }
         let Some(record) = self.table.get(probe.target) else {
@@ -216,6 +216,7 @@
         sequence: u32,
         out: &mut Vec<OutgoingDatagram>,
     ) {
+        self.last_ack = Some(now);
         let answered = self.probe.current.as_ref().is_some_and(|probe| {
             probe.sequence == sequence && (probe.target == from || probe.helpers.contains(&from))
         });
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -27,8 +27,8 @@
 };
 use crate::membership::timing::{
     DEAF_TIME, DIGEST_TELLINGS, DIGEST_TICKS, FORGET_TIME, ISOLATION_TIME, LEAVE_FANOUT,
-    MEMBER_LIMIT, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE, digest_period, suspicion_time,
-    telling_limit,
+    MEMBER_LIMIT, MUTE_TIME, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE, digest_period,
+    suspicion_time, telling_limit,
 };
 
 /// A datagram to be sent.
@@ -112,6 +112,7 @@
     pub(super) counters: MemberCounters,
     pub(super) rng: ChaCha8Rng,
     pub(super) last_heard: Option<Duration>,
+    pub(super) last_ack: Option<Duration>,
     pub(super) events: Vec<MemberEvent>,
     pub(super) change: SnapshotChange,
     member_news: SpreadQueue<VmAddress>,
@@ -166,6 +167,7 @@
             counters: MemberCounters::default(),
             rng,
             last_heard: None,
+            last_ack: None,
             events: Vec::new(),
             change: SnapshotChange::Members,
             member_news: SpreadQueue::default(),
@@ -264,6 +266,7 @@
             suspect.deadline += gap;
         }
         self.last_heard = self.last_heard.map(|heard| heard + gap);
+        self.last_ack = self.last_ack.map(|acked| acked + gap);
         self.probe.suspend(now);
     }
 
@@ -273,6 +276,12 @@
             .is_some_and(|heard| now.saturating_sub(heard) < DEAF_TIME)
     }
 
+    /// Tells whether our own probes are answered at all, so that one without an answer means something.
+    pub(super) fn is_answered(&self, now: Duration) -> bool {
+        self.last_ack
+            .is_some_and(|acked| now.saturating_sub(acked) < MUTE_TIME)
+    }
+
     fn check_isolation(&mut self, now: Duration) {
         let silent = self
             .last_heard
@@ -312,7 +321,7 @@
     }
 
     fn expire_suspects(&mut self, now: Duration) {
-        if !self.hears(now) {
+        if !self.hears(now) || !self.is_answered(now) {
             // A refutation could not reach us either.
             for suspect in &mut self.suspects {
                 suspect.deadline = suspect.deadline.max(now + DEAF_TIME);
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -182,6 +182,7 @@
         (2, 1, 0.0, 8),
         (3, 1, 0.0, 8),
         (7, 2, 0.0, 8),
+        (7, 5, 0.0, 12),
         (7, 6, 0.0, 8),
         (9, 1, 0.1, 10),
         (40, 1, 0.0, 10),
@@ -278,30 +279,43 @@
 }
 
 #[gtest]
-fn a_member_that_hears_nobody_blames_nobody_else_to_others() {
-    let mut fleet = Fleet::settled(7);
-    // Node 3 sends but does not receive: the others fail it, and nobody else.
-    fleet.reaches = Box::new(|_, _, to| to != 3);
-    let seconds = fleet.seconds_until(&[3], MemberState::Failed, 30);
-    expect_that!(seconds, some(le(10)));
-    fleet.run(60);
-    for observer in [0, 1, 2, 4, 5, 6] {
-        expect_that!(
-            fleet.count(observer, MemberState::Alive),
-            eq(6),
-            "{observer}"
-        );
-    }
-    // Itself, it holds all others out of reach.
-    expect_that!(fleet.count(3, MemberState::Failed), eq(6));
-    fleet.reaches = Box::new(|_, _, _| true);
-    fleet.run(10);
-    for observer in 0..7 {
-        expect_that!(
-            fleet.count(observer, MemberState::Alive),
-            eq(7),
-            "{observer}"
-        );
+fn a_deaf_or_mute_member_is_failed_and_fails_nobody_else() {
+    type Way = fn(usize, usize) -> bool;
+    // Node 3 sends but does not receive, or receives but does not send, or neither; failed ones it sees itself.
+    let cases: [(Way, usize); 3] = [
+        (|_from, to| to != 3, 6),
+        (|from, _to| from != 3, 0),
+        (|from, to| from != 3 && to != 3, 6),
+    ];
+    for (case, (reaches, seen)) in cases.into_iter().enumerate() {
+        let mut fleet = Fleet::settled(7);
+        fleet.reaches = Box::new(move |_, from, to| reaches(from, to));
+        let seconds = fleet.seconds_until(&[3], MemberState::Failed, 30);
+        expect_that!(seconds, some(le(10)), "{case}");
+        fleet.run(60);
+        for observer in [0, 1, 2, 4, 5, 6] {
+            expect_that!(
+                fleet.count(observer, MemberState::Alive),
+                eq(6),
+                "{case} {observer}"
+            );
+        }
+        expect_that!(fleet.count(3, MemberState::Failed), eq(seen), "{case}");
+        fleet.reaches = Box::new(|_, _, _| true);
+        fleet.run(10);
+        for observer in 0..7 {
+            expect_that!(
+                fleet.count(observer, MemberState::Alive),
+                eq(7),
+                "{case} {observer}"
+            );
+        }
+        let refuted: u64 = fleet
+            .nodes
+            .iter()
+            .map(|node| node.counters().refutations)
+            .sum();
+        expect_that!(refuted, le(12), "{case}");
     }
 }
 
--- a/crates/ebonyfork/src/membership/timing.rs
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -18,6 +18,8 @@
 pub const PAUSE_GAP: Duration = Duration::from_millis(900);
 /// Without any word from a peer for this long, missing answers are laid to ourselves.
 pub const DEAF_TIME: Duration = Duration::from_secs(1);
+/// Without any answer to our own probes for this long, they are taken not to leave this VM.
+pub const MUTE_TIME: Duration = Duration::from_secs(3);
 /// Without any word from a peer for this long, all of them are out of reach.
 pub const ISOLATION_TIME: Duration = Duration::from_secs(5);
 /// Time between two probes of failed members and of listed VMs that never answered.
