Add ebonyforkctl: check, apply, show, history, status, query, locate, node, quarantine, completion

A conflict prints both sides. Acceptance is judged by plain code over the evidence and how what a zone holds relates to the published change, so that a restored older revision never counts as acceptance.

--- a/crates/ebonyfork/src/revision/mod.rs
+++ b/crates/ebonyfork/src/revision/mod.rs
@@ -7,6 +7,7 @@
 //! the parts from them. The watchers write what their zone's VMs hold: a revision counts as accepted when that
 //! evidence shows it for every zone.
 
+mod acceptance;
 mod actor;
 mod assembly;
 mod evidence;
@@ -23,6 +24,7 @@
 mod store;
 mod watcher;
 
+pub use acceptance::{AcceptanceState, HeldRelation, ZoneGap, judge_acceptance, read_acceptance};
 pub use assembly::{HeldRevision, PartTexts, RevisionAssembly};
 pub use evidence::{EvidenceState, FENCE_DELAY, REFRESH_PERIOD};
 pub use feed::{ASK_PERIOD, FeedAction, FeedActions, FeedState, PULL_TIMEOUT};
--- /dev/null
+++ b/crates/ebonyforkctl/tests/commands.rs
@@ -0,0 +1,173 @@
+//! The commands against the platform stand-in: outcomes and exit statuses.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use ebonyfork::declaration::DeclaredFile;
+use ebonyfork::platform::{VmRecord, VmState};
+use ebonyfork::revision::{HeadRecord, HeldEvidence, PublishOutcome, publish, read_head};
+use ebonyfork_lab::platform::{OutageKind, PlatformFaults, PlatformStandIn};
+use ebonyforkctl::run;
+use ebonyforkctl::status::ExitStatus;
+use googletest::prelude::*;
+
+const DECLARATION: &str = "[service tender-00]\nconnections = 25\ndrain = 10s\n";
+
+struct Bench {
+    platform: PlatformStandIn,
+    directory: PathBuf,
+}
+
+impl Bench {
+    async fn start(name: &str) -> Self {
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        let platform = PlatformStandIn::start(listen).await.expect("a free port");
+        platform.set_vms(vec![VmRecord {
+            ip: "127.0.0.1".parse().expect("an address"),
+            port: None,
+            zone: "zone-a".parse().expect("a zone"),
+            group: "ebonyfork".into(),
+            state: VmState::Live,
+        }]);
+        let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let bench = Self {
+            platform,
+            directory,
+        };
+        bench.write("main.ini", DECLARATION);
+        bench
+    }
+
+    fn write(&self, file: &str, text: &str) {
+        std::fs::write(self.directory.join(file), text).expect("a file");
+    }
+
+    /// Runs a command line on a thread of its own; `DIR` stands for the directory.
+    async fn run(&self, line: &str) -> ExitStatus {
+        let platform = self.platform.address().to_string();
+        let mut words = vec!["ebonyforkctl".to_owned(), "--platform".to_owned(), platform];
+        for word in line.split(' ') {
+            let word = if word == "DIR" {
+                self.directory.display().to_string()
+            } else {
+                word.to_owned()
+            };
+            words.push(word);
+        }
+        let running = tokio::task::spawn_blocking(move || run(words));
+        running.await.expect("no panic")
+    }
+
+    fn show(&self, held: HeadRecord) {
+        let zone = "zone-a".parse().expect("a zone");
+        let key = HeldEvidence::key(&zone);
+        let evidence = HeldEvidence {
+            zone,
+            writer: "127.0.0.1".parse().expect("an address"),
+            held,
+            lowest: held.revision,
+            vms: 1,
+            lagging: Vec::new(),
+            time_ms: 0,
+        };
+        let value = serde_json::to_vec(&evidence).expect("JSON");
+        self.platform.put(&key, value);
+    }
+
+    async fn head(&self) -> HeadRecord {
+        let head = read_head(&self.client()).await.expect("a healthy store");
+        head.expect("a head").1
+    }
+
+    fn client(&self) -> ebonyfork::platform::PlatformClient {
+        ebonyfork::platform::PlatformClient::new(self.platform.address(), Duration::from_secs(2))
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_outcome_has_its_exit_status() {
+    let bench = Bench::start("outcomes").await;
+    assert_that!(bench.run("status").await, eq(ExitStatus::Failed));
+    let apply = "apply DIR --timeout 0s --note first";
+    assert_that!(bench.run("apply DIR --dry-run").await, eq(ExitStatus::Done));
+    assert_that!(bench.run(apply).await, eq(ExitStatus::NotEverywhere));
+    assert_that!(
+        bench.run("status --revision 1").await,
+        eq(ExitStatus::NotEverywhere)
+    );
+    bench.show(bench.head().await);
+    assert_that!(bench.run("status --revision 1").await, eq(ExitStatus::Done));
+    // The same files once more: nothing is published, and the head is accepted.
+    assert_that!(bench.run(apply).await, eq(ExitStatus::Done));
+    assert_that!(bench.head().await.revision.0, eq(1));
+    assert_that!(
+        bench.run("history --limit 5 --output json").await,
+        eq(ExitStatus::Done)
+    );
+    assert_that!(bench.run("show").await, eq(ExitStatus::Done));
+    assert_that!(bench.run("show --revision 9").await, eq(ExitStatus::Failed));
+    bench.write("main.ini", "[service tender-00]\nweight = 3\n");
+    assert_that!(bench.run(apply).await, eq(ExitStatus::Findings));
+    assert_that!(bench.run("check DIR").await, eq(ExitStatus::Findings));
+    assert_that!(bench.run("check").await, eq(ExitStatus::Usage));
+    assert_that!(bench.run("completion bash").await, eq(ExitStatus::Done));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_and_lost_answers_end_truthfully() {
+    let bench = Bench::start("faults").await;
+    let apply = "apply DIR --timeout 0s";
+    let outage = |kind| PlatformFaults {
+        outage: Some(kind),
+        ..PlatformFaults::default()
+    };
+    bench.platform.set_faults(outage(OutageKind::Unavailable));
+    assert_that!(bench.run(apply).await, eq(ExitStatus::Failed));
+    bench.platform.set_faults(PlatformFaults::default());
+    // Part, record and head: the answers of all three are lost after they took effect.
+    bench.platform.lose_answers(3);
+    assert_that!(bench.run(apply).await, eq(ExitStatus::NotEverywhere));
+    assert_that!(bench.head().await.revision.0, eq(1));
+    bench.write(
+        "main.ini",
+        "[service tender-00]\nconnections = 50\ndrain = 10s\n",
+    );
+    bench.platform.lose_calls(3);
+    assert_that!(bench.run(apply).await, eq(ExitStatus::NotEverywhere));
+    assert_that!(bench.head().await.revision.0, eq(2));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_operators_race_and_exactly_one_wins() {
+    let bench = Bench::start("race").await;
+    let client = bench.client();
+    let mut racing = Vec::new();
+    for number in 1..=8 {
+        let client = client.clone();
+        racing.push(tokio::spawn(async move {
+            let text = format!("[service tender-00]\nconnections = {number}\ndrain = 10s\n");
+            let files = [DeclaredFile::new("main.ini", text)];
+            let request = ebonyfork::revision::publish_request(&files, "kim", "race");
+            let request = request.expect("no findings").with_base(None);
+            ebonyfork::revision::publish_prepared(&client, request).await
+        }));
+    }
+    let mut published = 0;
+    for run in racing {
+        match run.await.expect("no panic") {
+            PublishOutcome::Published { .. } => published += 1,
+            PublishOutcome::Conflict { theirs, .. } => assert_that!(theirs, some(anything())),
+            other => panic!("neither published nor a conflict: {other:?}"),
+        }
+    }
+    assert_that!(published, eq(1));
+    let later = publish(
+        &client,
+        &[DeclaredFile::new("main.ini", DECLARATION)],
+        "kim",
+        "",
+    )
+    .await;
+    assert_that!(matches!(later, PublishOutcome::Published { .. }), eq(true));
+}
