Membership: forget failed members after ten minutes, listed or not

A VM whose clock ran backwards between two lives was dropped as stale for as long as the VM list showed it. Listed VMs are probed in any case, so nothing is lost by forgetting; the test shows that the earlier number is believed then. The process itself logs that a later life is told of on its VM.

--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -327,6 +327,9 @@
             MemberEvent::Paused(gap) => {
                 log::warn!("membership was paused for {gap:?}; open probes prove nothing");
             }
+            MemberEvent::Superseded(session) => {
+                log::warn!("{session} is told of on this VM: a later life than this process");
+            }
             MemberEvent::Isolated(true) => {
                 log::warn!("no peer has been heard; all are held failed");
             }
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -26,9 +26,9 @@
     DigestEffect, MemberRecord, MemberTable, MergeEffect, member_entry,
 };
 use crate::membership::timing::{
-    DEAF_TIME, DIGEST_TELLINGS, DIGEST_TICKS, FORGET_TIME, ISOLATION_TIME, LEAVE_FANOUT,
-    MEMBER_LIMIT, MUTE_TIME, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE, digest_period,
-    suspicion_time, telling_limit,
+    DEAF_TIME, DIGEST_TELLINGS, DIGEST_TICKS, FORGET_TICKS, FORGET_TIME, ISOLATION_TIME,
+    LEAVE_FANOUT, MEMBER_LIMIT, MUTE_TIME, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE,
+    digest_period, suspicion_time, telling_limit,
 };
 
 /// A datagram to be sent.
@@ -83,6 +83,8 @@
     Notice(GossipNotice),
     /// This process was paused for about this long.
     Paused(Duration),
+    /// A newer incarnation on this VM was told of: the clock ran backwards, or two processes run.
+    Superseded(SessionId),
     /// No peer has been heard for [`ISOLATION_TIME`]; or one has been heard again.
     Isolated(bool),
 }
@@ -241,13 +243,11 @@
     }
 
     fn forget(&mut self, now: Duration) {
-        if !self.ticks.is_multiple_of(600) {
+        if !self.ticks.is_multiple_of(FORGET_TICKS) {
             return;
         }
         self.board.forget(now);
-        let seeds = &self.seeds;
-        let before = now.saturating_sub(FORGET_TIME);
-        self.table.forget(before, |vm| seeds.contains(&vm));
+        self.table.forget(now.saturating_sub(FORGET_TIME));
         self.change = SnapshotChange::Members;
     }
 
@@ -425,6 +425,8 @@
     pub(super) fn believe_self(&mut self, update: &MemberUpdate) {
         if update.life.incarnation > self.own.life.incarnation {
             self.counters.superseded += 1;
+            let session = SessionId::new(update.vm, update.life.incarnation);
+            self.events.push(MemberEvent::Superseded(session));
         }
         if update.health == MemberHealth::Alive
             || update.life.incarnation != self.own.life.incarnation
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -6,6 +6,7 @@
 
 use super::*;
 use crate::ident::{IncarnationNumber, RevisionNumber};
+use crate::membership::DatagramError;
 
 const STEP: Duration = Duration::from_millis(10);
 const TICK_STEPS: usize = 10;
@@ -278,6 +279,27 @@
     }
 }
 
+#[gtest]
+fn a_life_that_began_earlier_is_believed_once_the_later_one_is_forgotten() {
+    // The clock of the VM ran backwards between two lives.
+    let mut fleet = Fleet::settled(3);
+    fleet.nodes[2] = protocol(fleet.now, 2, 0);
+    fleet.nodes[2].take_seeds(&[vm(0), vm(1)]);
+    fleet.sent[2] = 0;
+    fleet.run(20);
+    expect_that!(fleet.state(0, 2), some(eq(MemberState::Failed)));
+    expect_that!(
+        fleet.nodes[0].counters().dropped[DatagramError::Stale as usize],
+        gt(0)
+    );
+    fleet.run(FORGET_TIME.as_secs() + 120);
+    let snapshot = fleet.nodes[0].snapshot();
+    expect_that!(
+        snapshot.get(vm(2)).map(MemberEntry::session),
+        some(eq(SessionId::new(vm(2), IncarnationNumber(0))))
+    );
+}
+
 #[gtest]
 fn a_deaf_or_mute_member_is_failed_and_fails_nobody_else() {
     type Way = fn(usize, usize) -> bool;
--- a/crates/ebonyfork/src/membership/table.rs
+++ b/crates/ebonyfork/src/membership/table.rs
@@ -207,11 +207,10 @@
         })
     }
 
-    /// Forgets members that failed before `before`, but for those that `keep` names.
-    pub fn forget(&mut self, before: Duration, keep: impl Fn(VmAddress) -> bool) {
-        self.records.retain(|vm, record| {
-            record.health != MemberHealth::Failed || record.since >= before || keep(*vm)
-        });
+    /// Forgets members that failed before `before`. One that returns is then new, even if its clock ran backwards.
+    pub fn forget(&mut self, before: Duration) {
+        self.records
+            .retain(|_, record| record.health != MemberHealth::Failed || record.since >= before);
     }
 }
 
--- a/crates/ebonyfork/src/membership/timing.rs
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -34,7 +34,9 @@
 pub const PAGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two pages that repair what gossip missed.
 pub const REPAIR_PERIOD: Duration = Duration::from_secs(10);
-/// How long a failed member is remembered that the VM list does not show.
+/// Ticks between two looks at what can be forgotten.
+pub const FORGET_TICKS: u32 = 600;
+/// How long a failed member is remembered.
 pub const FORGET_TIME: Duration = Duration::from_mins(10);
 /// Ticks between two datagrams that carry only digests.
 pub const DIGEST_TICKS: u32 = 5;
