--- a/crates/ebonyfork/examples/member_slope.rs
+++ b/crates/ebonyfork/examples/member_slope.rs
@@ -89,6 +89,10 @@
             let zone = format!("zone-{}", index % ZONES).parse().expect("name");
             let settings = MemberSettings::new(own, zone, port, index as u64);
             let handle = MemberHandle::start(settings, socket, seeds.clone());
+            handle.set_digest(MemberDigest {
+                revision: RevisionNumber(1),
+                load: 0,
+            });
             members.push((vm, handle));
         }
         Self {
--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -15,9 +15,10 @@
 use xtra::prelude::*;
 
 use crate::ident::{SessionId, VmAddress, ZoneName};
+use crate::membership::event::{MemberEvent, OutgoingDatagram, SnapshotChange};
 use crate::membership::message::DATAGRAM_LIMIT;
 use crate::membership::metrics::{MemberCollector, MemberFigures};
-use crate::membership::protocol::{MemberEvent, MemberProtocol, OutgoingDatagram, SnapshotChange};
+use crate::membership::protocol::MemberProtocol;
 use crate::membership::snapshot::{GossipNotice, MemberDigest, MemberSnapshot};
 use crate::membership::timing::TICK_PERIOD;
 
--- a/crates/ebonyfork/src/membership/metrics.rs
+++ b/crates/ebonyfork/src/membership/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus_client::metrics::MetricType;
 use tokio::time::Instant;
 
-use crate::membership::protocol::MemberCounters;
+use crate::membership::event::MemberCounters;
 
 /// Names of the causes in [`MemberCounters::dropped`].
 const DROP_CAUSES: [&str; 6] = [
--- a/crates/ebonyfork/src/membership/mod.rs
+++ b/crates/ebonyfork/src/membership/mod.rs
@@ -7,6 +7,8 @@
 //! [`MemberProtocol`] is the whole protocol without socket or clock; [`MemberHandle`] runs it in an actor.
 
 mod actor;
+mod belief;
+mod event;
 mod message;
 mod metrics;
 mod notice;
@@ -17,9 +19,11 @@
 mod snapshot;
 mod spread;
 mod table;
+mod telling;
 mod timing;
 
 pub use actor::{MemberHandle, MemberSettings};
+pub use event::{MemberCounters, MemberEvent, OutgoingDatagram, SnapshotChange};
 pub use message::{
     DATAGRAM_LIMIT, DATAGRAM_VERSION, DatagramError, DatagramWriter, DigestUpdate, GossipFact,
     MemberDatagram, MemberHealth, MemberLife, MemberMessage, MemberUpdate, PACKET_OVERHEAD,
@@ -27,7 +31,7 @@
 };
 pub use metrics::MemberFigures;
 pub use notice::{NOTICE_AGE, NOTICE_LIMIT};
-pub use protocol::{MemberCounters, MemberEvent, MemberProtocol, OutgoingDatagram, SnapshotChange};
+pub use protocol::MemberProtocol;
 pub use snapshot::{
     GossipNotice, MemberDigest, MemberEntry, MemberSnapshot, MemberState, NOTICE_PAYLOAD_LIMIT,
 };
--- a/crates/ebonyfork/src/membership/paging.rs
+++ b/crates/ebonyfork/src/membership/paging.rs
@@ -9,10 +9,11 @@
 use rand::{Rng, RngExt};
 
 use crate::ident::VmAddress;
+use crate::membership::event::OutgoingDatagram;
 use crate::membership::message::{
     DATAGRAM_LIMIT, DatagramWriter, GossipFact, MemberHealth, MemberMessage, PACKET_OVERHEAD,
 };
-use crate::membership::protocol::{MemberProtocol, OutgoingDatagram};
+use crate::membership::protocol::MemberProtocol;
 use crate::membership::timing::{PAGE_TIMEOUT, REPAIR_PERIOD};
 
 /// Tables up to this size are repaired from their start: one page holds them.
--- a/crates/ebonyfork/src/membership/probing.rs
+++ b/crates/ebonyfork/src/membership/probing.rs
@@ -7,8 +7,9 @@
 use smallvec::SmallVec;
 
 use crate::ident::VmAddress;
+use crate::membership::event::OutgoingDatagram;
 use crate::membership::message::{MemberHealth, MemberLife, MemberMessage};
-use crate::membership::protocol::{MemberProtocol, OutgoingDatagram};
+use crate::membership::protocol::MemberProtocol;
 use crate::membership::table::MemberTable;
 use crate::membership::timing::{
     DIRECT_TIMEOUT, ENOUGH_MEMBERS, HELPER_COUNT, PROBE_PERIOD, RELAY_LIMIT, RELAY_TIME,
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -7,100 +7,27 @@
 
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::ident::{SessionId, VmAddress, ZoneName};
-use crate::membership::message::{
-    DATAGRAM_LIMIT, DatagramWriter, DigestUpdate, GossipFact, MemberHealth, MemberLife,
-    MemberMessage, MemberUpdate, PACKET_OVERHEAD, SenderHeader,
-};
+use crate::membership::belief::SuspectTimer;
+use crate::membership::event::{MemberCounters, MemberEvent, OutgoingDatagram, SnapshotChange};
+use crate::membership::message::{MemberLife, SenderHeader};
 use crate::membership::notice::NoticeBoard;
 use crate::membership::paging::PageState;
 use crate::membership::probing::ProbeState;
 use crate::membership::snapshot::{
     GossipNotice, MemberDigest, MemberEntry, MemberSnapshot, MemberState,
 };
-use crate::membership::spread::{ByteBudget, OfferResult, SpreadQueue};
-use crate::membership::table::{
-    DigestEffect, MemberRecord, MemberTable, MergeEffect, member_entry,
-};
+use crate::membership::spread::ByteBudget;
+use crate::membership::table::{MemberTable, member_entry};
+use crate::membership::telling::NewsQueues;
 use crate::membership::timing::{
-    DEAF_TIME, DIGEST_TELLINGS, DIGEST_TICKS, FORGET_TICKS, FORGET_TIME, ISOLATION_TIME,
-    LEAVE_FANOUT, MEMBER_LIMIT, MUTE_TIME, PAUSE_GAP, REFUTE_TIME, SEND_BURST, SEND_RATE,
-    digest_period, suspicion_time, telling_limit,
+    DEAF_TIME, DIGEST_TICKS, FORGET_TICKS, FORGET_TIME, ISOLATION_TIME, LEAVE_FANOUT, MEMBER_LIMIT,
+    MUTE_TIME, PAUSE_GAP, SEND_BURST, SEND_RATE, digest_period,
 };
 
-/// A datagram to be sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OutgoingDatagram {
-    /// The VM to send it to.
-    pub to: VmAddress,
-    /// Its content.
-    pub bytes: Vec<u8>,
-}
-
-/// What has happened, counted since the process started.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct MemberCounters {
-    /// Datagrams sent.
-    pub sent_datagrams: u64,
-    /// Bytes sent, headers included.
-    pub sent_bytes: u64,
-    /// Datagrams received and believed.
-    pub received_datagrams: u64,
-    /// Bytes received, headers included, of any sender.
-    pub received_bytes: u64,
-    /// Datagrams dropped, by [`super::DatagramError`] in the order of its cases.
-    pub dropped: [u64; 6],
-    /// Datagrams not sent because the byte budget was spent.
-    pub withheld: u64,
-    /// Members that this process itself began to suspect.
-    pub suspicions: u64,
-    /// Suspects whose time ran out here.
-    pub failures: u64,
-    /// Suspicions of itself that this process refuted.
-    pub refutations: u64,
-    /// Pauses of this process that it noticed.
-    pub pauses: u64,
-    /// Words of a newer incarnation on this VM: the clock ran backwards, or two processes run.
-    pub superseded: u64,
-}
-
-/// Something that is worth a log line or a reader's attention.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MemberEvent {
-    /// What is believed about a member has changed.
-    State {
-        /// The member.
-        session: SessionId,
-        /// Its zone.
-        zone: ZoneName,
-        /// What is believed now.
-        state: MemberState,
-    },
-    /// A notice was learnt from others.
-    Notice(GossipNotice),
-    /// This process was paused for about this long.
-    Paused(Duration),
-    /// A newer incarnation on this VM was told of: the clock ran backwards, or two processes run.
-    Superseded(SessionId),
-    /// No peer has been heard for [`ISOLATION_TIME`]; or one has been heard again.
-    Isolated(bool),
-}
-
-/// What has changed since the last snapshot was taken.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum SnapshotChange {
-    /// Nothing.
-    #[default]
-    None,
-    /// Digests alone.
-    Digests,
-    /// Who is there.
-    Members,
-}
-
 /// State of the protocol in one process. Times are spans since the process started.
 #[derive(Debug)]
 pub struct MemberProtocol {
@@ -117,14 +44,9 @@
     pub(super) last_ack: Option<Duration>,
     pub(super) events: Vec<MemberEvent>,
     pub(super) change: SnapshotChange,
-    member_news: SpreadQueue<VmAddress>,
-    /// Members whose digest shows another revision: told as often as news of a life.
-    revision_news: SpreadQueue<VmAddress>,
-    /// Members whose load has changed: a lost one is replaced by the next.
-    digest_news: SpreadQueue<VmAddress>,
-    notice_news: SpreadQueue<u64>,
-    suspects: Vec<SuspectTimer>,
-    budget: ByteBudget,
+    pub(super) news: NewsQueues,
+    pub(super) suspects: Vec<SuspectTimer>,
+    pub(super) budget: ByteBudget,
     last_call: Duration,
     isolated: bool,
     digest_due: Option<MemberDigest>,
@@ -132,13 +54,6 @@
     ticks: u32,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct SuspectTimer {
-    vm: VmAddress,
-    life: MemberLife,
-    deadline: Duration,
-}
-
 impl MemberProtocol {
     /// The protocol of the process `own` in `zone`; `seed` makes its random choices repeatable.
     pub fn new(now: Duration, own: SessionId, zone: ZoneName, deployment: u32, seed: u64) -> Self {
@@ -172,10 +87,7 @@
             last_ack: None,
             events: Vec::new(),
             change: SnapshotChange::Members,
-            member_news: SpreadQueue::default(),
-            revision_news: SpreadQueue::default(),
-            digest_news: SpreadQueue::default(),
-            notice_news: SpreadQueue::default(),
+            news: NewsQueues::default(),
             suspects: Vec::new(),
             budget: ByteBudget::new(now, SEND_RATE, SEND_BURST),
             last_call: now,
@@ -210,7 +122,7 @@
         }
         self.own.leaving = true;
         self.change = SnapshotChange::Members;
-        self.member_news.push(self.own.vm);
+        self.news.members.push(self.own.vm);
         for _member in 0..LEAVE_FANOUT.min(self.table.present()) {
             self.gossip(now, out);
         }
@@ -219,7 +131,7 @@
     /// Tells all members about a request that crashes upstreams.
     pub fn publish_notice(&mut self, now: Duration, notice: GossipNotice) {
         if self.board.merge(now, &notice) {
-            self.notice_news.push(notice.number);
+            self.news.notices.push(notice.number);
         }
     }
 
@@ -232,10 +144,8 @@
         self.announce_digest(now);
         self.tick_probe(now, out);
         self.tick_page(now, out);
-        let urgent = !self.member_news.is_empty()
-            || !self.notice_news.is_empty()
-            || !self.revision_news.is_empty();
-        let digests = !self.digest_news.is_empty() && self.ticks.is_multiple_of(DIGEST_TICKS);
+        let urgent = self.news.is_urgent();
+        let digests = !self.news.digests.is_empty() && self.ticks.is_multiple_of(DIGEST_TICKS);
         if urgent || digests {
             self.gossip(now, out);
         }
@@ -309,9 +219,9 @@
             return;
         }
         let news = if digest.revision == self.own.digest.revision {
-            &mut self.digest_news
+            &mut self.news.digests
         } else {
-            &mut self.revision_news
+            &mut self.news.revisions
         };
         news.push(self.own.vm);
         self.own.digest = digest;
@@ -320,224 +230,6 @@
         self.change = self.change.max(SnapshotChange::Digests);
     }
 
-    fn expire_suspects(&mut self, now: Duration) {
-        if !self.hears(now) || !self.is_answered(now) {
-            // A refutation could not reach us either.
-            for suspect in &mut self.suspects {
-                suspect.deadline = suspect.deadline.max(now + DEAF_TIME);
-            }
-            return;
-        }
-        let mut due: Vec<SuspectTimer> = Vec::new();
-        let table = &self.table;
-        self.suspects.retain(|suspect| {
-            let still = table.get(suspect.vm).is_some_and(|record| {
-                record.life == suspect.life && record.health == MemberHealth::Suspect
-            });
-            if still && suspect.deadline <= now {
-                due.push(*suspect);
-            }
-            still && suspect.deadline > now
-        });
-        for suspect in due {
-            self.counters.failures += 1;
-            let failed = self.accusation(suspect.vm, suspect.life, MemberHealth::Failed);
-            self.believe(now, &failed, true);
-        }
-    }
-
-    pub(super) fn accusation(
-        &self,
-        vm: VmAddress,
-        life: MemberLife,
-        health: MemberHealth,
-    ) -> MemberUpdate {
-        let leaving = self.table.get(vm).is_some_and(|record| record.leaving);
-        MemberUpdate {
-            vm,
-            life,
-            health,
-            leaving,
-            age_ds: 0,
-            zone: None,
-        }
-    }
-
-    /// Takes news about another member into the table, and passes it on if `tell` or if it is a suspicion.
-    pub(super) fn believe(&mut self, now: Duration, update: &MemberUpdate, tell: bool) {
-        let before = self.table.get(update.vm).map(MemberRecord::state);
-        if before.is_none() && self.table.len() >= MEMBER_LIMIT {
-            return;
-        }
-        let effect = self.table.merge(now, update);
-        if effect == MergeEffect::Known {
-            return;
-        }
-        let Some(record) = self.table.get(update.vm) else {
-            return;
-        };
-        let (life, health, state) = (record.life, record.health, record.state());
-        let zone = record.zone.clone();
-        if health == MemberHealth::Suspect {
-            // The time runs from when the suspicion began, so that late hearers do not wait it out once more.
-            let limit = record.since + suspicion_time(self.table.present());
-            let deadline = limit.max(now + REFUTE_TIME);
-            let vm = update.vm;
-            self.suspects.push(SuspectTimer { vm, life, deadline });
-        }
-        if effect == MergeEffect::Joined {
-            self.probe.insert(update.vm, &mut self.rng);
-        }
-        if tell || health == MemberHealth::Suspect {
-            self.member_news.push(update.vm);
-        }
-        if before != Some(state) || effect == MergeEffect::Joined {
-            self.change = SnapshotChange::Members;
-            let session = SessionId::new(update.vm, life.incarnation);
-            let event = MemberEvent::State {
-                session,
-                zone,
-                state,
-            };
-            self.events.push(event);
-        }
-    }
-
-    /// Takes a digest that a member told of itself or another passed on.
-    pub(super) fn believe_digest(&mut self, update: &DigestUpdate) {
-        let vm = update.session.vm;
-        match self.table.merge_digest(update) {
-            DigestEffect::Known => return,
-            DigestEffect::Load => self.digest_news.push(vm),
-            DigestEffect::Revision => self.revision_news.push(vm),
-        }
-        self.change = self.change.max(SnapshotChange::Digests);
-    }
-
-    pub(super) fn believe_notice(&mut self, now: Duration, notice: GossipNotice) {
-        if self.board.merge(now, &notice) {
-            self.notice_news.push(notice.number);
-            self.events.push(MemberEvent::Notice(notice));
-        }
-    }
-
-    /// Answers news about this process itself: a suspicion is refuted.
-    pub(super) fn believe_self(&mut self, update: &MemberUpdate) {
-        if update.life.incarnation > self.own.life.incarnation {
-            self.counters.superseded += 1;
-            let session = SessionId::new(update.vm, update.life.incarnation);
-            self.events.push(MemberEvent::Superseded(session));
-        }
-        if update.health == MemberHealth::Alive
-            || update.life.incarnation != self.own.life.incarnation
-            || update.life.refutation < self.own.life.refutation
-        {
-            return;
-        }
-        self.counters.refutations += 1;
-        self.own.life.refutation = update.life.refutation.saturating_add(1);
-        self.member_news.push(self.own.vm);
-    }
-
-    /// Sends facts to one random member, if there is one and the budget has room.
-    fn gossip(&mut self, now: Duration, out: &mut Vec<OutgoingDatagram>) {
-        if self.budget.available() < DATAGRAM_LIMIT {
-            self.counters.withheld += 1;
-            return;
-        }
-        let Some(to) = self.random_member(None) else {
-            return;
-        };
-        self.send(now, to, MemberMessage::Gossip, out);
-    }
-
-    /// A random member that is not failed.
-    pub(super) fn random_member(&mut self, except: Option<VmAddress>) -> Option<VmAddress> {
-        self.probe.random(&self.table, &mut self.rng, except)
-    }
-
-    /// Sends a message, with as many facts as budget and datagram have room for.
-    pub(super) fn send(
-        &mut self,
-        now: Duration,
-        to: VmAddress,
-        message: MemberMessage,
-        out: &mut Vec<OutgoingDatagram>,
-    ) {
-        let limit = self.budget.available().min(DATAGRAM_LIMIT);
-        let mut writer = DatagramWriter::new(self.deployment, limit, &self.own, message);
-        // Whoever is held for dead or dying is told first, so that it can refute.
-        let accused = self.table.get(to);
-        if accused.is_some_and(|record| record.health != MemberHealth::Alive)
-            && let Some(update) = self.table.update(now, to)
-        {
-            writer.push_always(&GossipFact::Member(update));
-        }
-        self.fill(now, to, &mut writer);
-        self.post(to, writer.finish(), out);
-    }
-
-    fn fill(&mut self, now: Duration, to: VmAddress, writer: &mut DatagramWriter) {
-        let offered = |writer: &mut DatagramWriter, fact: Option<GossipFact>| match fact {
-            None => OfferResult::Gone,
-            Some(fact) if writer.push(&fact) => OfferResult::Taken,
-            Some(_fact) => OfferResult::Full,
-        };
-        let (own, table, board) = (&self.own, &self.table, &self.board);
-        let tellings = telling_limit(table.present());
-        self.member_news.fill(tellings, |vm| {
-            if vm == to {
-                // The receiver knows best about itself; its accusation was told already.
-                return OfferResult::Taken;
-            }
-            let update = if vm == own.vm {
-                Some(own_update(own))
-            } else {
-                table.update(now, vm)
-            };
-            offered(writer, update.map(GossipFact::Member))
-        });
-        self.notice_news.fill(tellings, |number| {
-            offered(writer, board.notice(now, number).map(GossipFact::Notice))
-        });
-        let mut digest = |vm| {
-            let update = if vm == own.vm {
-                Some(own_digest(own))
-            } else {
-                table.get(vm).map(|record| DigestUpdate {
-                    session: SessionId::new(vm, record.life.incarnation),
-                    stamp: record.stamp,
-                    digest: record.digest,
-                })
-            };
-            offered(writer, update.map(GossipFact::Digest))
-        };
-        self.revision_news.fill(tellings, &mut digest);
-        self.digest_news.fill(DIGEST_TELLINGS, &mut digest);
-    }
-
-    /// Hands a finished datagram over, if the budget bears it.
-    pub(super) fn post(&mut self, to: VmAddress, bytes: Vec<u8>, out: &mut Vec<OutgoingDatagram>) {
-        let size = bytes.len() + PACKET_OVERHEAD;
-        if !self.budget.take_due(size) {
-            self.counters.withheld += 1;
-            return;
-        }
-        self.counters.sent_datagrams += 1;
-        self.counters.sent_bytes += size as u64;
-        out.push(OutgoingDatagram { to, bytes });
-    }
-
-    /// Bytes that may be sent now.
-    pub(super) fn budget_room(&self) -> usize {
-        self.budget.available()
-    }
-
-    /// Draws a number that no earlier message of this process is likely to have used.
-    pub(super) fn draw_sequence(&mut self) -> u32 {
-        self.rng.random()
-    }
-
     /// What this process believes about all members, itself included.
     pub fn snapshot(&self) -> MemberSnapshot {
         let own = MemberEntry {
@@ -599,26 +291,6 @@
     }
 }
 
-/// What this process says about its own life.
-pub(super) fn own_update(own: &SenderHeader) -> MemberUpdate {
-    MemberUpdate {
-        vm: own.vm,
-        life: own.life,
-        health: MemberHealth::Alive,
-        leaving: own.leaving,
-        age_ds: 0,
-        zone: Some(own.zone.clone()),
-    }
-}
-
-fn own_digest(own: &SenderHeader) -> DigestUpdate {
-    DigestUpdate {
-        session: own.session(),
-        stamp: own.stamp,
-        digest: own.digest,
-    }
-}
-
 #[cfg(test)]
 #[path = "protocol_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use googletest::prelude::*;
+use rand::RngExt;
 
 use super::*;
 use crate::ident::{IncarnationNumber, RevisionNumber};
--- a/crates/ebonyfork/src/membership/receive.rs
+++ b/crates/ebonyfork/src/membership/receive.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use crate::ident::VmAddress;
+use crate::membership::event::OutgoingDatagram;
 use crate::membership::message::{
     DatagramError, DigestUpdate, GossipFact, MemberDatagram, MemberHealth, MemberMessage,
     MemberUpdate, PACKET_OVERHEAD, SenderHeader,
 };
-use crate::membership::protocol::{MemberProtocol, OutgoingDatagram, own_update};
+use crate::membership::protocol::MemberProtocol;
+use crate::membership::telling::own_update;
 
 impl MemberProtocol {
     /// Takes a datagram that came from `source`. What can't be believed is dropped and counted.
