--- a/crates/ebonyfork-lab/src/command/mod.rs
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -17,6 +17,7 @@
         .subcommand_required(true)
         .subcommand(run::quickstart_command())
         .subcommand(run::run_command())
+        .subcommand(run::load_command())
         .subcommand(platform::command())
         .subcommand(upstream::command())
 }
@@ -27,6 +28,7 @@
     match matches.subcommand() {
         Some(("quickstart", matches)) => run::quickstart(matches).await,
         Some(("run", matches)) => run::run(matches).await,
+        Some(("load", matches)) => run::load(matches).await,
         Some(("platform", matches)) => platform::run(matches).await,
         Some(("upstream", matches)) => upstream::run(matches).await,
         _ => Ok(ExitCode::FAILURE),
--- a/crates/ebonyfork-lab/src/experiment/backends.rs
+++ b/crates/ebonyfork-lab/src/experiment/backends.rs
@@ -77,16 +77,7 @@
             registry: Mutex::default(),
         };
         for index in &scenario.indexes {
-            let services = scenario.groups[index.group].service_names();
-            let dealt = services.iter().cycle().take(index.shards as usize);
-            let listed = VersionShards {
-                version: index.version,
-                shards: dealt.cloned().collect(),
-            };
-            let catalog = IndexCatalog {
-                epoch: 1,
-                versions: vec![listed],
-            };
+            let catalog = scenario.catalog(index);
             for upstream in &backends.upstreams {
                 upstream.standin.hold_listed(&index.name, &catalog);
             }
--- a/crates/ebonyfork-lab/src/experiment/mod.rs
+++ b/crates/ebonyfork-lab/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 
 mod address;
 mod backends;
+mod callers;
 mod fleet;
 mod node;
 mod report;
@@ -14,5 +15,5 @@
 mod timeline;
 
 pub use report::{ClassReport, RunReport};
-pub use runner::{ProgressFunction, run_scenario};
+pub use runner::{ProgressFunction, run_scenario, send_load};
 pub use table::write_table;
--- a/crates/ebonyfork-lab/src/experiment/node.rs
+++ b/crates/ebonyfork-lab/src/experiment/node.rs
@@ -14,6 +14,9 @@
 /// Longest time for a planned stop.
 const STOP_LIMIT: Duration = Duration::from_mins(1);
 
+/// Longest time for a stopped node's last tasks.
+const END_LIMIT: Duration = Duration::from_secs(2);
+
 /// A node that can be killed, frozen, stopped and started again.
 #[derive(Debug)]
 pub(super) struct LabNode {
@@ -111,7 +114,9 @@
         let RunningNode { runtime, node } = running;
         let stopping = runtime.spawn(node.stop());
         let report = tokio::time::timeout(STOP_LIMIT, stopping).await;
-        runtime.shutdown_background();
+        // A process that has ended holds no sockets, so that its successor can have the address.
+        let ending = tokio::task::spawn_blocking(move || runtime.shutdown_timeout(END_LIMIT));
+        let _ended = ending.await;
         match report {
             Ok(Ok(report)) => format!("{report:?}"),
             Ok(Err(error)) => format!("the stop failed: {error}"),
--- a/crates/ebonyfork-lab/src/experiment/runner.rs
+++ b/crates/ebonyfork-lab/src/experiment/runner.rs
@@ -1,11 +1,11 @@
 //! Runs one variant of a scenario from the first socket to the verdict.
 
 use std::fmt;
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use ebonyfork::declaration::ClassTarget;
-use ebonyfork::ident::CustomerName;
+use ebonyfork::ident::IndexName;
 use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{PublishOutcome, publish};
 
@@ -13,16 +13,15 @@
 use crate::error::LabError;
 use crate::experiment::address::AddressPlan;
 use crate::experiment::backends::Backends;
+use crate::experiment::callers::{distant_agents, fleet_agents, load_plan};
 use crate::experiment::fleet::Fleet;
 use crate::experiment::report::RunReport;
 use crate::experiment::summary::{MeasuredTime, summarise};
 use crate::experiment::timeline::{FaultStage, play};
 use crate::journal::Journal;
-use crate::judge::{RunEvidence, judge};
-use crate::load::{
-    AgentSettings, CallerAgent, ClassLoad, LoadGenerator, LoadPlan, LoadStream, StreamSelection,
-};
-use crate::scenario::{FaultKind, Scenario, VariantSettings};
+use crate::judge::{PublishedShards, RunEvidence, ViolationCounts, judge};
+use crate::load::{ClassLoad, LoadGenerator, RequestRecord};
+use crate::scenario::{Scenario, VariantSettings};
 
 /// After the last answer, time for late shard requests to reach the journals.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
@@ -72,77 +71,193 @@
     variant: &VariantSettings,
     progress: &ProgressFunction,
 ) -> Result<RunReport, LabError> {
-    let clock = RunClock::start();
-    let journal = Journal::new(clock);
-    let plan = AddressPlan::pick(&scenario.fleet)?;
-    let backends = Arc::new(Backends::start(scenario, &plan, &journal).await?);
-    let platform = backends.platform.address();
-    let fleet = Arc::new(Fleet::new(clock, &plan, &scenario.fleet, variant, platform));
-    backends.list_all(fleet.records());
-    publish_declarations(scenario, &backends).await?;
-    fleet.start().await?;
+    let stage = RunStage::bring_up(scenario, variant).await?;
+    let (count, after) = (stage.fleet.len(), stage.clock.now());
+    progress.say(format_args!("{count} VMs take work after {after:?}"));
+    let driven = stage.drive(scenario, variant, progress).await?;
     progress.say(format_args!(
-        "{} VMs take work after {:?}",
-        fleet.len(),
-        clock.now()
+        "{} queries sent; judging",
+        driven.requests.len()
     ));
+    let mut report = stage.conclude(scenario, driven, progress).await;
+    report.name.clone_from(&variant.name);
+    report.load_percent = variant.load_percent;
+    Ok(report)
+}
+
+/// Everything that runs.
+struct RunStage {
+    clock: RunClock,
+    journal: Journal,
+    plan: AddressPlan,
+    backends: Arc<Backends>,
+    fleet: Arc<Fleet>,
+}
+
+/// What the load leaves behind.
+struct DrivenLoad {
+    classes: Vec<ClassLoad>,
+    requests: Vec<RequestRecord>,
+    measured: MeasuredTime,
+    store_calls_per_s: f64,
+}
+
+impl RunStage {
+    /// Starts platform, upstreams and VMs, and waits until all VMs take work.
+    async fn bring_up(scenario: &Scenario, variant: &VariantSettings) -> Result<Self, LabError> {
+        let clock = RunClock::start();
+        let journal = Journal::new(clock);
+        let plan = AddressPlan::pick(&scenario.fleet)?;
+        let backends = Arc::new(Backends::start(scenario, &plan, &journal).await?);
+        let platform = backends.platform.address();
+        let fleet = Arc::new(Fleet::new(clock, &plan, &scenario.fleet, variant, platform));
+        backends.list_all(fleet.records());
+        publish_declarations(scenario, &backends).await?;
+        fleet.start().await?;
+        Ok(Self {
+            clock,
+            journal,
+            plan,
+            backends,
+            fleet,
+        })
+    }
+
+    /// Sends the load while the faults are played.
+    async fn drive(
+        &self,
+        scenario: &Scenario,
+        variant: &VariantSettings,
+        progress: &ProgressFunction,
+    ) -> Result<DrivenLoad, LabError> {
+        let load = load_plan(scenario, variant);
+        let agents = fleet_agents(scenario, &self.plan, self.clock);
+        let failures = Arc::new(Mutex::new(Vec::new()));
+        let faults = FaultStage {
+            backends: Arc::clone(&self.backends),
+            fleet: Arc::clone(&self.fleet),
+            backup: self.backends.platform.backup(),
+            progress: progress.clone(),
+            seed: scenario.run.seed,
+            failures: Arc::clone(&failures),
+        };
+        let entries = variant.faults.then(|| scenario.faults.clone());
+        let from = self.clock.now() + scenario.run.warm_up;
+        let timeline = tokio::spawn(play(faults, entries.unwrap_or_default()));
+        let calls = tokio::spawn(count_calls(
+            Arc::clone(&self.backends),
+            scenario.run.warm_up,
+        ));
+        let classes = load.classes.clone();
+        let requests = LoadGenerator::new(self.clock, load, agents).run().await;
+        let calls_after = self.backends.platform.calls().total();
+        let elapsed = self.clock.now().saturating_sub(from);
+        tokio::time::sleep(SETTLE_TIME).await;
+        timeline.abort();
+        let failures = failures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .join("; ");
+        if !failures.is_empty() {
+            return Err(LabError::Tier {
+                what: "a fault could not be played",
+                message: failures,
+            });
+        }
+        let calls = calls_after.saturating_sub(calls.await.unwrap_or_default());
+        let until = from + scenario.run.duration;
+        Ok(DrivenLoad {
+            classes,
+            requests,
+            measured: MeasuredTime { from, until },
+            store_calls_per_s: calls as f64 / elapsed.as_secs_f64().max(1e-9),
+        })
+    }
 
-    let load = load_plan(scenario, variant);
-    let agents = agents(scenario, &plan, clock);
-    let stage = FaultStage {
-        backends: Arc::clone(&backends),
-        fleet: Arc::clone(&fleet),
-        backup: backends.platform.backup(),
-        progress: progress.clone(),
-        seed: scenario.run.seed,
-    };
-    let faults = if variant.faults {
-        scenario.faults.clone()
-    } else {
-        Vec::new()
-    };
-    let begin = clock.now();
-    let timeline = tokio::spawn(play(stage, faults));
-    let calls = tokio::spawn(count_calls(Arc::clone(&backends), scenario.run.warm_up));
-    let classes = load.classes.clone();
-    let requests = LoadGenerator::new(clock, load, agents).run().await;
-    let calls_after = backends.platform.calls().total();
-    let elapsed = clock.now().saturating_sub(begin + scenario.run.warm_up);
-    tokio::time::sleep(SETTLE_TIME).await;
-    timeline.abort();
-    let calls = calls_after.saturating_sub(calls.await.unwrap_or_default());
-    progress.say(format_args!("{} queries sent; judging", requests.len()));
+    /// Ends the VMs, collects the evidence, judges and computes the figures.
+    async fn conclude(
+        self,
+        scenario: &Scenario,
+        driven: DrivenLoad,
+        progress: &ProgressFunction,
+    ) -> RunReport {
+        let mut evidence = RunEvidence {
+            indexes: class_indexes(scenario, &driven.classes),
+            classes: driven.classes,
+            requests: driven.requests,
+            published: self.backends.published(),
+            outages: self.fleet.outages().clone(),
+            leaving: self.backends.leaving(),
+            ..RunEvidence::default()
+        };
+        self.fleet.end().await;
+        for log in self.journal.logs() {
+            let executions = std::mem::take(&mut log.records().executions);
+            evidence.executions.insert(log.address, executions);
+        }
+        let mut report = summarise(&evidence, &self.journal, driven.measured);
+        report.violations = count_violations(&evidence, progress);
+        report.store_calls_per_s = driven.store_calls_per_s;
+        report
+    }
+}
 
-    let mut evidence = RunEvidence {
-        indexes: classes
-            .iter()
-            .filter_map(|load| scenario.index(&load.class))
-            .map(|index| index.name.clone())
-            .collect(),
-        classes,
-        requests,
-        published: backends.published(),
-        outages: fleet.outages().clone(),
-        leaving: backends.leaving(),
-        ..RunEvidence::default()
-    };
-    fleet.end().await;
-    for log in journal.logs() {
-        let executions = std::mem::take(&mut log.records().executions);
-        evidence.executions.insert(log.address, executions);
+/// Sends a scenario's load to VMs that run elsewhere. Nothing is known of their upstreams then: the figures about them
+/// are zero, and only what callers see is judged.
+pub async fn send_load(
+    scenario: &Scenario,
+    addresses: Vec<SocketAddr>,
+    progress: &ProgressFunction,
+) -> Vec<RunReport> {
+    let mut reports = Vec::new();
+    for variant in &scenario.variants {
+        let clock = RunClock::start();
+        let load = load_plan(scenario, variant);
+        let classes = load.classes.clone();
+        let agents = distant_agents(scenario, &addresses, clock);
+        let requests = LoadGenerator::new(clock, load, agents).run().await;
+        let evidence = RunEvidence {
+            indexes: class_indexes(scenario, &classes),
+            classes,
+            requests,
+            published: listed_shards(scenario),
+            ..RunEvidence::default()
+        };
+        let from = scenario.run.warm_up;
+        let until = from + scenario.run.duration;
+        let journal = Journal::new(clock);
+        let mut report = summarise(&evidence, &journal, MeasuredTime { from, until });
+        report.violations = count_violations(&evidence, progress);
+        report.name.clone_from(&variant.name);
+        report.load_percent = variant.load_percent;
+        reports.push(report);
     }
-    let from = begin + scenario.run.warm_up;
-    let until = from + scenario.run.duration;
-    let mut report = summarise(&evidence, &journal, MeasuredTime { from, until });
-    let verdict = judge(&evidence);
+    reports
+}
+
+fn count_violations(evidence: &RunEvidence, progress: &ProgressFunction) -> ViolationCounts {
+    let verdict = judge(evidence);
     for sample in &verdict.samples {
         progress.say(sample);
     }
-    report.name.clone_from(&variant.name);
-    report.load_percent = variant.load_percent;
-    report.violations = verdict.counts;
-    report.store_calls_per_s = calls as f64 / elapsed.as_secs_f64().max(1e-9);
-    Ok(report)
+    verdict.counts
+}
+
+/// The index of each class.
+fn class_indexes(scenario: &Scenario, classes: &[ClassLoad]) -> Vec<IndexName> {
+    let indexes = classes
+        .iter()
+        .filter_map(|load| scenario.index(&load.class));
+    indexes.map(|index| index.name.clone()).collect()
+}
+
+/// What the scenario's catalogues publish at the start.
+fn listed_shards(scenario: &Scenario) -> PublishedShards {
+    let mut published = PublishedShards::default();
+    for index in &scenario.indexes {
+        published.add(&index.name, &scenario.catalog(index));
+    }
+    published
 }
 
 /// Returns the platform's calls after the warm-up.
@@ -169,115 +284,3 @@
         }),
     }
 }
-
-/// Customers that may use a class.
-fn users<'a>(
-    scenario: &'a Scenario,
-    target: &'a ClassTarget,
-) -> impl Iterator<Item = &'a CustomerName> {
-    let customers = scenario.declared.customers.values();
-    let using = customers.filter(|customer| customer.classes.contains(&target.name));
-    using.map(|customer| &customer.name)
-}
-
-fn load_plan(scenario: &Scenario, variant: &VariantSettings) -> LoadPlan {
-    let mut plan = LoadPlan {
-        seed: scenario.run.seed,
-        ..LoadPlan::default()
-    };
-    let until = scenario.run.warm_up + scenario.run.duration;
-    for load in &scenario.loads {
-        let Some(target) = scenario.declared.classes.get(&load.class) else {
-            continue;
-        };
-        let class = plan.classes.len();
-        plan.classes.push(ClassLoad {
-            class: load.class.clone(),
-            scope: target.scope,
-            idempotent: target.idempotent,
-            latency: target.latency,
-            coverage: target.coverage,
-            bound: target.bound,
-            deadline: load.deadline,
-            records: load.records,
-            selection_size: load.selection_size,
-        });
-        let users: Vec<&CustomerName> = users(scenario, target).collect();
-        let rate = scenario.rate(load, variant.load_percent) / users.len().max(1) as f64;
-        for customer in users {
-            plan.streams.push(LoadStream {
-                class,
-                customer: customer.clone(),
-                rate,
-                from: Duration::ZERO,
-                until,
-                selection: StreamSelection::Unique,
-            });
-        }
-    }
-    if variant.faults {
-        add_load_faults(scenario, &mut plan);
-    }
-    plan
-}
-
-/// Adds what bursts and killers send.
-fn add_load_faults(scenario: &Scenario, plan: &mut LoadPlan) {
-    let usual = plan.streams.clone();
-    for fault in &scenario.faults {
-        let (from, until) = (fault.at, fault.at + fault.lasts);
-        match &fault.kind {
-            FaultKind::Burst { customer, factor } => {
-                for stream in usual.iter().filter(|stream| stream.customer == *customer) {
-                    plan.streams.push(LoadStream {
-                        rate: stream.rate * (factor - 1.0).max(0.0),
-                        from,
-                        until,
-                        ..stream.clone()
-                    });
-                }
-            }
-            FaultKind::Killer { class, rate } => {
-                let of_class = |stream: &&LoadStream| plan.classes[stream.class].class == *class;
-                let Some(stream) = usual.iter().find(of_class) else {
-                    continue;
-                };
-                plan.streams.push(LoadStream {
-                    rate: *rate,
-                    from,
-                    until,
-                    selection: StreamSelection::Killer(compact_str::format_compact!(
-                        "crash {}", fault.name
-                    )),
-                    ..stream.clone()
-                });
-            }
-            _ => {}
-        }
-    }
-}
-
-fn agents(scenario: &Scenario, plan: &AddressPlan, clock: RunClock) -> Vec<CallerAgent> {
-    let fleet = &scenario.fleet;
-    let mut agents = Vec::new();
-    for customer in scenario.declared.customers.keys() {
-        for number in 0..fleet.callers * fleet.zones.len() as u32 {
-            let zone = plan.zone(number);
-            let near = |node: &u32| plan.zone(*node) == zone;
-            let (known, others): (Vec<u32>, Vec<u32>) = (0..fleet.nodes).partition(near);
-            let addresses = |nodes: Vec<u32>| {
-                let nodes = nodes.into_iter();
-                nodes.map(|node| plan.caller_address(node)).collect()
-            };
-            agents.push(CallerAgent::new(AgentSettings {
-                clock,
-                delay: fleet.caller_delay,
-                known: addresses(known),
-                others: addresses(others),
-                customer: customer.clone(),
-                number: agents.len() as u32,
-            }));
-        }
-    }
-    agents
-}
--- a/crates/ebonyfork-lab/src/experiment/timeline.rs
+++ b/crates/ebonyfork-lab/src/experiment/timeline.rs
@@ -1,6 +1,6 @@
 //! Plays the faults of a scenario.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ebonyfork::catalog::{IndexCatalog, VersionShards};
@@ -27,6 +27,8 @@
     pub(super) backup: KeyStore,
     pub(super) progress: ProgressFunction,
     pub(super) seed: u64,
+    /// Faults that could not be played: the run then shows nothing.
+    pub(super) failures: Arc<Mutex<Vec<String>>>,
 }
 
 /// What an upstream says that hides its state.
@@ -46,9 +48,11 @@
                 .progress
                 .say(format_args!("fault {}: {:?}", entry.name, entry.kind));
             if let Err(error) = stage.strike(&entry).await {
-                stage
-                    .progress
-                    .say(format_args!("fault {}: {error}", entry.name));
+                let mut failures = stage
+                    .failures
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
+                failures.push(format!("fault {}: {error}", entry.name));
             }
         });
     }
--- a/crates/ebonyfork-lab/src/scenario/model.rs
+++ b/crates/ebonyfork-lab/src/scenario/model.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use compact_str::{CompactString, format_compact};
+use ebonyfork::catalog::{IndexCatalog, VersionShards};
 use ebonyfork::declaration::{ClassScope, DeclaredConfig, DeclaredFile};
 use ebonyfork::ident::{ClassName, IndexName, ServiceName, SnapshotVersion, ZoneName};
 use ebonyfork::settings::ExperimentSwitches;
 
-use crate::scenario::fault::{FaultEntry, FaultKind};
+use crate::scenario::fault::FaultEntry;
 use crate::upstream::{ColdStart, ServiceTime};
 
 /// When and how much a run sends.
@@ -166,6 +167,20 @@
         self.indexes.iter().find(|index| index.name == target.index)
     }
 
+    /// The catalogue of an index at the start: its shards are dealt to the services in turn.
+    pub fn catalog(&self, index: &IndexSettings) -> IndexCatalog {
+        let services = self.groups[index.group].service_names();
+        let dealt = services.iter().cycle().take(index.shards as usize);
+        let listed = VersionShards {
+            version: index.version,
+            shards: dealt.cloned().collect(),
+        };
+        IndexCatalog {
+            epoch: 1,
+            versions: vec![listed],
+        }
+    }
+
     /// Queries a second of a class at a load.
     pub fn rate(&self, load: &ClassLoadSettings, percent: f64) -> f64 {
         let Some(index) = self.index(&load.class) else {
@@ -180,15 +195,4 @@
         let capacity = self.groups[index.group].capacity();
         capacity * load.share * percent / 100.0 / f64::from(requests.max(1))
     }
-
-    /// Tells whether the experiment itself takes VMs away without a planned stop.
-    pub fn breaks_nodes(&self) -> bool {
-        let breaks = |entry: &FaultEntry| {
-            matches!(
-                entry.kind,
-                FaultKind::Kill { .. } | FaultKind::Freeze { .. }
-            )
-        };
-        self.faults.iter().any(breaks)
-    }
 }
