--- /dev/null
+++ b/crates/ebonyfork/benches/fleet.rs
@@ -0,0 +1,190 @@
+//! Cost of what grows with the fleet: snapshots, topology views and locate answers, up to the size that is designed for.
+
+use std::hint::black_box;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ebonyfork::ident::{IncarnationNumber, SessionId, VmAddress, ZoneName};
+use ebonyfork::locate::{LocateSettings, locate_addresses};
+use ebonyfork::membership::{
+    DATAGRAM_LIMIT, DatagramWriter, DigestUpdate, GossipFact, MemberDigest, MemberEntry,
+    MemberHealth, MemberLife, MemberMessage, MemberProtocol, MemberSnapshot, MemberState,
+    MemberUpdate, SenderHeader,
+};
+use ebonyfork::platform::{OWN_GROUP, VmRecord, VmState};
+use ebonyfork::topology::TopologyJoin;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SIZES: [u32; 4] = [9, 100, 1_000, 4_900];
+const ZONES: u32 = 10;
+/// Upstream servers for each VM, as at the size that is designed for.
+const SERVERS_EACH: u32 = 6;
+
+fn vm(number: u32) -> VmAddress {
+    VmAddress(Ipv4Addr::from(0x0a00_0000 + number).into())
+}
+
+fn zone(number: u32) -> ZoneName {
+    format!("zone-{}", number % ZONES).parse().expect("a name")
+}
+
+fn session(number: u32) -> SessionId {
+    SessionId::new(vm(number), IncarnationNumber(1_700_000_000_000))
+}
+
+fn snapshot(size: u32) -> MemberSnapshot {
+    MemberSnapshot::new((0..size).map(|number| MemberEntry {
+        vm: vm(number),
+        zone: zone(number),
+        incarnation: session(number).incarnation,
+        state: MemberState::Alive,
+        digest: MemberDigest::default(),
+    }))
+}
+
+fn list(size: u32) -> Vec<VmRecord> {
+    let own = (0..size).map(|number| VmRecord {
+        ip: vm(number).0,
+        port: None,
+        zone: zone(number),
+        group: OWN_GROUP.into(),
+        state: VmState::Live,
+    });
+    let servers = (0..size * SERVERS_EACH).map(|number| VmRecord {
+        ip: Ipv4Addr::from(0x0b00_0000 + number).into(),
+        port: Some(80),
+        zone: zone(number),
+        group: format!("service-{}", number / 2).into(),
+        state: VmState::Live,
+    });
+    own.chain(servers).collect()
+}
+
+fn join(size: u32) -> TopologyJoin {
+    let mut join = TopologyJoin::new(session(0), zone(0));
+    join.take_list(Duration::ZERO, list(size));
+    join.take_members(Arc::new(snapshot(size)));
+    join
+}
+
+/// One new view after a change, and one locate answer out of it.
+fn views(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fleet");
+    for size in SIZES {
+        let join = join(size);
+        group.bench_function(BenchmarkId::new("view", size), |bencher| {
+            bencher.iter(|| black_box(join.view(Duration::from_secs(1))));
+        });
+        let view = join.view(Duration::from_secs(1));
+        let members = snapshot(size);
+        let settings = LocateSettings {
+            own: session(0),
+            zone: zone(0),
+            caller_port: 7100,
+            ttl: Duration::from_secs(5),
+        };
+        let customer = "roofers".parse().expect("a name");
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        group.bench_function(BenchmarkId::new("locate", size), |bencher| {
+            bencher
+                .iter(|| locate_addresses(&view, &members, &settings, Some(&customer), &mut rng));
+        });
+    }
+    group.finish();
+}
+
+fn header(number: u32) -> SenderHeader {
+    SenderHeader {
+        vm: vm(number),
+        life: MemberLife {
+            incarnation: session(number).incarnation,
+            refutation: 0,
+        },
+        zone: zone(number),
+        leaving: false,
+        digest: MemberDigest::default(),
+        stamp: 1,
+    }
+}
+
+/// A protocol that knows `size` members.
+fn protocol(size: u32) -> MemberProtocol {
+    let mut protocol = MemberProtocol::new(Duration::ZERO, session(0), zone(0), 0, 1);
+    let mut out = Vec::new();
+    let mut number = 1;
+    while number < size {
+        let message = MemberMessage::Page { next: None };
+        let mut writer = DatagramWriter::new(0, DATAGRAM_LIMIT, &header(1), message);
+        while number < size {
+            let update = MemberUpdate {
+                vm: vm(number),
+                life: header(number).life,
+                health: MemberHealth::Alive,
+                leaving: false,
+                age_ds: 0,
+                zone: Some(zone(number)),
+            };
+            if !writer.push(&GossipFact::Member(update)) {
+                break;
+            }
+            number += 1;
+        }
+        protocol.take_datagram(Duration::ZERO, vm(1), &writer.finish(), &mut out);
+    }
+    protocol
+}
+
+/// One snapshot, one tick, one full datagram of digests.
+fn protocols(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("member");
+    for size in SIZES {
+        let mut protocol = protocol(size);
+        group.bench_function(BenchmarkId::new("snapshot", size), |bencher| {
+            bencher.iter(|| black_box(protocol.snapshot()));
+        });
+        let mut now = Duration::ZERO;
+        let mut out = Vec::new();
+        group.bench_function(BenchmarkId::new("tick", size), |bencher| {
+            bencher.iter(|| {
+                now += Duration::from_millis(100);
+                out.clear();
+                protocol.tick(now, &mut out);
+            });
+        });
+        let mut stamp = 1;
+        let mut datagrams = Vec::new();
+        for _datagram in 0..64 {
+            let mut writer =
+                DatagramWriter::new(0, DATAGRAM_LIMIT, &header(1), MemberMessage::Gossip);
+            let mut number = 1;
+            loop {
+                stamp += 1;
+                number = number % size.max(3) + 1;
+                let update = DigestUpdate {
+                    session: session(number),
+                    stamp,
+                    digest: MemberDigest::default(),
+                };
+                if !writer.push(&GossipFact::Digest(update)) {
+                    break;
+                }
+            }
+            datagrams.push(writer.finish());
+        }
+        let mut next = 0;
+        group.bench_function(BenchmarkId::new("datagram", size), |bencher| {
+            bencher.iter(|| {
+                next = (next + 1) % datagrams.len();
+                out.clear();
+                protocol.take_datagram(now, vm(1), &datagrams[next], &mut out);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, views, protocols);
+criterion_main!(benches);
--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -26,6 +26,8 @@
 const READ_BATCH: usize = 32;
 /// Ticks between two snapshots of which only digests differ.
 const DIGEST_PUBLISH_TICKS: u32 = 10;
+/// Members for which one more tick passes between two snapshots: making one takes time for each.
+const PUBLISH_TICK_MEMBERS: usize = 500;
 /// Notices that wait for a slow reader.
 const NOTICE_QUEUE: usize = 256;
 
@@ -249,6 +251,7 @@
     pending: SnapshotChange,
     states: [u32; 4],
     ticks: u32,
+    published: u32,
 }
 
 impl MemberActor {
@@ -273,6 +276,7 @@
             pending: SnapshotChange::None,
             states: [0; 4],
             ticks: 0,
+            published: 0,
         }
     }
 
@@ -340,6 +344,7 @@
 
     fn publish(&mut self) {
         self.pending = SnapshotChange::None;
+        self.published = self.ticks;
         self.states = self.protocol.count_states();
         let snapshot = self.protocol.snapshot();
         self.snapshot.send_if_modified(|current| {
@@ -352,11 +357,13 @@
     }
 
     fn publish_due(&mut self) {
-        let digests = self.ticks.is_multiple_of(DIGEST_PUBLISH_TICKS);
+        let since = self.ticks.wrapping_sub(self.published);
+        let members = self.snapshot.borrow().members().len();
+        let wait = 1 + (members / PUBLISH_TICK_MEMBERS) as u32;
         match self.pending {
-            SnapshotChange::Members => self.publish(),
-            SnapshotChange::Digests if digests => self.publish(),
-            SnapshotChange::Digests | SnapshotChange::None => {}
+            SnapshotChange::Members if since >= wait => self.publish(),
+            SnapshotChange::Digests if since >= wait.max(DIGEST_PUBLISH_TICKS) => self.publish(),
+            _ => {}
         }
     }
 
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -427,6 +427,68 @@
     expect_that!(fleet.peak, le(u64::from(SEND_RATE + 2 * SEND_BURST)));
 }
 
+/// One way in which datagrams are lost for a while.
+fn random_loss(rng: &mut ChaCha8Rng) -> Reaches {
+    let (one, other) = (rng.random_range(0..9), rng.random_range(0..9));
+    let mut losses = ChaCha8Rng::seed_from_u64(rng.random());
+    match rng.random_range(0..5) {
+        0 => Box::new(move |_, _, _| !losses.random_bool(0.2)),
+        1 => Box::new(move |_, from, to| (from % 3 == one % 3) == (to % 3 == one % 3)),
+        2 => Box::new(move |_, from, to| (from, to) != (one, other)),
+        3 => Box::new(move |_, from, _| from != one),
+        _ => Box::new(move |_, _, to| to != one),
+    }
+}
+
+#[gtest]
+fn after_any_faults_together_all_agree_again() {
+    for seed in 0..12 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::settled(9);
+        let mut lives = [1_u64; 9];
+        for _slot in 0..8 {
+            fleet.reaches = random_loss(&mut rng);
+            let (paused, replaced) = (rng.random_range(3..9), rng.random_range(3..9));
+            fleet.running[paused] = false;
+            lives[replaced] += 1;
+            fleet.nodes[replaced] = protocol(fleet.now, replaced, lives[replaced]);
+            fleet.nodes[replaced].take_seeds(&[vm(0), vm(1), vm(2)]);
+            fleet.sent[replaced] = 0;
+            fleet.run(rng.random_range(1..12));
+            fleet.running[paused] = true;
+        }
+        fleet.reaches = Box::new(|_, _, _| true);
+        fleet.running[8] = false;
+        fleet.run(25);
+        for observer in fleet.observers() {
+            let snapshot = fleet.nodes[observer].snapshot();
+            for (about, life) in lives.iter().enumerate() {
+                let member = snapshot.get(vm(about));
+                let expected = if about == 8 {
+                    MemberState::Failed
+                } else {
+                    MemberState::Alive
+                };
+                let known = member.map(|member| (member.state, member.incarnation.0));
+                // A life that ended before it was heard of is not missed.
+                if about == 8 && known.is_none_or(|(state, _)| state == MemberState::Failed) {
+                    continue;
+                }
+                expect_that!(
+                    known,
+                    some(eq((expected, *life))),
+                    "{seed} {observer} {about}"
+                );
+            }
+        }
+        expect_that!(
+            fleet.peak,
+            le(u64::from(SEND_RATE + 2 * SEND_BURST)),
+            "{seed}"
+        );
+    }
+}
+
 /// Run by hand, in release: `cargo test --release -p ebonyfork --lib a_zone_of_a_large_fleet -- --ignored --nocapture`.
 #[gtest]
 #[ignore = "takes minutes; gives the figures of docs/design/membership.md"]
