Count VMs that vanished together as unfenced; reset the wait after an answer

VMs of one zone that are cut off together hear each other and aren't fenced, so evidence must not leave them out after ten seconds. Those that vanish within one fence delay of each other now count for ten minutes; whoever judges acceptance leaves out VMs that the VM list no longer shows. The publisher's wait doubled with every failed call of a run and was never reset, and a VM waited a flat second after a failed reading. Both now start again at 100 ms after an answer.

--- a/crates/ebonyfork-lab/src/config_fleet.rs
+++ b/crates/ebonyfork-lab/src/config_fleet.rs
@@ -71,6 +71,7 @@
     network: u8,
     peer_port: u16,
     next: u16,
+    alone: bool,
     /// The VMs that run.
     pub nodes: Vec<FleetNode>,
 }
@@ -90,10 +91,18 @@
             network,
             peer_port,
             next: 1,
+            alone: false,
             nodes: Vec::new(),
         })
     }
 
+    /// Shows each VM itself alone, so that every one watches the store: the baseline of the measurements.
+    #[must_use]
+    pub fn with_alone(mut self, alone: bool) -> Self {
+        self.alone = alone;
+        self
+    }
+
     /// Starts VMs in a zone and shows them to all.
     pub async fn add(&mut self, zone: &ZoneName, count: usize) -> Result<(), LabError> {
         for _ in 0..count {
@@ -148,15 +157,20 @@
     }
 
     fn show_topology(&self) {
-        let entries = self.nodes.iter().map(|node| VmEntry {
+        let entry = |node: &FleetNode| VmEntry {
             vm: node.vm,
             zone: node.zone.clone(),
             incarnation: None,
             leaving: false,
-        });
-        let view = Arc::new(TopologyView::new(entries, []));
+        };
+        let all = Arc::new(TopologyView::new(self.nodes.iter().map(entry), []));
         for node in &self.nodes {
-            node.topology.send_replace(Arc::clone(&view));
+            let view = if self.alone {
+                Arc::new(TopologyView::new([entry(node)], []))
+            } else {
+                Arc::clone(&all)
+            };
+            node.topology.send_replace(view);
         }
     }
 
--- a/crates/ebonyfork/src/declaration/mod.rs
+++ b/crates/ebonyfork/src/declaration/mod.rs
@@ -10,4 +10,4 @@
 pub use model::{
     ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, ServiceEntry, TargetPriority,
 };
-pub use parse::{BOUND_FACTOR, DeclaredFile, PERCENTILE};
+pub use parse::{BOUND_FACTOR, DRAIN, DeclaredFile, PERCENTILE};
--- a/crates/ebonyfork/src/declaration/parse.rs
+++ b/crates/ebonyfork/src/declaration/parse.rs
@@ -20,6 +20,8 @@
 pub const BOUND_FACTOR: u32 = 4;
 /// The percentile of a class that states none.
 pub const PERCENTILE: f64 = 99.0;
+/// The time to drain of a service that states none.
+pub const DRAIN: Duration = Duration::from_secs(10);
 /// The longest time that a target or a bound may name.
 const LONGEST_SPAN: Duration = Duration::from_hours(1);
 /// The most connections that one upstream may be said to accept.
@@ -202,9 +204,9 @@
             let message = format!("`{connections}` is not between 1 and {MOST_CONNECTIONS}");
             reader.report("connections", message);
         }
-        let drain = read_span(&mut reader, "drain", true);
+        let drain = read_span(&mut reader, "drain", false).unwrap_or(DRAIN);
         reader.finish();
-        let (Some(name), Some(connections), Some(drain)) = (name, connections, drain) else {
+        let (Some(name), Some(connections)) = (name, connections) else {
             return;
         };
         let entry = ServiceEntry {
--- a/crates/ebonyfork/src/revision/acceptance.rs
+++ b/crates/ebonyfork/src/revision/acceptance.rs
@@ -5,10 +5,10 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::ident::{RevisionNumber, ZoneName};
+use crate::ident::{RevisionNumber, VmAddress, ZoneName};
 use crate::platform::{OWN_GROUP, PlatformClient, PlatformError, VmRecord, VmState};
 
-use super::record::{HeadRecord, HeldEvidence, LaggingVm};
+use super::record::{HeadRecord, HeldEvidence, LAGGING_LIMIT, LaggingVm};
 use super::store::{read_change, read_evidence};
 
 /// How the change that a zone holds relates to the published one.
@@ -37,6 +37,9 @@
     pub lagging: Vec<LaggingVm>,
 }
 
+/// The tier's live VMs of each zone that has any.
+pub type LiveZones = BTreeMap<ZoneName, BTreeSet<VmAddress>>;
+
 /// Whether a revision is accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
@@ -68,16 +71,20 @@
 /// use std::collections::BTreeSet;
 ///
 /// use ebonyfork::ident::RevisionNumber;
-/// use ebonyfork::revision::{AcceptanceState, HeldRelation, judge_acceptance};
+/// use ebonyfork::revision::{AcceptanceState, LiveZones, judge_acceptance};
 ///
-/// let zones = BTreeSet::from(["zone-a".parse()?]);
+/// let live = BTreeSet::from(["127.0.0.1".parse()?]);
+/// let zones = LiveZones::from([("zone-a".parse()?, live)]);
 /// let state = judge_acceptance(RevisionNumber(7), &zones, &[], 0);
 /// assert!(matches!(state, AcceptanceState::Waiting { gaps } if gaps.len() == 1));
 /// # Ok::<(), ebonyfork::ident::IdentError>(())
 /// ```
+///
+/// `zones` has the live VMs of each zone, as the VM list shows them. The list lags behind but never leaves out a VM that
+/// lives, so a VM that it doesn't show needs no evidence.
 pub fn judge_acceptance(
     revision: RevisionNumber,
-    zones: &BTreeSet<ZoneName>,
+    zones: &LiveZones,
     evidence: &[(HeldEvidence, HeldRelation)],
     time_ms: u64,
 ) -> AcceptanceState {
@@ -85,7 +92,7 @@
         return AcceptanceState::Nowhere;
     }
     let mut gaps = Vec::new();
-    for zone in zones {
+    for (zone, live) in zones {
         let shown = evidence.iter().find(|(shown, _)| shown.zone == *zone);
         let Some((shown, relation)) = shown else {
             gaps.push(ZoneGap {
@@ -99,12 +106,13 @@
         if let HeldRelation::Overridden(by) = *relation {
             return AcceptanceState::Overridden { by };
         }
+        let mut lagging = shown.lagging.clone();
+        lagging.retain(|entry| entry.revision < revision && live.contains(&entry.vm));
         let related = matches!(relation, HeldRelation::Same | HeldRelation::Follows);
-        if related && shown.lowest >= revision {
+        let named_all = (1..LAGGING_LIMIT).contains(&shown.lagging.len());
+        if related && (shown.lowest >= revision || named_all && lagging.is_empty()) {
             continue;
         }
-        let mut lagging = shown.lagging.clone();
-        lagging.retain(|entry| entry.revision < revision);
         gaps.push(ZoneGap {
             zone: zone.clone(),
             lowest: Some(shown.lowest),
@@ -113,7 +121,7 @@
         });
     }
     if gaps.is_empty() {
-        let zones = zones.iter().cloned().collect();
+        let zones = zones.keys().cloned().collect();
         return AcceptanceState::Accepted { zones };
     }
     AcceptanceState::Waiting { gaps }
@@ -140,13 +148,17 @@
     Ok(judge_acceptance(head.revision, &zones, &judged, time_ms))
 }
 
-/// The zones of our VMs that live.
-fn live_zones(vms: &[VmRecord]) -> BTreeSet<ZoneName> {
-    let own = |record: &&VmRecord| record.group == OWN_GROUP && record.state == VmState::Live;
-    vms.iter()
-        .filter(own)
-        .map(|record| record.zone.clone())
-        .collect()
+/// Our VMs that live, by zone.
+fn live_zones(vms: &[VmRecord]) -> LiveZones {
+    let mut zones = LiveZones::new();
+    for record in vms {
+        if record.group != OWN_GROUP || record.state != VmState::Live {
+            continue;
+        }
+        let live = zones.entry(record.zone.clone()).or_default();
+        live.insert(VmAddress(record.ip));
+    }
+    zones
 }
 
 /// Walks from what is held along the parents to the published change.
--- a/crates/ebonyfork/src/revision/actor.rs
+++ b/crates/ebonyfork/src/revision/actor.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use compact_str::ToCompactString;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -15,7 +17,7 @@
 
 use crate::declaration::DeclaredConfig;
 use crate::ident::{RevisionNumber, VmAddress};
-use crate::platform::PlatformClient;
+use crate::platform::{Backoff, PlatformClient};
 use crate::settings::NodeSettings;
 use crate::topology::TopologyView;
 use crate::wire::{LinkError, PeerMessage};
@@ -40,8 +42,9 @@
 /// How long the store has to show a lower revision before it counts as gone back: peers may simply be faster.
 const BEHIND_DELAY: Duration = Duration::from_secs(2);
 
-/// Time between two tries to read a revision from the store.
-const LOAD_PAUSE: Duration = Duration::from_secs(1);
+/// First and longest wait after a failed reading of a revision from the store.
+const FIRST_LOAD_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_LOAD_WAIT: Duration = Duration::from_secs(5);
 
 type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
 
@@ -83,6 +86,8 @@
     loading: bool,
     /// When a failed reading of a revision may be tried again.
     next_load: Duration,
+    load_backoff: Backoff,
+    rng: ChaCha8Rng,
     writing: bool,
     watch: Option<AbortHandle>,
     tasks: JoinSet<()>,
@@ -163,6 +168,8 @@
             restoring: false,
             loading: false,
             next_load: Duration::ZERO,
+            load_backoff: Backoff::new(FIRST_LOAD_WAIT, LONGEST_LOAD_WAIT),
+            rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             writing: false,
             watch: None,
             tasks: JoinSet::new(),
--- a/crates/ebonyfork/src/revision/actor/inbox.rs
+++ b/crates/ebonyfork/src/revision/actor/inbox.rs
@@ -13,7 +13,7 @@
 use super::super::message::RevisionMessage;
 use super::super::record::{HeadRecord, PartDigest};
 use super::super::watcher::LoadFault;
-use super::{LOAD_PAUSE, RevisionActor, StoreSight};
+use super::{RevisionActor, StoreSight};
 
 /// Ends the feed.
 pub(in crate::revision) struct StopFeed;
@@ -207,12 +207,14 @@
         self.loading = false;
         match message.loaded {
             Ok(whole) => {
+                self.load_backoff.reset();
                 self.put_in_force(whole, "store", "", &address);
                 self.load_wanted(&address);
             }
             Err(fault) => {
                 log::info!("{} from the store: {fault}", message.head);
-                self.next_load = self.now() + LOAD_PAUSE;
+                let wait = self.load_backoff.next_wait(&mut self.rng);
+                self.next_load = self.now() + wait;
                 // A head without its record or parts was lost by the store; what is held is put in its place.
                 if matches!(fault, LoadFault::Lost { .. }) && self.held.is_some() {
                     self.refused = Some(message.head);
--- a/crates/ebonyfork/src/revision/evidence.rs
+++ b/crates/ebonyfork/src/revision/evidence.rs
@@ -17,6 +17,9 @@
 
 /// How long a VM that vanished without announcing it still counts as a member of its zone.
 pub const FENCE_DELAY: Duration = Duration::from_secs(10);
+/// How long VMs that vanished together still count: cut off with each other they aren't fenced and may go on working
+/// with what they hold. Who reads the evidence leaves out those that the VM list no longer shows.
+pub const GROUP_DELAY: Duration = Duration::from_mins(10);
 /// How often evidence is written although nothing has changed.
 pub const REFRESH_PERIOD: Duration = Duration::from_secs(10);
 /// How long a process has to run before what it holds counts: its first revision may still give way to a peer's.
@@ -29,8 +32,17 @@
     leaving: bool,
     /// When its process started, in milliseconds since the Unix epoch, as far as membership has learned.
     started_ms: Option<u64>,
-    /// Since when the view no longer shows it, and what it had shown last.
-    departed: Option<(Duration, u64)>,
+    departed: Option<MemberDeparture>,
+}
+
+/// A member that the view no longer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct MemberDeparture {
+    since: Duration,
+    /// What it had shown last.
+    shown: u64,
+    /// Whether others vanished with it.
+    grouped: bool,
 }
 
 impl ZoneMember {
@@ -77,7 +89,32 @@
         }
         for (vm, member) in &mut self.members {
             if !view.vms.contains_key(vm) && member.departed.is_none() {
-                member.departed = Some((now, feed.shown(*vm)));
+                member.departed = Some(MemberDeparture {
+                    since: now,
+                    shown: feed.shown(*vm),
+                    grouped: false,
+                });
+            }
+        }
+        self.mark_groups(now);
+    }
+
+    /// Marks VMs that vanished without notice within one fence delay of each other.
+    fn mark_groups(&mut self, now: Duration) {
+        let mut recent = Vec::new();
+        for (vm, member) in &self.members {
+            let departed = member.departed.filter(|_| !member.leaving);
+            if departed.is_some_and(|departed| now < departed.since + FENCE_DELAY) {
+                recent.push(*vm);
+            }
+        }
+        if recent.len() < 2 {
+            return;
+        }
+        for vm in recent {
+            let member = self.members.get_mut(&vm);
+            if let Some(departed) = member.and_then(|member| member.departed.as_mut()) {
+                departed.grouped = true;
             }
         }
     }
@@ -114,9 +151,16 @@
     }
 
     fn forget_departed(&mut self, now: Duration) {
-        self.members.retain(|_, member| match member.departed {
-            Some((since, _)) => !member.leaving && now < since + FENCE_DELAY,
-            None => true,
+        self.members.retain(|_, member| {
+            let Some(departed) = member.departed else {
+                return true;
+            };
+            let delay = if departed.grouped {
+                GROUP_DELAY
+            } else {
+                FENCE_DELAY
+            };
+            !member.leaving && now < departed.since + delay
         });
     }
 
@@ -129,7 +173,7 @@
             let revision = match member.departed {
                 _ if member.has_just_started(time_ms) => RevisionNumber(0),
                 _ if *vm == self.own => held.revision,
-                Some((_, shown)) => RevisionNumber(shown),
+                Some(departed) => RevisionNumber(departed.shown),
                 None => RevisionNumber(feed.shown(*vm)),
             };
             if revision < held.revision {
--- a/crates/ebonyfork/src/revision/evidence_tests.rs
+++ b/crates/ebonyfork/src/revision/evidence_tests.rs
@@ -137,3 +137,15 @@
         zone.evidence.note_failure();
     }
 }
+
+#[gtest]
+fn vms_that_vanish_together_count_on_because_they_may_hear_each_other() {
+    let second = Duration::from_secs(1);
+    let mut zone = Zone::new(&[0, 1, 2]);
+    zone.feed.note_peer(START, vm(1), 6);
+    zone.feed.note_peer(START, vm(2), 7);
+    zone.show(second, &[0, 2], &[]);
+    zone.show(2 * second, &[0], &[]);
+    expect_that!(zone.lowest(2 * second + FENCE_DELAY), eq(6));
+    expect_that!(zone.lowest(second + GROUP_DELAY), eq(7));
+}
--- a/crates/ebonyfork/src/revision/mod.rs
+++ b/crates/ebonyfork/src/revision/mod.rs
@@ -24,9 +24,11 @@
 mod store;
 mod watcher;
 
-pub use acceptance::{AcceptanceState, HeldRelation, ZoneGap, judge_acceptance, read_acceptance};
+pub use acceptance::{
+    AcceptanceState, HeldRelation, LiveZones, ZoneGap, judge_acceptance, read_acceptance,
+};
 pub use assembly::{HeldRevision, PartTexts, RevisionAssembly};
-pub use evidence::{EvidenceState, FENCE_DELAY, REFRESH_PERIOD};
+pub use evidence::{EvidenceState, FENCE_DELAY, GROUP_DELAY, REFRESH_PERIOD};
 pub use feed::{ASK_PERIOD, FeedAction, FeedActions, FeedState, PULL_TIMEOUT};
 pub use handle::RevisionHandle;
 pub use message::RevisionMessage;
--- a/crates/ebonyfork/src/revision/publish.rs
+++ b/crates/ebonyfork/src/revision/publish.rs
@@ -125,6 +125,20 @@
     Paused,
 }
 
+impl PublishReply {
+    /// Tells whether the store has answered.
+    pub fn is_answered(&self) -> bool {
+        match self {
+            Self::Head(reply) => reply.is_ok(),
+            Self::Evidence(reply) => reply.is_ok(),
+            Self::Change(reply) => reply.is_ok(),
+            Self::Written(reply) => reply.is_ok(),
+            Self::Moved(reply) => reply.is_ok(),
+            Self::Paused => false,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 enum PublishStep {
     Base,
--- a/crates/ebonyfork/src/revision/publisher.rs
+++ b/crates/ebonyfork/src/revision/publisher.rs
@@ -114,6 +114,9 @@
                 PublishReply::Moved(move_head(client, version, head).await)
             }
         };
+        if reply.is_answered() {
+            backoff.reset();
+        }
         action = run.take(reply);
     }
 }
