--- /dev/null
+++ b/crates/ebonyfork/benches/query.rs
@@ -0,0 +1,272 @@
+//! Cost of one query on the entry: plan (until the batches are ready), gather (outcomes until the answer), by shards.
+//!
+//! Also prints the allocations of a whole query, counted by the allocator.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use ebonyfork::catalog::{IndexCatalog, VersionShards};
+use ebonyfork::declaration::{
+    ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, TargetPriority,
+};
+use ebonyfork::entry::{EntryAction, EntryCore, EntryViews};
+use ebonyfork::ident::{IncarnationNumber, SessionId, SnapshotVersion, UpstreamAddress, VmAddress};
+use ebonyfork::query::QueryRequest;
+use ebonyfork::relay::{OutcomeBatch, ShardOutcome, ShardVerdict, SubmitBatch, UpstreamLoad};
+use ebonyfork::settings::ExperimentSwitches;
+use ebonyfork::topology::{TopologyView, UpstreamEntry, VmEntry};
+use ebonyfork::wire::PeerMessage;
+
+const SIZES: [u32; 4] = [20, 70, 210, 420];
+const VMS: u8 = 9;
+
+/// Counts allocations, so that a bench can say how many a query takes.
+struct CountingAllocator;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the pointer came from `alloc` above.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+fn vm(number: u8) -> VmAddress {
+    VmAddress([127, 0, 1, number].into())
+}
+
+fn upstream(service: u32, replica: u8) -> UpstreamAddress {
+    let [_, _, high, low] = service.to_be_bytes();
+    UpstreamAddress(([127, 10 + replica, high, low], 80).into())
+}
+
+fn views(shards: u32) -> EntryViews {
+    let class = ClassTarget {
+        name: "search".parse().unwrap(),
+        index: "tenders".parse().unwrap(),
+        scope: ClassScope::All,
+        latency: Duration::from_millis(59),
+        percentile: 99.0,
+        coverage: 0.98,
+        priority: TargetPriority::CoverageFirst,
+        bound: Duration::from_secs(1),
+        idempotent: true,
+    };
+    let customer = CustomerEntry {
+        name: "roofers".parse().unwrap(),
+        classes: vec![class.name.clone()],
+    };
+    let mut config = DeclaredConfig::default();
+    config.classes.insert(class.name.clone(), class);
+    config.customers.insert(customer.name.clone(), customer);
+    let zone = |number: u32| format!("zone-{}", number % 3).parse().unwrap();
+    let vms = (1..=VMS).map(|number| VmEntry {
+        vm: vm(number),
+        zone: zone(number.into()),
+        incarnation: None,
+        leaving: false,
+    });
+    let upstreams = (0..shards * 2).map(|number| UpstreamEntry {
+        upstream: upstream(number / 2, (number % 2) as u8),
+        zone: zone(number),
+        service: format!("tender-{:03}", number / 2).parse().unwrap(),
+        leaving: false,
+    });
+    let topology = TopologyView::new(vms, upstreams);
+    let services = (0..shards).map(|number| format!("tender-{number:03}").parse().unwrap());
+    let version = VersionShards {
+        version: SnapshotVersion(17),
+        shards: services.collect(),
+    };
+    let catalog = IndexCatalog {
+        epoch: 1,
+        versions: vec![version],
+    };
+    EntryViews {
+        topology: Arc::new(topology),
+        config: Arc::new(config),
+        catalog: Arc::new([("tenders".parse().unwrap(), catalog)].into()),
+    }
+}
+
+/// One entry, with the batches of the query in flight.
+struct QueryBench {
+    core: EntryCore,
+    now: Duration,
+    sent: Vec<(VmAddress, SubmitBatch)>,
+    answers: u32,
+}
+
+impl QueryBench {
+    fn new(shards: u32) -> Self {
+        let session = SessionId::new(vm(1), IncarnationNumber(7));
+        let zone = "zone-1".parse().unwrap();
+        let mut core = EntryCore::new(session, zone, ExperimentSwitches::default());
+        core.refresh(&views(shards));
+        Self {
+            core,
+            now: Duration::from_secs(1),
+            sent: Vec::new(),
+            answers: 0,
+        }
+    }
+
+    fn plan(&mut self) {
+        let request = QueryRequest {
+            class: "search".parse().unwrap(),
+            customer: "roofers".parse().unwrap(),
+            deadline: None,
+            record: None,
+            selection: Bytes::from_static(b"roofs"),
+            key: None,
+            caller_id: None,
+        };
+        self.now += Duration::from_millis(5);
+        black_box(self.core.start(self.now, request));
+        self.drain();
+    }
+
+    fn drain(&mut self) {
+        while let Some(action) = self.core.next_action() {
+            match action {
+                EntryAction::Send { vm, message } => {
+                    if let PeerMessage::Submit(batch) = message {
+                        self.sent.push((vm, batch));
+                    }
+                }
+                EntryAction::Finish { outcome, .. } => {
+                    let answer = black_box(outcome).expect("a whole answer");
+                    self.answers += answer.coverage.answered;
+                }
+            }
+        }
+    }
+
+    /// The relays' replies, one batch each.
+    fn replies(&mut self) -> Vec<(VmAddress, OutcomeBatch)> {
+        let reply = |(vm, batch): (VmAddress, SubmitBatch)| (vm, reply_batch(&batch));
+        self.sent.drain(..).map(reply).collect()
+    }
+
+    fn gather(&mut self, replies: Vec<(VmAddress, OutcomeBatch)>) {
+        self.now += Duration::from_millis(12);
+        for (vm, batch) in replies {
+            self.core.take_outcomes(self.now, vm, batch);
+            self.drain();
+        }
+        self.core.wake(self.now);
+    }
+}
+
+fn reply_batch(batch: &SubmitBatch) -> OutcomeBatch {
+    let outcomes = batch.targets.iter().map(|target| ShardOutcome {
+        query: batch.query,
+        attempt: target.attempt,
+        upstream: target.upstream,
+        verdict: ShardVerdict::Rows {
+            version: batch.version,
+            body: Bytes::from_static(br#"{"rows":["a row of some length"]}"#),
+        },
+        waited_us: 100,
+        served_us: 10_000,
+    });
+    let loads = batch.targets.iter().map(|target| UpstreamLoad {
+        upstream: target.upstream,
+        wait_us: 200,
+        service_us: 10_000,
+        limit: 2,
+        leaving: false,
+    });
+    OutcomeBatch {
+        outcomes: outcomes.collect(),
+        loads: loads.collect(),
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    Plan,
+    Gather,
+}
+
+fn bench_phase(criterion: &mut Criterion, name: &str, phase: Phase) {
+    let mut group = criterion.benchmark_group(name);
+    for shards in SIZES {
+        group.throughput(Throughput::Elements(shards.into()));
+        group.bench_function(BenchmarkId::from_parameter(shards), |bencher| {
+            let mut bench = QueryBench::new(shards);
+            bencher.iter_custom(|rounds| {
+                let mut measured = Duration::ZERO;
+                for _ in 0..rounds {
+                    let started = Instant::now();
+                    bench.plan();
+                    let planned = started.elapsed();
+                    let replies = bench.replies();
+                    let started = Instant::now();
+                    bench.gather(replies);
+                    let gathered = started.elapsed();
+                    measured += if phase == Phase::Plan {
+                        planned
+                    } else {
+                        gathered
+                    };
+                }
+                measured
+            });
+        });
+    }
+    group.finish();
+}
+
+fn plan(criterion: &mut Criterion) {
+    bench_phase(criterion, "entry/plan", Phase::Plan);
+}
+
+fn gather(criterion: &mut Criterion) {
+    bench_phase(criterion, "entry/gather", Phase::Gather);
+    print_allocations();
+}
+
+fn print_allocations() {
+    const ROUNDS: u64 = 200;
+    for shards in SIZES {
+        let mut bench = QueryBench::new(shards);
+        let (mut planned, mut gathered) = (0, 0);
+        for round in 0..ROUNDS * 2 {
+            let before = ALLOCATIONS.load(Ordering::Relaxed);
+            bench.plan();
+            let middle = ALLOCATIONS.load(Ordering::Relaxed);
+            let replies = bench.replies();
+            let after = ALLOCATIONS.load(Ordering::Relaxed);
+            bench.gather(replies);
+            if round >= ROUNDS {
+                planned += middle - before;
+                gathered += ALLOCATIONS.load(Ordering::Relaxed) - after;
+            }
+        }
+        println!(
+            "allocations per query of {shards} shards: plan {:.1}, gather {:.1}",
+            planned as f64 / ROUNDS as f64,
+            gathered as f64 / ROUNDS as f64
+        );
+    }
+}
+
+criterion_group!(benches, plan, gather);
+criterion_main!(benches);
