Count cancelled attempts out of a replica's load, keep tokens for what would be lost, admit by the last shard

Cancelled attempts were never counted out, so the expected time of a silent server grew and its hedge came after the deadline.

- A service without samples borrows the class's lateness.

--- a/crates/ebonyfork/src/entry/model.rs
+++ b/crates/ebonyfork/src/entry/model.rs
@@ -141,7 +141,8 @@
     pub(super) runs: u64,
     /// Requests that admitted queries needed.
     pub(super) needed: u64,
-    stragglers: f64,
+    /// Share of requests that straggle.
+    pub(super) stragglers: f64,
 }
 
 impl LoadModel {
--- a/crates/ebonyfork/src/entry/policy_tests.rs
+++ b/crates/ebonyfork/src/entry/policy_tests.rs
@@ -92,6 +92,8 @@
     }];
     let switches = ExperimentSwitches::default();
     let mut model = LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+    // With a single replica left, nothing can cover its stragglers; here only the silent ones count.
+    model.stragglers = 0.0;
     for service in 0..2 {
         model.slow(upstream(service, 0), f64::INFINITY);
     }
--- a/crates/ebonyfork/src/entry/replica.rs
+++ b/crates/ebonyfork/src/entry/replica.rs
@@ -87,6 +87,11 @@
         self.probed = None;
     }
 
+    /// Notes that a submitted request is no longer wanted: it tells nothing of the server.
+    pub fn cancel(&mut self) {
+        self.submitted = self.submitted.saturating_sub(1);
+    }
+
     /// Notes that a submitted request has come back, whatever its outcome.
     pub fn settle(&mut self, now: Duration) {
         self.heard = now;
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -11,6 +11,7 @@
 use super::choice::{ChoiceLimits, ChoiceReason, RouteChoice, choose_route};
 use super::directory::{RelayId, ReplicaId};
 use super::gather::ShardGather;
+use super::hedge::AttemptNeed;
 use super::route::RouteTable;
 use super::terms::QueryTerms;
 use super::tools::{EntryTools, PlannedAttempt};
@@ -41,6 +42,8 @@
     pub(super) hedge_at: Duration,
     /// Whether it has counted as a straggler.
     pub(super) overdue: bool,
+    /// What a hedge of it is needed for.
+    pub(super) need: AttemptNeed,
     pub(super) state: AttemptState,
 }
 
@@ -223,6 +226,7 @@
         tools
             .outbox
             .cancel(closed.relay, self.number, number as u32);
+        tools.directory.replicas[closed.replica].health.cancel();
         self.trace.unknown = true;
     }
 
@@ -281,9 +285,14 @@
         state.tries += 1;
         let (shard, service) = (state.shard, state.service);
         // A server that failed lately is given no more than the expected time.
-        let delay = match choice.reason {
-            ChoiceReason::Probe | ChoiceReason::LastResort => choice.expected,
-            _ => tools.hedge_delay(self.terms.class, service, choice.expected),
+        let (delay, need) = match choice.reason {
+            ChoiceReason::Probe | ChoiceReason::LastResort => {
+                (choice.expected, AttemptNeed::Urgent)
+            }
+            _ => {
+                let delay = tools.hedge_delay(self.terms.class, service, choice.expected);
+                (delay, AttemptNeed::Ordinary)
+            }
         };
         self.straggler_at = self.straggler_at.min(now + delay);
         self.attempts.push(AttemptSlot {
@@ -294,6 +303,7 @@
             expected: choice.expected,
             hedge_at: now + delay,
             overdue: false,
+            need,
             state: AttemptState::Out,
         });
         let upstream = tools.directory.replicas[choice.replica].address;
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -7,6 +7,7 @@
 
 use super::directory::RelayId;
 use super::gather::ShardStanding;
+use super::hedge::AttemptNeed;
 use super::run::{AttemptSlot, AttemptState, OutcomeTimes, QueryRun};
 use super::tools::EntryTools;
 use super::verdict::VICTIM_LIMIT;
@@ -102,8 +103,7 @@
                 tools.directory.relays[closed.relay].learn_round_trip(away);
                 let service = self.gather.slots()[closed.slot as usize].service;
                 let lateness = elapsed.saturating_sub(closed.expected);
-                let model = tools.delays.entry((self.terms.class, service));
-                model.or_default().learn(lateness);
+                tools.learn_lateness(self.terms.class, service, lateness);
             }
             ShardVerdict::NotRun(RefusalReason::Unreachable) => health.fail(now),
             ShardVerdict::NotRun(RefusalReason::Shed | RefusalReason::QueueFull) => {
@@ -228,7 +228,7 @@
         if self.trace.victims >= VICTIM_LIMIT || open {
             return;
         }
-        if !self.terms.idempotent || !tools.budget.take(now) {
+        if !self.terms.idempotent || !tools.budget.take(now, AttemptNeed::Urgent) {
             self.lose(slot);
             return;
         }
--- a/crates/ebonyfork/src/entry/straggler.rs
+++ b/crates/ebonyfork/src/entry/straggler.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::gather::ShardStanding;
+use super::hedge::AttemptNeed;
 use super::run::{AttemptState, QueryRun};
 use super::tools::EntryTools;
 use crate::query::QueryOutcome;
@@ -43,13 +44,18 @@
         if !attempt.overdue {
             attempt.overdue = true;
             let replica = &mut tools.directory.replicas[attempt.replica];
-            replica.health.overdue(now);
+            match attempt.need {
+                // A probe that is late has failed.
+                AttemptNeed::Urgent => replica.health.fail(now),
+                AttemptNeed::Ordinary => replica.health.overdue(now),
+            }
         }
         let waited = now.saturating_sub(attempt.sent);
+        let need = attempt.need;
         attempt.hedge_at = now + (waited / 4).max(HEDGE_STEP);
         self.straggler_at = self.straggler_at.min(attempt.hedge_at);
         let slot = attempt.slot as usize;
-        self.hedge(tools, now, slot, waited);
+        self.hedge(tools, now, slot, waited, need);
     }
 
     /// When the run wants to be woken.
@@ -67,6 +73,7 @@
         now: Duration,
         slot: usize,
         waited: Duration,
+        need: AttemptNeed,
     ) {
         let state = &self.gather.slots()[slot];
         let single = state.standing() == ShardStanding::Open && state.out == 1;
@@ -84,7 +91,7 @@
         // if it is expected sooner than that; where the other replica has a long queue too, it only adds to it.
         let queued = choice.expected > waited;
         let late = now + choice.expected > self.terms.useful_until();
-        if queued || late || !tools.budget.take(now) {
+        if queued || late || !tools.budget.take(now, need) {
             return;
         }
         tools.directory.replicas[choice.replica].health.submit(now);
--- a/crates/ebonyfork/src/entry/terms.rs
+++ b/crates/ebonyfork/src/entry/terms.rs
@@ -19,7 +19,7 @@
 /// Most that is kept for the way back.
 const MARGIN_MOST: Duration = Duration::from_millis(5);
 
-/// A class whose coverage gives way does without at most one shard in this many when it is admitted.
+/// At most one shard in this many does not count for admission because it stands out.
 const SPARE_SHARE: usize = 4;
 /// A shard stands out if it is expected to take this many times the class's latency.
 const SPARE_FROM: u32 = 2;
@@ -102,23 +102,24 @@
 
     /// Predicts wait and work of the slowest shard that counts, out of the routes chosen for a query of `total` shards.
     ///
-    /// Those count that the coverage target needs. A class whose coverage gives way does without a few shards that stand
-    /// out, so that one overloaded service does not have all queries refused.
+    /// A class whose coverage gives way is answered when the shards are there that its coverage target needs; one whose
+    /// latency gives way waits for all. A few shards that stand out don't count, so that one overloaded service does not
+    /// have all queries refused.
     pub(super) fn predict(&self, total: u32, plan: &mut [PlannedAttempt]) -> (Duration, Duration) {
         plan.sort_unstable_by_key(|planned| planned.choice.expected);
-        let needed = (f64::from(total) * self.coverage).ceil() as usize;
+        let needed = match self.priority {
+            TargetPriority::LatencyFirst => (f64::from(total) * self.coverage).ceil() as usize,
+            TargetPriority::CoverageFirst => plan.len(),
+        };
         let mut last = needed.clamp(1, plan.len().max(1)) - 1;
-        if self.priority == TargetPriority::LatencyFirst {
-            let spare = total as usize / SPARE_SHARE;
-            for _ in 0..spare {
-                let Some(planned) = plan.get(last) else {
-                    break;
-                };
-                if last == 0 || planned.choice.expected < self.latency * SPARE_FROM {
-                    break;
-                }
-                last -= 1;
+        for _ in 0..total as usize / SPARE_SHARE {
+            let Some(planned) = plan.get(last) else {
+                break;
+            };
+            if last == 0 || planned.choice.expected < self.latency * SPARE_FROM {
+                break;
             }
+            last -= 1;
         }
         let planned = plan.get(last);
         planned.map_or((Duration::ZERO, Duration::ZERO), |planned| {
--- a/crates/ebonyfork/src/entry/tools.rs
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cranelift_entity::SecondaryMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
@@ -45,6 +46,7 @@
     /// Scratch space: the routes chosen for a query that is being planned.
     pub(super) plan: Vec<PlannedAttempt>,
     pub(super) delays: FxHashMap<(ClassId, ServiceId), DelayModel>,
+    pub(super) class_delays: SecondaryMap<ClassId, DelayModel>,
     /// Whether routing decisions are noted for the log.
     pub(super) noting: bool,
     pub(super) noted: Vec<RouteDecision>,
@@ -63,6 +65,7 @@
             budget: AttemptBudget::default(),
             plan: Vec::new(),
             delays: FxHashMap::default(),
+            class_delays: SecondaryMap::new(),
             noting: false,
             noted: Vec::new(),
         }
@@ -74,10 +77,21 @@
         service: ServiceId,
         expected: Duration,
     ) -> Duration {
-        match self.delays.get(&(class, service)) {
-            Some(model) => model.delay(expected),
-            None => DelayModel::default().delay(expected),
-        }
+        let learnt = self.delays.get(&(class, service)).filter(|m| m.is_learnt());
+        let model = learnt.unwrap_or(&self.class_delays[class]);
+        model.delay(expected)
+    }
+
+    /// Takes in how much later than expected rows came.
+    pub(super) fn learn_lateness(
+        &mut self,
+        class: ClassId,
+        service: ServiceId,
+        lateness: Duration,
+    ) {
+        self.class_delays[class].learn(lateness);
+        let model = self.delays.entry((class, service));
+        model.or_default().learn(lateness);
     }
 
     pub(super) fn note_route(&mut self, query: u64, target: &ShardTarget, choice: RouteChoice) {
