Send no more under a trial's higher limit than its block needs, and expect less of open arrivals

Each block kept its value until its answers were back; answers that came first counted, the rest was lost; and a further attempt that arrives at random waits for the first of n residual times, 1 / (n + 1) of a service time instead of 1 / n, so that one trial in ten accepted a slot that was not there.

Now a block has a quota of attempts, the same under both values, of which the last quarter isn't waited for; the step that is asked for is the smaller one; a limit that has grown is verified at once; the pause is at least eight times the trial, up to 2 s.

--- a/crates/ebonyfork/benches/relay.rs
+++ b/crates/ebonyfork/benches/relay.rs
@@ -65,6 +65,7 @@
         let mut now = Duration::ZERO;
         bencher.iter(|| {
             now += Duration::from_micros(100);
+            limit.note_sent(limit.current());
             let sample = LimitSample {
                 epoch: limit.epoch(),
                 in_flight: limit.current(),
--- a/crates/ebonyfork/src/relay/limit.rs
+++ b/crates/ebonyfork/src/relay/limit.rs
@@ -23,8 +23,11 @@
 /// Pause between two trials; doubles while they confirm the limit, up to [`PAUSE_LIMIT`] or to [`PAUSE_FACTOR`] times
 /// what the last one took, whichever is longer: where noise makes trials long, they are rare.
 const TRIAL_PAUSE: Duration = Duration::from_secs(1);
-const PAUSE_LIMIT: Duration = Duration::from_secs(16);
+const PAUSE_LIMIT: Duration = Duration::from_secs(30);
 const PAUSE_FACTOR: u32 = 64;
+/// A pause is at least this many times as long as the trial before it, up to [`LEAST_PAUSE_LIMIT`].
+const LEAST_PAUSE_FACTOR: u32 = 8;
+const LEAST_PAUSE_LIMIT: Duration = Duration::from_secs(2);
 /// A trial downwards costs throughput, so a limit that did not grow is compared with one less only after this many
 /// refused trials upwards.
 const VERIFY_EVERY: u32 = 8;
@@ -35,6 +38,12 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LimitEpoch(u32);
 
+impl LimitEpoch {
+    fn next(self) -> Self {
+        Self(self.0.wrapping_add(1))
+    }
+}
+
 /// One answer with rows, as the limit sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitSample {
@@ -73,6 +82,8 @@
     share: u32,
     limit: u32,
     epoch: LimitEpoch,
+    /// The epoch whose answers count.
+    sampled: LimitEpoch,
     trial: Option<LimitTrial>,
     direction: TrialDirection,
     /// The limit has grown since a trial last compared it with one less.
@@ -94,6 +105,7 @@
             share,
             limit: START_LIMIT,
             epoch: LimitEpoch::default(),
+            sampled: LimitEpoch::default(),
             trial: None,
             direction: TrialDirection::Up,
             unverified: true,
@@ -137,7 +149,7 @@
         if self.mode == LimitMode::Static {
             return;
         }
-        let saturated = sample.epoch == self.epoch && sample.in_flight == self.current();
+        let saturated = self.is_saturated(sample.epoch, sample.in_flight);
         if self.trial.is_some() {
             self.feed_trial(now, sample, saturated);
         } else if saturated && now >= self.next_trial {
@@ -145,10 +157,37 @@
         }
     }
 
+    /// An attempt was sent, the last of `in_flight` at the upstream.
+    pub fn note_sent(&mut self, in_flight: u32) {
+        let saturated = self.is_saturated(self.epoch, in_flight);
+        let Some(trial) = self.trial.as_mut().filter(|_| saturated) else {
+            return;
+        };
+        trial.note_sent();
+        if trial.is_full() {
+            self.epoch = self.epoch.next();
+        }
+    }
+
+    /// An attempt, sent in `epoch` as the last of `in_flight`, came back without rows or not at all.
+    pub fn note_lost(&mut self, epoch: LimitEpoch, in_flight: u32) {
+        let saturated = self.is_saturated(epoch, in_flight);
+        if let Some(trial) = self.trial.as_mut().filter(|_| saturated) {
+            trial.note_lost();
+            self.epoch = self.sampled;
+        }
+    }
+
+    /// Tells whether an attempt was sent under the present value, and filled it.
+    fn is_saturated(&self, epoch: LimitEpoch, in_flight: u32) -> bool {
+        let value = self.trial.as_ref().map_or(self.limit, LimitTrial::value);
+        epoch == self.sampled && in_flight == u32::min(value, self.share)
+    }
+
     /// The upstream shed an attempt that was sent in `epoch`. Attempts sent before the limit last moved say nothing
     /// about its present value.
     pub fn shed(&mut self, now: Duration, epoch: LimitEpoch) {
-        if epoch != self.epoch || self.mode == LimitMode::Static {
+        if epoch != self.epoch && epoch != self.sampled || self.mode == LimitMode::Static {
             return;
         }
         let tried = self.trial.as_ref().is_some_and(LimitTrial::overshoots);
@@ -192,10 +231,9 @@
             return;
         };
         self.heard = now;
-        let before = trial.limit();
         let verdict = trial.record(sample.level);
         let low = trial.low();
-        if trial.limit() != before {
+        if trial.is_fresh() {
             self.next_epoch();
         }
         match verdict {
@@ -208,39 +246,41 @@
     /// Ends a trial with the better of its two values.
     fn settle(&mut self, now: Duration, limit: u32) {
         let confirmed = limit == self.limit;
+        self.limit = limit;
         match self.direction {
             TrialDirection::Up if confirmed => {
                 self.refused += 1;
-                if self.unverified || self.refused >= VERIFY_EVERY {
-                    self.direction = TrialDirection::Down;
+                let verified = !self.unverified && self.refused < VERIFY_EVERY;
+                if self.limit == 1 || verified {
+                    self.rest(now);
+                    return;
                 }
+                self.direction = TrialDirection::Down;
             }
             TrialDirection::Up => self.unverified = true,
             TrialDirection::Down if confirmed => {
                 self.direction = TrialDirection::Up;
                 self.unverified = false;
                 self.refused = 0;
+                self.rest(now);
+                return;
             }
             TrialDirection::Down => {}
         }
-        self.limit = limit;
-        if confirmed {
-            self.rest(now);
-        } else {
+        if !confirmed {
             self.pause = TRIAL_PAUSE;
-            self.move_on(now);
         }
+        self.move_on(now);
     }
 
     /// No trial for a while, longer each time.
     fn rest(&mut self, now: Duration) {
-        let pause = self.pause;
-        let taken = if self.trial.is_some() {
-            now.saturating_sub(self.started)
-        } else {
-            Duration::ZERO
-        };
+        let running = self.trial.is_some();
+        let taken = running.then(|| now.saturating_sub(self.started));
+        let taken = taken.unwrap_or_default();
         let longest = Duration::max(PAUSE_LIMIT, taken * PAUSE_FACTOR);
+        let least = Duration::min(taken * LEAST_PAUSE_FACTOR, LEAST_PAUSE_LIMIT);
+        let pause = Duration::max(self.pause, least);
         self.pause = Duration::min(pause * 2, longest);
         self.move_on(now + pause);
     }
@@ -252,7 +292,8 @@
     }
 
     fn next_epoch(&mut self) {
-        self.epoch.0 = self.epoch.0.wrapping_add(1);
+        self.epoch = self.epoch.next();
+        self.sampled = self.epoch;
     }
 }
 
--- a/crates/ebonyfork/src/relay/limit_tests.rs
+++ b/crates/ebonyfork/src/relay/limit_tests.rs
@@ -64,6 +64,7 @@
         while flying.len() < limit.current() as usize {
             let in_flight = flying.len() as u32 + 1;
             let epoch = limit.epoch().0;
+            limit.note_sent(in_flight);
             if model.sheds_beyond.is_some_and(|most| flying.len() >= most) {
                 flying.push(Reverse((now + 200, now, in_flight, epoch, true)));
                 continue;
@@ -203,7 +204,7 @@
         ),
     ];
     for (name, model) in cases {
-        for seed in 1..=3 {
+        for seed in 1..=5 {
             let report = run_model(model, 120.0, seed);
             let place = format!("{name}, seed {seed}: {report:?}");
             let slots = model.slots as f64;
--- a/crates/ebonyfork/src/relay/policy_tests.rs
+++ b/crates/ebonyfork/src/relay/policy_tests.rs
@@ -34,6 +34,9 @@
     /// Microseconds from arrival to answer, of those answered in time.
     latencies: Vec<u64>,
     arrived: usize,
+    /// Sent while every slot was taken.
+    beyond: usize,
+    sent: usize,
 }
 
 impl StreamReport {
@@ -262,6 +265,8 @@
         };
         let taken = self.streams[stream].service * (normal * 0.3).exp() * straggler;
         let Reverse(free) = self.slots.pop().unwrap();
+        self.reports[stream].sent += 1;
+        self.reports[stream].beyond += usize::from(free > self.now);
         let done = u64::max(free, self.now) + taken as u64;
         self.slots.push(Reverse(done));
         let event = PolicyEvent::Answered {
@@ -295,11 +300,12 @@
     let mut reports = PolicyBench::new(switches, 2, streams.to_vec()).run(seconds);
     for (number, report) in reports.iter_mut().enumerate() {
         println!(
-            "{queue:?} {limit:?} stream {number}: p50 {:.1} ms, p99 {:.1} ms, in time {:.4}, goodput {:.1}/s",
+            "{queue:?} {limit:?} stream {number}: p50 {:.1} ms, p99 {:.1} ms, in time {:.4}, goodput {:.1}/s, beyond {:.4}",
             report.quantile(0.5),
             report.quantile(0.99),
             report.answered(),
             report.latencies.len() as f64 / seconds as f64,
+            report.beyond as f64 / report.sent as f64,
         );
     }
     reports
--- a/crates/ebonyfork/src/relay/trial.rs
+++ b/crates/ebonyfork/src/relay/trial.rs
@@ -1,12 +1,21 @@
 //! One trial of two neighbouring concurrency limits: a sequential test on the service times under both.
 
-/// Answers in one block, per attempt in flight of the lower value.
-const BLOCK_FACTOR: u32 = 2;
-const BLOCK_LEAST: u32 = 4;
-/// Logarithm of the odds at which a hypothesis is taken: about 30 to 1.
-const DECIDING_ODDS: f64 = 3.4;
+/// Attempts sent for one block, per attempt in flight of the lower value.
+const BLOCK_FACTOR: u32 = 4;
+const BLOCK_LEAST: u32 = 6;
+/// The last answers of a block, one in this many, are not waited for: under both values these are the stragglers.
+const TRIMMED_PART: u32 = 4;
+/// Logarithm of the odds at which a hypothesis is taken: about 15 to 1.
+const DECIDING_ODDS: f64 = 2.7;
 /// Evidence that is asked for however quiet the samples are, in cycles of full weight times two.
 const LEAST_EVIDENCE: f64 = 1.5;
+/// Cycles below which nothing is decided.
+const LEAST_CYCLES: u32 = 2;
+/// Least distance, in steps, that one cycle may count from the middle of the hypotheses; where samples are noisier, one
+/// standard deviation. An upstream that slows down within a cycle must not decide.
+const CYCLE_CLAMP: f64 = 0.75;
+/// Variance of a cycle, in squared steps, from which no more evidence is asked for: certainty would take too long.
+const VARIANCE_LIMIT: f64 = 3.0;
 /// Cycles after which the sign of the evidence decides.
 const CYCLE_LIMIT: u32 = 60;
 /// Farthest that one sample counts from the centre of the previous block: a factor of four.
@@ -51,6 +60,8 @@
 pub(super) struct LimitTrial {
     low: u32,
     block: BlockSums,
+    /// Attempts sent for the running block whose answers are due or were taken.
+    sent: u32,
     /// Mean of the cycle's first block.
     first: Option<f64>,
     high: bool,
@@ -67,6 +78,7 @@
         Self {
             low,
             block: BlockSums::default(),
+            sent: 0,
             first: None,
             high: false,
             cycles: 0,
@@ -82,26 +94,59 @@
         self.low
     }
 
-    /// The value in force now.
-    pub(super) fn limit(&self) -> u32 {
+    /// The value under trial.
+    pub(super) fn value(&self) -> u32 {
         self.low + u32::from(self.high)
     }
 
-    /// Tells whether the higher value is in force.
+    /// The value in force: the higher one only until enough was sent under it.
+    pub(super) fn limit(&self) -> u32 {
+        self.low + u32::from(self.high && !self.is_full())
+    }
+
+    /// Tells whether enough was sent for the running block. What is sent later does not count: a block of the answers
+    /// that came first would be a block of the fast ones.
+    pub(super) fn is_full(&self) -> bool {
+        self.sent >= self.size()
+    }
+
+    /// Tells whether nothing was sent yet for the running block.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.sent == 0
+    }
+
+    /// Tells whether the higher value is under trial.
     pub(super) fn overshoots(&self) -> bool {
         self.high
     }
 
+    /// An attempt was sent under the value.
+    pub(super) fn note_sent(&mut self) {
+        self.sent += 1;
+    }
+
+    /// An attempt sent under the value brought no service time.
+    pub(super) fn note_lost(&mut self) {
+        self.sent = self.sent.saturating_sub(1);
+    }
+
+    /// Attempts to be sent for one block.
+    fn size(&self) -> u32 {
+        u32::max(self.low * BLOCK_FACTOR, BLOCK_LEAST)
+    }
+
     /// Takes the logarithm of a service time, measured under the value in force.
     pub(super) fn record(&mut self, level: f64) -> Option<TrialVerdict> {
         let centre = *self.centre.get_or_insert(level);
         self.block
             .add((level - centre).clamp(-CLAMP, CLAMP) + centre);
-        let size = u32::max(self.low * BLOCK_FACTOR, BLOCK_LEAST);
-        if self.block.count < size {
+        let size = self.size();
+        let needed = size - size / TRIMMED_PART;
+        if self.block.count < needed {
             return None;
         }
         let block = std::mem::take(&mut self.block);
+        self.sent = 0;
         self.centre = Some(block.mean());
         self.scatter += block.scatter();
         self.freedom += block.count - 1;
@@ -116,18 +161,22 @@
         } else {
             first - block.mean()
         };
-        self.weigh(difference, f64::from(size))
+        self.weigh(difference, f64::from(needed))
     }
 
-    /// Adds a cycle's difference to the evidence: 0 is expected with a free slot, `step` without.
+    /// Adds a cycle's difference to the evidence: 0 is expected with a free slot, `step` or more without. Under
+    /// saturation the further attempt waits for 1 / n of a service time; one that arrives at random waits for the first
+    /// of n residual times, 1 / (n + 1) in the mean, and that has to be enough.
     fn weigh(&mut self, difference: f64, size: f64) -> Option<TrialVerdict> {
-        let step = (1.0 + 1.0 / f64::from(self.low)).ln();
-        let relative = (difference / step).clamp(-1.0, 2.0);
-        self.evidence += relative - 0.5;
-        self.cycles += 1;
+        let step = (1.0 + 1.0 / f64::from(self.low + 1)).ln();
         let variance = self.scatter / f64::from(self.freedom) * 2.0 / size / (step * step);
-        let needed = f64::max(DECIDING_ODDS * variance, LEAST_EVIDENCE);
-        if self.evidence.abs() < needed && self.cycles < CYCLE_LIMIT {
+        let farthest = f64::max(CYCLE_CLAMP, variance.sqrt());
+        self.evidence += (difference / step - 0.5).clamp(-farthest, farthest);
+        self.cycles += 1;
+        let noise = f64::min(variance, VARIANCE_LIMIT);
+        let needed = f64::max(DECIDING_ODDS * noise, LEAST_EVIDENCE);
+        let decided = self.evidence.abs() >= needed && self.cycles >= LEAST_CYCLES;
+        if !decided && self.cycles < CYCLE_LIMIT {
             return None;
         }
         if self.evidence > 0.0 {
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -505,12 +505,15 @@
         let Some(IdleConnection { connection, .. }) = self.idle.pop() else {
             return;
         };
+        let in_flight = self.sent.len() as u32 + 1;
+        let epoch = self.limit.epoch();
+        self.limit.note_sent(in_flight);
         self.sent.push(SentWork {
             work,
             order,
             connection,
-            in_flight: self.sent.len() as u32 + 1,
-            epoch: self.limit.epoch(),
+            in_flight,
+            epoch,
             since: now,
             given_up: false,
         });
@@ -579,7 +582,7 @@
             ShardVerdict::NotRun(RefusalReason::Shed) if !sent.given_up && !answer.draining => {
                 self.limit.shed(now, sent.epoch);
             }
-            _ => {}
+            _ => self.limit.note_lost(sent.epoch, sent.in_flight),
         }
     }
 
