--- a/crates/ebonyfork-lab/src/experiment/mod.rs
+++ b/crates/ebonyfork-lab/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod fleet;
 mod node;
+mod processor;
 mod report;
 mod runner;
 mod summary;
--- a/crates/ebonyfork-lab/src/experiment/report.rs
+++ b/crates/ebonyfork-lab/src/experiment/report.rs
@@ -71,6 +71,8 @@
     pub over_slots: u64,
     /// Calls to the platform's service a second, all VMs together.
     pub store_calls_per_s: f64,
+    /// Processor cores that the VMs of the tier used, all together.
+    pub vm_cores: f64,
     /// Answers a second within their class's latency and coverage.
     pub goodput_per_s: f64,
     /// Requests that were sent a second time by their caller.
--- a/crates/ebonyfork-lab/src/experiment/runner.rs
+++ b/crates/ebonyfork-lab/src/experiment/runner.rs
@@ -15,6 +15,7 @@
 use crate::experiment::backends::Backends;
 use crate::experiment::callers::{distant_agents, fleet_agents, load_plan};
 use crate::experiment::fleet::Fleet;
+use crate::experiment::processor::ProcessorTimes;
 use crate::experiment::report::RunReport;
 use crate::experiment::summary::{MeasuredTime, summarise};
 use crate::experiment::timeline::{FaultStage, play};
@@ -100,6 +101,7 @@
     requests: Vec<RequestRecord>,
     measured: MeasuredTime,
     store_calls_per_s: f64,
+    vm_cores: f64,
 }
 
 impl RunStage {
@@ -148,10 +150,12 @@
             Arc::clone(&self.backends),
             scenario.run.warm_up,
         ));
+        let times = tokio::spawn(read_times(scenario.run.warm_up));
         let classes = load.classes.clone();
         let requests = LoadGenerator::new(self.clock, load, agents).run().await;
         let calls_after = self.backends.platform.calls().total();
         let elapsed = self.clock.now().saturating_sub(from);
+        let worked = ProcessorTimes::read().since(&times.await.unwrap_or_default());
         tokio::time::sleep(SETTLE_TIME).await;
         timeline.abort();
         let failures = failures
@@ -171,6 +175,7 @@
             requests,
             measured: MeasuredTime { from, until },
             store_calls_per_s: calls as f64 / elapsed.as_secs_f64().max(1e-9),
+            vm_cores: worked.as_secs_f64() / elapsed.as_secs_f64().max(1e-9),
         })
     }
 
@@ -198,6 +203,7 @@
         let mut report = summarise(&evidence, &self.journal, driven.measured);
         report.violations = count_violations(&evidence, progress);
         report.store_calls_per_s = driven.store_calls_per_s;
+        report.vm_cores = driven.vm_cores;
         report
     }
 }
@@ -260,6 +266,12 @@
     published
 }
 
+/// Reads the VMs' processor times when the measured time begins.
+async fn read_times(warm_up: Duration) -> ProcessorTimes {
+    tokio::time::sleep(warm_up).await;
+    ProcessorTimes::read()
+}
+
 /// Returns the platform's calls after the warm-up.
 async fn count_calls(backends: Arc<Backends>, warm_up: Duration) -> u64 {
     tokio::time::sleep(warm_up).await;
--- a/crates/ebonyfork-lab/src/experiment/table.rs
+++ b/crates/ebonyfork-lab/src/experiment/table.rs
@@ -20,7 +20,7 @@
     format!("{number:.4}")
 }
 
-const FIGURES: [(&str, FigureFunction); 19] = [
+const FIGURES: [(&str, FigureFunction); 20] = [
     ("load %", |run| format!("{}", run.load_percent)),
     ("queries", |run| count(run.queries)),
     ("answered", |run| count(run.answered)),
@@ -40,6 +40,7 @@
     ("connections refused", |run| count(run.connections_refused)),
     ("over slots", |run| count(run.over_slots)),
     ("store calls /s", |run| millis(run.store_calls_per_s)),
+    ("VM cores", |run| share(run.vm_cores)),
     ("resent by callers", |run| count(run.resent)),
     ("violations", |run| count(run.violations.total())),
 ];
