Log setbacks and finishes beside routes, count decisions per class, drop queries whose callers have gone

From one query id the decision log now leads to every route, every attempt that brought no rows with its reason, and the outcome with coverage and missing shards. Metrics per class: attempts by purpose, attempts that the budget denied, replans. An idempotent query whose caller has hung up has its attempts cancelled; any other goes on to its end.

Tests: one query id through the decision log; the actor with a fake link in virtual time: answer and metrics, a caller that goes away, a link that refuses everything.

--- a/crates/ebonyfork/src/entry/actor.rs
+++ b/crates/ebonyfork/src/entry/actor.rs
@@ -22,6 +22,10 @@
 use crate::views::NodeViews;
 use crate::wire::{LinkError, PeerMessage};
 
+/// How often the metrics of the decisions are brought up to date.
+const COUNT_PERIOD: Duration = Duration::from_millis(200);
+/// How often callers are looked at for having gone away.
+const SWEEP_PERIOD: Duration = Duration::from_millis(10);
 /// Target of the decision log.
 const DECISION_TARGET: &str = "ebonyfork::decision";
 
@@ -113,6 +117,8 @@
             callers: FxHashMap::default(),
             in_flight: Arc::clone(&in_flight),
             metrics: metrics.clone(),
+            counted: Duration::ZERO,
+            swept: Duration::ZERO,
             alarm,
         };
         let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
@@ -236,6 +242,10 @@
     callers: FxHashMap<u64, WaitingCaller>,
     in_flight: Arc<AtomicUsize>,
     metrics: EntryMetrics,
+    /// When the metrics were last brought up to date.
+    counted: Duration,
+    /// When callers were last looked at for having gone away.
+    swept: Duration,
     alarm: watch::Sender<Option<Instant>>,
 }
 
@@ -249,7 +259,7 @@
         };
         self.core.refresh(&views);
         let noting = log::log_enabled!(target: DECISION_TARGET, log::Level::Info);
-        self.core.note_routes(noting);
+        self.core.note_decisions(noting);
         self.epoch.elapsed()
     }
 
@@ -261,9 +271,10 @@
                 EntryAction::Finish { query, outcome } => self.finish(now, query, outcome),
             }
         }
-        for route in self.core.take_routes() {
-            log::info!(target: DECISION_TARGET, "{route}");
+        for decision in self.core.take_decisions() {
+            log::info!(target: DECISION_TARGET, "{decision}");
         }
+        self.count(now);
         self.in_flight
             .store(self.core.in_flight(), Ordering::Relaxed);
         let next = self.core.next_wake().map(|at| self.epoch + at);
@@ -274,6 +285,32 @@
         });
     }
 
+    /// Brings the metrics up to date, now and then and when nothing is in flight.
+    fn count(&mut self, now: Duration) {
+        if now < self.counted + COUNT_PERIOD && self.core.in_flight() > 0 {
+            return;
+        }
+        self.counted = now;
+        for (class, tally) in self.core.tallies() {
+            self.metrics.tally(class, tally);
+        }
+    }
+
+    /// Gives up the queries whose callers have gone away.
+    fn drop_abandoned(&mut self, now: Duration) {
+        if now < self.swept + SWEEP_PERIOD {
+            return;
+        }
+        self.swept = now;
+        let core = &mut self.core;
+        for (number, caller) in &self.callers {
+            if caller.reply.is_closed() {
+                core.abandon(now, *number);
+            }
+        }
+        self.callers.retain(|_, caller| !caller.reply.is_closed());
+    }
+
     fn send_message(&mut self, now: Duration, vm: VmAddress, message: PeerMessage) {
         let attempts = match &message {
             PeerMessage::Submit(batch) => Some((batch.query, attempts_of(batch))),
@@ -345,6 +382,11 @@
     async fn handle(&mut self, _message: AlarmRing, _ctx: &mut Context<Self>) {
         let now = self.prepare();
         self.core.wake(now);
+        self.drop_abandoned(now);
         self.perform(now);
     }
 }
+
+#[cfg(test)]
+#[path = "actor_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/entry/actor_tests.rs
@@ -0,0 +1,134 @@
+//! The actor with a fake link, in virtual time.
+
+use std::sync::Mutex;
+
+use googletest::prelude::*;
+
+use super::*;
+use crate::entry::fixture::{EntryFixture, ms, request, rows, vm};
+use crate::relay::ShardOutcome;
+use crate::views::{ViewWriters, view_channels};
+
+type SentMessages = Arc<Mutex<Vec<(VmAddress, PeerMessage)>>>;
+
+struct HandleFixture {
+    handle: EntryHandle,
+    sent: SentMessages,
+    /// Whether the link refuses everything.
+    refuse: Arc<std::sync::atomic::AtomicBool>,
+    _writers: ViewWriters,
+}
+
+fn start(shards: usize) -> HandleFixture {
+    let (writers, views) = view_channels();
+    let fixture = EntryFixture::new(shards, |_class| {});
+    writers.topology.send_replace(fixture.views.topology);
+    writers.config.send_replace(fixture.views.config);
+    writers.catalog.send_replace(fixture.views.catalog);
+    let sent = SentMessages::default();
+    let refuse = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (log, refuses) = (Arc::clone(&sent), Arc::clone(&refuse));
+    let session = SessionId::new(vm(1), crate::ident::IncarnationNumber(7));
+    let settings = EntrySettings::new(session, "zone-0".parse().unwrap(), views)
+        .with_quarantine(|fingerprint| fingerprint.0 == 0);
+    let handle = EntryHandle::start(settings, move |vm, message| {
+        if refuses.load(Ordering::Relaxed) {
+            let peer = vm.to_string();
+            return Err(LinkError::Closed { peer });
+        }
+        log.lock().unwrap().push((vm, message));
+        Ok(())
+    });
+    HandleFixture {
+        handle,
+        sent,
+        refuse,
+        _writers: writers,
+    }
+}
+
+impl HandleFixture {
+    fn take_submits(&self) -> Vec<(VmAddress, SubmitBatch)> {
+        let mut submits = Vec::new();
+        for (vm, message) in self.sent.lock().unwrap().drain(..) {
+            if let PeerMessage::Submit(batch) = message {
+                submits.push((vm, batch));
+            }
+        }
+        submits
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_query_is_answered_through_the_handle() {
+    let fixture = start(4);
+    let running = tokio::spawn({
+        let handle = fixture.handle.clone();
+        async move { handle.run(request()).await }
+    });
+    tokio::time::sleep(ms(1)).await;
+    expect_that!(fixture.handle.in_flight(), eq(1));
+    for (vm, batch) in fixture.take_submits() {
+        let outcomes = batch.targets.iter().map(|target| ShardOutcome {
+            query: batch.query,
+            attempt: target.attempt,
+            upstream: target.upstream,
+            verdict: rows(17),
+            waited_us: 0,
+            served_us: 500,
+        });
+        let batch = OutcomeBatch {
+            outcomes: outcomes.collect(),
+            loads: SmallVec::new(),
+        };
+        let session = SessionId::new(vm, crate::ident::IncarnationNumber(7));
+        fixture.handle.take_outcomes(session, batch).await;
+    }
+    let answer = running.await.unwrap().unwrap();
+    expect_that!(answer.coverage.answered, eq(4));
+    let mut registry = Registry::default();
+    fixture.handle.register(&mut registry);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    expect_that!(
+        text,
+        contains_substring(r#"entry_attempts_total{class="search",purpose="first"} 4"#)
+    );
+    expect_that!(
+        text,
+        contains_substring(r#"entry_queries_total{class="search",outcome="whole"} 1"#)
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_goes_away_has_its_attempts_cancelled() {
+    let fixture = start(4);
+    let running = tokio::spawn({
+        let handle = fixture.handle.clone();
+        async move { handle.run(request()).await }
+    });
+    tokio::time::sleep(ms(1)).await;
+    fixture.take_submits();
+    running.abort();
+    tokio::time::sleep(ms(100)).await;
+    expect_that!(fixture.handle.in_flight(), eq(0));
+    let sent = fixture.sent.lock().unwrap();
+    let cancels = sent.iter().map(|(_, message)| match message {
+        PeerMessage::Cancel(batch) => batch.attempts.len(),
+        _ => 0,
+    });
+    expect_that!(cancels.sum::<usize>(), ge(4));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn what_no_link_takes_is_not_run() {
+    let fixture = start(4);
+    fixture.refuse.store(true, Ordering::Relaxed);
+    let refusal = fixture.handle.run(request()).await.unwrap_err();
+    expect_that!(refusal.ran, eq(RunState::NotRun));
+    expect_that!(refusal.code, eq(RefusalCode::NoUpstream));
+    expect_that!(refusal.retry_after, some(gt(ms(0))));
+}
--- a/crates/ebonyfork/src/entry/core.rs
+++ b/crates/ebonyfork/src/entry/core.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
-use super::decision::RouteDecision;
+use super::decision::{DecisionTally, EntryDecision, FinishNote};
 use super::route::RouteTable;
 use super::run::{OutcomeTimes, QueryRun};
 use super::terms::{ClassId, QueryTerms};
@@ -26,6 +28,9 @@
 /// When a caller should come back whose index has no version yet.
 const NO_VERSION_RETRY: Duration = Duration::from_secs(1);
 
+/// Runs that are kept for their allocations.
+const SPARE_RUNS: usize = 64;
+
 /// What an event makes the entry do.
 #[derive(Debug)]
 #[expect(
@@ -67,6 +72,12 @@
     config: Arc<DeclaredConfig>,
     class_ids: FxHashMap<ClassName, ClassId>,
     runs: FxHashMap<u64, Box<QueryRun>>,
+    /// Runs that are over, for their allocations.
+    #[expect(
+        clippy::vec_box,
+        reason = "runs move between here and the map without being copied"
+    )]
+    spare: Vec<Box<QueryRun>>,
     wakes: BinaryHeap<Reverse<(Duration, u64)>>,
     started: u64,
     actions: VecDeque<EntryAction>,
@@ -80,6 +91,7 @@
             config: Arc::default(),
             class_ids: FxHashMap::default(),
             runs: FxHashMap::default(),
+            spare: Vec::new(),
             wakes: BinaryHeap::new(),
             started: 0,
             actions: VecDeque::new(),
@@ -95,13 +107,13 @@
         }
     }
 
-    /// Says whether routing decisions are to be noted.
-    pub fn note_routes(&mut self, noting: bool) {
+    /// Says whether decisions are to be noted.
+    pub fn note_decisions(&mut self, noting: bool) {
         self.tools.noting = noting;
     }
 
-    /// Takes the routing decisions noted since the last call.
-    pub fn take_routes(&mut self) -> std::vec::Drain<'_, RouteDecision> {
+    /// Takes the decisions noted since the last call.
+    pub fn take_decisions(&mut self) -> std::vec::Drain<'_, EntryDecision> {
         self.tools.noted.drain(..)
     }
 
@@ -124,9 +136,14 @@
     pub fn start(&mut self, now: Duration, request: QueryRequest) -> u64 {
         self.started += 1;
         let number = self.started;
+        let (class, caller_id) = (request.class.clone(), request.caller_id.clone());
         match self.plan(now, number, request) {
             Ok(run) => self.launch(now, run),
-            Err(refusal) => self.finish(number, Err(refusal)),
+            Err(refusal) => {
+                let outcome = Err(refusal);
+                self.note_finish(number, caller_id, class, &outcome, Duration::ZERO);
+                self.finish(number, outcome);
+            }
         }
         number
     }
@@ -143,7 +160,11 @@
         let route = self.pin(now, target)?;
         let class = self.class_id(&target.name);
         let terms = QueryTerms::new(class, target, request.deadline, now);
-        Ok(Box::new(QueryRun::new(number, request, terms, route)))
+        let Some(mut run) = self.spare.pop() else {
+            return Ok(Box::new(QueryRun::new(number, request, terms, route)));
+        };
+        run.renew(number, request, terms, route);
+        Ok(run)
     }
 
     fn pin(
@@ -285,14 +306,63 @@
     }
 
     fn end(&mut self, now: Duration, number: u64, outcome: QueryOutcome) {
-        if let Some(run) = self.runs.remove(&number)
-            && run.pressed
-        {
+        let Some(mut run) = self.runs.remove(&number) else {
+            return;
+        };
+        if run.pressed {
             let met = run.meets_target(now, &outcome);
             let admission = &mut self.tools.admission;
             admission.review(run.terms.class, run.terms.percentile, met);
         }
+        let took = now.saturating_sub(run.terms.started);
+        let caller_id = run.request.caller_id.take();
+        let class = run.request.class.clone();
+        self.note_finish(number, caller_id, class, &outcome, took);
         self.finish(number, outcome);
+        self.keep(run);
+    }
+
+    /// Keeps a run that is over for its allocations.
+    fn keep(&mut self, mut run: Box<QueryRun>) {
+        if self.spare.len() < SPARE_RUNS {
+            run.request.selection = Bytes::new();
+            self.spare.push(run);
+        }
+    }
+
+    /// Gives up an idempotent query whose caller has gone away; any other goes on to its end.
+    pub fn abandon(&mut self, now: Duration, number: u64) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        if !run.terms.idempotent {
+            return;
+        }
+        run.cancel_rest(&mut self.tools);
+        if let Some(run) = self.runs.remove(&number) {
+            self.keep(run);
+        }
+        self.conclude(now, number, None);
+    }
+
+    /// What the decisions have come to since the start, by class.
+    pub fn tallies(&self) -> impl Iterator<Item = (&ClassName, DecisionTally)> {
+        let ids = self.class_ids.iter();
+        ids.map(|(name, id)| (name, self.tools.tallies[*id]))
+    }
+
+    fn note_finish(
+        &mut self,
+        number: u64,
+        caller_id: Option<CompactString>,
+        class: ClassName,
+        outcome: &QueryOutcome,
+        took: Duration,
+    ) {
+        if self.tools.noting {
+            let note = FinishNote::new(number, caller_id, class, outcome, took);
+            self.tools.noted.push(EntryDecision::Finish(note));
+        }
     }
 
     fn finish(&mut self, query: u64, outcome: QueryOutcome) {
--- a/crates/ebonyfork/src/entry/core_tests.rs
+++ b/crates/ebonyfork/src/entry/core_tests.rs
@@ -102,3 +102,34 @@
     expect_that!(refusal.code, eq(RefusalCode::UpstreamFailed));
     expect_that!(fixture.cancelled.len(), eq(3));
 }
+
+#[gtest]
+fn one_query_id_leads_to_every_decision_on_it() {
+    let mut fixture = EntryFixture::new(2, |_class| {});
+    fixture.core.note_decisions(true);
+    let query = fixture.start(QueryRequest {
+        caller_id: Some("mine".into()),
+        ..request()
+    });
+    let sent = fixture.take_sent();
+    fixture.settle(&sent[0], rows(17));
+    for _ in 0..2 {
+        let attempt = fixture.sent.pop().unwrap_or_else(|| sent[1].clone());
+        fixture.settle(&attempt, ShardVerdict::NotRun(RefusalReason::Shed));
+    }
+    expect_that!(fixture.outcome(query).is_ok(), eq(true));
+    let lines = fixture.core.take_decisions().map(|line| line.to_string());
+    let lines: Vec<String> = lines.collect();
+    let kinds: Vec<&str> = lines
+        .iter()
+        .map(|line| &line[..line.find(' ').unwrap()])
+        .collect();
+    let expected = ["route", "route", "setback", "route", "setback", "finish"];
+    expect_that!(kinds, eq(&expected));
+    let last = "finish query=q1 class=search id=mine outcome=answer snapshot=17 coverage=1/2 missing=1 took_us=0";
+    expect_that!(lines[5], eq(last));
+    expect_that!(
+        lines[2],
+        contains_substring("query=q1 attempt=a1 shard=1 verdict=not-run reason=Shed")
+    );
+}
--- a/crates/ebonyfork/src/entry/metrics.rs
+++ b/crates/ebonyfork/src/entry/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::decision::DecisionTally;
 use crate::ident::ClassName;
 use crate::query::{QueryOutcome, QueryRefusal};
 
@@ -16,6 +17,12 @@
     class: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    class: String,
+    purpose: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
     class: String,
@@ -29,6 +36,9 @@
 pub(super) struct EntryMetrics {
     outcomes: Family<OutcomeLabels, Counter>,
     latency: LatencyFamily,
+    attempts: Family<AttemptLabels, Counter>,
+    denied: Family<ClassLabels, Counter>,
+    replans: Family<ClassLabels, Counter>,
     shards_needed: Family<ClassLabels, Counter>,
     shards_answered: Family<ClassLabels, Counter>,
 }
@@ -40,6 +50,9 @@
             latency: LatencyFamily::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.001, 1.5, 24))
             }),
+            attempts: Family::default(),
+            denied: Family::default(),
+            replans: Family::default(),
             shards_needed: Family::default(),
             shards_answered: Family::default(),
         }
@@ -58,6 +71,21 @@
             "Time from taking a query in to its outcome",
             self.latency.clone(),
         );
+        registry.register(
+            "entry_attempts",
+            "Shard requests sent to relays, by class and purpose: first, hedge, retry",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "entry_attempts_denied",
+            "Hedges and retries for which the budget held nothing",
+            self.denied.clone(),
+        );
+        registry.register(
+            "entry_replans",
+            "Queries planned again at another version of the index",
+            self.replans.clone(),
+        );
         registry.register(
             "entry_shards_needed",
             "Shards that answered queries needed",
@@ -96,6 +124,25 @@
         }
     }
 
+    /// Brings the counters of a class up to what its decisions have come to.
+    pub(super) fn tally(&self, class: &ClassName, tally: DecisionTally) {
+        let purposes = [
+            ("first", tally.first),
+            ("hedge", tally.hedges),
+            ("retry", tally.retries),
+        ];
+        for (purpose, total) in purposes {
+            let labels = AttemptLabels {
+                class: class.as_str().to_owned(),
+                purpose,
+            };
+            raise_to(&self.attempts.get_or_create(&labels), total);
+        }
+        let labels = class_labels(class);
+        raise_to(&self.denied.get_or_create(&labels), tally.denied);
+        raise_to(&self.replans.get_or_create(&labels), tally.replans);
+    }
+
     /// Counts a refusal.
     pub(super) fn refused(&self, class: &ClassName, refusal: &QueryRefusal) {
         self.count(class, refusal.code.as_str());
@@ -110,6 +157,11 @@
     }
 }
 
+/// Raises a counter to a total that only grows.
+fn raise_to(counter: &Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 fn class_labels(class: &ClassName) -> ClassLabels {
     ClassLabels {
         class: class.as_str().to_owned(),
--- a/crates/ebonyfork/src/entry/mod.rs
+++ b/crates/ebonyfork/src/entry/mod.rs
@@ -35,7 +35,7 @@
 pub use self::core::{EntryAction, EntryCore, EntryViews};
 pub use actor::{EntryHandle, EntrySettings};
 pub use choice::ChoiceReason;
-pub use decision::RouteDecision;
+pub use decision::{DecisionTally, EntryDecision, FinishNote, RouteDecision, SetbackNote};
 #[cfg(test)]
 mod fault_tests;
 #[cfg(test)]
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -113,6 +113,24 @@
         }
     }
 
+    /// Makes a run that is over ready for another query, and keeps its allocations.
+    pub(super) fn renew(
+        &mut self,
+        number: u64,
+        request: QueryRequest,
+        terms: QueryTerms,
+        route: Arc<RouteTable>,
+    ) {
+        let mut attempts = std::mem::take(&mut self.attempts);
+        attempts.clear();
+        let gather = std::mem::take(&mut self.gather);
+        *self = Self {
+            gather,
+            attempts,
+            ..Self::new(number, request, terms, route)
+        };
+    }
+
     /// Plans the query, asks admission, and sends the first attempts at every shard.
     pub(super) fn begin(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
         self.plan(tools, now);
@@ -306,6 +324,12 @@
             need,
             state: AttemptState::Out,
         });
+        let tally = &mut tools.tallies[self.terms.class];
+        match purpose {
+            AttemptPurpose::First => tally.first += 1,
+            AttemptPurpose::Hedge => tally.hedges += 1,
+            AttemptPurpose::Retry | AttemptPurpose::AfterLoss => tally.retries += 1,
+        }
         let upstream = tools.directory.replicas[choice.replica].address;
         let purpose = if self.trace.victims > 0 {
             AttemptPurpose::AfterLoss
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use super::decision::SetbackNote;
 use super::directory::RelayId;
 use super::gather::ShardStanding;
 use super::hedge::AttemptNeed;
@@ -31,6 +32,14 @@
         let closed = self.close(attempt)?;
         self.learn(tools, now, closed, &verdict, times);
         let slot = closed.slot as usize;
+        if !matches!(verdict, ShardVerdict::Rows { .. }) {
+            tools.note_setback(|| SetbackNote {
+                query: self.number,
+                attempt,
+                shard: self.gather.slots()[slot].shard,
+                verdict: verdict.clone(),
+            });
+        }
         match verdict {
             ShardVerdict::Rows { version, body } => {
                 self.trace.ran = true;
@@ -214,6 +223,7 @@
         };
         self.cancel_rest(tools);
         self.trace.replanned = true;
+        tools.tallies[self.terms.class].replans += 1;
         self.route = route;
         self.plan(tools, now);
         self.send_plan(tools, now);
@@ -228,7 +238,7 @@
         if self.trace.victims >= VICTIM_LIMIT || open {
             return;
         }
-        if !self.terms.idempotent || !tools.budget.take(now, AttemptNeed::Urgent) {
+        if !self.terms.idempotent || !tools.spend(now, self.terms.class, AttemptNeed::Urgent) {
             self.lose(slot);
             return;
         }
--- a/crates/ebonyfork/src/entry/straggler.rs
+++ b/crates/ebonyfork/src/entry/straggler.rs
@@ -91,7 +91,7 @@
         // if it is expected sooner than that; where the other replica has a long queue too, it only adds to it.
         let queued = choice.expected > waited;
         let late = now + choice.expected > self.terms.useful_until();
-        if queued || late || !tools.budget.take(now, need) {
+        if queued || late || !tools.spend(now, self.terms.class, need) {
             return;
         }
         tools.directory.replicas[choice.replica].health.submit(now);
--- a/crates/ebonyfork/src/entry/tools.rs
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -9,9 +9,9 @@
 
 use super::admission::AdmissionControl;
 use super::choice::RouteChoice;
-use super::decision::RouteDecision;
+use super::decision::{DecisionTally, EntryDecision, RouteDecision, SetbackNote};
 use super::directory::{Directory, ServiceId};
-use super::hedge::{AttemptBudget, DelayModel};
+use super::hedge::{AttemptBudget, AttemptNeed, DelayModel};
 use super::outbox::RelayOutbox;
 use super::route::RouteCache;
 use super::run::QueryRun;
@@ -49,7 +49,9 @@
     pub(super) class_delays: SecondaryMap<ClassId, DelayModel>,
     /// Whether routing decisions are noted for the log.
     pub(super) noting: bool,
-    pub(super) noted: Vec<RouteDecision>,
+    pub(super) noted: Vec<EntryDecision>,
+    /// What the decisions on each class have come to.
+    pub(super) tallies: SecondaryMap<ClassId, DecisionTally>,
 }
 
 impl EntryTools {
@@ -68,6 +70,7 @@
             class_delays: SecondaryMap::new(),
             noting: false,
             noted: Vec::new(),
+            tallies: SecondaryMap::new(),
         }
     }
 
@@ -98,7 +101,7 @@
         if !self.noting {
             return;
         }
-        self.noted.push(RouteDecision {
+        let route = RouteDecision {
             query,
             attempt: target.attempt,
             shard: target.shard,
@@ -107,7 +110,22 @@
             standby: choice.standby,
             purpose: target.purpose,
             reason: choice.reason,
-        });
+        };
+        self.noted.push(EntryDecision::Route(route));
+    }
+
+    /// Notes an attempt that brought no rows.
+    pub(super) fn note_setback(&mut self, note: impl FnOnce() -> SetbackNote) {
+        if self.noting {
+            self.noted.push(EntryDecision::Setback(note()));
+        }
+    }
+
+    /// Takes an attempt out of the budget, and counts if it holds none.
+    pub(super) fn spend(&mut self, now: Duration, class: ClassId, need: AttemptNeed) -> bool {
+        let granted = self.budget.take(now, need);
+        self.tallies[class].denied += u64::from(!granted);
+        granted
     }
 
     /// Spreads the time after which a caller is told to come back, so that callers refused together don't come back
