Try a request that nobody has seen run at one shard before the others are asked

Cause: a search that crashes its upstream went to 20 services at once and took a replica of each; the limit of two victims came too late.

A novel request now goes ahead as a canary at the shard that is expected soonest; its retry or hedge goes to the other replica, the other shards follow when rows are back. Requests that brought rows lately, and classes whose latency has no room for it (work of canary and query above a third), go without, unless the quarantine suspects the request. A canary that is refused moves on to another shard; one that is silent is waited for twice. A quarantined request ends at once.

--- a/crates/ebonyfork/src/entry/actor.rs
+++ b/crates/ebonyfork/src/entry/actor.rs
@@ -40,6 +40,7 @@
     views: NodeViews,
     experiment: ExperimentSwitches,
     quarantine: Arc<QuarantineFunction>,
+    suspicion: Arc<QuarantineFunction>,
 }
 
 impl fmt::Debug for EntrySettings {
@@ -61,6 +62,7 @@
             views,
             experiment: ExperimentSwitches::default(),
             quarantine: Arc::new(|_fingerprint| false),
+            suspicion: Arc::new(|_fingerprint| false),
         }
     }
 
@@ -80,6 +82,17 @@
         self.quarantine = Arc::new(refuses);
         self
     }
+
+    /// Asks `suspects` about each request: one that was in flight when an upstream was lost is tried at one shard before
+    /// the others are asked.
+    #[must_use]
+    pub fn with_suspicion(
+        mut self,
+        suspects: impl Fn(RequestFingerprint) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        self.suspicion = Arc::new(suspects);
+        self
+    }
 }
 
 /// The entry of this process. Cheap to clone.
@@ -89,6 +102,7 @@
     in_flight: Arc<AtomicUsize>,
     metrics: EntryMetrics,
     quarantine: Arc<QuarantineFunction>,
+    suspicion: Arc<QuarantineFunction>,
 }
 
 impl fmt::Debug for EntryHandle {
@@ -108,6 +122,7 @@
         let in_flight = Arc::new(AtomicUsize::new(0));
         let metrics = EntryMetrics::default();
         let quarantine = Arc::clone(&settings.quarantine);
+        let suspicion = Arc::clone(&settings.suspicion);
         let (alarm, alarms) = watch::channel(None);
         let actor = EntryActor {
             core: EntryCore::new(settings.own, settings.zone, settings.experiment),
@@ -128,6 +143,7 @@
             in_flight,
             metrics,
             quarantine,
+            suspicion,
         }
     }
 
@@ -142,7 +158,12 @@
         }
         let idempotent = request.key.is_none();
         let (reply, outcome) = oneshot::channel();
-        let query = StartQuery { request, reply };
+        let suspect = (self.suspicion)(fingerprint);
+        let query = StartQuery {
+            request,
+            suspect,
+            reply,
+        };
         let accepted = self.address.send(query).detach().await;
         if accepted.is_err() {
             return Err(gone(RunState::NotRun));
@@ -212,6 +233,7 @@
 
 struct StartQuery {
     request: QueryRequest,
+    suspect: bool,
     reply: oneshot::Sender<QueryOutcome>,
 }
 
@@ -350,7 +372,9 @@
             class: message.request.class.clone(),
             since: now,
         };
-        let number = self.core.start(now, message.request);
+        let number = self
+            .core
+            .start_suspect(now, message.request, message.suspect);
         self.callers.insert(number, caller);
         self.perform(now);
     }
--- a/crates/ebonyfork/src/entry/core.rs
+++ b/crates/ebonyfork/src/entry/core.rs
@@ -17,6 +17,8 @@
 use super::terms::{ClassId, QueryTerms};
 use super::tools::EntryTools;
 use crate::declaration::{ClassScope, ClassTarget, DeclaredConfig};
+#[cfg(test)]
+use crate::ident::RequestFingerprint;
 use crate::ident::{ClassName, RunState, SessionId, VmAddress, ZoneName};
 use crate::query::{QueryOutcome, QueryRefusal, QueryRequest, RefusalCode};
 use crate::relay::{OutcomeBatch, RefusalReason, ShardVerdict};
@@ -122,6 +124,13 @@
         self.actions.pop_front()
     }
 
+    /// Takes a request for one that has brought rows lately.
+    #[cfg(test)]
+    pub(super) fn remember(&mut self, request: &QueryRequest) {
+        let fingerprint = RequestFingerprint::new(&request.class, &request.selection);
+        self.tools.known.insert(fingerprint);
+    }
+
     /// Queries in flight.
     pub fn in_flight(&self) -> usize {
         self.runs.len()
@@ -134,11 +143,19 @@
 
     /// Starts a query and returns its number; its outcome comes as an action, perhaps at once.
     pub fn start(&mut self, now: Duration, request: QueryRequest) -> u64 {
+        self.start_suspect(now, request, false)
+    }
+
+    /// As [`EntryCore::start`], for a request that may be `suspect` of crashing upstreams.
+    pub fn start_suspect(&mut self, now: Duration, request: QueryRequest, suspect: bool) -> u64 {
         self.started += 1;
         let number = self.started;
         let (class, caller_id) = (request.class.clone(), request.caller_id.clone());
         match self.plan(now, number, request) {
-            Ok(run) => self.launch(now, run),
+            Ok(mut run) => {
+                run.suspect = suspect;
+                self.launch(now, run);
+            }
             Err(refusal) => {
                 let outcome = Err(refusal);
                 self.note_finish(number, caller_id, class, &outcome, Duration::ZERO);
--- a/crates/ebonyfork/src/entry/fixture.rs
+++ b/crates/ebonyfork/src/entry/fixture.rs
@@ -141,6 +141,7 @@
             finished: FxHashMap::default(),
         };
         fixture.publish(5, &[(17, shards)]);
+        fixture.core.remember(&request());
         fixture
     }
 
--- a/crates/ebonyfork/src/entry/mod.rs
+++ b/crates/ebonyfork/src/entry/mod.rs
@@ -7,14 +7,16 @@
 //! 2. `route`: the pinned version's shards; their number is the denominator of the coverage.
 //! 3. `choice`: a replica and a relay for each shard, by what `replica` and `directory` have learnt.
 //! 4. `admission`: whether the target can be met at the present load; else a refusal before anything leaves.
-//! 5. `run`: attempts; `settle` takes their outcomes, `straggler` hedges those that are late, out of `hedge`'s budget.
-//! 6. `gather`: rows at the pinned version, the first per shard.
-//! 7. `verdict`: when the query is over, and what the caller is told.
+//! 5. `canary`: a request that nobody has seen run is tried at one shard first.
+//! 6. `run`: attempts; `settle` takes their outcomes, `straggler` hedges those that are late, out of `hedge`'s budget.
+//! 7. `gather`: rows at the pinned version, the first per shard.
+//! 8. `verdict`: when the query is over, and what the caller is told.
 //!
 //! [`EntryHandle`] is the actor around it.
 
 mod actor;
 mod admission;
+mod canary;
 mod choice;
 mod core;
 mod decision;
--- a/crates/ebonyfork/src/entry/model.rs
+++ b/crates/ebonyfork/src/entry/model.rs
@@ -143,6 +143,8 @@
     pub(super) needed: u64,
     /// Share of requests that straggle.
     pub(super) stragglers: f64,
+    /// Whether every query asks for something else.
+    pub(super) novel: bool,
 }
 
 impl LoadModel {
@@ -167,6 +169,7 @@
             let zone = format!("zone-{}", number - 1).parse().unwrap();
             let mut core = EntryCore::new(session, zone, switches);
             core.refresh(&fixture.views);
+            core.remember(&request());
             entries.push(core);
         }
         let upstreams = fixture.views.topology.upstreams.keys().map(|&address| {
@@ -194,6 +197,7 @@
             runs: 0,
             needed: 0,
             stragglers: 0.01,
+            novel: false,
         }
     }
 
@@ -288,10 +292,13 @@
     fn call(&mut self, customer: usize) {
         self.schedule_caller(customer);
         let entry = self.arrivals.random_range(0..self.entries.len());
-        let request = QueryRequest {
+        let mut request = QueryRequest {
             customer: self.customers[customer].name.parse().unwrap(),
             ..request()
         };
+        if self.novel {
+            request.selection = self.sequence.to_be_bytes().to_vec().into();
+        }
         let number = self.entries[entry].start(self.now, request);
         self.started.insert((entry, number), (customer, self.now));
         self.perform(entry);
--- a/crates/ebonyfork/src/entry/policy_tests.rs
+++ b/crates/ebonyfork/src/entry/policy_tests.rs
@@ -84,6 +84,32 @@
     expect_that!(model.results[0].refused, gt(0));
 }
 
+#[gtest]
+fn canaries_cost_one_shard_request_of_time_and_no_goodput() {
+    for share in [0.5, 1.3] {
+        let run = |novel| {
+            let rate = LoadModel::capacity(20) * share;
+            let customers = [CustomerLoad {
+                name: "roofers",
+                rate,
+            }];
+            let switches = ExperimentSwitches::default();
+            let mut model =
+                LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+            model.novel = novel;
+            model.run(RUN_SPAN);
+            print(&format!("novel={novel} {share}"), &model);
+            model
+        };
+        let (known, novel) = (run(false), run(true));
+        let p50 = |model: &LoadModel| model.results[0].quantile(0.5);
+        expect_that!(p50(&novel), le(p50(&known) + ms(20)));
+        let good = |model: &LoadModel| f64::from(model.results[0].good);
+        expect_that!(good(&novel), ge(good(&known) * 0.95));
+        expect_that!(novel.extra_load(), le(0.05));
+    }
+}
+
 #[gtest]
 fn silent_replicas_cost_neither_coverage_nor_a_hedge_each() {
     let customers = [CustomerLoad {
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::admission::{AdmissionCase, AdmissionVerdict};
+use super::canary::CanaryProbe;
 use super::choice::{ChoiceLimits, ChoiceReason, RouteChoice, choose_route};
 use super::directory::{RelayId, ReplicaId};
 use super::gather::ShardGather;
@@ -84,6 +85,10 @@
     pub(super) armed: Duration,
     /// Whether it was admitted under pressure.
     pub(super) pressed: bool,
+    /// Whether it was in flight when an upstream was lost.
+    pub(super) suspect: bool,
+    /// The shard that is asked first, while the others are held back.
+    pub(super) canary: Option<CanaryProbe>,
     /// When the first straggler may be due.
     pub(super) straggler_at: Duration,
     pub(super) route: Arc<RouteTable>,
@@ -107,6 +112,8 @@
             trace: RunTrace::default(),
             armed: Duration::MAX,
             pressed: false,
+            suspect: false,
+            canary: None,
             straggler_at: Duration::MAX,
             route,
             attempts: Vec::new(),
@@ -134,7 +141,11 @@
     /// Plans the query, asks admission, and sends the first attempts at every shard.
     pub(super) fn begin(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
         self.plan(tools, now);
-        let refused = self.judge(tools, now).or_else(|| self.admit(tools, now));
+        let canary = self.pick_canary(tools);
+        let canary_time = canary.map_or(Duration::ZERO, |canary| canary.choice.expected);
+        let refused = self
+            .judge(tools, now)
+            .or_else(|| self.admit(tools, now, canary_time));
         if refused.is_some() {
             for planned in tools.plan.drain(..) {
                 let replica = planned.choice.replica;
@@ -142,10 +153,43 @@
             }
             return refused;
         }
-        self.send_plan(tools, now);
+        self.dispatch(tools, now, canary);
         None
     }
 
+    /// Sends the plan, or only its canary.
+    pub(super) fn dispatch(
+        &mut self,
+        tools: &mut EntryTools,
+        now: Duration,
+        canary: Option<PlannedAttempt>,
+    ) {
+        match canary {
+            Some(canary) => self.send_canary(tools, now, canary),
+            None => self.send_plan(tools, now),
+        }
+    }
+
+    /// Sends one attempt of the plan; the others are held back until its shard is settled.
+    fn send_canary(&mut self, tools: &mut EntryTools, now: Duration, canary: PlannedAttempt) {
+        let mut plan = std::mem::take(&mut tools.plan);
+        for planned in plan.drain(..) {
+            if planned.slot == canary.slot {
+                continue;
+            }
+            let replica = &mut tools.directory.replicas[planned.choice.replica];
+            replica.health.withdraw();
+        }
+        tools.plan = plan;
+        self.canary = Some(CanaryProbe {
+            slot: canary.slot,
+            looks: 0,
+        });
+        tools.budget.earn();
+        let slot = canary.slot as usize;
+        self.send(tools, now, slot, canary.choice, AttemptPurpose::First);
+    }
+
     /// Chooses a route for every shard that the query needs; a shard without a route is lost.
     pub(super) fn plan(&mut self, tools: &mut EntryTools, now: Duration) {
         let route = Arc::clone(&self.route);
@@ -167,7 +211,7 @@
         tools.plan = plan;
     }
 
-    pub(super) fn send_plan(&mut self, tools: &mut EntryTools, now: Duration) {
+    fn send_plan(&mut self, tools: &mut EntryTools, now: Duration) {
         let mut plan = std::mem::take(&mut tools.plan);
         for planned in plan.drain(..) {
             let slot = planned.slot as usize;
@@ -178,7 +222,12 @@
     }
 
     /// Refuses the query if its target can't be met at the present load.
-    pub(super) fn admit(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
+    fn admit(
+        &mut self,
+        tools: &mut EntryTools,
+        now: Duration,
+        canary_time: Duration,
+    ) -> Option<QueryOutcome> {
         if !tools.switches.admission {
             return None;
         }
@@ -193,7 +242,7 @@
             customer: &self.request.customer,
             latency: self.terms.latency,
             wait,
-            work,
+            work: work + canary_time,
             cost,
         };
         match tools.admission.admit(now, case) {
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -67,6 +67,9 @@
                 self.take_failure(tools, now, closed, ran, reason);
             }
         }
+        if self.trace.victims < VICTIM_LIMIT {
+            self.follow_canary(tools, now);
+        }
         self.judge(tools, now)
     }
 
@@ -191,6 +194,7 @@
         }
         if reason == FailureReason::Broken {
             self.trace.victims += 1;
+            tools.known.remove(self.fingerprint);
         }
         let slot = self.gather.slot_mut(closed.slot as usize);
         slot.tried.push(closed.replica);
@@ -225,8 +229,10 @@
         self.trace.replanned = true;
         tools.tallies[self.terms.class].replans += 1;
         self.route = route;
+        self.canary = None;
         self.plan(tools, now);
-        self.send_plan(tools, now);
+        let canary = self.pick_canary(tools);
+        self.dispatch(tools, now, canary);
     }
 
     /// Makes a further attempt after one that may have run: only idempotent work, and only out of the budget.
--- a/crates/ebonyfork/src/entry/straggler.rs
+++ b/crates/ebonyfork/src/entry/straggler.rs
@@ -55,6 +55,13 @@
         attempt.hedge_at = now + (waited / 4).max(HEDGE_STEP);
         self.straggler_at = self.straggler_at.min(attempt.hedge_at);
         let slot = attempt.slot as usize;
+        if let Some(canary) = &mut self.canary {
+            // All the other shards wait for this one.
+            canary.looks += 1;
+            self.hedge(tools, now, slot, waited, AttemptNeed::Urgent);
+            self.follow_canary(tools, now);
+            return;
+        }
         self.hedge(tools, now, slot, waited, need);
     }
 
@@ -81,7 +88,7 @@
             return;
         }
         // A query most of whose shards are open waits for load, not for a straggler.
-        if self.gather.open() > (self.gather.total() / 2).max(1) {
+        if self.canary.is_none() && self.gather.open() > (self.gather.total() / 2).max(1) {
             return;
         }
         let Some(choice) = self.choose(tools, now, slot, false) else {
--- a/crates/ebonyfork/src/entry/tools.rs
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 
 use super::admission::AdmissionControl;
+use super::canary::KnownRequests;
 use super::choice::RouteChoice;
 use super::decision::{DecisionTally, EntryDecision, RouteDecision, SetbackNote};
 use super::directory::{Directory, ServiceId};
@@ -43,6 +44,7 @@
     pub(super) rng: ChaCha8Rng,
     pub(super) admission: AdmissionControl,
     pub(super) budget: AttemptBudget,
+    pub(super) known: KnownRequests,
     /// Scratch space: the routes chosen for a query that is being planned.
     pub(super) plan: Vec<PlannedAttempt>,
     pub(super) delays: FxHashMap<(ClassId, ServiceId), DelayModel>,
@@ -65,6 +67,7 @@
             rng: ChaCha8Rng::seed_from_u64(session.incarnation.0),
             admission: AdmissionControl::default(),
             budget: AttemptBudget::default(),
+            known: KnownRequests::default(),
             plan: Vec::new(),
             delays: FxHashMap::default(),
             class_delays: SecondaryMap::new(),
--- a/crates/ebonyfork/src/entry/verdict.rs
+++ b/crates/ebonyfork/src/entry/verdict.rs
@@ -41,7 +41,8 @@
         if gather.answered() == gather.total() {
             return Some(Self::Answer);
         }
-        if trace.victims >= VICTIM_LIMIT {
+        let quarantined = trace.refusal == Some(RefusalReason::Quarantined);
+        if trace.victims >= VICTIM_LIMIT || quarantined {
             return Some(Self::Hopeless);
         }
         let share = f64::from(gather.answered()) / f64::from(gather.total());
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -28,7 +28,7 @@
 use crate::once::{OnceHandle, session_successor};
 use crate::operator::{OperatorService, serve_operators};
 use crate::platform::{PlatformClient, PlatformError};
-use crate::quarantine::QuarantineHandle;
+use crate::quarantine::{QuarantineHandle, RequestStanding};
 use crate::query::QueryRequest;
 use crate::relay::{RelayHandle, RelaySettings};
 use crate::revision::RevisionHandle;
@@ -250,10 +250,13 @@
     }
 
     fn start_entry(&self, views: &NodeViews) -> EntryHandle {
-        let quarantine = self.quarantine.clone();
+        let (quarantine, suspicion) = (self.quarantine.clone(), self.quarantine.clone());
         let settings = EntrySettings::new(self.session, self.settings.zone.clone(), views.clone())
             .with_experiment(self.settings.experiment)
-            .with_quarantine(move |fingerprint| quarantine.refuses(fingerprint));
+            .with_quarantine(move |fingerprint| quarantine.refuses(fingerprint))
+            .with_suspicion(move |fingerprint| {
+                suspicion.admit(fingerprint) == RequestStanding::Suspect
+            });
         let pool = self.pool.clone();
         EntryHandle::start(settings, move |vm, message| pool.send(vm, message))
     }
