--- a/crates/ebonyfork/src/entry/core_tests.rs
+++ b/crates/ebonyfork/src/entry/core_tests.rs
@@ -1,7 +1,7 @@
 use googletest::prelude::*;
 
 use super::*;
-use crate::entry::fixture::{EntryFixture, ms, request, rows};
+use crate::entry::fixture::{EntryFixture, ms, request, rows, vm};
 use crate::ident::{ShardNumber, SnapshotVersion};
 use crate::relay::FailureReason;
 
@@ -59,6 +59,24 @@
     expect_that!(fixture.take_sent(), is_empty());
 }
 
+#[gtest]
+fn a_relay_that_is_gone_costs_no_shard_even_beyond_the_budget() {
+    let mut fixture = EntryFixture::new(60, |_class| {});
+    let query = fixture.start(request());
+    let gone = vm(1);
+    fixture.core.link_down(fixture.now, gone, VecDeque::new());
+    fixture.pump();
+    let mut lost = 0;
+    for attempt in fixture.take_sent() {
+        lost += u32::from(attempt.vm == gone);
+        fixture.settle(&attempt, rows(17));
+    }
+    // More than the budget holds at the start.
+    expect_that!(lost, gt(15));
+    let answer = fixture.outcome(query).as_ref().unwrap();
+    expect_that!(answer.coverage.answered, eq(60));
+}
+
 #[gtest]
 fn requests_that_name_nothing_known_are_not_run() {
     let mut fixture = EntryFixture::new(1, |class| class.idempotent = false);
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -197,8 +197,15 @@
             tools.known.remove(self.fingerprint);
         }
         let slot = self.gather.slot_mut(closed.slot as usize);
-        slot.tried.push(closed.replica);
-        if ran == RunState::NotRun {
+        if reason == FailureReason::LinkDown {
+            slot.refused.push(closed.relay);
+        } else {
+            slot.tried.push(closed.replica);
+        }
+        // A relay that is gone takes many attempts at once and says nothing against the upstreams, so that the budget
+        // does not count; what was in flight there bounds the extra load.
+        let relay_gone = reason == FailureReason::LinkDown && self.terms.idempotent;
+        if ran == RunState::NotRun || relay_gone {
             self.resend(tools, now, closed.slot as usize);
         } else {
             self.retry(tools, now, closed.slot as usize);
--- a/crates/ebonyfork/src/entry/verdict.rs
+++ b/crates/ebonyfork/src/entry/verdict.rs
@@ -84,7 +84,9 @@
             _ => format_compact!("{coverage} shards answered, and no other replica can bring more"),
         };
         let refusal = QueryRefusal::new(code, ran, message);
-        if matches!(code, RefusalCode::Overloaded | RefusalCode::NoUpstream) {
+        // Sending a quarantined request again is of no use, nor a key whose outcome is kept.
+        let again = run.terms.idempotent || ran == RunState::NotRun;
+        if again && code != RefusalCode::Quarantined {
             let after = tools.retry_after(run, now);
             return Err(refusal.with_retry_after(after));
         }
