Report how much of its slots' time the busiest service used

The load in per cent is computed from service times, but timers add up to a millisecond to each and a slot idles between two requests. The new figure says how near a run really was to capacity.

--- a/crates/ebonyfork-lab/src/experiment/report.rs
+++ b/crates/ebonyfork-lab/src/experiment/report.rs
@@ -69,6 +69,8 @@
     pub connections_refused: u64,
     /// Shard requests that found all slots of their upstream in use.
     pub over_slots: u64,
+    /// Share of its slots' time that the busiest service was running requests.
+    pub slots_used_max: f64,
     /// Calls to the platform's service a second, all VMs together.
     pub store_calls_per_s: f64,
     /// Processor cores that the VMs of the tier used, all together.
--- a/crates/ebonyfork-lab/src/experiment/summary.rs
+++ b/crates/ebonyfork-lab/src/experiment/summary.rs
@@ -1,9 +1,10 @@
 //! Computes the figures from the callers' records and the journals.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use ebonyfork::ident::RunState;
+use ebonyfork::ident::{RunState, ServiceName};
 use hdrhistogram::Histogram;
 use rustc_hash::FxHashSet;
 
@@ -143,6 +144,7 @@
         thin_share: ratio(all.thin as f64, all.answered),
         goodput_per_s: all.goodput_per_s,
         extra_load: extra_load(evidence),
+        slots_used_max: slots_used(evidence, journal, measured),
         resent,
         classes: names.zip(reports).collect(),
         ..RunReport::default()
@@ -169,3 +171,37 @@
     }
     ratio(arrived as f64, needed.len() as u64)
 }
+
+/// Share of its slots' time that the busiest service spent on requests. It tells how near to its real capacity a load
+/// is, whatever timers and connections add to the service times.
+fn slots_used(evidence: &RunEvidence, journal: &Journal, measured: MeasuredTime) -> f64 {
+    let mut services: BTreeMap<ServiceName, ServiceUse> = BTreeMap::new();
+    for log in journal.logs() {
+        let usage = services.entry(log.service.clone()).or_default();
+        usage.slots += log.slots;
+        for record in evidence.executions.get(&log.address).into_iter().flatten() {
+            let (Some(started), Some(ended)) = (record.started, record.ended) else {
+                continue;
+            };
+            let from = started.max(measured.from);
+            let until = ended.min(measured.until);
+            usage.busy += until.saturating_sub(from);
+        }
+    }
+    let shares = services.values().map(|usage| {
+        let available = f64::from(usage.slots) * measured.seconds();
+        usage.busy.as_secs_f64() / available
+    });
+    shares.fold(0.0, f64::max)
+}
+
+/// Slots of a service and the time that they ran requests.
+#[derive(Debug, Default)]
+struct ServiceUse {
+    slots: u32,
+    busy: Duration,
+}
+
+#[cfg(test)]
+#[path = "summary_tests.rs"]
+mod tests;
--- a/crates/ebonyfork-lab/src/experiment/table.rs
+++ b/crates/ebonyfork-lab/src/experiment/table.rs
@@ -20,7 +20,7 @@
     format!("{number:.4}")
 }
 
-const FIGURES: [(&str, FigureFunction); 20] = [
+const FIGURES: &[(&str, FigureFunction)] = &[
     ("load %", |run| format!("{}", run.load_percent)),
     ("queries", |run| count(run.queries)),
     ("answered", |run| count(run.answered)),
@@ -39,13 +39,14 @@
     }),
     ("connections refused", |run| count(run.connections_refused)),
     ("over slots", |run| count(run.over_slots)),
+    ("slots used max", |run| share(run.slots_used_max)),
     ("store calls /s", |run| millis(run.store_calls_per_s)),
     ("VM cores", |run| share(run.vm_cores)),
     ("resent by callers", |run| count(run.resent)),
     ("violations", |run| count(run.violations.total())),
 ];
 
-const VIOLATIONS: [(&str, FigureFunction); 7] = [
+const VIOLATIONS: &[(&str, FigureFunction)] = &[
     ("  mixed versions", |run| {
         count(run.violations.mixed_versions)
     }),
@@ -87,7 +88,7 @@
         writeln!(out)
     };
     write_row("", &|run| run.name.to_string())?;
-    for (name, figure) in FIGURES.iter().chain(&VIOLATIONS) {
+    for (name, figure) in FIGURES.iter().chain(VIOLATIONS) {
         write_row(name, figure)?;
     }
     writeln!(out)?;
