--- a/crates/ebonyfork-lab/src/upstream/server.rs
+++ b/crates/ebonyfork-lab/src/upstream/server.rs
@@ -28,6 +28,8 @@
 
 /// Pause before an address is tried again, or an accept that failed.
 const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+/// Tokio's timers have a tick of 1 ms and fire after the tick that a deadline falls into: a tick late on average.
+const TIMER_LATENESS: Duration = Duration::from_millis(1);
 /// A request without a deadline is given up after this time.
 const RUN_LIMIT: Duration = Duration::from_mins(1);
 
@@ -466,7 +468,7 @@
         };
         let error = || Some(empty_reply(StatusCode::INTERNAL_SERVER_ERROR));
         tokio::select! {
-            () = tokio::time::sleep(time) => (ExecutionEnd::Finished, Some(self.rows())),
+            () = tokio::time::sleep(time.saturating_sub(TIMER_LATENESS)) => (ExecutionEnd::Finished, Some(self.rows())),
             () = cancel.cancelled() => (ExecutionEnd::Cancelled, error()),
             () = tokio::time::sleep_until(deadline) => (ExecutionEnd::Expired, error()),
             () = self.life.cancelled() => (ExecutionEnd::Crashed, None),
