Count the relay's verdicts by reason, and its waiting and service times by class

The counter knew only not-run or failed, so that an operator could not tell a full queue from an upstream that is leaving. Labels are static words and the class's name; a class of usual length costs no allocation.

--- a/crates/ebonyfork/src/relay/actor.rs
+++ b/crates/ebonyfork/src/relay/actor.rs
@@ -346,13 +346,17 @@
         decision::log_verdict(self.settings.vm, &ticket, &verdict);
         let finished = Instant::now();
         let sent = ticket.sent.unwrap_or(finished);
+        let (waited, served) = (sent - ticket.submitted, finished - sent);
+        if matches!(verdict, ShardVerdict::Rows { .. }) {
+            self.metrics.observe(&ticket.batch.class, waited, served);
+        }
         let outcome = ShardOutcome {
             query: ticket.batch.query,
             attempt: ticket.target.attempt,
             upstream: ticket.target.upstream,
             verdict,
-            waited_us: micros(sent - ticket.submitted),
-            served_us: micros(finished - sent),
+            waited_us: micros(waited),
+            served_us: micros(served),
         };
         let mut batch = OutcomeBatch::default();
         batch.outcomes.push(outcome);
--- a/crates/ebonyfork/src/relay/metrics.rs
+++ b/crates/ebonyfork/src/relay/metrics.rs
@@ -1,51 +1,108 @@
 //! What a relay counts.
 
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
 use crate::ident::ClassName;
-use crate::relay::message::ShardVerdict;
+use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict};
+
+/// A class as a label, without an allocation for names of usual length.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct ClassLabel(ClassName);
+
+impl EncodeLabelValue for ClassLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder) -> fmt::Result {
+        EncodeLabelValue::encode(&self.0.as_str(), encoder)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabels {
+    class: ClassLabel,
+}
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
-    class: String,
-    outcome: OutcomeLabel,
+    class: ClassLabel,
+    outcome: &'static str,
+    reason: &'static str,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-enum OutcomeLabel {
-    Rows,
-    VersionGone,
-    Moved,
-    NotRun,
-    Failed,
+/// The outcome of a verdict and the reason for it, as labels.
+fn outcome_words(verdict: &ShardVerdict) -> (&'static str, &'static str) {
+    match verdict {
+        ShardVerdict::Rows { .. } => ("rows", ""),
+        ShardVerdict::VersionGone { .. } => ("not-run", "version-gone"),
+        ShardVerdict::Moved { .. } => ("not-run", "moved"),
+        ShardVerdict::NotRun(reason) => ("not-run", refusal_word(*reason)),
+        ShardVerdict::Failed { reason, .. } => ("failed", failure_word(*reason)),
+    }
 }
 
-impl OutcomeLabel {
-    fn of(verdict: &ShardVerdict) -> Self {
-        match verdict {
-            ShardVerdict::Rows { .. } => Self::Rows,
-            ShardVerdict::VersionGone { .. } => Self::VersionGone,
-            ShardVerdict::Moved { .. } => Self::Moved,
-            ShardVerdict::NotRun(_) => Self::NotRun,
-            ShardVerdict::Failed { .. } => Self::Failed,
-        }
+fn refusal_word(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Shed => "shed",
+        RefusalReason::QueueFull => "queue-full",
+        RefusalReason::Expired => "expired",
+        RefusalReason::NotOwner => "not-owner",
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::Unreachable => "unreachable",
+        RefusalReason::Cancelled => "cancelled",
+        RefusalReason::Quarantined => "quarantined",
+        RefusalReason::NotReady => "not-ready",
+        RefusalReason::LinkDown => "link-down",
     }
 }
 
+fn failure_word(reason: FailureReason) -> &'static str {
+    match reason {
+        FailureReason::Status => "status",
+        FailureReason::Broken => "broken",
+        FailureReason::Timeout => "timeout",
+        FailureReason::Cancelled => "cancelled",
+        FailureReason::Malformed => "malformed",
+        FailureReason::LinkDown => "link-down",
+    }
+}
+
+/// Buckets from half a millisecond to eight seconds.
+fn time_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
+}
+
 /// The relay's metrics. Cheap to clone.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct RelayMetrics {
     outcomes: Family<OutcomeLabels, Counter>,
+    waits: Family<ClassLabels, Histogram>,
+    services: Family<ClassLabels, Histogram>,
     opened: Counter,
     connections: Gauge,
     queued: Gauge,
     in_flight: Gauge,
 }
 
+impl Default for RelayMetrics {
+    fn default() -> Self {
+        Self {
+            outcomes: Family::default(),
+            waits: Family::new_with_constructor(time_histogram),
+            services: Family::new_with_constructor(time_histogram),
+            opened: Counter::default(),
+            connections: Gauge::default(),
+            queued: Gauge::default(),
+            in_flight: Gauge::default(),
+        }
+    }
+}
+
 impl RelayMetrics {
     pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
@@ -53,6 +110,16 @@
             "Verdicts of shard requests",
             self.outcomes.clone(),
         );
+        registry.register(
+            "relay_wait_seconds",
+            "Time of shard requests in the relay's queue",
+            self.waits.clone(),
+        );
+        registry.register(
+            "relay_service_seconds",
+            "Time of shard requests at upstreams, of those answered with rows",
+            self.services.clone(),
+        );
         registry.register(
             "relay_connections_opened",
             "Connections that were opened to upstreams",
@@ -75,14 +142,28 @@
         );
     }
 
+    /// Counts a verdict.
     pub(super) fn count(&self, class: &ClassName, verdict: &ShardVerdict) {
+        let (outcome, reason) = outcome_words(verdict);
         let labels = OutcomeLabels {
-            class: class.to_string(),
-            outcome: OutcomeLabel::of(verdict),
+            class: ClassLabel(class.clone()),
+            outcome,
+            reason,
         };
         self.outcomes.get_or_create(&labels).inc();
     }
 
+    /// Counts the times of an attempt that was answered with rows.
+    pub(super) fn observe(&self, class: &ClassName, waited: Duration, served: Duration) {
+        let labels = ClassLabels {
+            class: ClassLabel(class.clone()),
+        };
+        let waits = self.waits.get_or_create(&labels);
+        waits.observe(waited.as_secs_f64());
+        let services = self.services.get_or_create(&labels);
+        services.observe(served.as_secs_f64());
+    }
+
     pub(super) fn opened(&self) {
         self.opened.inc();
     }
@@ -96,3 +177,7 @@
         self.in_flight.set(in_flight as i64);
     }
 }
+
+#[cfg(test)]
+#[path = "metrics_tests.rs"]
+mod tests;
