--- a/crates/ebonyfork/src/relay/mod.rs
+++ b/crates/ebonyfork/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod loss;
 mod message;
 mod metrics;
+mod pool;
 mod queue;
 mod service;
 mod settings;
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -14,21 +14,17 @@
 use crate::relay::limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
 use crate::relay::loss::LossWindow;
 use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict, UpstreamLoad};
+use crate::relay::pool::ConnectionPool;
 use crate::relay::queue::{PushResult, QueueEntry, RelayQueue};
 use crate::relay::service::ServiceTimes;
 use crate::relay::state::OpenSign;
 use crate::relay::suspects::SuspectQueue;
 use crate::settings::ExperimentSwitches;
 
-/// An idle connection is closed after this time, before the usual upstream closes it under a request.
-pub(super) const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// How long an upstream that said it is draining gets nothing, unless the topology says more.
 const DRAIN_HOLD: Duration = Duration::from_secs(30);
 /// How long an upstream whose status says so gets nothing; then its status is asked again.
 const HINT_HOLD: Duration = Duration::from_secs(2);
-/// First pause after a connection could not be opened; it doubles up to [`OPEN_PAUSE_LIMIT`].
-const OPEN_PAUSE: Duration = Duration::from_millis(10);
-const OPEN_PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// What came back from an upstream for one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,12 +51,6 @@
     given_up: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct IdleConnection {
-    connection: ConnectionId,
-    since: Duration,
-}
-
 /// What one VM knows and does about one upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamState {
@@ -72,18 +62,11 @@
     service: ServiceTimes,
     /// Depths of the classes, if looser ones are clamped.
     clamp: Option<ClassClamp>,
-    share: u32,
+    pool: ConnectionPool,
     cancelling: bool,
     leaving: bool,
     draining_until: Duration,
-    idle: Vec<IdleConnection>,
-    /// Connections opened and not known to have ended.
-    open: u32,
-    /// Connections being opened.
-    opening: u32,
     sent: Vec<SentWork>,
-    open_failures: u32,
-    open_again: Duration,
     loss: Option<LossWindow>,
     taken: Vec<WorkId>,
 }
@@ -113,16 +96,11 @@
             limit: ConcurrencyLimit::new(switches.limit, 0),
             service: ServiceTimes::default(),
             clamp: switches.clamp.then(ClassClamp::default),
-            share: 0,
+            pool: ConnectionPool::new(id),
             cancelling: false,
             leaving: false,
             draining_until: Duration::ZERO,
-            idle: Vec::new(),
-            open: 0,
-            opening: 0,
             sent: Vec::new(),
-            open_failures: 0,
-            open_again: Duration::ZERO,
             loss: None,
             taken: Vec::new(),
         }
@@ -130,14 +108,13 @@
 
     /// Takes over what the views say.
     pub(super) fn apply(&mut self, now: Duration, terms: UpstreamTerms, tables: &mut RelayTables) {
-        self.share = terms.share;
         self.cancelling = terms.cancelling;
         self.leaving = terms.leaving;
         self.limit.set_share(terms.share);
+        self.pool.set_share(terms.share, tables);
         if terms.leaving {
-            self.close_idle(tables);
+            self.pool.close_idle(tables);
         }
-        self.close_surplus(tables);
         self.dispatch(now, tables);
     }
 
@@ -177,10 +154,10 @@
         if order.deadline <= now {
             return Some(RefusalReason::Expired);
         }
-        if self.share == 0 {
+        if self.pool.share() == 0 {
             return Some(RefusalReason::NotOwner);
         }
-        if self.open == 0 && now < self.open_again {
+        if self.pool.is_unreachable(now) {
             return Some(RefusalReason::Unreachable);
         }
         None
@@ -224,20 +201,13 @@
         sign: OpenSign,
         tables: &mut RelayTables,
     ) {
-        self.opening -= 1;
-        self.open += 1;
-        self.open_failures = 0;
-        self.open_again = now;
-        self.idle.push(IdleConnection {
-            connection,
-            since: now,
-        });
+        self.pool.opened(now, connection);
         match sign {
             OpenSign::Ready => {}
             OpenSign::Draining => self.note_draining(now, tables),
             OpenSign::SaysDraining => {
                 self.draining_until = now + HINT_HOLD;
-                self.close_idle(tables);
+                self.pool.close_idle(tables);
             }
         }
         self.dispatch(now, tables);
@@ -250,12 +220,8 @@
         connection: ConnectionId,
         tables: &mut RelayTables,
     ) {
-        self.opening -= 1;
-        tables.forget_connection(connection);
-        let pause = OPEN_PAUSE * (1 << u32::min(self.open_failures, 10));
-        self.open_failures += 1;
-        self.open_again = now + Duration::min(pause, OPEN_PAUSE_LIMIT);
-        if self.open + self.opening == 0 {
+        self.pool.open_failed(now, connection, tables);
+        if self.pool.total() == 0 {
             self.hand_back(RefusalReason::Unreachable, tables);
         }
     }
@@ -267,9 +233,7 @@
         connection: ConnectionId,
         tables: &mut RelayTables,
     ) {
-        self.idle.retain(|idle| idle.connection != connection);
-        self.open -= 1;
-        tables.forget_connection(connection);
+        self.pool.ended(connection, tables);
         self.dispatch(now, tables);
     }
 
@@ -296,11 +260,7 @@
         let Some(sent) = self.take_unanswered(work) else {
             return;
         };
-        let connection = sent.connection;
-        self.idle.push(IdleConnection {
-            connection,
-            since: now,
-        });
+        self.pool.put_back(now, sent.connection);
         tables.refuse(work, reason);
         self.dispatch(now, tables);
     }
@@ -310,10 +270,7 @@
         let Some(sent) = self.take_unanswered(work) else {
             return;
         };
-        self.idle.push(IdleConnection {
-            connection: sent.connection,
-            since: now,
-        });
+        self.pool.put_back(now, sent.connection);
         if sent.given_up {
             tables.release(work);
             self.dispatch(now, tables);
@@ -334,11 +291,7 @@
         let Some(sent) = self.take_sent(work) else {
             return;
         };
-        let connection = sent.connection;
-        self.idle.push(IdleConnection {
-            connection,
-            since: now,
-        });
+        self.pool.put_back(now, sent.connection);
         self.learn(now, &sent, &answer);
         if !sent.given_up {
             note_spent(&mut self.clamp, now, &sent.order, tables);
@@ -356,7 +309,7 @@
             tables.finish(work, answer.verdict);
         }
         tables.release(work);
-        self.close_surplus(tables);
+        self.pool.close_surplus(tables);
         self.dispatch(now, tables);
     }
 
@@ -368,8 +321,7 @@
         work: WorkId,
         tables: &mut RelayTables,
     ) {
-        self.open -= 1;
-        tables.forget_connection(connection);
+        self.pool.ended(connection, tables);
         if let Some(sent) = self.take_unanswered(work) {
             if !sent.given_up {
                 tables.fail(work, FailureReason::Broken);
@@ -377,7 +329,7 @@
             tables.release(work);
             self.note_loss(now, &sent, tables);
         }
-        if self.open == 0 {
+        if self.pool.open() == 0 {
             self.limit.restart(now);
         }
         self.dispatch(now, tables);
@@ -391,8 +343,7 @@
         work: WorkId,
         tables: &mut RelayTables,
     ) {
-        self.open -= 1;
-        tables.forget_connection(connection);
+        self.pool.ended(connection, tables);
         if self.take_unanswered(work).is_some() {
             tables.release(work);
         }
@@ -410,18 +361,13 @@
         if self.loss.as_ref().is_some_and(|window| window.is_over(now)) {
             self.report_loss(now, tables);
         }
-        let keep = |idle: &IdleConnection| idle.since + IDLE_LIMIT > now;
-        for idle in self.idle.iter().filter(|idle| !keep(idle)) {
-            let connection = idle.connection;
-            tables.actions.push(RelayAction::Close { connection });
-        }
-        self.idle.retain(keep);
+        self.pool.close_unused(now, tables);
         self.dispatch(now, tables);
     }
 
     /// Tells whether time alone may bring something to do.
     pub(super) fn needs_tick(&self) -> bool {
-        self.queued() > 0 || !self.idle.is_empty() || self.loss.is_some()
+        self.queued() > 0 || self.pool.idle() > 0 || self.loss.is_some()
     }
 
     /// Tells whether nothing waits, runs or is connected.
@@ -441,7 +387,7 @@
 
     /// Connections open or being opened.
     pub(super) fn connections(&self) -> u32 {
-        self.open + self.opening
+        self.pool.total()
     }
 
     /// What entries are told about it.
@@ -480,7 +426,7 @@
         self.send_suspect(now, tables);
         loop {
             let free = (self.limit.current() as usize).saturating_sub(self.sent.len());
-            let room = usize::min(free, self.idle.len());
+            let room = usize::min(free, self.pool.idle());
             if room == 0 {
                 break;
             }
@@ -502,7 +448,7 @@
 
     /// Sends the next suspect if there is room for it and no other one is there.
     fn send_suspect(&mut self, now: Duration, tables: &mut RelayTables) {
-        let has_room = self.sent.len() < self.limit.current() as usize && !self.idle.is_empty();
+        let has_room = self.sent.len() < self.limit.current() as usize && self.pool.idle() > 0;
         if !has_room || !self.may_send_suspect() {
             return;
         }
@@ -520,7 +466,7 @@
         let Some(order) = tables.order(work) else {
             return;
         };
-        let Some(IdleConnection { connection, .. }) = self.idle.pop() else {
+        let Some(connection) = self.pool.take() else {
             return;
         };
         let in_flight = self.sent.len() as u32 + 1;
@@ -543,35 +489,12 @@
         });
     }
 
-    /// Opens as many connections as the queue and the limit can use, never more than the share.
+    /// Opens as many connections as the queue and the limit can use.
     fn open_needed(&mut self, now: Duration, tables: &mut RelayTables) {
-        if now < self.open_again || !self.idle.is_empty() {
-            return;
-        }
         let room = (self.limit.current() as usize).saturating_sub(self.sent.len());
         let waiting = self.queue.len() + usize::from(self.may_send_suspect());
         let wanted = usize::min(waiting, room) as u32;
-        while self.opening < wanted && self.open + self.opening < self.share {
-            self.opening += 1;
-            tables.open(self.id);
-        }
-    }
-
-    /// Closes idle connections beyond the share.
-    fn close_surplus(&mut self, tables: &mut RelayTables) {
-        let mut surplus = (self.open + self.opening).saturating_sub(self.share);
-        while surplus > 0
-            && let Some(IdleConnection { connection, .. }) = self.idle.pop()
-        {
-            tables.actions.push(RelayAction::Close { connection });
-            surplus -= 1;
-        }
-    }
-
-    fn close_idle(&mut self, tables: &mut RelayTables) {
-        for IdleConnection { connection, .. } in self.idle.drain(..) {
-            tables.actions.push(RelayAction::Close { connection });
-        }
+        self.pool.open_needed(now, wanted, tables);
     }
 
     fn refuse_expired(&mut self, now: Duration, tables: &mut RelayTables) {
@@ -626,7 +549,7 @@
             tables.actions.push(RelayAction::NoteLeaving(address));
         }
         self.draining_until = now + DRAIN_HOLD;
-        self.close_idle(tables);
+        self.pool.close_idle(tables);
     }
 
     /// Gathers what broke at about the same time, and reports it as soon as nothing is left that could belong to it.
