Name each metric with one prefix

Seen on the operators' port by hand: ebonyfork_ebonyfork_once_… and ebonyfork_ebonyfork_quarantine_…, because the node's registry already adds the prefix.

--- a/crates/ebonyfork/src/once/handle.rs
+++ b/crates/ebonyfork/src/once/handle.rs
@@ -158,7 +158,7 @@
 
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
-        let registry = registry.sub_registry_with_prefix("ebonyfork_once");
+        let registry = registry.sub_registry_with_prefix("once");
         let metrics = &self.metrics;
         let counters = [
             ("runs", "Keys run here", &metrics.runs),
--- a/crates/ebonyfork/src/quarantine/handle.rs
+++ b/crates/ebonyfork/src/quarantine/handle.rs
@@ -214,7 +214,7 @@
 
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
-        let registry = registry.sub_registry_with_prefix("ebonyfork_quarantine");
+        let registry = registry.sub_registry_with_prefix("quarantine");
         let metrics = &self.shared.metrics;
         let counters = [
             ("losses", "Upstreams lost under requests", &metrics.losses),
