Find an upstream's owner among the VMs of its zone, by hashes made once per view

Cause: the owner of an upstream was sought through all VMs of all zones, with a streaming hash for each pair. Owners differ from those of an earlier build: VMs of two builds disagree while they are replaced, which the connection shares allow for.

--- a/crates/ebonyfork/examples/slopes.rs
+++ b/crates/ebonyfork/examples/slopes.rs
@@ -25,6 +25,8 @@
 /// Time that each point is measured for.
 const POINT_TIME: Duration = Duration::from_millis(120);
 const SELECTION_BYTES: usize = 200;
+/// Availability zones at the size that the design is for.
+const ZONES: usize = 10;
 const ROWS_BYTES: usize = 300;
 
 /// A line fitted through measured points.
@@ -188,12 +190,14 @@
     );
 }
 
-/// A view of one availability zone: `vms` of ours, and as many upstreams.
+/// A view of ten availability zones: VMs of ours dealt to them in turn, all upstreams in the first.
 fn view(vms: u32, upstreams: u32) -> TopologyView {
     let zone: ebonyfork::ident::ZoneName = "zone-a".parse().expect("a valid name");
     let entry = |number| VmEntry {
         vm: vm(number),
-        zone: zone.clone(),
+        zone: format!("zone-{}", b"abcdefghij"[number as usize % ZONES] as char)
+            .parse()
+            .expect("a valid name"),
         incarnation: None,
         leaving: false,
     };
@@ -210,9 +214,9 @@
 
 fn report_topology() {
     report(
-        "ownership: one upstream, by VMs of the zone",
+        "ownership: one upstream, by VMs of ten zones",
         "ns",
-        &[10, 50, 150, 490],
+        &[100, 500, 1_500, 4_900],
         |vms| {
             let view = view(vms, 1);
             nanoseconds(|| owner_pair(&view, upstream(0)))
--- a/crates/ebonyfork/src/topology/join.rs
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -185,9 +185,7 @@
             });
         }
         vms.push(self.own_entry());
-        let mut view = self.shared.clone();
-        view.vms = vms.into_iter().map(|entry| (entry.vm, entry)).collect();
-        view
+        self.shared.with_vms(vms)
     }
 
     fn own_entry(&self) -> VmEntry {
--- a/crates/ebonyfork/src/topology/ownership.rs
+++ b/crates/ebonyfork/src/topology/ownership.rs
@@ -4,8 +4,9 @@
 //! stands by. A VM that comes or goes moves only the upstreams that it wins or held. Two VMs with different views may
 //! both believe that they own one: the connection shares leave room for that.
 
-use crate::ident::{UpstreamAddress, VmAddress, ZoneName};
+use crate::ident::{UpstreamAddress, VmAddress};
 use crate::topology::TopologyView;
+use crate::topology::view::{StayingVm, address_hash};
 
 /// The owner of an upstream and its standby.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,7 +20,7 @@
 /// Chooses the owner of an upstream over the VMs that stay, in its zone if that has any, else in all zones.
 pub fn owner_pair(view: &TopologyView, upstream: UpstreamAddress) -> Option<OwnerPair> {
     let zone = &view.upstreams.get(&upstream)?.zone;
-    pair_within(view, upstream, Some(zone)).or_else(|| pair_within(view, upstream, None))
+    pair_among(view.staying_in(zone), upstream).or_else(|| pair_among(view.staying(), upstream))
 }
 
 /// Connections that the owner of an upstream may hold, as a part of what the upstream accepts.
@@ -63,18 +64,15 @@
     u32::max(limit / vms, 1)
 }
 
-fn pair_within(
-    view: &TopologyView,
+fn pair_among<'a>(
+    vms: impl IntoIterator<Item = &'a StayingVm>,
     upstream: UpstreamAddress,
-    zone: Option<&ZoneName>,
 ) -> Option<OwnerPair> {
+    let hash = address_hash(upstream.0.ip(), upstream.0.port());
     let mut first: Option<(u64, VmAddress)> = None;
     let mut second: Option<(u64, VmAddress)> = None;
-    for vm in view.vms.values() {
-        if vm.leaving || zone.is_some_and(|zone| *zone != vm.zone) {
-            continue;
-        }
-        let scored = Some((score(vm.vm, upstream), vm.vm));
+    for staying in vms {
+        let scored = Some((mix(staying.hash ^ hash), staying.vm));
         if scored > first {
             second = first;
             first = scored;
@@ -87,18 +85,12 @@
     Some(OwnerPair { primary, standby })
 }
 
-fn score(vm: VmAddress, upstream: UpstreamAddress) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
-    match vm.0 {
-        std::net::IpAddr::V4(ip) => hasher.update(&ip.octets()),
-        std::net::IpAddr::V6(ip) => hasher.update(&ip.octets()),
-    }
-    match upstream.0.ip() {
-        std::net::IpAddr::V4(ip) => hasher.update(&ip.octets()),
-        std::net::IpAddr::V6(ip) => hasher.update(&ip.octets()),
-    }
-    hasher.update(&upstream.0.port().to_be_bytes());
-    hasher.digest()
+/// Spreads the combined hash of a pair over all bits (the finalizer of `SplitMix64`), so that each pair has a score of its
+/// own although the hash of a VM is made once for all upstreams.
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 #[cfg(test)]
--- a/crates/ebonyfork/src/topology/ownership_tests.rs
+++ b/crates/ebonyfork/src/topology/ownership_tests.rs
@@ -49,8 +49,8 @@
     let mut moved = 0;
     for port in 1..=700 {
         let upstream = UpstreamAddress(([10, 1, 0, 1], port).into());
-        let before = pair_within(&all, upstream, None).unwrap();
-        let after = pair_within(&view(1..7), upstream, None).unwrap();
+        let before = pair_among(all.staying(), upstream).unwrap();
+        let after = pair_among(view(1..7).staying(), upstream).unwrap();
         if before.primary == "10.0.0.0".parse().unwrap() {
             moved += 1;
             expect_that!(after.primary, eq(before.standby));
