Keep a killer from taking both replicas of a service

Cause: the canary's retry went to the other replica of the same service, and a class with 120 ms had no room for a canary, so the killer searches of scenarios/killer.ini still took whole services away for 2 s each.

After a loss the next try is a shard of another service; without a canary, a shard whose upstream was lost waits until another shard has brought rows. Room is now half the latency, and within a minute of a loss every novel request goes ahead with a canary.

--- a/crates/ebonyfork/src/entry/canary.rs
+++ b/crates/ebonyfork/src/entry/canary.rs
@@ -1,9 +1,10 @@
 //! Canaries: a request that nobody has seen run is tried at one shard before the others are asked.
 //!
 //! A request that crashes upstreams would else take one replica of every shard at once, and the other replicas when its
-//! caller sends it again. The first attempt, and its retry or hedge at another replica, are then all that it can take.
+//! caller sends it again. The first attempt, and one at another shard after that is lost, are then all that it can
+//! take, and no service loses both.
 //! The price is the time of one shard request. A class whose latency leaves no room for that goes without, unless the
-//! request is already suspected.
+//! request is already suspected or an upstream was lost lately.
 
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use super::gather::ShardStanding;
 use super::run::QueryRun;
 use super::tools::{EntryTools, PlannedAttempt};
+use super::verdict::VICTIM_LIMIT;
 use crate::ident::RequestFingerprint;
 use crate::relay::AttemptPurpose;
 
@@ -20,7 +22,9 @@
 /// Fewest shards of a query that a canary goes ahead of.
 const SHARDS_LEAST: u32 = 3;
 /// The work of canary and query together may take this part of the class's latency.
-const ROOM_PART: u32 = 3;
+const ROOM_PART: u32 = 2;
+/// How long after the last lost upstream every novel request goes ahead with a canary, room or not.
+const ALERT_TERM: Duration = Duration::from_mins(1);
 /// Times that an overdue canary is looked at before the others are asked all the same: upstreams that are silent must
 /// not hold a query up, and a request that crashes its upstream does so soon.
 const PATIENCE: u8 = 2;
@@ -65,7 +69,7 @@
 
 impl QueryRun {
     /// Picks the planned attempt that goes ahead; none if the query needs no canary.
-    pub(super) fn pick_canary(&self, tools: &EntryTools) -> Option<PlannedAttempt> {
+    pub(super) fn pick_canary(&self, tools: &EntryTools, now: Duration) -> Option<PlannedAttempt> {
         let needed = self.gather.total() >= SHARDS_LEAST && self.terms.idempotent;
         if !needed || (!self.suspect && tools.known.contains(self.fingerprint)) {
             return None;
@@ -73,7 +77,8 @@
         let first = tools.plan.iter().min_by_key(|p| p.choice.expected)?;
         let slowest = tools.plan.iter().map(|p| p.choice.work()).max()?;
         let room = first.choice.work() + slowest <= self.terms.latency / ROOM_PART;
-        (room || self.suspect).then_some(*first)
+        let alert = tools.lost_at.is_some_and(|lost| now < lost + ALERT_TERM);
+        (room || alert || self.suspect).then_some(*first)
     }
 
     /// The canary's shard is settled, or it has been out for long: asks the other shards, or tries another first.
@@ -94,6 +99,32 @@
         }
     }
 
+    /// An upstream was lost under the query. Its shard is not asked again before another shard has brought rows: if the
+    /// request is to blame, it shall not take both replicas of one service. Returns whether the shard waits.
+    pub(super) fn park(&mut self, tools: &mut EntryTools, now: Duration, slot: usize) -> bool {
+        let others = self.gather.open() > 1;
+        if !self.terms.idempotent || self.trace.ran || !others {
+            return false;
+        }
+        self.parked = true;
+        // A hedge of the same shard that is still out is the second try.
+        let tried = self.gather.slots()[slot].out > 0 || self.trace.victims >= VICTIM_LIMIT;
+        if self.canary.is_some() && !tried {
+            self.next_canary(tools, now);
+        }
+        true
+    }
+
+    /// Asks the shards that wait since an upstream was lost, once rows have come or nothing else is out.
+    pub(super) fn follow_parked(&mut self, tools: &mut EntryTools, now: Duration) {
+        let idle = || self.gather.slots().iter().all(|slot| slot.out == 0);
+        if !self.parked || self.canary.is_some() || !(self.trace.ran || idle()) {
+            return;
+        }
+        self.parked = false;
+        self.release(tools, now);
+    }
+
     fn next_canary(&mut self, tools: &mut EntryTools, now: Duration) {
         let unasked = |slot: &super::gather::ShardSlot| {
             slot.tries == 0 && slot.standing() == ShardStanding::Open
@@ -116,7 +147,7 @@
         self.canary = None;
         for slot in 0..self.gather.slots().len() {
             let state = &self.gather.slots()[slot];
-            if state.tries == 0 && state.standing() == ShardStanding::Open {
+            if state.out == 0 && state.standing() == ShardStanding::Open {
                 self.attempt_first(tools, now, slot);
             }
         }
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -87,6 +87,8 @@
     pub(super) pressed: bool,
     /// Whether it was in flight when an upstream was lost.
     pub(super) suspect: bool,
+    /// Whether a shard waits for rows of another since an upstream was lost.
+    pub(super) parked: bool,
     /// The shard that is asked first, while the others are held back.
     pub(super) canary: Option<CanaryProbe>,
     /// When the first straggler may be due.
@@ -114,6 +116,7 @@
             pressed: false,
             suspect: false,
             canary: None,
+            parked: false,
             straggler_at: Duration::MAX,
             route,
             attempts: Vec::new(),
@@ -141,7 +144,7 @@
     /// Plans the query, asks admission, and sends the first attempts at every shard.
     pub(super) fn begin(&mut self, tools: &mut EntryTools, now: Duration) -> Option<QueryOutcome> {
         self.plan(tools, now);
-        let canary = self.pick_canary(tools);
+        let canary = self.pick_canary(tools, now);
         let canary_time = canary.map_or(Duration::ZERO, |canary| canary.choice.expected);
         let refused = self
             .judge(tools, now)
--- a/crates/ebonyfork/src/entry/settle.rs
+++ b/crates/ebonyfork/src/entry/settle.rs
@@ -69,6 +69,7 @@
         }
         if self.trace.victims < VICTIM_LIMIT {
             self.follow_canary(tools, now);
+            self.follow_parked(tools, now);
         }
         self.judge(tools, now)
     }
@@ -195,6 +196,7 @@
         if reason == FailureReason::Broken {
             self.trace.victims += 1;
             tools.known.remove(self.fingerprint);
+            tools.lost_at = Some(now);
         }
         let slot = self.gather.slot_mut(closed.slot as usize);
         if reason == FailureReason::LinkDown {
@@ -207,6 +209,8 @@
         let relay_gone = reason == FailureReason::LinkDown && self.terms.idempotent;
         if ran == RunState::NotRun || relay_gone {
             self.resend(tools, now, closed.slot as usize);
+        } else if reason == FailureReason::Broken && self.park(tools, now, closed.slot as usize) {
+            // The shard stays open without an attempt.
         } else {
             self.retry(tools, now, closed.slot as usize);
         }
@@ -238,7 +242,7 @@
         self.route = route;
         self.canary = None;
         self.plan(tools, now);
-        let canary = self.pick_canary(tools);
+        let canary = self.pick_canary(tools, now);
         self.dispatch(tools, now, canary);
     }
 
--- a/crates/ebonyfork/src/entry/tools.rs
+++ b/crates/ebonyfork/src/entry/tools.rs
@@ -45,6 +45,8 @@
     pub(super) admission: AdmissionControl,
     pub(super) budget: AttemptBudget,
     pub(super) known: KnownRequests,
+    /// When an upstream was last lost under a query.
+    pub(super) lost_at: Option<Duration>,
     /// Scratch space: the routes chosen for a query that is being planned.
     pub(super) plan: Vec<PlannedAttempt>,
     pub(super) delays: FxHashMap<(ClassId, ServiceId), DelayModel>,
@@ -68,6 +70,7 @@
             admission: AdmissionControl::default(),
             budget: AttemptBudget::default(),
             known: KnownRequests::default(),
+            lost_at: None,
             plan: Vec::new(),
             delays: FxHashMap::default(),
             class_delays: SecondaryMap::new(),
