--- a/crates/ebonyfork/src/revision/publish.rs
+++ b/crates/ebonyfork/src/revision/publish.rs
@@ -486,3 +486,7 @@
     let reason = reason.to_compact_string();
     PublishAction::Finish(PublishOutcome::NotPublished { reason })
 }
+
+#[cfg(test)]
+#[path = "publish_tests.rs"]
+mod tests;
--- a/crates/ebonyforkctl/tests/commands.rs
+++ b/crates/ebonyforkctl/tests/commands.rs
@@ -5,7 +5,10 @@
 
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::platform::{VmRecord, VmState};
-use ebonyfork::revision::{HeadRecord, HeldEvidence, PublishOutcome, publish, read_head};
+use ebonyfork::revision::{
+    ChangeId, ChangeRecord, HeadRecord, HeldEvidence, PublishOutcome, publish, read_change,
+    read_head,
+};
 use ebonyfork_lab::platform::{OutageKind, PlatformFaults, PlatformStandIn};
 use ebonyforkctl::run;
 use ebonyforkctl::status::ExitStatus;
@@ -171,3 +174,34 @@
     .await;
     assert_that!(matches!(later, PublishOutcome::Published { .. }), eq(true));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_revision_that_was_overridden_is_never_called_accepted() {
+    let bench = Bench::start("overridden").await;
+    bench.run("apply DIR --timeout 0s").await;
+    let client = bench.client();
+    let published = bench.head().await;
+    let change = read_change(&client, published.change)
+        .await
+        .expect("a healthy store");
+    let change = change.expect("a record");
+    // A watcher that held another change under the same number puts that one in force again.
+    let other = ChangeRecord {
+        change: ChangeId([5; 16]),
+        ..change.clone()
+    };
+    let restored = other.restored_onto(&change, ChangeId([6; 16]), 0);
+    let value = serde_json::to_vec(&restored).expect("JSON");
+    bench.platform.put(&restored.change.key(), value);
+    bench.show(restored.head());
+    assert_that!(
+        bench.run("status --revision 1").await,
+        eq(ExitStatus::Overridden)
+    );
+    // Another change under the same number is no evidence either way.
+    bench.show(other.head());
+    assert_that!(
+        bench.run("status --revision 1").await,
+        eq(ExitStatus::NotEverywhere)
+    );
+}
