--- a/crates/ebonyfork-lab/src/publish_model.rs
+++ b/crates/ebonyfork-lab/src/publish_model/mod.rs
@@ -3,6 +3,9 @@
 //! The model runs the tier's own decisions (`PublishRun`, `ChangeRecord::follows`, `plan_restore`) against a store that
 //! is a few maps. Each history is one seed; the checks look at what was told to the operators and what the VMs held.
 
+mod counts;
+mod store;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use compact_str::format_compact;
@@ -11,55 +14,20 @@
 use ebonyfork::platform::{PlatformError, StoredVersion};
 use ebonyfork::revision::{
     ChangeId, ChangeRecord, ExpectedBase, HeadRecord, HeldEvidence, PartSet, PublishAction,
-    PublishOutcome, PublishReply, PublishRequest, PublishRun, RestorePlan, StoredHead, may_take,
-    must_adopt, plan_restore,
+    PublishOutcome, PublishReply, PublishRequest, PublishRun, RestorePlan, may_take, must_adopt,
+    plan_restore,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use counts::HistoryCounts;
+use store::{CallFate, ModelStore};
+
 const OPERATORS: usize = 2;
 const VMS: usize = 3;
 /// Publishings of each operator in one history.
 const ROUNDS: u32 = 3;
 
-/// What a set of histories came to.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct HistoryCounts {
-    /// Histories that were run.
-    pub histories: u64,
-    /// Publishings told as done.
-    pub published: u64,
-    /// Publishings that found nothing to change.
-    pub unchanged: u64,
-    /// Publishings that lost to another one.
-    pub conflicts: u64,
-    /// Publishings that provably did nothing.
-    pub not_published: u64,
-    /// Publishings that can't be told.
-    pub unknown: u64,
-    /// Times that the store went back to older data.
-    pub restarts: u64,
-    /// Times that a watcher moved the head forward again.
-    pub restored: u64,
-    /// Swaps of the head whose answer was lost although they took effect.
-    pub lost_swaps: u64,
-}
-
-impl HistoryCounts {
-    /// Adds the counts of more histories.
-    pub fn add(&mut self, other: &Self) {
-        self.histories += other.histories;
-        self.published += other.published;
-        self.unchanged += other.unchanged;
-        self.conflicts += other.conflicts;
-        self.not_published += other.not_published;
-        self.unknown += other.unknown;
-        self.restarts += other.restarts;
-        self.restored += other.restored;
-        self.lost_swaps += other.lost_swaps;
-    }
-}
-
 /// Runs one history. With `restarts`, the store goes back to older data now and then.
 ///
 /// # Examples
@@ -78,59 +46,6 @@
     Ok(history.counts)
 }
 
-#[derive(Debug, Clone, Default)]
-struct ModelStore {
-    counter: u64,
-    head: StoredHead,
-    changes: BTreeMap<ChangeId, ChangeRecord>,
-    evidence: Option<HeldEvidence>,
-}
-
-impl ModelStore {
-    fn version(&self) -> StoredVersion {
-        self.head
-            .map_or(StoredVersion::ABSENT, |(version, _)| version)
-    }
-
-    fn swap(
-        &mut self,
-        expected: StoredVersion,
-        head: HeadRecord,
-    ) -> Result<StoredVersion, PlatformError> {
-        let current = self.version();
-        if current != expected {
-            return Err(PlatformError::Conflict { current });
-        }
-        self.counter += 1;
-        let version = StoredVersion(self.counter);
-        self.head = Some((version, head));
-        Ok(version)
-    }
-
-    /// The head's record, or what stands for a lost one.
-    fn head_or_lost(&self) -> Option<ChangeRecord> {
-        let (_, head) = self.head?;
-        let change = self.changes.get(&head.change).cloned();
-        Some(change.unwrap_or_else(|| ChangeRecord::lost(head)))
-    }
-
-    fn head_change(&self) -> Option<&ChangeRecord> {
-        let (_, head) = self.head?;
-        self.changes.get(&head.change)
-    }
-}
-
-/// What happens to one call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CallFate {
-    Answered,
-    Refused,
-    LostBefore,
-    LostAfter,
-    /// The caller gives up; the call takes effect later.
-    Late,
-}
-
 #[derive(Debug)]
 struct ModelOperator {
     run: PublishRun,
--- a/crates/ebonyfork/src/catalog/feed.rs
+++ b/crates/ebonyfork/src/catalog/feed.rs
@@ -6,6 +6,10 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use rustc_hash::FxHashMap;
@@ -42,6 +46,14 @@
 #[derive(Debug, Clone)]
 pub struct CatalogHandle {
     address: Address<CatalogActor>,
+    epochs: EpochFamily,
+}
+
+type EpochFamily = Family<IndexLabels, Gauge>;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct IndexLabels {
+    index: String,
 }
 
 impl CatalogHandle {
@@ -56,8 +68,18 @@
     ) -> Self {
         let peers = ZonePeers::new(settings.vm, settings.zone.clone());
         let actor = CatalogActor::new(peers, client, writer, send);
+        let epochs = actor.epochs.clone();
         let address = spawn_catalog_actor(actor, views.config, views.topology);
-        Self { address }
+        Self { address, epochs }
+    }
+
+    /// Registers the epochs in force.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "catalog_epoch",
+            "Epoch of the catalogue in force, by index",
+            self.epochs.clone(),
+        );
     }
 
     /// Takes a message of a peer; replies go back by `from`.
@@ -92,6 +114,7 @@
     writer: watch::Sender<Arc<CatalogSet>>,
     send: Arc<SendFunction>,
     started: Instant,
+    epochs: EpochFamily,
     spread: CatalogSpread,
     watches: FxHashMap<IndexName, AbortHandle>,
     tasks: JoinSet<()>,
@@ -207,6 +230,7 @@
             writer,
             send: Arc::new(send),
             started: Instant::now(),
+            epochs: EpochFamily::default(),
             spread: CatalogSpread::new(peers, rand::random()),
             watches: FxHashMap::default(),
             tasks: JoinSet::new(),
@@ -246,6 +270,10 @@
             "put catalogue epoch {} of {index} in force, newest version {newest:?}",
             catalog.epoch,
         );
+        let labels = IndexLabels {
+            index: index.to_string(),
+        };
+        self.epochs.get_or_create(&labels).set(catalog.epoch as i64);
         self.writer.send_modify(|catalogs| {
             let mut next = CatalogSet::clone(catalogs);
             next.insert(index, catalog);
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -328,6 +328,7 @@
         dispatch.relay.register(&mut self.registry);
         dispatch.once.register(&mut self.registry);
         dispatch.revision.register(&mut self.registry);
+        dispatch.catalog.register(&mut self.registry);
         self.client.register(&mut self.registry);
         self.quarantine.register(&mut self.registry);
     }
