--- a/crates/ebonyfork/src/membership/mod.rs
+++ b/crates/ebonyfork/src/membership/mod.rs
@@ -9,6 +9,9 @@
 mod actor;
 mod belief;
 mod event;
+#[cfg(test)]
+#[path = "fleet_fixture.rs"]
+mod fleet;
 mod message;
 mod metrics;
 mod notice;
