Pass over a successor that stops as well when outcomes are handed over

Two VMs that stop at once could hand to each other: what the one took after its own handover ended with it, and the keys were unknown. A process that has handed over no longer confirms; the sender then asks the next VM in rank, with a second's patience each. The test stops the first successor before the session's own process; without the change its report is not taken.

--- a/crates/ebonyfork/src/once/actor.rs
+++ b/crates/ebonyfork/src/once/actor.rs
@@ -315,6 +315,8 @@
                     state.take_outcome(ticket, outcome, context)
                 });
             }
+            // A process that has handed over takes nothing any more: what it took now would end with it.
+            OnceMessage::Handover(_) if self.handover.is_some() => {}
             OnceMessage::Handover(part) => {
                 let session = part.session;
                 let now = self.now();
--- a/crates/ebonyfork/src/once/handle.rs
+++ b/crates/ebonyfork/src/once/handle.rs
@@ -18,6 +18,7 @@
     TakeMessage,
 };
 use crate::once::message::OnceMessage;
+use crate::once::route::session_successors;
 use crate::query::{QueryOutcome, QueryRefusal, QueryRequest, RefusalCode};
 use crate::views::NodeViews;
 use crate::wire::{LinkError, LinkSender, PeerMessage};
@@ -29,7 +30,7 @@
 /// Bound of a keyed query whose class is no longer declared.
 const LOST_CLASS_BOUND: Duration = Duration::from_secs(10);
 /// Longest wait for a successor's confirmation.
-const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two looks at what has aged.
 const EXPIRE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -64,6 +65,7 @@
 /// Runs queries, those under a key at most once. Cheap to clone.
 #[derive(Clone)]
 pub struct OnceHandle {
+    own: SessionId,
     actor: Address<OnceActor>,
     views: NodeViews,
     execute: Arc<ExecuteFunction>,
@@ -97,6 +99,7 @@
         let actor = xtra::spawn_tokio(actor, Mailbox::unbounded());
         tokio::spawn(tick(actor.downgrade()));
         Self {
+            own,
             actor,
             views,
             execute,
@@ -130,8 +133,23 @@
     }
 
     /// Planned stop: seals the session, so that this process never runs a key again, and hands all outcomes to a
-    /// successor.
+    /// successor. If it does not confirm, perhaps because it stops as well, the next VMs in rank are asked.
     pub async fn hand_over(&self, successor: VmAddress) -> HandoverReport {
+        let mut report = self.try_successor(successor).await;
+        let view = self.views.topology.borrow().clone();
+        for next in session_successors(&view, self.own) {
+            if report.taken {
+                break;
+            }
+            if next != successor {
+                log::warn!("handover: {report}; {next} is next");
+                report = self.try_successor(next).await;
+            }
+        }
+        report
+    }
+
+    async fn try_successor(&self, successor: VmAddress) -> HandoverReport {
         let (done, confirmed) = oneshot::channel();
         let sent = self.actor.send(StartHandover { successor, done }).await;
         let Ok(sent) = sent else {
--- a/crates/ebonyfork/src/once/handle_tests.rs
+++ b/crates/ebonyfork/src/once/handle_tests.rs
@@ -226,3 +226,31 @@
     );
     expect_that!(nodes[0].runs() + nodes[1].runs() + nodes[2].runs(), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_successor_that_stops_as_well_is_passed_over() {
+    let nodes = start_nodes().await;
+    let key = IdempotencyKey {
+        session: nodes[0].session,
+        sequence: 7,
+    };
+    let first = nodes[0].once.run(request("deferral", Some(key))).await;
+    let view = nodes[0].once.views.topology.borrow().clone();
+    let successors = session_successors(&view, key.session);
+    let number = |vm: VmAddress| nodes.iter().position(|node| node.session.vm == vm);
+    let (stopping, staying) = (
+        number(successors[0]).unwrap(),
+        number(successors[1]).unwrap(),
+    );
+    nodes[stopping].once.hand_over(successors[1]).await;
+    let report = nodes[0].once.hand_over(successors[0]).await;
+    expect_that!(report.taken, eq(true), "{report}");
+    nodes[0].stop.cancel();
+    nodes[stopping].stop.cancel();
+    let again = nodes[staying]
+        .once
+        .run(request("deferral", Some(key)))
+        .await;
+    expect_that!(again, eq(&first));
+}
--- a/crates/ebonyfork/src/once/route.rs
+++ b/crates/ebonyfork/src/once/route.rs
@@ -15,13 +15,7 @@
 
 /// VMs that may hold a sealed session, most likely first.
 pub fn session_candidates(view: &TopologyView, session: SessionId) -> SmallVec<[VmAddress; 4]> {
-    let mut ranked: SmallVec<[(u64, VmAddress); 16]> = SmallVec::new();
-    for vm in view.vms.keys() {
-        ranked.push((session_score(session, *vm), *vm));
-    }
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let best = ranked.iter().take(ASK_LIMIT);
-    best.map(|(_score, vm)| *vm).collect()
+    rank(view.vms.keys().copied(), session)
 }
 
 /// The VM that takes over a session when its process stops; none if no other VM stays.
@@ -37,14 +31,25 @@
 /// # Ok::<(), ebonyfork::ident::IdentError>(())
 /// ```
 pub fn session_successor(view: &TopologyView, session: SessionId) -> Option<VmAddress> {
-    let mut best = None;
-    for entry in view.vms.values() {
-        if entry.leaving || entry.vm == session.vm {
-            continue;
-        }
-        best = best.max(Some((session_score(session, entry.vm), entry.vm)));
-    }
-    best.map(|(_score, vm)| vm)
+    session_successors(view, session).first().copied()
+}
+
+/// The VMs that may take over a session when its process stops, best first.
+pub(super) fn session_successors(
+    view: &TopologyView,
+    session: SessionId,
+) -> SmallVec<[VmAddress; 4]> {
+    let staying = view.vms.values();
+    let staying = staying.filter(|entry| !entry.leaving && entry.vm != session.vm);
+    rank(staying.map(|entry| entry.vm), session)
+}
+
+fn rank(vms: impl Iterator<Item = VmAddress>, session: SessionId) -> SmallVec<[VmAddress; 4]> {
+    let mut ranked: SmallVec<[(u64, VmAddress); 16]> = SmallVec::new();
+    ranked.extend(vms.map(|vm| (session_score(session, vm), vm)));
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let best = ranked.iter().take(ASK_LIMIT);
+    best.map(|(_score, vm)| *vm).collect()
 }
 
 fn session_score(session: SessionId, vm: VmAddress) -> u64 {
