Make two relay tests independent of ports and of the order of calls

Cause, from one failed run at load 30: a freed port of 127.0.0.1 can be taken by another test before the relay connects, and the upstream may record another call before the cancellation. The refused connection now has a loopback address of its own; the cancellation is awaited by its path and must come exactly once, which the test did not check before.

--- a/crates/ebonyfork/tests/relay.rs
+++ b/crates/ebonyfork/tests/relay.rs
@@ -347,10 +347,16 @@
     bench.relay.cancel(&bench.link, cancel).await;
     let verdicts = bench.outcomes(1).await;
     expect_that!(verdicts[&6], eq(&unknown(FailureReason::Cancelled)));
-    while upstream.paths().len() < 2 {
+    let cancelled = "/v1/cancel/127.0.0.1-1.q1.a6".to_owned();
+    while !upstream.paths().contains(&cancelled) {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
-    expect_that!(upstream.paths()[1], eq("/v1/cancel/127.0.0.1-1.q1.a6"));
+    let calls = upstream
+        .paths()
+        .iter()
+        .filter(|path| **path == cancelled)
+        .count();
+    expect_that!(calls, eq(1));
     bench.submit(2, upstream.address, &[6], within).await;
     let verdicts = bench.outcomes(1).await;
     expect_that!(verdicts[&6], eq(&unknown(FailureReason::Timeout)));
@@ -389,7 +395,8 @@
 #[gtest]
 #[tokio::test]
 async fn refused_connection_is_not_run() {
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // An address that no other test listens on, so that nobody takes the port once it is free.
+    let closed = TcpListener::bind("127.0.0.91:0").await.unwrap();
     let address = UpstreamAddress(closed.local_addr().unwrap());
     drop(closed);
     let mut bench = RelayBench::start(address).await;
