Decide by times whether an upstream's request ends by its deadline or by itself

The stand-in raced two timers. Set a tick early, a run of 2 ms and a deadline that had passed could be due in the same tick of a busy machine; then the one that was looked at first won, and answers_as_the_protocol_says failed in one landing of several.

--- a/crates/ebonyfork-lab/src/upstream/server.rs
+++ b/crates/ebonyfork-lab/src/upstream/server.rs
@@ -466,11 +466,24 @@
             let time = shared.settings.service_time.draw(&mut state.rng);
             time.mul_f64(factor)
         };
+        // Which of deadline and end comes first is decided by their times, not by which timer is looked at first.
+        let ends = tokio::time::Instant::now() + time;
+        let expires = deadline < ends;
+        let until = if expires {
+            deadline
+        } else {
+            ends - time.min(TIMER_LATENESS)
+        };
         let error = || Some(empty_reply(StatusCode::INTERNAL_SERVER_ERROR));
         tokio::select! {
-            () = tokio::time::sleep(time.saturating_sub(TIMER_LATENESS)) => (ExecutionEnd::Finished, Some(self.rows())),
+            () = tokio::time::sleep_until(until) => {
+                if expires {
+                    (ExecutionEnd::Expired, error())
+                } else {
+                    (ExecutionEnd::Finished, Some(self.rows()))
+                }
+            }
             () = cancel.cancelled() => (ExecutionEnd::Cancelled, error()),
-            () = tokio::time::sleep_until(deadline) => (ExecutionEnd::Expired, error()),
             () = self.life.cancelled() => (ExecutionEnd::Crashed, None),
         }
     }
