Bound the callers' connections

An unbounded number of idle callers took descriptors and memory without end; beyond 8,192 open connections further ones now wait to be accepted.

--- a/crates/ebonyfork/src/caller/server.rs
+++ b/crates/ebonyfork/src/caller/server.rs
@@ -1,11 +1,13 @@
 //! The callers' listener.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -17,6 +19,8 @@
 const HEAD_LIMIT: usize = 32 << 10;
 /// Most headers that a request may have.
 const HEADER_LIMIT: usize = 64;
+/// Connections of callers that are open at a time; further ones wait to be accepted.
+const CONNECTION_LIMIT: usize = 8_192;
 /// Pause after the listener failed, so that a shortage of descriptors does not turn into a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -25,15 +29,23 @@
 /// After the stop no connection is accepted, requests in flight finish, and their answers carry `connection: close`.
 pub async fn serve_callers(listener: TcpListener, service: CallerService, stop: CancellationToken) {
     let connections = TaskTracker::new();
+    let places = Arc::new(Semaphore::new(CONNECTION_LIMIT));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let accepting = async {
+            let place = Arc::clone(&places).acquire_owned().await;
+            (place, listener.accept().await)
+        };
+        let (place, accepted) = tokio::select! {
+            accepted = accepting => accepted,
             () = stop.cancelled() => break,
         };
         match accepted {
             Ok((stream, _from)) => {
                 let connection = serve_connection(stream, service.clone(), stop.clone());
-                connections.spawn(connection);
+                connections.spawn(async move {
+                    connection.await;
+                    drop(place);
+                });
             }
             Err(error) => {
                 log::warn!("caller listener: {error}");
