--- a/crates/ebonyfork/src/caller/server_tests.rs
+++ b/crates/ebonyfork/src/caller/server_tests.rs
@@ -1,4 +1,4 @@
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
