--- a/crates/ebonyfork-lab/src/experiment/mod.rs
+++ b/crates/ebonyfork-lab/src/experiment/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod node;
 mod processor;
+mod race;
 mod report;
 mod runner;
 mod summary;
--- a/crates/ebonyfork-lab/src/experiment/runner.rs
+++ b/crates/ebonyfork-lab/src/experiment/runner.rs
@@ -139,6 +139,7 @@
             backends: Arc::clone(&self.backends),
             fleet: Arc::clone(&self.fleet),
             backup: self.backends.platform.backup(),
+            declared_files: scenario.declared_files.clone(),
             progress: progress.clone(),
             seed: scenario.run.seed,
             failures: Arc::clone(&failures),
--- a/crates/ebonyfork-lab/src/experiment/timeline.rs
+++ b/crates/ebonyfork-lab/src/experiment/timeline.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use ebonyfork::catalog::{IndexCatalog, VersionShards};
+use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::IndexName;
-use ebonyfork::platform::VmState;
+use ebonyfork::platform::{PlatformClient, VmState};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
@@ -13,6 +14,7 @@
 use crate::error::LabError;
 use crate::experiment::backends::{Backends, PlacedUpstream, next_version};
 use crate::experiment::fleet::Fleet;
+use crate::experiment::race::race_operators;
 use crate::experiment::runner::ProgressFunction;
 use crate::platform::{KeyStore, OutageKind, PlatformFaults, RateLimits};
 use crate::scenario::{FaultEntry, FaultKind, ServerChoice, StoreFault};
@@ -25,12 +27,17 @@
     pub(super) fleet: Arc<Fleet>,
     /// The store's data when the load began.
     pub(super) backup: KeyStore,
+    /// The scenario's declarations.
+    pub(super) declared_files: Vec<DeclaredFile>,
     pub(super) progress: ProgressFunction,
     pub(super) seed: u64,
     /// Faults that could not be played: the run then shows nothing.
     pub(super) failures: Arc<Mutex<Vec<String>>>,
 }
 
+/// Longest wait for one call of a racing operator.
+const RACE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What an upstream says that hides its state.
 const ALL_IS_WELL: StatusReport = StatusReport {
     state: UpstreamState::Ready,
@@ -124,6 +131,11 @@
             FaultKind::Kill { nodes } => return self.kill(*nodes, lasts).await,
             FaultKind::Freeze { node } => self.fleet.freeze(*node, lasts).await,
             FaultKind::Restart { pause } => return self.restart(*pause).await,
+            FaultKind::Race { operators } => {
+                let client = PlatformClient::new(self.backends.platform.address(), RACE_TIMEOUT);
+                let files = &self.declared_files;
+                return race_operators(&client, files, *operators, lasts, &self.progress).await;
+            }
             // These two are part of the load.
             FaultKind::Killer { .. } | FaultKind::Burst { .. } => {}
         }
--- a/crates/ebonyfork-lab/src/scenario/check.rs
+++ b/crates/ebonyfork-lab/src/scenario/check.rs
@@ -86,7 +86,8 @@
         FaultKind::Store { .. }
         | FaultKind::Kill { .. }
         | FaultKind::Freeze { .. }
-        | FaultKind::Restart { .. } => Ok(()),
+        | FaultKind::Restart { .. }
+        | FaultKind::Race { .. } => Ok(()),
     }
 }
 
--- a/crates/ebonyfork-lab/src/scenario/fault.rs
+++ b/crates/ebonyfork-lab/src/scenario/fault.rs
@@ -101,6 +101,11 @@
         /// Between two of them.
         pause: Duration,
     },
+    /// Operators publish at once, each a change of their own onto the same head.
+    Race {
+        /// How many.
+        operators: u32,
+    },
     /// One request that crashes upstreams is sent again and again.
     Killer {
         /// Its class.
@@ -132,7 +137,7 @@
     pub kind: FaultKind,
 }
 
-const KINDS: [(&str, &str); 12] = [
+const KINDS: [(&str, &str); 13] = [
     ("straggler", "straggler"),
     ("crash", "crash"),
     ("roll", "roll"),
@@ -143,6 +148,7 @@
     ("kill", "kill"),
     ("freeze", "freeze"),
     ("restart", "restart"),
+    ("race", "race"),
     ("killer", "killer"),
     ("burst", "burst"),
 ];
@@ -224,6 +230,9 @@
         "restart" => FaultKind::Restart {
             pause: span(reader, "pause").unwrap_or_default(),
         },
+        "race" => FaultKind::Race {
+            operators: reader.optional("operators").unwrap_or(2),
+        },
         "killer" => FaultKind::Killer {
             class: reader.required("class")?,
             rate: reader.optional("rate").unwrap_or(2.0),
