Say that a query which the entry took and lost may have run

Cause: when the entry's actor ended with a query in flight, a query without a key was refused as not run although its attempts may have run. It is unknown now.

--- a/crates/ebonyfork/src/entry/actor.rs
+++ b/crates/ebonyfork/src/entry/actor.rs
@@ -156,7 +156,6 @@
             self.metrics.refused(&request.class, &refusal);
             return Err(refusal);
         }
-        let idempotent = request.key.is_none();
         let (reply, outcome) = oneshot::channel();
         let suspect = (self.suspicion)(fingerprint);
         let query = StartQuery {
@@ -168,12 +167,10 @@
         if accepted.is_err() {
             return Err(gone(RunState::NotRun));
         }
-        let lost = if idempotent {
-            RunState::NotRun
-        } else {
-            RunState::Unknown
-        };
-        outcome.await.unwrap_or_else(|_closed| Err(gone(lost)))
+        // The actor took the query and ended without an answer: its attempts may have run.
+        outcome
+            .await
+            .unwrap_or_else(|_closed| Err(gone(RunState::Unknown)))
     }
 
     /// Takes the verdicts that a relay reports.
