Give the quarantine's records and its messages modules of their own

What is held about one request stands in record.rs now, what the rest of a process is told in entry.rs; the table keeps the decisions. No line of behaviour has changed; the tests are as they were.

--- a/crates/ebonyfork/src/quarantine/handle.rs
+++ b/crates/ebonyfork/src/quarantine/handle.rs
@@ -12,10 +12,9 @@
 use tokio::time::Instant;
 
 use crate::ident::{RequestFingerprint, UpstreamAddress};
+use crate::quarantine::entry::{LostRequest, QuarantineDecision, QuarantineEntry, RequestStanding};
 use crate::quarantine::notice::QuarantineNotice;
-use crate::quarantine::table::{
-    LostRequest, QuarantineDecision, QuarantineEntry, QuarantineTable, RequestStanding,
-};
+use crate::quarantine::table::QuarantineTable;
 
 /// Suspects whose last admission is remembered at most.
 const ADMISSION_LIMIT: usize = 8_192;
--- a/crates/ebonyfork/src/quarantine/mod.rs
+++ b/crates/ebonyfork/src/quarantine/mod.rs
@@ -9,13 +9,13 @@
 //! [`QuarantineTable`] decides and is pure; [`QuarantineHandle`] shares it within a process, logs and counts.
 //! [`QuarantineNotice`]s carry the news between VMs.
 
+mod entry;
 mod handle;
 mod notice;
+mod record;
 mod table;
 
+pub use entry::{LostRequest, QuarantineDecision, QuarantineEntry, RequestStanding};
 pub use handle::QuarantineHandle;
 pub use notice::{NoticeId, QuarantineNotice};
-pub use table::{
-    LostRequest, QUARANTINE_TERM, QuarantineDecision, QuarantineEntry, QuarantineTable,
-    RequestStanding, SUSPICION_WINDOW,
-};
+pub use table::{QUARANTINE_TERM, QuarantineTable, SUSPICION_WINDOW};
--- a/crates/ebonyfork/src/quarantine/table.rs
+++ b/crates/ebonyfork/src/quarantine/table.rs
@@ -14,7 +14,9 @@
 use smallvec::SmallVec;
 
 use crate::ident::{RequestFingerprint, UpstreamAddress};
+use crate::quarantine::entry::{LostRequest, QuarantineDecision, QuarantineEntry, RequestStanding};
 use crate::quarantine::notice::{NoticeId, QuarantineNotice};
+use crate::quarantine::record::{Conviction, LossMark, MARK_LIMIT, NEWS_DELAY, RequestRecord};
 
 /// How long a loss counts against the requests that were in flight.
 pub const SUSPICION_WINDOW: Duration = Duration::from_hours(1);
@@ -22,106 +24,8 @@
 pub const QUARANTINE_TERM: Duration = Duration::from_hours(1);
 /// Requests that are remembered at most; beyond that the one whose news is oldest is forgotten.
 const RECORD_LIMIT: usize = 8_192;
-/// Losses remembered per request.
-const MARK_LIMIT: usize = 8;
 /// Notices that wait to be told at most; beyond that the oldest is dropped.
 const NEWS_LIMIT: usize = 4_096;
-/// Notices from other VMs appear this much later than they were, at most; a lift outranks what is older than that.
-const NEWS_DELAY: Duration = Duration::from_secs(5);
-
-/// What a request may do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum RequestStanding {
-    /// It runs.
-    Clear,
-    /// It runs, but at no upstream where another suspect is in flight, and for one upstream at a time.
-    Suspect,
-    /// It is refused.
-    Quarantined,
-}
-
-/// A request that was in flight at an upstream when that was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LostRequest {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// How long before the loss it was sent.
-    pub flight: Duration,
-    /// Whether it was sent in the knowledge that it had lost an upstream before, whatever this table has heard.
-    pub after_loss: bool,
-}
-
-impl LostRequest {
-    /// A request that was sent `flight` before the loss.
-    pub fn new(fingerprint: RequestFingerprint, flight: Duration) -> Self {
-        Self {
-            fingerprint,
-            flight,
-            after_loss: false,
-        }
-    }
-}
-
-/// A change that the table has decided.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum QuarantineDecision {
-    /// The request runs alone from now on.
-    Suspect(RequestFingerprint),
-    /// The request is refused from now on.
-    Quarantine {
-        /// The request.
-        fingerprint: RequestFingerprint,
-        /// Whether other requests could have caused the losses just as well.
-        ambiguous: bool,
-    },
-    /// The request runs as any other again.
-    Clear(RequestFingerprint),
-}
-
-/// A quarantined request, as operators see it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuarantineEntry {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Upstreams that were lost under it.
-    pub victims: SmallVec<[UpstreamAddress; 2]>,
-    /// Whether other requests could have caused the losses just as well.
-    pub ambiguous: bool,
-    /// Time since it was decided.
-    pub age: Duration,
-    /// Time until it lapses if nobody sends it.
-    pub left: Duration,
-}
-
-/// One loss that counts against a request.
-#[derive(Debug, Clone, Copy)]
-struct LossMark {
-    id: NoticeId,
-    upstream: UpstreamAddress,
-    at: Duration,
-    /// When the request was sent to that upstream; known for losses that this process saw.
-    sent: Option<Duration>,
-}
-
-#[derive(Debug, Clone)]
-struct Conviction {
-    id: NoticeId,
-    victims: SmallVec<[UpstreamAddress; 2]>,
-    ambiguous: bool,
-    decided: Duration,
-    until: Duration,
-}
-
-#[derive(Debug, Default)]
-struct RequestRecord {
-    marks: SmallVec<[LossMark; 2]>,
-    /// Losses that an answer has explained otherwise; their news may still arrive.
-    cleared: SmallVec<[NoticeId; 2]>,
-    conviction: Option<Conviction>,
-    lifted: Option<Duration>,
-    /// Last change, for forgetting.
-    touched: Duration,
-}
 
 /// Suspects and quarantined requests, as one process knows them.
 #[derive(Debug)]
@@ -572,138 +476,6 @@
     }
 }
 
-impl LossMark {
-    fn notice(&self, fingerprint: RequestFingerprint, now: Duration) -> QuarantineNotice {
-        QuarantineNotice::Suspected {
-            id: self.id,
-            fingerprint,
-            upstream: self.upstream,
-            age: now.saturating_sub(self.at),
-        }
-    }
-}
-
-impl Conviction {
-    fn notice(&self, fingerprint: RequestFingerprint, now: Duration) -> QuarantineNotice {
-        QuarantineNotice::Quarantined {
-            id: self.id,
-            fingerprint,
-            victims: self.victims.clone(),
-            ambiguous: self.ambiguous,
-            age: now.saturating_sub(self.decided),
-            left: self.until.saturating_sub(now),
-        }
-    }
-}
-
-impl RequestRecord {
-    fn standing(&self, now: Duration) -> RequestStanding {
-        if self.conviction_at(now).is_some() {
-            RequestStanding::Quarantined
-        } else if self.live_marks(now).next().is_some() {
-            RequestStanding::Suspect
-        } else {
-            RequestStanding::Clear
-        }
-    }
-
-    fn conviction_at(&self, now: Duration) -> Option<&Conviction> {
-        let conviction = self.conviction.as_ref();
-        conviction.filter(|conviction| conviction.until > now)
-    }
-
-    fn live_marks(&self, now: Duration) -> impl Iterator<Item = &LossMark> {
-        let marks = self.marks.iter();
-        marks.filter(move |mark| mark.at + SUSPICION_WINDOW > now)
-    }
-
-    fn knows_loss(&self, id: NoticeId) -> bool {
-        self.cleared.contains(&id) || self.marks.iter().any(|mark| mark.id == id)
-    }
-
-    /// Tells whether an attempt that this process sent after a loss has lost its upstream as well.
-    fn is_repeated(&self, now: Duration) -> bool {
-        for later in self.live_marks(now) {
-            let Some(sent) = later.sent else {
-                continue;
-            };
-            if self.live_marks(now).any(|earlier| earlier.at < sent) {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Tells whether evidence of that time was lifted; what other VMs saw appears later than it was.
-    fn is_lifted(&self, at: Duration, exact: bool) -> bool {
-        let delay = if exact { Duration::ZERO } else { NEWS_DELAY };
-        self.lifted.is_some_and(|lifted| at <= lifted + delay)
-    }
-
-    /// Extends the term once a tenth of it has passed; returns the news.
-    fn renew(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        now: Duration,
-    ) -> Option<QuarantineNotice> {
-        let conviction = self.conviction.as_mut()?;
-        let extended = now + QUARANTINE_TERM;
-        if conviction.ambiguous || conviction.until + QUARANTINE_TERM / 10 > extended {
-            return None;
-        }
-        conviction.until = extended;
-        self.touched = now;
-        Some(conviction.notice(fingerprint, now))
-    }
-
-    fn clear_before(&mut self, sent: Duration) -> SmallVec<[NoticeId; 2]> {
-        let mut losses = SmallVec::new();
-        for mark in &self.marks {
-            if mark.at < sent {
-                losses.push(mark.id);
-            }
-        }
-        for loss in &losses {
-            self.clear_loss(*loss);
-        }
-        losses
-    }
-
-    /// Explains a loss otherwise; false if that was known.
-    fn clear_loss(&mut self, loss: NoticeId) -> bool {
-        self.marks.retain(|mark| mark.id != loss);
-        if self.cleared.contains(&loss) {
-            return false;
-        }
-        if self.cleared.len() == MARK_LIMIT {
-            self.cleared.remove(0);
-        }
-        self.cleared.push(loss);
-        true
-    }
-
-    fn lift(&mut self, at: Duration, now: Duration) {
-        self.lifted = Some(at);
-        self.conviction = None;
-        self.marks.clear();
-        self.touched = now;
-    }
-
-    fn collect_notices(
-        &self,
-        fingerprint: RequestFingerprint,
-        now: Duration,
-        notices: &mut Vec<QuarantineNotice>,
-    ) {
-        for mark in self.live_marks(now) {
-            notices.push(mark.notice(fingerprint, now));
-        }
-        if let Some(conviction) = self.conviction_at(now) {
-            notices.push(conviction.notice(fingerprint, now));
-        }
-    }
-}
-
 #[cfg(test)]
 #[path = "table_tests.rs"]
 mod tests;
