--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -371,7 +371,7 @@
 
 /// Run by hand: `cargo test --release -p ebonyfork --lib a_zone_of_a_large_fleet -- --ignored --nocapture`.
 #[gtest]
-#[ignore = "takes minutes and 4 GB; gives figures of docs/design/membership.md"]
+#[ignore = "takes minutes and 8.4 GB; gives figures of docs/design/membership.md"]
 fn a_zone_of_a_large_fleet_vanishes() {
     for size in [300, 1_000, 2_000, 4_900] {
         let mut fleet = Fleet::acquainted(size);
