--- a/crates/ebonyfork/examples/slopes.rs
+++ b/crates/ebonyfork/examples/slopes.rs
@@ -9,25 +9,21 @@
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use ebonyfork::catalog::{IndexCatalog, VersionShards};
 use ebonyfork::declaration::{DeclaredConfig, DeclaredFile};
-use ebonyfork::ident::{
-    RequestFingerprint, RevisionNumber, ShardNumber, SnapshotVersion, UpstreamAddress, VmAddress,
-};
-use ebonyfork::relay::{
-    AttemptPurpose, OutcomeBatch, ShardOutcome, ShardTarget, ShardVerdict, SubmitBatch,
-    UpstreamLoad,
-};
+use ebonyfork::ident::{RevisionNumber, SnapshotVersion, VmAddress};
 use ebonyfork::topology::{TopologyView, UpstreamEntry, VmEntry, owner_pair};
 use ebonyfork::wire::PeerMessage;
 
+#[path = "../benches/support/codec_messages.rs"]
+mod codec_messages;
+
+use codec_messages::{outcomes, submit, upstream};
+
 /// Time that each point is measured for.
 const POINT_TIME: Duration = Duration::from_millis(120);
-const SELECTION_BYTES: usize = 200;
 /// Availability zones at the size that the design is for.
 const ZONES: usize = 10;
-const ROWS_BYTES: usize = 300;
 
 /// A line fitted through measured points.
 struct FittedLine {
@@ -98,69 +94,10 @@
     best
 }
 
-fn upstream(number: u32) -> UpstreamAddress {
-    UpstreamAddress(
-        (
-            [10, (number >> 16) as u8, (number >> 8) as u8, number as u8],
-            8080,
-        )
-            .into(),
-    )
-}
-
 fn vm(number: u32) -> VmAddress {
     VmAddress(IpAddr::V4(Ipv4Addr::from(0x0b00_0000 + number)))
 }
 
-fn submit(targets: u32) -> PeerMessage {
-    let class = "tender-search".parse().expect("a valid name");
-    let selection = Bytes::from(vec![b'x'; SELECTION_BYTES]);
-    let target = |attempt| ShardTarget {
-        attempt,
-        shard: ShardNumber(attempt),
-        upstream: upstream(attempt),
-        purpose: AttemptPurpose::First,
-    };
-    PeerMessage::Submit(SubmitBatch {
-        query: 1_000_000,
-        fingerprint: RequestFingerprint::new(&class, &selection),
-        class,
-        customer: "roofers-of-tartu".parse().expect("a valid name"),
-        index: "tenders".parse().expect("a valid name"),
-        version: SnapshotVersion(17),
-        remaining_us: 300_000,
-        idempotent: true,
-        key: None,
-        selection,
-        targets: (0..targets).map(target).collect(),
-    })
-}
-
-fn outcomes(count: u32) -> PeerMessage {
-    let outcome = |attempt| ShardOutcome {
-        query: 1_000_000,
-        attempt,
-        upstream: upstream(attempt),
-        verdict: ShardVerdict::Rows {
-            version: SnapshotVersion(17),
-            body: Bytes::from(vec![b'r'; ROWS_BYTES]),
-        },
-        waited_us: 900,
-        served_us: 10_000,
-    };
-    let load = |attempt| UpstreamLoad {
-        upstream: upstream(attempt),
-        wait_us: 2_000,
-        service_us: 10_000,
-        limit: 2,
-        leaving: false,
-    };
-    PeerMessage::Outcomes(OutcomeBatch {
-        outcomes: (0..count).map(outcome).collect(),
-        loads: (0..count).map(load).collect(),
-    })
-}
-
 fn encode(message: &PeerMessage) -> Vec<u8> {
     postcard::to_stdvec(message).expect("a message encodes")
 }
