Learn slow upstreams apart from pauses, order waiting requests, postpone hopeless shards

Cause (logs of requests): histograms kept slow phases for minutes and lost pauses whose attempts were aborted, so hedges came late or never; a slow upstream was tried again every 2.6 s by each VM; waiting requests stood in order of arrival, so in overload all were late; the same two shards were left out by every query. Ruled out: budget of repeats (funded), processor time (4 % of a core).

--- a/crates/ebonyfork/src/gateway/choice.rs
+++ b/crates/ebonyfork/src/gateway/choice.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use smallvec::SmallVec;
-
 use crate::gateway::core::RouteLatency;
 use crate::gateway::ident::InstanceName;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
@@ -17,9 +15,6 @@
 /// Weight of the expected time of an upstream that was not reachable: it is taken if there is no other.
 const EJECTED_MS: f64 = 100_000.0;
 
-/// Upstreams that a request was sent to already.
-pub type TriedList = SmallVec<[InstanceName; 4]>;
-
 /// An upstream with the time in which it is expected to answer.
 #[derive(Debug, Clone)]
 pub struct UpstreamChoice {
@@ -31,10 +26,10 @@
     pub slowness: f64,
 }
 
-/// Chooses among the upstreams of a service; those that leave or were tried already are left out.
+/// Chooses among the upstreams of a service that are allowed and don't leave.
 pub fn choose_upstream(
     candidates: &[Rc<Upstream>],
-    tried: &[InstanceName],
+    allowed: impl Fn(&Upstream, &InstanceName) -> bool,
     place: &NodePlace,
     latency: &RouteLatency,
     now: Instant,
@@ -45,7 +40,7 @@
     for number in 0..candidates.len() {
         let upstream = &candidates[(number + offset) % candidates.len()];
         let entry = upstream.entry();
-        if upstream.is_leaving() || tried.contains(&entry.instance) {
+        if upstream.is_leaving() || !allowed(upstream, &entry.instance) {
             continue;
         }
         let distance = place.distance(&entry.zone);
@@ -72,6 +67,30 @@
     best.map(|(_cost, choice)| choice)
 }
 
+/// Finds an upstream nearer than the chosen one that is avoided and should be probed.
+pub fn probe_upstream(
+    candidates: &[Rc<Upstream>],
+    chosen: &UpstreamChoice,
+    place: &NodePlace,
+    now: Instant,
+) -> Option<UpstreamChoice> {
+    for upstream in candidates {
+        let distance = place.distance(&upstream.entry().zone);
+        if distance >= chosen.distance || upstream.is_leaving() {
+            continue;
+        }
+        if !upstream.health.borrow().wants_probe(now) {
+            continue;
+        }
+        return Some(UpstreamChoice {
+            upstream: Rc::clone(upstream),
+            distance,
+            slowness: 1.0,
+        });
+    }
+    None
+}
+
 #[cfg(test)]
 #[path = "choice_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request to one upstream, and what became of it.
 
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,10 +9,12 @@
 use http::{HeaderMap, Response, StatusCode, header};
 
 use crate::gateway::core::{GatewayCore, RouteLatency, now};
+use crate::gateway::hedge::STRAGGLER_SHARE;
 use crate::gateway::latency::millis;
 use crate::gateway::loss;
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::RepeatKind;
+use crate::gateway::slots::SlotOrder;
 use crate::gateway::upstream::{HeldLink, Upstream};
 use crate::http_link::LinkError;
 use crate::quarantine::LostRequest;
@@ -67,6 +70,17 @@
     }
 }
 
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let word = self.word();
+        match self {
+            Self::Answered(answer) => write!(f, "{word} status={}", answer.status.as_u16()),
+            Self::Declined(status) => write!(f, "{word} status={}", status.as_u16()),
+            Self::Unsent(reason) | Self::Lost(reason) => write!(f, "{word} reason={reason:?}"),
+        }
+    }
+}
+
 /// What an attempt needs beside the request.
 #[derive(Debug, Clone)]
 pub struct AttemptContext {
@@ -93,6 +107,13 @@
         place.distance(&self.upstream.entry().zone)
     }
 
+    /// How long such an attempt usually takes.
+    fn usual_time(&self) -> Duration {
+        let latency = self.context.latency.borrow();
+        let usual_ms = latency.track(self.distance()).quantile(0.5);
+        Duration::from_secs_f64(usual_ms / 1_000.0)
+    }
+
     /// The time so far over the usual one.
     fn slowness(&self, now: Instant) -> f64 {
         let took = millis(now.saturating_duration_since(self.began));
@@ -100,6 +121,17 @@
         took / latency.track(self.distance()).quantile(0.5)
     }
 
+    /// An attempt that was given up while it was late counts as one that would have taken as long again. Without it
+    /// pauses, which mostly end that way, vanished from the picture, and hedges with them.
+    fn record_abandoned(&self, now: Instant) {
+        let waited = now.saturating_duration_since(self.began);
+        let mut latency = self.context.latency.borrow_mut();
+        let track = latency.track_mut(self.distance());
+        if millis(waited) > track.quantile(STRAGGLER_SHARE) {
+            track.record(waited * 2, now);
+        }
+    }
+
     fn note(&mut self, outcome: &AttemptOutcome) {
         self.noted = true;
         let now = now();
@@ -109,7 +141,7 @@
                 health.note_answer(self.began, now, self.slowness(now));
                 let took = now.saturating_duration_since(self.began);
                 let mut latency = self.context.latency.borrow_mut();
-                latency.track_mut(self.distance()).record(took);
+                latency.track_mut(self.distance()).record(took, now);
             }
             AttemptOutcome::Unsent(_) => health.note_unreachable(self.began, now),
             AttemptOutcome::Answered(_) | AttemptOutcome::Declined(_) | AttemptOutcome::Lost(_) => {
@@ -129,6 +161,7 @@
             Some(_) => {
                 let now = now();
                 health.note_abandoned(self.began, now, self.slowness(now));
+                self.record_abandoned(now);
             }
             None => health.note_unsent(self.began),
         }
@@ -141,6 +174,7 @@
     context: &AttemptContext,
     upstream: &Rc<Upstream>,
     request: &ForwardRequest,
+    useful_until: Option<Instant>,
     before_send: impl FnOnce() -> bool,
 ) -> AttemptOutcome {
     let began = now();
@@ -156,7 +190,12 @@
         RepeatKind::Idempotent => REPEAT_FRESH,
         RepeatKind::Once => ONCE_FRESH,
     };
-    let outcome = match upstream.connect(fresh, CONNECT_TIME).await {
+    let order = SlotOrder {
+        useful_until,
+        need: record.usual_time(),
+        received: request.received,
+    };
+    let outcome = match upstream.connect(order, fresh, CONNECT_TIME).await {
         Err(error) => AttemptOutcome::Unsent(reason(&error)),
         Ok(held) => {
             if upstream.is_leaving() || !before_send() {
@@ -196,7 +235,10 @@
     let response = match held.link.exchange(message, ANSWER_LIMIT).await {
         Ok(response) => response,
         Err(error) => {
-            upstream.note_broken(now());
+            if !held.reused {
+                // A new connection that breaks at once was one too many.
+                upstream.narrow(now());
+            }
             // What was kept beside it is likely to have ended as well.
             upstream.drop_idle();
             if matches!(error, LinkError::Unsent { .. }) {
@@ -254,6 +296,7 @@
         upstream.keep(held, idle_time(&head.headers));
     }
     if declined {
+        upstream.narrow(now());
         return AttemptOutcome::Declined(head.status);
     }
     AttemptOutcome::Answered(UpstreamAnswer {
--- a/crates/ebonyfork/src/gateway/gather.rs
+++ b/crates/ebonyfork/src/gateway/gather.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use crate::gateway::choice::TriedList;
 use crate::gateway::exchange::UpstreamAnswer;
 
 /// What is known of one shard.
@@ -21,8 +20,6 @@
 pub struct ShardState {
     /// What is known of it.
     pub standing: ShardStanding,
-    /// Upstreams that it was sent to.
-    pub tried: TriedList,
     /// Attempts that are out.
     pub out: usize,
     /// Attempts that may have run, those that are out included.
@@ -33,18 +30,20 @@
     pub unsent: usize,
     /// Whether a connection broke under it.
     pub lost: bool,
+    /// Whether it is not sent for now: its part is unlikely to come in time, and enough others are there.
+    pub postponed: bool,
 }
 
 impl ShardState {
     fn new() -> Self {
         Self {
             standing: ShardStanding::Open,
-            tried: TriedList::new(),
             out: 0,
             ran: 0,
             declined: 0,
             unsent: 0,
             lost: false,
+            postponed: false,
         }
     }
 
@@ -123,6 +122,25 @@
         self.failed += 1;
     }
 
+    /// Shards that can be left out without making the answer too thin.
+    pub fn surplus(&self) -> usize {
+        let postponed = self.shards.iter().filter(|shard| shard.postponed).count();
+        (self.shards.len() - self.failed - postponed).saturating_sub(self.least)
+    }
+
+    /// Whether the answer would be too thin without postponed shards.
+    pub fn lacks(&self) -> bool {
+        let postponed = self.shards.iter().filter(|shard| shard.postponed).count();
+        self.shards.len() - self.failed - postponed < self.least
+    }
+
+    /// Ends the postponement of a shard, if one is postponed.
+    pub fn resume_one(&mut self) -> Option<usize> {
+        let number = self.shards.iter().position(|shard| shard.postponed)?;
+        self.shards[number].postponed = false;
+        Some(number)
+    }
+
     /// Parts that are in.
     pub fn answered(&self) -> usize {
         self.answered
@@ -156,7 +174,8 @@
             return Some(GatherEnd::Whole);
         }
         let open = total - self.answered - self.failed;
-        if open == 0 && self.is_enough() {
+        let postponed = self.shards.iter().filter(|shard| shard.postponed).count();
+        if open == postponed && self.is_enough() {
             return Some(GatherEnd::Partial);
         }
         if self.answered + open < self.least {
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -1,22 +1,36 @@
 //! What a process has learnt about one upstream from its own requests. Status checks are never asked: they lag and lie.
+//!
+//! Two things look alike at first: an upstream that pauses for a moment and one that has turned slow. One late answer,
+//! or several that were out side by side, may be a pause; a late answer to an attempt that was begun after the last late
+//! one had ended shows a slow upstream. A pause shows while it lasts, by the attempts that are out.
 
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
-/// Weight of a new sample against what is known: about five samples turn the picture.
-const SAMPLE_WEIGHT: f64 = 0.2;
-/// Time after which half of what is known about an upstream that got no requests is forgotten, so that it is tried
-/// again. Slow phases last some seconds.
-const MEMORY: Duration = Duration::from_secs(3);
-/// Largest slowness taken from one sample: a single long pause must not condemn an upstream.
-const SLOWNESS_LIMIT: f64 = 12.0;
+use super::latency::millis;
+
+/// Weight of a new sample against what is known.
+const SAMPLE_WEIGHT: f64 = 0.25;
+/// Weight of a sample that shows a slow upstream: two queries pay for learning it, not five.
+const SLOW_WEIGHT: f64 = 0.6;
+/// Time after which half of what is known about an upstream that got no requests is forgotten. Slow phases last some
+/// seconds; probes find out sooner that one has passed.
+const MEMORY: Duration = Duration::from_secs(6);
+/// Time over the usual one from which an answer counts as late.
+const LATE: f64 = 3.0;
+/// Slowness taken from a late answer that may be due to a pause.
+const PAUSE_SLOWNESS: f64 = 1.5;
+/// Largest slowness taken from one sample.
+const SLOWNESS_LIMIT: f64 = 20.0;
 /// Shortest time without new requests after a connection could not be made.
 const EJECTION_FIRST: Duration = Duration::from_millis(200);
 /// Longest such time: upstreams come back after some seconds.
 const EJECTION_LONGEST: Duration = Duration::from_secs(2);
 /// Slowness of an upstream that has just started, until its own samples tell.
 const COLD_SLOWNESS: f64 = 1.6;
+/// Time between two probes of an upstream that is avoided.
+const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// What is known about one upstream. Times are given by the caller.
 #[derive(Debug, Clone)]
@@ -29,6 +43,10 @@
     cold_until: Instant,
     ejected_until: Option<Instant>,
     strikes: u32,
+    /// When the first late answer came since the last one in time.
+    late_since: Option<Instant>,
+    /// When it was last probed or got an ordinary request.
+    used: Instant,
     /// When each attempt that is out was begun.
     out: SmallVec<[Instant; 8]>,
 }
@@ -43,6 +61,8 @@
             cold_until: now + cold,
             ejected_until: None,
             strikes: 0,
+            late_since: None,
+            used: now,
             out: SmallVec::new(),
         }
     }
@@ -58,6 +78,7 @@
 
     /// An attempt is begun.
     pub fn begin(&mut self, now: Instant) {
+        self.used = self.used.max(now);
         self.out.push(now);
     }
 
@@ -72,11 +93,25 @@
     pub fn note_answer(&mut self, began: Instant, now: Instant, slowness: f64) {
         self.end(began);
         self.age(now);
-        let slowness = slowness.min(SLOWNESS_LIMIT);
-        self.slowness += (slowness - self.slowness) * SAMPLE_WEIGHT;
         self.success += (1.0 - self.success) * SAMPLE_WEIGHT;
         self.strikes = 0;
         self.ejected_until = None;
+        self.learn(began, now, slowness);
+    }
+
+    fn learn(&mut self, began: Instant, now: Instant, slowness: f64) {
+        if slowness < LATE {
+            self.slowness += (slowness - self.slowness) * SAMPLE_WEIGHT;
+            self.late_since = None;
+            return;
+        }
+        let since = *self.late_since.get_or_insert(now);
+        if began >= since {
+            let slowness = slowness.min(SLOWNESS_LIMIT);
+            self.slowness += (slowness - self.slowness) * SLOW_WEIGHT;
+        } else {
+            self.slowness = self.slowness.max(PAUSE_SLOWNESS);
+        }
     }
 
     /// An attempt was declined, or failed after it was sent.
@@ -98,11 +133,11 @@
     /// An attempt was given up before it ended; `slowness` is its time so far over the usual one.
     pub fn note_abandoned(&mut self, began: Instant, now: Instant, slowness: f64) {
         self.end(began);
-        if slowness <= self.slowness {
+        if slowness <= self.slowness.max(LATE) {
             return;
         }
         self.age(now);
-        self.slowness += (slowness.min(SLOWNESS_LIMIT) - self.slowness) * SAMPLE_WEIGHT;
+        self.learn(began, now, slowness);
     }
 
     /// An attempt was given up before it was sent.
@@ -110,11 +145,6 @@
         self.end(began);
     }
 
-    /// Attempts that are out.
-    pub fn outstanding(&self) -> usize {
-        self.out.len()
-    }
-
     /// How long the oldest attempt has been out.
     pub fn oldest(&self, now: Instant) -> Duration {
         let oldest = self.out.iter().min();
@@ -128,13 +158,17 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it is time to find out by one request whether an upstream that is avoided has recovered.
+    pub fn wants_probe(&self, now: Instant) -> bool {
+        let rested = now.saturating_duration_since(self.used) >= PROBE_PERIOD;
+        rested && self.out.is_empty() && !self.is_ejected(now)
+    }
+
     /// How long an attempt is expected to take, in milliseconds, if such attempts usually take `usual_ms` and `slots`
     /// run side by side.
     pub fn expected_ms(&self, now: Instant, usual_ms: f64, slots: usize) -> f64 {
         /// An upstream that answers nothing is still tried at times.
         const LEAST_SUCCESS: f64 = 0.05;
-        /// An attempt that is out for this many times the usual time shows a pause.
-        const PAUSED: f64 = 3.0;
         let mut aged = self.clone();
         aged.age(now);
         let cold = if now < self.cold_until {
@@ -145,8 +179,8 @@
         let queued = self.out.len() as f64 / slots.max(1) as f64;
         let own = usual_ms * aged.slowness.max(cold);
         let expected = own * (1.0 + queued) / aged.success.max(LEAST_SUCCESS);
-        let oldest = super::latency::millis(self.oldest(now));
-        if oldest > own * PAUSED {
+        let oldest = millis(self.oldest(now));
+        if oldest > own * LATE {
             // A pause that has lasted for some time is likely to last for as long again.
             return expected + oldest;
         }
--- a/crates/ebonyfork/src/gateway/hedge.rs
+++ b/crates/ebonyfork/src/gateway/hedge.rs
@@ -3,7 +3,7 @@
 use crate::gateway::latency::LatencyTrack;
 
 /// Share of the attempts that have ended when one is first looked at as a straggler.
-const STRAGGLER_SHARE: f64 = 0.9;
+pub const STRAGGLER_SHARE: f64 = 0.9;
 /// Gain in the likelihood of an answer in time for which a hedge is sent. A hedge loads an upstream and may cross
 /// regions, which costs about a fifth of what a shard in time is worth.
 const LEAST_GAIN: f64 = 0.35;
--- a/crates/ebonyfork/src/gateway/latency.rs
+++ b/crates/ebonyfork/src/gateway/latency.rs
@@ -3,7 +3,7 @@
 //! A kind is a route and a distance. The histogram answers the two questions of a hedge: how likely is an attempt that
 //! has been out for a while to end before a given moment, and how likely is a fresh one.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Buckets of a histogram. With [`GROWTH`] they reach from [`FIRST_MS`] to about 30 s.
 const BUCKETS: usize = 64;
@@ -11,8 +11,12 @@
 const FIRST_MS: f64 = 0.5;
 /// Ratio of the bounds of two neighbouring buckets: a quantile is off by at most a fifth.
 const GROWTH: f64 = 1.19;
-/// Weight of all samples at which the older half is forgotten: some seconds of a busy route.
-const WEIGHT_LIMIT: f64 = 3_000.0;
+/// Time in which samples lose half of their weight. Slow phases of upstreams last some seconds; a longer memory took
+/// them for usual long after they had passed, so that hedges were sent too late (quick checks at light load had 43 %
+/// partial answers).
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Weight below which samples are no longer forgotten: some picture must remain of a route with few requests.
+const WEIGHT_LEAST: f64 = 24.0;
 /// Weight of the assumed samples a new histogram begins with; a few dozen real ones outweigh them.
 const PRIOR_WEIGHT: f64 = 8.0;
 
@@ -21,6 +25,8 @@
 pub struct LatencyTrack {
     weights: [f64; BUCKETS],
     total: f64,
+    /// Since when no weight was taken away; `None` before the first sample.
+    aged: Option<Instant>,
 }
 
 impl LatencyTrack {
@@ -29,13 +35,13 @@
     /// # Examples
     ///
     /// ```
-    /// use std::time::Duration;
+    /// use std::time::{Duration, Instant};
     ///
     /// use ebonyfork::gateway::LatencyTrack;
     ///
     /// let mut track = LatencyTrack::new(Duration::from_millis(50));
     /// for _ in 0..200 {
-    ///     track.record(Duration::from_millis(10));
+    ///     track.record(Duration::from_millis(10), Instant::now());
     /// }
     /// assert!(track.quantile(0.5) < 13.0);
     /// assert!(track.survival(20.0) < 0.1);
@@ -44,6 +50,7 @@
         let mut track = Self {
             weights: [0.0; BUCKETS],
             total: 0.0,
+            aged: None,
         };
         // Spread over a factor of four, since nothing is known yet.
         for factor in [0.5, 0.75, 1.0, 2.0] {
@@ -52,21 +59,31 @@
         track
     }
 
-    /// Takes in how long an attempt took.
-    pub fn record(&mut self, took: Duration) {
+    /// Takes in how long an attempt took that ended at `now`.
+    pub fn record(&mut self, took: Duration, now: Instant) {
+        self.age(now);
         self.add(millis(took), 1.0);
     }
 
     fn add(&mut self, took_ms: f64, weight: f64) {
         self.weights[bucket(took_ms)] += weight;
         self.total += weight;
-        if self.total < WEIGHT_LIMIT {
+    }
+
+    /// Halves the weights for each half-life that has passed.
+    fn age(&mut self, now: Instant) {
+        let since = *self.aged.get_or_insert(now);
+        let passed = now.saturating_duration_since(since);
+        if passed < HALF_LIFE {
             return;
         }
+        self.aged = Some(now);
+        let kept = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let kept = kept.max((WEIGHT_LEAST / self.total).min(1.0));
         for weight in &mut self.weights {
-            *weight *= 0.5;
+            *weight *= kept;
         }
-        self.total *= 0.5;
+        self.total *= kept;
     }
 
     /// The time within which a share of the attempts end, in milliseconds.
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod route;
 mod run;
 mod settings;
+mod slots;
 mod status;
 mod upstream;
 mod vms;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -210,7 +210,10 @@
         tokio::time::sleep(SWEEP_PERIOD).await;
         let time = now();
         core.registry.expire(time);
-        core.registry.for_each(|upstream| upstream.drop_stale(time));
+        core.registry.for_each(|upstream| {
+            upstream.drop_stale(time);
+            upstream.widen(time);
+        });
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(BUDGET_ROUNDS) {
             core.budget.borrow_mut().forget_idle(core.uptime());
--- a/crates/ebonyfork/src/gateway/run.rs
+++ b/crates/ebonyfork/src/gateway/run.rs
@@ -9,26 +9,27 @@
 
 use compact_str::{CompactString, format_compact};
 use futures_util::StreamExt;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
 use smallvec::SmallVec;
 
-use crate::gateway::choice::{UpstreamChoice, choose_upstream};
+use crate::gateway::choice::{UpstreamChoice, choose_upstream, probe_upstream};
 use crate::gateway::core::{GatewayCore, ServiceState, now};
 use crate::gateway::exchange::{AttemptContext, AttemptOutcome, UpstreamAnswer, run_attempt};
 use crate::gateway::gather::{GatherEnd, GatherState};
-use crate::gateway::hedge::HedgeQuestion;
-use crate::gateway::ident::UpstreamService;
+use crate::gateway::hedge::{HedgeQuestion, STRAGGLER_SHARE};
+use crate::gateway::ident::{InstanceName, UpstreamService};
 use crate::gateway::latency::millis;
 use crate::gateway::metrics::OutcomeLabel;
 use crate::gateway::reply::{CallerReply, RefusalReason, forwarded, gathered, refusal};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{GatherTerms, RepeatKind, RouteEntry};
 use crate::gateway::settings::PlaceDistance;
+use crate::gateway::upstream::Upstream;
 use crate::quarantine::RequestStanding;
 
 /// What is kept of the target for the way back to the caller and the work on the answer.
-const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// What is kept of the deadline for the same.
 const FINISH_MARGIN: Duration = Duration::from_millis(15);
 /// How long attempts that are no longer needed may go on, so that their connections can be used again: a new one holds
@@ -40,6 +41,11 @@
 const DECLINED_LIMIT: usize = 3;
 /// Attempts of one shard of which nothing was sent before it is given up.
 const UNSENT_LIMIT: usize = 4;
+/// Attempts of one shard that may have run before it is given up, on the same upstreams or others.
+const SENT_LIMIT: usize = 4;
+/// Likelihood of a part in time below which a shard is left out from the start, if enough others remain. What it would
+/// add is less than what its work takes from the queries behind it.
+const SKIP_LIKELIHOOD: f64 = 0.3;
 /// Shards whose connection has broken from which on the request itself is suspected: one more attempt goes first
 /// alone.
 const SUSPICIOUS_LOSSES: usize = 2;
@@ -83,13 +89,17 @@
 #[derive(Debug)]
 struct LiveAttempt {
     shard: usize,
+    instance: InstanceName,
+    /// Whether the request may have run there.
+    may_have_run: bool,
+    abort: AbortHandle,
     began: Instant,
     distance: PlaceDistance,
     next_look: Instant,
     ended: bool,
 }
 
-type AttemptSet = FuturesUnordered<LocalBoxFuture<'static, FinishedAttempt>>;
+type AttemptSet = FuturesUnordered<LocalBoxFuture<'static, Option<FinishedAttempt>>>;
 
 /// A request as it runs.
 struct QueryRun {
@@ -179,11 +189,76 @@
             self.start(probe, Duration::ZERO);
             return;
         }
-        for shard in 0..shards {
-            self.start(shard, Duration::ZERO);
+        let choices: Vec<_> = (0..shards).map(|shard| self.choose(shard, false)).collect();
+        self.postpone_hopeless(&choices);
+        for (shard, choice) in choices.into_iter().enumerate() {
+            self.begin_shard(shard, choice);
+        }
+    }
+
+    /// Postpones the shards whose parts are least likely to come in time, as far as the others suffice. The least likely
+    /// go first, so that the load falls where it is highest.
+    fn postpone_hopeless(&mut self, choices: &[Option<UpstreamChoice>]) {
+        if self.state.surplus() == 0 {
+            return;
+        }
+        let mut hopeless: SmallVec<[(f64, usize); 8]> = SmallVec::new();
+        for (shard, choice) in choices.iter().enumerate() {
+            let Some(choice) = choice else { continue };
+            let likelihood = self.likelihood(choice);
+            if likelihood < SKIP_LIKELIHOOD && self.find_probe(shard, choice).is_none() {
+                hopeless.push((likelihood, shard));
+            }
+        }
+        hopeless.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        for (_likelihood, shard) in hopeless {
+            if self.state.surplus() == 0 {
+                return;
+            }
+            self.state.shard_mut(shard).postponed = true;
         }
     }
 
+    /// Sends a shard for the first time, unless it is postponed.
+    fn begin_shard(&mut self, shard: usize, choice: Option<UpstreamChoice>) {
+        if self.state.shards()[shard].postponed {
+            return;
+        }
+        let Some(choice) = choice else {
+            self.state.fail(shard);
+            return;
+        };
+        let probe = self.find_probe(shard, &choice);
+        self.launch(shard, choice, Duration::ZERO);
+        if let Some(probe) = probe
+            && self.spend(shard)
+        {
+            self.launch(shard, probe, Duration::ZERO);
+        }
+    }
+
+    /// An upstream that is avoided and could be tried beside the chosen one.
+    fn find_probe(&self, shard: usize, choice: &UpstreamChoice) -> Option<UpstreamChoice> {
+        if self.attempts_allowed() < 2 || self.request.after_loss.get() {
+            return None;
+        }
+        let core = &self.context.core;
+        let candidates = core.registry.upstreams(self.target.service(shard));
+        probe_upstream(&candidates, choice, &core.settings.place, now())
+    }
+
+    /// How likely a part comes while it is of use.
+    fn likelihood(&self, choice: &UpstreamChoice) -> f64 {
+        let time = now();
+        let Some(until) = self.state.useful_until(time) else {
+            return 1.0;
+        };
+        let left = millis(until.saturating_duration_since(time));
+        let latency = self.context.latency.borrow();
+        let track = latency.track(choice.distance);
+        1.0 - track.survival(left / choice.slowness)
+    }
+
     /// Begins an attempt of a shard after a pause; the shard fails if it can't have one and none is out.
     fn start(&mut self, shard: usize, pause: Duration) {
         if self.try_start(shard, pause) || self.state.shards()[shard].out > 0 {
@@ -194,7 +269,7 @@
 
     fn try_start(&mut self, shard: usize, pause: Duration) -> bool {
         let state = &self.state.shards()[shard];
-        if state.ran >= self.attempts_allowed() {
+        if state.ran >= self.sends_allowed() {
             return false;
         }
         let repeat = state.ran > 0 || state.declined > 0;
@@ -208,6 +283,7 @@
         true
     }
 
+    /// Most upstreams on which a shard may run.
     fn attempts_allowed(&self) -> usize {
         match self.route.repeat {
             RepeatKind::Idempotent => self.route.attempts.max(1),
@@ -215,6 +291,32 @@
         }
     }
 
+    /// Most attempts of a shard that may run, on the same upstreams or others.
+    fn sends_allowed(&self) -> usize {
+        match self.route.repeat {
+            RepeatKind::Idempotent => SENT_LIMIT,
+            RepeatKind::Once => 1,
+        }
+    }
+
+    /// Attempts of a shard.
+    fn attempts_of(&self, shard: usize) -> impl Iterator<Item = &LiveAttempt> {
+        self.live
+            .iter()
+            .filter(move |attempt| attempt.shard == shard)
+    }
+
+    /// Upstreams on which a shard may have run.
+    fn upstreams_run(&self, shard: usize) -> SmallVec<[&InstanceName; 4]> {
+        let mut upstreams = SmallVec::new();
+        for attempt in self.attempts_of(shard) {
+            if attempt.may_have_run && !upstreams.contains(&&attempt.instance) {
+                upstreams.push(&attempt.instance);
+            }
+        }
+        upstreams
+    }
+
     /// Takes a repeat out of the budget.
     fn spend(&self, shard: usize) -> bool {
         let core = &self.context.core;
@@ -228,23 +330,38 @@
         funded
     }
 
-    /// Chooses an upstream that the shard was not sent to; one that has declined it may be asked again.
+    /// Chooses an upstream that the shard was not sent to; if there is none and no attempt is out, one that it was sent
+    /// to, but never more upstreams than the route allows.
     fn choose(&self, shard: usize, repeat: bool) -> Option<UpstreamChoice> {
         let core = &self.context.core;
         let candidates = core.registry.upstreams(self.target.service(shard));
-        let state = &self.state.shards()[shard];
         let latency = self.context.latency.borrow();
         let place = &core.settings.place;
-        let choice = choose_upstream(&candidates, &state.tried, place, &latency, now());
-        if choice.is_some() || state.out > 0 || (repeat && state.ran > 0) {
-            return choice;
-        }
-        choose_upstream(&candidates, &[], place, &latency, now())
+        let time = now();
+        if !repeat && self.state.shards()[shard].unsent == 0 {
+            return choose_upstream(&candidates, |_, _| true, place, &latency, time);
+        }
+        let run = self.upstreams_run(shard);
+        let more = run.len() < self.attempts_allowed();
+        let fresh = |instance: &InstanceName| {
+            let mut attempts = self.attempts_of(shard);
+            more && !attempts.any(|attempt| attempt.instance == *instance)
+        };
+        let reachable = |upstream: &Upstream| !upstream.health.borrow().is_ejected(time);
+        let alone = self.state.shards()[shard].out == 0;
+        let again = |instance: &InstanceName| alone && (more || run.contains(&instance));
+        let pick = |allowed: &dyn Fn(&Upstream, &InstanceName) -> bool| {
+            choose_upstream(&candidates, allowed, place, &latency, time)
+        };
+        pick(&|upstream, instance| reachable(upstream) && fresh(instance))
+            .or_else(|| pick(&|upstream, instance| reachable(upstream) && again(instance)))
+            .or_else(|| pick(&|_upstream, instance| fresh(instance) || again(instance)))
     }
 
     fn launch(&mut self, shard: usize, choice: UpstreamChoice, pause: Duration) {
         let began = now();
         let number = self.live.len();
+        let (abort, registration) = AbortHandle::new_pair();
         let next_look = {
             let latency = self.context.latency.borrow();
             let first = HedgeQuestion::next_look(latency.track(choice.distance), 0.0);
@@ -256,26 +373,28 @@
             distance: choice.distance,
             next_look,
             ended: false,
+            instance: choice.upstream.entry().instance.clone(),
+            may_have_run: true,
+            abort,
         });
         let state = self.state.shard_mut(shard);
-        let instance = choice.upstream.entry().instance.clone();
-        if !state.tried.contains(&instance) {
-            state.tried.push(instance);
-        }
         state.out += 1;
         state.ran += 1;
         let context = self.context.clone();
         let request = Rc::clone(&self.request);
         let cancelled = Rc::clone(&self.cancelled);
+        let useful_until = self.state.useful_until(began);
         let attempt = async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
             let may_send = || !cancelled.get();
-            let outcome = run_attempt(&context, &choice.upstream, &request, may_send).await;
+            let upstream = &choice.upstream;
+            let outcome = run_attempt(&context, upstream, &request, useful_until, may_send).await;
             FinishedAttempt { number, outcome }
         };
-        self.set.push(Box::pin(attempt));
+        let attempt = Abortable::new(attempt, registration);
+        self.set.push(Box::pin(async move { attempt.await.ok() }));
     }
 
     /// Waits for attempts and times until the request has an end.
@@ -287,16 +406,27 @@
             if let Some(end) = self.state.judge(time) {
                 return end;
             }
+            self.resume_postponed(time);
             self.look_for_stragglers(time);
             let wake = self.next_wake(time);
             timer.as_mut().reset(tokio::time::Instant::from_std(wake));
             tokio::select! {
-                Some(finished) = self.set.next() => self.take_finished(finished),
+                Some(finished) = self.set.next() => self.take_ended(finished),
                 () = &mut timer => {}
             }
         }
     }
 
+    /// Sends postponed shards after all: as many as have failed, and all once the target has passed without enough.
+    fn resume_postponed(&mut self, time: Instant) {
+        while self.state.lacks() || self.state.useful_until(time).is_none() {
+            let Some(shard) = self.state.resume_one() else {
+                return;
+            };
+            self.start(shard, Duration::ZERO);
+        }
+    }
+
     fn next_wake(&self, time: Instant) -> Instant {
         let mut wake = self.state.next_judgement(time);
         for attempt in &self.live {
@@ -308,10 +438,20 @@
         wake
     }
 
+    /// An attempt has ended; one that was aborted belongs to a shard whose part is in.
+    fn take_ended(&mut self, finished: Option<FinishedAttempt>) {
+        if let Some(finished) = finished {
+            self.take_finished(finished);
+        }
+    }
+
     fn take_finished(&mut self, finished: FinishedAttempt) {
         let FinishedAttempt { number, outcome } = finished;
-        self.live[number].ended = true;
-        let shard = self.live[number].shard;
+        let attempt = &mut self.live[number];
+        attempt.ended = true;
+        attempt.may_have_run = outcome.may_have_run();
+        let shard = attempt.shard;
+        self.log_attempt(number, &outcome);
         let label = OutcomeLabel(outcome.word());
         let metrics = &self.context.core.metrics;
         metrics.attempts.get_or_create(&label).inc();
@@ -349,6 +489,22 @@
         }
     }
 
+    /// Tells of an attempt that brought no answer; the request's own line sums up the others.
+    fn log_attempt(&self, number: usize, outcome: &AttemptOutcome) {
+        if matches!(outcome, AttemptOutcome::Answered(answer) if answer.status.is_success()) {
+            return;
+        }
+        let attempt = &self.live[number];
+        let id = self.request.id.to_str().unwrap_or("-");
+        log::info!(
+            target: "ebonyfork::decision",
+            "attempt request={id} service={} instance={} after_ms={} {outcome}",
+            self.target.service(attempt.shard),
+            attempt.instance,
+            now().saturating_duration_since(attempt.began).as_millis()
+        );
+    }
+
     fn retry_unless(&mut self, given_up: bool, shard: usize, pause: Duration) {
         if given_up && self.state.shards()[shard].out == 0 {
             self.state.fail(shard);
@@ -374,15 +530,13 @@
     }
 
     fn has_untried(&self, shard: usize) -> bool {
-        let tried = &self.state.shards()[shard].tried;
-        let candidates = self
-            .context
-            .core
-            .registry
-            .upstreams(self.target.service(shard));
-        candidates
-            .iter()
-            .any(|upstream| !upstream.is_leaving() && !tried.contains(&upstream.entry().instance))
+        let service = self.target.service(shard);
+        let candidates = self.context.core.registry.upstreams(service);
+        candidates.iter().any(|upstream| {
+            let entry = upstream.entry();
+            let mut attempts = self.attempts_of(shard);
+            !upstream.is_leaving() && !attempts.any(|attempt| attempt.instance == entry.instance)
+        })
     }
 
     /// A connection has broken under a shard. A request under which several have broken may be what crashes the
@@ -457,7 +611,8 @@
     fn hedge(&mut self, number: usize, time: Instant) {
         let shard = self.live[number].shard;
         let suspected = self.probe.is_some() || self.request.after_loss.get();
-        if suspected || self.state.shards()[shard].ran >= self.attempts_allowed() {
+        let full = self.upstreams_run(shard).len() >= self.attempts_allowed();
+        if suspected || full || self.state.shards()[shard].ran >= self.sends_allowed() {
             return;
         }
         let Some(choice) = self.choose(shard, true) else {
@@ -540,6 +695,15 @@
     /// Attempts that are out may end for a while, so that their connections can be used again.
     fn drop(&mut self) {
         self.cancelled.set(true);
+        let time = now();
+        for attempt in &self.live {
+            let waited = millis(time.saturating_duration_since(attempt.began));
+            let latency = self.context.latency.borrow();
+            // What is late already waits in a queue or a pause; ending it takes it out of there.
+            if waited > latency.track(attempt.distance).quantile(STRAGGLER_SHARE) {
+                attempt.abort.abort();
+            }
+        }
         let mut set = std::mem::take(&mut self.set);
         if set.is_empty() || self.context.core.state() == ServiceState::Finishing {
             return;
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::ident::{InstanceName, PlaceName, UpstreamService};
+use crate::gateway::slots::{SlotOrder, SlotPermit, SlotQueue};
 use crate::http_link::{HttpLink, LinkError};
 use crate::quarantine::LostRequest;
 
@@ -34,6 +33,11 @@
 /// Margin by which a kept connection is given up before the upstream's own idle time ends: a request that crosses the
 /// upstream's close is lost.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time without a refusal after which one more connection is tried.
+const WIDEN_PERIOD: Duration = Duration::from_secs(1);
+/// How long connections beyond the first are kept. An upstream counts the connections of a VM that has lost power until
+/// its own idle time ends; with every spare one kept, VMs that all came back at once found no room for some 8 s.
+const SPARE_KEPT: Duration = Duration::from_millis(400);
 /// How long a connection is kept whose upstream states no idle time.
 const IDLE_ASSUMED: Duration = Duration::from_secs(4);
 
@@ -53,11 +57,12 @@
     /// What was learnt about it.
     pub health: RefCell<UpstreamHealth>,
     idle: RefCell<Vec<IdleLink>>,
-    permits: std::sync::Arc<Semaphore>,
+    slots: SlotQueue,
+    /// Connections that this process may hold.
     share: Cell<usize>,
+    /// When the upstream last turned a connection away, or a permit was given back since.
+    narrowed: Cell<Option<Instant>>,
     leaving: Cell<bool>,
-    /// Connections that broke under a request or while idle, with the time of the last.
-    broken: Cell<Option<Instant>>,
     /// Requests under which a connection broke, until it is known whether the upstream was lost.
     lost: RefCell<Vec<LostRequest>>,
 }
@@ -69,7 +74,7 @@
     pub link: HttpLink,
     /// Whether it has carried a request before.
     pub reused: bool,
-    permit: OwnedSemaphorePermit,
+    permit: SlotPermit,
 }
 
 impl Upstream {
@@ -81,9 +86,9 @@
             leaving: Cell::new(entry.leaving),
             entry: RefCell::new(Rc::new(entry)),
             idle: RefCell::default(),
-            permits: std::sync::Arc::new(Semaphore::new(share)),
+            slots: SlotQueue::new(share),
             share: Cell::new(share),
-            broken: Cell::new(None),
+            narrowed: Cell::new(None),
             lost: RefCell::default(),
         }
     }
@@ -112,37 +117,44 @@
 
     /// Changes how many connections this process may hold.
     pub fn set_share(&self, share: usize) {
-        let share = share.max(1);
-        let before = self.share.replace(share);
-        if share > before {
-            self.permits.add_permits(share - before);
-            return;
-        }
-        let surplus = before - share;
-        let forgotten = self.permits.forget_permits(surplus);
-        // Permits in use can't be taken back at once; they count until the next change.
-        self.share.set(share + surplus - forgotten);
-        self.idle.borrow_mut().truncate(share);
+        self.share.set(share.max(1));
+        let narrowed = self.narrowed.get().is_some();
+        self.grant(if narrowed {
+            self.slots.granted()
+        } else {
+            share
+        });
     }
 
-    /// Connections that this process may hold.
-    pub fn share(&self) -> usize {
-        self.share.get()
+    /// Changes how many connections may be used at a time, within the share.
+    fn grant(&self, wanted: usize) {
+        let wanted = wanted.clamp(1, self.share.get());
+        self.slots.grant(wanted);
+        self.idle.borrow_mut().truncate(wanted);
     }
 
-    /// Closes the kept connections.
-    pub fn drop_idle(&self) {
-        self.idle.borrow_mut().clear();
+    /// The upstream has turned a connection or a request away: fewer are tried at a time.
+    pub fn narrow(&self, now: Instant) {
+        self.narrowed.set(Some(now));
+        self.grant(self.slots.granted().saturating_sub(1));
     }
 
-    /// Whether a kept connection was found to have ended since a moment.
-    pub fn broke_since(&self, since: Instant) -> bool {
-        self.broken.get().is_some_and(|broken| broken >= since)
+    /// Gives back a permit when the upstream has turned nothing away for a while.
+    pub fn widen(&self, now: Instant) {
+        let Some(narrowed) = self.narrowed.get() else {
+            return;
+        };
+        if now.saturating_duration_since(narrowed) < WIDEN_PERIOD {
+            return;
+        }
+        self.grant(self.slots.granted() + 1);
+        let whole = self.slots.granted() >= self.share.get();
+        self.narrowed.set((!whole).then_some(now));
     }
 
-    /// Notes that a connection broke.
-    pub fn note_broken(&self, now: Instant) {
-        self.broken.set(Some(now));
+    /// Closes the kept connections.
+    pub fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
     }
 
     /// Notes a request under which a connection broke; tells whether it is the first since [`Self::take_lost`].
@@ -159,8 +171,13 @@
 
     /// Waits for the right to use a connection and takes a kept one that has lain idle for less than `fresh`, or opens
     /// one within a bound.
-    pub async fn connect(&self, fresh: Duration, within: Duration) -> Result<HeldLink, LinkError> {
-        let Ok(permit) = std::sync::Arc::clone(&self.permits).acquire_owned().await else {
+    pub async fn connect(
+        &self,
+        order: SlotOrder,
+        fresh: Duration,
+        within: Duration,
+    ) -> Result<HeldLink, LinkError> {
+        let Some(permit) = self.slots.acquire(order).await else {
             let reason = "the upstream is gone".into();
             return Err(LinkError::Unsent { reason });
         };
@@ -185,10 +202,6 @@
         let mut idle = self.idle.borrow_mut();
         while let Some(kept) = idle.pop() {
             let age = now.saturating_duration_since(kept.since);
-            if kept.link.is_closed() {
-                self.broken.set(Some(now));
-                continue;
-            }
             if age > kept.keep.min(fresh) || !kept.link.is_ready() {
                 continue;
             }
@@ -216,13 +229,18 @@
 
     /// Closes kept connections that nobody has used in time.
     pub fn drop_stale(&self, now: Instant) {
-        let stale = |kept: &IdleLink| now.saturating_duration_since(kept.since) > kept.keep;
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|kept| !stale(kept) && !kept.link.is_closed());
-    }
-
-    /// Connections kept idle.
-    pub fn idle_count(&self) -> usize {
-        self.idle.borrow().len()
+        // The last one was used last, so the ones before it are spare.
+        let last = idle.len().saturating_sub(1);
+        let mut number = 0;
+        idle.retain(|kept| {
+            let allowed = if number < last {
+                kept.keep.min(SPARE_KEPT)
+            } else {
+                kept.keep
+            };
+            number += 1;
+            now.saturating_duration_since(kept.since) <= allowed && !kept.link.is_closed()
+        });
     }
 }
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -8,7 +8,6 @@
 mod mirror;
 
 use std::fmt;
-use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
