--- /dev/null
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -0,0 +1,109 @@
+//! Values that the gateway's tests share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderName, HeaderValue, StatusCode};
+
+use crate::gateway::budget::BudgetTerms;
+use crate::gateway::dialect::{GatewayDialect, StoredKind, WireNames};
+use crate::gateway::exchange::UpstreamAnswer;
+use crate::gateway::ident::{InstanceName, PlaceName, UpstreamService};
+use crate::gateway::settings::{GatewaySettings, ListenAddresses, NodePlace};
+use crate::gateway::upstream::UpstreamEntry;
+use crate::settings::LogSettings;
+
+/// Header names that no platform uses.
+pub fn wire_names() -> WireNames {
+    WireNames {
+        request_id: HeaderName::from_static("x-request-id"),
+        deadline: HeaderName::from_static("x-deadline"),
+        signature: HeaderName::from_static("x-signature"),
+        expected_instance: HeaderName::from_static("x-instance"),
+        not_run: HeaderName::from_static("x-not-run"),
+        part_signatures: HeaderName::from_static("x-signatures"),
+        missing_parts: HeaderName::from_static("x-missing"),
+    }
+}
+
+/// A dialect that knows no store and no control calls.
+pub fn dialect() -> GatewayDialect {
+    GatewayDialect {
+        names: wire_names(),
+        classify: |_key| StoredKind::Other,
+        read_config: |_key, _value| unreachable!("no configuration is stored in this test"),
+        read_upstream: |_key, _value| unreachable!("no upstream is stored in this test"),
+        vm_key: |caller| CompactString::new(caller.to_string()),
+        read_call: |_uri| None,
+        write_locate: |_reply| (HeaderValue::from_static("text/plain"), Bytes::new()),
+    }
+}
+
+/// A VM in zone `north-a` of a deployment with two regions.
+pub fn place() -> NodePlace {
+    let zones = [
+        ("north-a", "north"),
+        ("north-b", "north"),
+        ("south-a", "south"),
+    ];
+    NodePlace {
+        name: "vm-1".into(),
+        address: [127, 0, 0, 1].into(),
+        zone: PlaceName::new("north-a"),
+        region: PlaceName::new("north"),
+        zones: zones
+            .into_iter()
+            .map(|(zone, region)| (PlaceName::new(zone), PlaceName::new(region)))
+            .collect(),
+    }
+}
+
+/// Settings whose addresses are never bound.
+pub fn settings() -> GatewaySettings {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    GatewaySettings {
+        place: place(),
+        listen: ListenAddresses {
+            callers: address,
+            ready: address,
+            directory: address,
+            metrics: address,
+            peer_port: 0,
+        },
+        store: address,
+        grace: Duration::from_secs(6),
+        budget: BudgetTerms {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        },
+        log: LogSettings::default(),
+    }
+}
+
+/// The entry of an upstream.
+pub fn entry(instance: &str, service: &str, zone: &str, address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        instance: InstanceName::new(instance),
+        service: UpstreamService::new(service),
+        address,
+        zone: PlaceName::new(zone),
+        slots: 2,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+/// A signed answer.
+pub fn signed(signature: &str, body: &'static [u8]) -> UpstreamAnswer {
+    let mut headers = http::HeaderMap::new();
+    let value = HeaderValue::from_str(signature).expect("a valid signature");
+    headers.insert(wire_names().signature, value);
+    UpstreamAnswer {
+        status: StatusCode::OK,
+        headers,
+        body: Bytes::from_static(body),
+    }
+}
--- a/crates/ebonyfork/src/gateway/hedge_tests.rs
+++ b/crates/ebonyfork/src/gateway/hedge_tests.rs
@@ -1,1 +1,50 @@
+use std::time::{Duration, Instant};
 
+use googletest::prelude::*;
+
+use super::*;
+
+/// Attempts that take 30 ms but for 5 % that meet a pause of 300 ms; `extra_ms` is the distance.
+fn pausing(extra_ms: u64) -> LatencyTrack {
+    let mut track = LatencyTrack::new(Duration::from_millis(30));
+    let now = Instant::now();
+    for number in 0..400_u64 {
+        let took = if number % 20 == 0 { 330 } else { 30 };
+        track.record(Duration::from_millis(took + extra_ms), now);
+    }
+    track
+}
+
+#[gtest]
+fn a_hedge_goes_where_it_helps() {
+    let near = pausing(0);
+    let far = pausing(24);
+    let cases = [
+        // (waited, left, slowness of the other, expected)
+        (10.0, Some(230.0), 1.0, false), // still usual
+        (80.0, Some(160.0), 1.0, true),  // paused, the other can make it
+        (80.0, Some(40.0), 1.0, false),  // the other can't make it
+        (80.0, Some(160.0), 4.0, false), // the other is slow too
+        (80.0, None, 1.0, true),         // late already: whatever comes first
+    ];
+    for (waited_ms, left_ms, other_slowness, expected) in cases {
+        let question = HedgeQuestion {
+            waited_ms,
+            left_ms,
+            original: &near,
+            other: &far,
+            other_slowness,
+        };
+        expect_that!(question.is_worth(), eq(expected), "{question:?}");
+    }
+}
+
+#[gtest]
+fn looks_become_rarer() {
+    let track = pausing(0);
+    let first = HedgeQuestion::next_look(&track, 0.0);
+    expect_that!(first, all![ge(30.0), lt(60.0)]);
+    let second = HedgeQuestion::next_look(&track, first);
+    expect_that!(second - first, ge(LOOK_STEP_MS));
+    expect_that!(HedgeQuestion::next_look(&track, 600.0), eq(700.0));
+}
--- a/crates/ebonyfork/src/gateway/merge_tests.rs
+++ b/crates/ebonyfork/src/gateway/merge_tests.rs
@@ -1,1 +1,59 @@
+use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, prop_assert_eq, proptest};
 
+use super::*;
+
+#[gtest]
+fn ties_count_and_remainders_do_not() {
+    let record = |byte: u8| [byte; RECORD_BYTES];
+    let mut part = record(3).to_vec();
+    part.extend_from_slice(&record(9));
+    part.extend_from_slice(&[255; RECORD_BYTES - 1]);
+    let merged = merge_records([part.as_slice(), &record(9), &[]], 3);
+    let expected: Vec<u8> = [record(9), record(9), record(3)].concat();
+    expect_that!(merged.to_vec(), eq(&expected));
+}
+
+#[gtest]
+fn no_parts_and_no_records_make_an_empty_body() {
+    expect_that!(merge_records([], 10).len(), eq(0));
+    expect_that!(merge_records([&[7_u8; 15][..]], 10).len(), eq(0));
+    expect_that!(merge_records([&[7_u8; 32][..]], 0).len(), eq(0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Whatever the parts hold, the result is that of sorting everything.
+    #[test]
+    fn the_result_is_that_of_a_whole_sort(
+        parts in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..200), 0..12),
+        top in 0_usize..12,
+    ) {
+        let mut all: Vec<Record> = Vec::new();
+        for part in &parts {
+            for record in part.chunks_exact(RECORD_BYTES) {
+                let mut copy = [0; RECORD_BYTES];
+                copy.copy_from_slice(record);
+                all.push(copy);
+            }
+        }
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        let merged = merge_records(parts.iter().map(Vec::as_slice), top);
+        prop_assert_eq!(merged.to_vec(), all.concat());
+    }
+
+    /// Merging a group of parts first changes nothing: the greatest of the whole are the greatest of the groups.
+    #[test]
+    fn merging_in_two_levels_changes_nothing(
+        near in proptest::collection::vec(any::<u8>(), 0..320),
+        far in proptest::collection::vec(any::<u8>(), 0..320),
+        top in 0_usize..12,
+    ) {
+        let direct = merge_records([near.as_slice(), far.as_slice()], top);
+        let merged_far = merge_records([far.as_slice()], top);
+        let in_two = merge_records([near.as_slice(), merged_far.as_ref()], top);
+        prop_assert_eq!(direct, in_two);
+    }
+}
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -16,6 +16,8 @@
 mod core;
 mod dialect;
 mod exchange;
+#[cfg(test)]
+mod fixture;
 mod follow;
 mod gather;
 mod gossip;
--- a/crates/ebonyfork/src/gateway/request_tests.rs
+++ b/crates/ebonyfork/src/gateway/request_tests.rs
@@ -1,1 +1,78 @@
+use googletest::prelude::*;
+use http::HeaderName;
 
+use super::*;
+use crate::gateway::fixture::wire_names;
+
+fn forward(headers: &[(&str, &str)], target: &str, body: &'static [u8]) -> ForwardRequest {
+    let mut builder = Request::builder().method("POST").uri(target);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let (parts, ()) = builder.body(()).expect("a valid request").into_parts();
+    let now = Instant::now();
+    let id = HeaderValue::from_static("9c41");
+    ForwardRequest::new(&wire_names(), parts, Bytes::from_static(body), id, now, now)
+}
+
+#[gtest]
+fn headers_of_one_connection_stay_behind() {
+    let request = forward(
+        &[
+            ("host", "a.example"),
+            ("connection", "keep-alive, X-Hop"),
+            ("x-hop", "1"),
+            ("keep-alive", "timeout=5"),
+            ("te", "trailers"),
+            ("transfer-encoding", "chunked"),
+            ("upgrade", "h2c"),
+            ("proxy-connection", "close"),
+            ("content-length", "99"),
+            ("expect", "100-continue"),
+            ("x-kept", "yes"),
+            ("x-deadline", "70000"),
+            ("x-instance", "someone-else"),
+            ("x-request-id", "9c41"),
+        ],
+        "/x/?q=%20a",
+        b"body",
+    );
+    let built = request.build(&wire_names(), &InstanceName::new("i-1"), 250);
+    let mut names: Vec<_> = built.headers().keys().map(HeaderName::as_str).collect();
+    names.sort_unstable();
+    expect_that!(
+        names,
+        elements_are![
+            eq(&"host"),
+            eq(&"x-deadline"),
+            eq(&"x-instance"),
+            eq(&"x-kept"),
+            eq(&"x-request-id")
+        ]
+    );
+    expect_that!(built.headers()["x-deadline"].to_str().unwrap_or_default(), eq("250"));
+    expect_that!(built.headers()["x-instance"].to_str().unwrap_or_default(), eq("i-1"));
+    expect_that!(built.uri().to_string(), eq("/x/?q=%20a"));
+}
+
+#[gtest]
+fn an_absolute_target_is_sent_as_a_path() {
+    let request = forward(&[("host", "a.example")], "http://a.example/x/1?b=2", b"");
+    let built = request.build(&wire_names(), &InstanceName::new("i-1"), 1);
+    expect_that!(built.uri().to_string(), eq("/x/1?b=2"));
+}
+
+#[gtest]
+fn a_fingerprint_names_the_request_and_not_the_attempt() {
+    let base = forward(&[("host", "a"), ("x-request-id", "1")], "/x/", b"b");
+    let again = forward(&[("host", "a"), ("x-request-id", "2")], "/x/", b"b");
+    expect_that!(again.fingerprint, eq(base.fingerprint));
+    let others = [
+        forward(&[("host", "b")], "/x/", b"b"),
+        forward(&[("host", "a")], "/x/?q", b"b"),
+        forward(&[("host", "a")], "/x/", b"c"),
+    ];
+    for other in others {
+        expect_that!(other.fingerprint, not(eq(base.fingerprint)));
+    }
+}
--- a/crates/ebonyfork/src/gateway/route_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_tests.rs
@@ -1,1 +1,82 @@
+use std::time::Duration;
 
+use googletest::prelude::*;
+
+use super::*;
+
+fn limits() -> CallerLimits {
+    CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 262_144,
+        header_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteEntry {
+    RouteEntry {
+        name: RouteName::new(name),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: RepeatKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(200),
+        attempts: 2,
+        priority: 1,
+        destination: RouteTarget::One(UpstreamService::new("s")),
+    }
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = [
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("root", "b.example", "/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let table = RouteTable::new(ConfigVersion(1), routes, [], limits());
+    let cases = [
+        ("a.example", "/x/1", Some("short")),
+        ("a.example", "/x/y/1", Some("long")),
+        ("a.example", "/x/y", Some("short")),
+        ("a.example", "/x", None),
+        ("a.example", "/", None),
+        ("A.Example:8080", "/x/y/", Some("long")),
+        ("b.example", "/x/y/", Some("root")),
+        ("b.example", "/x/y/z/", Some("other")),
+        ("c.example", "/x/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = table.find(host, path).map(|route| route.name.as_str());
+        expect_that!(found, eq(expected), "{host} {path}");
+    }
+}
+
+#[gtest]
+fn the_least_number_of_shards_is_rounded_up() {
+    let cases = [
+        (20, 0.89, 18),
+        (20, 0.75, 15),
+        (20, 0.95, 19),
+        (90, 0.95, 86),
+        (90, 0.85, 77),
+        (3, 0.0, 1),
+        (3, 1.0, 3),
+        (10, 0.3, 3),
+    ];
+    for (shards, least_coverage, expected) in cases {
+        let terms = GatherTerms {
+            shards: (0..shards)
+                .map(|number: usize| UpstreamService::new(number.to_string()))
+                .collect(),
+            top: 5,
+            least_coverage,
+        };
+        expect_that!(
+            terms.least_shards(),
+            eq(expected),
+            "{shards} {least_coverage}"
+        );
+    }
+}
--- a/crates/ebonyfork/src/gateway/slots_tests.rs
+++ b/crates/ebonyfork/src/gateway/slots_tests.rs
@@ -1,1 +1,88 @@
+use std::time::Duration;
 
+use googletest::prelude::*;
+use tokio::time::Instant as TokioInstant;
+
+use super::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn order(received_ms: u64, useful_ms: Option<u64>, start: Instant) -> SlotOrder {
+    SlotOrder {
+        useful_until: useful_ms.map(|useful| start + ms(useful)),
+        need: ms(30),
+        received: start + ms(received_ms),
+    }
+}
+
+/// Lets waiters queue up behind one permit and returns the order in which they get it.
+async fn served(queue: &SlotQueue, orders: Vec<(char, SlotOrder)>) -> String {
+    let held = queue.acquire(orders[0].1).await;
+    let finished = Rc::new(RefCell::new(String::new()));
+    let local = tokio::task::LocalSet::new();
+    for (name, order) in orders {
+        let (queue, finished) = (queue.clone(), Rc::clone(&finished));
+        local.spawn_local(async move {
+            let permit = queue.acquire(order).await;
+            finished.borrow_mut().push(name);
+            drop(permit);
+        });
+    }
+    local
+        .run_until(async {
+            tokio::task::yield_now().await;
+            drop(held);
+        })
+        .await;
+    local.await;
+    finished.take()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn those_that_can_be_in_time_go_first() {
+    let start = TokioInstant::now().into_std();
+    let queue = SlotQueue::new(1);
+    let orders = vec![
+        ('l', order(0, None, start)),     // late already
+        ('h', order(1, Some(20), start)), // can't make it any more
+        ('b', order(2, Some(200), start)),
+        ('a', order(3, Some(100), start)), // the most pressing that can
+    ];
+    expect_that!(served(&queue, orders).await, eq("ablh"));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_waiter_that_gives_up_is_passed_over() {
+    let start = TokioInstant::now().into_std();
+    let queue = SlotQueue::new(1);
+    let held = queue.acquire(order(0, None, start)).await;
+    {
+        let waiting = queue.acquire(order(1, None, start));
+        let waited = tokio::time::timeout(ms(10), waiting).await;
+        expect_that!(waited.is_err(), eq(true));
+    }
+    drop(held);
+    let next = tokio::time::timeout(ms(10), queue.acquire(order(2, None, start))).await;
+    expect_that!(next.is_ok(), eq(true));
+    expect_that!(queue.state.borrow().used, eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_smaller_grant_holds_as_permits_come_back() {
+    let start = TokioInstant::now().into_std();
+    let queue = SlotQueue::new(2);
+    let first = queue.acquire(order(0, None, start)).await;
+    let _second = queue.acquire(order(0, None, start)).await;
+    queue.grant(1);
+    drop(first);
+    let third = tokio::time::timeout(ms(10), queue.acquire(order(1, None, start))).await;
+    expect_that!(third.is_err(), eq(true));
+    queue.grant(2);
+    let fourth = tokio::time::timeout(ms(10), queue.acquire(order(2, None, start))).await;
+    expect_that!(fourth.is_ok(), eq(true));
+}
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -1,1 +1,149 @@
+use googletest::prelude::*;
 
+use super::*;
+use crate::gateway::fixture::place;
+use crate::ident::IncarnationNumber;
+use crate::membership::{MemberDigest, MemberEntry};
+
+fn caller(last: u8) -> SocketAddr {
+    ([10, 0, 0, last], 80).into()
+}
+
+fn record(last: u8, zone: &str, region: &str) -> VmRecord {
+    VmRecord {
+        caller: caller(last),
+        zone: zone.into(),
+        region: region.into(),
+    }
+}
+
+/// This VM is 10.0.0.1 in north-a; another one beside it, two in north-b, two in south-a.
+fn directory() -> VmDirectory {
+    let directory = VmDirectory::new(caller(1));
+    let records = [
+        record(1, "north-a", "north"),
+        record(2, "north-a", "north"),
+        record(3, "north-b", "north"),
+        record(4, "north-b", "north"),
+        record(5, "south-a", "south"),
+        record(6, "south-a", "south"),
+    ];
+    for record in records {
+        directory.put(&format!("vm/{}", record.caller).into(), record);
+    }
+    directory
+}
+
+fn members(states: &[(u8, MemberState)]) -> Arc<MemberSnapshot> {
+    let member = |(last, state): &(u8, MemberState)| MemberEntry {
+        vm: VmAddress(caller(*last).ip()),
+        zone: "any".parse().expect("a valid name"),
+        incarnation: IncarnationNumber(1),
+        state: *state,
+        digest: MemberDigest::default(),
+    };
+    Arc::new(MemberSnapshot::new(states.iter().map(member)))
+}
+
+fn homes(shares: &[(&str, f64)]) -> ZoneShares {
+    let pair = |(zone, share): &(&str, f64)| (PlaceName::new(zone), *share);
+    shares.iter().map(pair).collect()
+}
+
+fn located(directory: &VmDirectory, homes: &ZoneShares, own: bool) -> Vec<u8> {
+    let place = place();
+    let own = own.then_some(&place);
+    let addresses = directory.locate(&place, homes, own);
+    let last = |address: &SocketAddr| match address.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[3],
+        std::net::IpAddr::V6(_) => 0,
+    };
+    addresses.iter().map(last).collect()
+}
+
+#[gtest]
+fn callers_go_to_vms_beside_the_upstreams() {
+    let directory = directory();
+    let cases: [(&[(&str, f64)], &[u8]); 5] = [
+        (&[], &[1, 2]),
+        (&[("north-a", 1.0), ("south-a", 1.0)], &[1, 2]),
+        (&[("north-b", 1.0), ("south-a", 1.0)], &[3, 4]),
+        (&[("south-a", 1.0)], &[5, 6]),
+        (
+            &[("north-a", 0.3), ("north-b", 0.3), ("south-a", 0.4)],
+            &[1, 2],
+        ),
+    ];
+    for (shares, expected) in cases {
+        let found = located(&directory, &homes(shares), true);
+        expect_that!(found, eq(&expected.to_vec()), "{shares:?}");
+    }
+}
+
+#[gtest]
+fn failed_and_leaving_vms_are_left_out() {
+    let directory = directory();
+    directory.take_members(members(&[(2, MemberState::Leaving)]));
+    // One VM is left in the zone, so the region's are named as well.
+    expect_that!(
+        located(&directory, &homes(&[]), true),
+        elements_are![eq(&1), eq(&3), eq(&4)]
+    );
+    directory.take_members(members(&[
+        (2, MemberState::Failed),
+        (3, MemberState::Suspect),
+    ]));
+    expect_that!(
+        located(&directory, &homes(&[]), true),
+        elements_are![eq(&1), eq(&4)]
+    );
+    expect_that!(directory.count(), eq(5));
+}
+
+#[gtest]
+fn a_stopping_vm_does_not_name_itself() {
+    let directory = directory();
+    expect_that!(
+        located(&directory, &homes(&[]), false),
+        elements_are![eq(&2), eq(&3), eq(&4)]
+    );
+}
+
+#[gtest]
+fn a_lapsed_registration_of_a_living_vm_is_kept() {
+    let directory = directory();
+    directory.take_members(members(&[(2, MemberState::Alive)]));
+    directory.retain(&FxHashSet::default());
+    expect_that!(
+        located(&directory, &homes(&[]), true),
+        elements_are![eq(&1), eq(&2)]
+    );
+    expect_that!(directory.is_missing(&"vm/10.0.0.1:80".into()), eq(true));
+}
+
+#[gtest]
+fn shares_count_shards_and_not_upstreams() {
+    use std::time::Instant;
+
+    use crate::gateway::fixture::entry;
+
+    let registry = UpstreamRegistry::new();
+    let now = Instant::now();
+    let entries = [
+        ("1", "s", "north-a"),
+        ("2", "s", "north-a"),
+        ("3", "t", "south-a"),
+    ];
+    for (instance, service, zone) in entries {
+        registry.put(
+            &instance.into(),
+            entry(instance, service, zone, caller(9)),
+            now,
+            1,
+        );
+    }
+    let shards = [UpstreamService::new("s"), UpstreamService::new("t")];
+    let shares = zone_shares(&registry, &shards);
+    expect_that!(shares[&PlaceName::new("north-a")], eq(0.5));
+    expect_that!(shares[&PlaceName::new("south-a")], eq(0.5));
+}
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -1,1 +1,126 @@
+use bytes::Bytes;
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
+use super::*;
+
+fn item(key: &str, revision: u64) -> StoreItem {
+    StoreItem {
+        key: key.into(),
+        value: Bytes::from(revision.to_string()),
+        revision: StoreRevision(revision),
+    }
+}
+
+fn page(items: Vec<StoreItem>, more: bool, revision: u64) -> StorePage {
+    StorePage {
+        items,
+        more,
+        revision: StoreRevision(revision),
+    }
+}
+
+fn watch(events: Vec<StoreEvent>, revision: u64) -> StoreWatch {
+    StoreWatch {
+        events,
+        revision: StoreRevision(revision),
+    }
+}
+
+fn removed(key: &str, revision: u64) -> StoreEvent {
+    StoreEvent::Removed {
+        key: key.into(),
+        revision: StoreRevision(revision),
+    }
+}
+
+fn following(items: Vec<StoreItem>, revision: u64) -> MirrorState {
+    let mut mirror = MirrorState::new();
+    let change = mirror.take_page(page(items, false, revision));
+    expect_that!(change.is_some(), eq(true));
+    mirror
+}
+
+#[gtest]
+fn pages_are_put_together_and_followed_from_the_first() {
+    let mut mirror = MirrorState::new();
+    expect_that!(mirror.take_page(page(vec![item("a", 3)], true, 10)), none());
+    let after = Some(CompactString::new("a"));
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after }));
+    let change = mirror.take_page(page(vec![item("b", 12)], false, 13));
+    let whole = MirrorChange::Replaced(vec![item("a", 3), item("b", 12)]);
+    expect_that!(change, some(eq(&whole)));
+    let after = StoreRevision(10);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+    // The change that the second page has shown already is not told again.
+    let change = mirror.take_watch(watch(vec![StoreEvent::Written(item("b", 12))], 13));
+    expect_that!(change, none());
+}
+
+#[gtest]
+fn a_key_never_goes_back() {
+    let mut mirror = following(vec![item("op/config", 20)], 15);
+    let older = StoreEvent::Written(item("op/config", 17));
+    expect_that!(mirror.take_watch(watch(vec![older], 18)), none());
+    let newer = StoreEvent::Written(item("op/config", 21));
+    let change = mirror.take_watch(watch(vec![newer.clone()], 21));
+    expect_that!(change, some(eq(&MirrorChange::Changed(vec![newer]))));
+}
+
+#[gtest]
+fn of_several_changes_of_a_key_the_last_is_told() {
+    let mut mirror = following(vec![item("a", 1)], 1);
+    let events = vec![
+        StoreEvent::Written(item("b", 2)),
+        removed("a", 3),
+        removed("b", 4),
+        StoreEvent::Written(item("a", 5)),
+    ];
+    let change = mirror.take_watch(watch(events, 5));
+    let expected = vec![StoreEvent::Written(item("a", 5))];
+    expect_that!(change, some(eq(&MirrorChange::Changed(expected))));
+}
+
+#[gtest]
+fn lost_history_means_reading_anew_at_once() {
+    let mut mirror = following(vec![item("a", 1)], 1);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    mirror.take_failure(&StoreError::HistoryGone, &mut rng);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    expect_that!(mirror.is_following(), eq(false));
+}
+
+#[gtest]
+fn a_failed_watch_goes_on_where_it_was_after_a_pause() {
+    let mut mirror = following(vec![item("a", 1)], 7);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let lost = StoreError::Lost {
+        reason: "silent".into(),
+    };
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        mirror.take_failure(&lost, &mut rng);
+        let MirrorStep::Pause(pause) = mirror.next_step() else {
+            panic!("expected a pause");
+        };
+        pauses.push(pause);
+        let after = StoreRevision(7);
+        expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+    }
+    expect_that!(pauses[0], le(RETRY_FIRST));
+    expect_that!(pauses[7], all![ge(RETRY_LONGEST / 2), le(RETRY_LONGEST)]);
+}
+
+#[gtest]
+fn a_range_that_breaks_off_is_read_from_its_beginning() {
+    let mut mirror = MirrorState::new();
+    mirror.take_page(page(vec![item("a", 1)], true, 1));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let down = StoreError::Refused {
+        reason: "503".into(),
+    };
+    mirror.take_failure(&down, &mut rng);
+    expect_that!(matches!(mirror.next_step(), MirrorStep::Pause(_)), eq(true));
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+}
