--- /dev/null
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -0,0 +1,131 @@
+//! Gathering parts for other VMs: runs the asked shards on the upstreams beside this VM and replies with merged parts.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{AbortHandle, Abortable};
+use rustc_hash::FxHashMap;
+
+use crate::gateway::core::{GatewayCore, ServiceState, now};
+use crate::gateway::ident::RouteName;
+use crate::gateway::partial::{FailedShard, PartialMessage, PartialQuery, PartialReply};
+use crate::gateway::request::ForwardRequest;
+use crate::gateway::route::{GatherTerms, RouteEntry, RouteTarget};
+use crate::gateway::run::run_partial;
+use crate::ident::SessionId;
+use crate::wire::{LinkSender, PeerMessage};
+
+type AggregateKey = (Option<SessionId>, u64);
+
+/// Parts that this VM gathers for others.
+#[derive(Debug, Default)]
+pub struct AggregateTable {
+    running: RefCell<FxHashMap<AggregateKey, AbortHandle>>,
+}
+
+impl AggregateTable {
+    /// Ends the gathering of a query that another VM has ended.
+    pub fn cancel(&self, from: &LinkSender, number: u64) {
+        if let Some(running) = self.running.borrow_mut().remove(&(from.peer(), number)) {
+            running.abort();
+        }
+    }
+}
+
+/// Begins to gather the shards of another VM's query.
+pub fn take_query(core: &Rc<GatewayCore>, from: LinkSender, query: PartialQuery) {
+    let Some((route, terms)) = find_terms(core, &query) else {
+        refuse(&from, &query);
+        return;
+    };
+    let key = (from.peer(), query.number);
+    let core = Rc::clone(core);
+    let (abort, registration) = AbortHandle::new_pair();
+    core.aggregates.running.borrow_mut().insert(key, abort);
+    tokio::task::spawn_local(async move {
+        let gathering = gather_parts(&core, route, terms, query, &from);
+        // Aborted when the asking VM has ended the query.
+        let _aborted = Abortable::new(gathering, registration).await;
+        core.aggregates.running.borrow_mut().remove(&key);
+    });
+}
+
+/// The route of a query and the shards that are asked for; none unless this process uses the same configuration.
+fn find_terms(core: &GatewayCore, query: &PartialQuery) -> Option<(Rc<RouteEntry>, GatherTerms)> {
+    let table = core.table()?;
+    if table.version().0 != query.version || core.state() == ServiceState::Finishing {
+        return None;
+    }
+    let route = table.find_named(&RouteName::new(&query.route))?;
+    let RouteTarget::Gather(terms) = &route.destination else {
+        return None;
+    };
+    let mut shards = Vec::with_capacity(query.shards.len());
+    for shard in &query.shards {
+        shards.push(terms.shards.get(usize::from(*shard))?.clone());
+    }
+    let terms = GatherTerms {
+        shards,
+        top: terms.top,
+        least_coverage: 0.0,
+    };
+    Some((Rc::clone(route), terms))
+}
+
+/// Tells that none of the asked shards was sent anywhere.
+fn refuse(from: &LinkSender, query: &PartialQuery) {
+    let failed = query.shards.iter().map(|shard| FailedShard {
+        shard: *shard,
+        may_have_run: false,
+        lost: false,
+        slow: false,
+    });
+    let reply = PartialReply {
+        number: query.number,
+        failed: failed.collect(),
+        ..PartialReply::default()
+    };
+    send_reply(from, reply);
+}
+
+fn send_reply(from: &LinkSender, reply: PartialReply) {
+    let message = PeerMessage::Partial(PartialMessage::Reply(reply));
+    if let Err(error) = from.send(message) {
+        // The asking VM hears of the broken link itself.
+        log::debug!("partial reply: {error}");
+    }
+}
+
+async fn gather_parts(
+    core: &Rc<GatewayCore>,
+    route: Rc<RouteEntry>,
+    terms: GatherTerms,
+    query: PartialQuery,
+    from: &LinkSender,
+) {
+    let received = now();
+    let micros = |left: u32| Duration::from_micros(u64::from(left));
+    let finish_by = received + micros(query.finish_left_us);
+    let names = &core.dialect.names;
+    let request = match ForwardRequest::from_partial(names, query.request, received, finish_by) {
+        Ok(request) => Rc::new(request),
+        Err(error) => {
+            log::warn!("partial query {}: {error}", query.number);
+            return;
+        }
+    };
+    let answer_by = received + micros(query.answer_left_us);
+    let reply = |mut reply: PartialReply| {
+        reply.number = query.number;
+        for part in &mut reply.parts {
+            part.shard = query.shards[usize::from(part.shard)];
+        }
+        for failed in &mut reply.failed {
+            failed.shard = query.shards[usize::from(failed.shard)];
+        }
+        send_reply(from, reply);
+    };
+    let times = (answer_by, query.repeat);
+    run_partial(core, &route, terms, request, times, reply).await;
+}
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -6,14 +6,16 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::gateway::aggregate::AggregateTable;
 use crate::gateway::budget::RetryBudget;
+use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::ident::{RouteName, UpstreamService};
-use crate::gateway::latency::LatencyTrack;
+use crate::gateway::latency::{AttemptKind, LatencyTrack};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::route::{RouteEntry, RouteTable};
-use crate::gateway::settings::{GatewaySettings, PlaceDistance};
+use crate::gateway::settings::GatewaySettings;
 use crate::gateway::vms::VmDirectory;
 use crate::gateway::weights::WeightShares;
 use crate::quarantine::QuarantineHandle;
@@ -29,29 +31,29 @@
 /// Connections that one upstream is assumed to accept while no configuration states it.
 const CONNECTIONS_ASSUMED: usize = 16;
 
-/// How long the attempts of one route take, by distance.
+/// How long the attempts of one route take, by kind.
 #[derive(Debug)]
 pub struct RouteLatency {
-    tracks: [LatencyTrack; 3],
+    tracks: [LatencyTrack; 4],
 }
 
 impl Default for RouteLatency {
     fn default() -> Self {
         Self {
-            tracks: [ASSUMED_NEAR, ASSUMED_REGION, ASSUMED_FAR].map(LatencyTrack::new),
+            tracks: [ASSUMED_NEAR, ASSUMED_REGION, ASSUMED_FAR, ASSUMED_FAR].map(LatencyTrack::new),
         }
     }
 }
 
 impl RouteLatency {
-    /// The attempts at a distance.
-    pub fn track(&self, distance: PlaceDistance) -> &LatencyTrack {
-        &self.tracks[distance as usize]
+    /// The attempts of a kind.
+    pub fn track(&self, kind: impl Into<AttemptKind>) -> &LatencyTrack {
+        &self.tracks[kind.into() as usize]
     }
 
-    /// The attempts at a distance.
-    pub fn track_mut(&mut self, distance: PlaceDistance) -> &mut LatencyTrack {
-        &mut self.tracks[distance as usize]
+    /// The attempts of a kind.
+    pub fn track_mut(&mut self, kind: impl Into<AttemptKind>) -> &mut LatencyTrack {
+        &mut self.tracks[kind.into() as usize]
     }
 }
 
@@ -81,6 +83,10 @@
     pub budget: RefCell<RetryBudget>,
     /// What each service of a weighted route is owed.
     pub shares: WeightShares,
+    /// Parts of queries that other VMs gather for this one.
+    pub delegates: DelegateTable,
+    /// Parts of queries that this VM gathers for others.
+    pub aggregates: AggregateTable,
     /// Requests that crash upstreams.
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
@@ -103,6 +109,8 @@
             vms: VmDirectory::new(settings.listen.callers),
             budget: RefCell::new(budget),
             shares: WeightShares::new(),
+            delegates: DelegateTable::default(),
+            aggregates: AggregateTable::default(),
             quarantine: QuarantineHandle::new(),
             metrics: GatewayMetrics::default(),
             started: now(),
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -9,7 +9,6 @@
 use http::{HeaderMap, Response, StatusCode, header};
 
 use crate::gateway::core::{GatewayCore, RouteLatency, now};
-use crate::gateway::hedge::STRAGGLER_SHARE;
 use crate::gateway::latency::millis;
 use crate::gateway::loss;
 use crate::gateway::request::ForwardRequest;
@@ -121,17 +120,6 @@
         took / latency.track(self.distance()).quantile(0.5)
     }
 
-    /// An attempt that was given up while it was late counts as one that would have taken as long again. Without it
-    /// pauses, which mostly end that way, vanished from the picture, and hedges with them.
-    fn record_abandoned(&self, now: Instant) {
-        let waited = now.saturating_duration_since(self.began);
-        let mut latency = self.context.latency.borrow_mut();
-        let track = latency.track_mut(self.distance());
-        if millis(waited) > track.quantile(STRAGGLER_SHARE) {
-            track.record(waited * 2, now);
-        }
-    }
-
     fn note(&mut self, outcome: &AttemptOutcome) {
         self.noted = true;
         let now = now();
@@ -161,7 +149,10 @@
             Some(_) => {
                 let now = now();
                 health.note_abandoned(self.began, now, self.slowness(now));
-                self.record_abandoned(now);
+                let waited = now.saturating_duration_since(self.began);
+                let mut latency = self.context.latency.borrow_mut();
+                let track = latency.track_mut(self.distance());
+                track.record_abandoned(waited, now);
             }
             None => health.note_unsent(self.began),
         }
--- a/crates/ebonyfork/src/gateway/gather.rs
+++ b/crates/ebonyfork/src/gateway/gather.rs
@@ -2,15 +2,44 @@
 
 use std::time::Instant;
 
-use crate::gateway::exchange::UpstreamAnswer;
+use bytes::Bytes;
+use http::HeaderValue;
+
+/// One shard's part of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShardPart {
+    /// The upstream's signature under it.
+    pub signature: HeaderValue,
+    /// Its records.
+    pub records: PartRecords,
+}
+
+impl ShardPart {
+    /// Its records, if they came by themselves.
+    pub fn own_records(&self) -> Option<&[u8]> {
+        match &self.records {
+            PartRecords::Own(records) => Some(records.as_ref()),
+            PartRecords::Group(_) => None,
+        }
+    }
+}
+
+/// Where the records of a part are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartRecords {
+    /// They came by themselves.
+    Own(Bytes),
+    /// They were merged with those of other shards: the number of that group.
+    Group(usize),
+}
 
 /// What is known of one shard.
-#[derive(Debug)]
+#[derive(Debug, PartialEq, Eq)]
 pub enum ShardStanding {
     /// Its part may still come.
     Open,
     /// Its part is in.
-    Answered(UpstreamAnswer),
+    Answered(ShardPart),
     /// Its part won't come.
     Failed,
 }
@@ -30,6 +59,8 @@
     pub unsent: usize,
     /// Whether a connection broke under it.
     pub lost: bool,
+    /// Whether the request is counted in the budget, here or by the VM that gathers the part.
+    pub counted: bool,
     /// Whether it is not sent for now: its part is unlikely to come in time, and enough others are there.
     pub postponed: bool,
 }
@@ -43,6 +74,7 @@
             declined: 0,
             unsent: 0,
             lost: false,
+            counted: false,
             postponed: false,
         }
     }
@@ -73,6 +105,10 @@
     answered: usize,
     failed: usize,
     least: usize,
+    /// Records of groups of shards that came merged.
+    groups: Vec<Bytes>,
+    /// Whether to wait for all parts until the end: another VM decides when to answer.
+    patient: bool,
     /// Until when an answer is of full worth.
     answer_by: Instant,
     /// Until when there must be an answer of some kind.
@@ -87,11 +123,20 @@
             answered: 0,
             failed: 0,
             least,
+            groups: Vec::new(),
+            patient: false,
             answer_by: answer_by.min(finish_by),
             finish_by,
         }
     }
 
+    /// Waits for all parts until the end, whatever the target says.
+    #[must_use]
+    pub fn with_patience(mut self) -> Self {
+        self.patient = true;
+        self
+    }
+
     /// All shards.
     pub fn shards(&self) -> &[ShardState] {
         &self.shards
@@ -103,15 +148,51 @@
     }
 
     /// The first part of a shard is in; a second one changes nothing.
-    pub fn take_part(&mut self, number: usize, part: UpstreamAnswer) {
+    pub fn take_part(&mut self, number: usize, signature: HeaderValue, records: Bytes) {
         let shard = &mut self.shards[number];
         if !shard.is_open() {
             return;
         }
-        shard.standing = ShardStanding::Answered(part);
+        shard.standing = ShardStanding::Answered(ShardPart {
+            signature,
+            records: PartRecords::Own(records),
+        });
         self.answered += 1;
     }
 
+    /// Parts came in whose records are merged. They can't be taken apart: a part of these shards that came by itself
+    /// gives way, so that no shard's records count twice. Parts of which one is in another group already are dropped.
+    pub fn take_group(&mut self, parts: Vec<(usize, HeaderValue)>, records: Bytes) {
+        let grouped = |shard: &ShardState| {
+            matches!(
+                &shard.standing,
+                ShardStanding::Answered(ShardPart {
+                    records: PartRecords::Group(_),
+                    ..
+                })
+            )
+        };
+        let unusable = |(number, _): &(usize, HeaderValue)| {
+            let shard = &self.shards[*number];
+            grouped(shard) || shard.standing == ShardStanding::Failed
+        };
+        if parts.iter().any(unusable) {
+            return;
+        }
+        let group = self.groups.len();
+        self.groups.push(records);
+        for (number, signature) in parts {
+            let shard = &mut self.shards[number];
+            if shard.is_open() {
+                self.answered += 1;
+            }
+            shard.standing = ShardStanding::Answered(ShardPart {
+                signature,
+                records: PartRecords::Group(group),
+            });
+        }
+    }
+
     /// A shard's part won't come.
     pub fn fail(&mut self, number: usize) {
         let shard = &mut self.shards[number];
@@ -181,7 +262,7 @@
         if self.answered + open < self.least {
             return Some(GatherEnd::TooThin);
         }
-        if now >= self.answer_by && self.is_enough() {
+        if now >= self.answer_by && self.is_enough() && !self.patient {
             return Some(GatherEnd::Partial);
         }
         (now >= self.finish_by).then_some(GatherEnd::Late)
@@ -196,17 +277,18 @@
         }
     }
 
-    /// Takes the part out of a request to one service.
-    pub fn take_single(&mut self) -> Option<UpstreamAnswer> {
-        let shard = self.shards.first_mut()?;
-        match std::mem::replace(&mut shard.standing, ShardStanding::Failed) {
-            ShardStanding::Answered(part) => Some(part),
-            ShardStanding::Open | ShardStanding::Failed => None,
-        }
+    /// Signatures of the parts that are in.
+    pub fn signatures(&self) -> impl Iterator<Item = &HeaderValue> {
+        self.parts().map(|part| &part.signature)
+    }
+
+    /// Records of the parts that are in, merged in groups or not.
+    pub fn records(&self) -> impl Iterator<Item = &[u8]> {
+        let own = self.parts().filter_map(ShardPart::own_records);
+        own.chain(self.groups.iter().map(Bytes::as_ref))
     }
 
-    /// The parts that are in.
-    pub fn parts(&self) -> impl Iterator<Item = &UpstreamAnswer> {
+    fn parts(&self) -> impl Iterator<Item = &ShardPart> {
         self.shards
             .iter()
             .filter_map(|shard| match &shard.standing {
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -29,6 +29,8 @@
 const EJECTION_LONGEST: Duration = Duration::from_secs(2);
 /// Slowness of an upstream that has just started, until its own samples tell.
 const COLD_SLOWNESS: f64 = 1.6;
+/// How long an upstream is avoided that the VM beside it advises against: some pauses, less than a slow phase.
+const ADVICE_TIME: Duration = Duration::from_millis(500);
 /// Time between two probes of an upstream that is avoided.
 const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -140,6 +142,13 @@
         self.learn(began, now, slowness);
     }
 
+    /// A VM beside the upstream advises against it: it is the last choice for a moment. That VM goes on looking, so the
+    /// advice is not remembered for longer.
+    pub fn note_advice(&mut self, now: Instant) {
+        let until = now + ADVICE_TIME;
+        self.ejected_until = Some(self.ejected_until.map_or(until, |ejected| ejected.max(until)));
+    }
+
     /// An attempt was given up before it was sent.
     pub fn note_unsent(&mut self, began: Instant) {
         self.end(began);
--- a/crates/ebonyfork/src/gateway/hedge.rs
+++ b/crates/ebonyfork/src/gateway/hedge.rs
@@ -6,7 +6,7 @@
 pub const STRAGGLER_SHARE: f64 = 0.9;
 /// Gain in the likelihood of an answer in time for which a hedge is sent. A hedge loads an upstream and may cross
 /// regions, which costs about a fifth of what a shard in time is worth.
-const LEAST_GAIN: f64 = 0.35;
+const LEAST_GAIN: f64 = 0.2;
 /// Shortest time between two looks at a straggler, in milliseconds.
 const LOOK_STEP_MS: f64 = 4.0;
 
@@ -23,6 +23,8 @@
     pub other: &'a LatencyTrack,
     /// How much slower than usual the other upstream is expected to be.
     pub other_slowness: f64,
+    /// Whether the attempt is known to be late, whatever its time.
+    pub known_late: bool,
 }
 
 impl HedgeQuestion<'_> {
@@ -37,7 +39,8 @@
 
     /// Whether to send the other attempt.
     pub fn is_worth(&self) -> bool {
-        if self.waited_ms < self.original.quantile(STRAGGLER_SHARE) {
+        let usual = self.original.quantile(STRAGGLER_SHARE);
+        if self.waited_ms < usual && !self.known_late {
             return false;
         }
         let left = self.left_ms.unwrap_or_else(|| {
--- a/crates/ebonyfork/src/gateway/hedge_tests.rs
+++ b/crates/ebonyfork/src/gateway/hedge_tests.rs
@@ -34,6 +34,7 @@
             original: &near,
             other: &far,
             other_slowness,
+            known_late: false,
         };
         expect_that!(question.is_worth(), eq(expected), "{question:?}");
     }
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -232,7 +232,8 @@
         return Err(RefusalReason::Quarantined);
     }
     let target = run_target(core, &route)?;
-    Ok(run_request(core, &route, target, Rc::new(request), standing).await)
+    let version = table.version().0;
+    Ok(run_request(core, &route, version, target, Rc::new(request), standing).await)
 }
 
 /// The host that a request is for.
--- a/crates/ebonyfork/src/gateway/latency.rs
+++ b/crates/ebonyfork/src/gateway/latency.rs
@@ -5,6 +5,9 @@
 
 use std::time::{Duration, Instant};
 
+use crate::gateway::hedge::STRAGGLER_SHARE;
+use crate::gateway::settings::PlaceDistance;
+
 /// Buckets of a histogram. With [`GROWTH`] they reach from [`FIRST_MS`] to about 30 s.
 const BUCKETS: usize = 64;
 /// Upper bound of the first bucket, in milliseconds.
@@ -20,6 +23,29 @@
 /// Weight of the assumed samples a new histogram begins with; a few dozen real ones outweigh them.
 const PRIOR_WEIGHT: f64 = 8.0;
 
+/// How an attempt reaches its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptKind {
+    /// Directly, in the same availability zone.
+    Zone,
+    /// Directly, in another zone of the region.
+    Region,
+    /// Directly, in another region.
+    Far,
+    /// By way of one of our VMs beside the upstream.
+    Delegated,
+}
+
+impl From<PlaceDistance> for AttemptKind {
+    fn from(distance: PlaceDistance) -> Self {
+        match distance {
+            PlaceDistance::Zone => Self::Zone,
+            PlaceDistance::Region => Self::Region,
+            PlaceDistance::Far => Self::Far,
+        }
+    }
+}
+
 /// A histogram over attempt times. Its figures are in milliseconds.
 #[derive(Debug, Clone)]
 pub struct LatencyTrack {
@@ -65,6 +91,14 @@
         self.add(millis(took), 1.0);
     }
 
+    /// Takes in that an attempt was given up after a time. If it was late it counts as one that would have taken as long
+    /// again. Without it pauses, which mostly end that way, vanished from the picture, and hedges with them.
+    pub fn record_abandoned(&mut self, waited: Duration, now: Instant) {
+        if millis(waited) > self.quantile(STRAGGLER_SHARE) {
+            self.record(waited * 2, now);
+        }
+    }
+
     fn add(&mut self, took_ms: f64, weight: f64) {
         self.weights[bucket(took_ms)] += weight;
         self.total += weight;
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -10,10 +10,12 @@
 //!
 //! One thread runs a process: a VM has a fraction of one core. The shared state needs no locks.
 
+mod aggregate;
 mod budget;
 mod choice;
 mod control;
 mod core;
+mod delegate;
 mod dialect;
 mod exchange;
 #[cfg(test)]
@@ -30,6 +32,8 @@
 mod merge;
 mod metrics;
 mod node;
+mod partial;
+mod peers;
 mod register;
 mod registry;
 mod reply;
@@ -49,9 +53,12 @@
 };
 pub use gather::{GatherEnd, GatherState};
 pub use ident::{ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamService};
-pub use latency::LatencyTrack;
+pub use latency::{AttemptKind, LatencyTrack};
 pub use merge::{RECORD_BYTES, merge_records};
 pub use node::{GatewayError, GatewayNode};
+pub use partial::{
+    FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
+};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, RepeatKind, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -11,6 +11,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::gateway::control::{LOCATE_TTL, serve_control};
 use crate::gateway::core::{GatewayCore, ServiceState, now};
@@ -18,6 +19,7 @@
 use crate::gateway::follow::follow_store;
 use crate::gateway::gossip::join_gossip;
 use crate::gateway::ingress::serve_callers;
+use crate::gateway::peers::{accept_links, follow_links, open_links};
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::status::serve_metrics;
@@ -60,6 +62,7 @@
     port: P,
     lease: Rc<std::cell::Cell<Option<LeaseId>>>,
     members: MemberHandle,
+    closing: CancellationToken,
     tasks: tokio::task::JoinSet<()>,
 }
 
@@ -86,9 +89,14 @@
             role: "peer",
             address: peer,
         })?;
+        let links = bind("peer", peer).await?;
         let core = Rc::new(GatewayCore::new(settings, dialect));
+        let session = own_session(&core);
+        let closing = CancellationToken::new();
+        let (pool, events) = open_links(session, listen.peer_port, closing.clone());
+        core.delegates.set_pool(pool.clone());
         let (seed_sender, seeds) = watch::channel(Arc::<[VmAddress]>::default());
-        let members = MemberHandle::start(member_settings(&core), socket, seeds);
+        let members = MemberHandle::start(member_settings(&core, session), socket, seeds);
         let mut registry = Registry::default();
         core.metrics.register(&mut registry);
         core.quarantine.register(&mut registry);
@@ -102,6 +110,8 @@
         tasks.spawn_local(serve_metrics(registry, metrics));
         tasks.spawn_local(follow_store(Rc::clone(&core), port.clone(), seed_sender));
         tasks.spawn_local(registration.run());
+        tasks.spawn_local(accept_links(pool, links));
+        tasks.spawn_local(follow_links(Rc::clone(&core), events));
         tasks.spawn_local(sweep(Rc::clone(&core)));
         join_gossip(&mut tasks, &core, &members);
         log_start(&core);
@@ -110,6 +120,7 @@
             port,
             lease,
             members,
+            closing,
             tasks,
         })
     }
@@ -139,6 +150,7 @@
             self.core.in_flight(),
             now().saturating_duration_since(began).as_millis()
         );
+        self.closing.cancel();
         self.tasks.abort_all();
     }
 
@@ -166,13 +178,17 @@
     bound.context(BindSnafu { role, address })
 }
 
-fn member_settings(core: &GatewayCore) -> MemberSettings {
-    let place = &core.settings.place;
+fn own_session(core: &GatewayCore) -> SessionId {
     // The wall clock only tells lives apart; if it steps back, peers learn the newer life by refutation.
     let life = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64);
-    let session = SessionId::new(VmAddress(place.address), IncarnationNumber(life));
+    let vm = VmAddress(core.settings.place.address);
+    SessionId::new(vm, IncarnationNumber(life))
+}
+
+fn member_settings(core: &GatewayCore, session: SessionId) -> MemberSettings {
+    let place = &core.settings.place;
     let zone = place.zone.as_str().parse::<ZoneName>();
     let zone = zone.unwrap_or_else(|error| {
         log::warn!("gossip names this zone `other`: {error}");
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -0,0 +1,64 @@
+//! The links to the gateways of other VMs, and who hears of what happens on them.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::aggregate;
+use crate::gateway::core::GatewayCore;
+use crate::gateway::partial::PartialMessage;
+use crate::ident::SessionId;
+use crate::wire::{EventFuture, LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
+
+/// Events that may wait to be taken in; beyond that the links wait.
+const EVENT_QUEUE: usize = 1_024;
+
+/// Makes the links of a process. What happens on them comes out of the receiver.
+pub fn open_links(
+    session: SessionId,
+    peer_port: u16,
+    stop: CancellationToken,
+) -> (PeerPool, mpsc::Receiver<LinkEvent>) {
+    let (events, received) = mpsc::channel(EVENT_QUEUE);
+    let events = Arc::new(events);
+    let handler = move |event: LinkEvent| -> EventFuture {
+        let events = Arc::clone(&events);
+        Box::pin(async move {
+            // After the receiver is gone the process is ending.
+            let _ending = events.send(event).await;
+        })
+    };
+    let pool = PeerPool::new(PoolSettings::new(session, peer_port), stop, handler);
+    (pool, received)
+}
+
+/// Takes in what happens on the links until the future is dropped.
+pub async fn follow_links(core: Rc<GatewayCore>, mut events: mpsc::Receiver<LinkEvent>) {
+    while let Some(event) = events.recv().await {
+        match event {
+            LinkEvent::Message { from, message } => take_message(&core, from, message),
+            LinkEvent::Down { vm, unsent } => core.delegates.link_down(vm, unsent),
+        }
+    }
+}
+
+fn take_message(core: &Rc<GatewayCore>, from: LinkSender, message: PeerMessage) {
+    match message {
+        PeerMessage::Partial(PartialMessage::Query(query)) => {
+            aggregate::take_query(core, from, query);
+        }
+        PeerMessage::Partial(PartialMessage::Cancel(number)) => {
+            core.aggregates.cancel(&from, number);
+        }
+        PeerMessage::Partial(PartialMessage::Reply(reply)) => core.delegates.take_reply(reply),
+        other => log::debug!("unexpected message from {:?}: {other:?}", from.peer()),
+    }
+}
+
+/// Accepts links until the future is dropped.
+pub async fn accept_links(pool: PeerPool, listener: TcpListener) {
+    pool.accept(listener).await;
+}
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -119,7 +119,7 @@
 
 /// Makes the answer of a query over many shards from the parts that are in.
 pub fn gathered(names: &WireNames, state: &GatherState, top: usize) -> CallerReply {
-    let body = merge_records(state.parts().map(|part| part.body.as_ref()), top);
+    let body = merge_records(state.records(), top);
     let mut reply = Response::new(Full::new(body));
     let headers = reply.headers_mut();
     headers.insert(
@@ -127,11 +127,7 @@
         HeaderValue::from_static("application/octet-stream"),
     );
     let mut signatures = Vec::new();
-    for part in state.parts() {
-        let Some(signature) = part.headers.get(&names.signature) else {
-            // An answer without a signature is never taken as a part.
-            continue;
-        };
+    for signature in state.signatures() {
         if !signatures.is_empty() {
             signatures.push(b',');
         }
--- a/crates/ebonyfork/src/gateway/request.rs
+++ b/crates/ebonyfork/src/gateway/request.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Uri};
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 
 use crate::gateway::dialect::WireNames;
 use crate::gateway::ident::InstanceName;
+use crate::gateway::partial::PartialRequest;
 use crate::ident::RequestFingerprint;
 
 /// Headers that concern one connection only, beside those that `Connection` names.
@@ -104,6 +106,49 @@
         }
     }
 
+    /// Takes a request that another VM has passed on.
+    pub fn from_partial(
+        names: &WireNames,
+        partial: PartialRequest,
+        received: Instant,
+        finish_by: Instant,
+    ) -> Result<Self, http::Error> {
+        let method = Method::from_bytes(partial.method.as_bytes())?;
+        let target: Uri = partial.target.parse()?;
+        let mut headers = HeaderMap::with_capacity(partial.headers.len());
+        for (name, value) in partial.headers {
+            let name = HeaderName::from_bytes(name.as_bytes())?;
+            headers.append(name, HeaderValue::from_maybe_shared(value)?);
+        }
+        let id = headers.get(&names.request_id).cloned();
+        let id = id.unwrap_or_else(|| HeaderValue::from_static(""));
+        Ok(Self {
+            id,
+            received,
+            finish_by,
+            fingerprint: fingerprint(&method, &target, &headers, &partial.body),
+            after_loss: Cell::new(false),
+            method,
+            target,
+            headers,
+            body: partial.body,
+        })
+    }
+
+    /// The request as it is passed on to another VM.
+    pub fn to_partial(&self) -> PartialRequest {
+        let header = |(name, value): (&HeaderName, &HeaderValue)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (CompactString::new(name.as_str()), value)
+        };
+        PartialRequest {
+            method: self.method.as_str().into(),
+            target: CompactString::new(self.target.to_string()),
+            headers: self.headers.iter().map(header).collect(),
+            body: self.body.clone(),
+        }
+    }
+
     /// The request for one upstream, which may work on it for the stated milliseconds.
     pub fn build(
         &self,
--- a/crates/ebonyfork/src/gateway/request_tests.rs
+++ b/crates/ebonyfork/src/gateway/request_tests.rs
@@ -50,8 +50,14 @@
             eq(&"x-request-id")
         ]
     );
-    expect_that!(built.headers()["x-deadline"].to_str().unwrap_or_default(), eq("250"));
-    expect_that!(built.headers()["x-instance"].to_str().unwrap_or_default(), eq("i-1"));
+    expect_that!(
+        built.headers()["x-deadline"].to_str().unwrap_or_default(),
+        eq("250")
+    );
+    expect_that!(
+        built.headers()["x-instance"].to_str().unwrap_or_default(),
+        eq("i-1")
+    );
     expect_that!(built.uri().to_string(), eq("/x/?q=%20a"));
 }
 
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -186,6 +186,14 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Finds a route by its name.
+    pub fn find_named(&self, name: &RouteName) -> Option<&Rc<RouteEntry>> {
+        self.hosts
+            .values()
+            .flatten()
+            .find(|route| route.name == *name)
+    }
+
     /// The routes of a host.
     pub fn routes_of(&self, host: &str) -> &[Rc<RouteEntry>] {
         let routes = self.hosts.get(host_name(host));
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -0,0 +1,239 @@
+//! One attempt after another: where it goes, what it is counted as, how it is sent.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
+use futures_util::stream::FuturesUnordered;
+use smallvec::SmallVec;
+
+use super::QueryRun;
+use crate::gateway::choice::{UpstreamChoice, choose_upstream};
+use crate::gateway::core::now;
+use crate::gateway::exchange::{AttemptOutcome, run_attempt};
+use crate::gateway::hedge::HedgeQuestion;
+use crate::gateway::ident::InstanceName;
+use crate::gateway::latency::AttemptKind;
+use crate::gateway::route::RepeatKind;
+use crate::gateway::settings::PlaceDistance;
+use crate::gateway::upstream::Upstream;
+
+/// Attempts of one shard that may have run before it is given up, on the same upstreams or others.
+const SENT_LIMIT: usize = 4;
+
+/// An attempt that has ended.
+pub(super) struct FinishedAttempt {
+    /// Its place in the list of attempts.
+    pub number: usize,
+    /// What became of it.
+    pub outcome: AttemptOutcome,
+}
+
+/// An attempt that was begun.
+#[derive(Debug)]
+pub(super) struct LiveAttempt {
+    /// The shard it is for.
+    pub shard: usize,
+    /// The upstream it goes to; for one that another VM gathers, the upstream it would have gone to.
+    pub upstream: Rc<Upstream>,
+    /// That upstream's life.
+    pub instance: InstanceName,
+    /// How it gets there.
+    pub kind: AttemptKind,
+    /// Whether the request may have run there.
+    pub may_have_run: bool,
+    /// Ends it.
+    pub abort: AbortHandle,
+    /// When it was begun.
+    pub began: Instant,
+    /// When to look whether it is a straggler.
+    pub next_look: Instant,
+    /// Whether the VM that gathers it has shown that it is late.
+    pub known_late: bool,
+    /// Whether it has ended.
+    pub ended: bool,
+}
+
+/// The attempts that are out; one that was aborted ends with nothing.
+pub(super) type AttemptSet = FuturesUnordered<LocalBoxFuture<'static, Option<FinishedAttempt>>>;
+
+impl QueryRun {
+    /// Begins an attempt of a shard after a pause; the shard fails if it can't have one and none is out.
+    pub(super) fn start(&mut self, shard: usize, pause: Duration) {
+        if self.try_start(shard, pause) || self.state.shards()[shard].out > 0 {
+            return;
+        }
+        self.state.fail(shard);
+    }
+
+    fn try_start(&mut self, shard: usize, pause: Duration) -> bool {
+        let state = &self.state.shards()[shard];
+        if state.ran >= self.sends_allowed() {
+            return false;
+        }
+        let repeat = state.ran > 0 || state.declined > 0;
+        let Some(choice) = self.choose(shard, repeat) else {
+            return false;
+        };
+        if repeat && !self.spend(shard) {
+            return false;
+        }
+        let delegated = pause.is_zero() && repeat && self.delegate_repeat(shard, &choice);
+        if !delegated {
+            self.launch(shard, choice, pause);
+        }
+        true
+    }
+
+    /// Most attempts of a shard that may run, on the same upstreams or others.
+    pub(super) fn sends_allowed(&self) -> usize {
+        match self.route.repeat {
+            RepeatKind::Idempotent => SENT_LIMIT,
+            RepeatKind::Once => 1,
+        }
+    }
+
+    /// Attempts of a shard.
+    pub(super) fn attempts_of(&self, shard: usize) -> impl Iterator<Item = &LiveAttempt> {
+        self.live
+            .iter()
+            .filter(move |attempt| attempt.shard == shard)
+    }
+
+    /// Upstreams on which a shard may have run. One that another VM has chosen counts as one of its own.
+    pub(super) fn upstreams_run(
+        &self,
+        shard: usize,
+    ) -> SmallVec<[(AttemptKind, &InstanceName); 4]> {
+        let mut upstreams = SmallVec::new();
+        for attempt in self.attempts_of(shard) {
+            let delegated = attempt.kind == AttemptKind::Delegated;
+            let kind = if delegated {
+                attempt.kind
+            } else {
+                AttemptKind::Zone
+            };
+            let upstream = (kind, &attempt.instance);
+            if attempt.may_have_run && !upstreams.contains(&upstream) {
+                upstreams.push(upstream);
+            }
+        }
+        upstreams
+    }
+
+    /// Takes a repeat out of the budget.
+    pub(super) fn spend(&self, shard: usize) -> bool {
+        let core = &self.context.core;
+        let service = self.target.service(shard);
+        let funded = core.budget.borrow_mut().spend(service, core.uptime());
+        if funded {
+            core.metrics.repeats.inc();
+        } else {
+            core.metrics.unfunded.inc();
+        }
+        funded
+    }
+
+    /// Counts the request to a shard in the budget, once.
+    fn count_request(&mut self, shard: usize) {
+        if self.state.shards()[shard].counted {
+            return;
+        }
+        self.state.shard_mut(shard).counted = true;
+        let core = &self.context.core;
+        let service = self.target.service(shard);
+        core.budget
+            .borrow_mut()
+            .note_request(service, core.uptime());
+    }
+
+    /// Chooses an upstream that the shard was not sent to; if there is none and no attempt is out, one that it was sent
+    /// to, but never more upstreams than the route allows. For another VM only upstreams beside this one count.
+    pub(super) fn choose(&self, shard: usize, repeat: bool) -> Option<UpstreamChoice> {
+        let core = &self.context.core;
+        let candidates = core.registry.upstreams(self.target.service(shard));
+        let latency = self.context.latency.borrow();
+        let place = &core.settings.place;
+        let time = now();
+        let beside = |upstream: &Upstream| {
+            self.duty.is_none() || place.distance(&upstream.entry().zone) == PlaceDistance::Zone
+        };
+        let pick = |allowed: &dyn Fn(&Upstream, &InstanceName) -> bool| {
+            let allowed = |upstream: &Upstream, name: &InstanceName| {
+                beside(upstream) && allowed(upstream, name)
+            };
+            choose_upstream(&candidates, allowed, place, &latency, time)
+        };
+        if !repeat && self.state.shards()[shard].unsent == 0 {
+            return pick(&|_, _| true);
+        }
+        let run = self.upstreams_run(shard);
+        let more = run.len() < self.attempts_allowed();
+        let fresh = |name: &InstanceName| {
+            let mut attempts = self.attempts_of(shard);
+            more && !attempts.any(|attempt| attempt.instance == *name)
+        };
+        let reachable = |upstream: &Upstream| !upstream.health.borrow().is_ejected(time);
+        let alone = self.state.shards()[shard].out == 0;
+        let known = |name: &InstanceName| run.contains(&(AttemptKind::Zone, name));
+        let again = |name: &InstanceName| alone && (more || known(name));
+        pick(&|upstream, name| reachable(upstream) && fresh(name))
+            .or_else(|| pick(&|upstream, name| reachable(upstream) && again(name)))
+            .or_else(|| pick(&|_upstream, name| fresh(name) || again(name)))
+    }
+
+    /// Notes an attempt as begun; returns its place in the list.
+    pub(super) fn note_begun(
+        &mut self,
+        shard: usize,
+        choice: &UpstreamChoice,
+        kind: AttemptKind,
+        began: Instant,
+        abort: AbortHandle,
+    ) -> usize {
+        let first_look = {
+            let latency = self.context.latency.borrow();
+            HedgeQuestion::next_look(latency.track(kind), 0.0)
+        };
+        self.live.push(LiveAttempt {
+            shard,
+            instance: choice.upstream.entry().instance.clone(),
+            upstream: Rc::clone(&choice.upstream),
+            kind,
+            may_have_run: true,
+            abort,
+            began,
+            next_look: began + Duration::from_secs_f64(first_look / 1_000.0),
+            known_late: false,
+            ended: false,
+        });
+        let state = self.state.shard_mut(shard);
+        state.out += 1;
+        state.ran += 1;
+        self.live.len() - 1
+    }
+
+    /// Begins an attempt at an upstream after a pause.
+    pub(super) fn launch(&mut self, shard: usize, choice: UpstreamChoice, pause: Duration) {
+        self.count_request(shard);
+        let began = now() + pause;
+        let (abort, registration) = AbortHandle::new_pair();
+        let kind = AttemptKind::from(choice.distance);
+        let number = self.note_begun(shard, &choice, kind, began, abort);
+        let context = self.context.clone();
+        let request = Rc::clone(&self.request);
+        let cancelled = Rc::clone(&self.cancelled);
+        let useful_until = self.state.useful_until(began);
+        let attempt = async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            let may_send = || !cancelled.get();
+            let upstream = &choice.upstream;
+            let outcome = run_attempt(&context, upstream, &request, useful_until, may_send).await;
+            FinishedAttempt { number, outcome }
+        };
+        let attempt = Abortable::new(attempt, registration);
+        self.set.push(Box::pin(async move { attempt.await.ok() }));
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -0,0 +1,112 @@
+//! The first attempts of a request: which shards go where, which wait.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::{QueryRun, RunTarget};
+use crate::gateway::choice::{UpstreamChoice, probe_upstream};
+use crate::gateway::core::now;
+use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::settings::PlaceDistance;
+use crate::quarantine::RequestStanding;
+
+/// Likelihood of a part in time below which a shard is left out from the start, if enough others remain. What it would
+/// add is less than what its work takes from the queries behind it.
+const SKIP_LIKELIHOOD: f64 = 0.3;
+
+impl QueryRun {
+    pub(super) fn begin(&mut self, standing: RequestStanding) {
+        let shards = self.state.shards().len();
+        if standing == RequestStanding::Suspect && shards > 1 {
+            // It may crash what runs it: one shard shows it before the others are put at risk.
+            self.request.after_loss.set(true);
+            let probe = rand::random_range(0..shards);
+            self.probe = Some(probe);
+            self.held
+                .extend((0..shards).filter(|shard| *shard != probe));
+            self.start(probe, Duration::ZERO);
+            return;
+        }
+        let mut choices: Vec<_> = (0..shards).map(|shard| self.choose(shard, false)).collect();
+        self.postpone_hopeless(&choices);
+        if matches!(self.target, RunTarget::Gather(_)) {
+            self.delegate(&mut choices);
+        }
+        for (shard, choice) in choices.into_iter().enumerate() {
+            self.begin_shard(shard, choice);
+        }
+    }
+
+    /// Postpones the shards whose parts are least likely to come in time, as far as the others suffice. The least likely
+    /// go first, so that the load falls where it is highest.
+    fn postpone_hopeless(&mut self, choices: &[Option<UpstreamChoice>]) {
+        if self.state.surplus() == 0 {
+            return;
+        }
+        let mut hopeless: SmallVec<[(f64, usize); 8]> = SmallVec::new();
+        for (shard, choice) in choices.iter().enumerate() {
+            let Some(choice) = choice else { continue };
+            let likelihood = self.likelihood(choice);
+            if likelihood < SKIP_LIKELIHOOD && self.find_probe(shard, choice).is_none() {
+                hopeless.push((likelihood, shard));
+            }
+        }
+        hopeless.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        for (_likelihood, shard) in hopeless {
+            if self.state.surplus() == 0 {
+                return;
+            }
+            self.state.shard_mut(shard).postponed = true;
+        }
+    }
+
+    /// Sends a shard for the first time, unless it is postponed or with another VM.
+    fn begin_shard(&mut self, shard: usize, choice: Option<UpstreamChoice>) {
+        let state = &self.state.shards()[shard];
+        if state.postponed || state.out > 0 {
+            return;
+        }
+        let Some(choice) = choice else {
+            self.state.fail(shard);
+            return;
+        };
+        let probe = self.find_probe(shard, &choice);
+        self.launch(shard, choice, Duration::ZERO);
+        if let Some(probe) = probe
+            && self.spend(shard)
+        {
+            self.launch(shard, probe, Duration::ZERO);
+        }
+    }
+
+    /// An upstream that is avoided and could be tried beside the chosen one.
+    pub(super) fn find_probe(
+        &self,
+        shard: usize,
+        choice: &UpstreamChoice,
+    ) -> Option<UpstreamChoice> {
+        if self.attempts_allowed() < 2 || self.request.after_loss.get() {
+            return None;
+        }
+        let core = &self.context.core;
+        let candidates = core.registry.upstreams(self.target.service(shard));
+        probe_upstream(&candidates, choice, &core.settings.place, now())
+    }
+
+    /// How likely a part comes while it is of use.
+    fn likelihood(&self, choice: &UpstreamChoice) -> f64 {
+        let time = now();
+        let Some(until) = self.state.useful_until(time) else {
+            return 1.0;
+        };
+        let left = millis(until.saturating_duration_since(time));
+        let latency = self.context.latency.borrow();
+        let track = match choice.distance {
+            PlaceDistance::Zone => latency.track(choice.distance),
+            // A VM beside the upstream gathers it.
+            PlaceDistance::Region | PlaceDistance::Far => latency.track(AttemptKind::Delegated),
+        };
+        1.0 - track.survival(left / choice.slowness)
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -0,0 +1,64 @@
+//! The end of a request: its answer.
+
+use compact_str::format_compact;
+
+use super::{QueryRun, RunReport, RunTarget};
+use crate::gateway::gather::GatherEnd;
+use crate::gateway::reply::{CallerReply, RefusalReason, forwarded, gathered, refusal};
+
+impl QueryRun {
+    /// Makes the answer.
+    pub(super) fn finish(mut self, end: GatherEnd) -> RunReport {
+        let postponed = self.state.shards().iter().filter(|shard| shard.postponed);
+        let detail = format_compact!(
+            "parts={}/{} attempts={} groups={} hedges={} retries={} lost={} postponed={}",
+            self.state.answered(),
+            self.state.shards().len(),
+            self.live.len(),
+            self.groups.len(),
+            self.hedges,
+            self.retries,
+            self.state.lost(),
+            postponed.count()
+        );
+        let (word, reply) = match end {
+            GatherEnd::Whole | GatherEnd::Partial => self.answer(end),
+            GatherEnd::TooThin | GatherEnd::Late => self.fail(end),
+        };
+        RunReport {
+            reply,
+            word,
+            detail,
+        }
+    }
+
+    fn answer(&mut self, end: GatherEnd) -> (&'static str, CallerReply) {
+        let names = &self.context.core.dialect.names;
+        if let RunTarget::Gather(terms) = &self.target {
+            let word = if end == GatherEnd::Whole {
+                "whole"
+            } else {
+                "partial"
+            };
+            return (word, gathered(names, &self.state, terms.top));
+        }
+        match self.single.take() {
+            Some(answer) => ("answered", forwarded(answer)),
+            None => ("unknown", refusal(RefusalReason::Unknown)),
+        }
+    }
+
+    fn fail(&mut self, end: GatherEnd) -> (&'static str, CallerReply) {
+        let one = matches!(self.target, RunTarget::One(_));
+        if let Some(failure) = self.failure.take().filter(|_failure| one) {
+            return ("failed", forwarded(failure));
+        }
+        let reason = match (self.state.has_run(), end) {
+            (true, GatherEnd::Late) => RefusalReason::Late,
+            (true, _) => RefusalReason::Unknown,
+            (false, GatherEnd::Late) => RefusalReason::LateUnsent,
+            (false, _) => RefusalReason::NoUpstream,
+        };
+        (reason.word(), refusal(reason))
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -0,0 +1,369 @@
+//! Shards that are gathered elsewhere: asking a VM beside their upstreams, and doing the same for other VMs.
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::AbortHandle;
+use http::HeaderValue;
+use smallvec::SmallVec;
+
+use super::{QueryRun, RunTarget};
+use crate::gateway::choice::UpstreamChoice;
+use crate::gateway::core::now;
+use crate::gateway::delegate::{GroupEvent, GroupNews};
+use crate::gateway::gather::ShardStanding;
+use crate::gateway::ident::PlaceName;
+use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::merge::merge_records;
+use crate::gateway::partial::{FailedShard, PartialQuery, PartialReply, ShardSignature};
+use crate::gateway::settings::PlaceDistance;
+
+/// Slowness of an upstream beside this VM from which another VM's shard is handed back: the asking VM may know a
+/// better one elsewhere.
+const SLOW: f64 = 4.0;
+
+/// A group of shards that another VM gathers.
+#[derive(Debug)]
+pub(super) struct ShardGroup {
+    /// The query's number at that VM.
+    number: u64,
+    /// Attempts of the group, by their place in the list.
+    attempts: Vec<usize>,
+    /// Whether it repeats attempts.
+    repeat: bool,
+}
+
+/// What this VM owes to the one that has asked for parts.
+#[derive(Debug)]
+pub(super) struct PartialDuty {
+    /// Whether each shard's end was told.
+    told: Vec<bool>,
+    /// Shards whose upstreams are too slow here.
+    slow: Vec<bool>,
+}
+
+impl PartialDuty {
+    pub(super) fn new(shards: usize) -> Self {
+        Self {
+            told: vec![false; shards],
+            slow: vec![false; shards],
+        }
+    }
+}
+
+impl QueryRun {
+    /// Hands the shards whose chosen upstreams are in other zones to VMs of these zones; the others stay for direct
+    /// attempts.
+    pub(super) fn delegate(&mut self, choices: &mut [Option<UpstreamChoice>]) {
+        let place = self.context.core.settings.place.clone();
+        let mut zones: SmallVec<[(PlaceName, Vec<usize>); 4]> = SmallVec::new();
+        for (shard, choice) in choices.iter().enumerate() {
+            let Some(choice) = choice else { continue };
+            let near = choice.distance == PlaceDistance::Zone;
+            if near || self.state.shards()[shard].postponed {
+                continue;
+            }
+            let zone = choice.upstream.entry().zone.clone();
+            debug_assert_ne!(zone, place.zone, "another zone is never near");
+            match zones.iter_mut().find(|(known, _shards)| *known == zone) {
+                Some((_zone, shards)) => shards.push(shard),
+                None => zones.push((zone, vec![shard])),
+            }
+        }
+        for (zone, shards) in zones {
+            let group: Vec<_> = shards.iter().map(|shard| (*shard, &choices[*shard])).collect();
+            let group: Vec<_> = group
+                .into_iter()
+                .filter_map(|(shard, choice)| Some((shard, choice.as_ref()?)))
+                .collect();
+            if !self.delegate_zone(&zone, &group, false) {
+                continue;
+            }
+            for shard in shards {
+                choices[shard] = None;
+            }
+        }
+    }
+
+    /// Hands a repeated attempt to a VM beside its upstream, whose link is open; a connection of our own would cost
+    /// one more way there and back. Tells whether it did.
+    pub(super) fn delegate_repeat(&mut self, shard: usize, choice: &UpstreamChoice) -> bool {
+        let gather = matches!(self.target, RunTarget::Gather(_));
+        let suspected = self.probe.is_some() || self.request.after_loss.get();
+        if !gather || suspected || choice.distance == PlaceDistance::Zone || self.duty.is_some() {
+            return false;
+        }
+        let zone = choice.upstream.entry().zone.clone();
+        self.delegate_zone(&zone, &[(shard, choice)], true)
+    }
+
+    fn delegate_zone(
+        &mut self,
+        zone: &PlaceName,
+        shards: &[(usize, &UpstreamChoice)],
+        repeat: bool,
+    ) -> bool {
+        let core = self.context.core.clone();
+        let usual = {
+            let latency = self.context.latency.borrow();
+            latency.track(AttemptKind::Delegated).quantile(0.5)
+        };
+        let working = core.vms.working_in(zone);
+        let Some(vm) = core.delegates.choose_vm(&working, usual) else {
+            return false;
+        };
+        let began = now();
+        let query = self.partial_query(shards, began, repeat);
+        let group = self.groups.len();
+        let events = (group, self.news_sender.clone());
+        let Some(number) = core.delegates.send(vm, query, usual, events) else {
+            return false;
+        };
+        let mut attempts = Vec::with_capacity(shards.len());
+        for (shard, choice) in shards {
+            self.state.shard_mut(*shard).counted = true;
+            let (abort, _registration) = AbortHandle::new_pair();
+            let kind = AttemptKind::Delegated;
+            attempts.push(self.note_begun(*shard, choice, kind, began, abort));
+        }
+        self.groups.push(ShardGroup {
+            number,
+            attempts,
+            repeat,
+        });
+        true
+    }
+
+    fn partial_query(
+        &self,
+        shards: &[(usize, &UpstreamChoice)],
+        time: Instant,
+        repeat: bool,
+    ) -> PartialQuery {
+        let micros = |until: Instant| {
+            let left = until.saturating_duration_since(time).as_micros();
+            u32::try_from(left).unwrap_or(u32::MAX)
+        };
+        let useful = self.state.useful_until(time);
+        PartialQuery {
+            number: 0,
+            version: self.version,
+            route: self.route.name.as_str().into(),
+            shards: shards.iter().map(|(shard, _choice)| *shard as u16).collect(),
+            repeat,
+            answer_left_us: useful.map_or(0, micros),
+            finish_left_us: micros(self.request.finish_by),
+            request: self.request.to_partial(),
+        }
+    }
+
+    /// Takes in what a VM tells of a group.
+    pub(super) fn take_news(&mut self, event: GroupEvent) {
+        match event.news {
+            GroupNews::Reply(reply) => self.take_reply(event.group, reply),
+            GroupNews::Down { sent } => {
+                for number in self.groups[event.group].attempts.clone() {
+                    self.end_delegated(event.group, number, sent, false);
+                }
+            }
+        }
+    }
+
+    fn take_reply(&mut self, group: usize, reply: PartialReply) {
+        let attempts = self.groups[group].attempts.clone();
+        let find = |run: &Self, shard: u16| {
+            let mut numbers = attempts.iter().copied();
+            numbers.find(|number| {
+                let attempt = &run.live[*number];
+                attempt.shard == usize::from(shard) && !attempt.ended
+            })
+        };
+        let time = now();
+        let mut parts = Vec::with_capacity(reply.parts.len());
+        for part in reply.parts {
+            let Some(number) = find(self, part.shard) else {
+                log::warn!(
+                    "a partial reply names shard {} that was not asked",
+                    part.shard
+                );
+                return;
+            };
+            let Ok(signature) = HeaderValue::from_maybe_shared(part.signature) else {
+                log::warn!("a partial reply holds a malformed signature");
+                return;
+            };
+            self.note_delegated(number, time);
+            parts.push((usize::from(part.shard), signature));
+        }
+        if !parts.is_empty() {
+            self.state.take_group(parts, reply.records);
+        }
+        self.suspect_rest(&attempts, time);
+        for failed in reply.failed {
+            let Some(number) = find(self, failed.shard) else {
+                continue;
+            };
+            if failed.slow {
+                let health = &self.live[number].upstream.health;
+                health.borrow_mut().note_advice(time);
+            }
+            self.end_delegated(group, number, failed.may_have_run, failed.lost);
+        }
+    }
+
+    /// What is not in the first reply of a group is late at the VM that gathers it.
+    fn suspect_rest(&mut self, attempts: &[usize], time: Instant) {
+        for number in attempts {
+            let attempt = &mut self.live[*number];
+            if attempt.ended || attempt.known_late {
+                continue;
+            }
+            attempt.known_late = true;
+            attempt.next_look = time;
+        }
+    }
+
+    /// A part that another VM has gathered is in.
+    fn note_delegated(&mut self, number: usize, time: Instant) {
+        let attempt = &mut self.live[number];
+        attempt.ended = true;
+        let took = time.saturating_duration_since(attempt.began);
+        let mut latency = self.context.latency.borrow_mut();
+        latency.track_mut(AttemptKind::Delegated).record(took, time);
+        self.state.shard_mut(attempt.shard).out -= 1;
+    }
+
+    /// A part that another VM should have gathered won't come from there: it is asked for directly.
+    fn end_delegated(&mut self, group: usize, number: usize, may_have_run: bool, lost: bool) {
+        let repeat = self.groups[group].repeat;
+        let attempt = &mut self.live[number];
+        if attempt.ended {
+            return;
+        }
+        attempt.ended = true;
+        attempt.may_have_run = may_have_run;
+        let shard = attempt.shard;
+        let state = self.state.shard_mut(shard);
+        state.out -= 1;
+        if !may_have_run {
+            state.ran -= 1;
+            state.unsent += 1;
+            // The VM there has not counted it either.
+            state.counted = repeat;
+        }
+        if lost {
+            state.lost = true;
+            self.request.after_loss.set(true);
+            self.retry_lost(shard);
+            return;
+        }
+        self.retry(shard, Duration::ZERO);
+    }
+
+    /// Ends the groups at the VMs that gather them. What was late there counts in the picture of such attempts.
+    pub(super) fn end_groups(&mut self) {
+        let time = now();
+        for group in &self.groups {
+            let finished = group.attempts.iter().all(|number| self.live[*number].ended);
+            self.context.core.delegates.end(group.number, finished);
+        }
+        for attempt in &self.live {
+            if attempt.ended || attempt.kind != AttemptKind::Delegated {
+                continue;
+            }
+            let mut latency = self.context.latency.borrow_mut();
+            let waited = time.saturating_duration_since(attempt.began);
+            latency
+                .track_mut(AttemptKind::Delegated)
+                .record_abandoned(waited, time);
+        }
+    }
+
+    /// Begins the shards that another VM has asked for. One without a good upstream beside this VM is handed back.
+    pub(super) fn begin_partial(&mut self, repeat: bool) {
+        for shard in 0..self.state.shards().len() {
+            self.state.shard_mut(shard).counted = repeat;
+            let choice = self.choose(shard, false);
+            let usable = choice.filter(|choice| {
+                let health = choice.upstream.health.borrow();
+                let slow = choice.slowness >= SLOW || health.is_ejected(now());
+                !slow || health.wants_probe(now())
+            });
+            match usable {
+                Some(choice) => self.launch(shard, choice, Duration::ZERO),
+                None => {
+                    if let Some(duty) = &mut self.duty {
+                        duty.slow[shard] = true;
+                    }
+                    self.state.fail(shard);
+                }
+            }
+        }
+    }
+
+    /// Replies with the parts that have come in, once those that are still out are late: several parts make one reply,
+    /// and none of them waits for a straggler.
+    pub(super) fn flush(&mut self, reply: &mut impl FnMut(PartialReply)) {
+        let Some(duty) = &self.duty else { return };
+        let time = now();
+        let shards = self.state.shards();
+        let ended = |shard: usize| !shards[shard].is_open();
+        let waiting = (0..shards.len()).filter(|shard| !ended(*shard));
+        let usual = |shard: usize| {
+            let mut out = self.attempts_of(shard).filter(|attempt| !attempt.ended);
+            out.any(|attempt| !self.is_straggler(attempt.began, attempt.kind, time))
+        };
+        let failed = (0..shards.len())
+            .any(|shard| !duty.told[shard] && shards[shard].standing == ShardStanding::Failed);
+        if !failed && waiting.clone().any(usual) {
+            return;
+        }
+        let untold: Vec<usize> = (0..shards.len())
+            .filter(|shard| ended(*shard) && !duty.told[*shard])
+            .collect();
+        if untold.is_empty() {
+            return;
+        }
+        let message = self.partial_reply(&untold);
+        if let Some(duty) = &mut self.duty {
+            for shard in untold {
+                duty.told[shard] = true;
+            }
+        }
+        reply(message);
+    }
+
+    fn is_straggler(&self, began: Instant, kind: AttemptKind, time: Instant) -> bool {
+        let waited = millis(time.saturating_duration_since(began));
+        let latency = self.context.latency.borrow();
+        waited >= latency.track(kind).quantile(super::STRAGGLER_SHARE)
+    }
+
+    fn partial_reply(&self, shards: &[usize]) -> PartialReply {
+        let mut reply = PartialReply::default();
+        let mut records = Vec::new();
+        for number in shards {
+            let shard = &self.state.shards()[*number];
+            if let ShardStanding::Answered(part) = &shard.standing {
+                reply.parts.push(ShardSignature {
+                    shard: *number as u16,
+                    signature: bytes::Bytes::copy_from_slice(part.signature.as_bytes()),
+                });
+                records.push(part);
+                continue;
+            }
+            let slow = self.duty.as_ref().is_some_and(|duty| duty.slow[*number]);
+            reply.failed.push(FailedShard {
+                shard: *number as u16,
+                may_have_run: shard.ran > 0,
+                lost: shard.lost,
+                slow,
+            });
+        }
+        let own = records.iter().filter_map(|part| part.own_records());
+        let RunTarget::Gather(terms) = &self.target else {
+            return reply;
+        };
+        reply.records = merge_records(own, terms.top);
+        reply
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -0,0 +1,267 @@
+//! Runs one request: its attempts at upstreams, hedges, retries, and the moment of its answer.
+//!
+//! A request to one service is a query over one shard whose part is passed on as it is; so there is one place where
+//! attempts are counted, repeated and given up. Shards whose upstreams are elsewhere are gathered by a VM beside them
+//! ([`group`]); that VM runs the same code for them and replies with merged parts.
+
+mod attempt;
+mod begin;
+mod finish;
+mod group;
+mod retry;
+mod straggler;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+
+use crate::gateway::core::{GatewayCore, ServiceState, now};
+use crate::gateway::delegate::GroupEvent;
+use crate::gateway::exchange::{AttemptContext, UpstreamAnswer};
+use crate::gateway::gather::{GatherEnd, GatherState};
+use crate::gateway::hedge::STRAGGLER_SHARE;
+use crate::gateway::ident::UpstreamService;
+use crate::gateway::latency::millis;
+use crate::gateway::partial::PartialReply;
+use crate::gateway::reply::CallerReply;
+use crate::gateway::request::ForwardRequest;
+use crate::gateway::route::{GatherTerms, RepeatKind, RouteEntry};
+use crate::quarantine::RequestStanding;
+
+use self::attempt::{AttemptSet, LiveAttempt};
+use self::group::{PartialDuty, ShardGroup};
+
+/// What is kept of the target for the way back to the caller and the work on the answer: a caller on a new connection
+/// has spent 6 ms on look-up, handshake and request before it is read.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// What is kept of the deadline for the same.
+const FINISH_MARGIN: Duration = Duration::from_millis(15);
+/// How long attempts that are no longer needed may go on, so that their connections can be used again: a new one holds
+/// an upstream's slot for some milliseconds. Work for a caller that has left must end within half a second.
+const SPARE_TIME: Duration = Duration::from_millis(300);
+
+/// How a request ended.
+#[derive(Debug)]
+pub struct RunReport {
+    /// The answer.
+    pub reply: CallerReply,
+    /// One word for logs and metrics.
+    pub word: &'static str,
+    /// What decided it, for logs.
+    pub detail: CompactString,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub enum RunTarget {
+    /// To one upstream of a service.
+    One(UpstreamService),
+    /// To one upstream of each shard.
+    Gather(GatherTerms),
+}
+
+impl RunTarget {
+    fn service(&self, shard: usize) -> &UpstreamService {
+        match self {
+            Self::One(service) => service,
+            Self::Gather(terms) => &terms.shards[shard],
+        }
+    }
+}
+
+/// A request as it runs.
+struct QueryRun {
+    context: AttemptContext,
+    route: Rc<RouteEntry>,
+    /// Version of the configuration that the request uses.
+    version: u64,
+    target: RunTarget,
+    request: Rc<ForwardRequest>,
+    state: GatherState,
+    live: Vec<LiveAttempt>,
+    set: AttemptSet,
+    /// Set when the request has ended: attempts that still wait for a connection are not sent.
+    cancelled: Rc<Cell<bool>>,
+    /// The answer to a request to one service.
+    single: Option<UpstreamAnswer>,
+    /// The last answer that was no success, for requests to one service.
+    failure: Option<UpstreamAnswer>,
+    /// The shard that goes alone while the request is suspected of crashing upstreams.
+    probe: Option<usize>,
+    /// Shards that wait for the probe.
+    held: SmallVec<[usize; 8]>,
+    /// Shards that other VMs gather.
+    groups: Vec<ShardGroup>,
+    news: mpsc::UnboundedReceiver<GroupEvent>,
+    news_sender: mpsc::UnboundedSender<GroupEvent>,
+    /// Set if this VM gathers parts for another one.
+    duty: Option<PartialDuty>,
+    hedges: usize,
+    retries: usize,
+}
+
+/// Runs a request to its end. Dropping the future gives it up.
+pub async fn run_request(
+    core: &Rc<GatewayCore>,
+    route: &Rc<RouteEntry>,
+    version: u64,
+    target: RunTarget,
+    request: Rc<ForwardRequest>,
+    standing: RequestStanding,
+) -> RunReport {
+    let mut run = QueryRun::new(core, route, target, request);
+    run.version = version;
+    run.begin(standing);
+    let end = run.drive().await;
+    run.finish(end)
+}
+
+/// Gathers shards for another VM; `reply` gets the parts as they come in. Dropping the future gives it up.
+pub async fn run_partial(
+    core: &Rc<GatewayCore>,
+    route: &Rc<RouteEntry>,
+    terms: GatherTerms,
+    request: Rc<ForwardRequest>,
+    (answer_by, repeat): (Instant, bool),
+    mut reply: impl FnMut(PartialReply),
+) {
+    let shards = terms.shards.len();
+    let mut run = QueryRun::new(core, route, RunTarget::Gather(terms), request);
+    run.state = GatherState::new(shards, 0, answer_by, run.request.finish_by).with_patience();
+    run.duty = Some(PartialDuty::new(shards));
+    run.begin_partial(repeat);
+    run.flush(&mut reply);
+    run.drive_with(&mut reply).await;
+    run.flush(&mut reply);
+}
+
+impl QueryRun {
+    fn new(
+        core: &Rc<GatewayCore>,
+        route: &Rc<RouteEntry>,
+        target: RunTarget,
+        request: Rc<ForwardRequest>,
+    ) -> Self {
+        let (shards, least) = match &target {
+            RunTarget::One(_) => (1, 1),
+            RunTarget::Gather(terms) => (terms.shards.len(), terms.least_shards()),
+        };
+        let answer_by = request.received + route.target.saturating_sub(ANSWER_MARGIN);
+        let finish_by = request.finish_by - FINISH_MARGIN;
+        let context = AttemptContext {
+            core: Rc::clone(core),
+            latency: core.latency(route),
+            repeat: route.repeat,
+        };
+        let (news_sender, news) = mpsc::unbounded_channel();
+        Self {
+            context,
+            route: Rc::clone(route),
+            version: 0,
+            target,
+            request,
+            state: GatherState::new(shards, least, answer_by, finish_by),
+            live: Vec::with_capacity(shards + shards / 4),
+            set: FuturesUnordered::new(),
+            cancelled: Rc::default(),
+            single: None,
+            failure: None,
+            probe: None,
+            held: SmallVec::new(),
+            groups: Vec::new(),
+            news,
+            news_sender,
+            duty: None,
+            hedges: 0,
+            retries: 0,
+        }
+    }
+
+    /// Most upstreams on which a shard may run.
+    fn attempts_allowed(&self) -> usize {
+        match self.route.repeat {
+            RepeatKind::Idempotent if self.duty.is_none() => self.route.attempts.max(1),
+            // The asking VM may use the others.
+            RepeatKind::Idempotent | RepeatKind::Once => 1,
+        }
+    }
+
+    /// Waits for attempts and times until the request has an end.
+    async fn drive(&mut self) -> GatherEnd {
+        self.drive_with(&mut |_reply| {}).await
+    }
+
+    async fn drive_with(&mut self, reply: &mut impl FnMut(PartialReply)) -> GatherEnd {
+        let timer = tokio::time::sleep(Duration::ZERO);
+        tokio::pin!(timer);
+        loop {
+            let time = now();
+            if let Some(end) = self.state.judge(time) {
+                return end;
+            }
+            self.resume_postponed(time);
+            self.look_for_stragglers(time);
+            self.flush(reply);
+            let wake = self.next_wake(time);
+            timer.as_mut().reset(tokio::time::Instant::from_std(wake));
+            tokio::select! {
+                Some(finished) = self.set.next() => self.take_ended(finished),
+                Some(event) = self.news.recv() => self.take_news(event),
+                () = &mut timer => {}
+            }
+        }
+    }
+
+    /// Sends postponed shards after all: as many as have failed, and all once the target has passed without enough.
+    fn resume_postponed(&mut self, time: Instant) {
+        while self.state.lacks() || self.state.useful_until(time).is_none() {
+            let Some(shard) = self.state.resume_one() else {
+                return;
+            };
+            self.start(shard, Duration::ZERO);
+        }
+    }
+
+    fn next_wake(&self, time: Instant) -> Instant {
+        let mut wake = self.state.next_judgement(time);
+        for attempt in &self.live {
+            if attempt.ended || !self.state.shards()[attempt.shard].is_open() {
+                continue;
+            }
+            wake = wake.min(attempt.next_look);
+        }
+        wake
+    }
+}
+
+impl Drop for QueryRun {
+    /// Attempts that are out may end for a while, so that their connections can be used again.
+    fn drop(&mut self) {
+        self.cancelled.set(true);
+        self.end_groups();
+        let time = now();
+        for attempt in &self.live {
+            let waited = millis(time.saturating_duration_since(attempt.began));
+            let latency = self.context.latency.borrow();
+            // What is late already waits in a queue or a pause; ending it takes it out of there.
+            if waited > latency.track(attempt.kind).quantile(STRAGGLER_SHARE) {
+                attempt.abort.abort();
+            }
+        }
+        let mut set = std::mem::take(&mut self.set);
+        if set.is_empty() || self.context.core.state() == ServiceState::Finishing {
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let ending = async { while set.next().await.is_some() {} };
+            // What takes longer is given up, and its connection with it.
+            let _elapsed = tokio::time::timeout(SPARE_TIME, ending).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -0,0 +1,170 @@
+//! What follows the end of an attempt: a part, another attempt, or none.
+
+use std::time::Duration;
+
+use super::{QueryRun, RunTarget};
+use crate::gateway::core::now;
+use crate::gateway::exchange::{AttemptOutcome, UpstreamAnswer};
+use crate::gateway::metrics::OutcomeLabel;
+use crate::gateway::run::attempt::FinishedAttempt;
+
+/// Wait before a shard is sent again to an upstream that has declined it: about one service time.
+const DECLINED_PAUSE: Duration = Duration::from_millis(25);
+/// Attempts of one shard that upstreams may decline before it is given up.
+const DECLINED_LIMIT: usize = 3;
+/// Attempts of one shard of which nothing was sent before it is given up.
+const UNSENT_LIMIT: usize = 4;
+/// Shards whose connection has broken from which on the request itself is suspected: one more attempt goes first
+/// alone.
+const SUSPICIOUS_LOSSES: usize = 2;
+
+impl QueryRun {
+    /// An attempt has ended; one that was aborted belongs to a shard whose part is in.
+    pub(super) fn take_ended(&mut self, finished: Option<FinishedAttempt>) {
+        if let Some(finished) = finished {
+            self.take_finished(finished);
+        }
+    }
+
+    fn take_finished(&mut self, finished: FinishedAttempt) {
+        let FinishedAttempt { number, outcome } = finished;
+        let attempt = &mut self.live[number];
+        attempt.ended = true;
+        attempt.may_have_run = outcome.may_have_run();
+        let shard = attempt.shard;
+        self.log_attempt(number, &outcome);
+        let label = OutcomeLabel(outcome.word());
+        let metrics = &self.context.core.metrics;
+        metrics.attempts.get_or_create(&label).inc();
+        let state = self.state.shard_mut(shard);
+        state.out -= 1;
+        match outcome {
+            AttemptOutcome::Answered(answer) if answer.status.is_success() => {
+                self.take_answer(shard, answer);
+                self.clear_probe(shard);
+            }
+            AttemptOutcome::Answered(answer) => {
+                if self.state.shards()[shard].is_open() {
+                    self.failure = Some(answer);
+                }
+                self.retry(shard, Duration::ZERO);
+            }
+            AttemptOutcome::Declined(_) => {
+                state.ran -= 1;
+                state.declined += 1;
+                let given_up = state.declined >= DECLINED_LIMIT;
+                self.retry_unless(given_up, shard, DECLINED_PAUSE);
+            }
+            AttemptOutcome::Unsent(_) => {
+                state.ran -= 1;
+                state.unsent += 1;
+                let given_up = state.unsent >= UNSENT_LIMIT;
+                self.retry_unless(given_up, shard, Duration::ZERO);
+            }
+            AttemptOutcome::Lost(_) => {
+                state.lost = true;
+                self.request.after_loss.set(true);
+                self.retry_lost(shard);
+            }
+        }
+    }
+
+    fn take_answer(&mut self, shard: usize, answer: UpstreamAnswer) {
+        let names = &self.context.core.dialect.names;
+        // An answer without a signature was taken for a lost one.
+        let Some(signature) = answer.headers.get(&names.signature).cloned() else {
+            return;
+        };
+        self.state.take_part(shard, signature, answer.body.clone());
+        if matches!(self.target, RunTarget::One(_)) && self.single.is_none() {
+            self.single = Some(answer);
+        }
+    }
+
+    /// Tells of an attempt that brought no answer; the request's own line sums up the others.
+    fn log_attempt(&self, number: usize, outcome: &AttemptOutcome) {
+        if matches!(outcome, AttemptOutcome::Answered(answer) if answer.status.is_success()) {
+            return;
+        }
+        let attempt = &self.live[number];
+        let id = self.request.id.to_str().unwrap_or("-");
+        log::info!(
+            target: "ebonyfork::decision",
+            "attempt request={id} service={} instance={} after_ms={} {outcome}",
+            self.target.service(attempt.shard),
+            attempt.instance,
+            now().saturating_duration_since(attempt.began).as_millis()
+        );
+    }
+
+    fn retry_unless(&mut self, given_up: bool, shard: usize, pause: Duration) {
+        if given_up && self.state.shards()[shard].out == 0 {
+            self.state.fail(shard);
+            return;
+        }
+        self.retry(shard, pause);
+    }
+
+    /// Sends a shard again unless its part is in or another attempt is out.
+    pub(super) fn retry(&mut self, shard: usize, pause: Duration) {
+        let state = &self.state.shards()[shard];
+        if !state.is_open() || state.out > 0 {
+            return;
+        }
+        self.retries += 1;
+        // An upstream that was not tried yet needs no pause.
+        let pause = if self.has_untried(shard) {
+            Duration::ZERO
+        } else {
+            pause
+        };
+        self.start(shard, pause);
+    }
+
+    fn has_untried(&self, shard: usize) -> bool {
+        let service = self.target.service(shard);
+        let candidates = self.context.core.registry.upstreams(service);
+        candidates.iter().any(|upstream| {
+            let entry = upstream.entry();
+            let mut attempts = self.attempts_of(shard);
+            !upstream.is_leaving() && !attempts.any(|attempt| attempt.instance == entry.instance)
+        })
+    }
+
+    /// A connection has broken under a shard. A request under which several have broken may be what crashes the
+    /// upstreams: then one shard goes first and the others wait for its answer.
+    pub(super) fn retry_lost(&mut self, shard: usize) {
+        if self.probe == Some(shard) {
+            // The probe has lost an upstream too.
+            for held in std::mem::take(&mut self.held) {
+                self.state.fail(held);
+            }
+            self.state.fail(shard);
+            return;
+        }
+        if self.state.lost() < SUSPICIOUS_LOSSES {
+            self.retry(shard, Duration::ZERO);
+            return;
+        }
+        if self.state.shards()[shard].out > 0 || !self.state.shards()[shard].is_open() {
+            return;
+        }
+        if self.probe.is_some() {
+            self.held.push(shard);
+            return;
+        }
+        self.probe = Some(shard);
+        self.retry(shard, Duration::ZERO);
+    }
+
+    /// A part has come in: if it was the probe's, the others may go.
+    fn clear_probe(&mut self, shard: usize) {
+        if self.probe != Some(shard) {
+            return;
+        }
+        self.probe = None;
+        for held in std::mem::take(&mut self.held) {
+            self.start(held, Duration::ZERO);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/run/straggler.rs
@@ -0,0 +1,78 @@
+//! Second attempts beside first ones that have been out for too long.
+
+use std::time::{Duration, Instant};
+
+use super::QueryRun;
+use crate::gateway::hedge::HedgeQuestion;
+use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::route::RepeatKind;
+use crate::gateway::settings::PlaceDistance;
+
+impl QueryRun {
+    /// Sends a second attempt beside each first one that has been out for too long, where that is worth it.
+    pub(super) fn look_for_stragglers(&mut self, time: Instant) {
+        if self.route.repeat == RepeatKind::Once {
+            return;
+        }
+        for number in 0..self.live.len() {
+            let attempt = &self.live[number];
+            let shard = attempt.shard;
+            if attempt.ended || attempt.next_look > time {
+                continue;
+            }
+            let state = &self.state.shards()[shard];
+            if state.is_open() && state.out == 1 {
+                self.hedge(number, time);
+            }
+            self.look_later(number, time);
+        }
+    }
+
+    fn look_later(&mut self, number: usize, time: Instant) {
+        let attempt = &self.live[number];
+        let waited = millis(time.saturating_duration_since(attempt.began));
+        let next = {
+            let latency = self.context.latency.borrow();
+            HedgeQuestion::next_look(latency.track(attempt.kind), waited)
+        };
+        let attempt = &mut self.live[number];
+        attempt.next_look = attempt.began + Duration::from_secs_f64(next / 1_000.0);
+    }
+
+    fn hedge(&mut self, number: usize, time: Instant) {
+        let shard = self.live[number].shard;
+        let suspected = self.probe.is_some() || self.request.after_loss.get();
+        let full = self.upstreams_run(shard).len() >= self.attempts_allowed();
+        if suspected || full || self.state.shards()[shard].ran >= self.sends_allowed() {
+            return;
+        }
+        let Some(choice) = self.choose(shard, true) else {
+            return;
+        };
+        let attempt = &self.live[number];
+        let other = match choice.distance {
+            PlaceDistance::Zone => AttemptKind::Zone,
+            PlaceDistance::Region | PlaceDistance::Far => AttemptKind::Delegated,
+        };
+        let worth = {
+            let latency = self.context.latency.borrow();
+            let left = self.state.useful_until(time);
+            let question = HedgeQuestion {
+                waited_ms: millis(time.saturating_duration_since(attempt.began)),
+                left_ms: left.map(|until| millis(until.saturating_duration_since(time))),
+                original: latency.track(attempt.kind),
+                other: latency.track(other),
+                other_slowness: choice.slowness,
+                known_late: attempt.known_late,
+            };
+            question.is_worth()
+        };
+        if !worth || !self.spend(shard) {
+            return;
+        }
+        self.hedges += 1;
+        if !self.delegate_repeat(shard, &choice) {
+            self.launch(shard, choice, Duration::ZERO);
+        }
+    }
+}
--- a/crates/ebonyfork/src/gateway/settings_tests.rs
+++ b/crates/ebonyfork/src/gateway/settings_tests.rs
@@ -29,7 +29,12 @@
         .replace("address = 10.9.0.1:9", "address = store");
     let findings = GatewaySettings::parse("g.ini", &broken).expect_err("four findings");
     let text = findings.to_string();
-    for expected in ["peer-prot", "more than 0 seconds", "not negative", "socket address"] {
+    for expected in [
+        "peer-prot",
+        "more than 0 seconds",
+        "not negative",
+        "socket address",
+    ] {
         expect_that!(text, contains_substring(expected));
     }
     expect_that!(text, contains_substring("g.ini:"));
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -131,6 +131,13 @@
         others.map(|record| VmAddress(record.caller.ip())).collect()
     }
 
+    /// The other VMs of a zone that are believed to work.
+    pub fn working_in(&self, zone: &PlaceName) -> Vec<VmAddress> {
+        let usable = self.usable(None);
+        let inside = usable.iter().filter(|record| record.zone == zone.as_str());
+        inside.map(|record| VmAddress(record.caller.ip())).collect()
+    }
+
     /// The VMs that callers can be told to use, with their zone and region.
     fn usable(&self, own: Option<&NodePlace>) -> Vec<VmRecord> {
         let members = self.members.borrow();
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::CatalogMessage;
+use crate::gateway::PartialMessage;
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
@@ -37,4 +38,6 @@
     Catalog(CatalogMessage),
     /// Keys of non-idempotent queries.
     Once(OnceMessage),
+    /// Gateway to gateway: parts of queries over many shards.
+    Partial(PartialMessage),
 }
