Measure an upstream's slowness without the way to it, and learn it from gathered parts

Cause: the time of a far attempt is mostly distance, so a slow far upstream looked usual, and one behind another VM was never learnt. Tried and left: handing slow shards back at once (in overload both sides handed them to and fro).

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -79,7 +79,7 @@
         shard: *shard,
         may_have_run: false,
         lost: false,
-        slow: false,
+        avoid: false,
     });
     let reply = PartialReply {
         number: query.number,
--- a/crates/ebonyfork/src/gateway/choice.rs
+++ b/crates/ebonyfork/src/gateway/choice.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::core::RouteLatency;
 use crate::gateway::ident::InstanceName;
+use crate::gateway::latency::AttemptKind;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
@@ -44,9 +45,11 @@
             continue;
         }
         let distance = place.distance(&entry.zone);
-        let usual = latency.track(distance).quantile(0.5);
+        let kind = latency.quickest(distance);
         let health = upstream.health.borrow();
-        let expected = health.expected_ms(now, usual, entry.slots);
+        let near_ms = latency.usual_ms(AttemptKind::Zone);
+        let own_ms = health.expected_ms(now, near_ms, entry.slots);
+        let expected = latency.way_ms(kind) + own_ms;
         let mut cost = expected;
         if distance != PlaceDistance::Zone {
             cost += FAR_BIAS_MS;
@@ -60,7 +63,7 @@
         let choice = UpstreamChoice {
             upstream: Rc::clone(upstream),
             distance,
-            slowness: (expected / usual).max(1.0),
+            slowness: (expected / latency.usual_ms(kind)).max(1.0),
         };
         best = Some((cost, choice));
     }
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -15,7 +15,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::route::{RouteEntry, RouteTable};
-use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::{GatewaySettings, PlaceDistance};
 use crate::gateway::vms::VmDirectory;
 use crate::gateway::weights::WeightShares;
 use crate::quarantine::QuarantineHandle;
@@ -51,6 +51,32 @@
         &self.tracks[kind.into() as usize]
     }
 
+    /// How long attempts of a kind usually take, in milliseconds.
+    pub fn usual_ms(&self, kind: impl Into<AttemptKind>) -> f64 {
+        self.track(kind).quantile(0.5)
+    }
+
+    /// What the way to the upstream adds to the time of an attempt, in milliseconds.
+    pub fn way_ms(&self, kind: impl Into<AttemptKind>) -> f64 {
+        (self.usual_ms(kind) - self.usual_ms(AttemptKind::Zone)).max(0.0)
+    }
+
+    /// The time that an upstream took for an attempt over the time that one beside this VM usually takes.
+    pub fn slowness(&self, kind: impl Into<AttemptKind>, took_ms: f64) -> f64 {
+        let own_ms = (took_ms - self.way_ms(kind)).max(0.0);
+        own_ms / self.usual_ms(AttemptKind::Zone)
+    }
+
+    /// The quickest kind of attempt at a distance.
+    pub fn quickest(&self, distance: PlaceDistance) -> AttemptKind {
+        let direct = AttemptKind::from(distance);
+        let near = distance == PlaceDistance::Zone;
+        if near || self.usual_ms(direct) <= self.usual_ms(AttemptKind::Delegated) {
+            return direct;
+        }
+        AttemptKind::Delegated
+    }
+
     /// The attempts of a kind.
     pub fn track_mut(&mut self, kind: impl Into<AttemptKind>) -> &mut LatencyTrack {
         &mut self.tracks[kind.into() as usize]
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -109,15 +109,14 @@
     /// How long such an attempt usually takes.
     fn usual_time(&self) -> Duration {
         let latency = self.context.latency.borrow();
-        let usual_ms = latency.track(self.distance()).quantile(0.5);
-        Duration::from_secs_f64(usual_ms / 1_000.0)
+        Duration::from_secs_f64(latency.usual_ms(self.distance()) / 1_000.0)
     }
 
     /// The time so far over the usual one.
     fn slowness(&self, now: Instant) -> f64 {
         let took = millis(now.saturating_duration_since(self.began));
         let latency = self.context.latency.borrow();
-        took / latency.track(self.distance()).quantile(0.5)
+        latency.slowness(self.distance(), took)
     }
 
     fn note(&mut self, outcome: &AttemptOutcome) {
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -173,6 +173,11 @@
         rested && self.out.is_empty() && !self.is_ejected(now)
     }
 
+    /// Whether it has stopped answering just now, while it was not slow before.
+    pub fn is_pausing(&self, now: Instant, usual_ms: f64) -> bool {
+        self.slowness < PAUSE_SLOWNESS && millis(self.oldest(now)) > usual_ms * LATE
+    }
+
     /// How long an attempt is expected to take, in milliseconds, if such attempts usually take `usual_ms` and `slots`
     /// run side by side.
     pub fn expected_ms(&self, now: Instant, usual_ms: f64, slots: usize) -> f64 {
--- a/crates/ebonyfork/src/gateway/partial.rs
+++ b/crates/ebonyfork/src/gateway/partial.rs
@@ -50,6 +50,8 @@
     pub shard: u16,
     /// The upstream's signature.
     pub signature: Bytes,
+    /// Microseconds that the upstream took.
+    pub took_us: u32,
 }
 
 /// A shard that could not be gathered.
@@ -61,8 +63,8 @@
     pub may_have_run: bool,
     /// Whether a connection broke under it.
     pub lost: bool,
-    /// Whether the upstreams here are too slow.
-    pub slow: bool,
+    /// Whether the upstream here can't be reached or pauses: another one should be taken for a moment.
+    pub avoid: bool,
 }
 
 /// Parts that have come in since the last reply to the same query.
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -50,6 +50,8 @@
     pub next_look: Instant,
     /// Whether the VM that gathers it has shown that it is late.
     pub known_late: bool,
+    /// How long it took, once its answer is in.
+    pub took: Option<Duration>,
     /// Whether it has ended.
     pub ended: bool,
 }
@@ -195,6 +197,9 @@
             let latency = self.context.latency.borrow();
             HedgeQuestion::next_look(latency.track(kind), 0.0)
         };
+        if kind == AttemptKind::Delegated {
+            choice.upstream.health.borrow_mut().begin(began);
+        }
         self.live.push(LiveAttempt {
             shard,
             instance: choice.upstream.entry().instance.clone(),
@@ -205,6 +210,7 @@
             began,
             next_look: began + Duration::from_secs_f64(first_look / 1_000.0),
             known_late: false,
+            took: None,
             ended: false,
         });
         let state = self.state.shard_mut(shard);
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -17,10 +17,6 @@
 use crate::gateway::partial::{FailedShard, PartialQuery, PartialReply, ShardSignature};
 use crate::gateway::settings::PlaceDistance;
 
-/// Slowness of an upstream beside this VM from which another VM's shard is handed back: the asking VM may know a
-/// better one elsewhere.
-const SLOW: f64 = 4.0;
-
 /// A group of shards that another VM gathers.
 #[derive(Debug)]
 pub(super) struct ShardGroup {
@@ -37,15 +33,15 @@
 pub(super) struct PartialDuty {
     /// Whether each shard's end was told.
     told: Vec<bool>,
-    /// Shards whose upstreams are too slow here.
-    slow: Vec<bool>,
+    /// Shards whose upstream here should be avoided for a moment.
+    avoid: Vec<bool>,
 }
 
 impl PartialDuty {
     pub(super) fn new(shards: usize) -> Self {
         Self {
             told: vec![false; shards],
-            slow: vec![false; shards],
+            avoid: vec![false; shards],
         }
     }
 }
@@ -191,7 +187,7 @@
                 log::warn!("a partial reply holds a malformed signature");
                 return;
             };
-            self.note_delegated(number, time);
+            self.note_delegated(number, time, part.took_us);
             parts.push((usize::from(part.shard), signature));
         }
         if !parts.is_empty() {
@@ -202,7 +198,7 @@
             let Some(number) = find(self, failed.shard) else {
                 continue;
             };
-            if failed.slow {
+            if failed.avoid {
                 let health = &self.live[number].upstream.health;
                 health.borrow_mut().note_advice(time);
             }
@@ -223,12 +219,19 @@
     }
 
     /// A part that another VM has gathered is in.
-    fn note_delegated(&mut self, number: usize, time: Instant) {
+    fn note_delegated(&mut self, number: usize, time: Instant, took_us: u32) {
         let attempt = &mut self.live[number];
         attempt.ended = true;
         let took = time.saturating_duration_since(attempt.began);
         let mut latency = self.context.latency.borrow_mut();
-        latency.track_mut(AttemptKind::Delegated).record(took, time);
+        latency
+            .track_mut(AttemptKind::Delegated)
+            .record(took, time);
+        // What the upstream took there is measured against what those beside this VM take.
+        let slowness = latency.slowness(AttemptKind::Zone, f64::from(took_us) / 1_000.0);
+        let mut health = attempt.upstream.health.borrow_mut();
+        health.note_answer(attempt.began, time, slowness);
+        drop(health);
         self.state.shard_mut(attempt.shard).out -= 1;
     }
 
@@ -241,6 +244,8 @@
         }
         attempt.ended = true;
         attempt.may_have_run = may_have_run;
+        let began = attempt.began;
+        attempt.upstream.health.borrow_mut().note_unsent(began);
         let shard = attempt.shard;
         let state = self.state.shard_mut(shard);
         state.out -= 1;
@@ -275,24 +280,31 @@
             latency
                 .track_mut(AttemptKind::Delegated)
                 .record_abandoned(waited, time);
+            let slowness = latency.slowness(AttemptKind::Delegated, millis(waited));
+            let mut health = attempt.upstream.health.borrow_mut();
+            health.note_abandoned(attempt.began, time, slowness);
         }
     }
 
     /// Begins the shards that another VM has asked for. One without a good upstream beside this VM is handed back.
     pub(super) fn begin_partial(&mut self, repeat: bool) {
+        let time = now();
+        let usual = {
+            let latency = self.context.latency.borrow();
+            latency.track(AttemptKind::Zone).quantile(0.5)
+        };
         for shard in 0..self.state.shards().len() {
             self.state.shard_mut(shard).counted = repeat;
             let choice = self.choose(shard, false);
             let usable = choice.filter(|choice| {
                 let health = choice.upstream.health.borrow();
-                let slow = choice.slowness >= SLOW || health.is_ejected(now());
-                !slow || health.wants_probe(now())
+                !health.is_ejected(time) && !health.is_pausing(time, usual)
             });
             match usable {
                 Some(choice) => self.launch(shard, choice, Duration::ZERO),
                 None => {
                     if let Some(duty) = &mut self.duty {
-                        duty.slow[shard] = true;
+                        duty.avoid[shard] = true;
                     }
                     self.state.fail(shard);
                 }
@@ -338,6 +350,13 @@
         waited >= latency.track(kind).quantile(super::STRAGGLER_SHARE)
     }
 
+    /// How long the attempt took that brought a shard's part.
+    fn took_us(&self, shard: usize) -> u32 {
+        let took = self.attempts_of(shard).find_map(|attempt| attempt.took);
+        let micros = took.unwrap_or_default().as_micros();
+        u32::try_from(micros).unwrap_or(u32::MAX)
+    }
+
     fn partial_reply(&self, shards: &[usize]) -> PartialReply {
         let mut reply = PartialReply::default();
         let mut records = Vec::new();
@@ -347,16 +366,17 @@
                 reply.parts.push(ShardSignature {
                     shard: *number as u16,
                     signature: bytes::Bytes::copy_from_slice(part.signature.as_bytes()),
+                    took_us: self.took_us(*number),
                 });
                 records.push(part);
                 continue;
             }
-            let slow = self.duty.as_ref().is_some_and(|duty| duty.slow[*number]);
+            let avoid = self.duty.as_ref().is_some_and(|duty| duty.avoid[*number]);
             reply.failed.push(FailedShard {
                 shard: *number as u16,
                 may_have_run: shard.ran > 0,
                 lost: shard.lost,
-                slow,
+                avoid,
             });
         }
         let own = records.iter().filter_map(|part| part.own_records());
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -31,6 +31,7 @@
         let attempt = &mut self.live[number];
         attempt.ended = true;
         attempt.may_have_run = outcome.may_have_run();
+        attempt.took = Some(now().saturating_duration_since(attempt.began));
         let shard = attempt.shard;
         self.log_attempt(number, &outcome);
         let label = OutcomeLabel(outcome.word());
