--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -8,7 +8,6 @@
 use rustc_hash::FxHashMap;
 
 use crate::gateway::core::{GatewayCore, ServiceState, now};
-use crate::gateway::ident::RouteName;
 use crate::gateway::partial::{FailedShard, PartialMessage, PartialQuery, PartialReply};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{GatherTerms, RouteEntry, RouteTarget};
@@ -51,13 +50,13 @@
     });
 }
 
-/// The route of a query and the shards that are asked for; none unless this process uses the same configuration.
+/// The route of a query and the shards that are asked for; none unless this process knows the same shards.
 fn find_terms(core: &GatewayCore, query: &PartialQuery) -> Option<(Rc<RouteEntry>, GatherTerms)> {
-    let table = core.table()?;
-    if table.version().0 != query.version || core.state() == ServiceState::Finishing {
+    if core.state() == ServiceState::Finishing {
         return None;
     }
-    let route = table.find_named(&RouteName::new(&query.route))?;
+    let table = core.table()?;
+    let route = table.find_marked(query.mark)?;
     let RouteTarget::Gather(terms) = &route.destination else {
         return None;
     };
--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -16,6 +16,9 @@
 
 /// Queries that a VM is assumed to gather side by side without becoming slower.
 const VM_SLOTS: usize = 16;
+/// Share of its replies that must bring parts for a VM to be asked: one that does not know the upstreams, because the
+/// store turns it away, hands everything back and costs a way there and back.
+const USEFUL_SHARE: f64 = 0.5;
 /// A VM whose oldest answer is overdue by this factor over the usual time is not asked: it is frozen, cut off or gone.
 const OVERDUE: f64 = 3.0;
 
@@ -79,7 +82,8 @@
             let health = known
                 .entry(vm)
                 .or_insert_with(|| UpstreamHealth::new(time, Duration::ZERO));
-            if millis(health.oldest(time)) > usual_ms * OVERDUE || health.is_ejected(time) {
+            let overdue = millis(health.oldest(time)) > usual_ms * OVERDUE;
+            if overdue || health.is_ejected(time) || health.success(time) < USEFUL_SHARE {
                 continue;
             }
             let expected = health.expected_ms(time, usual_ms, VM_SLOTS);
@@ -131,7 +135,7 @@
         };
         if !query.heard {
             query.heard = true;
-            self.note_heard(query);
+            self.note_heard(query, !reply.parts.is_empty());
         }
         let event = GroupEvent {
             group: query.group,
@@ -141,11 +145,15 @@
         let _ended = query.events.send(event);
     }
 
-    fn note_heard(&self, query: &PendingPartial) {
+    fn note_heard(&self, query: &PendingPartial, useful: bool) {
         let time = now();
         let took = millis(time.saturating_duration_since(query.began));
         if let Some(health) = self.vms.borrow_mut().get_mut(&query.vm) {
-            health.note_answer(query.began, time, took / query.usual_ms);
+            if useful {
+                health.note_answer(query.began, time, took / query.usual_ms);
+            } else {
+                health.note_failure(query.began, time);
+            }
         }
     }
 
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -146,7 +146,10 @@
     /// advice is not remembered for longer.
     pub fn note_advice(&mut self, now: Instant) {
         let until = now + ADVICE_TIME;
-        self.ejected_until = Some(self.ejected_until.map_or(until, |ejected| ejected.max(until)));
+        self.ejected_until = Some(
+            self.ejected_until
+                .map_or(until, |ejected| ejected.max(until)),
+        );
     }
 
     /// An attempt was given up before it was sent.
@@ -173,6 +176,13 @@
         rested && self.out.is_empty() && !self.is_ejected(now)
     }
 
+    /// Share of its attempts that were answered, as far as it is remembered.
+    pub fn success(&self, now: Instant) -> f64 {
+        let mut aged = self.clone();
+        aged.age(now);
+        aged.success
+    }
+
     /// Whether it has stopped answering just now, while it was not slow before.
     pub fn is_pausing(&self, now: Instant, usual_ms: f64) -> bool {
         self.slowness < PAUSE_SLOWNESS && millis(self.oldest(now)) > usual_ms * LATE
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -232,8 +232,7 @@
         return Err(RefusalReason::Quarantined);
     }
     let target = run_target(core, &route)?;
-    let version = table.version().0;
-    Ok(run_request(core, &route, version, target, Rc::new(request), standing).await)
+    Ok(run_request(core, &route, target, Rc::new(request), standing).await)
 }
 
 /// The host that a request is for.
--- a/crates/ebonyfork/src/gateway/partial.rs
+++ b/crates/ebonyfork/src/gateway/partial.rs
@@ -14,10 +14,8 @@
 pub struct PartialQuery {
     /// Names the query between the two VMs.
     pub number: u64,
-    /// Version of the configuration that the whole query uses.
-    pub version: u64,
-    /// Name of the route.
-    pub route: CompactString,
+    /// Names the route and its shards.
+    pub mark: u64,
     /// Shards to gather, by their place in the route's list.
     pub shards: SmallVec<[u16; 16]>,
     /// Whether these attempts repeat others: then the asking VM has counted them in the budget.
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
 
@@ -118,10 +119,54 @@
 pub struct RouteTable {
     version: ConfigVersion,
     hosts: FxHashMap<CompactString, Vec<Rc<RouteEntry>>>,
+    marks: FxHashMap<u64, Rc<RouteEntry>>,
     services: FxHashMap<UpstreamService, ServiceTerms>,
     limits: CallerLimits,
 }
 
+impl RouteEntry {
+    /// Names the route with its shards: two versions of the configuration that leave both as they are have the same
+    /// mark, so VMs that learn of a version at different moments still understand one another.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use ebonyfork::gateway::{RepeatKind, RouteEntry, RouteName, RouteTarget, UpstreamService};
+    ///
+    /// let route = |timeout| RouteEntry {
+    ///     name: RouteName::new("r"),
+    ///     host: "a.example".into(),
+    ///     prefix: "/a/".into(),
+    ///     repeat: RepeatKind::Idempotent,
+    ///     timeout,
+    ///     target: Duration::from_millis(200),
+    ///     attempts: 2,
+    ///     priority: 1,
+    ///     destination: RouteTarget::One(UpstreamService::new("s")),
+    /// };
+    /// let shorter = route(Duration::from_secs(1));
+    /// assert_eq!(route(Duration::from_secs(2)).shard_mark(), shorter.shard_mark());
+    /// ```
+    pub fn shard_mark(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        let mut add = |text: &str| {
+            hash.update(text.as_bytes());
+            hash.update(&[0]);
+        };
+        add(self.name.as_str());
+        match &self.destination {
+            RouteTarget::One(service) => add(service.as_str()),
+            RouteTarget::Weighted(parts) => {
+                parts.iter().for_each(|part| add(part.service.as_str()));
+            }
+            RouteTarget::Gather(terms) => terms.shards.iter().for_each(|shard| add(shard.as_str())),
+        }
+        hash.digest()
+    }
+}
+
 impl RouteTable {
     /// Indexes a version.
     ///
@@ -148,9 +193,14 @@
         limits: CallerLimits,
     ) -> Self {
         let mut hosts = FxHashMap::<CompactString, Vec<Rc<RouteEntry>>>::default();
+        let mut marks = FxHashMap::default();
         for route in routes {
+            let route = Rc::new(route);
             let listed = hosts.entry(route.host.clone()).or_default();
-            listed.push(Rc::new(route));
+            listed.push(Rc::clone(&route));
+            if let RouteTarget::Gather(_) = &route.destination {
+                marks.insert(route.shard_mark(), route);
+            }
         }
         for routes in hosts.values_mut() {
             // The longest prefix goes first, so that the first match is the right one.
@@ -159,6 +209,7 @@
         Self {
             version,
             hosts,
+            marks,
             services: services.into_iter().collect(),
             limits,
         }
@@ -186,12 +237,9 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Finds a route by its name.
-    pub fn find_named(&self, name: &RouteName) -> Option<&Rc<RouteEntry>> {
-        self.hosts
-            .values()
-            .flatten()
-            .find(|route| route.name == *name)
+    /// Finds a route over many shards by its mark.
+    pub fn find_marked(&self, mark: u64) -> Option<&Rc<RouteEntry>> {
+        self.marks.get(&mark)
     }
 
     /// The routes of a host.
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -66,7 +66,10 @@
             }
         }
         for (zone, shards) in zones {
-            let group: Vec<_> = shards.iter().map(|shard| (*shard, &choices[*shard])).collect();
+            let group: Vec<_> = shards
+                .iter()
+                .map(|shard| (*shard, &choices[*shard]))
+                .collect();
             let group: Vec<_> = group
                 .into_iter()
                 .filter_map(|(shard, choice)| Some((shard, choice.as_ref()?)))
@@ -142,9 +145,11 @@
         let useful = self.state.useful_until(time);
         PartialQuery {
             number: 0,
-            version: self.version,
-            route: self.route.name.as_str().into(),
-            shards: shards.iter().map(|(shard, _choice)| *shard as u16).collect(),
+            mark: self.route.shard_mark(),
+            shards: shards
+                .iter()
+                .map(|(shard, _choice)| *shard as u16)
+                .collect(),
             repeat,
             answer_left_us: useful.map_or(0, micros),
             finish_left_us: micros(self.request.finish_by),
@@ -224,9 +229,7 @@
         attempt.ended = true;
         let took = time.saturating_duration_since(attempt.began);
         let mut latency = self.context.latency.borrow_mut();
-        latency
-            .track_mut(AttemptKind::Delegated)
-            .record(took, time);
+        latency.track_mut(AttemptKind::Delegated).record(took, time);
         // What the upstream took there is measured against what those beside this VM take.
         let slowness = latency.slowness(AttemptKind::Zone, f64::from(took_us) / 1_000.0);
         let mut health = attempt.upstream.health.borrow_mut();
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -79,8 +79,6 @@
 struct QueryRun {
     context: AttemptContext,
     route: Rc<RouteEntry>,
-    /// Version of the configuration that the request uses.
-    version: u64,
     target: RunTarget,
     request: Rc<ForwardRequest>,
     state: GatherState,
@@ -110,13 +108,11 @@
 pub async fn run_request(
     core: &Rc<GatewayCore>,
     route: &Rc<RouteEntry>,
-    version: u64,
     target: RunTarget,
     request: Rc<ForwardRequest>,
     standing: RequestStanding,
 ) -> RunReport {
     let mut run = QueryRun::new(core, route, target, request);
-    run.version = version;
     run.begin(standing);
     let end = run.drive().await;
     run.finish(end)
@@ -163,7 +159,6 @@
         Self {
             context,
             route: Rc::clone(route),
-            version: 0,
             target,
             request,
             state: GatherState::new(shards, least, answer_by, finish_by),
