--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -53,6 +53,7 @@
         address: [127, 0, 0, 1].into(),
         zone: PlaceName::new("north-a"),
         region: PlaceName::new("north"),
+        cores: 0.25,
         zones: zones
             .into_iter()
             .map(|(zone, region)| (PlaceName::new(zone), PlaceName::new(region)))
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -24,6 +24,7 @@
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{RouteEntry, RouteTable, RouteTarget};
 use crate::gateway::run::{RunReport, RunTarget, run_request};
+use crate::gateway::trip::CallerTrip;
 use crate::quarantine::RequestStanding;
 
 /// Idle and header time of connections while no configuration states them.
@@ -56,6 +57,10 @@
 /// Whether a connection is in use and since when it is not.
 #[derive(Debug)]
 struct StreamActivity {
+    /// How far away the caller is.
+    trip: CallerTrip,
+    /// Whether no request has come yet.
+    new: Cell<bool>,
     busy: Cell<bool>,
     since: Cell<Instant>,
 }
@@ -68,6 +73,8 @@
     let limits = core.table().map(|table| table.limits());
     let head = limits.map_or(HEAD_BUFFER_ASSUMED, |limits| limits.header_bytes);
     let activity = Rc::new(StreamActivity {
+        trip: CallerTrip::measure(&stream),
+        new: Cell::new(true),
         busy: Cell::new(false),
         since: Cell::new(now()),
     });
@@ -79,7 +86,8 @@
             let activity = Rc::clone(&activity);
             async move {
                 activity.busy.set(true);
-                let reply = answer(&core, request).await;
+                let trip = activity.trip.time(activity.new.replace(false));
+                let reply = answer(&core, request, trip).await;
                 activity.busy.set(false);
                 activity.since.set(now());
                 Ok::<_, Infallible>(reply)
@@ -126,12 +134,12 @@
 }
 
 /// Answers one request and writes its log line.
-async fn answer(core: &Rc<GatewayCore>, request: Request<Incoming>) -> CallerReply {
+async fn answer(core: &Rc<GatewayCore>, request: Request<Incoming>, trip: Duration) -> CallerReply {
     let received = now();
     let (parts, body) = request.into_parts();
     let flight = FlightGuard::new(core);
     let mut story = RequestStory::new(core, &parts, received);
-    let report = match handle(core, parts, body, received, &mut story).await {
+    let report = match handle(core, parts, body, (received, trip), &mut story).await {
         Ok(report) => report,
         Err(reason) => RunReport {
             reply: refusal(reason),
@@ -209,7 +217,7 @@
     core: &Rc<GatewayCore>,
     parts: Parts,
     body: Incoming,
-    received: Instant,
+    (received, trip): (Instant, Duration),
     story: &mut RequestStory,
 ) -> Result<RunReport, RefusalReason> {
     let table = core.table().ok_or(RefusalReason::NoConfig)?;
@@ -226,7 +234,7 @@
     let wait = caller_wait(core, &parts)?.map_or(route.timeout, |wait| wait.min(route.timeout));
     let finish_by = received + wait;
     let body = read_body(body, table.limits().body_bytes, finish_by).await?;
-    let request = ForwardRequest::new(names, parts, body, id, received, finish_by);
+    let request = ForwardRequest::new(names, parts, body, id, received, finish_by).with_trip(trip);
     let standing = core.quarantine.admit(request.fingerprint);
     if standing == RequestStanding::Quarantined {
         return Err(RefusalReason::Quarantined);
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod settings;
 mod slots;
 mod status;
+mod trip;
 mod upstream;
 mod vms;
 mod weights;
--- a/crates/ebonyfork/src/gateway/request.rs
+++ b/crates/ebonyfork/src/gateway/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request on its way to upstreams, and what must not travel with it.
 
 use std::cell::Cell;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -63,6 +63,8 @@
     pub id: HeaderValue,
     /// When its head had been read.
     pub received: Instant,
+    /// What the caller's side takes of the request's time.
+    pub trip: Duration,
     /// When the caller gives up, or the route does.
     pub finish_by: Instant,
     /// Names the request across attempts: the same request sent again has the same one.
@@ -96,6 +98,7 @@
         Self {
             id,
             received,
+            trip: Duration::ZERO,
             finish_by,
             fingerprint,
             after_loss: Cell::new(false),
@@ -106,6 +109,13 @@
         }
     }
 
+    /// States what the caller's side takes of the request's time.
+    #[must_use]
+    pub fn with_trip(mut self, trip: Duration) -> Self {
+        self.trip = trip;
+        self
+    }
+
     /// Takes a request that another VM has passed on.
     pub fn from_partial(
         names: &WireNames,
@@ -125,6 +135,7 @@
         Ok(Self {
             id,
             received,
+            trip: Duration::ZERO,
             finish_by,
             fingerprint: fingerprint(&method, &target, &headers, &partial.body),
             after_loss: Cell::new(false),
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -37,9 +37,10 @@
 use self::attempt::{AttemptSet, LiveAttempt};
 use self::group::{PartialDuty, ShardGroup};
 
-/// What is kept of the target for the way back to the caller and the work on the answer: a caller on a new connection
-/// has spent 6 ms on look-up, handshake and request before it is read.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// What is kept of the target, beside the caller's trip, for late timers and the work on the answer, in seconds of a
+/// whole core: 12 ms on a VM with a quarter of one. With half of that a tenth of the answers came some
+/// milliseconds late.
+const ANSWER_WORK: f64 = 0.003;
 /// What is kept of the deadline for the same.
 const FINISH_MARGIN: Duration = Duration::from_millis(15);
 /// How long attempts that are no longer needed may go on, so that their connections can be used again: a new one holds
@@ -148,7 +149,9 @@
             RunTarget::One(_) => (1, 1),
             RunTarget::Gather(terms) => (terms.shards.len(), terms.least_shards()),
         };
-        let answer_by = request.received + route.target.saturating_sub(ANSWER_MARGIN);
+        let work = Duration::from_secs_f64(ANSWER_WORK / core.settings.place.cores);
+        let margin = request.trip + work;
+        let answer_by = request.received + route.target.saturating_sub(margin);
         let finish_by = request.finish_by - FINISH_MARGIN;
         let context = AttemptContext {
             core: Rc::clone(core),
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -24,7 +24,7 @@
 }
 
 /// Where a process runs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct NodePlace {
     /// Name of the VM, for logs.
     pub name: CompactString,
@@ -34,6 +34,8 @@
     pub zone: PlaceName,
     /// Its region.
     pub region: PlaceName,
+    /// Processor that the VM has, in whole cores.
+    pub cores: f64,
     /// The region of each availability zone.
     pub zones: FxHashMap<PlaceName, PlaceName>,
 }
@@ -93,7 +95,7 @@
     /// ```
     /// use ebonyfork::gateway::GatewaySettings;
     ///
-    /// let text = "[node]\nname = vm-1\naddress = 127.0.0.1\nzone = zone-a\nregion = north\n\
+    /// let text = "[node]\nname = vm-1\naddress = 127.0.0.1\nzone = zone-a\nregion = north\ncpu-share = 0.25\ncpu-cores = 1\n\
     ///     [zones]\nzone-a = north\n\
     ///     [listen]\ncallers = 127.0.0.1:7100\nready = 127.0.0.1:7101\ndirectory = 127.0.0.1:7102\n\
     ///     metrics = 127.0.0.1:7103\npeer-port = 7104\n\
@@ -145,6 +147,8 @@
     let address = reader.required("address");
     let zone = reader.required("zone");
     let region = reader.required("region");
+    let share = read_positive(&mut reader, "cpu-share");
+    let cores = read_positive(&mut reader, "cpu-cores");
     reader.finish();
     let zones = document.needed_section("zones", findings)?;
     Some(NodePlace {
@@ -152,6 +156,7 @@
         address: address?,
         zone: zone?,
         region: region?,
+        cores: share? * cores?,
         zones: read_zones(zones),
     })
 }
@@ -221,16 +226,22 @@
     None
 }
 
-/// Reads a positive number of seconds.
-fn read_seconds(reader: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
-    let seconds = read_amount(reader, key)?;
-    if seconds > 0.0 {
-        return Some(Duration::from_secs_f64(seconds));
+/// Reads a positive number.
+fn read_positive(reader: &mut SectionReader<'_>, key: &'static str) -> Option<f64> {
+    let amount = read_amount(reader, key)?;
+    if amount > 0.0 {
+        return Some(amount);
     }
-    reader.report(key, "expected more than 0 seconds");
+    reader.report(key, "expected more than 0");
     None
 }
 
+/// Reads a positive number of seconds.
+fn read_seconds(reader: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
+    let seconds = read_positive(reader, key)?;
+    Some(Duration::from_secs_f64(seconds))
+}
+
 #[cfg(test)]
 #[path = "settings_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/settings_tests.rs
+++ b/crates/ebonyfork/src/gateway/settings_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const WHOLE: &str = "[node]\nname = vm-1\naddress = 10.1.0.9\nzone = a-1\nregion = a\n\
+const WHOLE: &str = "[node]\nname = vm-1\naddress = 10.1.0.9\nzone = a-1\nregion = a\ncpu-share = 0.5\ncpu-cores = 2\n\
     [zones]\na-1 = a\na-2 = a\nb-1 = b\n\
     [listen]\ncallers = 10.1.0.9:1\nready = 10.1.0.9:2\ndirectory = 10.1.0.9:3\nmetrics = 10.1.0.9:4\npeer-port = 5\n\
     [store]\naddress = 10.9.0.1:9\n\
@@ -13,6 +13,7 @@
     let settings = GatewaySettings::parse("g.ini", WHOLE).expect("no findings");
     expect_that!(settings.grace, eq(Duration::from_millis(6_500)));
     expect_that!(settings.budget.slack, eq(54.0));
+    expect_that!(settings.place.cores, eq(1.0));
     let distance = |zone: &str| settings.place.distance(&PlaceName::new(zone));
     expect_that!(distance("a-1"), eq(PlaceDistance::Zone));
     expect_that!(distance("a-2"), eq(PlaceDistance::Region));
@@ -29,12 +30,7 @@
         .replace("address = 10.9.0.1:9", "address = store");
     let findings = GatewaySettings::parse("g.ini", &broken).expect_err("four findings");
     let text = findings.to_string();
-    for expected in [
-        "peer-prot",
-        "more than 0 seconds",
-        "not negative",
-        "socket address",
-    ] {
+    for expected in ["peer-prot", "more than 0", "not negative", "socket address"] {
         expect_that!(text, contains_substring(expected));
     }
     expect_that!(text, contains_substring("g.ini:"));
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -18,13 +18,17 @@
 const ADDRESS_LIMIT: usize = 64;
 /// Fewest VMs that a caller is told of, if there are as many: one that fails must leave another to go to.
 const ADDRESS_LEAST: usize = 2;
+/// Processor of a VM, over that of the strongest, from which it counts as strong.
+const STRONG_SHARE: f32 = 0.5;
+/// Share of the processor of all VMs that the strong ones must have to take all the work.
+const CAPACITY_SHARE: f32 = 0.3;
 /// Share of a host's shards that must have an upstream in a zone for that zone's VMs to serve the host's callers. A VM
 /// without upstreams beside it fetches each part across zones; a caller that goes to a VM beside them fetches one merged
 /// answer, a twentieth of the bytes at 20 shards.
 const LOCAL_SHARE: f64 = 0.5;
 
 /// What a VM registers about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct VmRecord {
     /// Where it takes callers' requests.
     pub caller: SocketAddr,
@@ -32,6 +36,8 @@
     pub zone: CompactString,
     /// Its region.
     pub region: CompactString,
+    /// Processor that it has, in whole cores.
+    pub cores: f32,
 }
 
 /// The VMs that have registered.
@@ -133,9 +139,13 @@
 
     /// The other VMs of a zone that are believed to work.
     pub fn working_in(&self, zone: &PlaceName) -> Vec<VmAddress> {
-        let usable = self.usable(None);
-        let inside = usable.iter().filter(|record| record.zone == zone.as_str());
-        inside.map(|record| VmAddress(record.caller.ip())).collect()
+        let mut usable = self.usable(None);
+        usable.retain(|record| record.zone == zone.as_str());
+        let strong = strong_vms(usable.iter());
+        strong
+            .iter()
+            .map(|record| VmAddress(record.caller.ip()))
+            .collect()
     }
 
     /// The VMs that callers can be told to use, with their zone and region.
@@ -153,6 +163,7 @@
                 caller: self.own,
                 zone: own.zone.as_str().into(),
                 region: own.region.as_str().into(),
+                cores: own.cores as f32,
             });
         }
         usable
@@ -169,9 +180,9 @@
         let usable = self.usable(own);
         let mut addresses = Vec::new();
         for group in preferred_zones(asker, homes) {
-            for record in &usable {
-                let fits = group.iter().any(|zone| zone.as_str() == record.zone);
-                if fits && !addresses.contains(&record.caller) {
+            let fits = |record: &&VmRecord| group.iter().any(|zone| zone.as_str() == record.zone);
+            for record in strong_vms(usable.iter().filter(fits)) {
+                if !addresses.contains(&record.caller) {
                     addresses.push(record.caller);
                 }
             }
@@ -188,6 +199,27 @@
     }
 }
 
+/// Of VMs of unequal size the strong ones: the work of a query takes a weak VM several times as long, and all of it
+/// comes before the answer.
+fn strong_vms<'a>(records: impl Iterator<Item = &'a VmRecord>) -> Vec<&'a VmRecord> {
+    let mut records: Vec<_> = records.collect();
+    let most = records
+        .iter()
+        .map(|record| record.cores)
+        .fold(0.0, f32::max);
+    let strong = |record: &&VmRecord| record.cores >= most * STRONG_SHARE;
+    let whole: f32 = records.iter().map(|record| record.cores).sum();
+    let held: f32 = records
+        .iter()
+        .filter(|record| strong(record))
+        .map(|record| record.cores)
+        .sum();
+    if held >= whole * CAPACITY_SHARE {
+        records.retain(|record| strong(&record));
+    }
+    records
+}
+
 /// Cuts a long list down to a part that differs from answer to answer.
 fn spread(addresses: &mut Vec<SocketAddr>) {
     if addresses.len() <= ADDRESS_LIMIT {
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -14,6 +14,7 @@
         caller: caller(last),
         zone: zone.into(),
         region: region.into(),
+        cores: 0.25,
     }
 }
 
@@ -80,6 +81,36 @@
     }
 }
 
+#[gtest]
+fn strong_vms_go_before_weak_ones_if_they_have_the_capacity() {
+    let record = |last: u8, cores: f32| VmRecord {
+        cores,
+        ..record(last, "north-a", "north")
+    };
+    let chosen = |cores: &[f32]| {
+        let records: Vec<_> = (1..)
+            .zip(cores)
+            .map(|(last, cores)| record(last, *cores))
+            .collect();
+        strong_vms(records.iter()).len()
+    };
+    let cases: [(&[f32], usize); 4] = [
+        (&[0.25, 0.25, 0.25], 3),
+        (&[0.5, 0.5, 0.12, 0.12, 0.12, 0.12], 2),
+        (&[0.5, 0.3, 0.12], 2),
+        // One strong VM beside many weak ones can't carry them all.
+        (
+            &[
+                0.5, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12,
+            ],
+            12,
+        ),
+    ];
+    for (cores, expected) in cases {
+        expect_that!(chosen(cores), eq(expected), "{cores:?}");
+    }
+}
+
 #[gtest]
 fn failed_and_leaving_vms_are_left_out() {
     let directory = directory();
