Let two VMs of a zone ask the store and the others follow them

Ruled out: longer watches (calls come from changes, not from waits). A VM that the store turns away now hears of changes from another one.

--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -13,16 +13,18 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::gateway::core::GatewayCore;
+use crate::gateway::core::{GatewayCore, now};
 use crate::gateway::dialect::{ControlCall, LocateQuery, LocateReply};
 use crate::gateway::reply::CallerReply;
-use crate::gateway::route::{RouteEntry, RouteTarget};
+use crate::gateway::route::RouteTarget;
 use crate::gateway::settings::NodePlace;
 use crate::gateway::vms::{ZoneShares, zone_shares};
 
 /// How long a caller may keep a locate answer. Some keep it three times as long, so callers have left a stopping VM
 /// after 3 s, half of the stated grace time.
 pub const LOCATE_TTL: Duration = Duration::from_secs(1);
+/// How long it is kept where a host's upstreams are.
+const HOMES_KEPT: Duration = Duration::from_secs(1);
 /// How long a connection to a control address may lie idle.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -103,23 +105,31 @@
     reply
 }
 
-/// Where the upstreams are that a host's queries over many shards need.
-fn host_homes(core: &GatewayCore, query: &LocateQuery) -> ZoneShares {
+/// Where the upstreams are that a host's queries over many shards need. Reckoning it takes a look at every upstream of
+/// the host, so it is kept for a moment.
+fn host_homes(core: &GatewayCore, query: &LocateQuery) -> Rc<ZoneShares> {
+    let time = now();
+    if let Some((reckoned, homes)) = core.homes.borrow().get(&query.host)
+        && time.saturating_duration_since(*reckoned) < HOMES_KEPT
+    {
+        return Rc::clone(homes);
+    }
+    let homes = Rc::new(reckon_homes(core, query));
+    let mut kept = core.homes.borrow_mut();
+    kept.retain(|_host, (reckoned, _homes)| time.saturating_duration_since(*reckoned) < HOMES_KEPT);
+    kept.insert(query.host.clone(), (time, Rc::clone(&homes)));
+    homes
+}
+
+fn reckon_homes(core: &GatewayCore, query: &LocateQuery) -> ZoneShares {
     let Some(table) = core.table() else {
         return ZoneShares::default();
     };
-    let shards = |route: &RouteEntry| match &route.destination {
-        RouteTarget::Gather(terms) => terms.shards.clone(),
-        RouteTarget::One(_) | RouteTarget::Weighted(_) => Vec::new(),
-    };
-    let routes = table.routes_of(&query.host);
-    // All such routes of a host usually name the same shards.
-    let Some(shards) = routes
-        .iter()
-        .map(|route| shards(route))
-        .find(|list| !list.is_empty())
-    else {
-        return ZoneShares::default();
-    };
-    zone_shares(&core.registry, &shards)
+    // All routes over many shards of a host usually name the same shards.
+    for route in table.routes_of(&query.host) {
+        if let RouteTarget::Gather(terms) = &route.destination {
+            return zone_shares(&core.registry, &terms.shards);
+        }
+    }
+    ZoneShares::default()
 }
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -4,19 +4,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
 use crate::gateway::aggregate::AggregateTable;
 use crate::gateway::budget::RetryBudget;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
+use crate::gateway::follow::MirrorRelay;
 use crate::gateway::ident::{RouteName, UpstreamService};
 use crate::gateway::latency::{AttemptKind, LatencyTrack};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::route::{RouteEntry, RouteTable};
 use crate::gateway::settings::{GatewaySettings, PlaceDistance};
-use crate::gateway::vms::VmDirectory;
+use crate::gateway::vms::{VmDirectory, ZoneShares};
 use crate::gateway::weights::WeightShares;
 use crate::quarantine::QuarantineHandle;
 
@@ -113,6 +115,10 @@
     pub delegates: DelegateTable,
     /// Parts of queries that this VM gathers for others.
     pub aggregates: AggregateTable,
+    /// Where each host's upstreams are, with the time at which that was reckoned.
+    pub homes: RefCell<FxHashMap<CompactString, (Instant, Rc<ZoneShares>)>>,
+    /// The store's changes, for VMs that hear of them from this one.
+    pub relay: MirrorRelay,
     /// Requests that crash upstreams.
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
@@ -135,6 +141,8 @@
             vms: VmDirectory::new(settings.listen.callers),
             budget: RefCell::new(budget),
             shares: WeightShares::new(),
+            homes: RefCell::default(),
+            relay: MirrorRelay::default(),
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             quarantine: QuarantineHandle::new(),
--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -70,6 +70,20 @@
         debug_assert!(first.is_ok(), "the links are set once");
     }
 
+    /// Sends a message to a VM; false if it was not sent.
+    pub fn tell(&self, vm: VmAddress, message: PeerMessage) -> bool {
+        let Some(pool) = self.pool.get() else {
+            return false;
+        };
+        match pool.send(vm, message) {
+            Ok(()) => true,
+            Err(error) => {
+                log::debug!("message to {vm}: {error}");
+                false
+            }
+        }
+    }
+
     /// Chooses the VM that is expected to answer soonest; none if all are overdue.
     pub fn choose_vm(&self, vms: &[VmAddress], usual_ms: f64) -> Option<VmAddress> {
         self.pool.get()?;
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -1,135 +1,229 @@
 //! Follows the store: configuration, upstreams and our own VMs, all from one mirror, so that one call at a time waits.
+//!
+//! Two VMs of a zone ask the store, the others hear of changes from them ([`source`]); a VM that the store turns away
+//! hears of them from whichever VM it answers.
+
+mod message;
+mod relay;
+mod source;
+mod taker;
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-use rustc_hash::FxHashSet;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::gateway::core::{GatewayCore, now};
-use crate::gateway::dialect::StoredKind;
-use crate::gateway::vms::VmRecord;
-use crate::ident::VmAddress;
-use crate::store::{MirrorChange, MirrorFeed, MirrorSettings, StoreEvent, StoreItem, StorePort};
+use crate::ident::{VmAddress, ZoneName};
+use crate::membership::MemberSnapshot;
+use crate::store::{MirrorChange, MirrorFeed, MirrorSettings, StorePort, StoreRevision};
+use crate::wire::PeerMessage;
+
+pub use message::MirrorMessage;
+pub use relay::MirrorRelay;
+
+use self::source::{ChangeSource, SETTLING_TIME, choose_source};
+use self::taker::StoreTaker;
 
 /// Everything the gateway reads stands below the store's root.
 const PREFIX: &str = "";
+/// Time between two messages of a VM that asks the store to its followers, and between two looks at the source.
+const ALIVE_PERIOD: Duration = Duration::from_millis(500);
+/// Silence after which a followed VM counts as gone: three messages have failed to come.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// How long a VM is avoided that was no good source.
+const AVOIDED_TIME: Duration = Duration::from_secs(4);
+/// How long the store must fail before another VM is followed instead.
+const FAILING_TIME: Duration = Duration::from_millis(800);
+/// How long a VM that the store turns away follows another one before it asks the store again.
+const DETOUR_TIME: Duration = Duration::from_secs(3);
 
 /// Puts the store's changes in force until the future is dropped.
 pub async fn follow_store(
     core: Rc<GatewayCore>,
     port: impl StorePort,
     seeds: watch::Sender<Arc<[VmAddress]>>,
+    members: watch::Receiver<Arc<MemberSnapshot>>,
+    own: (VmAddress, ZoneName),
 ) {
-    let away = Rc::new(Cell::new(false));
+    let (sender, news) = mpsc::unbounded_channel();
+    core.relay.listen(sender);
+    let taker = StoreTaker::new(Rc::clone(&core), seeds);
     let feed = MirrorFeed::new(port, MirrorSettings::new(PREFIX));
-    let taker = StoreTaker {
-        core: Rc::clone(&core),
-        seeds,
-    };
-    let take = |change| taker.take(change);
-    let tell = |answers: bool| {
-        let was_away = away.replace(!answers);
-        if answers && was_away {
-            core.registry.note_return(now());
-        }
+    let follower = StoreFollower {
+        taker,
+        members,
+        own,
+        avoided: Vec::new(),
+        failing_since: None,
+        detour_until: None,
+        news,
+        core,
     };
-    feed.run(take, tell).await;
+    follower.run(feed).await;
 }
 
-/// Takes the store's changes in.
-struct StoreTaker {
+/// Follows one source after another.
+struct StoreFollower {
     core: Rc<GatewayCore>,
-    seeds: watch::Sender<Arc<[VmAddress]>>,
+    taker: StoreTaker,
+    members: watch::Receiver<Arc<MemberSnapshot>>,
+    own: (VmAddress, ZoneName),
+    /// VMs that were no good source, with the time until which they are avoided.
+    avoided: Vec<(VmAddress, Instant)>,
+    /// Since when the store has not answered.
+    failing_since: Option<Instant>,
+    /// Until when another VM is followed because the store does not answer.
+    detour_until: Option<Instant>,
+    news: mpsc::UnboundedReceiver<(VmAddress, MirrorMessage)>,
 }
 
-impl StoreTaker {
-    fn take(&self, change: MirrorChange) {
-        match change {
-            MirrorChange::Replaced(items) => self.replace(&items),
-            MirrorChange::Changed(events) => {
-                for event in &events {
-                    self.take_event(event);
-                }
+impl StoreFollower {
+    async fn run(mut self, mut feed: MirrorFeed<impl StorePort>) {
+        let mut source = ChangeSource::Store;
+        loop {
+            log::info!(target: "ebonyfork::decision", "store source={source:?}");
+            match source {
+                ChangeSource::Store => self.ask_store(&mut feed).await,
+                ChangeSource::Vm(vm) => self.follow_vm(vm).await,
             }
+            source = self.choose();
         }
-        self.core.share_connections();
-        let seeds: Arc<[VmAddress]> = self.core.vms.seeds().into();
-        self.seeds.send_if_modified(|current| {
-            let differs = *current != seeds;
-            *current = seeds;
-            differs
-        });
     }
 
-    fn replace(&self, items: &[StoreItem]) {
-        for item in items {
-            self.put(item);
+    fn choose(&mut self) -> ChangeSource {
+        let time = now();
+        self.avoided.retain(|(_vm, until)| *until > time);
+        if self.core.uptime() < SETTLING_TIME && self.failing_since.is_none() {
+            return ChangeSource::Store;
+        }
+        let failing = self.failing_since;
+        if failing.is_some_and(|since| time.saturating_duration_since(since) >= FAILING_TIME) {
+            self.detour_until = Some(time + DETOUR_TIME);
+            self.failing_since = None;
         }
-        let present: FxHashSet<CompactString> = items.iter().map(|item| item.key.clone()).collect();
-        self.core.registry.retain(&present, now());
-        self.core.vms.retain(&present);
-        log::info!(
-            "store read items={} upstreams={} vms={}",
-            items.len(),
-            self.core.registry.len(),
-            self.core.vms.count()
-        );
+        let refused = self.detour_until.is_some_and(|until| until > time);
+        let avoided: Vec<_> = self.avoided.iter().map(|(vm, _until)| *vm).collect();
+        let members = self.members.borrow().clone();
+        choose_source(&members, self.own.0, &self.own.1, &avoided, refused)
     }
 
-    fn take_event(&self, event: &StoreEvent) {
-        match event {
-            StoreEvent::Written(item) => self.put(item),
-            StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
-                StoredKind::Upstream => self.core.registry.remove(key, now()),
-                StoredKind::Vm => self.core.vms.remove(key),
-                StoredKind::Config | StoredKind::Other => {}
-            },
+    /// Asks the store until another source is the right one.
+    async fn ask_store(&mut self, feed: &mut MirrorFeed<impl StorePort>) {
+        let mut look = tokio::time::interval(ALIVE_PERIOD);
+        loop {
+            // A call stays open over many looks: giving it up would cost another one.
+            let step = feed.step();
+            tokio::pin!(step);
+            let taken = loop {
+                tokio::select! {
+                    taken = &mut step => break taken,
+                    _ = look.tick() => {
+                        self.core.relay.send_alive();
+                        if self.choose() != ChangeSource::Store {
+                            return;
+                        }
+                    }
+                }
+            };
+            self.take_step(taken);
         }
     }
 
-    fn put(&self, item: &StoreItem) {
-        match (self.core.dialect.classify)(&item.key) {
-            StoredKind::Config => self.put_config(item),
-            StoredKind::Upstream => self.put_upstream(item),
-            StoredKind::Vm => self.put_vm(item),
-            StoredKind::Other => {}
+    fn take_step(&mut self, step: crate::store::FeedStep) {
+        self.core.relay.note_answers(step.answers);
+        if step.answers {
+            if self.failing_since.take().is_some() {
+                self.core.registry.note_return(now());
+            }
+        } else if self.failing_since.is_none() {
+            self.failing_since = Some(now());
         }
+        if let Some(change) = step.change {
+            self.put_in_force(&change, step.revision);
+        }
+    }
+
+    fn put_in_force(&self, change: &MirrorChange, revision: StoreRevision) {
+        self.taker.take(change, revision);
+        self.core.relay.pass_on(change, revision);
     }
 
-    fn put_config(&self, item: &StoreItem) {
-        match (self.core.dialect.read_config)(&item.key, &item.value) {
-            Ok(table) => {
-                let (version, routes) = (table.version(), table.route_count());
-                let adopted = self.core.adopt_table(table);
-                let word = if adopted { "in force" } else { "not newer" };
-                log::info!(
-                    target: "ebonyfork::decision",
-                    "config version={version} routes={routes} revision={} {word}",
-                    item.revision
-                );
+    /// Follows another VM until it is no good source any more or another one is the right one.
+    async fn follow_vm(&mut self, vm: VmAddress) {
+        while self.news.try_recv().is_ok() {}
+        let known = self.taker.complete();
+        let follow = PeerMessage::Mirror(MirrorMessage::Follow { known });
+        if !self.core.delegates.tell(vm, follow) {
+            self.avoid(vm);
+            return;
+        }
+        let mut heard = now();
+        let mut whole: Vec<crate::store::StoreItem> = Vec::new();
+        let mut look = tokio::time::interval(ALIVE_PERIOD);
+        loop {
+            tokio::select! {
+                Some((from, message)) = self.news.recv() => {
+                    if from != vm {
+                        continue;
+                    }
+                    heard = now();
+                    if !self.take_news(message, &mut whole) {
+                        self.avoid(vm);
+                        break;
+                    }
+                }
+                _ = look.tick() => {
+                    if now().saturating_duration_since(heard) > SILENCE {
+                        self.avoid(vm);
+                        break;
+                    }
+                    if self.choose() != ChangeSource::Vm(vm) {
+                        break;
+                    }
+                }
             }
-            // The version in force stays: half a configuration would be worse.
-            Err(error) => log::error!("config revision={} not read: {error}", item.revision),
         }
+        self.core
+            .delegates
+            .tell(vm, PeerMessage::Mirror(MirrorMessage::Leave));
     }
 
-    fn put_upstream(&self, item: &StoreItem) {
-        match (self.core.dialect.read_upstream)(&item.key, &item.value) {
-            Ok(entry) => {
-                let share = self.core.connection_share(&entry.service);
-                self.core.registry.put(&item.key, entry, now(), share);
+    /// Takes in what a followed VM tells; false if it is no good source.
+    fn take_news(
+        &mut self,
+        message: MirrorMessage,
+        whole: &mut Vec<crate::store::StoreItem>,
+    ) -> bool {
+        match message {
+            MirrorMessage::Whole {
+                items,
+                first,
+                last,
+                revision,
+            } => {
+                if first {
+                    whole.clear();
+                }
+                whole.extend(items);
+                if last {
+                    let change = MirrorChange::Replaced(std::mem::take(whole));
+                    self.put_in_force(&change, revision);
+                }
+                true
             }
-            Err(error) => log::error!("upstream revision={} not read: {error}", item.revision),
+            MirrorMessage::Changed { events, revision } => {
+                self.put_in_force(&MirrorChange::Changed(events), revision);
+                true
+            }
+            MirrorMessage::Alive { answers } => answers,
+            MirrorMessage::Follow { .. } | MirrorMessage::Leave => true,
         }
     }
 
-    fn put_vm(&self, item: &StoreItem) {
-        match postcard::from_bytes::<VmRecord>(&item.value) {
-            Ok(record) => self.core.vms.put(&item.key, record),
-            Err(error) => log::error!("VM record {} not read: {error}", item.key),
-        }
+    fn avoid(&mut self, vm: VmAddress) {
+        log::info!(target: "ebonyfork::decision", "store source vm={vm} avoided");
+        self.avoided.push((vm, now() + AVOIDED_TIME));
     }
 }
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -0,0 +1,84 @@
+//! Where a VM gets the store's changes from: from the store itself, or from another VM that asks it.
+//!
+//! Every call to the store has a price and the store's rates grow more slowly than the fleet. In each availability zone
+//! two VMs ask it; the others follow one of these. Who asks is reckoned by each VM for itself from gossip, by rendezvous
+//! hashing, so nothing is agreed on; two VMs that disagree for a moment cost a few calls. A VM that finds no other to
+//! follow asks the store itself.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ident::{VmAddress, ZoneName};
+use crate::membership::{MemberSnapshot, MemberState};
+
+/// VMs of a zone that ask the store: one may be away without the zone falling back on calls of all its VMs.
+pub const ASKING_VMS: usize = 2;
+/// Time after a start before another VM is followed: by then gossip knows the others.
+pub const SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Where the changes come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeSource {
+    /// The store.
+    Store,
+    /// Another VM.
+    Vm(VmAddress),
+}
+
+/// The VMs of a zone that ask the store, those first that come first by hash.
+pub fn asking_vms(members: &MemberSnapshot, zone: &ZoneName) -> Vec<VmAddress> {
+    let mut alive: Vec<VmAddress> = members
+        .members()
+        .iter()
+        .filter(|member| member.zone == *zone && member.state == MemberState::Alive)
+        .map(|member| member.vm)
+        .collect();
+    alive.sort_unstable_by_key(|vm| (xxh3_64(vm.to_string().as_bytes()), *vm));
+    alive.truncate(ASKING_VMS);
+    alive
+}
+
+/// Chooses the source of a VM. `avoided` are VMs that have lately been no good source; `refused` tells that the store
+/// does not answer this VM.
+pub fn choose_source(
+    members: &MemberSnapshot,
+    own: VmAddress,
+    zone: &ZoneName,
+    avoided: &[VmAddress],
+    refused: bool,
+) -> ChangeSource {
+    let asking = asking_vms(members, zone);
+    if asking.contains(&own) && !refused {
+        return ChangeSource::Store;
+    }
+    let usable = |vm: &&VmAddress| **vm != own && !avoided.contains(vm);
+    // Followers spread over the VMs that ask.
+    let own_hash = xxh3_64(own.to_string().as_bytes()) as usize;
+    let start = own_hash % asking.len().max(1);
+    let (later, first) = asking.split_at(start);
+    if let Some(vm) = first.iter().chain(later).find(usable) {
+        return ChangeSource::Vm(*vm);
+    }
+    if !refused {
+        return ChangeSource::Store;
+    }
+    // The store turns this VM away and the zone has nobody who asks: a VM of another zone may have more luck.
+    let mut zones: Vec<&ZoneName> = members
+        .members()
+        .iter()
+        .map(|member| &member.zone)
+        .collect();
+    zones.sort_unstable();
+    zones.dedup();
+    for other in zones {
+        if let Some(vm) = asking_vms(members, other).iter().find(usable) {
+            return ChangeSource::Vm(*vm);
+        }
+    }
+    ChangeSource::Store
+}
+
+#[cfg(test)]
+#[path = "source_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub use dialect::{
     ControlCall, DecodeError, GatewayDialect, LocateQuery, LocateReply, StoredKind, WireNames,
 };
+pub use follow::MirrorMessage;
 pub use gather::{GatherEnd, GatherState};
 pub use ident::{ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamService};
 pub use latency::{AttemptKind, LatencyTrack};
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -108,7 +108,14 @@
         tasks.spawn_local(serve_control(Rc::clone(&core), ready));
         tasks.spawn_local(serve_control(Rc::clone(&core), directory));
         tasks.spawn_local(serve_metrics(registry, metrics));
-        tasks.spawn_local(follow_store(Rc::clone(&core), port.clone(), seed_sender));
+        let own = (session.vm, own_zone(&core));
+        tasks.spawn_local(follow_store(
+            Rc::clone(&core),
+            port.clone(),
+            seed_sender,
+            members.snapshot(),
+            own,
+        ));
         tasks.spawn_local(registration.run());
         tasks.spawn_local(accept_links(pool, links));
         tasks.spawn_local(follow_links(Rc::clone(&core), events));
@@ -187,19 +194,18 @@
     SessionId::new(vm, IncarnationNumber(life))
 }
 
-fn member_settings(core: &GatewayCore, session: SessionId) -> MemberSettings {
-    let place = &core.settings.place;
-    let zone = place.zone.as_str().parse::<ZoneName>();
-    let zone = zone.unwrap_or_else(|error| {
+/// The zone as gossip names it.
+fn own_zone(core: &GatewayCore) -> ZoneName {
+    let zone = core.settings.place.zone.as_str().parse::<ZoneName>();
+    zone.unwrap_or_else(|error| {
         log::warn!("gossip names this zone `other`: {error}");
         "other".parse().expect("a constant name is valid")
-    });
-    MemberSettings::new(
-        session,
-        zone,
-        core.settings.listen.peer_port,
-        rand::random(),
-    )
+    })
+}
+
+fn member_settings(core: &GatewayCore, session: SessionId) -> MemberSettings {
+    let port = core.settings.listen.peer_port;
+    MemberSettings::new(session, own_zone(core), port, rand::random())
 }
 
 fn log_start(core: &GatewayCore) {
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -54,6 +54,7 @@
             core.aggregates.cancel(&from, number);
         }
         PeerMessage::Partial(PartialMessage::Reply(reply)) => core.delegates.take_reply(reply),
+        PeerMessage::Mirror(message) => core.relay.take_message(from, message),
         other => log::debug!("unexpected message from {:?}: {other:?}", from.peer()),
     }
 }
--- a/crates/ebonyfork/src/gateway/trip.rs
+++ b/crates/ebonyfork/src/gateway/trip.rs
@@ -14,6 +14,8 @@
 const LONGEST: Duration = Duration::from_millis(60);
 /// Round trips of a request on a new connection: look-up, handshake, request with its answer.
 const NEW_TRIPS: u32 = 3;
+/// Round trips on a connection that is kept: callers that send seldom look up anew each time.
+const KEPT_TRIPS: u32 = 2;
 
 /// The caller's part of the time that a request takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,10 +39,8 @@
 
     /// What the caller's side takes of a request's time: on a new connection, or on one that is kept.
     pub fn time(self, new: bool) -> Duration {
-        if new {
-            return self.round_trip * NEW_TRIPS;
-        }
-        self.round_trip
+        let trips = if new { NEW_TRIPS } else { KEPT_TRIPS };
+        self.round_trip * trips
     }
 }
 
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::store::mirror::{MirrorChange, MirrorState, MirrorStep};
-use crate::store::{StoreError, StorePort};
+use crate::store::{StoreError, StorePort, StoreRevision};
 
 /// How long one watch waits for changes. A connection that has gone silent for good is noticed after this and the
 /// answer time together, which is within the shortest time that a leaving upstream may still get work.
@@ -14,7 +14,7 @@
 /// How long an answer may take beyond what was asked for. The store answers in about 4 ms; a slow one in 60 times that.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 /// Shortest time between two watches: changes that come in quick succession travel in one call.
-const WATCH_SPACING: Duration = Duration::from_millis(150);
+const WATCH_SPACING: Duration = Duration::from_millis(250);
 
 /// What a mirror follows and how long it waits.
 #[derive(Debug, Clone)]
@@ -44,7 +44,18 @@
     }
 }
 
-/// What a feed reports to its reader.
+/// What one call brought.
+#[derive(Debug)]
+pub struct FeedStep {
+    /// What has changed.
+    pub change: Option<MirrorChange>,
+    /// Whether the store answered the last call.
+    pub answers: bool,
+    /// The store's revision up to which everything is known.
+    pub revision: StoreRevision,
+}
+
+/// Follows a range of the store call by call.
 #[derive(Debug)]
 pub struct MirrorFeed<P> {
     port: P,
@@ -52,6 +63,8 @@
     state: MirrorState,
     /// When the last failure was, while no call has succeeded since.
     failing_since: Option<Instant>,
+    /// Earliest moment of the next watch.
+    next_watch: Instant,
 }
 
 impl<P: StorePort> MirrorFeed<P> {
@@ -62,43 +75,57 @@
             settings,
             state: MirrorState::new(),
             failing_since: None,
+            next_watch: Instant::now(),
         }
     }
 
-    /// Runs until the future is dropped. `take` gets each change, `tell` whether the store answers.
-    pub async fn run(mut self, mut take: impl FnMut(MirrorChange), mut tell: impl FnMut(bool)) {
-        loop {
-            let started = Instant::now();
-            let change = match self.state.next_step() {
-                MirrorStep::Pause(pause) => {
-                    tokio::time::sleep(pause).await;
-                    continue;
-                }
-                MirrorStep::Read { after } => {
-                    let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
-                    let page = within(self.settings.answer, reading).await;
-                    page.map(|page| self.state.take_page(page))
-                }
-                MirrorStep::Watch { after } => {
-                    let wait = self.settings.wait;
-                    let watching = self.port.watch(&self.settings.prefix, after, wait);
-                    let watch = within(wait + self.settings.answer, watching).await;
-                    watch.map(|watch| self.state.take_watch(watch))
-                }
-            };
-            match change {
-                Ok(change) => {
-                    self.note_success(&mut tell);
-                    let Some(change) = change else { continue };
-                    take(change);
-                    tokio::time::sleep_until(started + self.settings.spacing).await;
+    /// Makes one call, or waits before the next one. Dropping the future gives the call up; the next one goes on from
+    /// the same place.
+    pub async fn step(&mut self) -> FeedStep {
+        let called = match self.state.next_step() {
+            MirrorStep::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                return self.failed_step();
+            }
+            MirrorStep::Read { after } => {
+                let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
+                let page = within(self.settings.answer, reading).await;
+                page.map(|page| self.state.take_page(page))
+            }
+            MirrorStep::Watch { after } => {
+                let wait = self.settings.wait;
+                tokio::time::sleep_until(self.next_watch).await;
+                let watching = self.port.watch(&self.settings.prefix, after, wait);
+                let watch = within(wait + self.settings.answer, watching).await;
+                self.next_watch = Instant::now() + self.settings.spacing;
+                watch.map(|watch| self.state.take_watch(watch))
+            }
+        };
+        match called {
+            Ok(change) => {
+                self.note_success();
+                FeedStep {
+                    change,
+                    answers: true,
+                    revision: self.state.revision(),
                 }
-                Err(error) => self.note_failure(&error, &mut tell),
             }
+            Err(error) => {
+                self.note_failure(&error);
+                self.failed_step()
+            }
+        }
+    }
+
+    fn failed_step(&self) -> FeedStep {
+        FeedStep {
+            change: None,
+            answers: self.failing_since.is_none(),
+            revision: self.state.revision(),
         }
     }
 
-    fn note_success(&mut self, tell: &mut impl FnMut(bool)) {
+    fn note_success(&mut self) {
         if let Some(since) = self.failing_since.take() {
             let away = since.elapsed().as_millis();
             log::info!(
@@ -106,10 +133,9 @@
                 self.settings.prefix
             );
         }
-        tell(true);
     }
 
-    fn note_failure(&mut self, error: &StoreError, tell: &mut impl FnMut(bool)) {
+    fn note_failure(&mut self, error: &StoreError) {
         self.state.take_failure(error, &mut rand::rng());
         if matches!(error, StoreError::HistoryGone) {
             log::info!(
@@ -122,7 +148,6 @@
             self.failing_since = Some(Instant::now());
             log::warn!("store lost prefix=`{}`: {error}", self.settings.prefix);
         }
-        tell(false);
     }
 }
 
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -184,6 +184,14 @@
         self.pause = Some(self.backoff.next_wait(rng));
     }
 
+    /// The store's revision up to which everything is known.
+    pub fn revision(&self) -> StoreRevision {
+        match &self.phase {
+            MirrorPhase::Reading { base, .. } => base.unwrap_or_default(),
+            MirrorPhase::Watching { after } => *after,
+        }
+    }
+
     /// Whether the range has been read and only changes are awaited.
     pub fn is_following(&self) -> bool {
         matches!(self.phase, MirrorPhase::Watching { .. })
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -12,13 +12,16 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-pub use feed::{MirrorFeed, MirrorSettings};
+pub use feed::{FeedStep, MirrorFeed, MirrorSettings};
 pub use mirror::{MirrorChange, MirrorState, MirrorStep};
 
 /// A point in the history of the store: it rises by one with each change of any key. 0 is before every change.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct StoreRevision(pub u64);
 
 impl fmt::Display for StoreRevision {
@@ -38,7 +41,7 @@
 }
 
 /// One key with its value, as of its last change.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreItem {
     /// The key.
     pub key: CompactString,
@@ -49,7 +52,7 @@
 }
 
 /// One change of a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreEvent {
     /// The key was written.
     Written(StoreItem),
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::CatalogMessage;
-use crate::gateway::PartialMessage;
+use crate::gateway::{MirrorMessage, PartialMessage};
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
@@ -40,4 +40,6 @@
     Once(OnceMessage),
     /// Gateway to gateway: parts of queries over many shards.
     Partial(PartialMessage),
+    /// Gateway to gateway: changes of the store.
+    Mirror(MirrorMessage),
 }
