--- a/crates/ebonyfork-lab/src/command/mod.rs
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod platform;
 mod run;
+mod soak;
 mod upstream;
 
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
         .subcommand(run::load_command())
         .subcommand(platform::command())
         .subcommand(upstream::command())
+        .subcommand(soak::command())
 }
 
 /// Runs the command line of this process.
@@ -30,6 +32,7 @@
         Some(("run", matches)) => run::run(matches).await,
         Some(("load", matches)) => run::load(matches).await,
         Some(("platform", matches)) => platform::run(matches).await,
+        Some(("soak", matches)) => soak::run(matches).await,
         Some(("upstream", matches)) => upstream::run(matches).await,
         _ => Ok(ExitCode::FAILURE),
     }
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod platform;
 pub mod publish_model;
 pub mod scenario;
+pub mod soak;
 pub mod upstream;
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -0,0 +1,233 @@
+//! The callers: they ask which VMs to use, keep connections open, and record what became of each request.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyfork::http_link::{HttpLink, LinkError};
+use http::{HeaderMap, Request};
+use http_body_util::Full;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::soak::world::HOST;
+
+/// Callers that run side by side.
+const CALLERS: usize = 12;
+/// Time between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(25);
+/// How long a caller waits for an answer.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a caller keeps a look-up.
+const KEEP: Duration = Duration::from_secs(2);
+/// Longest answer, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub enum CallEnd {
+    /// An answer came.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Its headers.
+        headers: HeaderMap,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Nothing of the request was sent.
+    Unsent,
+    /// The connection broke.
+    Broken(String),
+    /// No answer came in time.
+    Silent,
+}
+
+/// One request as its caller saw it.
+#[derive(Debug, Clone)]
+pub struct CallRecord {
+    /// The caller's id.
+    pub id: String,
+    /// The first segment of its path.
+    pub route: &'static str,
+    /// The VM it was sent to.
+    pub vm: SocketAddr,
+    /// When it was sent.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+    /// What became of it.
+    pub end: CallEnd,
+}
+
+/// Callers as they run.
+#[derive(Debug)]
+pub(super) struct CallerPool {
+    stop: CancellationToken,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+    tasks: JoinSet<()>,
+}
+
+impl CallerPool {
+    pub(super) fn start(directories: Vec<SocketAddr>) -> Self {
+        let stop = CancellationToken::new();
+        let records = Arc::<Mutex<Vec<CallRecord>>>::default();
+        let next = Arc::new(AtomicU64::new(1));
+        let mut tasks = JoinSet::new();
+        for number in 0..CALLERS {
+            let caller = SoakCaller {
+                directories: directories.clone(),
+                turn: number,
+                records: Arc::clone(&records),
+                next: Arc::clone(&next),
+                located: Vec::new(),
+                located_at: None,
+                link: None,
+            };
+            let stop = stop.clone();
+            tasks.spawn(async move {
+                stop.run_until_cancelled(caller.run()).await;
+            });
+        }
+        Self {
+            stop,
+            records,
+            tasks,
+        }
+    }
+
+    /// Ends the callers and returns what they saw. A request that is out then is left out.
+    pub(super) async fn stop(mut self) -> Vec<CallRecord> {
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut records)
+    }
+}
+
+struct SoakCaller {
+    directories: Vec<SocketAddr>,
+    turn: usize,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+    next: Arc<AtomicU64>,
+    located: Vec<SocketAddr>,
+    located_at: Option<Instant>,
+    link: Option<(SocketAddr, HttpLink)>,
+}
+
+impl SoakCaller {
+    async fn run(mut self) {
+        const ROUTES: [&str; 5] = ["gather", "gather", "read", "once", "extra"];
+        loop {
+            tokio::time::sleep(PAUSE).await;
+            self.turn += 1;
+            self.locate().await;
+            let Some((vm, mut link)) = self.connect().await else {
+                continue;
+            };
+            let route = ROUTES[self.turn % ROUTES.len()];
+            let id = format!("q{:x}", self.next.fetch_add(1, Ordering::Relaxed));
+            let from = Instant::now();
+            let request = request(route, &id);
+            let exchange = link.exchange(request, ANSWER_LIMIT);
+            let (end, keep) = match tokio::time::timeout(WAIT + KEEP, exchange).await {
+                Ok(Ok(response)) => answered(response),
+                Ok(Err(LinkError::Unsent { .. })) => (CallEnd::Unsent, false),
+                Ok(Err(LinkError::Lost { reason })) => (CallEnd::Broken(reason.to_string()), false),
+                Err(_elapsed) => (CallEnd::Silent, false),
+            };
+            if keep && link.settle().await {
+                self.link = Some((vm, link));
+            }
+            let record = CallRecord {
+                id,
+                route,
+                vm,
+                from,
+                until: Instant::now(),
+                end,
+            };
+            let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+            records.push(record);
+        }
+    }
+
+    /// Asks which VMs to use once the last answer has aged.
+    async fn locate(&mut self) {
+        if self.located_at.is_some_and(|at| at.elapsed() < KEEP) {
+            return;
+        }
+        let directory = self.directories[self.turn % self.directories.len()];
+        let target = format!("/v1/resolve?name={HOST}&region=north-a-region&zone=north-a");
+        let Ok(mut link) = HttpLink::open(directory, Duration::from_millis(300)).await else {
+            return;
+        };
+        let Ok(request) = Request::get(target)
+            .header("host", HOST)
+            .body(Full::default())
+        else {
+            return;
+        };
+        let exchange = link.exchange(request, ANSWER_LIMIT);
+        let Ok(Ok(response)) = tokio::time::timeout(Duration::from_millis(500), exchange).await
+        else {
+            return;
+        };
+        let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap_or_default();
+        let listed = body["addrs"].as_array().cloned().unwrap_or_default();
+        let addresses = listed.iter().filter_map(|text| text.as_str()?.parse().ok());
+        self.located = addresses.collect();
+        self.located_at = Some(Instant::now());
+        if let Some((vm, _link)) = &self.link
+            && !self.located.contains(vm)
+        {
+            self.link = None;
+        }
+    }
+
+    async fn connect(&mut self) -> Option<(SocketAddr, HttpLink)> {
+        if let Some((vm, link)) = self.link.take()
+            && link.is_ready()
+        {
+            return Some((vm, link));
+        }
+        let vm = *self.located.get(self.turn % self.located.len().max(1))?;
+        let opened = HttpLink::open(vm, Duration::from_millis(500)).await;
+        opened.ok().map(|link| (vm, link))
+    }
+}
+
+fn request(route: &str, id: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    let target = format!("/{route}/{id}");
+    *request.uri_mut() = target.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let texts = [
+        ("host", HOST.to_owned()),
+        ("request-id", id.to_owned()),
+        ("deadline-ms", WAIT.as_millis().to_string()),
+    ];
+    for (name, text) in texts {
+        if let Ok(value) = text.parse() {
+            headers.insert(name, value);
+        }
+    }
+    request
+}
+
+fn answered(response: http::Response<Bytes>) -> (CallEnd, bool) {
+    let (head, body) = response.into_parts();
+    let closes = head
+        .headers
+        .get("connection")
+        .is_some_and(|value| value == "close");
+    let end = CallEnd::Answered {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body,
+    };
+    (end, !closes)
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -0,0 +1,239 @@
+//! Draws faults and puts them in force: on links, processes, upstreams, the store; planned work meanwhile.
+
+use std::time::Duration;
+
+use ebonyfork_stand_in::store_server::{StoreFaults, StoreOutage};
+use ebonyfork_stand_in::upstream::UpstreamFaults;
+use rand::{Rng, RngExt};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::error::LabError;
+use crate::soak::fleet::GatewayFleet;
+use crate::soak::proxy::LinkFault;
+use crate::soak::world::{SoakWorld, lock};
+
+/// Kinds of events, for drawing.
+const KINDS: usize = 14;
+/// How long a leaving upstream goes on serving.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+
+/// One event as it happened.
+#[derive(Debug, Clone)]
+pub struct SoakEvent {
+    /// When it began.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+    /// What it was.
+    pub what: String,
+    /// Whether it was planned work, which must cost no caller anything.
+    pub planned: bool,
+}
+
+/// Runs events one after another, some of them overlapping, for a time.
+pub(super) async fn run_faults(
+    rng: &mut ChaCha8Rng,
+    time: Duration,
+    world: &SoakWorld,
+    fleet: &mut GatewayFleet,
+) -> Result<Vec<SoakEvent>, LabError> {
+    let end = Instant::now() + time;
+    let mut events = Vec::new();
+    while Instant::now() < end {
+        let from = Instant::now();
+        let (what, planned) = run_event(rng, world, fleet).await?;
+        events.push(SoakEvent {
+            from,
+            until: Instant::now(),
+            what,
+            planned,
+        });
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    }
+    heal(world, fleet)?;
+    Ok(events)
+}
+
+/// Ends all faults.
+fn heal(world: &SoakWorld, fleet: &mut GatewayFleet) -> Result<(), LabError> {
+    world.store.set_faults(StoreFaults::default());
+    for upstream in lock(&world.upstreams).iter() {
+        upstream.server.set_faults(UpstreamFaults::default());
+        upstream.proxy.set_fault(LinkFault::None);
+    }
+    for number in 0..fleet.vms.len() {
+        fleet.vms[number].link.set_fault(LinkFault::None);
+        fleet.signal(number, libc::SIGCONT);
+        fleet.start_vm(number)?;
+    }
+    Ok(())
+}
+
+fn draw_link_fault(rng: &mut impl Rng) -> LinkFault {
+    match rng.random_range(0..4) {
+        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(20..400))),
+        1 => LinkFault::Reset,
+        2 => LinkFault::Silent,
+        _ => LinkFault::OneWay,
+    }
+}
+
+fn pause(rng: &mut impl Rng, least_ms: u64, most_ms: u64) -> Duration {
+    Duration::from_millis(rng.random_range(least_ms..most_ms))
+}
+
+async fn run_event(
+    rng: &mut ChaCha8Rng,
+    world: &SoakWorld,
+    fleet: &mut GatewayFleet,
+) -> Result<(String, bool), LabError> {
+    let vm = rng.random_range(0..fleet.vms.len());
+    let upstreams = lock(&world.upstreams).len();
+    let upstream = rng.random_range(0..upstreams);
+    let lasting = pause(rng, 300, 4_000);
+    let what = match rng.random_range(0..KINDS) {
+        0 => {
+            fleet.kill(vm).await;
+            tokio::time::sleep(pause(rng, 50, 1_500)).await;
+            fleet.start_vm(vm)?;
+            format!("kill vm-{vm}")
+        }
+        1 => {
+            fleet.signal(vm, libc::SIGSTOP);
+            tokio::time::sleep(lasting).await;
+            fleet.signal(vm, libc::SIGCONT);
+            format!("freeze vm-{vm} {lasting:?}")
+        }
+        2 | 3 => {
+            let took = fleet.terminate(vm).await;
+            fleet.start_vm(vm)?;
+            return Ok((format!("terminate vm-{vm} {took:?}"), true));
+        }
+        4 => {
+            let fault = draw_link_fault(rng);
+            fleet.vms[vm].link.set_fault(fault);
+            tokio::time::sleep(lasting).await;
+            fleet.vms[vm].link.set_fault(LinkFault::None);
+            format!("store link of vm-{vm} {fault:?} {lasting:?}")
+        }
+        5 | 6 => {
+            let fault = draw_link_fault(rng);
+            set_proxy(world, upstream, fault);
+            tokio::time::sleep(lasting).await;
+            set_proxy(world, upstream, LinkFault::None);
+            format!("link of upstream {upstream} {fault:?} {lasting:?}")
+        }
+        7 => {
+            let faults = draw_upstream_faults(rng);
+            set_upstream(world, upstream, faults);
+            tokio::time::sleep(lasting).await;
+            set_upstream(world, upstream, UpstreamFaults::default());
+            format!("upstream {upstream} {faults:?} {lasting:?}")
+        }
+        8 => {
+            let (service, zone) = world.end_upstream(upstream, None);
+            tokio::time::sleep(pause(rng, 100, 2_000)).await;
+            world.add_upstream(&service, zone).await?;
+            format!("crash of an upstream of {service}")
+        }
+        9 => {
+            drain(world, upstream).await?;
+            return Ok((format!("upstream {upstream} drained"), true));
+        }
+        10 => {
+            let outage = [
+                StoreOutage::Busy,
+                StoreOutage::Limited,
+                StoreOutage::Reset,
+                StoreOutage::Silent,
+            ][rng.random_range(0..4)];
+            world.store.set_faults(StoreFaults {
+                outage: Some(outage),
+                ..StoreFaults::default()
+            });
+            tokio::time::sleep(lasting).await;
+            world.store.set_faults(StoreFaults::default());
+            format!("store {outage:?} {lasting:?}")
+        }
+        11 => {
+            world.store.set_faults(StoreFaults {
+                delay: Duration::from_millis(rng.random_range(50..400)),
+                lose_writes: 0.5,
+                late: Duration::from_millis(rng.random_range(0..2_000)),
+                ..StoreFaults::default()
+            });
+            tokio::time::sleep(lasting).await;
+            world.store.set_faults(StoreFaults::default());
+            format!("store slow, writes lost {lasting:?}")
+        }
+        12 => {
+            world.store.compact();
+            "store history forgotten".to_owned()
+        }
+        _ => {
+            let extra = lock(&world.versions).len() % 2 == 1;
+            world.write_config(extra);
+            return Ok((format!("configuration extra={extra}"), true));
+        }
+    };
+    Ok((what, false))
+}
+
+fn set_proxy(world: &SoakWorld, number: usize, fault: LinkFault) {
+    if let Some(upstream) = lock(&world.upstreams).get(number) {
+        upstream.proxy.set_fault(fault);
+    }
+}
+
+fn set_upstream(world: &SoakWorld, number: usize, faults: UpstreamFaults) {
+    if let Some(upstream) = lock(&world.upstreams).get(number) {
+        upstream.server.set_faults(faults);
+    }
+}
+
+fn draw_upstream_faults(rng: &mut impl Rng) -> UpstreamFaults {
+    let none = UpstreamFaults::default();
+    match rng.random_range(0..5) {
+        0 => UpstreamFaults { slow: 12.0, ..none },
+        1 => UpstreamFaults { shed: 0.6, ..none },
+        2 => UpstreamFaults { lose: 0.3, ..none },
+        3 => UpstreamFaults {
+            foreign: 0.2,
+            ..none
+        },
+        _ => UpstreamFaults {
+            silent: true,
+            ..none
+        },
+    }
+}
+
+/// Another upstream starts, this one says that it leaves, serves on and ends; its address goes to another service.
+async fn drain(world: &SoakWorld, number: usize) -> Result<(), LabError> {
+    let (service, zone) = {
+        let upstreams = lock(&world.upstreams);
+        let upstream = &upstreams[number];
+        (upstream.server.service().to_owned(), upstream.zone)
+    };
+    world.add_upstream(&service, zone).await?;
+    let leaving = Instant::now();
+    {
+        let upstreams = lock(&world.upstreams);
+        world.register(&upstreams[number], "draining");
+    }
+    tokio::time::sleep(DRAIN_TIME).await;
+    let reused = {
+        let upstreams = lock(&world.upstreams);
+        let other = upstreams
+            .iter()
+            .find(|other| other.server.service() != service);
+        other.map(|other| other.server.address())
+    };
+    if let Some(reused) = reused {
+        lock(&world.upstreams)[number].proxy.set_target(reused);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.end_upstream(number, Some(leaving));
+    Ok(())
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -0,0 +1,168 @@
+//! The gateways as processes of their own, steered by signals. Only processes that the fleet started are touched.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use tokio::process::{Child, Command};
+use tokio::time::Instant;
+
+use crate::error::LabError;
+use crate::soak::SoakSettings;
+use crate::soak::proxy::LinkProxy;
+use crate::soak::world::{SoakWorld, ZONES};
+
+/// Ports of each VM, which has an address of its own on the loopback network.
+const CALLER_PORT: u16 = 7_100;
+const READY_PORT: u16 = 7_101;
+const DIRECTORY_PORT: u16 = 7_102;
+const METRICS_PORT: u16 = 7_103;
+const PEER_PORT: u16 = 7_104;
+/// Time between SIGTERM and SIGKILL.
+pub(super) const GRACE: Duration = Duration::from_secs(6);
+
+/// One VM with its process and its link to the store.
+#[derive(Debug)]
+pub(super) struct GatewayVm {
+    pub address: Ipv4Addr,
+    pub link: LinkProxy,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// All VMs.
+#[derive(Debug)]
+pub(super) struct GatewayFleet {
+    pub vms: Vec<GatewayVm>,
+    program: PathBuf,
+}
+
+impl GatewayFleet {
+    pub(super) async fn start(
+        settings: &SoakSettings,
+        world: &SoakWorld,
+    ) -> Result<Self, LabError> {
+        std::fs::create_dir_all(&settings.folder).map_err(|source| LabError::System {
+            what: "the soak's folder",
+            source,
+        })?;
+        // Runs side by side use different networks.
+        let network = (settings.seed % 200) as u8 + 10;
+        let mut vms = Vec::new();
+        for number in 0..settings.vms * ZONES.len() {
+            let address = Ipv4Addr::new(127, network, 0, number as u8 + 1);
+            let link = LinkProxy::start(world.store.address()).await?;
+            let name = format!("vm-{number}");
+            let path = settings.folder.join(format!("{name}.ini"));
+            let text = ini(&name, address, ZONES[number % ZONES.len()], link.address());
+            std::fs::write(&path, text).map_err(|source| LabError::System {
+                what: "a gateway's settings",
+                source,
+            })?;
+            vms.push(GatewayVm {
+                address,
+                link,
+                settings: path,
+                log: settings.folder.join(format!("{name}.log")),
+                child: None,
+            });
+        }
+        let mut fleet = Self {
+            vms,
+            program: settings.program.clone(),
+        };
+        for number in 0..fleet.vms.len() {
+            fleet.start_vm(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Directory and caller addresses of all VMs.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        let directory = |vm: &GatewayVm| SocketAddr::from((vm.address, DIRECTORY_PORT));
+        self.vms.iter().map(directory).collect()
+    }
+
+    /// Starts a VM's process unless it runs.
+    pub(super) fn start_vm(&mut self, number: usize) -> Result<(), LabError> {
+        let program = &self.program;
+        let vm = &mut self.vms[number];
+        if vm.child.is_some() {
+            return Ok(());
+        }
+        vm.child = Some(spawn(program, vm).map_err(|source| LabError::System {
+            what: "a gateway",
+            source,
+        })?);
+        Ok(())
+    }
+
+    /// Sends a signal to a VM's process, if it runs.
+    pub(super) fn signal(&self, number: usize, signal: i32) {
+        let Some(id) = self.vms[number].child.as_ref().and_then(Child::id) else {
+            return;
+        };
+        // SAFETY: `kill` takes two integers; the process is a child of this one that has not been waited for, so its
+        // id can't belong to another process.
+        let _sent = unsafe { libc::kill(id as i32, signal) };
+    }
+
+    /// Kills a VM's process.
+    pub(super) async fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.vms[number].child.take() {
+            // A process that has ended by itself needs no kill.
+            let _gone = child.kill().await;
+        }
+    }
+
+    /// Stops a VM's process as planned and waits for its end; tells how long that took.
+    pub(super) async fn terminate(&mut self, number: usize) -> Duration {
+        let began = Instant::now();
+        self.signal(number, libc::SIGTERM);
+        if let Some(mut child) = self.vms[number].child.take()
+            && tokio::time::timeout(GRACE, child.wait()).await.is_err()
+        {
+            let _gone = child.kill().await;
+        }
+        began.elapsed()
+    }
+
+    /// Ends all processes.
+    pub(super) async fn end(&mut self) {
+        for number in 0..self.vms.len() {
+            self.kill(number).await;
+        }
+    }
+}
+
+fn spawn(program: &Path, vm: &GatewayVm) -> std::io::Result<Child> {
+    let log = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&vm.log)?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(&vm.settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+}
+
+fn ini(name: &str, address: Ipv4Addr, zone: &str, store: SocketAddr) -> String {
+    let zones: String = ZONES
+        .iter()
+        .map(|zone| format!("{zone} = {zone}-region\n"))
+        .collect();
+    format!(
+        "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {zone}-region\n\
+         cpu-share = 1\ncpu-cores = 1\n[zones]\n{zones}[listen]\n\
+         callers = {address}:{CALLER_PORT}\nready = {address}:{READY_PORT}\n\
+         directory = {address}:{DIRECTORY_PORT}\nmetrics = {address}:{METRICS_PORT}\n\
+         peer-port = {PEER_PORT}\n[store]\naddress = {store}\n[bounds]\ngrace-s = 6\n\
+         retry-ratio = 0.2\nretry-slack = 54\nretry-window-s = 10\n"
+    )
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -0,0 +1,304 @@
+//! Checks the promises from what callers and upstreams saw.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+
+use ebonyfork_stand_in::upstream::ArrivalRecord;
+use http::HeaderMap;
+use tokio::time::Instant;
+
+use crate::soak::callers::{CallEnd, CallRecord};
+use crate::soak::faults::SoakEvent;
+use crate::soak::world::{LEAST, SHARDS, SoakWorld, TOP, lock};
+
+/// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
+/// another one and a request that waits for its connection all take their time.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+/// Time after which a version must be in force everywhere.
+const CONFIG_BOUND: Duration = Duration::from_secs(4);
+/// Share of the requests that must be served once all faults have ended.
+const CALM_SHARE: f64 = 0.95;
+/// Length of one record, in bytes.
+const RECORD_BYTES: usize = 16;
+
+/// What a soak found.
+#[derive(Debug)]
+pub struct SoakVerdict {
+    /// The seed.
+    pub seed: u64,
+    /// Requests of callers.
+    pub calls: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// Events by their first words.
+    pub events: usize,
+    /// Broken promises, with the event that was in force.
+    pub violations: Vec<String>,
+}
+
+impl fmt::Display for SoakVerdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed={} calls={} served={} events={} violations={}",
+            self.seed,
+            self.calls,
+            self.served,
+            self.events,
+            self.violations.len()
+        )?;
+        for violation in &self.violations {
+            writeln!(f, "  {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs of each request, with the service that ran it.
+type RunIndex<'a> = BTreeMap<&'a str, Vec<(&'a str, &'a ArrivalRecord)>>;
+
+/// Checks everything.
+pub(super) fn judge_soak(
+    seed: u64,
+    calls: &[CallRecord],
+    world: &SoakWorld,
+    events: &[SoakEvent],
+    calm_from: Instant,
+) -> SoakVerdict {
+    let arrivals = world.arrivals();
+    let mut runs = RunIndex::new();
+    for (service, arrival) in &arrivals {
+        if arrival.ran {
+            runs.entry(&arrival.request)
+                .or_default()
+                .push((service, arrival));
+        }
+    }
+    let mut violations = Vec::new();
+    let mut served = 0;
+    for call in calls {
+        let found = runs.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
+        if is_served(call) {
+            served += 1;
+        }
+        if let Err(reason) = check_call(call, found) {
+            violations.push(format!(
+                "{} {}: {reason}; {}",
+                call.route,
+                call.id,
+                during(call, events)
+            ));
+        }
+    }
+    violations.extend(check_planned(calls, events));
+    violations.extend(check_drains(world, events));
+    violations.extend(check_versions(calls, world, events));
+    let calm: Vec<_> = calls
+        .iter()
+        .filter(|call| call.route != "extra" && call.from > calm_from + Duration::from_secs(3))
+        .collect();
+    let calm_served = calm.iter().filter(|call| is_served(call)).count();
+    if (calm_served as f64) < calm.len() as f64 * CALM_SHARE {
+        violations.push(format!(
+            "served {calm_served} of {} after all faults",
+            calm.len()
+        ));
+    }
+    SoakVerdict {
+        seed,
+        calls: calls.len(),
+        served,
+        events: events.len(),
+        violations,
+    }
+}
+
+fn is_served(call: &CallRecord) -> bool {
+    matches!(call.end, CallEnd::Answered { status: 200, .. })
+}
+
+/// What was going on during a call.
+fn during(call: &CallRecord, events: &[SoakEvent]) -> String {
+    let overlaps = |event: &&SoakEvent| event.from <= call.until && event.until >= call.from;
+    let names: Vec<_> = events
+        .iter()
+        .filter(overlaps)
+        .map(|event| event.what.as_str())
+        .collect();
+    format!("at {} during [{}]", call.vm, names.join(", "))
+}
+
+fn check_call(call: &CallRecord, runs: &[(&str, &ArrivalRecord)]) -> Result<(), String> {
+    if call.route == "once" && runs.len() > 1 {
+        return Err(format!("ran {} times", runs.len()));
+    }
+    let CallEnd::Answered {
+        status,
+        headers,
+        body,
+    } = &call.end
+    else {
+        return Ok(());
+    };
+    match (status, call.route) {
+        (200, "gather") => check_gathered(headers, body, runs),
+        (200, _) => check_single(headers, body, runs),
+        (503 | 429, "once") if !runs.is_empty() => Err(format!("answered {status} and ran")),
+        _ => Ok(()),
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn check_single(
+    headers: &HeaderMap,
+    body: &[u8],
+    runs: &[(&str, &ArrivalRecord)],
+) -> Result<(), String> {
+    let signature = header(headers, "response-stamp");
+    let run = runs
+        .iter()
+        .find(|(_service, run)| run.signature == signature);
+    match run {
+        None => Err(format!(
+            "signature `{signature}` is of no run of this request"
+        )),
+        Some((_service, run)) if run.body != body => Err("the body is another one".to_owned()),
+        Some(_) => Ok(()),
+    }
+}
+
+fn check_gathered(
+    headers: &HeaderMap,
+    body: &[u8],
+    runs: &[(&str, &ArrivalRecord)],
+) -> Result<(), String> {
+    let mut services = BTreeSet::new();
+    let mut records: Vec<&[u8]> = Vec::new();
+    for signature in header(headers, "part-stamps").split(',').map(str::trim) {
+        let run = runs
+            .iter()
+            .find(|(_service, run)| run.signature == signature);
+        let Some((service, run)) = run else {
+            return Err(format!(
+                "signature `{signature}` is of no run of this request"
+            ));
+        };
+        if !services.insert(*service) {
+            return Err(format!("two parts of {service}"));
+        }
+        records.extend(run.body.chunks_exact(RECORD_BYTES));
+    }
+    let missing: usize = header(headers, "missing-parts").parse().unwrap_or_default();
+    if services.len() + missing != SHARDS {
+        return Err(format!("{} parts and {missing} missing", services.len()));
+    }
+    if (services.len() as f64) < SHARDS as f64 * LEAST {
+        return Err(format!("only {} parts", services.len()));
+    }
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(TOP);
+    if records.concat() != body {
+        return Err("the records are not the greatest of the named parts".to_owned());
+    }
+    Ok(())
+}
+
+/// A planned stop cuts no request, unless something unplanned was going on.
+fn check_planned(calls: &[CallRecord], events: &[SoakEvent]) -> Vec<String> {
+    const MARGIN: Duration = Duration::from_secs(5);
+    let disturbed = |call: &CallRecord| {
+        events.iter().any(|event| {
+            !event.planned && event.from <= call.until && event.until + MARGIN >= call.from
+        })
+    };
+    let stopping = |call: &CallRecord| {
+        events.iter().any(|event| {
+            event.planned
+                && event.what.starts_with("terminate")
+                && event.from <= call.until
+                && event.until >= call.from
+        })
+    };
+    let mut violations = Vec::new();
+    for call in calls {
+        let CallEnd::Broken(reason) = &call.end else {
+            continue;
+        };
+        // A request that crosses the close of an idle connection was never read.
+        let crossed = call.until - call.from < Duration::from_millis(5);
+        if stopping(call) && !disturbed(call) && !crossed {
+            violations.push(format!(
+                "{} {} was cut by a planned stop: {reason}",
+                call.route, call.id
+            ));
+        }
+    }
+    violations
+}
+
+fn is_calm(events: &[SoakEvent], from: Instant, until: Instant) -> bool {
+    !events.iter().any(|event| {
+        let store = event.what.starts_with("store") || event.what.contains("vm-");
+        store && event.from <= until && event.until + Duration::from_secs(5) >= from
+    })
+}
+
+/// A leaving upstream gets nothing new after seconds.
+fn check_drains(world: &SoakWorld, events: &[SoakEvent]) -> Vec<String> {
+    let mut violations = Vec::new();
+    for past in lock(&world.past).iter() {
+        let Some(leaving) = past.leaving else {
+            continue;
+        };
+        for arrival in past.arrivals.iter().filter(|arrival| arrival.ran) {
+            let late = arrival.at > leaving + DRAIN_BOUND;
+            if late && is_calm(events, leaving, arrival.at) {
+                violations.push(format!(
+                    "{} reached a leaving upstream of {} after {:?}",
+                    arrival.request,
+                    past.service,
+                    arrival.at - leaving
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// A route that every version in force names is found, one that none names is not.
+fn check_versions(calls: &[CallRecord], world: &SoakWorld, events: &[SoakEvent]) -> Vec<String> {
+    let versions = lock(&world.versions);
+    let mut violations = Vec::new();
+    for call in calls {
+        let CallEnd::Answered { status, .. } = &call.end else {
+            continue;
+        };
+        if call.route != "extra" {
+            if *status == 404 {
+                violations.push(format!("{} {} was not found", call.route, call.id));
+            }
+            continue;
+        }
+        let before = versions
+            .iter()
+            .rev()
+            .find(|(_version, at, _extra)| *at <= call.from);
+        let Some((version, at, extra)) = before else {
+            continue;
+        };
+        let settled = call.from > *at + CONFIG_BOUND && is_calm(events, *at, call.until);
+        if settled && (*status == 404) == *extra {
+            violations.push(format!(
+                "{} answered {status} {:?} after version {version} (extra={extra})",
+                call.id,
+                call.from - *at
+            ));
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -0,0 +1,65 @@
+//! A randomized soak of the gateway: real processes on loopback, faults from outside them, promises checked from what
+//! callers and upstreams saw.
+//!
+//! One seed draws everything: which faults, when, on what. Faults come in series and overlap. Callers keep using open
+//! connections until a process is gone. [`judge`] reads the records of callers and upstreams and never asks the tier.
+
+mod callers;
+mod faults;
+mod fleet;
+pub mod judge;
+mod proxy;
+mod world;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::error::LabError;
+use crate::soak::callers::CallerPool;
+use crate::soak::faults::run_faults;
+use crate::soak::fleet::GatewayFleet;
+use crate::soak::judge::{SoakVerdict, judge_soak};
+use crate::soak::world::SoakWorld;
+
+/// Time without faults before and after them: in the second part the system must serve again.
+const CALM: Duration = Duration::from_secs(6);
+
+/// What a soak runs with.
+#[derive(Debug, Clone)]
+pub struct SoakSettings {
+    /// Draws everything.
+    pub seed: u64,
+    /// How long faults come.
+    pub time: Duration,
+    /// VMs in each of three zones.
+    pub vms: usize,
+    /// The gateway's program.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub folder: PathBuf,
+}
+
+/// Runs one soak. All processes that it started have ended when it returns.
+pub async fn run_soak(settings: &SoakSettings) -> Result<SoakVerdict, LabError> {
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let world = SoakWorld::start(settings.seed).await?;
+    let mut fleet = GatewayFleet::start(settings, &world).await?;
+    let callers = CallerPool::start(fleet.addresses());
+    tokio::time::sleep(CALM).await;
+    let events = run_faults(&mut rng, settings.time, &world, &mut fleet).await?;
+    let calm_from = Instant::now();
+    tokio::time::sleep(CALM).await;
+    let calls = callers.stop().await;
+    fleet.end().await;
+    Ok(judge_soak(
+        settings.seed,
+        &calls,
+        &world,
+        &events,
+        calm_from,
+    ))
+}
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -0,0 +1,206 @@
+//! What surrounds the gateways: the store, the upstreams behind proxies, the operator's configuration.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ebonyfork_stand_in::store_server::StoreServer;
+use ebonyfork_stand_in::upstream::{ArrivalRecord, UpstreamServer};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::error::LabError;
+use crate::soak::proxy::LinkProxy;
+
+/// Zones, each a region of its own.
+pub(super) const ZONES: [&str; 3] = ["north-a", "east-a", "south-a"];
+/// The host of all routes.
+pub(super) const HOST: &str = "soak.example";
+/// Shards of the query over many shards.
+pub(super) const SHARDS: usize = 6;
+/// Records of a gathered answer.
+pub(super) const TOP: usize = 5;
+/// Least share of the shards in a gathered answer.
+pub(super) const LEAST: f64 = 0.5;
+
+/// One upstream with the proxy before it.
+#[derive(Debug)]
+pub(super) struct SoakUpstream {
+    pub server: UpstreamServer,
+    pub proxy: LinkProxy,
+    pub zone: &'static str,
+}
+
+/// An upstream's life that has ended, with what it saw.
+#[derive(Debug)]
+pub(super) struct PastLife {
+    pub service: String,
+    pub arrivals: Vec<ArrivalRecord>,
+    /// When its leaving was written to the store.
+    pub leaving: Option<Instant>,
+}
+
+/// Everything outside the gateways.
+#[derive(Debug)]
+pub(super) struct SoakWorld {
+    pub store: StoreServer,
+    pub upstreams: Mutex<Vec<SoakUpstream>>,
+    pub past: Mutex<Vec<PastLife>>,
+    /// Versions that were written, with the time and whether the extra route is there.
+    pub versions: Mutex<Vec<(u64, Instant, bool)>>,
+    lives: Mutex<u64>,
+    seed: u64,
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl SoakWorld {
+    pub(super) async fn start(seed: u64) -> Result<Self, LabError> {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = StoreServer::start(listen)
+            .await
+            .map_err(|source| LabError::System {
+                what: "the store's listener",
+                source,
+            })?;
+        let world = Self {
+            store,
+            upstreams: Mutex::default(),
+            past: Mutex::default(),
+            versions: Mutex::default(),
+            lives: Mutex::default(),
+            seed,
+        };
+        for shard in 0..SHARDS {
+            for copy in 0..2 {
+                world
+                    .add_upstream(&format!("shard{shard}"), ZONES[(shard + copy) % 3])
+                    .await?;
+            }
+        }
+        for zone in ZONES {
+            world.add_upstream("single", zone).await?;
+        }
+        world.write_config(false);
+        Ok(world)
+    }
+
+    /// Starts an upstream and registers it.
+    pub(super) async fn add_upstream(
+        &self,
+        service: &str,
+        zone: &'static str,
+    ) -> Result<(), LabError> {
+        let life = {
+            let mut lives = lock(&self.lives);
+            *lives += 1;
+            *lives
+        };
+        let instance = format!("i-{:x}-{life}", self.seed);
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let work = Duration::from_millis(if service == "single" { 20 } else { 8 });
+        let server = UpstreamServer::start(listen, &instance, service, work).await;
+        let server = server.map_err(|source| LabError::System {
+            what: "an upstream's listener",
+            source,
+        })?;
+        let proxy = LinkProxy::start(server.address()).await?;
+        let upstream = SoakUpstream {
+            server,
+            proxy,
+            zone,
+        };
+        self.register(&upstream, "ready");
+        lock(&self.upstreams).push(upstream);
+        Ok(())
+    }
+
+    /// Writes an upstream's entry; callers reach it by its proxy.
+    pub(super) fn register(&self, upstream: &SoakUpstream, state: &str) {
+        let entry = upstream.server.entry(upstream.zone, state);
+        let own = upstream.server.address().to_string();
+        let entry = entry.replace(&own, &upstream.proxy.address().to_string());
+        self.store.put(&key(upstream), entry);
+    }
+
+    /// Ends an upstream: its entry goes and its record is kept.
+    pub(super) fn end_upstream(
+        &self,
+        number: usize,
+        leaving: Option<Instant>,
+    ) -> (String, &'static str) {
+        let upstream = lock(&self.upstreams).remove(number);
+        self.store.remove(&key(&upstream));
+        let service = upstream.server.service().to_owned();
+        let past = PastLife {
+            service: service.clone(),
+            arrivals: upstream.server.arrivals(),
+            leaving,
+        };
+        lock(&self.past).push(past);
+        (service, upstream.zone)
+    }
+
+    /// Writes a new version of the configuration, with or without the extra route.
+    pub(super) fn write_config(&self, extra: bool) {
+        let mut versions = lock(&self.versions);
+        let version = versions
+            .last()
+            .map_or(3, |(version, _at, _extra)| version + 3);
+        self.store
+            .put("op/config", config(version, extra).to_string());
+        versions.push((version, Instant::now(), extra));
+    }
+
+    /// All that reached the upstreams, with the service of each.
+    pub(super) fn arrivals(&self) -> Vec<(String, ArrivalRecord)> {
+        let mut all = Vec::new();
+        for upstream in lock(&self.upstreams).iter() {
+            let service = upstream.server.service();
+            let arrivals = upstream.server.arrivals().into_iter();
+            all.extend(arrivals.map(|arrival| (service.to_owned(), arrival)));
+        }
+        for past in lock(&self.past).iter() {
+            let arrivals = past.arrivals.iter().cloned();
+            all.extend(arrivals.map(|arrival| (past.service.clone(), arrival)));
+        }
+        all
+    }
+}
+
+fn key(upstream: &SoakUpstream) -> String {
+    format!("servers/{}", upstream.server.instance())
+}
+
+fn config(version: u64, extra: bool) -> Value {
+    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
+    let route = |name: &str, kind: &str, target: (&str, Value)| {
+        let mut route = json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "routeType": kind,
+            "timeoutMs": 2_000, "sloMs": 200, "priority": 1, "maxAttempts": 2,
+            "topK": TOP, "minCoverage": LEAST,
+        });
+        route[target.0] = target.1;
+        route
+    };
+    let mut routes = vec![
+        route("gather", "idempotent", ("gather", json!(shards))),
+        route("read", "idempotent", ("service", json!("single"))),
+        route("once", "non_idempotent", ("service", json!("single"))),
+    ];
+    if extra {
+        routes.push(route("extra", "idempotent", ("service", json!("single"))));
+    }
+    let services: Vec<Value> = shards
+        .iter()
+        .map(String::as_str)
+        .chain(["single"])
+        .map(|name| json!({"name": name, "healthPath": "/health", "maxConns": 60}))
+        .collect();
+    json!({"version": version, "routes": routes, "services": services, "limits": {
+        "maxHeaderBytes": 16_384, "maxBodyBytes": 262_144,
+        "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+    }})
+}
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -158,3 +158,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "taker_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -0,0 +1,101 @@
+use bytes::Bytes;
+use googletest::prelude::*;
+
+use super::*;
+use crate::gateway::dialect::GatewayDialect;
+use crate::gateway::fixture::{dialect, entry, settings};
+use crate::gateway::ident::{ConfigVersion, UpstreamService};
+use crate::gateway::route::{CallerLimits, RouteTable};
+
+/// Configurations are their version as text, upstreams belong to the service that is their value.
+fn text_dialect() -> GatewayDialect {
+    GatewayDialect {
+        classify: |key| match key.split('/').next() {
+            Some("config") => StoredKind::Config,
+            Some("upstream") => StoredKind::Upstream,
+            _ => StoredKind::Other,
+        },
+        read_config: |_key, value| {
+            let text = String::from_utf8_lossy(value);
+            let version = ConfigVersion(text.parse().expect("a version"));
+            let limits = CallerLimits {
+                header_bytes: 1,
+                body_bytes: 1,
+                header_time: std::time::Duration::from_secs(1),
+                idle_time: std::time::Duration::from_secs(1),
+            };
+            Ok(RouteTable::new(version, [], [], limits))
+        },
+        read_upstream: |key, value| {
+            let service = String::from_utf8_lossy(value);
+            Ok(entry(key, &service, "north-a", ([127, 0, 0, 1], 1).into()))
+        },
+        ..dialect()
+    }
+}
+
+fn taker() -> StoreTaker {
+    let core = Rc::new(GatewayCore::new(settings(), text_dialect()));
+    let (seeds, _receiver) = watch::channel(Arc::default());
+    StoreTaker::new(core, seeds)
+}
+
+fn item(key: &str, value: &str, revision: u64) -> StoreItem {
+    StoreItem {
+        key: key.into(),
+        value: Bytes::from(value.to_owned()),
+        revision: StoreRevision(revision),
+    }
+}
+
+fn version(taker: &StoreTaker) -> u64 {
+    taker.core.table().map_or(0, |table| table.version().0)
+}
+
+fn upstreams(taker: &StoreTaker, service: &str) -> usize {
+    let service = UpstreamService::new(service);
+    taker.core.registry.upstreams(&service).len()
+}
+
+#[gtest]
+fn a_source_that_is_behind_takes_nothing_back() {
+    let taker = taker();
+    let newer = vec![item("config", "7", 20), item("upstream/a", "s", 18)];
+    taker.take(&MirrorChange::Replaced(newer), StoreRevision(20));
+    let older = vec![item("config", "5", 10)];
+    taker.take(&MirrorChange::Replaced(older), StoreRevision(12));
+    expect_that!(version(&taker), eq(7));
+    expect_that!(upstreams(&taker, "s"), eq(1));
+    let older = StoreEvent::Written(item("config", "6", 15));
+    taker.take(&MirrorChange::Changed(vec![older]), StoreRevision(15));
+    expect_that!(version(&taker), eq(7));
+    expect_that!(taker.complete(), eq(StoreRevision(20)));
+}
+
+#[gtest]
+fn a_removed_upstream_does_not_come_back_by_an_older_change() {
+    let taker = taker();
+    let all = vec![item("upstream/a", "s", 3)];
+    taker.take(&MirrorChange::Replaced(all), StoreRevision(3));
+    let removed = StoreEvent::Removed {
+        key: "upstream/a".into(),
+        revision: StoreRevision(9),
+    };
+    taker.take(&MirrorChange::Changed(vec![removed]), StoreRevision(9));
+    expect_that!(upstreams(&taker, "s"), eq(0));
+    let stale = StoreEvent::Written(item("upstream/a", "s", 5));
+    taker.take(&MirrorChange::Changed(vec![stale]), StoreRevision(10));
+    expect_that!(upstreams(&taker, "s"), eq(0));
+}
+
+#[gtest]
+fn a_lower_version_at_a_newer_revision_is_not_put_in_force() {
+    let taker = taker();
+    taker.take(
+        &MirrorChange::Replaced(vec![item("config", "7", 20)]),
+        StoreRevision(20),
+    );
+    let lower = StoreEvent::Written(item("config", "6", 21));
+    taker.take(&MirrorChange::Changed(vec![lower]), StoreRevision(21));
+    expect_that!(version(&taker), eq(7));
+}
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -158,11 +158,6 @@
     pub fn len(&self) -> usize {
         self.entries.borrow().len()
     }
-
-    /// Whether no upstream is known.
-    pub fn is_empty(&self) -> bool {
-        self.entries.borrow().is_empty()
-    }
 }
 
 fn log_leaving(known: &Upstream, entry: &UpstreamEntry) {
--- a/crates/ebonyfork/src/gateway/reply_tests.rs
+++ b/crates/ebonyfork/src/gateway/reply_tests.rs
@@ -1,1 +1,70 @@
+use std::time::{Duration, Instant};
 
+use googletest::prelude::*;
+
+use super::*;
+use crate::gateway::fixture::{signed, wire_names};
+
+const REASONS: [RefusalReason; 10] = [
+    RefusalReason::Malformed,
+    RefusalReason::NoRoute,
+    RefusalReason::TooLarge,
+    RefusalReason::NoConfig,
+    RefusalReason::Stopping,
+    RefusalReason::Quarantined,
+    RefusalReason::NoUpstream,
+    RefusalReason::Unknown,
+    RefusalReason::Late,
+    RefusalReason::LateUnsent,
+];
+
+/// 503 promises that the request has not run and never will.
+#[gtest]
+fn only_refusals_of_requests_that_have_not_run_promise_it() {
+    for reason in REASONS {
+        let may_have_run = matches!(reason, RefusalReason::Unknown | RefusalReason::Late);
+        let reply = refusal(reason);
+        let promises = reply.status() == StatusCode::SERVICE_UNAVAILABLE;
+        expect_that!(promises && may_have_run, eq(false), "{reason:?}");
+        let retry = reply.headers().contains_key(header::RETRY_AFTER);
+        expect_that!(retry, eq(promises), "{reason:?}");
+    }
+}
+
+#[gtest]
+fn an_upstreams_answer_is_passed_on_unchanged() {
+    let mut answer = signed("3e1b.07", b"bytes");
+    answer.status = StatusCode::IM_A_TEAPOT;
+    let header = |text: &'static str| HeaderValue::from_static(text);
+    answer.headers.insert("x-other", header("1"));
+    answer.headers.insert("connection", header("close"));
+    answer.headers.insert("keep-alive", header("timeout=10"));
+    answer
+        .headers
+        .insert("transfer-encoding", header("chunked"));
+    let reply = forwarded(answer);
+    expect_that!(reply.status(), eq(StatusCode::IM_A_TEAPOT));
+    let mut names: Vec<_> = reply.headers().keys().map(|name| name.as_str()).collect();
+    names.sort_unstable();
+    expect_that!(names, elements_are![eq(&"x-other"), eq(&"x-signature")]);
+}
+
+#[gtest]
+fn a_gathered_answer_names_its_parts_and_counts_the_missing_ones() {
+    let start = Instant::now();
+    let until = start + Duration::from_secs(1);
+    let mut state = GatherState::new(3, 1, until, until);
+    for (shard, name) in [(0, "one"), (2, "two")] {
+        let records = Bytes::from(vec![shard as u8; 16]);
+        state.take_part(shard, HeaderValue::from_static(name), records);
+    }
+    let reply = gathered(&wire_names(), &state, 1);
+    let text = |name: &str| {
+        reply.headers()[name]
+            .to_str()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    expect_that!(text("x-signatures"), eq("one,two"));
+    expect_that!(text("x-missing"), eq("1"));
+}
--- a/crates/ebonyfork/src/gateway/slots.rs
+++ b/crates/ebonyfork/src/gateway/slots.rs
@@ -87,11 +87,6 @@
         self.dispatch();
     }
 
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.state.borrow().waiters.len()
-    }
-
     /// Waits for the right to use a connection. Dropping the future gives up the place.
     pub async fn acquire(&self, order: SlotOrder) -> Option<SlotPermit> {
         let (wake, woken) = oneshot::channel();
