--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -221,7 +221,7 @@
     {
         let upstreams = lock(&world.upstreams);
         world.register(&upstreams[number], "draining");
-    }
+    };
     tokio::time::sleep(DRAIN_TIME).await;
     let reused = {
         let upstreams = lock(&world.upstreams);
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -153,10 +153,14 @@
 }
 
 fn ini(name: &str, address: Ipv4Addr, zone: &str, store: SocketAddr) -> String {
-    let zones: String = ZONES
-        .iter()
-        .map(|zone| format!("{zone} = {zone}-region\n"))
-        .collect();
+    let zones = ZONES
+        .map(|zone| {
+            format!(
+                "{zone} = {zone}-region
+"
+            )
+        })
+        .concat();
     format!(
         "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {zone}-region\n\
          cpu-share = 1\ncpu-cores = 1\n[zones]\n{zones}[listen]\n\
--- a/crates/ebonyfork-lab/src/soak/proxy.rs
+++ b/crates/ebonyfork-lab/src/soak/proxy.rs
@@ -104,8 +104,8 @@
     let back = pump(far_read, near_write, faults.clone(), true);
     let reset = faults.wait_for(|fault| *fault == LinkFault::Reset);
     tokio::select! {
-        _ = forth => {}
-        _ = back => {}
+        () = forth => {}
+        () = back => {}
         _ = reset => {}
     }
 }
--- a/crates/ebonyfork/src/gateway/budget_tests.rs
+++ b/crates/ebonyfork/src/gateway/budget_tests.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -57,16 +55,20 @@
         let mut requests = Vec::new();
         let mut repeats = Vec::new();
         let mut now = Duration::ZERO;
-        while now < Duration::from_secs(60) {
+        while now < Duration::from_mins(1) {
             now += STEP;
-            let load = if now.as_secs() / 7 % 2 == 0 { 4 } else { 0 };
+            let load = if (now.as_secs() / 7).is_multiple_of(2) {
+                4
+            } else {
+                0
+            };
             for (budget, started) in &mut budgets {
                 if rng.random_bool(0.002) {
                     *budget = RetryBudget::new(TERMS);
                     *started = now;
                 }
                 budget.share_among(vms);
-                let age = now - *started;
+                let age = now.checked_sub(*started).unwrap();
                 for _ in 0..rng.random_range(0..=load) {
                     budget.note_request(&service(), age);
                     requests.push(now);
--- a/crates/ebonyfork/src/gateway/gather_tests.rs
+++ b/crates/ebonyfork/src/gateway/gather_tests.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert_eq, proptest};
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -32,7 +32,7 @@
 /// How long an upstream is avoided that the VM beside it advises against: some pauses, less than a slow phase.
 const ADVICE_TIME: Duration = Duration::from_millis(500);
 /// Time between two probes of an upstream that is avoided.
-const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
 /// What is known about one upstream. Times are given by the caller.
 #[derive(Debug, Clone)]
--- a/crates/ebonyfork/src/gateway/health_tests.rs
+++ b/crates/ebonyfork/src/gateway/health_tests.rs
@@ -69,7 +69,7 @@
     let now = answer(&mut health, start, &[300, 300, 300]);
     expect_that!(health.wants_probe(now + ms(100)), eq(false));
     expect_that!(health.wants_probe(now + ms(1_100)), eq(true));
-    let later = now + Duration::from_secs(60);
+    let later = now + Duration::from_mins(1);
     expect_that!(health.expected_ms(later, USUAL_MS, 2), lt(1.1 * USUAL_MS));
 }
 
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -36,6 +36,9 @@
 /// Buffer for a request's head while no configuration states its limit, in bytes.
 const HEAD_BUFFER_ASSUMED: usize = 64 * 1024;
 
+/// Longest wait of a caller that is counted, in milliseconds: a longer one is a mistake that must not overflow a time.
+const LONGEST_WAIT_MS: f64 = 86_400_000.0;
+
 /// Takes callers' connections until the future is dropped.
 pub async fn serve_callers(core: Rc<GatewayCore>, listener: TcpListener) {
     loop {
@@ -266,10 +269,8 @@
         .and_then(|text| text.trim().parse::<f64>().ok());
     let millis = stated.filter(|millis| millis.is_finite() && *millis >= 0.0);
     let millis = millis.ok_or(RefusalReason::Malformed)?;
-    /// Longest wait that is counted; a longer one is a mistake that must not overflow a time.
-    const LONGEST_MS: f64 = 86_400_000.0;
     Ok(Some(Duration::from_secs_f64(
-        millis.min(LONGEST_MS) / 1_000.0,
+        millis.min(LONGEST_WAIT_MS) / 1_000.0,
     )))
 }
 
--- a/crates/ebonyfork/src/gateway/latency_tests.rs
+++ b/crates/ebonyfork/src/gateway/latency_tests.rs
@@ -1,5 +1,3 @@
-use std::time::{Duration, Instant};
-
 use googletest::prelude::*;
 
 use super::*;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -38,6 +38,8 @@
 const FINISH_TIME: Duration = Duration::from_millis(1_500);
 /// Time between two looks at idle connections and missing entries.
 const SWEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Rounds of the sweep between two looks at the budgets: they hold 10 s.
+const BUDGET_ROUNDS: u32 = 40;
 /// Time between two looks at the requests in flight while the process ends.
 const FLIGHT_PERIOD: Duration = Duration::from_millis(20);
 
@@ -226,8 +228,6 @@
 /// Takes out what has passed: idle connections, entries that have not come back, budgets of idle services.
 async fn sweep(core: Rc<GatewayCore>) {
     let mut rounds = 0_u32;
-    /// Rounds between two looks at the budgets.
-    const BUDGET_ROUNDS: u32 = 40;
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let time = now();
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -83,7 +83,7 @@
             Self::NoConfig => Some(Duration::from_millis(300)),
             // A queue at an upstream drains within some service times.
             Self::NoUpstream | Self::LateUnsent => Some(Duration::from_millis(100)),
-            Self::Quarantined => Some(Duration::from_secs(60)),
+            Self::Quarantined => Some(Duration::from_mins(1)),
             Self::Malformed | Self::NoRoute | Self::TooLarge | Self::Unknown | Self::Late => None,
         }
     }
--- a/crates/ebonyfork/src/gateway/reply_tests.rs
+++ b/crates/ebonyfork/src/gateway/reply_tests.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use googletest::prelude::*;
 
@@ -44,7 +44,11 @@
         .insert("transfer-encoding", header("chunked"));
     let reply = forwarded(answer);
     expect_that!(reply.status(), eq(StatusCode::IM_A_TEAPOT));
-    let mut names: Vec<_> = reply.headers().keys().map(|name| name.as_str()).collect();
+    let mut names: Vec<_> = reply
+        .headers()
+        .keys()
+        .map(http::HeaderName::as_str)
+        .collect();
     names.sort_unstable();
     expect_that!(names, elements_are![eq(&"x-other"), eq(&"x-signature")]);
 }
--- a/crates/ebonyfork/src/gateway/request_tests.rs
+++ b/crates/ebonyfork/src/gateway/request_tests.rs
@@ -1,5 +1,4 @@
 use googletest::prelude::*;
-use http::HeaderName;
 
 use super::*;
 use crate::gateway::fixture::wire_names;
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -1,5 +1,6 @@
 //! Shards that are gathered elsewhere: asking a VM beside their upstreams, and doing the same for other VMs.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::AbortHandle;
@@ -101,7 +102,7 @@
         shards: &[(usize, &UpstreamChoice)],
         repeat: bool,
     ) -> bool {
-        let core = self.context.core.clone();
+        let core = Rc::clone(&self.context.core);
         let usual = {
             let latency = self.context.latency.borrow();
             latency.track(AttemptKind::Delegated).quantile(0.5)
@@ -303,14 +304,13 @@
                 let health = choice.upstream.health.borrow();
                 !health.is_ejected(time) && !health.is_pausing(time, usual)
             });
-            match usable {
-                Some(choice) => self.launch(shard, choice, Duration::ZERO),
-                None => {
-                    if let Some(duty) = &mut self.duty {
-                        duty.avoid[shard] = true;
-                    }
-                    self.state.fail(shard);
+            if let Some(choice) = usable {
+                self.launch(shard, choice, Duration::ZERO)
+            } else {
+                if let Some(duty) = &mut self.duty {
+                    duty.avoid[shard] = true;
                 }
+                self.state.fail(shard);
             }
         }
     }
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -152,7 +152,7 @@
         let work = Duration::from_secs_f64(ANSWER_WORK / core.settings.place.cores);
         let margin = request.trip + work;
         let answer_by = request.received + route.target.saturating_sub(margin);
-        let finish_by = request.finish_by - FINISH_MARGIN;
+        let finish_by = request.finish_by.checked_sub(FINISH_MARGIN).unwrap();
         let context = AttemptContext {
             core: Rc::clone(core),
             latency: core.latency(route),
--- a/crates/ebonyfork/src/gateway/slots_tests.rs
+++ b/crates/ebonyfork/src/gateway/slots_tests.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use googletest::prelude::*;
 use tokio::time::Instant as TokioInstant;
 
@@ -64,7 +62,7 @@
         let waiting = queue.acquire(order(1, None, start));
         let waited = tokio::time::timeout(ms(10), waiting).await;
         expect_that!(waited.is_err(), eq(true));
-    }
+    };
     drop(held);
     let next = tokio::time::timeout(ms(10), queue.acquire(order(2, None, start))).await;
     expect_that!(next.is_ok(), eq(true));
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -215,7 +215,7 @@
         .map(|record| record.cores)
         .sum();
     if held >= whole * CAPACITY_SHARE {
-        records.retain(|record| strong(&record));
+        records.retain(|record| strong(record));
     }
     records
 }
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -62,10 +62,13 @@
     addresses.iter().map(last).collect()
 }
 
+/// Shares of the zones, and the VMs that are named.
+type LocateCase<'a> = (&'a [(&'a str, f64)], &'a [u8]);
+
 #[gtest]
 fn callers_go_to_vms_beside_the_upstreams() {
     let directory = directory();
-    let cases: [(&[(&str, f64)], &[u8]); 5] = [
+    let cases: [LocateCase<'_>; 5] = [
         (&[], &[1, 2]),
         (&[("north-a", 1.0), ("south-a", 1.0)], &[1, 2]),
         (&[("north-b", 1.0), ("south-a", 1.0)], &[3, 4]),
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -48,7 +48,7 @@
             PeerMessage::Catalog(message) => self.catalog.take_message(from, message).await,
             PeerMessage::Once(message) => self.once.take_message(from, message).await,
             PeerMessage::Partial(_) | PeerMessage::Mirror(_) => {
-                log::debug!("a gateway's message from {:?}", from.peer())
+                log::debug!("a gateway's message from {:?}", from.peer());
             }
             PeerMessage::Hello(_) => log::debug!("a second hello from {:?}", from.peer()),
         }
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -10,9 +10,9 @@
 
 /// How long one watch waits for changes. A connection that has gone silent for good is noticed after this and the
 /// answer time together, which is within the shortest time that a leaving upstream may still get work.
-const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// How long an answer may take beyond what was asked for. The store answers in about 4 ms; a slow one in 60 times that.
-const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Shortest time between two watches: changes that come in quick succession travel in one call.
 const WATCH_SPACING: Duration = Duration::from_millis(250);
 
