--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -302,3 +302,7 @@
     }
     violations
 }
+
+#[cfg(test)]
+#[path = "judge_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -0,0 +1,162 @@
+use googletest::prelude::*;
+use http::HeaderValue;
+
+use super::*;
+
+const SIGNED: [(&str, u8); 6] = [
+    ("a.1", 1),
+    ("b.1", 2),
+    ("c.1", 3),
+    ("d.1", 4),
+    ("e.1", 5),
+    ("f.1", 6),
+];
+
+fn run(signature: &str, byte: u8) -> ArrivalRecord {
+    ArrivalRecord {
+        request: "q1".to_owned(),
+        at: Instant::now(),
+        ran: true,
+        signature: signature.to_owned(),
+        body: vec![byte; RECORD_BYTES],
+    }
+}
+
+fn call(
+    route: &'static str,
+    status: u16,
+    headers: &[(&'static str, &str)],
+    body: &[u8],
+) -> CallRecord {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.insert(*name, HeaderValue::from_str(value).expect("a header value"));
+    }
+    CallRecord {
+        id: "q1".to_owned(),
+        route,
+        vm: ([127, 0, 0, 1], 80).into(),
+        from: Instant::now(),
+        until: Instant::now(),
+        end: CallEnd::Answered {
+            status,
+            headers: map,
+            body: bytes::Bytes::copy_from_slice(body),
+        },
+    }
+}
+
+fn checked(call: &CallRecord, runs: &[(&str, ArrivalRecord)]) -> String {
+    let runs: Vec<_> = runs.iter().map(|(service, run)| (*service, run)).collect();
+    check_call(call, &runs).err().unwrap_or_default()
+}
+
+fn gathered_body(bytes: &[u8]) -> Vec<u8> {
+    bytes
+        .iter()
+        .flat_map(|byte| [*byte; RECORD_BYTES])
+        .collect()
+}
+
+/// Each promise about one answer, broken once.
+#[gtest]
+fn each_broken_promise_is_found() {
+    let all: Vec<_> = SIGNED
+        .iter()
+        .map(|(name, byte)| (*name, run(name, *byte)))
+        .collect();
+    let named = "a.1,b.1,c.1,d.1,e.1,f.1";
+    let best = gathered_body(&[6, 5, 4, 3, 2]);
+    let gather = |parts: &str, missing: &str, body: &[u8]| {
+        call(
+            "gather",
+            200,
+            &[("part-stamps", parts), ("missing-parts", missing)],
+            body,
+        )
+    };
+    let twice: Vec<_> = vec![("single", run("a.1", 1)), ("single", run("a.2", 1))];
+    let cases = [
+        (gather(named, "0", &best), &all, ""),
+        (
+            gather(named, "0", &gathered_body(&[6, 5, 4, 3, 1])),
+            &all,
+            "not the greatest",
+        ),
+        (gather(named, "1", &best), &all, "6 parts and 1 missing"),
+        (
+            gather("a.1,b.1,c.1,d.1,e.1,x.1", "0", &best),
+            &all,
+            "of no run",
+        ),
+        (gather("a.1,a.1", "4", &best), &all, "two parts"),
+        (
+            gather("a.1,b.1", "4", &gathered_body(&[2, 1])),
+            &all,
+            "only 2 parts",
+        ),
+        (
+            call("read", 200, &[("response-stamp", "a.1")], &[1; 16]),
+            &twice,
+            "",
+        ),
+        (
+            call("read", 200, &[("response-stamp", "a.1")], &[2; 16]),
+            &twice,
+            "another one",
+        ),
+        (
+            call("read", 200, &[("response-stamp", "b.1")], &[1; 16]),
+            &twice,
+            "of no run",
+        ),
+        (
+            call("once", 200, &[("response-stamp", "a.1")], &[1; 16]),
+            &twice,
+            "ran 2 times",
+        ),
+    ];
+    for (call, runs, expected) in cases {
+        let found = checked(&call, runs);
+        if expected.is_empty() {
+            expect_that!(found, eq(""));
+        } else {
+            expect_that!(found, contains_substring(expected));
+        }
+    }
+}
+
+#[gtest]
+fn a_refusal_of_a_request_that_ran_is_found() {
+    let once = vec![("single", run("a.1", 1))];
+    expect_that!(
+        checked(&call("once", 503, &[], b""), &once),
+        contains_substring("and ran")
+    );
+    expect_that!(checked(&call("once", 503, &[], b""), &[]), eq(""));
+    expect_that!(checked(&call("once", 502, &[], b""), &once), eq(""));
+}
+
+#[gtest]
+fn a_request_cut_by_a_planned_stop_is_found() {
+    let from = Instant::now();
+    let cut = CallRecord {
+        until: from + Duration::from_millis(50),
+        from,
+        end: CallEnd::Broken("closed".to_owned()),
+        ..call("read", 200, &[], b"")
+    };
+    let event = |what: &str, planned| SoakEvent {
+        from,
+        until: from + Duration::from_secs(1),
+        what: what.to_owned(),
+        planned,
+    };
+    let stop = event("terminate vm-1", true);
+    expect_that!(
+        check_planned(std::slice::from_ref(&cut), std::slice::from_ref(&stop)).len(),
+        eq(1)
+    );
+    let killed = [stop, event("kill vm-2", false)];
+    expect_that!(check_planned(&[cut], &killed).len(), eq(0));
+}
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -305,7 +305,7 @@
                 !health.is_ejected(time) && !health.is_pausing(time, usual)
             });
             if let Some(choice) = usable {
-                self.launch(shard, choice, Duration::ZERO)
+                self.launch(shard, choice, Duration::ZERO);
             } else {
                 if let Some(duty) = &mut self.duty {
                     duty.avoid[shard] = true;
--- /dev/null
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -0,0 +1,208 @@
+//! The gateway as a process, with stand-ins of store and upstreams around it.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use ebonyfork::http_link::HttpLink;
+use ebonyfork_stand_in::store_server::StoreServer;
+use ebonyfork_stand_in::upstream::{UpstreamFaults, UpstreamServer};
+use googletest::prelude::*;
+use http::{Request, Response};
+use http_body_util::Full;
+use tokio::process::{Child, Command};
+
+/// Longest wait for a process to do what it should; far above what it takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Longest answer, in bytes.
+const LIMIT: usize = 1 << 20;
+
+/// A folder that goes when it is dropped.
+struct TestFolder(PathBuf);
+
+impl TestFolder {
+    fn new(name: &str) -> Self {
+        let id = std::process::id();
+        let path = std::env::temp_dir().join(format!("ebonyfork-{name}-{id}"));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        // A folder that stays behind does no harm.
+        let _left = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+struct GatewayProcess {
+    child: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    _folder: TestFolder,
+}
+
+/// Starts a gateway on an address of its own, so that fixed ports don't meet those of other tests.
+fn start_gateway(name: &str, address: &str, store: SocketAddr) -> GatewayProcess {
+    let folder = TestFolder::new(name);
+    let path = folder.0.join("gateway.ini");
+    let text = format!(
+        "[node]\nname = vm\naddress = {address}\nzone = a-1\nregion = a\ncpu-share = 1\ncpu-cores = 1\n\
+         [zones]\na-1 = a\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
+         directory = {address}:7102\nmetrics = {address}:7103\npeer-port = 7104\n\
+         [store]\naddress = {store}\n[bounds]\ngrace-s = 4\nretry-ratio = 0.2\nretry-slack = 54\n\
+         retry-window-s = 10\n"
+    );
+    std::fs::write(&path, text).expect("written settings");
+    let child = Command::new(env!("CARGO_BIN_EXE_ebonyfork-gateway"))
+        .arg("--settings")
+        .arg(&path)
+        .stdout(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("a process");
+    let at = |port: u16| format!("{address}:{port}").parse().expect("an address");
+    GatewayProcess {
+        child,
+        callers: at(7100),
+        ready: at(7101),
+        _folder: folder,
+    }
+}
+
+async fn get(address: SocketAddr, target: &str, id: &str) -> Option<Response<bytes::Bytes>> {
+    let mut link = HttpLink::open(address, Duration::from_secs(1)).await.ok()?;
+    let request = Request::get(target)
+        .header("host", "t.example")
+        .header("request-id", id)
+        .header("deadline-ms", "5000")
+        .body(Full::default())
+        .ok()?;
+    link.exchange(request, LIMIT).await.ok()
+}
+
+/// Asks again until an answer has the wanted status.
+async fn wait_status(address: SocketAddr, target: &str, status: u16) {
+    let waiting = async {
+        let mut number = 0;
+        loop {
+            number += 1;
+            let answer = get(address, target, &format!("wait{number}")).await;
+            if answer.is_some_and(|answer| answer.status() == status) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "no {status} from {address}{target}");
+}
+
+async fn store_and_upstream() -> (StoreServer, UpstreamServer) {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = StoreServer::start(free).await.expect("a store");
+    let work = Duration::from_millis(5);
+    let upstream = UpstreamServer::start(free, "i-1", "s", work).await;
+    let upstream = upstream.expect("an upstream");
+    store.put("servers/i-1", upstream.entry("a-1", "ready"));
+    (store, upstream)
+}
+
+fn config(version: u64, kind: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"t.example","prefix":"/r/","routeType":"{kind}",
+        "timeoutMs":4000,"sloMs":500,"maxAttempts":2,"service":"s"}}],"services":[{{"name":"s","maxConns":20}}],
+        "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    )
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_process_without_configuration_promises_that_nothing_ran() {
+    let (store, upstream) = store_and_upstream().await;
+    let gateway = start_gateway("early", "127.90.0.1", store.address());
+    wait_status(gateway.callers, "/r/1", 503).await;
+    wait_status(gateway.ready, "/v1/ready", 503).await;
+    store.put("op/config", config(3, "idempotent"));
+    wait_status(gateway.ready, "/v1/ready", 200).await;
+    wait_status(gateway.callers, "/r/1", 200).await;
+    wait_status(gateway.callers, "/none/1", 404).await;
+    expect_that!(upstream.arrivals().len(), ge(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again() {
+    let (store, upstream) = store_and_upstream().await;
+    store.put("op/config", config(3, "non_idempotent"));
+    let gateway = start_gateway("once", "127.90.0.2", store.address());
+    wait_status(gateway.callers, "/r/1", 200).await;
+    upstream.set_faults(UpstreamFaults {
+        lose: 1.0,
+        ..UpstreamFaults::default()
+    });
+    let answer = get(gateway.callers, "/r/2", "lost")
+        .await
+        .expect("an answer");
+    expect_that!(answer.status().as_u16(), eq(502));
+    upstream.set_faults(UpstreamFaults {
+        shed: 1.0,
+        ..UpstreamFaults::default()
+    });
+    let answer = get(gateway.callers, "/r/3", "declined")
+        .await
+        .expect("an answer");
+    expect_that!(answer.status().as_u16(), eq(503));
+    let runs = |id: &str| {
+        let arrivals = upstream.arrivals();
+        let ran = arrivals
+            .iter()
+            .filter(|arrival| arrival.request == id && arrival.ran);
+        ran.count()
+    };
+    expect_that!(runs("lost"), eq(1));
+    expect_that!(runs("declined"), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let (store, upstream) = store_and_upstream().await;
+    store.put("op/config", config(3, "non_idempotent"));
+    let gateway = start_gateway("foreign", "127.90.0.3", store.address());
+    wait_status(gateway.callers, "/r/1", 200).await;
+    upstream.set_faults(UpstreamFaults {
+        foreign: 1.0,
+        ..UpstreamFaults::default()
+    });
+    let answer = get(gateway.callers, "/r/2", "mine")
+        .await
+        .expect("an answer");
+    expect_that!(answer.status().as_u16(), eq(502));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_sends_callers_away_and_serves_until_they_are_gone() {
+    let (store, _upstream) = store_and_upstream().await;
+    store.put("op/config", config(3, "idempotent"));
+    let mut gateway = start_gateway("stop", "127.90.0.4", store.address());
+    wait_status(gateway.callers, "/r/1", 200).await;
+    let id = gateway.child.id().expect("a running process") as i32;
+    // SAFETY: `kill` takes two integers; the child has not been waited for, so the id is its own.
+    let sent = unsafe { libc::kill(id, libc::SIGTERM) };
+    expect_that!(sent, eq(0));
+    wait_status(gateway.ready, "/v1/ready", 503).await;
+    let answer = get(gateway.callers, "/r/2", "late")
+        .await
+        .expect("an answer");
+    expect_that!(answer.status().as_u16(), eq(200));
+    let connection = answer.headers()["connection"].to_str().unwrap_or_default();
+    expect_that!(connection, eq("close"));
+    let ended = tokio::time::timeout(PATIENCE, gateway.child.wait()).await;
+    let status = ended.expect("ended in time").expect("waited for");
+    expect_that!(status.success(), eq(true));
+    expect_that!(store.keys("ebonyfork/").len(), eq(0));
+}
