--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -253,3 +253,7 @@
 pub fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
+
+#[cfg(test)]
+#[path = "core_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -3,9 +3,13 @@
 use compact_str::format_compact;
 
 use super::{QueryRun, RunReport, RunTarget};
+use crate::gateway::core::now;
 use crate::gateway::gather::GatherEnd;
 use crate::gateway::reply::{CallerReply, RefusalReason, forwarded, gathered, refusal};
 
+/// Attempts that a failed request's log line names at most.
+const OPEN_LIMIT: usize = 4;
+
 impl QueryRun {
     /// Makes the answer.
     pub(super) fn finish(mut self, end: GatherEnd) -> RunReport {
@@ -25,6 +29,11 @@
             GatherEnd::Whole | GatherEnd::Partial => self.answer(end),
             GatherEnd::TooThin | GatherEnd::Late => self.fail(end),
         };
+        let detail = if reply.status().is_success() {
+            detail
+        } else {
+            detail + &self.open_attempts()
+        };
         RunReport {
             reply,
             word,
@@ -32,6 +41,25 @@
         }
     }
 
+    /// What a failed request was still waiting for, for its log line.
+    fn open_attempts(&self) -> String {
+        let time = now();
+        let open = self
+            .live
+            .iter()
+            .filter(|attempt| !attempt.ended && self.state.shards()[attempt.shard].is_open());
+        let mut text = String::new();
+        for attempt in open.take(OPEN_LIMIT) {
+            let waited = time.saturating_duration_since(attempt.began).as_millis();
+            text += &format!(
+                " open={}@{}:{waited}ms",
+                self.target.service(attempt.shard),
+                attempt.instance
+            );
+        }
+        text
+    }
+
     fn answer(&mut self, end: GatherEnd) -> (&'static str, CallerReply) {
         let names = &self.context.core.dialect.names;
         if let RunTarget::Gather(terms) = &self.target {
