--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -1,6 +1,5 @@
 //! The control addresses: readiness, and which VMs a caller should use.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,16 +7,14 @@
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use crate::gateway::core::{GatewayCore, now};
 use crate::gateway::dialect::{ControlCall, LocateQuery, LocateReply};
 use crate::gateway::reply::CallerReply;
 use crate::gateway::route::RouteTarget;
 use crate::gateway::settings::NodePlace;
+use crate::gateway::side_server::serve_side;
 use crate::gateway::vms::{ZoneShares, zone_shares};
 
 /// How long a caller may keep a locate answer. Some keep it three times as long, so callers have left a stopping VM
@@ -25,36 +22,10 @@
 pub const LOCATE_TTL: Duration = Duration::from_secs(1);
 /// How long it is kept where a host's upstreams are.
 const HOMES_KEPT: Duration = Duration::from_secs(1);
-/// How long a connection to a control address may lie idle.
-const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Serves the control calls on a listener until the future is dropped.
 pub async fn serve_control(core: Rc<GatewayCore>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _peer)) => stream,
-            Err(error) => {
-                super::ingress::note_accept_error(&error).await;
-                continue;
-            }
-        };
-        tokio::task::spawn_local(serve_stream(Rc::clone(&core), stream));
-    }
-}
-
-async fn serve_stream(core: Rc<GatewayCore>, stream: TcpStream) {
-    let service = service_fn(move |request: Request<Incoming>| {
-        let reply = answer(&core, &request);
-        async move { Ok::<_, Infallible>(reply) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIME);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
-        log::debug!("control connection: {error}");
-    }
+    serve_side(listener, move |request| answer(&core, request)).await;
 }
 
 fn answer(core: &GatewayCore, request: &Request<Incoming>) -> CallerReply {
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod route;
 mod run;
 mod settings;
+mod side_server;
 mod slots;
 mod status;
 mod trip;
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -48,16 +48,12 @@
             .live
             .iter()
             .filter(|attempt| !attempt.ended && self.state.shards()[attempt.shard].is_open());
-        let mut text = String::new();
-        for attempt in open.take(OPEN_LIMIT) {
+        let named = open.take(OPEN_LIMIT).map(|attempt| {
             let waited = time.saturating_duration_since(attempt.began).as_millis();
-            text += &format!(
-                " open={}@{}:{waited}ms",
-                self.target.service(attempt.shard),
-                attempt.instance
-            );
-        }
-        text
+            let service = self.target.service(attempt.shard);
+            format_compact!(" open={service}@{}:{waited}ms", attempt.instance)
+        });
+        named.collect()
     }
 
     fn answer(&mut self, end: GatherEnd) -> (&'static str, CallerReply) {
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -9,7 +9,7 @@
 use crate::finding::FindingList;
 use crate::gateway::budget::BudgetTerms;
 use crate::gateway::ident::PlaceName;
-use crate::ini::{IniDocument, IniSection, SectionReader, unknown_message};
+use crate::ini::{IniDocument, IniSection, SectionReader};
 use crate::settings::LogSettings;
 
 /// How far apart two places are.
@@ -109,13 +109,7 @@
         let file = file.as_ref();
         let mut findings = FindingList::new();
         let document = IniDocument::parse(file, text, &mut findings);
-        for section in &document.sections {
-            if SECTIONS.contains(&section.kind.as_str()) && section.name.is_empty() {
-                continue;
-            }
-            let message = unknown_message("section", &section.kind, &SECTIONS);
-            findings.push(file, section.line, message);
-        }
+        document.check_sections(&SECTIONS, &mut findings);
         match read_settings(&document, &mut findings) {
             Some(settings) => findings.into_result(settings),
             None => Err(findings),
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/side_server.rs
@@ -0,0 +1,52 @@
+//! The small HTTP servers beside the callers' one: control calls and metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::gateway::ingress::note_accept_error;
+use crate::gateway::reply::CallerReply;
+
+/// How long a connection may lie idle.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// Answers requests on a listener until the future is dropped.
+pub async fn serve_side(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> CallerReply + 'static,
+) {
+    let answer = Rc::new(answer);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::task::spawn_local(serve_stream(stream, Rc::clone(&answer)));
+            }
+            Err(error) => note_accept_error(&error).await,
+        }
+    }
+}
+
+async fn serve_stream(
+    stream: TcpStream,
+    answer: Rc<impl Fn(&Request<Incoming>) -> CallerReply + 'static>,
+) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let reply = answer(&request);
+        async move { Ok::<_, Infallible>(reply) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIME);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("side connection: {error}");
+    }
+}
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -1,50 +1,18 @@
 //! Serves the metrics as text.
 
-use std::convert::Infallible;
-use std::rc::Rc;
-use std::time::Duration;
-
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
 
-/// How long a connection may lie idle.
-const IDLE_TIME: Duration = Duration::from_secs(10);
+use crate::gateway::side_server::serve_side;
+
 const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Serves the metrics until the future is dropped.
 pub async fn serve_metrics(registry: Registry, listener: TcpListener) {
-    let registry = Rc::new(registry);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _peer)) => stream,
-            Err(error) => {
-                super::ingress::note_accept_error(&error).await;
-                continue;
-            }
-        };
-        let registry = Rc::clone(&registry);
-        let service = service_fn(move |_request: Request<Incoming>| {
-            let reply = encode(&registry);
-            async move { Ok::<_, Infallible>(reply) }
-        });
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIME);
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!("metrics connection: {error}");
-            }
-        });
-    }
+    serve_side(listener, move |_request| encode(&registry)).await;
 }
 
 fn encode(registry: &Registry) -> Response<Full<Bytes>> {
--- a/crates/ebonyfork/src/ini.rs
+++ b/crates/ebonyfork/src/ini.rs
@@ -73,6 +73,17 @@
         builder.document
     }
 
+    /// Reports every section that has a name or whose kind is not among the known ones.
+    pub fn check_sections(&self, known: &[&str], findings: &mut FindingList) {
+        for section in &self.sections {
+            if known.contains(&section.kind.as_str()) && section.name.is_empty() {
+                continue;
+            }
+            let message = unknown_message("section", &section.kind, known);
+            findings.push(&self.file, section.line, message);
+        }
+    }
+
     /// The first section of a kind.
     pub fn find_section(&self, kind: &str) -> Option<&IniSection> {
         self.sections.iter().find(|section| section.kind == kind)
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::finding::FindingList;
 use crate::ident::{VmAddress, ZoneName};
-use crate::ini::{IniDocument, SectionReader, unknown_message};
+use crate::ini::{IniDocument, SectionReader};
 use crate::quantity::TimeSpan;
 
 /// Who holds the connections to an upstream.
@@ -215,13 +215,7 @@
         let file = file.as_ref();
         let mut findings = FindingList::new();
         let document = IniDocument::parse(file, text, &mut findings);
-        for section in &document.sections {
-            if SECTIONS.contains(&section.kind.as_str()) && section.name.is_empty() {
-                continue;
-            }
-            let message = unknown_message("section", &section.kind, &SECTIONS);
-            findings.push(file, section.line, message);
-        }
+        document.check_sections(&SECTIONS, &mut findings);
         let draft = SettingsDraft::read(&document, &mut findings);
         match draft {
             Some(settings) => findings.into_result(settings),
--- a/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
+++ b/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
@@ -5,68 +5,24 @@
 
 use std::process::ExitCode;
 
-use ebonyfork::finding::FindingList;
-use ebonyfork::gateway::{GatewayError, GatewayNode, GatewaySettings};
+use ebonyfork::gateway::{GatewayNode, GatewaySettings};
 use ebonyfork_platform::{PlatformStore, platform_dialect};
 use ebonyforkd::arguments::DaemonArguments;
-use ebonyforkd::logging::{self, LoggingError};
-use snafu::{ResultExt, Snafu};
+use ebonyforkd::daemon::{DaemonError, LoggingSnafu, SystemSnafu, read_settings, run_daemon};
+use ebonyforkd::logging;
+use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Exit status when the settings have findings.
-const EXIT_FINDINGS: u8 = 2;
-/// Exit status when the process can't start.
-const EXIT_START: u8 = 1;
-
-/// Why the daemon ends with an error.
-#[derive(Debug, Snafu)]
-enum DaemonError {
-    /// The settings file can't be read.
-    #[snafu(display("{file}: {source}"))]
-    Read {
-        file: String,
-        source: std::io::Error,
-    },
-    /// The settings have findings.
-    #[snafu(display("{findings}"))]
-    Settings { findings: FindingList },
-    /// Logging can't be set up.
-    #[snafu(display("{source}"))]
-    Logging { source: LoggingError },
-    /// The runtime or a signal handler can't be set up.
-    #[snafu(display("{source}"))]
-    System { source: std::io::Error },
-    /// The gateway can't start.
-    #[snafu(display("{source}"))]
-    Start { source: GatewayError },
-}
-
-impl DaemonError {
-    fn status(&self) -> u8 {
-        match self {
-            Self::Read { .. } | Self::Settings { .. } => EXIT_FINDINGS,
-            Self::Logging { .. } | Self::System { .. } | Self::Start { .. } => EXIT_START,
-        }
-    }
-}
-
 fn main() -> ExitCode {
-    let arguments = DaemonArguments::parse();
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(error.status())
-        }
-    }
+    run_daemon(run)
 }
 
 fn run(arguments: &DaemonArguments) -> Result<(), DaemonError> {
-    let settings = read_settings(&arguments.settings)?;
+    let settings = read_own_settings(&arguments.settings)?;
     if arguments.check {
         println!("{}: no findings", arguments.settings);
         return Ok(());
@@ -81,9 +37,8 @@
     result
 }
 
-fn read_settings(file: &str) -> Result<GatewaySettings, DaemonError> {
-    let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
-    GatewaySettings::parse(file, &text).map_err(|findings| DaemonError::Settings { findings })
+fn read_own_settings(file: &str) -> Result<GatewaySettings, DaemonError> {
+    read_settings(file, |file, text| GatewaySettings::parse(file, text))
 }
 
 async fn serve(
@@ -97,7 +52,7 @@
     let store = PlatformStore::new(settings.store);
     let node = GatewayNode::start(settings.clone(), platform_dialect(), store)
         .await
-        .context(StartSnafu)?;
+        .map_err(DaemonError::start)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -115,7 +70,7 @@
 
 /// Puts the logging section of the settings file in force; findings leave everything as it is.
 fn reload_logging(arguments: &DaemonArguments, running: &GatewaySettings, handle: &log4rs::Handle) {
-    let settings = match read_settings(&arguments.settings) {
+    let settings = match read_own_settings(&arguments.settings) {
         Ok(settings) => settings,
         Err(error) => return log::error!("settings not reloaded: {error}"),
     };
--- a/crates/ebonyforkd/src/lib.rs
+++ b/crates/ebonyforkd/src/lib.rs
@@ -1,4 +1,5 @@
-//! What the daemons share: the command line and logging off the hot path.
+//! What the daemons share: the command line, errors and exit statuses, and logging off the hot path.
 
 pub mod arguments;
+pub mod daemon;
 pub mod logging;
--- a/crates/ebonyforkd/src/main.rs
+++ b/crates/ebonyforkd/src/main.rs
@@ -5,69 +5,25 @@
 
 use std::process::ExitCode;
 
-use ebonyfork::finding::FindingList;
-use ebonyfork::node::{Node, NodeError, NodeOptions};
+use ebonyfork::node::{Node, NodeOptions};
 use ebonyfork::settings::NodeSettings;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 use ebonyforkd::arguments::DaemonArguments;
-use ebonyforkd::logging::{self, LoggingError};
+use ebonyforkd::daemon::{DaemonError, LoggingSnafu, SystemSnafu, read_settings, run_daemon};
+use ebonyforkd::logging;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Exit status when the settings have findings.
-const EXIT_FINDINGS: u8 = 2;
-/// Exit status when the process can't start.
-const EXIT_START: u8 = 1;
-
-/// Why the daemon ends with an error.
-#[derive(Debug, Snafu)]
-enum DaemonError {
-    /// The settings file can't be read.
-    #[snafu(display("{file}: {source}"))]
-    Read {
-        file: String,
-        source: std::io::Error,
-    },
-    /// The settings have findings.
-    #[snafu(display("{findings}"))]
-    Settings { findings: FindingList },
-    /// Logging can't be set up.
-    #[snafu(display("{source}"))]
-    Logging { source: LoggingError },
-    /// The runtime or a signal handler can't be set up.
-    #[snafu(display("{source}"))]
-    System { source: std::io::Error },
-    /// The node can't start.
-    #[snafu(display("{source}"))]
-    Start { source: NodeError },
-}
-
-impl DaemonError {
-    fn status(&self) -> u8 {
-        match self {
-            Self::Read { .. } | Self::Settings { .. } => EXIT_FINDINGS,
-            Self::Logging { .. } | Self::System { .. } | Self::Start { .. } => EXIT_START,
-        }
-    }
-}
-
 fn main() -> ExitCode {
-    let arguments = DaemonArguments::parse();
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(error.status())
-        }
-    }
+    run_daemon(run)
 }
 
 fn run(arguments: &DaemonArguments) -> Result<(), DaemonError> {
-    let settings = read_settings(&arguments.settings)?;
+    let settings = read_own_settings(&arguments.settings)?;
     if arguments.check {
         println!("{}: no findings", arguments.settings);
         return Ok(());
@@ -79,9 +35,8 @@
     result
 }
 
-fn read_settings(file: &str) -> Result<NodeSettings, DaemonError> {
-    let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
-    NodeSettings::parse(file, &text).map_err(|findings| DaemonError::Settings { findings })
+fn read_own_settings(file: &str) -> Result<NodeSettings, DaemonError> {
+    read_settings(file, |file, text| NodeSettings::parse(file, text))
 }
 
 async fn serve(
@@ -95,7 +50,7 @@
     let options = NodeOptions::new().with_hurry(hurry.clone());
     let node = Node::start(settings.clone(), options)
         .await
-        .context(StartSnafu)?;
+        .map_err(DaemonError::start)?;
     loop {
         tokio::select! {
             () = signals.wait() => break,
@@ -119,7 +74,7 @@
 
 /// Puts the logging section of the settings file in force; findings leave everything as it is.
 fn reload_logging(arguments: &DaemonArguments, running: &NodeSettings, handle: &log4rs::Handle) {
-    let settings = match read_settings(&arguments.settings) {
+    let settings = match read_own_settings(&arguments.settings) {
         Ok(settings) => settings,
         Err(error) => return log::error!("settings not reloaded: {error}"),
     };
