--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -166,6 +166,36 @@
     expect_that!(runs("declined"), eq(0));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_request() {
+    let (store, upstream) = store_and_upstream().await;
+    store.put("op/config", config(3, "idempotent"));
+    let gateway = start_gateway("leaves", "127.90.0.5", store.address());
+    wait_status(gateway.callers, "/r/1", 200).await;
+    upstream.set_faults(UpstreamFaults {
+        silent: true,
+        ..UpstreamFaults::default()
+    });
+    let short = Duration::from_millis(200);
+    let left = tokio::time::timeout(short, get(gateway.callers, "/r/2", "leaves")).await;
+    expect_that!(left.is_err(), eq(true));
+    // The upstream never answers, so only the caller's close can have ended the request.
+    let metrics = "127.90.0.5:7103".parse().expect("an address");
+    let told = async {
+        loop {
+            let text = get(metrics, "/metrics", "m").await.map(Response::into_body);
+            let text = text.map(|body| String::from_utf8_lossy(&body).into_owned());
+            if text.is_some_and(|text| text.contains("ebonyfork_gateway_abandoned_total 1")) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let told = tokio::time::timeout(Duration::from_secs(3), told).await;
+    expect_that!(told.is_ok(), eq(true));
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_answer_to_another_request_is_never_passed_on() {
