Give each soak run a loopback network of its own

The signatures in the run of seed 1 were of instance i-c9, which is seed 201: both took the network 127.11, so the callers of one met the gateways of the other. Nothing of the gateway was wrong. Shown: the test fails with the network named by the seed alone; seeds 1 and 201 side by side are run next.

--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -1,6 +1,6 @@
 //! The gateways as processes of their own, steered by signals. Only processes that the fleet started are touched.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -19,6 +19,8 @@
 const DIRECTORY_PORT: u16 = 7_102;
 const METRICS_PORT: u16 = 7_103;
 const PEER_PORT: u16 = 7_104;
+/// Port by which a run claims its network.
+const CLAIM_PORT: u16 = 7_099;
 /// Time between SIGTERM and SIGKILL.
 pub(super) const GRACE: Duration = Duration::from_secs(6);
 
@@ -37,6 +39,8 @@
 pub(super) struct GatewayFleet {
     pub vms: Vec<GatewayVm>,
     program: PathBuf,
+    /// Keeps the network to this run for as long as it lasts.
+    _claim: TcpListener,
 }
 
 impl GatewayFleet {
@@ -48,8 +52,7 @@
             what: "the soak's folder",
             source,
         })?;
-        // Runs side by side use different networks.
-        let network = (settings.seed % 200) as u8 + 10;
+        let (network, claim) = claim_network(settings.seed)?;
         let mut vms = Vec::new();
         for number in 0..settings.vms * ZONES.len() {
             let address = Ipv4Addr::new(127, network, 0, number as u8 + 1);
@@ -71,6 +74,7 @@
         }
         let mut fleet = Self {
             vms,
+            _claim: claim,
             program: settings.program.clone(),
         };
         for number in 0..fleet.vms.len() {
@@ -137,6 +141,25 @@
     }
 }
 
+/// Finds a loopback network that no other run uses, beginning with one named by the seed, and claims it. Two runs on one
+/// network answered one another's callers, which looked like answers to requests that nobody had sent.
+fn claim_network(seed: u64) -> Result<(u8, TcpListener), LabError> {
+    const NETWORKS: u64 = 200;
+    const FIRST: u64 = 10;
+    let mut last = None;
+    for number in 0..NETWORKS {
+        let network = (FIRST + (seed + number) % NETWORKS) as u8;
+        match TcpListener::bind((Ipv4Addr::new(127, network, 0, 254), CLAIM_PORT)) {
+            Ok(claim) => return Ok((network, claim)),
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(LabError::System {
+        what: "a loopback network of its own",
+        source: last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()),
+    })
+}
+
 fn spawn(program: &Path, vm: &GatewayVm) -> std::io::Result<Child> {
     let log = std::fs::OpenOptions::new()
         .create(true)
@@ -170,3 +193,7 @@
          retry-ratio = 0.2\nretry-slack = 54\nretry-window-s = 10\n"
     )
 }
+
+#[cfg(test)]
+#[path = "fleet_tests.rs"]
+mod tests;
