Mend what a second reading of the gateway found

- The bounded call to the store stood in the feed and in the registration, the sending to a VM three times, the reload of logging in both daemons: one each now.
- The mark of a route's shards was hashed for every group of a query; once a query now.
- A setting that nobody set is gone.
Nothing behaves otherwise; tests and checks are unchanged.

--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -116,13 +116,11 @@
         usual_ms: f64,
         (group, events): (usize, UnboundedSender<GroupEvent>),
     ) -> Option<u64> {
-        let pool = self.pool.get()?;
         let number = self.next.get();
         self.next.set(number + 1);
         query.number = number;
         let message = PeerMessage::Partial(PartialMessage::Query(query));
-        if let Err(error) = pool.send(vm, message) {
-            log::debug!("partial query to {vm}: {error}");
+        if !self.tell(vm, message) {
             return None;
         }
         let began = now();
@@ -186,11 +184,11 @@
         if finished {
             return;
         }
-        let Some(pool) = self.pool.get() else { return };
-        let message = PeerMessage::Partial(PartialMessage::Cancel(number));
-        if let Err(error) = pool.send(query.vm, message) {
-            log::debug!("cancel to {}: {error}", query.vm);
-        }
+        // A VM that can't be reached ends the query at its own time.
+        let _told = self.tell(
+            query.vm,
+            PeerMessage::Partial(PartialMessage::Cancel(number)),
+        );
     }
 
     /// The link to a VM has broken: all its queries are told.
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -10,7 +10,7 @@
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::vms::VmRecord;
 use crate::platform::Backoff;
-use crate::store::{LeaseId, StoreError, StorePort, StoreWrite};
+use crate::store::{LeaseId, StoreError, StorePort, StoreWrite, answer_within};
 
 /// How long the entry outlives the process. Gossip notices a dead VM within about 2 s; the lease only cleans up.
 const LEASE_TTL: Duration = Duration::from_secs(6);
@@ -69,19 +69,19 @@
         if let Some(lease) = self.lease.get()
             && !self.core.vms.is_missing(&key)
         {
-            match within(self.port.renew_lease(lease)).await {
+            match answer_within(ANSWER_TIME, self.port.renew_lease(lease)).await {
                 Err(StoreError::LeaseEnded) => self.lease.set(None),
                 other => return other,
             }
         }
-        let grant = within(self.port.open_lease(LEASE_TTL)).await?;
+        let grant = answer_within(ANSWER_TIME, self.port.open_lease(LEASE_TTL)).await?;
         let write = StoreWrite {
             key,
             value: self.record()?,
             expected: None,
             lease: Some(grant.lease),
         };
-        let revision = within(self.port.write(write)).await?;
+        let revision = answer_within(ANSWER_TIME, self.port.write(write)).await?;
         self.lease.set(Some(grant.lease));
         log::info!("registered lease={} revision={revision}", grant.lease);
         Ok(())
@@ -103,12 +103,3 @@
             })
     }
 }
-
-async fn within<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-    match tokio::time::timeout(ANSWER_TIME, call).await {
-        Ok(result) => result,
-        Err(_elapsed) => Err(StoreError::Lost {
-            reason: compact_str::format_compact!("no answer within {} ms", ANSWER_TIME.as_millis()),
-        }),
-    }
-}
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -146,7 +146,7 @@
         let useful = self.state.useful_until(time);
         PartialQuery {
             number: 0,
-            mark: self.route.shard_mark(),
+            mark: *self.mark.get_or_init(|| self.route.shard_mark()),
             shards: shards
                 .iter()
                 .map(|(shard, _choice)| *shard as u16)
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -11,7 +11,7 @@
 mod retry;
 mod straggler;
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -95,6 +95,8 @@
     probe: Option<usize>,
     /// Shards that wait for the probe.
     held: SmallVec<[usize; 8]>,
+    /// Names the route's shards to other VMs; reckoned with the first group.
+    mark: OnceCell<u64>,
     /// Shards that other VMs gather.
     groups: Vec<ShardGroup>,
     news: mpsc::UnboundedReceiver<GroupEvent>,
@@ -152,7 +154,8 @@
         let work = Duration::from_secs_f64(ANSWER_WORK / core.settings.place.cores);
         let margin = request.trip + work;
         let answer_by = request.received + route.target.saturating_sub(margin);
-        let finish_by = request.finish_by.checked_sub(FINISH_MARGIN).unwrap();
+        let finish_by = request.finish_by.checked_sub(FINISH_MARGIN);
+        let finish_by = finish_by.unwrap_or(request.received);
         let context = AttemptContext {
             core: Rc::clone(core),
             latency: core.latency(route),
@@ -172,6 +175,7 @@
             failure: None,
             probe: None,
             held: SmallVec::new(),
+            mark: OnceCell::new(),
             groups: Vec::new(),
             news,
             news_sender,
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::store::mirror::{MirrorChange, MirrorState, MirrorStep};
-use crate::store::{StoreError, StorePort, StoreRevision};
+use crate::store::{StoreError, StorePort, StoreRevision, answer_within};
 
 /// How long one watch waits for changes. A connection that has gone silent for good is noticed after this and the
 /// answer time together, which is within the shortest time that a leaving upstream may still get work.
@@ -35,13 +35,6 @@
             spacing: WATCH_SPACING,
         }
     }
-
-    /// Replaces how long one watch waits.
-    #[must_use]
-    pub fn with_wait(mut self, wait: Duration) -> Self {
-        self.wait = wait;
-        self
-    }
 }
 
 /// What one call brought.
@@ -89,14 +82,14 @@
             }
             MirrorStep::Read { after } => {
                 let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
-                let page = within(self.settings.answer, reading).await;
+                let page = answer_within(self.settings.answer, reading).await;
                 page.map(|page| self.state.take_page(page))
             }
             MirrorStep::Watch { after } => {
                 let wait = self.settings.wait;
                 tokio::time::sleep_until(self.next_watch).await;
                 let watching = self.port.watch(&self.settings.prefix, after, wait);
-                let watch = within(wait + self.settings.answer, watching).await;
+                let watch = answer_within(wait + self.settings.answer, watching).await;
                 self.next_watch = Instant::now() + self.settings.spacing;
                 watch.map(|watch| self.state.take_watch(watch))
             }
@@ -150,15 +143,3 @@
         }
     }
 }
-
-async fn within<T>(
-    bound: Duration,
-    call: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    match tokio::time::timeout(bound, call).await {
-        Ok(result) => result,
-        Err(_elapsed) => Err(StoreError::Lost {
-            reason: compact_str::format_compact!("no answer within {} ms", bound.as_millis()),
-        }),
-    }
-}
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -195,3 +195,16 @@
     /// Ends a lease and removes its keys.
     fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
 }
+
+/// Bounds the wait for a call to the store: one that takes longer counts as lost, since it may have been executed.
+pub async fn answer_within<T>(
+    bound: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    match tokio::time::timeout(bound, call).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(StoreError::Lost {
+            reason: compact_str::format_compact!("no answer within {} ms", bound.as_millis()),
+        }),
+    }
+}
--- a/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
+++ b/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
@@ -6,9 +6,12 @@
 use std::process::ExitCode;
 
 use ebonyfork::gateway::{GatewayNode, GatewaySettings};
+use ebonyfork::settings::LogSettings;
 use ebonyfork_platform::{PlatformStore, platform_dialect};
 use ebonyforkd::arguments::DaemonArguments;
-use ebonyforkd::daemon::{DaemonError, LoggingSnafu, SystemSnafu, read_settings, run_daemon};
+use ebonyforkd::daemon::{
+    DaemonError, LoggingSnafu, SystemSnafu, read_settings, reload_logging, run_daemon,
+};
 use ebonyforkd::logging;
 use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -57,7 +60,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            () = hang_up(&mut hangup) => reload_logging(arguments, &settings, handle),
+            () = hang_up(&mut hangup) => reload_logging(handle, read_logging(arguments, &settings)),
         }
     }
     node.stop().await;
@@ -68,23 +71,16 @@
     signal.recv().await;
 }
 
-/// Puts the logging section of the settings file in force; findings leave everything as it is.
-fn reload_logging(arguments: &DaemonArguments, running: &GatewaySettings, handle: &log4rs::Handle) {
-    let settings = match read_own_settings(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => return log::error!("settings not reloaded: {error}"),
-    };
-    match logging::build_config(&settings.log) {
-        Ok(config) => handle.set_config(config),
-        Err(error) => return log::error!("settings not reloaded: {error}"),
-    }
+/// Reads the logging section of the settings file; tells whether the rest is as it runs.
+fn read_logging(
+    arguments: &DaemonArguments,
+    running: &GatewaySettings,
+) -> Result<(LogSettings, bool), DaemonError> {
+    let settings = read_own_settings(&arguments.settings)?;
+    let log = settings.log.clone();
     let unlogged = GatewaySettings {
         log: running.log.clone(),
         ..settings
     };
-    if unlogged == *running {
-        log::info!("logging reloaded");
-    } else {
-        log::warn!("logging reloaded; the other changes need a restart");
-    }
+    Ok((log, unlogged == *running))
 }
--- a/crates/ebonyforkd/src/daemon.rs
+++ b/crates/ebonyforkd/src/daemon.rs
@@ -4,10 +4,11 @@
 use std::process::ExitCode;
 
 use ebonyfork::finding::FindingList;
+use ebonyfork::settings::LogSettings;
 use snafu::{ResultExt, Snafu};
 
 use crate::arguments::DaemonArguments;
-use crate::logging::LoggingError;
+use crate::logging::{self, LoggingError};
 
 /// Exit status when the settings have findings.
 const EXIT_FINDINGS: u8 = 2;
@@ -87,3 +88,20 @@
     let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
     parse(file, &text).map_err(|findings| DaemonError::Settings { findings })
 }
+
+/// Puts a read logging section in force; `same` tells that nothing else has changed. Findings leave everything as it is.
+pub fn reload_logging(handle: &log4rs::Handle, read: Result<(LogSettings, bool), DaemonError>) {
+    let (log, same) = match read {
+        Ok(read) => read,
+        Err(error) => return log::error!("settings not reloaded: {error}"),
+    };
+    match logging::build_config(&log) {
+        Ok(config) => handle.set_config(config),
+        Err(error) => return log::error!("settings not reloaded: {error}"),
+    }
+    if same {
+        log::info!("logging reloaded");
+    } else {
+        log::warn!("logging reloaded; the other changes need a restart");
+    }
+}
--- a/crates/ebonyforkd/src/main.rs
+++ b/crates/ebonyforkd/src/main.rs
@@ -6,13 +6,15 @@
 use std::process::ExitCode;
 
 use ebonyfork::node::{Node, NodeOptions};
-use ebonyfork::settings::NodeSettings;
+use ebonyfork::settings::{LogSettings, NodeSettings};
 use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 use ebonyforkd::arguments::DaemonArguments;
-use ebonyforkd::daemon::{DaemonError, LoggingSnafu, SystemSnafu, read_settings, run_daemon};
+use ebonyforkd::daemon::{
+    DaemonError, LoggingSnafu, SystemSnafu, read_settings, reload_logging, run_daemon,
+};
 use ebonyforkd::logging;
 
 #[global_allocator]
@@ -54,7 +56,7 @@
     loop {
         tokio::select! {
             () = signals.wait() => break,
-            _ = reload.recv() => reload_logging(arguments, &settings, handle),
+            _ = reload.recv() => reload_logging(handle, read_logging(arguments, &settings)),
         }
     }
     log::info!("planned stop begins");
@@ -72,25 +74,18 @@
     Ok(())
 }
 
-/// Puts the logging section of the settings file in force; findings leave everything as it is.
-fn reload_logging(arguments: &DaemonArguments, running: &NodeSettings, handle: &log4rs::Handle) {
-    let settings = match read_own_settings(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => return log::error!("settings not reloaded: {error}"),
-    };
-    match logging::build_config(&settings.log) {
-        Ok(config) => handle.set_config(config),
-        Err(error) => return log::error!("settings not reloaded: {error}"),
-    }
+/// Reads the logging section of the settings file; tells whether the rest is as it runs.
+fn read_logging(
+    arguments: &DaemonArguments,
+    running: &NodeSettings,
+) -> Result<(LogSettings, bool), DaemonError> {
+    let settings = read_own_settings(&arguments.settings)?;
+    let log = settings.log.clone();
     let unlogged = NodeSettings {
         log: running.log.clone(),
         ..settings
     };
-    if unlogged == *running {
-        log::info!("logging reloaded");
-    } else {
-        log::warn!("logging reloaded; the other changes need a restart");
-    }
+    Ok((log, unlogged == *running))
 }
 
 /// The signals that ask for a stop.
