--- a/crates/ebonyfork-lab/examples/config_spread.rs
+++ b/crates/ebonyfork-lab/examples/config_spread.rs
@@ -7,10 +7,11 @@
 
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::{RevisionNumber, ZoneName};
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{PublishOutcome, publish};
+use ebonyfork::store::StoreClient;
 use ebonyfork_lab::config_fleet::ConfigFleet;
-use ebonyfork_lab::platform::{OutageKind, PlatformFaults, PlatformStandIn, RateLimits};
+use ebonyfork_lab::platform::PlatformStandIn;
+use ebonyfork_stand_in::store_faults::{RateLimits, StoreFaults, StoreOutage};
 use hdrhistogram::Histogram;
 use tokio::time::Instant;
 
@@ -24,7 +25,7 @@
 
 struct Bench {
     platform: PlatformStandIn,
-    client: PlatformClient,
+    client: StoreClient,
     fleet: ConfigFleet,
 }
 
@@ -32,11 +33,11 @@
     async fn start(network: u8, size: usize, alone: bool) -> Result<Self, AnyError> {
         let platform = PlatformStandIn::start("127.0.0.1:0".parse()?).await?;
         // The rates are measured here, not enforced.
-        platform.set_rates(RateLimits {
+        platform.store().set_rates(RateLimits {
             reads: 1_000_000,
             writes: 1_000_000,
         });
-        let client = PlatformClient::new(platform.address(), Duration::from_secs(2));
+        let client = StoreClient::new(platform.client(), Duration::from_secs(2));
         let fleet = ConfigFleet::new(platform.address(), network).await?;
         let mut fleet = fleet.with_alone(alone);
         for (number, zone) in ZONES.iter().enumerate() {
@@ -67,12 +68,13 @@
     }
 }
 
-fn faults(out: bool) -> PlatformFaults {
-    PlatformFaults {
-        outage: out.then_some(OutageKind::Unavailable),
+fn faults(out: bool) -> StoreFaults {
+    StoreFaults {
+        outage: out.then_some(StoreOutage::Busy),
         delay: Duration::from_millis(5),
         lost_answers: 0.05,
         lost_calls: 0.05,
+        ..StoreFaults::default()
     }
 }
 
@@ -89,12 +91,13 @@
         let phase = start.elapsed().as_millis() % OUTAGE_PERIOD.as_millis();
         bench
             .platform
+            .store()
             .set_faults(faults(phase < OUTAGE.as_millis()));
         let ending = async {
             // An outage that began before this change ends on time, whatever the change waits for.
             let left = OUTAGE.as_millis().saturating_sub(phase) as u64;
             tokio::time::sleep(Duration::from_millis(left)).await;
-            bench.platform.set_faults(faults(false));
+            bench.platform.store().set_faults(faults(false));
             std::future::pending::<()>().await;
         };
         let begun = Instant::now();
@@ -152,11 +155,12 @@
                 bench.fleet.gossip();
                 tokio::time::sleep(Duration::from_millis(500)).await;
             }
-            let before = bench.platform.calls().total();
+            let before = bench.platform.store().calls().total();
             tokio::time::sleep(REST).await;
-            let rest = (bench.platform.calls().total() - before) as f64 / REST.as_secs_f64();
+            let rest =
+                (bench.platform.store().calls().total() - before) as f64 / REST.as_secs_f64();
             let mut spread = Histogram::<u64>::new(3)?;
-            let before = bench.platform.calls().total();
+            let before = bench.platform.store().calls().total();
             let begun = Instant::now();
             for change in 0..CHANGES {
                 let revision = bench.apply(change + 2).await?;
@@ -166,7 +170,7 @@
                 bench.fleet.gossip();
                 tokio::time::sleep(Duration::from_millis(500)).await;
             }
-            let calls = (bench.platform.calls().total() - before) as f64;
+            let calls = (bench.platform.store().calls().total() - before) as f64;
             let per_change = (calls - rest * begun.elapsed().as_secs_f64()) / f64::from(CHANGES);
             let watchers = if alone { "every VM" } else { "2 a zone" };
             println!(
--- a/crates/ebonyfork-lab/src/clock.rs
+++ b/crates/ebonyfork-lab/src/clock.rs
@@ -32,6 +32,11 @@
         self.origin.elapsed()
     }
 
+    /// Returns the time since the start of an instant.
+    pub fn at(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.origin)
+    }
+
     /// Returns the instant at a time since the start.
     pub fn instant(&self, at: Duration) -> Instant {
         self.origin + at
--- a/crates/ebonyfork-lab/src/command/platform.rs
+++ b/crates/ebonyfork-lab/src/command/platform.rs
@@ -12,7 +12,7 @@
 
 pub(super) fn command() -> Command {
     Command::new("platform")
-        .about("Runs a stand-in for the platform's key-value service and VM list")
+        .about("Runs a stand-in for the platform's store, with a VM list in it")
         .arg(
             Arg::new("listen")
                 .long("listen")
@@ -25,7 +25,7 @@
             Arg::new("vms")
                 .long("vms")
                 .value_name("FILE")
-                .help("VM list, JSON as the platform answers it"),
+                .help("VM list, a JSON array of its lines"),
         )
         .arg(
             Arg::new("value")
@@ -53,11 +53,11 @@
         let (Some(key), Some(path)) = (value.next(), value.next()) else {
             continue;
         };
-        platform.put(key, read(path)?);
+        platform.store().put(key, read(path)?);
     }
     eprintln!("platform stand-in on {}", platform.address());
     interrupted().await;
-    eprintln!("{:?}", platform.calls());
+    eprintln!("{:?}", platform.store().calls());
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/ebonyfork-lab/src/config_fleet.rs
+++ b/crates/ebonyfork-lab/src/config_fleet.rs
@@ -10,12 +10,13 @@
 use ebonyfork::catalog::CatalogHandle;
 use ebonyfork::declaration::DeclaredConfig;
 use ebonyfork::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::RevisionHandle;
 use ebonyfork::settings::NodeSettings;
+use ebonyfork::store::StoreClient;
 use ebonyfork::topology::{TopologyView, VmEntry};
 use ebonyfork::views::{NodeViews, ViewWriters, view_channels};
 use ebonyfork::wire::{LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
+use ebonyfork_platform::PlatformStore;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -37,7 +38,7 @@
     /// What it has in force.
     pub views: NodeViews,
     /// Its client of the platform.
-    pub client: PlatformClient,
+    pub client: StoreClient,
     revision: RevisionHandle,
     topology: watch::Sender<Arc<TopologyView>>,
     catalog: CatalogHandle,
@@ -184,7 +185,7 @@
         let listener = listener.map_err(|source| LabError::Listen { address, source })?;
         let ports = [1, self.peer_port, 2];
         let settings = NodeSettings::new(vm, zone.clone(), ports, self.platform);
-        let client = PlatformClient::new(self.platform, PLATFORM_TIMEOUT);
+        let client = StoreClient::new(PlatformStore::new(self.platform), PLATFORM_TIMEOUT);
         let (writers, views) = view_channels();
         let ViewWriters {
             topology,
--- a/crates/ebonyfork-lab/src/experiment/backends.rs
+++ b/crates/ebonyfork-lab/src/experiment/backends.rs
@@ -8,7 +8,7 @@
 use ebonyfork::ident::{
     IndexName, ServiceName, ShardNumber, SnapshotVersion, UpstreamAddress, ZoneName,
 };
-use ebonyfork::platform::{VmRecord, VmState};
+use ebonyfork::topology::{VmRecord, VmState};
 
 use crate::error::LabError;
 use crate::experiment::address::AddressPlan;
@@ -97,7 +97,7 @@
         registry.published.add(index, &catalog);
         registry.catalogs.insert(index.clone(), catalog);
         drop(registry);
-        self.platform.put(&format!("index/{index}"), text);
+        self.platform.store().put(&format!("index/{index}"), text);
     }
 
     /// The catalogue that was published last.
--- a/crates/ebonyfork-lab/src/experiment/fleet.rs
+++ b/crates/ebonyfork-lab/src/experiment/fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use ebonyfork::node::NodeOptions;
-use ebonyfork::platform::{OWN_GROUP, VmRecord, VmState};
 use ebonyfork::settings::NodeSettings;
+use ebonyfork::topology::{OWN_GROUP, VmRecord, VmState};
 use tokio::sync::Mutex as AsyncMutex;
 
 use crate::clock::RunClock;
--- a/crates/ebonyfork-lab/src/experiment/node.rs
+++ b/crates/ebonyfork-lab/src/experiment/node.rs
@@ -5,6 +5,7 @@
 use ebonyfork::ident::VmAddress;
 use ebonyfork::node::{Node, NodeOptions};
 use ebonyfork::settings::NodeSettings;
+use ebonyfork_platform::PlatformStore;
 use tokio::runtime::{Builder, Runtime};
 
 use crate::error::LabError;
@@ -57,7 +58,11 @@
                 what: "a runtime for a node",
                 source,
             })?;
-        let starting = Node::start(self.settings.clone(), self.options.clone());
+        let starting = Node::start(
+            self.settings.clone(),
+            self.options.clone(),
+            PlatformStore::new(self.settings.platform),
+        );
         let started = runtime.spawn(starting).await;
         let failed = |message| LabError::Tier {
             what: "a node did not start",
--- a/crates/ebonyfork-lab/src/experiment/race.rs
+++ b/crates/ebonyfork-lab/src/experiment/race.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ebonyfork::declaration::DeclaredFile;
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{PublishOutcome, publish_prepared, publish_request, read_head};
+use ebonyfork::store::StoreClient;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -26,7 +26,7 @@
 /// Lets `operators` race until `lasts` is over. Two winners onto one head are an error, and so is a round in which everybody
 /// was told a clear outcome but nobody won.
 pub(super) async fn race_operators(
-    client: &PlatformClient,
+    client: &StoreClient,
     files: &[DeclaredFile],
     operators: u32,
     lasts: Duration,
@@ -46,7 +46,7 @@
 }
 
 async fn run_round(
-    client: &PlatformClient,
+    client: &StoreClient,
     files: &[DeclaredFile],
     operators: u32,
     tally: &mut RaceTally,
--- a/crates/ebonyfork-lab/src/experiment/report.rs
+++ b/crates/ebonyfork-lab/src/experiment/report.rs
@@ -71,7 +71,7 @@
     pub over_slots: u64,
     /// Share of its slots' time that the busiest service was running requests.
     pub slots_used_max: f64,
-    /// Calls to the platform's service a second, all VMs together.
+    /// Calls to the store a second, all VMs together.
     pub store_calls_per_s: f64,
     /// Processor cores that the VMs of the tier used, all together.
     pub vm_cores: f64,
--- a/crates/ebonyfork-lab/src/experiment/runner.rs
+++ b/crates/ebonyfork-lab/src/experiment/runner.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use ebonyfork::ident::IndexName;
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{PublishOutcome, publish};
+use ebonyfork::store::StoreClient;
 
 use crate::clock::RunClock;
 use crate::error::LabError;
@@ -138,7 +138,7 @@
         let faults = FaultStage {
             backends: Arc::clone(&self.backends),
             fleet: Arc::clone(&self.fleet),
-            backup: self.backends.platform.backup(),
+            backup: self.backends.platform.store().backup(),
             declared_files: scenario.declared_files.clone(),
             progress: progress.clone(),
             seed: scenario.run.seed,
@@ -154,7 +154,7 @@
         let times = tokio::spawn(read_times(scenario.run.warm_up));
         let classes = load.classes.clone();
         let requests = LoadGenerator::new(self.clock, load, agents).run().await;
-        let calls_after = self.backends.platform.calls().total();
+        let calls_after = self.backends.platform.store().calls().total();
         let elapsed = self.clock.now().saturating_sub(from);
         let worked = ProcessorTimes::read().since(&times.await.unwrap_or_default());
         tokio::time::sleep(SETTLE_TIME).await;
@@ -276,11 +276,11 @@
 /// Returns the platform's calls after the warm-up.
 async fn count_calls(backends: Arc<Backends>, warm_up: Duration) -> u64 {
     tokio::time::sleep(warm_up).await;
-    backends.platform.calls().total()
+    backends.platform.store().calls().total()
 }
 
 async fn publish_declarations(scenario: &Scenario, backends: &Backends) -> Result<(), LabError> {
-    let client = PlatformClient::new(backends.platform.address(), PUBLISH_TIMEOUT);
+    let client = StoreClient::new(backends.platform.client(), PUBLISH_TIMEOUT);
     let files = &scenario.declared_files;
     let outcome = publish(
         &client,
--- a/crates/ebonyfork-lab/src/experiment/timeline.rs
+++ b/crates/ebonyfork-lab/src/experiment/timeline.rs
@@ -6,7 +6,10 @@
 use ebonyfork::catalog::{IndexCatalog, VersionShards};
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::IndexName;
-use ebonyfork::platform::{PlatformClient, VmState};
+use ebonyfork::store::StoreClient;
+use ebonyfork::topology::VmState;
+use ebonyfork_stand_in::store::KvStore;
+use ebonyfork_stand_in::store_faults::{RateLimits, StoreFaults, StoreOutage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
@@ -16,7 +19,6 @@
 use crate::experiment::fleet::Fleet;
 use crate::experiment::race::race_operators;
 use crate::experiment::runner::ProgressFunction;
-use crate::platform::{KeyStore, OutageKind, PlatformFaults, RateLimits};
 use crate::scenario::{FaultEntry, FaultKind, ServerChoice, StoreFault};
 use crate::upstream::{StatusMode, StatusReport, UpstreamState};
 
@@ -26,7 +28,7 @@
     pub(super) backends: Arc<Backends>,
     pub(super) fleet: Arc<Fleet>,
     /// The store's data when the load began.
-    pub(super) backup: KeyStore,
+    pub(super) backup: KvStore,
     /// The scenario's declarations.
     pub(super) declared_files: Vec<DeclaredFile>,
     pub(super) progress: ProgressFunction,
@@ -132,7 +134,7 @@
             FaultKind::Freeze { node } => self.fleet.freeze(*node, lasts).await,
             FaultKind::Restart { pause } => return self.restart(*pause).await,
             FaultKind::Race { operators } => {
-                let client = PlatformClient::new(self.backends.platform.address(), RACE_TIMEOUT);
+                let client = StoreClient::new(self.backends.platform.client(), RACE_TIMEOUT);
                 let files = &self.declared_files;
                 return race_operators(&client, files, *operators, lasts, &self.progress).await;
             }
@@ -196,22 +198,22 @@
 
     async fn store(&self, fault: StoreFault, lasts: Duration) {
         let platform = &self.backends.platform;
-        let mut faults = PlatformFaults::default();
+        let mut faults = StoreFaults::default();
         match fault {
-            StoreFault::Down => faults.outage = Some(OutageKind::Unavailable),
-            StoreFault::Silent => faults.outage = Some(OutageKind::Silent),
+            StoreFault::Down => faults.outage = Some(StoreOutage::Busy),
+            StoreFault::Silent => faults.outage = Some(StoreOutage::Silent),
             StoreFault::Slow(delay) => faults.delay = delay,
             StoreFault::LostAnswers(share) => faults.lost_answers = share,
-            StoreFault::Limited(rate) => platform.set_rates(RateLimits {
+            StoreFault::Limited(rate) => platform.store().set_rates(RateLimits {
                 reads: rate,
                 writes: rate,
             }),
             StoreFault::OlderData => platform.restart_with(self.backup.clone()),
         }
-        platform.set_faults(faults);
+        platform.store().set_faults(faults);
         tokio::time::sleep(lasts).await;
-        platform.set_faults(PlatformFaults::default());
-        platform.set_rates(RateLimits::default());
+        platform.store().set_faults(StoreFaults::default());
+        platform.store().set_rates(RateLimits::default());
     }
 
     async fn kill(&self, nodes: u32, lasts: Duration) -> Result<(), LabError> {
--- a/crates/ebonyfork-lab/src/publish_model/mod.rs
+++ b/crates/ebonyfork-lab/src/publish_model/mod.rs
@@ -11,12 +11,12 @@
 use compact_str::format_compact;
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::RevisionNumber;
-use ebonyfork::platform::{PlatformError, StoredVersion};
 use ebonyfork::revision::{
     ChangeId, ChangeRecord, ExpectedBase, HeadRecord, HeldEvidence, PartSet, PublishAction,
     PublishOutcome, PublishReply, PublishRequest, PublishRun, RestorePlan, may_take, must_adopt,
     plan_restore,
 };
+use ebonyfork::store::{StoreError, StoreRevision};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -60,7 +60,7 @@
     restarts: bool,
     store: ModelStore,
     backups: Vec<ModelStore>,
-    late: Vec<(StoredVersion, HeadRecord)>,
+    late: Vec<(StoreRevision, HeadRecord)>,
     operators: Vec<ModelOperator>,
     held: Vec<Option<ChangeRecord>>,
     /// VMs whose first revision since their start may still be doubted.
@@ -153,9 +153,9 @@
 
     fn swap(
         &mut self,
-        expected: StoredVersion,
+        expected: StoreRevision,
         head: HeadRecord,
-    ) -> Result<StoredVersion, PlatformError> {
+    ) -> Result<StoreRevision, StoreError> {
         let swapped = self.store.swap(expected, head)?;
         self.heads.push(head);
         Ok(swapped)
@@ -372,14 +372,12 @@
         let fate = self.fate();
         let failed = match fate {
             CallFate::Answered => None,
-            CallFate::Refused => Some(PlatformError::Refused {
+            CallFate::Refused => Some(StoreError::Refused {
                 reason: format_compact!("503"),
             }),
-            CallFate::LostBefore | CallFate::LostAfter | CallFate::Late => {
-                Some(PlatformError::Lost {
-                    reason: format_compact!("connection broken"),
-                })
-            }
+            CallFate::LostBefore | CallFate::LostAfter | CallFate::Late => Some(StoreError::Lost {
+                reason: format_compact!("connection broken"),
+            }),
         };
         let takes_effect = matches!(fate, CallFate::Answered | CallFate::LostAfter);
         match action {
@@ -403,7 +401,7 @@
                 if fate == CallFate::Late {
                     self.late.push((version, head));
                 }
-                let mut moved = Err(PlatformError::LeaseLapsed);
+                let mut moved = Err(StoreError::LeaseEnded);
                 if takes_effect {
                     moved = self.swap(version, head);
                     self.counts.lost_swaps += u64::from(failed.is_some() && moved.is_ok());
@@ -505,7 +503,7 @@
     }
 }
 
-fn or<T>(failed: Option<PlatformError>, value: T) -> Result<T, PlatformError> {
+fn or<T>(failed: Option<StoreError>, value: T) -> Result<T, StoreError> {
     failed.map_or(Ok(value), Err)
 }
 
--- a/crates/ebonyfork-lab/src/publish_model/store.rs
+++ b/crates/ebonyfork-lab/src/publish_model/store.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use ebonyfork::platform::{PlatformError, StoredVersion};
 use ebonyfork::revision::{ChangeId, ChangeRecord, HeadRecord, HeldEvidence, StoredHead};
+use ebonyfork::store::{StoreError, StoreRevision};
 
 #[derive(Debug, Clone, Default)]
 pub(super) struct ModelStore {
@@ -14,22 +14,22 @@
 }
 
 impl ModelStore {
-    pub(super) fn version(&self) -> StoredVersion {
+    pub(super) fn version(&self) -> StoreRevision {
         self.head
-            .map_or(StoredVersion::ABSENT, |(version, _)| version)
+            .map_or(StoreRevision::ABSENT, |(version, _)| version)
     }
 
     pub(super) fn swap(
         &mut self,
-        expected: StoredVersion,
+        expected: StoreRevision,
         head: HeadRecord,
-    ) -> Result<StoredVersion, PlatformError> {
+    ) -> Result<StoreRevision, StoreError> {
         let current = self.version();
         if current != expected {
-            return Err(PlatformError::Conflict { current });
+            return Err(StoreError::Conflict { current });
         }
         self.counter += 1;
-        let version = StoredVersion(self.counter);
+        let version = StoreRevision(self.counter);
         self.head = Some((version, head));
         Ok(version)
     }
--- a/crates/ebonyfork-lab/src/scenario/fault.rs
+++ b/crates/ebonyfork-lab/src/scenario/fault.rs
@@ -17,7 +17,7 @@
     pub server: Option<u32>,
 }
 
-/// What is wrong with the platform's service.
+/// What is wrong with the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum StoreFault {
     /// Every call gets a 503.
--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ebonyfork_stand_in::store_server::{StoreFaults, StoreOutage};
+use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use ebonyfork_stand_in::upstream::UpstreamFaults;
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
--- a/crates/ebonyfork-lab/tests/revision_faults.rs
+++ b/crates/ebonyfork-lab/tests/revision_faults.rs
@@ -4,24 +4,26 @@
 
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::RevisionNumber;
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{PublishOutcome, publish, read_evidence, read_head};
+use ebonyfork::store::StoreClient;
 use ebonyfork_lab::config_fleet::ConfigFleet;
-use ebonyfork_lab::platform::{OutageKind, PlatformFaults, PlatformStandIn};
+use ebonyfork_lab::platform::PlatformStandIn;
+use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use googletest::prelude::*;
 
 /// Longest wait for something that must come; far beyond what it takes.
 const PATIENCE: Duration = Duration::from_secs(30);
-const DOWN: PlatformFaults = PlatformFaults {
-    outage: Some(OutageKind::Unavailable),
-    delay: Duration::ZERO,
-    lost_answers: 0.0,
-    lost_calls: 0.0,
-};
+
+fn down() -> StoreFaults {
+    StoreFaults {
+        outage: Some(StoreOutage::Busy),
+        ..StoreFaults::default()
+    }
+}
 
 struct Bench {
     platform: PlatformStandIn,
-    client: PlatformClient,
+    client: StoreClient,
     fleet: ConfigFleet,
 }
 
@@ -29,7 +31,7 @@
     async fn start(network: u8, zones: &[(&str, usize)]) -> Self {
         let listen = "127.0.0.1:0".parse().expect("an address");
         let platform = PlatformStandIn::start(listen).await.expect("a free port");
-        let client = PlatformClient::new(platform.address(), Duration::from_secs(2));
+        let client = StoreClient::new(platform.client(), Duration::from_secs(2));
         let mut fleet = ConfigFleet::new(platform.address(), network)
             .await
             .expect("loopback addresses");
@@ -91,7 +93,7 @@
     let mut bench = Bench::start(102, &[("zone-a", 3)]).await;
     let revision = bench.publish(25).await;
     assert_that!(bench.fleet.wait_for(revision, PATIENCE).await, eq(true));
-    bench.platform.set_faults(DOWN);
+    bench.platform.store().set_faults(down());
     // The last one has a zone of its own, so that it would be its zone's watcher.
     for zone in ["zone-a", "zone-a", "zone-b"] {
         let zone = zone.parse().expect("a zone");
@@ -106,7 +108,7 @@
     let bench = Bench::start(103, &[("zone-a", 3), ("zone-b", 2)]).await;
     let first = bench.publish(25).await;
     assert_that!(bench.fleet.wait_for(first, PATIENCE).await, eq(true));
-    let backup = bench.platform.backup();
+    let backup = bench.platform.store().backup();
     let second = bench.publish(50).await;
     let third = bench.publish(75).await;
     assert_that!(third.0, gt(second.0));
@@ -133,7 +135,7 @@
 #[tokio::test]
 async fn an_empty_store_is_filled_again() {
     let bench = Bench::start(104, &[("zone-a", 2)]).await;
-    let empty = bench.platform.backup();
+    let empty = bench.platform.store().backup();
     let first = bench.publish(25).await;
     assert_that!(bench.fleet.wait_for(first, PATIENCE).await, eq(true));
     bench.platform.restart_with(empty);
@@ -160,7 +162,7 @@
     publish(&bench.client, &files, "kim", "a class").await;
     let put = |epoch: u64| {
         let value = format!(r#"{{"epoch":{epoch},"versions":[]}}"#);
-        bench.platform.put("index/tenders", value);
+        bench.platform.store().put("index/tenders", value);
     };
     put(5);
     wait_for_epoch(&bench.fleet, 5).await;
@@ -168,7 +170,7 @@
     put(6);
     wait_for_epoch(&bench.fleet, 6).await;
     put(3);
-    bench.platform.set_faults(DOWN);
+    bench.platform.store().set_faults(down());
     let zone = "zone-b".parse().expect("a zone");
     bench.fleet.add(&zone, 1).await.expect("free ports");
     wait_for_epoch(&bench.fleet, 6).await;
@@ -197,7 +199,7 @@
     let mut bench = Bench::start(106, &[("zone-a", 3), ("zone-b", 2)]).await;
     let first = bench.publish(25).await;
     assert_that!(bench.fleet.wait_for(first, PATIENCE).await, eq(true));
-    let backup = bench.platform.backup();
+    let backup = bench.platform.store().backup();
     let second = bench.publish(50).await;
     assert_that!(bench.fleet.wait_for(second, PATIENCE).await, eq(true));
     // An operator publishes onto the older head, under the number that was lost. A watcher that writes its zone's
--- a/crates/ebonyfork/benches/fleet.rs
+++ b/crates/ebonyfork/benches/fleet.rs
@@ -13,8 +13,8 @@
     MemberHealth, MemberLife, MemberMessage, MemberProtocol, MemberSnapshot, MemberState,
     MemberUpdate, SenderHeader,
 };
-use ebonyfork::platform::{OWN_GROUP, VmRecord, VmState};
 use ebonyfork::topology::TopologyJoin;
+use ebonyfork::topology::{OWN_GROUP, VmRecord, VmState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/ebonyfork/src/catalog/feed.rs
+++ b/crates/ebonyfork/src/catalog/feed.rs
@@ -10,8 +10,6 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
-use rand_chacha::ChaCha8Rng;
-use rand_chacha::rand_core::SeedableRng;
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
@@ -22,9 +20,9 @@
 use crate::catalog::IndexCatalog;
 use crate::declaration::DeclaredConfig;
 use crate::ident::{IndexName, VmAddress};
-use crate::platform::{Backoff, PlatformClient, PlatformError, StoredVersion, WatchChange};
 use crate::revision::ZonePeers;
 use crate::settings::NodeSettings;
+use crate::store::{KeyWatch, StoreClient};
 use crate::topology::TopologyView;
 use crate::views::{CatalogSet, NodeViews};
 use crate::wire::{LinkError, LinkSender, PeerMessage};
@@ -34,11 +32,6 @@
 
 /// How often timers are looked at.
 const TICK_PERIOD: Duration = Duration::from_millis(200);
-/// How long one watch of a catalogue waits.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
-/// First and longest wait after a failed call.
-const FIRST_WAIT: Duration = Duration::from_millis(100);
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
 type SendFunction = dyn Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync;
 
@@ -61,7 +54,7 @@
     /// an index, the others learn from them; peers are reached by `send`.
     pub fn start(
         settings: &NodeSettings,
-        client: PlatformClient,
+        client: StoreClient,
         views: NodeViews,
         writer: watch::Sender<Arc<CatalogSet>>,
         send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
@@ -110,7 +103,7 @@
 /// Learns catalogues and puts them in force.
 #[derive(xtra::Actor)]
 pub struct CatalogActor {
-    client: PlatformClient,
+    client: StoreClient,
     writer: watch::Sender<Arc<CatalogSet>>,
     send: Arc<SendFunction>,
     started: Instant,
@@ -171,57 +164,22 @@
     }
 }
 
-async fn watch_catalog(
-    client: PlatformClient,
-    index: IndexName,
-    address: WeakAddress<CatalogActor>,
-) {
-    let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
-    let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
-    let mut seen = StoredVersion::ABSENT;
+async fn watch_catalog(client: StoreClient, index: IndexName, address: WeakAddress<CatalogActor>) {
+    let mut watch = KeyWatch::new(client, catalog_key(&index));
     while address.is_connected() {
-        match watch_once(&client, &index, &mut seen).await {
-            Ok(text) => {
-                backoff.reset();
-                let Some(text) = text else {
-                    continue;
-                };
-                let index = index.clone();
-                let _ended = address.send(ValueSeen { index, text }).await;
-            }
-            Err(error) => {
-                log::debug!("catalogue of {index}: {error}");
-                // A store that restarts with older data may count up to the same version again.
-                seen = StoredVersion::ABSENT;
-                tokio::time::sleep(backoff.next_wait(&mut rng)).await;
-            }
-        }
+        // A catalogue that is gone changes nothing: what is in force stays.
+        let Some(stored) = watch.next().await else {
+            continue;
+        };
+        let (index, text) = (index.clone(), stored.value);
+        let _ended = address.send(ValueSeen { index, text }).await;
     }
 }
 
-async fn watch_once(
-    client: &PlatformClient,
-    index: &IndexName,
-    seen: &mut StoredVersion,
-) -> Result<Option<Bytes>, PlatformError> {
-    let changed = client.watch(catalog_key(index), *seen, WATCH_WAIT).await?;
-    Ok(match changed {
-        None => None,
-        Some(WatchChange::Deleted) => {
-            *seen = StoredVersion::ABSENT;
-            None
-        }
-        Some(WatchChange::Changed(stored)) => {
-            *seen = stored.version;
-            Some(stored.value)
-        }
-    })
-}
-
 impl CatalogActor {
     fn new(
         peers: ZonePeers,
-        client: PlatformClient,
+        client: StoreClient,
         writer: watch::Sender<Arc<CatalogSet>>,
         send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
     ) -> Self {
--- a/crates/ebonyfork/src/catalog/mod.rs
+++ b/crates/ebonyfork/src/catalog/mod.rs
@@ -1,6 +1,6 @@
 //! The index catalogue: which versions an index has and which service holds each shard of a version.
 //!
-//! The users' indexers publish it in the platform's service, one JSON value per index. The pinned version's shard list
+//! The users' indexers publish it in the store, one JSON value per index. The pinned version's shard list
 //! is the denominator of an answer's coverage, so it is kept as published and never merged with another version's.
 
 mod feed;
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -9,8 +9,7 @@
 
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::vms::VmRecord;
-use crate::platform::Backoff;
-use crate::store::{LeaseId, StoreError, StorePort, StoreWrite, answer_within};
+use crate::store::{Backoff, LeaseId, StoreError, StorePort, StoreWrite, answer_within};
 
 /// How long the entry outlives the process. Gossip notices a dead VM within about 2 s; the lease only cleans up.
 const LEASE_TTL: Duration = Duration::from_secs(6);
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod node;
 pub mod once;
 pub mod operator;
-pub mod platform;
 pub mod quantity;
 pub mod quarantine;
 pub mod query;
--- a/crates/ebonyfork/src/lifecycle/handle.rs
+++ b/crates/ebonyfork/src/lifecycle/handle.rs
@@ -132,7 +132,7 @@
         Self { shared }
     }
 
-    /// Notes that the platform's service answered.
+    /// Notes that the store answered.
     pub fn note_store_contact(&self) {
         self.shared.note_contact(ContactSource::Store);
     }
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -27,13 +27,13 @@
 use crate::node::status::StatusReader;
 use crate::once::{OnceHandle, session_successor};
 use crate::operator::{OperatorService, serve_operators};
-use crate::platform::{PlatformClient, PlatformError};
 use crate::quarantine::{QuarantineHandle, RequestStanding};
 use crate::query::QueryRequest;
 use crate::relay::{RelayHandle, RelaySettings};
 use crate::revision::RevisionHandle;
 use crate::settings::NodeSettings;
-use crate::topology::{TopologyHandle, TopologySettings, TopologyView};
+use crate::store::{StoreClient, StoreError, StorePort};
+use crate::topology::{TopologyHandle, TopologySettings, TopologyView, read_vm_list};
 use crate::views::{CatalogSet, NodeReadiness, NodeViews, ViewWriters, view_channels};
 use crate::wire::{EventFuture, LinkError, LinkEvent, PeerMessage, PeerPool, PoolSettings};
 
@@ -57,12 +57,17 @@
 }
 
 impl Node {
-    /// Binds all sockets and starts every slice on the current runtime.
-    pub async fn start(settings: NodeSettings, options: NodeOptions) -> Result<Self, NodeError> {
+    /// Binds all sockets and starts every slice on the current runtime. `store` reaches what lasts.
+    pub async fn start(
+        settings: NodeSettings,
+        options: NodeOptions,
+        store: impl StorePort,
+    ) -> Result<Self, NodeError> {
         let sockets = NodeSockets::bind(&settings).await?;
         let session = SessionId::new(settings.vm, incarnation());
         log::info!("node {session} starts in {}", settings.zone);
-        Ok(NodeAssembly::new(settings, options, session).assemble(sockets))
+        let client = StoreClient::new(store, settings.platform_timeout);
+        Ok(NodeAssembly::new(settings, options, session, client).assemble(sockets))
     }
 
     /// The identity of this process.
@@ -146,15 +151,19 @@
     stop: CancellationToken,
     pool: LatePool,
     registry: Registry,
-    client: PlatformClient,
+    client: StoreClient,
     quarantine: QuarantineHandle,
     servers: JoinSet<()>,
     tasks: JoinSet<()>,
 }
 
 impl NodeAssembly {
-    fn new(settings: NodeSettings, options: NodeOptions, session: SessionId) -> Self {
-        let client = PlatformClient::new(settings.platform, settings.platform_timeout);
+    fn new(
+        settings: NodeSettings,
+        options: NodeOptions,
+        session: SessionId,
+        client: StoreClient,
+    ) -> Self {
         Self {
             settings,
             options,
@@ -241,9 +250,9 @@
         let list = move || -> BoxFuture<'static, _> {
             let (client, lifecycle) = (client.clone(), lifecycle.clone());
             Box::pin(async move {
-                let records = client.vms().await?;
+                let records = read_vm_list(&client).await?;
                 lifecycle.note_store_contact();
-                Ok::<_, PlatformError>(records)
+                Ok::<_, StoreError>(records)
             })
         };
         TopologyHandle::start(settings, list, members.snapshot(), writer)
--- a/crates/ebonyfork/src/revision/acceptance.rs
+++ b/crates/ebonyfork/src/revision/acceptance.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ident::{RevisionNumber, VmAddress, ZoneName};
-use crate::platform::{OWN_GROUP, PlatformClient, PlatformError, VmRecord, VmState};
+use crate::store::{StoreClient, StoreError};
+use crate::topology::{OWN_GROUP, VmRecord, VmState, read_vm_list};
 
 use super::record::{HeadRecord, HeldEvidence, LAGGING_LIMIT, LaggingVm};
 use super::store::{read_change, read_evidence};
@@ -129,11 +130,11 @@
 
 /// Reads VM list and evidence and judges them.
 pub async fn read_acceptance(
-    client: &PlatformClient,
+    client: &StoreClient,
     head: HeadRecord,
     time_ms: u64,
-) -> Result<AcceptanceState, PlatformError> {
-    let zones = live_zones(&client.vms().await?);
+) -> Result<AcceptanceState, StoreError> {
+    let zones = live_zones(&read_vm_list(client).await?);
     let mut relations: BTreeMap<CompactString, HeldRelation> = BTreeMap::new();
     let mut judged = Vec::new();
     for evidence in read_evidence(client).await? {
@@ -163,10 +164,10 @@
 
 /// Walks from what is held along the parents to the published change.
 async fn relate(
-    client: &PlatformClient,
+    client: &StoreClient,
     head: HeadRecord,
     held: HeadRecord,
-) -> Result<HeldRelation, PlatformError> {
+) -> Result<HeldRelation, StoreError> {
     let mut next = held.change;
     let mut overridden = None;
     loop {
--- a/crates/ebonyfork/src/revision/actor.rs
+++ b/crates/ebonyfork/src/revision/actor.rs
@@ -17,8 +17,8 @@
 
 use crate::declaration::DeclaredConfig;
 use crate::ident::{RevisionNumber, VmAddress};
-use crate::platform::{Backoff, PlatformClient};
 use crate::settings::NodeSettings;
+use crate::store::{Backoff, StoreClient};
 use crate::topology::TopologyView;
 use crate::wire::{LinkError, PeerMessage};
 
@@ -63,7 +63,7 @@
 #[derive(xtra::Actor)]
 pub struct RevisionActor {
     own: VmAddress,
-    client: PlatformClient,
+    client: StoreClient,
     writer: watch::Sender<Arc<DeclaredConfig>>,
     send: Arc<SendFunction>,
     metrics: RevisionMetrics,
@@ -142,7 +142,7 @@
 impl RevisionActor {
     pub(super) fn new(
         settings: &NodeSettings,
-        client: PlatformClient,
+        client: StoreClient,
         writer: watch::Sender<Arc<DeclaredConfig>>,
         send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
         metrics: RevisionMetrics,
--- a/crates/ebonyfork/src/revision/handle.rs
+++ b/crates/ebonyfork/src/revision/handle.rs
@@ -9,8 +9,8 @@
 
 use crate::declaration::DeclaredConfig;
 use crate::ident::{RevisionNumber, VmAddress};
-use crate::platform::PlatformClient;
 use crate::settings::NodeSettings;
+use crate::store::StoreClient;
 use crate::views::NodeViews;
 use crate::wire::{LinkError, LinkSender, PeerMessage};
 
@@ -29,7 +29,7 @@
     /// Starts to learn revisions and puts each in force through `writer`. Peers are reached by `send`.
     pub fn start(
         settings: &NodeSettings,
-        client: PlatformClient,
+        client: StoreClient,
         views: NodeViews,
         writer: watch::Sender<Arc<DeclaredConfig>>,
         send: impl Fn(VmAddress, PeerMessage) -> Result<(), LinkError> + Send + Sync + 'static,
--- a/crates/ebonyfork/src/revision/publish.rs
+++ b/crates/ebonyfork/src/revision/publish.rs
@@ -11,7 +11,7 @@
 
 use crate::finding::FindingList;
 use crate::ident::RevisionNumber;
-use crate::platform::{PlatformError, StoredVersion};
+use crate::store::{StoreError, StoreRevision};
 
 use super::record::{ChangeId, ChangeRecord, HeadRecord, HeldEvidence, PartDigest, PartSet};
 use super::store::StoredHead;
@@ -101,7 +101,7 @@
     /// Write the change's record unless it is there.
     PutChange(ChangeRecord),
     /// Move the head if it has this version.
-    MoveHead(StoredVersion, HeadRecord),
+    MoveHead(StoreRevision, HeadRecord),
     /// Wait a little, because the call before failed.
     Pause,
     /// The run is over.
@@ -112,15 +112,15 @@
 #[derive(Debug, Clone)]
 pub enum PublishReply {
     /// To [`PublishAction::ReadHead`].
-    Head(Result<StoredHead, PlatformError>),
+    Head(Result<StoredHead, StoreError>),
     /// To [`PublishAction::ReadEvidence`].
-    Evidence(Result<Vec<HeldEvidence>, PlatformError>),
+    Evidence(Result<Vec<HeldEvidence>, StoreError>),
     /// To [`PublishAction::ReadChange`].
-    Change(Result<Option<ChangeRecord>, PlatformError>),
+    Change(Result<Option<ChangeRecord>, StoreError>),
     /// To [`PublishAction::PutPart`] and [`PublishAction::PutChange`].
-    Written(Result<(), PlatformError>),
+    Written(Result<(), StoreError>),
     /// To [`PublishAction::MoveHead`].
-    Moved(Result<StoredVersion, PlatformError>),
+    Moved(Result<StoreRevision, StoreError>),
     /// To [`PublishAction::Pause`].
     Paused,
 }
@@ -235,9 +235,9 @@
         self.base.map(|(_, head)| head)
     }
 
-    fn base_version(&self) -> StoredVersion {
+    fn base_version(&self) -> StoreRevision {
         self.base
-            .map_or(StoredVersion::ABSENT, |(version, _)| version)
+            .map_or(StoreRevision::ABSENT, |(version, _)| version)
     }
 
     fn base_revision(&self) -> RevisionNumber {
@@ -302,7 +302,7 @@
         if let ExpectedBase::Exactly(expected) = self.request.base
             && expected != seen
         {
-            self.base = expected.map(|expected| (StoredVersion::ABSENT, expected));
+            self.base = expected.map(|expected| (StoreRevision::ABSENT, expected));
             return match seen {
                 Some(theirs) => self.go(PublishStep::Theirs(theirs.change)),
                 None => not_published("the store has lost the head this change was made for"),
@@ -380,8 +380,8 @@
         }
     }
 
-    fn take_unmoved(&mut self, error: &PlatformError) -> PublishAction {
-        if matches!(error, PlatformError::Refused { .. }) {
+    fn take_unmoved(&mut self, error: &StoreError) -> PublishAction {
+        if error.is_refusal() {
             return self.take_failure(error);
         }
         self.swap_lost |= error.is_ambiguous();
@@ -390,7 +390,7 @@
 
     /// Tells from the head whether the own swap took effect.
     fn resolve(&mut self, head: StoredHead) -> PublishAction {
-        let version = head.map_or(StoredVersion::ABSENT, |(version, _)| version);
+        let version = head.map_or(StoreRevision::ABSENT, |(version, _)| version);
         if version == self.base_version() {
             if self.swaps >= TRY_LIMIT {
                 return self.give_up("the head has not moved, but a lost swap may still arrive");
@@ -430,7 +430,7 @@
         }
     }
 
-    fn take_failure(&mut self, error: &PlatformError) -> PublishAction {
+    fn take_failure(&mut self, error: &StoreError) -> PublishAction {
         self.failures += 1;
         if self.failures < TRY_LIMIT {
             return PublishAction::Pause;
--- a/crates/ebonyfork/src/revision/publisher.rs
+++ b/crates/ebonyfork/src/revision/publisher.rs
@@ -1,4 +1,4 @@
-//! Runs a publishing against the platform's service.
+//! Runs a publishing against the store.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,7 +8,7 @@
 
 use crate::declaration::DeclaredFile;
 use crate::finding::FindingList;
-use crate::platform::{Backoff, PlatformClient};
+use crate::store::{Backoff, StoreClient};
 
 use super::publish::{
     ExpectedBase, PublishAction, PublishOutcome, PublishReply, PublishRequest, PublishRun,
@@ -31,22 +31,18 @@
 /// # Examples
 ///
 /// ```no_run
-/// use std::time::Duration;
-///
 /// use ebonyfork::declaration::DeclaredFile;
-/// use ebonyfork::platform::PlatformClient;
+/// use ebonyfork::store::StoreClient;
 /// use ebonyfork::revision::publish;
 ///
-/// # async fn example() -> Result<(), Box<dyn std::error::Error>> {
-/// let client = PlatformClient::new("127.0.0.1:7000".parse()?, Duration::from_secs(2));
+/// # async fn example(client: StoreClient) {
 /// let files = [DeclaredFile::new("main.ini", "[service tender-00]\nconnections = 25\ndrain = 10s\n")];
 /// let outcome = publish(&client, &files, "kim", "first services").await;
 /// println!("{outcome:?}");
-/// # Ok(())
 /// # }
 /// ```
 pub async fn publish(
-    client: &PlatformClient,
+    client: &StoreClient,
     files: &[DeclaredFile],
     author: impl ToCompactString,
     note: impl ToCompactString,
@@ -85,7 +81,7 @@
 }
 
 /// Publishes a prepared change.
-pub async fn publish_prepared(client: &PlatformClient, request: PublishRequest) -> PublishOutcome {
+pub async fn publish_prepared(client: &StoreClient, request: PublishRequest) -> PublishOutcome {
     let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut run = PublishRun::new(request);
--- a/crates/ebonyfork/src/revision/record.rs
+++ b/crates/ebonyfork/src/revision/record.rs
@@ -1,4 +1,4 @@
-//! What is kept in the platform's service: the head, change records, parts, and the evidence of each zone.
+//! What is kept in the store: the head, change records, parts, and the evidence of each zone.
 //!
 //! | key | value |
 //! | --- | --- |
@@ -18,7 +18,7 @@
 use crate::declaration::{DeclaredConfig, DeclaredFile};
 use crate::finding::FindingList;
 use crate::ident::{IdentError, RevisionNumber, VmAddress, ZoneName};
-use crate::platform::VALUE_LIMIT;
+use crate::store::VALUE_LIMIT;
 
 /// Key of the head.
 pub const HEAD_KEY: &str = "config/head";
--- a/crates/ebonyfork/src/revision/serve.rs
+++ b/crates/ebonyfork/src/revision/serve.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::platform::VALUE_LIMIT;
+use crate::store::VALUE_LIMIT;
 
 /// Bytes a second on average.
 const SERVE_RATE: f64 = (256 << 10) as f64;
--- a/crates/ebonyfork/src/revision/store.rs
+++ b/crates/ebonyfork/src/revision/store.rs
@@ -1,38 +1,36 @@
-//! Reads and writes the records of revisions in the platform's service.
+//! Reads and writes the records of revisions in the store.
 
 use bytes::Bytes;
 use compact_str::format_compact;
 use serde::de::DeserializeOwned;
 
 use crate::ident::ZoneName;
-use crate::platform::{Expectation, PlatformClient, PlatformError, StoredValue, StoredVersion};
+use crate::store::{StoreClient, StoreError, StoreItem, StoreRevision};
 
 use super::record::{
     ChangeId, ChangeRecord, HEAD_KEY, HELD_PREFIX, HeadRecord, HeldEvidence, PartDigest,
 };
 
-/// The head with its version in the store; none before the first publishing.
-pub type StoredHead = Option<(StoredVersion, HeadRecord)>;
+/// The head with its key's revision in the store; none before the first publishing.
+pub type StoredHead = Option<(StoreRevision, HeadRecord)>;
 
 /// Reads the head.
-pub async fn read_head(client: &PlatformClient) -> Result<StoredHead, PlatformError> {
+pub async fn read_head(client: &StoreClient) -> Result<StoredHead, StoreError> {
     let stored = client.get(HEAD_KEY).await?;
     stored.map(parse_head).transpose()
 }
 
 /// Reads a stored head.
-pub(super) fn parse_head(
-    stored: StoredValue,
-) -> Result<(StoredVersion, HeadRecord), PlatformError> {
+pub(super) fn parse_head(stored: StoreItem) -> Result<(StoreRevision, HeadRecord), StoreError> {
     let head = parse_json(HEAD_KEY, &stored.value)?;
-    Ok((stored.version, head))
+    Ok((stored.revision, head))
 }
 
 /// Reads the record of a change; none if it isn't there.
 pub async fn read_change(
-    client: &PlatformClient,
+    client: &StoreClient,
     change: ChangeId,
-) -> Result<Option<ChangeRecord>, PlatformError> {
+) -> Result<Option<ChangeRecord>, StoreError> {
     let key = change.key();
     let Some(stored) = client.get(&key).await? else {
         return Ok(None);
@@ -42,71 +40,66 @@
 
 /// Reads a part and checks its digest; none if it isn't there.
 pub async fn read_part(
-    client: &PlatformClient,
+    client: &StoreClient,
     sha256: PartDigest,
-) -> Result<Option<Bytes>, PlatformError> {
+) -> Result<Option<Bytes>, StoreError> {
     let key = sha256.key();
     let Some(stored) = client.get(&key).await? else {
         return Ok(None);
     };
     if PartDigest::new(&stored.value) != sha256 {
         let reason = format_compact!("{key} doesn't match its digest");
-        return Err(PlatformError::Malformed { reason });
+        return Err(StoreError::Malformed { reason });
     }
     Ok(Some(stored.value))
 }
 
 /// Reads the evidence of all zones that have written any.
-pub async fn read_evidence(client: &PlatformClient) -> Result<Vec<HeldEvidence>, PlatformError> {
+pub async fn read_evidence(client: &StoreClient) -> Result<Vec<HeldEvidence>, StoreError> {
     let mut evidence = Vec::new();
-    for line in client.list(HELD_PREFIX).await? {
-        let Some(zone) = zone_of(&line.key) else {
-            continue;
-        };
-        let key = HeldEvidence::key(&zone);
-        let Some(stored) = client.get(&key).await? else {
-            continue;
-        };
-        evidence.push(parse_json(&key, &stored.value)?);
+    for item in client.list(HELD_PREFIX).await? {
+        if is_zone_key(&item.key) {
+            evidence.push(parse_json(&item.key, &item.value)?);
+        }
     }
     Ok(evidence)
 }
 
-fn zone_of(key: &str) -> Option<ZoneName> {
-    let zone = key.strip_prefix(HELD_PREFIX)?.strip_prefix('/')?;
-    zone.parse().ok()
+fn is_zone_key(key: &str) -> bool {
+    let rest = key.strip_prefix(HELD_PREFIX);
+    let zone = rest.and_then(|rest| rest.strip_prefix('/'));
+    zone.is_some_and(|zone| zone.parse::<ZoneName>().is_ok())
 }
 
 /// Writes a zone's evidence over whatever is there.
 pub(super) async fn write_evidence(
-    client: &PlatformClient,
+    client: &StoreClient,
     evidence: &HeldEvidence,
-) -> Result<(), PlatformError> {
+) -> Result<(), StoreError> {
     let key = HeldEvidence::key(&evidence.zone);
-    client.put(key, to_json(evidence), Expectation::Any).await?;
+    client.put(key, to_json(evidence), None).await?;
     Ok(())
 }
 
 /// Writes a value that is named by its content or by a random identity, so that a second writing is harmless.
 pub(super) async fn put_once(
-    client: &PlatformClient,
+    client: &StoreClient,
     key: String,
     value: Bytes,
-) -> Result<(), PlatformError> {
-    match client.put(key, value, Expectation::Absent).await {
-        Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
+) -> Result<(), StoreError> {
+    match client.put(key, value, Some(StoreRevision::ABSENT)).await {
+        Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
         Err(error) => Err(error),
     }
 }
 
-/// Moves the head if it still has the expected version.
+/// Moves the head if its key is still at the expected revision.
 pub(super) async fn move_head(
-    client: &PlatformClient,
-    expected: StoredVersion,
+    client: &StoreClient,
+    expected: StoreRevision,
     head: HeadRecord,
-) -> Result<StoredVersion, PlatformError> {
-    let expect = Expectation::Version(expected);
-    client.put(HEAD_KEY, to_json(&head), expect).await
+) -> Result<StoreRevision, StoreError> {
+    client.put(HEAD_KEY, to_json(&head), Some(expected)).await
 }
 
 /// Encodes a record; records have no map keys or floats that JSON can't hold, so this can't fail.
@@ -114,8 +107,8 @@
     serde_json::to_vec(record).unwrap_or_default().into()
 }
 
-fn parse_json<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(value).map_err(|error| PlatformError::Malformed {
+fn parse_json<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(value).map_err(|error| StoreError::Malformed {
         reason: format_compact!("{key}: {error}"),
     })
 }
--- a/crates/ebonyfork/src/revision/watcher.rs
+++ b/crates/ebonyfork/src/revision/watcher.rs
@@ -1,14 +1,10 @@
 //! What a zone's watcher does at the store: follow the head, read revisions, move a head that went back forward again.
 
-use std::time::Duration;
-
 use compact_str::{CompactString, format_compact};
-use rand_chacha::ChaCha8Rng;
-use rand_chacha::rand_core::SeedableRng;
 use snafu::Snafu;
 use xtra::WeakAddress;
 
-use crate::platform::{Backoff, PlatformClient, PlatformError, StoredVersion, WatchChange};
+use crate::store::{KeyWatch, StoreClient, StoreError, StoreRevision};
 
 use super::actor::{HeadSeen, RevisionActor};
 use super::assembly::{HeldRevision, RevisionAssembly};
@@ -17,55 +13,18 @@
 use super::restore::{RestorePlan, plan_restore};
 use super::store::{move_head, parse_head, put_once, read_change, read_head, read_part, to_json};
 
-/// How long one watch of the head waits.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
-/// First and longest wait after a failed call.
-const FIRST_WAIT: Duration = Duration::from_millis(100);
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
-
 /// Watches the head and reports each version of it until the feed ends.
-pub(super) async fn watch_head(client: PlatformClient, address: WeakAddress<RevisionActor>) {
-    let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
-    let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
-    let mut seen = None;
+pub(super) async fn watch_head(client: StoreClient, address: WeakAddress<RevisionActor>) {
+    let mut watch = KeyWatch::new(client, HEAD_KEY);
     while address.is_connected() {
-        match watch_once(&client, seen).await {
-            Ok(Some((version, changed))) => {
-                backoff.reset();
-                seen = Some(version);
-                let _ended = address.send(changed).await;
-            }
-            Ok(None) => backoff.reset(),
+        let head = match watch.next().await.map(parse_head).transpose() {
+            Ok(stored) => stored.map(|(_revision, head)| head),
             Err(error) => {
-                log::debug!("watch of {HEAD_KEY}: {error}");
-                // A store that restarts with older data may count up to the same version again: read, don't watch.
-                seen = None;
-                tokio::time::sleep(backoff.next_wait(&mut rng)).await;
+                log::warn!("{HEAD_KEY} can't be read, what is in force stays: {error}");
+                continue;
             }
-        }
-    }
-}
-
-/// Waits for a version other than the one seen. The first time it reads instead, so that a missing head shows too.
-async fn watch_once(
-    client: &PlatformClient,
-    seen: Option<StoredVersion>,
-) -> Result<Option<(StoredVersion, HeadSeen)>, PlatformError> {
-    let changed = match seen {
-        Some(seen) => client.watch(HEAD_KEY, seen, WATCH_WAIT).await?,
-        None => Some(match client.get(HEAD_KEY).await? {
-            Some(stored) => WatchChange::Changed(stored),
-            None => WatchChange::Deleted,
-        }),
-    };
-    match changed {
-        None => Ok(None),
-        Some(WatchChange::Deleted) => Ok(Some((StoredVersion::ABSENT, HeadSeen { head: None }))),
-        Some(WatchChange::Changed(stored)) => {
-            let (version, head) = parse_head(stored)?;
-            let head = Some(head);
-            Ok(Some((version, HeadSeen { head })))
-        }
+        };
+        let _ended = address.send(HeadSeen { head }).await;
     }
 }
 
@@ -76,7 +35,7 @@
     #[snafu(display("{source}"), context(false))]
     Store {
         /// The failure.
-        source: PlatformError,
+        source: StoreError,
     },
     /// The head names something that isn't there: it was written before the head was moved, so the store lost it.
     #[snafu(display("the store has lost {what}"))]
@@ -88,7 +47,7 @@
 
 /// Reads a revision whole; parts that are held already aren't read again.
 pub(super) async fn load_revision(
-    client: &PlatformClient,
+    client: &StoreClient,
     head: HeadRecord,
     held: Option<&HeldRevision>,
 ) -> Result<HeldRevision, LoadFault> {
@@ -110,12 +69,12 @@
 /// Moves the head forward again if the store has lost what is held, unless somebody else moves it first. Tells
 /// whether it did.
 pub(super) async fn restore_head(
-    client: &PlatformClient,
+    client: &StoreClient,
     held: &HeldRevision,
-) -> Result<bool, PlatformError> {
+) -> Result<bool, StoreError> {
     let (version, change) = match read_head(client).await? {
         Some((version, head)) => (version, Some(read_known(client, held, head).await?)),
-        None => (StoredVersion::ABSENT, None),
+        None => (StoreRevision::ABSENT, None),
     };
     let id = ChangeId::random(&mut rand::rng());
     match plan_restore(change.as_ref(), &held.change, id, unix_millis()) {
@@ -129,10 +88,10 @@
 
 /// Reads the record of a head. A head is moved only after its record was written, so one without was lost.
 async fn read_known(
-    client: &PlatformClient,
+    client: &StoreClient,
     held: &HeldRevision,
     head: HeadRecord,
-) -> Result<ChangeRecord, PlatformError> {
+) -> Result<ChangeRecord, StoreError> {
     if head == held.head() {
         return Ok(held.change.clone());
     }
@@ -141,10 +100,10 @@
 }
 
 async fn move_forward(
-    client: &PlatformClient,
-    version: StoredVersion,
+    client: &StoreClient,
+    version: StoreRevision,
     held: HeldRevision,
-) -> Result<bool, PlatformError> {
+) -> Result<bool, StoreError> {
     let head = held.head();
     log::warn!(
         target: "ebonyfork::decision",
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -153,9 +153,9 @@
     pub peer_port: u16,
     /// TCP port for operators and metrics; the same on every VM.
     pub operator_port: u16,
-    /// Address of the platform's service.
+    /// Address of the store.
     pub platform: SocketAddr,
-    /// Longest wait for one answer of the platform's service.
+    /// Longest wait for one answer of the store.
     pub platform_timeout: Duration,
     /// How long a caller may keep a locate answer.
     pub locate_ttl: Duration,
--- a/crates/ebonyfork/src/platform/backoff.rs
+++ b/crates/ebonyfork/src/store/backoff.rs
@@ -11,7 +11,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use ebonyfork::platform::Backoff;
+/// use ebonyfork::store::Backoff;
 /// use rand_chacha::ChaCha8Rng;
 /// use rand_chacha::rand_core::SeedableRng;
 ///
--- a/crates/ebonyfork/src/platform/budget.rs
+++ b/crates/ebonyfork/src/store/call_budget.rs
@@ -12,7 +12,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use ebonyfork::platform::CallBudget;
+/// use ebonyfork::store::CallBudget;
 ///
 /// let mut budget = CallBudget::new(10.0, 2.0);
 /// let start = Duration::ZERO;
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -23,6 +23,7 @@
     wait: Duration,
     answer: Duration,
     spacing: Duration,
+    rereads: bool,
 }
 
 impl MirrorSettings {
@@ -33,8 +34,16 @@
             wait: WATCH_WAIT,
             answer: ANSWER_TIME,
             spacing: WATCH_SPACING,
+            rereads: false,
         }
     }
+
+    /// Reads the range anew after every failed call: for stores that may come back with older data.
+    #[must_use]
+    pub fn with_rereading(mut self) -> Self {
+        self.rereads = true;
+        self
+    }
 }
 
 /// What one call brought.
@@ -130,6 +139,9 @@
 
     fn note_failure(&mut self, error: &StoreError) {
         self.state.take_failure(error, &mut rand::rng());
+        if self.settings.rereads {
+            self.state.read_anew();
+        }
         if matches!(error, StoreError::HistoryGone) {
             log::info!(
                 "store history gone prefix=`{}`: reading anew",
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -9,8 +9,9 @@
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
-use crate::platform::Backoff;
-use crate::store::{StoreError, StoreEvent, StoreItem, StorePage, StoreRevision, StoreWatch};
+use crate::store::{
+    Backoff, StoreError, StoreEvent, StoreItem, StorePage, StoreRevision, StoreWatch,
+};
 
 /// Shortest wait after a failed call. At 7 to 90 VMs that is at most 900 calls a second in the first moment of an
 /// outage, below the stated rates; it doubles from there.
@@ -184,6 +185,11 @@
         self.pause = Some(self.backoff.next_wait(rng));
     }
 
+    /// Forgets how far the changes were followed: the next step reads the range from its first page.
+    pub fn read_anew(&mut self) {
+        self.phase = MirrorPhase::first_page();
+    }
+
     /// The store's revision up to which everything is known.
     pub fn revision(&self) -> StoreRevision {
         match &self.phase {
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -2,9 +2,13 @@
 //!
 //! The product knows no store by name. It states here what it needs, as plain values and the trait [`StorePort`]; an
 //! adapter speaks some store's protocol. [`MirrorState`] decides how a copy of a key range is kept, [`MirrorFeed`]
-//! runs it over a port.
+//! runs it over a port, [`KeyWatch`] follows one key with it. [`StoreClient`] bounds and counts the calls of a whole process.
 
+mod backoff;
+mod call_budget;
+mod client;
 mod feed;
+mod key_watch;
 mod mirror;
 
 use std::fmt;
@@ -15,7 +19,11 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+pub use backoff::Backoff;
+pub use call_budget::CallBudget;
+pub use client::{StoreClient, VALUE_LIMIT};
 pub use feed::{FeedStep, MirrorFeed, MirrorSettings};
+pub use key_watch::KeyWatch;
 pub use mirror::{MirrorChange, MirrorState, MirrorStep};
 
 /// A point in the history of the store: it rises by one with each change of any key. 0 is before every change.
@@ -24,6 +32,11 @@
 )]
 pub struct StoreRevision(pub u64);
 
+impl StoreRevision {
+    /// The revision of a key that does not exist.
+    pub const ABSENT: Self = Self(0);
+}
+
 impl fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
@@ -166,14 +179,43 @@
     },
 }
 
+impl StoreError {
+    /// Tells whether a write that ended so may have taken effect, now or later.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::store::StoreError;
+    ///
+    /// assert!(StoreError::Lost { reason: "connection reset".into() }.is_ambiguous());
+    /// assert!(!StoreError::Refused { reason: "503".into() }.is_ambiguous());
+    /// ```
+    pub fn is_ambiguous(&self) -> bool {
+        matches!(self, Self::Lost { .. } | Self::Malformed { .. })
+    }
+
+    /// Tells whether the call provably did nothing and may simply be made again.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::Unreachable { .. })
+    }
+}
+
 /// What the product needs of a store. Implementations send one call each and neither retry nor cache.
-pub trait StorePort: Clone + 'static {
+///
+/// The futures can be sent between threads, so that actors on a runtime of many threads may hold a port.
+pub trait StorePort: Clone + Send + Sync + 'static {
+    /// Reads one item; `None` if the key does not exist.
+    fn read_item(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<StoreItem>, StoreError>> + Send;
+
     /// Reads the items whose keys begin with `prefix`, after the key `after`.
     fn read_page(
         &self,
         prefix: &str,
         after: Option<&str>,
-    ) -> impl Future<Output = Result<StorePage, StoreError>>;
+    ) -> impl Future<Output = Result<StorePage, StoreError>> + Send;
 
     /// Waits up to `wait` for changes under `prefix` after a revision.
     fn watch(
@@ -181,19 +223,25 @@
         prefix: &str,
         after: StoreRevision,
         wait: Duration,
-    ) -> impl Future<Output = Result<StoreWatch, StoreError>>;
+    ) -> impl Future<Output = Result<StoreWatch, StoreError>> + Send;
 
     /// Writes one key, returning its new revision.
-    fn write(&self, write: StoreWrite) -> impl Future<Output = Result<StoreRevision, StoreError>>;
+    fn write(
+        &self,
+        write: StoreWrite,
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>> + Send;
 
     /// Opens a lease.
-    fn open_lease(&self, ttl: Duration) -> impl Future<Output = Result<LeaseGrant, StoreError>>;
+    fn open_lease(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseGrant, StoreError>> + Send;
 
     /// Renews a lease.
-    fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Ends a lease and removes its keys.
-    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
 
 /// Bounds the wait for a call to the store: one that takes longer counts as lost, since it may have been executed.
--- a/crates/ebonyfork/src/topology/feed.rs
+++ b/crates/ebonyfork/src/topology/feed.rs
@@ -16,8 +16,8 @@
 
 use crate::ident::{SessionId, UpstreamAddress, VmAddress, ZoneName};
 use crate::membership::MemberSnapshot;
-use crate::platform::VmRecord;
 use crate::topology::join::TopologyJoin;
+use crate::topology::listed::VmRecord;
 use crate::topology::view::TopologyView;
 
 /// Time between two reads of a short VM list.
--- a/crates/ebonyfork/src/topology/feed_tests.rs
+++ b/crates/ebonyfork/src/topology/feed_tests.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use crate::ident::IncarnationNumber;
-use crate::platform::{OWN_GROUP, VmState};
+use crate::topology::{OWN_GROUP, VmState};
 
 fn record(last: u8, group: &str, port: Option<u16>) -> VmRecord {
     VmRecord {
--- a/crates/ebonyfork/src/topology/join.rs
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -12,7 +12,7 @@
 
 use crate::ident::{SessionId, UpstreamAddress, VmAddress, ZoneName};
 use crate::membership::{MemberEntry, MemberSnapshot, MemberState};
-use crate::platform::{OWN_GROUP, VmRecord, VmState};
+use crate::topology::listed::{OWN_GROUP, VmRecord, VmState};
 use crate::topology::view::{TopologyView, UpstreamEntry, VmEntry};
 
 /// How long a listed VM is used that has never answered membership.
--- a/crates/ebonyfork/src/topology/mod.rs
+++ b/crates/ebonyfork/src/topology/mod.rs
@@ -6,10 +6,12 @@
 
 mod feed;
 mod join;
+mod listed;
 mod ownership;
 mod view;
 
 pub use feed::{LIST_PERIOD, TopologyHandle, TopologySettings};
 pub use join::{LEAVING_SIGN_AGE, TopologyJoin, UNHEARD_GRACE};
+pub use listed::{OWN_GROUP, VM_LIST_PREFIX, VmRecord, VmState, read_vm_list};
 pub use ownership::{OwnerPair, connection_share, direct_share, owner_pair};
 pub use view::{TopologyView, UpstreamEntry, VmEntry};
--- a/crates/ebonyforkctl/src/arguments.rs
+++ b/crates/ebonyforkctl/src/arguments.rs
@@ -62,7 +62,7 @@
         .global(true)
         .value_parser(value_parser!(SocketAddr))
         .help(format!(
-            "Address of the platform's service; default: the variable {PLATFORM_VARIABLE}"
+            "Address of the platform's store; default: the variable {PLATFORM_VARIABLE}"
         ))
 }
 
@@ -242,7 +242,7 @@
 /// Options that all commands share.
 #[derive(Debug, Clone)]
 pub struct CommonOptions {
-    /// Address of the platform's service.
+    /// Address of the platform's store.
     pub platform: Option<SocketAddr>,
     /// Form of the result.
     pub output: OutputForm,
--- a/crates/ebonyforkctl/src/command.rs
+++ b/crates/ebonyforkctl/src/command.rs
@@ -4,7 +4,8 @@
 
 use clap::ArgMatches;
 use compact_str::format_compact;
-use ebonyfork::platform::PlatformClient;
+use ebonyfork::store::StoreClient;
+use ebonyfork_platform::PlatformStore;
 use snafu::ResultExt;
 
 use crate::arguments::{CommonOptions, command_line};
@@ -103,13 +104,16 @@
     }
 }
 
-fn platform_client(options: &CommonOptions) -> Result<PlatformClient, CtlError> {
+fn platform_client(options: &CommonOptions) -> Result<StoreClient, CtlError> {
     let Some(address) = options.platform else {
         let what =
             format_compact!("--platform is missing, and so is the variable EBONYFORK_PLATFORM");
         return Err(CtlError::Missing { what });
     };
-    Ok(PlatformClient::new(address, options.call_timeout))
+    Ok(StoreClient::new(
+        PlatformStore::new(address),
+        options.call_timeout,
+    ))
 }
 
 fn print_completion(matches: &ArgMatches) -> ExitStatus {
--- a/crates/ebonyforkctl/src/error.rs
+++ b/crates/ebonyforkctl/src/error.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use ebonyfork::finding::FindingList;
-use ebonyfork::platform::PlatformError;
+use ebonyfork::store::StoreError;
 use snafu::Snafu;
 
 use crate::status::ExitStatus;
@@ -28,11 +28,11 @@
         /// All of them.
         findings: FindingList,
     },
-    /// The platform's service has no answer.
-    #[snafu(display("the platform's service: {source}"))]
+    /// A call to the store failed.
+    #[snafu(display("the platform's store: {source}"))]
     Platform {
         /// The cause.
-        source: PlatformError,
+        source: StoreError,
     },
     /// There is no such revision.
     #[snafu(display("{what}"))]
--- a/crates/ebonyforkctl/src/publish.rs
+++ b/crates/ebonyforkctl/src/publish.rs
@@ -7,11 +7,11 @@
 use compact_str::CompactString;
 use ebonyfork::declaration::{DeclaredConfig, DeclaredFile};
 use ebonyfork::ident::RevisionNumber;
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{
     AcceptanceState, ChangeRecord, HeadRecord, PartSet, PublishOutcome, publish_prepared,
     publish_request, read_acceptance, read_change, read_head, unix_millis,
 };
+use ebonyfork::store::StoreClient;
 use serde::Serialize;
 use snafu::ResultExt;
 use tokio::time::Instant;
@@ -89,7 +89,7 @@
 pub(crate) async fn run_apply(
     matches: &ArgMatches,
     options: &CommonOptions,
-    client: &PlatformClient,
+    client: &StoreClient,
 ) -> Result<ExitStatus, CtlError> {
     let files = read_declarations(directory(matches))?;
     let text = |name| matches.get_one::<String>(name).cloned();
@@ -124,7 +124,7 @@
 
 /// Reads the head and its files.
 async fn read_published(
-    client: &PlatformClient,
+    client: &StoreClient,
 ) -> Result<(Option<HeadRecord>, Vec<DeclaredFile>), CtlError> {
     let head = read_head(client).await.context(PlatformSnafu)?;
     let Some((_, head)) = head else {
@@ -145,7 +145,7 @@
     outcome: &PublishOutcome,
     published: &[DeclaredFile],
     report: &mut ApplyReport,
-    client: &PlatformClient,
+    client: &StoreClient,
     timeout: Duration,
 ) -> ExitStatus {
     match outcome {
@@ -194,7 +194,7 @@
 
 /// Reads the evidence until it settles the question or the time is over; none if the store never answered.
 async fn wait_accepted(
-    client: &PlatformClient,
+    client: &StoreClient,
     head: HeadRecord,
     timeout: Duration,
 ) -> Option<AcceptanceState> {
--- a/crates/ebonyforkctl/src/revisions.rs
+++ b/crates/ebonyforkctl/src/revisions.rs
@@ -6,11 +6,11 @@
 use compact_str::format_compact;
 use ebonyfork::declaration::DeclaredFile;
 use ebonyfork::ident::RevisionNumber;
-use ebonyfork::platform::PlatformClient;
 use ebonyfork::revision::{
     AcceptanceState, ChangeRecord, HeadRecord, ZoneGap, read_acceptance, read_change, read_head,
     read_part, unix_millis,
 };
+use ebonyfork::store::StoreClient;
 use serde::Serialize;
 use snafu::ResultExt;
 
@@ -35,7 +35,7 @@
 pub(crate) async fn run_show(
     matches: &ArgMatches,
     options: &CommonOptions,
-    client: &PlatformClient,
+    client: &StoreClient,
 ) -> Result<ExitStatus, CtlError> {
     let change = find_revision(client, wanted(matches)).await?;
     let files = read_files(client, &change).await?;
@@ -61,7 +61,7 @@
 pub(crate) async fn run_history(
     matches: &ArgMatches,
     options: &CommonOptions,
-    client: &PlatformClient,
+    client: &StoreClient,
 ) -> Result<ExitStatus, CtlError> {
     let limit = matches.get_one::<usize>("limit").copied().unwrap_or(1);
     let mut changes = Vec::new();
@@ -87,7 +87,7 @@
 pub(crate) async fn run_status(
     matches: &ArgMatches,
     options: &CommonOptions,
-    client: &PlatformClient,
+    client: &StoreClient,
 ) -> Result<ExitStatus, CtlError> {
     let change = find_revision(client, wanted(matches)).await?;
     let head = change.head();
@@ -159,7 +159,7 @@
 
 /// Finds a revision by walking from the head; the newest if none is named.
 pub(crate) async fn find_revision(
-    client: &PlatformClient,
+    client: &StoreClient,
     revision: Option<RevisionNumber>,
 ) -> Result<ChangeRecord, CtlError> {
     let head = read_head(client).await.context(PlatformSnafu)?;
@@ -188,7 +188,7 @@
 
 /// Reads the files of a change.
 pub(crate) async fn read_files(
-    client: &PlatformClient,
+    client: &StoreClient,
     change: &ChangeRecord,
 ) -> Result<Vec<DeclaredFile>, CtlError> {
     let mut files = Vec::new();
--- a/crates/ebonyforkctl/tests/commands.rs
+++ b/crates/ebonyforkctl/tests/commands.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use ebonyfork::declaration::DeclaredFile;
-use ebonyfork::platform::{VmRecord, VmState};
 use ebonyfork::revision::{
     ChangeId, ChangeRecord, HeadRecord, HeldEvidence, PublishOutcome, publish, read_change,
     read_head,
 };
-use ebonyfork_lab::platform::{OutageKind, PlatformFaults, PlatformStandIn};
+use ebonyfork::store::StoreClient;
+use ebonyfork::topology::{VmRecord, VmState};
+use ebonyfork_lab::platform::PlatformStandIn;
+use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use ebonyforkctl::run;
 use ebonyforkctl::status::ExitStatus;
 use googletest::prelude::*;
@@ -75,7 +77,7 @@
             time_ms: 0,
         };
         let value = serde_json::to_vec(&evidence).expect("JSON");
-        self.platform.put(&key, value);
+        self.platform.store().put(&key, value);
     }
 
     async fn head(&self) -> HeadRecord {
@@ -83,8 +85,8 @@
         head.expect("a head").1
     }
 
-    fn client(&self) -> ebonyfork::platform::PlatformClient {
-        ebonyfork::platform::PlatformClient::new(self.platform.address(), Duration::from_secs(2))
+    fn client(&self) -> StoreClient {
+        StoreClient::new(self.platform.client(), Duration::from_secs(2))
     }
 }
 
@@ -121,22 +123,22 @@
 async fn an_outage_and_lost_answers_end_truthfully() {
     let bench = Bench::start("faults").await;
     let apply = "apply DIR --timeout 0s";
-    let outage = |kind| PlatformFaults {
+    let outage = |kind| StoreFaults {
         outage: Some(kind),
-        ..PlatformFaults::default()
+        ..StoreFaults::default()
     };
-    bench.platform.set_faults(outage(OutageKind::Unavailable));
+    bench.platform.store().set_faults(outage(StoreOutage::Busy));
     assert_that!(bench.run(apply).await, eq(ExitStatus::Failed));
-    bench.platform.set_faults(PlatformFaults::default());
+    bench.platform.store().set_faults(StoreFaults::default());
     // Part, record and head: the answers of all three are lost after they took effect.
-    bench.platform.lose_answers(3);
+    bench.platform.store().lose_answers(3);
     assert_that!(bench.run(apply).await, eq(ExitStatus::NotEverywhere));
     assert_that!(bench.head().await.revision.0, eq(1));
     bench.write(
         "main.ini",
         "[service tender-00]\nconnections = 50\ndrain = 10s\n",
     );
-    bench.platform.lose_calls(3);
+    bench.platform.store().lose_calls(3);
     assert_that!(bench.run(apply).await, eq(ExitStatus::NotEverywhere));
     assert_that!(bench.head().await.revision.0, eq(2));
 }
@@ -192,7 +194,7 @@
     };
     let restored = other.restored_onto(&change, ChangeId([6; 16]), 0);
     let value = serde_json::to_vec(&restored).expect("JSON");
-    bench.platform.put(&restored.change.key(), value);
+    bench.platform.store().put(&restored.change.key(), value);
     bench.show(restored.head());
     assert_that!(
         bench.run("status --revision 1").await,
--- a/crates/ebonyforkd/src/main.rs
+++ b/crates/ebonyforkd/src/main.rs
@@ -7,6 +7,7 @@
 
 use ebonyfork::node::{Node, NodeOptions};
 use ebonyfork::settings::{LogSettings, NodeSettings};
+use ebonyfork_platform::PlatformStore;
 use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -50,9 +51,13 @@
     let mut reload = signal(SignalKind::hangup()).context(SystemSnafu)?;
     let hurry = CancellationToken::new();
     let options = NodeOptions::new().with_hurry(hurry.clone());
-    let node = Node::start(settings.clone(), options)
-        .await
-        .map_err(DaemonError::start)?;
+    let node = Node::start(
+        settings.clone(),
+        options,
+        PlatformStore::new(settings.platform),
+    )
+    .await
+    .map_err(DaemonError::start)?;
     loop {
         tokio::select! {
             () = signals.wait() => break,
