Wait for upstreams that come back, send nothing that can't be answered

Queries over 30 shards were begun, sent to 6 of them, failed at once and ended as 502, since something had run: 148 of them in two seconds.

Ruled out: the budget (no repeat refused), the route's kind.

Change: for 2.3 s after a process's first read a request that could not be answered with the upstreams known waits for more, if it has the time for about half of them to come; and a query that too few shards could answer is refused before anything is sent, with the time until which entries may still come. The request's line also counts repeats without budget.

--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -87,6 +87,7 @@
             return;
         }
         let present: FxHashSet<CompactString> = items.iter().map(|item| item.key.clone()).collect();
+        self.core.registry.note_read(now());
         self.core.registry.retain(&present, now());
         self.core.vms.retain(&present);
         let mut known = self.known.borrow_mut();
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -11,12 +11,25 @@
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHashSet};
 use smallvec::SmallVec;
+use tokio::sync::Notify;
 
 use crate::gateway::ident::UpstreamService;
 use crate::gateway::upstream::{Upstream, UpstreamEntry};
 
 /// How long after the store's return a missing entry is kept. Upstreams that live are back after about 2 s.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// How long after the first read most upstreams are likely to be there: they come back evenly, and with two or three of
+/// each shard half of the time brings three quarters of the shards.
+const LIKELY_TIME: Duration = Duration::from_millis(1_150);
+
+/// While upstreams may still come that the first read of the store lacked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettlingTime {
+    /// When most of them are likely to be there.
+    pub likely: Instant,
+    /// When those that are missing count as gone.
+    pub until: Instant,
+}
 
 type UpstreamList = SmallVec<[Rc<Upstream>; 4]>;
 
@@ -29,6 +42,10 @@
     missing: RefCell<FxHashMap<CompactString, Instant>>,
     /// Until when a missing entry may still come back.
     returning_until: Cell<Option<Instant>>,
+    /// When the store was first read.
+    first_read: Cell<Option<Instant>>,
+    /// Told of each entry that is new.
+    changed: Notify,
 }
 
 impl UpstreamRegistry {
@@ -50,6 +67,36 @@
         }
     }
 
+    /// Whether a service has an upstream that takes requests.
+    pub fn serves(&self, service: &UpstreamService) -> bool {
+        let services = self.services.borrow();
+        let upstreams = services.get(service);
+        upstreams.is_some_and(|list| list.iter().any(|upstream| !upstream.is_leaving()))
+    }
+
+    /// Notes that the whole store has been read.
+    pub fn note_read(&self, now: Instant) {
+        if self.first_read.get().is_none() {
+            self.first_read.set(Some(now));
+        }
+    }
+
+    /// Whether upstreams that the first read lacked may still come: the store may have returned from an outage just
+    /// before this process started.
+    pub fn settling(&self, now: Instant) -> Option<SettlingTime> {
+        let first = self.first_read.get()?;
+        let settling = SettlingTime {
+            likely: first + LIKELY_TIME,
+            until: first + RETURN_TIME,
+        };
+        (now < settling.until).then_some(settling)
+    }
+
+    /// Returns when an entry has been added.
+    pub async fn wait_change(&self) {
+        self.changed.notified().await;
+    }
+
     /// Notes that the store answers again after an outage.
     pub fn note_return(&self, now: Instant) {
         self.returning_until.set(Some(now + RETURN_TIME));
@@ -86,6 +133,7 @@
             .or_default()
             .push(Rc::clone(&upstream));
         self.entries.borrow_mut().insert(key.clone(), upstream);
+        self.changed.notify_waiters();
     }
 
     /// Takes in that an entry was removed.
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -108,14 +108,22 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("text/plain; charset=utf-8"),
     );
-    if let Some(wait) = reason.retry_after()
-        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
-    {
-        headers.insert(header::RETRY_AFTER, value);
+    if let Some(wait) = reason.retry_after() {
+        set_retry_after(&mut reply, wait);
     }
     reply
 }
 
+/// States when the caller should come back.
+pub fn set_retry_after(reply: &mut CallerReply, wait: Duration) {
+    match HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
+        Ok(value) => {
+            reply.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        Err(error) => log::error!("{wait:?} as a header: {error}"),
+    }
+}
+
 /// Passes an upstream's answer on as it is, less what concerns its connection.
 pub fn forwarded(answer: UpstreamAnswer) -> CallerReply {
     let mut headers = answer.headers;
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -132,6 +132,7 @@
             core.metrics.repeats.inc();
         } else {
             core.metrics.unfunded.inc();
+            self.unfunded.set(self.unfunded.get() + 1);
         }
         funded
     }
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -29,6 +29,11 @@
             return;
         }
         let mut choices: Vec<_> = (0..shards).map(|shard| self.choose(shard, false)).collect();
+        self.fail_unserved(&choices);
+        if self.state.judge(now()).is_some() {
+            // Too few shards have an upstream: nothing is sent, so that the caller can be told so.
+            return;
+        }
         self.postpone_hopeless(&choices);
         if matches!(self.target, RunTarget::Gather(_)) {
             self.delegate(&mut choices);
@@ -38,6 +43,15 @@
         }
     }
 
+    /// Gives up the shards that have no upstream.
+    fn fail_unserved(&mut self, choices: &[Option<UpstreamChoice>]) {
+        for (shard, choice) in choices.iter().enumerate() {
+            if choice.is_none() {
+                self.state.fail(shard);
+            }
+        }
+    }
+
     /// Postpones the shards whose parts are least likely to come in time, as far as the others suffice. The least likely
     /// go first, so that the load falls where it is highest.
     fn postpone_hopeless(&mut self, choices: &[Option<UpstreamChoice>]) {
@@ -67,10 +81,7 @@
         if state.postponed || state.out > 0 {
             return;
         }
-        let Some(choice) = choice else {
-            self.state.fail(shard);
-            return;
-        };
+        let Some(choice) = choice else { return };
         let probe = self.find_probe(shard, &choice);
         self.launch(shard, choice, Duration::ZERO);
         if let Some(probe) = probe
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -5,7 +5,9 @@
 use super::{QueryRun, RunReport, RunTarget};
 use crate::gateway::core::now;
 use crate::gateway::gather::GatherEnd;
-use crate::gateway::reply::{CallerReply, RefusalReason, forwarded, gathered, refusal};
+use crate::gateway::reply::{
+    CallerReply, RefusalReason, forwarded, gathered, refusal, set_retry_after,
+};
 
 /// Attempts that a failed request's log line names at most.
 const OPEN_LIMIT: usize = 4;
@@ -15,13 +17,14 @@
     pub(super) fn finish(mut self, end: GatherEnd) -> RunReport {
         let postponed = self.state.shards().iter().filter(|shard| shard.postponed);
         let detail = format_compact!(
-            "parts={}/{} attempts={} groups={} hedges={} retries={} lost={} postponed={}",
+            "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} lost={} postponed={}",
             self.state.answered(),
             self.state.shards().len(),
             self.live.len(),
             self.groups.len(),
             self.hedges,
             self.retries,
+            self.unfunded.get(),
             self.state.lost(),
             postponed.count()
         );
@@ -83,6 +86,12 @@
             (false, GatherEnd::Late) => RefusalReason::LateUnsent,
             (false, _) => RefusalReason::NoUpstream,
         };
-        (reason.word(), refusal(reason))
+        let mut reply = refusal(reason);
+        if reason == RefusalReason::NoUpstream
+            && let Some(wait) = self.settles_in()
+        {
+            set_retry_after(&mut reply, wait);
+        }
+        (reason.word(), reply)
     }
 }
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -9,6 +9,7 @@
 mod finish;
 mod group;
 mod retry;
+mod settle;
 mod straggler;
 
 use std::cell::{Cell, OnceCell};
@@ -105,6 +106,8 @@
     duty: Option<PartialDuty>,
     hedges: usize,
     retries: usize,
+    /// Repeats for which there was no budget.
+    unfunded: Cell<usize>,
 }
 
 /// Runs a request to its end. Dropping the future gives it up.
@@ -116,6 +119,7 @@
     standing: RequestStanding,
 ) -> RunReport {
     let mut run = QueryRun::new(core, route, target, request);
+    run.await_upstreams().await;
     run.begin(standing);
     let end = run.drive().await;
     run.finish(end)
@@ -183,6 +187,7 @@
             duty: None,
             hedges: 0,
             retries: 0,
+            unfunded: Cell::default(),
         }
     }
 
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -313,3 +313,62 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+fn gather_route(shards: &[&str], least_coverage: f64) -> (Rc<RouteEntry>, RunTarget) {
+    let terms = GatherTerms {
+        shards: shards
+            .iter()
+            .map(|shard| UpstreamService::new(*shard))
+            .collect(),
+        top: 10,
+        least_coverage,
+    };
+    let route = route(2, RouteTarget::Gather(terms.clone()));
+    (route, RunTarget::Gather(terms))
+}
+
+/// A query that too few shards could answer is refused before anything runs, and the caller told when to come back.
+#[gtest]
+#[tokio::test]
+async fn nothing_is_sent_while_too_few_shards_have_an_upstream() {
+    let test = async {
+        let core = core();
+        let known = upstreams(&core, "s0", 2, ScriptedReply::Answer(16)).await;
+        let (route, target) = gather_route(&["s0", "s1", "s2"], 0.9);
+        let clear = RequestStanding::Clear;
+        let report = run_request(&core, &route, target, request(LONG), clear).await;
+        expect_that!(report.reply.status().as_u16(), eq(503));
+        expect_that!(report.reply.headers().contains_key("retry-after"), eq(true));
+        for upstream in &known {
+            expect_that!(upstream.log.borrow().requests.len(), eq(0));
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Entries that lapsed while the store was away come back one by one; a request waits for them if it has the time.
+#[gtest]
+#[tokio::test]
+async fn a_request_waits_for_upstreams_that_are_about_to_be_registered() {
+    let test = async {
+        // The caller's patience in ms; what becomes of its request.
+        for (patience, status) in [(5_000, 200), (600, 503)] {
+            let core = core();
+            core.registry.note_read(now());
+            let _first = upstreams(&core, "s0", 1, ScriptedReply::Answer(16)).await;
+            let (route, target) = gather_route(&["s0", "s1"], 0.9);
+            let request = request(Duration::from_millis(patience));
+            let running = tokio::task::spawn_local({
+                let core = Rc::clone(&core);
+                let clear = RequestStanding::Clear;
+                async move { run_request(&core, &route, target, request, clear).await }
+            });
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            expect_that!(running.is_finished(), eq(status == 503), "{patience}");
+            let _second = upstreams(&core, "s1", 1, ScriptedReply::Answer(16)).await;
+            let report = running.await.expect("no panic");
+            expect_that!(report.reply.status().as_u16(), eq(status), "{patience}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
