--- a/crates/ebonyfork/src/gateway/follow/message.rs
+++ b/crates/ebonyfork/src/gateway/follow/message.rs
@@ -32,9 +32,11 @@
         /// The store's revision up to which everything is told.
         revision: StoreRevision,
     },
-    /// Nothing has changed; tells whether the store answers.
+    /// Nothing has changed; tells whether the sender hears from the store.
     Alive {
-        /// Whether the store answered the last call.
+        /// Whether the store answered the last call of the VM that asks it.
         answers: bool,
+        /// VMs between the sender and the store.
+        level: u8,
     },
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -23,7 +23,7 @@
 pub use message::MirrorMessage;
 pub use relay::MirrorRelay;
 
-use self::source::{ChangeSource, SETTLING_TIME, choose_source};
+use self::source::{ChangeSource, LEVELS, SETTLING_TIME, choose_source};
 use self::taker::StoreTaker;
 
 /// Everything the gateway reads stands below the store's root.
@@ -132,7 +132,7 @@
     }
 
     fn take_step(&mut self, step: crate::store::FeedStep) {
-        self.core.relay.note_answers(step.answers);
+        self.core.relay.note_answers(step.answers, 0);
         if step.answers {
             if self.failing_since.take().is_some() {
                 self.core.registry.note_return(now());
@@ -175,6 +175,7 @@
                     }
                 }
                 _ = look.tick() => {
+                    self.core.relay.send_alive();
                     if now().saturating_duration_since(heard) > SILENCE {
                         self.avoid(vm);
                         break;
@@ -217,12 +218,17 @@
                 self.put_in_force(&MirrorChange::Changed(events), revision);
                 true
             }
-            MirrorMessage::Alive { answers } => answers,
+            MirrorMessage::Alive { answers, level } => {
+                let good = answers && level < LEVELS;
+                self.core.relay.note_answers(good, level.saturating_add(1));
+                good
+            }
             MirrorMessage::Follow { .. } | MirrorMessage::Leave => true,
         }
     }
 
     fn avoid(&mut self, vm: VmAddress) {
+        self.core.relay.note_answers(false, 0);
         log::info!(target: "ebonyfork::decision", "store source vm={vm} avoided");
         self.avoided.push((vm, now() + AVOIDED_TIME));
     }
--- a/crates/ebonyfork/src/gateway/follow/relay.rs
+++ b/crates/ebonyfork/src/gateway/follow/relay.rs
@@ -23,6 +23,8 @@
     /// Whether everything was read from the store at least once.
     whole: Cell<bool>,
     answers: Cell<bool>,
+    /// VMs between this one and the store.
+    level: Cell<u8>,
     followers: RefCell<FxHashMap<SessionId, LinkSender>>,
     news: RefCell<Option<UnboundedSender<(VmAddress, MirrorMessage)>>>,
 }
@@ -49,9 +51,9 @@
     /// follower is better off elsewhere. When the store was down for all, sending everything each time took 35 MB
     /// between 89 VMs.
     fn accept(&self, peer: SessionId, from: LinkSender, known: StoreRevision) {
-        let answers = self.answers.get();
-        send(&from, MirrorMessage::Alive { answers });
-        if !answers {
+        let alive = self.alive();
+        send(&from, alive);
+        if !self.answers.get() {
             return;
         }
         if self.whole.get() && self.revision.get() != known {
@@ -102,15 +104,22 @@
         }
     }
 
-    /// Notes whether the store answers, and tells the followers.
-    pub fn note_answers(&self, answers: bool) {
+    /// Notes whether this VM hears from the store, over how many others.
+    pub fn note_answers(&self, answers: bool, level: u8) {
         self.answers.set(answers);
+        self.level.set(level);
     }
 
-    /// Tells the followers that this VM lives and whether the store answers it.
+    fn alive(&self) -> MirrorMessage {
+        MirrorMessage::Alive {
+            answers: self.answers.get(),
+            level: self.level.get(),
+        }
+    }
+
+    /// Tells the followers that this VM lives and whether it hears from the store.
     pub fn send_alive(&self) {
-        let answers = self.answers.get();
-        self.send_all(&MirrorMessage::Alive { answers });
+        self.send_all(&self.alive());
     }
 
     fn send_whole(&self, to: &LinkSender) {
