Show the soak's judge able to fail for each promise it checks

Cause: only the checks of one answer and of planned stops had a case that breaks them; drains, versions in force and the calm after all faults were methods on the whole world, which no test could feed.

Change: each check takes what it judges; a case breaks each of them and one beside it does not. New: repeats of all VMs together against the budget, over every span, and an event that kills every VM at once.

--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -14,7 +14,7 @@
 use crate::soak::world::{SoakWorld, lock};
 
 /// Kinds of events, for drawing.
-const KINDS: usize = 14;
+const KINDS: usize = 15;
 /// How long a leaving upstream goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -168,6 +168,10 @@
             format!("store slow, writes lost {lasting:?}")
         }
         12 => {
+            kill_all(fleet, pause(rng, 50, 1_500)).await?;
+            "kill every vm-".to_owned()
+        }
+        13 => {
             world.store.compact();
             "store history forgotten".to_owned()
         }
@@ -180,6 +184,18 @@
     Ok((what, false))
 }
 
+/// All VMs lose power at the same moment and come back together.
+async fn kill_all(fleet: &mut GatewayFleet, away: Duration) -> Result<(), LabError> {
+    for number in 0..fleet.vms.len() {
+        fleet.kill(number).await;
+    }
+    tokio::time::sleep(away).await;
+    for number in 0..fleet.vms.len() {
+        fleet.start_vm(number)?;
+    }
+    Ok(())
+}
+
 fn set_proxy(world: &SoakWorld, number: usize, fault: LinkFault) {
     if let Some(upstream) = lock(&world.upstreams).get(number) {
         upstream.proxy.set_fault(fault);
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -24,6 +24,11 @@
 /// Time between SIGTERM and SIGKILL.
 pub(super) const GRACE: Duration = Duration::from_secs(6);
 
+/// The budget of repeats that all VMs share: a ratio of the requests and a slack, in every such span.
+pub(super) const RETRY_RATIO: f64 = 0.2;
+pub(super) const RETRY_SLACK: f64 = 54.0;
+pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 /// One VM with its process and its link to the store.
 #[derive(Debug)]
 pub(super) struct GatewayVm {
@@ -184,13 +189,14 @@
             )
         })
         .concat();
+    let window = RETRY_WINDOW.as_secs();
     format!(
         "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {zone}-region\n\
          cpu-share = 1\ncpu-cores = 1\n[zones]\n{zones}[listen]\n\
          callers = {address}:{CALLER_PORT}\nready = {address}:{READY_PORT}\n\
          directory = {address}:{DIRECTORY_PORT}\nmetrics = {address}:{METRICS_PORT}\n\
          peer-port = {PEER_PORT}\n[store]\naddress = {store}\n[bounds]\ngrace-s = 6\n\
-         retry-ratio = 0.2\nretry-slack = 54\nretry-window-s = 10\n"
+         retry-ratio = {RETRY_RATIO}\nretry-slack = {RETRY_SLACK}\nretry-window-s = {window}\n"
     )
 }
 
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -10,7 +10,8 @@
 
 use crate::soak::callers::{CallEnd, CallRecord};
 use crate::soak::faults::SoakEvent;
-use crate::soak::world::{LEAST, SHARDS, SoakWorld, TOP, lock};
+use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::soak::world::{LEAST, PastLife, SHARDS, SoakWorld, TOP, WrittenVersion, lock};
 
 /// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
 /// another one and a request that waits for its connection all take their time.
@@ -19,6 +20,8 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(4);
 /// Share of the requests that must be served once all faults have ended.
 const CALM_SHARE: f64 = 0.95;
+/// Time after the last fault from which that holds: the recovery of all VMs at once takes about 2 s.
+const CALM_AFTER: Duration = Duration::from_secs(3);
 /// Length of one record, in bytes.
 const RECORD_BYTES: usize = 16;
 
@@ -92,19 +95,10 @@
         }
     }
     violations.extend(check_planned(calls, events));
-    violations.extend(check_drains(world, events));
-    violations.extend(check_versions(calls, world, events));
-    let calm: Vec<_> = calls
-        .iter()
-        .filter(|call| call.route != "extra" && call.from > calm_from + Duration::from_secs(3))
-        .collect();
-    let calm_served = calm.iter().filter(|call| is_served(call)).count();
-    if (calm_served as f64) < calm.len() as f64 * CALM_SHARE {
-        violations.push(format!(
-            "served {calm_served} of {} after all faults",
-            calm.len()
-        ));
-    }
+    violations.extend(check_drains(&lock(&world.past), events));
+    violations.extend(check_versions(calls, &lock(&world.versions), events));
+    violations.extend(check_repeats(calls, &arrivals));
+    violations.extend(check_calm(calls, calm_from));
     SoakVerdict {
         seed,
         calls: calls.len(),
@@ -249,9 +243,9 @@
 }
 
 /// A leaving upstream gets nothing new after seconds.
-fn check_drains(world: &SoakWorld, events: &[SoakEvent]) -> Vec<String> {
+fn check_drains(past: &[PastLife], events: &[SoakEvent]) -> Vec<String> {
     let mut violations = Vec::new();
-    for past in lock(&world.past).iter() {
+    for past in past {
         let Some(leaving) = past.leaving else {
             continue;
         };
@@ -271,8 +265,11 @@
 }
 
 /// A route that every version in force names is found, one that none names is not.
-fn check_versions(calls: &[CallRecord], world: &SoakWorld, events: &[SoakEvent]) -> Vec<String> {
-    let versions = lock(&world.versions);
+fn check_versions(
+    calls: &[CallRecord],
+    versions: &[WrittenVersion],
+    events: &[SoakEvent],
+) -> Vec<String> {
     let mut violations = Vec::new();
     for call in calls {
         let CallEnd::Answered { status, .. } = &call.end else {
@@ -303,6 +300,65 @@
     violations
 }
 
+/// Once all faults have ended almost everything is served.
+fn check_calm(calls: &[CallRecord], calm_from: Instant) -> Option<String> {
+    let from = calm_from + CALM_AFTER;
+    let calm = calls
+        .iter()
+        .filter(|call| call.route != "extra" && call.from > from);
+    let (all, served) = calm.fold((0, 0), |(all, served), call| {
+        (all + 1, served + usize::from(is_served(call)))
+    });
+    let enough = f64::from(served as u32) >= f64::from(all as u32) * CALM_SHARE;
+    (!enough).then(|| format!("served {served} of {all} after all faults"))
+}
+
+/// In no span do upstreams of a service get more arrivals beyond the first of each request than the budget of all VMs
+/// together allows.
+fn check_repeats(calls: &[CallRecord], arrivals: &[(String, ArrivalRecord)]) -> Vec<String> {
+    let mut by_service: BTreeMap<&str, Vec<&ArrivalRecord>> = BTreeMap::new();
+    for (service, arrival) in arrivals {
+        by_service.entry(service).or_default().push(arrival);
+    }
+    let mut violations = Vec::new();
+    for (service, mut arrivals) in by_service {
+        arrivals.sort_unstable_by_key(|arrival| arrival.at);
+        let mut seen = BTreeSet::new();
+        let mut repeats: Vec<Instant> = Vec::new();
+        for arrival in arrivals {
+            if !seen.insert(&arrival.request) {
+                repeats.push(arrival.at);
+            }
+        }
+        let gathered = service.starts_with("shard");
+        let sent = |call: &&CallRecord| (call.route == "gather") == gathered;
+        let requests: Vec<Instant> = calls.iter().filter(sent).map(|call| call.from).collect();
+        violations.extend(most_repeats(service, &repeats, &requests));
+    }
+    violations
+}
+
+/// The first span in which there are too many repeats. Requests of the span before count as well.
+fn most_repeats(service: &str, repeats: &[Instant], requests: &[Instant]) -> Option<String> {
+    for (number, until) in repeats.iter().enumerate() {
+        let age = |at: &Instant| until.saturating_duration_since(*at);
+        let spent = repeats[..=number]
+            .iter()
+            .filter(|at| age(at) < RETRY_WINDOW);
+        let spent = spent.count();
+        let asked = requests
+            .iter()
+            .filter(|at| *at <= until && age(at) < 2 * RETRY_WINDOW);
+        let allowed = asked.count() as f64 * RETRY_RATIO + RETRY_SLACK;
+        if spent as f64 > allowed {
+            return Some(format!(
+                "{spent} repeats at {service} in {RETRY_WINDOW:?}, {allowed} allowed"
+            ));
+        }
+    }
+    None
+}
+
 #[cfg(test)]
 #[path = "judge_tests.rs"]
 mod tests;
--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -160,3 +160,115 @@
     let killed = [stop, event("kill vm-2", false)];
     expect_that!(check_planned(&[cut], &killed).len(), eq(0));
 }
+
+fn event(what: &str, from: Instant, lasting: Duration) -> SoakEvent {
+    SoakEvent {
+        from,
+        until: from + lasting,
+        what: what.to_owned(),
+        planned: false,
+    }
+}
+
+#[gtest]
+fn new_work_at_a_leaving_upstream_is_found() {
+    let leaving = Instant::now();
+    let life = |after: Duration| PastLife {
+        service: "single".to_owned(),
+        arrivals: vec![ArrivalRecord {
+            at: leaving + after,
+            ..run("a.1", 1)
+        }],
+        leaving: Some(leaving),
+    };
+    let (soon, late) = (DRAIN_BOUND / 2, DRAIN_BOUND * 2);
+    expect_that!(check_drains(&[life(soon)], &[]).len(), eq(0));
+    expect_that!(check_drains(&[life(late)], &[]).len(), eq(1));
+    // While the store is away nobody can know.
+    let away = event("store Busy", leaving, late);
+    expect_that!(check_drains(&[life(late)], &[away]).len(), eq(0));
+}
+
+#[gtest]
+fn a_version_that_is_not_in_force_is_found() {
+    let written = Instant::now();
+    let asked = |after: Duration, status| CallRecord {
+        from: written + after,
+        until: written + after,
+        ..call("extra", status, &[], b"")
+    };
+    let late = CONFIG_BOUND * 2;
+    // The version has the extra route or not; the answer to a request for it, and whether it breaks the promise.
+    for (extra, status, broken) in [
+        (true, 404, 1),
+        (true, 200, 0),
+        (false, 200, 1),
+        (false, 404, 0),
+    ] {
+        let versions = [(7, written, extra)];
+        let found = check_versions(&[asked(late, status)], &versions, &[]);
+        expect_that!(found.len(), eq(broken), "{extra} {status}");
+        let early = check_versions(&[asked(CONFIG_BOUND / 2, status)], &versions, &[]);
+        expect_that!(early.len(), eq(0));
+    }
+    // A route that every version has is never missing.
+    let missing = call("read", 404, &[], b"");
+    expect_that!(check_versions(&[missing], &[], &[]).len(), eq(1));
+}
+
+#[gtest]
+fn a_system_that_stays_down_is_found() {
+    let calm = Instant::now();
+    let calls = |status| {
+        let call = |number: u64| CallRecord {
+            from: calm + CALM_AFTER + Duration::from_millis(number),
+            ..call("read", status, &[], b"")
+        };
+        (1..=20).map(call).collect::<Vec<_>>()
+    };
+    expect_that!(check_calm(&calls(200), calm), none());
+    expect_that!(
+        check_calm(&calls(503), calm),
+        some(contains_substring("served 0 of 20"))
+    );
+    let (mut mixed, more) = (calls(503), calls(200));
+    mixed.truncate(1);
+    mixed.extend(more);
+    expect_that!(check_calm(&mixed, calm), none());
+}
+
+#[gtest]
+fn too_many_repeats_are_found() {
+    let begin = Instant::now();
+    // One request, and as many arrivals of it as the slack allows beyond the first, or one more.
+    for (repeats, found) in [(RETRY_SLACK as usize, 0), (RETRY_SLACK as usize + 1, 1)] {
+        let arrivals: Vec<_> = (0..=repeats)
+            .map(|number| {
+                let at = begin + Duration::from_millis(number as u64);
+                (
+                    "single".to_owned(),
+                    ArrivalRecord {
+                        at,
+                        ..run("a.1", 1)
+                    },
+                )
+            })
+            .collect();
+        let violations = check_repeats(&[], &arrivals);
+        expect_that!(violations.len(), eq(found), "{repeats}");
+    }
+    // The same over a long time is no more than the slack at any time.
+    let spread: Vec<_> = (0..200)
+        .map(|number| {
+            let at = begin + RETRY_WINDOW * number / 20;
+            (
+                "single".to_owned(),
+                ArrivalRecord {
+                    at,
+                    ..run("a.1", 1)
+                },
+            )
+        })
+        .collect();
+    expect_that!(check_repeats(&[], &spread).len(), eq(0));
+}
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -40,14 +40,17 @@
     pub leaving: Option<Instant>,
 }
 
+/// A version of the configuration: its number, when it was written, whether the extra route is in it.
+pub(super) type WrittenVersion = (u64, Instant, bool);
+
 /// Everything outside the gateways.
 #[derive(Debug)]
 pub(super) struct SoakWorld {
     pub store: StoreServer,
     pub upstreams: Mutex<Vec<SoakUpstream>>,
     pub past: Mutex<Vec<PastLife>>,
-    /// Versions that were written, with the time and whether the extra route is there.
-    pub versions: Mutex<Vec<(u64, Instant, bool)>>,
+    /// Versions that were written.
+    pub versions: Mutex<Vec<WrittenVersion>>,
     lives: Mutex<u64>,
     seed: u64,
 }
