Let a request that may run once sleep until its answer

Cause, by callgrind of a gateway under the soak: a third of the instructions lay in the loop that drives a request and its timer. The time at which an attempt is next looked at as a straggler moves on only where a second attempt may be sent; for requests that may run once it stayed in the past, so the timer fired at once, again and again, from the 90th percentile of such attempts to the answer.

Change: those times count only where stragglers are looked for. The test asks for the next wake at six moments and both kinds; it failed for the one kind.

--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -238,6 +238,11 @@
 
     fn next_wake(&self, time: Instant) -> Instant {
         let mut wake = self.state.next_judgement(time);
+        if self.route.repeat == RepeatKind::Once {
+            // No second attempt is ever sent beside the first, so nobody looks for stragglers. With their times in here
+            // each such request kept the processor busy from its 90th percentile to its answer.
+            return wake;
+        }
         for attempt in &self.live {
             if attempt.ended || !self.state.shards()[attempt.shard].is_open() {
                 continue;
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -208,6 +208,32 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// A request that waits must sleep: a time to wake that has passed already would keep the processor busy until the answer.
+#[gtest]
+#[tokio::test]
+async fn the_next_wake_is_never_in_the_past() {
+    let test = async {
+        for repeat in [RepeatKind::Idempotent, RepeatKind::Once] {
+            let core = core();
+            let _held = upstreams(&core, "s", 2, ScriptedReply::Hold).await;
+            let (route, target) = one(2);
+            let route = Rc::new(RouteEntry {
+                repeat,
+                ..RouteEntry::clone(&route)
+            });
+            let mut run = QueryRun::new(&core, &route, target, request(LONG));
+            run.begin(RequestStanding::Clear);
+            for after_ms in [1, 40, 100, 450, 2_000, 8_000] {
+                let time = run.request.received + Duration::from_millis(after_ms);
+                run.look_for_stragglers(time);
+                let wake = run.next_wake(time);
+                expect_that!(wake, gt(time), "{repeat:?} after {after_ms} ms");
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// An attempt that ran out of time before it was sent says nothing about the upstream.
 #[gtest]
 #[tokio::test]
