--- a/crates/ebonyfork-lab/src/upstream/mod.rs
+++ b/crates/ebonyfork-lab/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 //! own, beyond which it sheds. What started goes on when the caller's connection breaks, as real servers do, so that a
 //! doubled run shows in the journal.
 
+mod job;
 mod server;
 mod service_time;
 mod settings;
