--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -5,7 +5,7 @@
 use super::*;
 use crate::gateway::fixture::entry;
 
-const KEY: CompactString = CompactString::const_new("servers/i-1");
+const KEY: CompactString = CompactString::const_new("upstreams/i-1");
 
 fn address() -> SocketAddr {
     ([127, 0, 0, 1], 1).into()
@@ -79,7 +79,7 @@
     let now = Instant::now();
     let registry = UpstreamRegistry::new();
     registry.put(&KEY, entry("i-1", "s", "north-a", address()), now, 1);
-    let other = CompactString::const_new("servers/i-2");
+    let other = CompactString::const_new("upstreams/i-2");
     registry.put(&other, entry("i-2", "t", "north-a", address()), now, 1);
     registry.remove(&KEY, now);
     expect_that!(registry.upstreams(&service()).len(), eq(0));
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -60,10 +60,10 @@
 
 #[gtest]
 fn a_key_never_goes_back() {
-    let mut mirror = following(vec![item("op/config", 20)], 15);
-    let older = StoreEvent::Written(item("op/config", 17));
+    let mut mirror = following(vec![item("config/newest", 20)], 15);
+    let older = StoreEvent::Written(item("config/newest", 17));
     expect_that!(mirror.take_watch(watch(vec![older], 18)), none());
-    let newer = StoreEvent::Written(item("op/config", 21));
+    let newer = StoreEvent::Written(item("config/newest", 21));
     let change = mirror.take_watch(watch(vec![newer.clone()], 21));
     expect_that!(change, some(eq(&MirrorChange::Changed(vec![newer]))));
 }
