Revert the tree of followers: one VM of a zone tells the others again

Likely: a VM that changes its source to one at another revision is sent everything, and in a tree passes everything on.

--- a/crates/ebonyfork/src/gateway/follow/message.rs
+++ b/crates/ebonyfork/src/gateway/follow/message.rs
@@ -32,11 +32,9 @@
         /// The store's revision up to which everything is told.
         revision: StoreRevision,
     },
-    /// Nothing has changed; tells whether the sender hears from the store.
+    /// Nothing has changed; tells whether the store answers.
     Alive {
-        /// Whether the store answered the last call of the VM that asks it.
+        /// Whether the store answered the last call.
         answers: bool,
-        /// VMs between the sender and the store.
-        level: u8,
     },
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -23,7 +23,7 @@
 pub use message::MirrorMessage;
 pub use relay::MirrorRelay;
 
-use self::source::{ChangeSource, LEVELS, SETTLING_TIME, choose_source};
+use self::source::{ChangeSource, SETTLING_TIME, choose_source};
 use self::taker::StoreTaker;
 
 /// Everything the gateway reads stands below the store's root.
@@ -132,7 +132,7 @@
     }
 
     fn take_step(&mut self, step: crate::store::FeedStep) {
-        self.core.relay.note_answers(step.answers, 0);
+        self.core.relay.note_answers(step.answers);
         if step.answers {
             if self.failing_since.take().is_some() {
                 self.core.registry.note_return(now());
@@ -175,7 +175,6 @@
                     }
                 }
                 _ = look.tick() => {
-                    self.core.relay.send_alive();
                     if now().saturating_duration_since(heard) > SILENCE {
                         self.avoid(vm);
                         break;
@@ -218,17 +217,12 @@
                 self.put_in_force(&MirrorChange::Changed(events), revision);
                 true
             }
-            MirrorMessage::Alive { answers, level } => {
-                let good = answers && level < LEVELS;
-                self.core.relay.note_answers(good, level.saturating_add(1));
-                good
-            }
+            MirrorMessage::Alive { answers } => answers,
             MirrorMessage::Follow { .. } | MirrorMessage::Leave => true,
         }
     }
 
     fn avoid(&mut self, vm: VmAddress) {
-        self.core.relay.note_answers(false, 0);
         log::info!(target: "ebonyfork::decision", "store source vm={vm} avoided");
         self.avoided.push((vm, now() + AVOIDED_TIME));
     }
--- a/crates/ebonyfork/src/gateway/follow/relay.rs
+++ b/crates/ebonyfork/src/gateway/follow/relay.rs
@@ -23,8 +23,6 @@
     /// Whether everything was read from the store at least once.
     whole: Cell<bool>,
     answers: Cell<bool>,
-    /// VMs between this one and the store.
-    level: Cell<u8>,
     followers: RefCell<FxHashMap<SessionId, LinkSender>>,
     news: RefCell<Option<UnboundedSender<(VmAddress, MirrorMessage)>>>,
 }
@@ -51,9 +49,9 @@
     /// follower is better off elsewhere. When the store was down for all, sending everything each time took 35 MB
     /// between 89 VMs.
     fn accept(&self, peer: SessionId, from: LinkSender, known: StoreRevision) {
-        let alive = self.alive();
-        send(&from, alive);
-        if !self.answers.get() {
+        let answers = self.answers.get();
+        send(&from, MirrorMessage::Alive { answers });
+        if !answers {
             return;
         }
         if self.whole.get() && self.revision.get() != known {
@@ -104,22 +102,15 @@
         }
     }
 
-    /// Notes whether this VM hears from the store, over how many others.
-    pub fn note_answers(&self, answers: bool, level: u8) {
+    /// Notes whether the store answers, and tells the followers.
+    pub fn note_answers(&self, answers: bool) {
         self.answers.set(answers);
-        self.level.set(level);
     }
 
-    fn alive(&self) -> MirrorMessage {
-        MirrorMessage::Alive {
-            answers: self.answers.get(),
-            level: self.level.get(),
-        }
-    }
-
-    /// Tells the followers that this VM lives and whether it hears from the store.
+    /// Tells the followers that this VM lives and whether the store answers it.
     pub fn send_alive(&self) {
-        self.send_all(&self.alive());
+        let answers = self.answers.get();
+        self.send_all(&MirrorMessage::Alive { answers });
     }
 
     fn send_whole(&self, to: &LinkSender) {
--- a/crates/ebonyfork/src/gateway/follow/source.rs
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -1,10 +1,9 @@
 //! Where a VM gets the store's changes from: from the store itself, or from another VM that asks it.
 //!
 //! Every call to the store has a price and the store's rates grow more slowly than the fleet. In each availability zone
-//! one VM asks it; the others hear of changes from one another, in a tree in which each tells [`FOLLOWERS`] others. Its
-//! order is that of the VMs' hashes, which each VM reckons for itself from gossip, so nothing is agreed on. A VM follows
-//! only VMs that come before it in that order, so that two that see different members never follow each other. A VM that
-//! finds no other to follow asks the store itself.
+//! one VM asks it; the others follow that one. Who asks is reckoned by each VM for itself from gossip, by rendezvous
+//! hashing, so nothing is agreed on; two VMs that disagree for a moment cost a few calls. A VM that finds no other to
+//! follow asks the store itself.
 
 use std::time::Duration;
 
@@ -13,12 +12,9 @@
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberSnapshot, MemberState};
 
-/// VMs that one VM tells of changes. A zone of 490 VMs has three levels then, and nobody sends a change more often than 16
-/// times; with one level a change was in force after 13, 199 and 1,390 ms at 30, 100 and 300 VMs.
-pub const FOLLOWERS: usize = 16;
-/// Levels of the tree from which on a source is no good. 16 followers each fill three with a zone of 4,369 VMs; more
-/// shows that VMs follow one another in a circle, each taking the other for one that hears from the store.
-pub const LEVELS: u8 = 8;
+/// VMs of a zone that ask the store. While the one is away the others ask for themselves, for some seconds; a second one
+/// asking all the time cost more calls than that.
+pub const ASKING_VMS: usize = 1;
 /// Time after a start before another VM is followed: by then gossip knows the others. At 89 VMs that start together each
 /// second more costs some 350 calls.
 pub const SETTLING_TIME: Duration = Duration::from_millis(800);
@@ -32,8 +28,8 @@
     Vm(VmAddress),
 }
 
-/// The VMs of a zone in the order of their hashes; the first one asks the store.
-fn ranked_vms(members: &MemberSnapshot, zone: &ZoneName) -> Vec<VmAddress> {
+/// The VMs of a zone that ask the store, those first that come first by hash.
+pub fn asking_vms(members: &MemberSnapshot, zone: &ZoneName) -> Vec<VmAddress> {
     let mut alive: Vec<VmAddress> = members
         .members()
         .iter()
@@ -41,14 +37,10 @@
         .map(|member| member.vm)
         .collect();
     alive.sort_unstable_by_key(|vm| (xxh3_64(vm.to_string().as_bytes()), *vm));
+    alive.truncate(ASKING_VMS);
     alive
 }
 
-/// The VM of a zone that asks the store.
-fn asking_vm(members: &MemberSnapshot, zone: &ZoneName) -> Option<VmAddress> {
-    ranked_vms(members, zone).first().copied()
-}
-
 /// Chooses the source of a VM. `avoided` are VMs that have lately been no good source; `refused` tells that the store
 /// does not answer this VM.
 pub fn choose_source(
@@ -58,21 +50,22 @@
     avoided: &[VmAddress],
     refused: bool,
 ) -> ChangeSource {
-    let ranked = ranked_vms(members, zone);
-    let usable = |vm: &VmAddress| *vm != own && !avoided.contains(vm);
-    // A VM that gossip does not name yet comes last.
-    let place = ranked.iter().position(|vm| *vm == own);
-    let mut place = place.unwrap_or(ranked.len());
-    while place > 0 {
-        place = (place - 1) / FOLLOWERS;
-        if let Some(vm) = ranked.get(place).filter(|vm| usable(vm)) {
-            return ChangeSource::Vm(*vm);
-        }
+    let asking = asking_vms(members, zone);
+    if asking.contains(&own) && !refused {
+        return ChangeSource::Store;
+    }
+    let usable = |vm: &&VmAddress| **vm != own && !avoided.contains(vm);
+    // Followers spread over the VMs that ask.
+    let own_hash = xxh3_64(own.to_string().as_bytes()) as usize;
+    let start = own_hash % asking.len().max(1);
+    let (later, first) = asking.split_at(start);
+    if let Some(vm) = first.iter().chain(later).find(usable) {
+        return ChangeSource::Vm(*vm);
     }
     if !refused {
         return ChangeSource::Store;
     }
-    // The store turns this VM away and no VM before it can help: one of another zone may have more luck.
+    // The store turns this VM away and the zone has nobody who asks: a VM of another zone may have more luck.
     let mut zones: Vec<&ZoneName> = members
         .members()
         .iter()
@@ -81,8 +74,8 @@
     zones.sort_unstable();
     zones.dedup();
     for other in zones {
-        if let Some(vm) = asking_vm(members, other).filter(|vm| usable(vm)) {
-            return ChangeSource::Vm(vm);
+        if let Some(vm) = asking_vms(members, other).iter().find(usable) {
+            return ChangeSource::Vm(*vm);
         }
     }
     ChangeSource::Store
