--- a/crates/ebonyfork-lab/src/platform/mod.rs
+++ b/crates/ebonyfork-lab/src/platform/mod.rs
@@ -5,11 +5,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ebonyfork::topology::{VM_LIST_PREFIX, VmRecord, VmState};
 use ebonyfork_platform::PlatformStore;
+use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store::KvStore;
 use ebonyfork_stand_in::store_server::StoreServer;
 
@@ -167,10 +168,6 @@
     serde_json::to_vec(record).unwrap_or_default()
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 #[cfg(test)]
 #[path = "platform_tests.rs"]
 mod tests;
--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use ebonyfork_stand_in::upstream::UpstreamFaults;
 use rand::{Rng, RngExt};
@@ -11,7 +12,7 @@
 use crate::error::LabError;
 use crate::soak::fleet::GatewayFleet;
 use crate::soak::proxy::LinkFault;
-use crate::soak::world::{SoakWorld, lock};
+use crate::soak::world::SoakWorld;
 
 /// Kinds of events, for drawing.
 const KINDS: usize = 15;
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::upstream::ArrivalRecord;
 use http::HeaderMap;
 use tokio::time::Instant;
@@ -11,7 +12,7 @@
 use crate::soak::callers::{CallEnd, CallRecord};
 use crate::soak::faults::SoakEvent;
 use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
-use crate::soak::world::{LEAST, PastLife, SHARDS, SoakWorld, TOP, WrittenVersion, lock};
+use crate::soak::world::{LEAST, PastLife, SHARDS, SoakWorld, TOP, WrittenVersion};
 
 /// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
 /// another one and a request that waits for its connection all take their time.
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -1,9 +1,10 @@
 //! What surrounds the gateways: the store, the upstreams behind proxies, the operator's configuration.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
+use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_server::StoreServer;
 use ebonyfork_stand_in::upstream::{ArrivalRecord, UpstreamServer};
 use serde_json::{Value, json};
@@ -55,10 +56,6 @@
     seed: u64,
 }
 
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl SoakWorld {
     pub(super) async fn start(seed: u64) -> Result<Self, LabError> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
