Keep an answer's body in one place

An answer held the beginning of its body twice, beside and inside the stream of its rest, and whoever passed it on had to pick one. It is one body now, whole or still coming in; the stream holds its connection and the stated idle time side by side. Behaviour is the same; the tests are untouched but for the fixture that builds an answer.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, Response, StatusCode, header};
 
 use crate::gateway::core::{GatewayCore, RouteLatency, now};
 use crate::gateway::latency::millis;
 use crate::gateway::loss;
-use crate::gateway::reply_body::AnswerStream;
+use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::RepeatKind;
 use crate::gateway::slots::SlotOrder;
@@ -32,17 +31,15 @@
 /// a longer one is passed on as it comes, so that it takes no more of a VM's memory (160 MB on the smallest).
 const WHOLE_LIMIT: usize = 256 * 1024;
 
-/// An upstream's whole answer.
+/// An upstream's answer.
 #[derive(Debug)]
 pub struct UpstreamAnswer {
     /// Its status.
     pub status: StatusCode,
     /// Its headers, those of the connection included.
     pub headers: HeaderMap,
-    /// Its body, or the beginning of one that is still coming in.
-    pub body: Bytes,
-    /// The whole of an answer whose rest is still to come.
-    pub rest: Option<Box<AnswerStream>>,
+    /// Its body, which may still be coming in.
+    pub body: ReplyBody,
 }
 
 /// What became of an attempt.
@@ -292,21 +289,19 @@
     }
     let keeps = keeps_connection(&head.headers);
     let idle = idle_time(&head.headers);
-    let rest = match (body.rest, context.stream_patience) {
+    let body = match (body.rest, context.stream_patience) {
         (None, _) => {
             if keeps {
                 upstream.keep(held, idle);
             }
-            None
+            ReplyBody::Whole(body.begun)
         }
         (Some(rest), Some(patience)) if !declined => {
-            let begun = (body.begun.clone(), rest);
-            let stream = AnswerStream::new(begun, held, upstream, patience);
-            Some(Box::new(if keeps {
-                stream.with_kept_link(idle)
-            } else {
-                stream
-            }))
+            let mut stream = AnswerStream::new((body.begun, rest), held, upstream, patience);
+            if keeps {
+                stream = stream.with_kept_link(idle);
+            }
+            ReplyBody::Stream(Box::new(stream))
         }
         (Some(_), _) => return AttemptOutcome::Lost("the answer is too long".into()),
     };
@@ -317,8 +312,7 @@
     AttemptOutcome::Answered(UpstreamAnswer {
         status: head.status,
         headers: head.headers,
-        body: body.begun,
-        rest,
+        body,
     })
 }
 
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -103,9 +103,8 @@
     let value = HeaderValue::from_str(signature).expect("a valid signature");
     headers.insert(wire_names().signature, value);
     UpstreamAnswer {
-        rest: None,
         status: StatusCode::OK,
         headers,
-        body: Bytes::from_static(body),
+        body: Bytes::from_static(body).into(),
     }
 }
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -128,10 +128,7 @@
 pub fn forwarded(answer: UpstreamAnswer) -> CallerReply {
     let mut headers = answer.headers;
     strip_hop_headers(&mut headers);
-    let body = match answer.rest {
-        Some(stream) => ReplyBody::Stream(stream),
-        None => answer.body.into(),
-    };
+    let body = answer.body;
     if !body.is_end_stream() {
         // The body states its length itself. An answer without one, as to HEAD, keeps what it says.
         headers.remove(header::CONTENT_LENGTH);
--- a/crates/ebonyfork/src/gateway/reply_body.rs
+++ b/crates/ebonyfork/src/gateway/reply_body.rs
@@ -53,9 +53,12 @@
 pub struct AnswerStream {
     begun: Bytes,
     rest: Incoming,
-    /// The connection that carries it, with the idle time that the upstream has stated; `None` once it was given back.
-    link: Option<(HeldLink, Option<Duration>)>,
+    /// The connection that carries it; `None` once it was given back.
+    link: Option<HeldLink>,
+    /// Whether the connection takes other requests afterwards.
     keeps: bool,
+    /// The idle time that the upstream has stated.
+    idle: Option<Duration>,
     upstream: Rc<Upstream>,
     /// Longest silence before the answer is given up.
     patience: Duration,
@@ -82,8 +85,9 @@
         Self {
             begun,
             rest,
-            link: Some((held, None)),
+            link: Some(held),
             keeps: false,
+            idle: None,
             upstream: Rc::clone(upstream),
             patience,
             silence: Box::pin(tokio::time::sleep(patience)),
@@ -95,9 +99,7 @@
     #[must_use]
     pub fn with_kept_link(mut self, idle: Option<Duration>) -> Self {
         self.keeps = true;
-        if let Some((_held, stated)) = &mut self.link {
-            *stated = idle;
-        }
+        self.idle = idle;
         self
     }
 
@@ -133,11 +135,10 @@
 
     /// The whole answer has come: its connection takes other requests.
     fn give_back(&mut self) {
-        let Some((held, idle)) = self.link.take() else {
-            return;
-        };
-        if self.keeps {
-            self.upstream.keep(held, idle);
+        if let Some(held) = self.link.take()
+            && self.keeps
+        {
+            self.upstream.keep(held, self.idle);
         }
     }
 }
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -76,7 +76,8 @@
         let Some(signature) = answer.headers.get(&names.signature).cloned() else {
             return;
         };
-        self.state.take_part(shard, signature, answer.body.clone());
+        self.state
+            .take_part(shard, signature, answer.body.begun().clone());
         if matches!(self.target, RunTarget::One(_)) && self.single.is_none() {
             self.single = Some(answer);
         }
