An upstream's life is its name and its start; entries of other writers name no upstream

Upstreams may start again under their name. An entry with another start is another life: the upstream before leaves, with its connections, samples and the requests that broke under it, and counts as another one where attempts are bounded.

--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -15,7 +15,7 @@
 use crate::soak::world::SoakWorld;
 
 /// Kinds of events, for drawing.
-const KINDS: usize = 15;
+const KINDS: usize = 17;
 /// How long a leaving upstream goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -142,32 +142,7 @@
             drain(world, upstream).await?;
             return Ok((format!("upstream {upstream} drained"), true));
         }
-        10 => {
-            let outage = [
-                StoreOutage::Busy,
-                StoreOutage::Limited,
-                StoreOutage::Reset,
-                StoreOutage::Silent,
-            ][rng.random_range(0..4)];
-            world.store.set_faults(StoreFaults {
-                outage: Some(outage),
-                ..StoreFaults::default()
-            });
-            tokio::time::sleep(lasting).await;
-            world.store.set_faults(StoreFaults::default());
-            format!("store {outage:?} {lasting:?}")
-        }
-        11 => {
-            world.store.set_faults(StoreFaults {
-                delay: Duration::from_millis(rng.random_range(50..400)),
-                lose_writes: 0.5,
-                late: Duration::from_millis(rng.random_range(0..2_000)),
-                ..StoreFaults::default()
-            });
-            tokio::time::sleep(lasting).await;
-            world.store.set_faults(StoreFaults::default());
-            format!("store slow, writes lost {lasting:?}")
-        }
+        kind @ (10 | 11) => run_outage(kind == 10, lasting, rng, world).await,
         12 => {
             kill_all(fleet, pause(rng, 50, 1_500)).await?;
             "kill every vm-".to_owned()
@@ -176,6 +151,17 @@
             world.store.compact();
             "store history forgotten".to_owned()
         }
+        14 => {
+            let seen = rng.random_bool(0.5);
+            let instance = world
+                .restart_upstream(upstream, pause(rng, 50, 2_000), seen)
+                .await?;
+            format!("restart of {instance} under its name, entry gone: {seen}")
+        }
+        15 => {
+            world.write_foreign(lasting).await;
+            format!("entries of another writer {lasting:?}")
+        }
         _ => {
             let extra = lock(&world.versions).len() % 2 == 1;
             world.write_config(extra);
@@ -185,6 +171,41 @@
     Ok((what, false))
 }
 
+/// The store is away, or slow and forgetful, for a time.
+async fn run_outage(
+    away: bool,
+    lasting: Duration,
+    rng: &mut ChaCha8Rng,
+    world: &SoakWorld,
+) -> String {
+    let outages = [
+        StoreOutage::Busy,
+        StoreOutage::Limited,
+        StoreOutage::Reset,
+        StoreOutage::Silent,
+    ];
+    let (faults, what) = if away {
+        let outage = outages[rng.random_range(0..outages.len())];
+        let faults = StoreFaults {
+            outage: Some(outage),
+            ..StoreFaults::default()
+        };
+        (faults, format!("store {outage:?} {lasting:?}"))
+    } else {
+        let faults = StoreFaults {
+            delay: Duration::from_millis(rng.random_range(50..400)),
+            lose_writes: 0.5,
+            late: Duration::from_millis(rng.random_range(0..2_000)),
+            ..StoreFaults::default()
+        };
+        (faults, format!("store slow, writes lost {lasting:?}"))
+    };
+    world.store.set_faults(faults);
+    tokio::time::sleep(lasting).await;
+    world.store.set_faults(StoreFaults::default());
+    what
+}
+
 /// All VMs lose power at the same moment and come back together.
 async fn kill_all(fleet: &mut GatewayFleet, away: Duration) -> Result<(), LabError> {
     for number in 0..fleet.vms.len() {
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -99,9 +99,19 @@
             *lives
         };
         let instance = format!("i-{:x}-{life}", self.seed);
+        self.start_upstream(service, zone, &instance).await
+    }
+
+    /// Starts an upstream under a name, which an earlier life may have had, and registers it.
+    pub(super) async fn start_upstream(
+        &self,
+        service: &str,
+        zone: &'static str,
+        instance: &str,
+    ) -> Result<(), LabError> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let work = Duration::from_millis(if service == "single" { 20 } else { 8 });
-        let server = UpstreamServer::start(listen, &instance, service, work).await;
+        let server = UpstreamServer::start(listen, instance, service, work).await;
         let server = server.map_err(|source| LabError::System {
             what: "an upstream's listener",
             source,
@@ -143,6 +153,58 @@
         (service, upstream.zone)
     }
 
+    /// Ends an upstream and starts it again under its name; `seen` tells whether its entry is gone meanwhile.
+    pub(super) async fn restart_upstream(
+        &self,
+        number: usize,
+        away: Duration,
+        seen: bool,
+    ) -> Result<String, LabError> {
+        let (instance, stale) = {
+            let upstreams = lock(&self.upstreams);
+            let upstream = &upstreams[number];
+            let entry = upstream.server.entry(upstream.zone, "ready");
+            let own = upstream.server.address().to_string();
+            let entry = entry.replace(&own, &upstream.proxy.address().to_string());
+            (upstream.server.instance().to_owned(), entry)
+        };
+        let (service, zone) = self.end_upstream(number, None);
+        if !seen {
+            self.store.put(&format!("servers/{instance}"), stale);
+        }
+        tokio::time::sleep(away).await;
+        self.start_upstream(&service, zone, &instance).await?;
+        Ok(instance)
+    }
+
+    /// Writes entries as other writers leave them: each names an address where nobody must be asked. They go after a
+    /// time.
+    pub(super) async fn write_foreign(&self, lasting: Duration) {
+        let good = json!({
+            "service": "shard0", "address": "127.0.0.1:9", "zone": ZONES[0], "version": "v1",
+            "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1, "born": 1,
+        });
+        let mut entries = vec!["{".to_owned(), String::new(), "\u{fffd}".to_owned()];
+        for (field, value) in [
+            ("state", json!("resting")),
+            ("capacity", json!("2")),
+            ("service", json!("nobody")),
+            ("born", json!(1.5)),
+            ("sequence", Value::Null),
+        ] {
+            let mut entry = good.clone();
+            entry[field] = value;
+            entries.push(entry.to_string());
+        }
+        for (number, entry) in entries.into_iter().enumerate() {
+            self.store.put(&format!("servers/foreign-{number}"), entry);
+        }
+        tokio::time::sleep(lasting).await;
+        for key in self.store.keys("servers/foreign-") {
+            self.store.remove(&key);
+        }
+    }
+
     /// Writes a new version of the configuration, with or without the extra route.
     pub(super) fn write_config(&self, extra: bool) {
         let mut versions = lock(&self.versions);
--- a/crates/ebonyfork/src/gateway/choice.rs
+++ b/crates/ebonyfork/src/gateway/choice.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::gateway::core::RouteLatency;
-use crate::gateway::ident::InstanceName;
+use crate::gateway::ident::UpstreamLife;
 use crate::gateway::latency::AttemptKind;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
@@ -30,7 +30,7 @@
 /// Chooses among the upstreams of a service that are allowed and don't leave.
 pub fn choose_upstream(
     candidates: &[Rc<Upstream>],
-    allowed: impl Fn(&Upstream, &InstanceName) -> bool,
+    allowed: impl Fn(&Upstream, &UpstreamLife) -> bool,
     place: &NodePlace,
     latency: &RouteLatency,
     now: Instant,
@@ -41,7 +41,7 @@
     for number in 0..candidates.len() {
         let upstream = &candidates[(number + offset) % candidates.len()];
         let entry = upstream.entry();
-        if upstream.is_leaving() || !allowed(upstream, &entry.instance) {
+        if upstream.is_leaving() || !allowed(upstream, &entry.life()) {
             continue;
         }
         let distance = place.distance(&entry.zone);
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -88,6 +88,7 @@
 pub fn entry(instance: &str, service: &str, zone: &str, address: SocketAddr) -> UpstreamEntry {
     UpstreamEntry {
         instance: InstanceName::new(instance),
+        born: None,
         service: UpstreamService::new(service),
         address,
         zone: PlaceName::new(zone),
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -148,7 +148,14 @@
                 let share = self.core.connection_share(&entry.service);
                 self.core.registry.put(&item.key, entry, now(), share);
             }
-            Err(error) => log::error!("upstream revision={} not read: {error}", item.revision),
+            // Whatever stood there before is no longer stated by anybody; all other entries hold.
+            Err(error) => {
+                self.core.registry.disown(&item.key);
+                log::warn!(
+                    target: "ebonyfork::decision",
+                    "upstream entry ignored revision={}: {error}", item.revision
+                );
+            }
         }
     }
 
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -28,6 +28,12 @@
         },
         read_upstream: |key, value| {
             let service = String::from_utf8_lossy(value);
+            if service == "unreadable" {
+                return Err(crate::gateway::dialect::DecodeError {
+                    key: key.into(),
+                    reason: "unreadable".into(),
+                });
+            }
             Ok(entry(key, &service, "north-a", ([127, 0, 0, 1], 1).into()))
         },
         ..dialect()
@@ -99,3 +105,22 @@
     taker.take(&MirrorChange::Changed(vec![lower]), StoreRevision(21));
     expect_that!(version(&taker), eq(7));
 }
+
+/// What can't be read names no upstream, even if its key named one before; the others hold.
+#[gtest]
+fn an_entry_that_becomes_unreadable_is_no_upstream_any_more() {
+    let taker = taker();
+    let items = vec![
+        item("upstream/a", "s", 1),
+        item("upstream/b", "s", 2),
+        item("upstream/c", "unreadable", 3),
+    ];
+    taker.take(&MirrorChange::Replaced(items), StoreRevision(3));
+    expect_that!(upstreams(&taker, "s"), eq(2));
+    let event = StoreEvent::Written(item("upstream/b", "unreadable", 4));
+    taker.take(&MirrorChange::Changed(vec![event]), StoreRevision(4));
+    expect_that!(upstreams(&taker, "s"), eq(1));
+    let event = StoreEvent::Written(item("upstream/b", "s", 5));
+    taker.take(&MirrorChange::Changed(vec![event]), StoreRevision(5));
+    expect_that!(upstreams(&taker, "s"), eq(2));
+}
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -59,7 +59,9 @@
 };
 pub use follow::MirrorMessage;
 pub use gather::{GatherEnd, GatherState};
-pub use ident::{ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamService};
+pub use ident::{
+    BirthTime, ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamLife, UpstreamService,
+};
 pub use latency::{AttemptKind, LatencyTrack};
 pub use merge::{RECORD_BYTES, merge_records};
 pub use node::{GatewayError, GatewayNode};
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -109,7 +109,9 @@
         if let Some(known) = known {
             let same = {
                 let before = known.entry();
-                before.instance == entry.instance
+                // A crash and a start within one heartbeat show only here: connections, samples and lost requests
+                // of the life before would be taken for those of the new one.
+                before.life() == entry.life()
                     && before.address == entry.address
                     && before.service == entry.service
             };
@@ -123,7 +125,7 @@
         log::info!(
             target: "ebonyfork::decision",
             "upstream add instance={} service={} address={} zone={} leaving={}",
-            entry.instance, entry.service, entry.address, entry.zone, entry.leaving
+            entry.life(), entry.service, entry.address, entry.zone, entry.leaving
         );
         let service = entry.service.clone();
         let upstream = Rc::new(Upstream::new(entry, now, share));
@@ -136,6 +138,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes out an entry that names no upstream any more, whatever the store has been through.
+    pub fn disown(&self, key: &CompactString) {
+        self.take_out(key, "its entry names no upstream");
+    }
+
     /// Takes in that an entry was removed.
     pub fn remove(&self, key: &CompactString, now: Instant) {
         let returning = self.returning_until.get().filter(|until| now < *until);
@@ -190,7 +197,7 @@
         log::info!(
             target: "ebonyfork::decision",
             "upstream drop instance={} service={} address={}: {reason}",
-            entry.instance, entry.service, entry.address
+            entry.life(), entry.service, entry.address
         );
         let mut services = self.services.borrow_mut();
         let Some(listed) = services.get_mut(&entry.service) else {
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::gateway::fixture::entry;
+use crate::gateway::ident::BirthTime;
 
 const KEY: CompactString = CompactString::const_new("upstreams/i-1");
 
@@ -86,3 +87,38 @@
     let reused = registry.upstreams(&UpstreamService::new("t"));
     expect_that!(reused[0].entry().instance.as_str(), eq("i-2"));
 }
+
+/// The same name with another start is another life: nothing that was learnt of the one before holds for it.
+#[gtest]
+fn an_upstream_that_starts_again_under_its_name_is_another_one() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    let mut first = entry("i-1", "s", "north-a", address());
+    first.born = Some(BirthTime(1_000));
+    registry.put(&KEY, first.clone(), now, 1);
+    let before = Rc::clone(&registry.upstreams(&service())[0]);
+    before.health.borrow_mut().note_failure(now, now);
+    // A heartbeat of the same life changes nothing.
+    registry.put(&KEY, first.clone(), now, 1);
+    expect_that!(
+        Rc::ptr_eq(&before, &registry.upstreams(&service())[0]),
+        eq(true)
+    );
+    first.born = Some(BirthTime(9_000));
+    registry.put(&KEY, first, now, 1);
+    let listed = registry.upstreams(&service());
+    expect_that!(listed.len(), eq(1));
+    expect_that!(Rc::ptr_eq(&before, &listed[0]), eq(false));
+    expect_that!(before.is_leaving(), eq(true));
+    expect_that!(listed[0].health.borrow().success(now), eq(1.0));
+}
+
+#[gtest]
+fn an_entry_that_is_disowned_is_gone_also_while_others_may_return() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    registry.put(&KEY, entry("i-1", "s", "north-a", address()), now, 1);
+    registry.note_return(now);
+    registry.disown(&KEY);
+    expect_that!(registry.upstreams(&service()).len(), eq(0));
+}
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -12,7 +12,7 @@
 use crate::gateway::core::now;
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
 use crate::gateway::hedge::HedgeQuestion;
-use crate::gateway::ident::InstanceName;
+use crate::gateway::ident::UpstreamLife;
 use crate::gateway::latency::AttemptKind;
 use crate::gateway::route::RepeatKind;
 use crate::gateway::settings::PlaceDistance;
@@ -37,7 +37,7 @@
     /// The upstream it goes to; for one that another VM gathers, the upstream it would have gone to.
     pub upstream: Rc<Upstream>,
     /// That upstream's life.
-    pub instance: InstanceName,
+    pub life: UpstreamLife,
     /// How it gets there.
     pub kind: AttemptKind,
     /// Whether the request may have run there.
@@ -106,7 +106,7 @@
     pub(super) fn upstreams_run(
         &self,
         shard: usize,
-    ) -> SmallVec<[(AttemptKind, &InstanceName); 4]> {
+    ) -> SmallVec<[(AttemptKind, &UpstreamLife); 4]> {
         let mut upstreams = SmallVec::new();
         for attempt in self.attempts_of(shard) {
             let delegated = attempt.kind == AttemptKind::Delegated;
@@ -115,7 +115,7 @@
             } else {
                 AttemptKind::Zone
             };
-            let upstream = (kind, &attempt.instance);
+            let upstream = (kind, &attempt.life);
             if attempt.may_have_run && !upstreams.contains(&upstream) {
                 upstreams.push(upstream);
             }
@@ -161,9 +161,9 @@
         let beside = |upstream: &Upstream| {
             self.duty.is_none() || place.distance(&upstream.entry().zone) == PlaceDistance::Zone
         };
-        let pick = |allowed: &dyn Fn(&Upstream, &InstanceName) -> bool| {
-            let allowed = |upstream: &Upstream, name: &InstanceName| {
-                beside(upstream) && allowed(upstream, name)
+        let pick = |allowed: &dyn Fn(&Upstream, &UpstreamLife) -> bool| {
+            let allowed = |upstream: &Upstream, life: &UpstreamLife| {
+                beside(upstream) && allowed(upstream, life)
             };
             choose_upstream(&candidates, allowed, place, &latency, time)
         };
@@ -172,17 +172,17 @@
         }
         let run = self.upstreams_run(shard);
         let more = run.len() < self.attempts_allowed();
-        let fresh = |name: &InstanceName| {
+        let fresh = |life: &UpstreamLife| {
             let mut attempts = self.attempts_of(shard);
-            more && !attempts.any(|attempt| attempt.instance == *name)
+            more && !attempts.any(|attempt| attempt.life == *life)
         };
         let reachable = |upstream: &Upstream| !upstream.health.borrow().is_ejected(time);
         let alone = self.state.shards()[shard].out == 0;
-        let known = |name: &InstanceName| run.contains(&(AttemptKind::Zone, name));
-        let again = |name: &InstanceName| alone && (more || known(name));
-        pick(&|upstream, name| reachable(upstream) && fresh(name))
-            .or_else(|| pick(&|upstream, name| reachable(upstream) && again(name)))
-            .or_else(|| pick(&|_upstream, name| fresh(name) || again(name)))
+        let known = |life: &UpstreamLife| run.contains(&(AttemptKind::Zone, life));
+        let again = |life: &UpstreamLife| alone && (more || known(life));
+        pick(&|upstream, life| reachable(upstream) && fresh(life))
+            .or_else(|| pick(&|upstream, life| reachable(upstream) && again(life)))
+            .or_else(|| pick(&|_upstream, life| fresh(life) || again(life)))
     }
 
     /// Notes an attempt as begun; returns its place in the list.
@@ -203,7 +203,7 @@
         }
         self.live.push(LiveAttempt {
             shard,
-            instance: choice.upstream.entry().instance.clone(),
+            life: choice.upstream.entry().life(),
             upstream: Rc::clone(&choice.upstream),
             kind,
             may_have_run: true,
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -94,7 +94,7 @@
             target: "ebonyfork::decision",
             "attempt request={id} service={} instance={} after_ms={} {outcome}",
             self.target.service(attempt.shard),
-            attempt.instance,
+            attempt.life,
             now().saturating_duration_since(attempt.began).as_millis()
         );
     }
@@ -129,7 +129,7 @@
         candidates.iter().any(|upstream| {
             let entry = upstream.entry();
             let mut attempts = self.attempts_of(shard);
-            !upstream.is_leaving() && !attempts.any(|attempt| attempt.instance == entry.instance)
+            !upstream.is_leaving() && !attempts.any(|attempt| attempt.life == entry.life())
         })
     }
 
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::health::UpstreamHealth;
-use crate::gateway::ident::{InstanceName, PlaceName, UpstreamService};
+use crate::gateway::ident::{BirthTime, InstanceName, PlaceName, UpstreamLife, UpstreamService};
 use crate::gateway::slots::{SlotOrder, SlotPermit, SlotQueue};
 use crate::http_link::{HttpLink, LinkError};
 use crate::quarantine::LostRequest;
@@ -14,8 +14,10 @@
 /// What an upstream has registered about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
-    /// This life of the upstream.
+    /// The upstream's name.
     pub instance: InstanceName,
+    /// When it was started, where upstreams tell.
+    pub born: Option<BirthTime>,
     /// The service it belongs to.
     pub service: UpstreamService,
     /// Where it listens.
@@ -30,6 +32,13 @@
     pub cold: Duration,
 }
 
+impl UpstreamEntry {
+    /// The life that has written the entry.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife::new(self.instance.clone(), self.born)
+    }
+}
+
 /// Margin by which a kept connection is given up before the upstream's own idle time ends: a request that crosses the
 /// upstream's close is lost.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
