Pass on to followers only what is news

Ruled out: the adopting of versions (never went back), the source's silence, the store's history. Now only what the VM itself put in force as news is kept and passed on. Test red before: only_what_is_newer_is_passed_on.

--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -24,7 +24,7 @@
 pub use relay::MirrorRelay;
 
 use self::source::{ChangeSource, SETTLING_TIME, choose_source};
-use self::taker::StoreTaker;
+use self::taker::{StoreTaker, TakenNews};
 
 /// Everything the gateway reads stands below the store's root.
 const PREFIX: &str = "";
@@ -141,13 +141,21 @@
             self.failing_since = Some(now());
         }
         if let Some(change) = step.change {
-            self.put_in_force(&change, step.revision);
+            self.put_in_force(change, step.revision);
         }
     }
 
-    fn put_in_force(&self, change: &MirrorChange, revision: StoreRevision) {
-        self.taker.take(change, revision);
-        self.core.relay.pass_on(change, revision);
+    /// Puts a change in force and passes on what of it was news. A VM that follows one that is behind must not tell its
+    /// own followers what that one has told: they would take an old configuration for the newest one, and hear of the
+    /// next version only. At 78 VMs, 23 of them cut off for 10 s, 5 of 12 runs had a VM that was a version behind for
+    /// 15 s.
+    fn put_in_force(&self, change: MirrorChange, revision: StoreRevision) {
+        let news = self.taker.take(change, revision);
+        let complete = self.taker.complete();
+        match news {
+            TakenNews::Whole(items) => self.core.relay.replace(&items, complete),
+            TakenNews::Events(events) => self.core.relay.pass_on(events, complete),
+        }
     }
 
     /// Follows another VM until it is no good source any more or another one is the right one.
@@ -209,12 +217,12 @@
                 whole.extend(items);
                 if last {
                     let change = MirrorChange::Replaced(std::mem::take(whole));
-                    self.put_in_force(&change, revision);
+                    self.put_in_force(change, revision);
                 }
                 true
             }
             MirrorMessage::Changed { events, revision } => {
-                self.put_in_force(&MirrorChange::Changed(events), revision);
+                self.put_in_force(MirrorChange::Changed(events), revision);
                 true
             }
             MirrorMessage::Alive { answers } => answers,
--- a/crates/ebonyfork/src/gateway/follow/relay.rs
+++ b/crates/ebonyfork/src/gateway/follow/relay.rs
@@ -9,7 +9,7 @@
 
 use super::message::MirrorMessage;
 use crate::ident::{SessionId, VmAddress};
-use crate::store::{MirrorChange, StoreEvent, StoreItem, StoreRevision};
+use crate::store::{StoreEvent, StoreItem, StoreRevision};
 use crate::wire::{LinkSender, PeerMessage};
 
 /// Bytes of values in one message: at 14 Mbit/s it holds the link for a seventh of a second.
@@ -65,27 +65,27 @@
         *self.news.borrow_mut() = Some(news);
     }
 
-    /// Takes in a change that this VM has put in force, and passes it on.
-    pub fn pass_on(&self, change: &MirrorChange, revision: StoreRevision) {
+    /// Takes in the whole range as this VM has put it in force, and passes it on.
+    pub fn replace(&self, items: &[StoreItem], revision: StoreRevision) {
         self.revision.set(revision);
-        match change {
-            MirrorChange::Replaced(items) => {
-                let pair = |item: &StoreItem| (item.key.clone(), item.clone());
-                *self.items.borrow_mut() = items.iter().map(pair).collect();
-                self.whole.set(true);
-                let followers: Vec<_> = self.followers.borrow().values().cloned().collect();
-                for follower in followers {
-                    self.send_whole(&follower);
-                }
-            }
-            MirrorChange::Changed(events) => {
-                self.keep(events);
-                self.send_all(&MirrorMessage::Changed {
-                    events: events.clone(),
-                    revision,
-                });
-            }
+        let pair = |item: &StoreItem| (item.key.clone(), item.clone());
+        *self.items.borrow_mut() = items.iter().map(pair).collect();
+        self.whole.set(true);
+        let followers: Vec<_> = self.followers.borrow().values().cloned().collect();
+        for follower in followers {
+            self.send_whole(&follower);
+        }
+    }
+
+    /// Takes in what has changed in what this VM has put in force, and passes it on. With it everything up to a
+    /// revision is known.
+    pub fn pass_on(&self, events: Vec<StoreEvent>, revision: StoreRevision) {
+        self.revision.set(revision);
+        if events.is_empty() {
+            return;
         }
+        self.keep(&events);
+        self.send_all(&MirrorMessage::Changed { events, revision });
     }
 
     fn keep(&self, events: &[StoreEvent]) {
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -20,6 +20,15 @@
 /// Keys whose revisions are remembered; beyond that those that no longer exist are forgotten.
 const KEY_LIMIT: usize = 200_000;
 
+/// What of a change was news, to be passed on.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum TakenNews {
+    /// All of it: the whole range as it is now.
+    Whole(Vec<StoreItem>),
+    /// These keys; the others are known as they are, or newer.
+    Events(Vec<StoreEvent>),
+}
+
 /// Takes the store's changes in.
 pub(super) struct StoreTaker {
     core: Rc<GatewayCore>,
@@ -45,16 +54,12 @@
         self.complete.get()
     }
 
-    /// Takes in a change that is complete up to a revision.
-    pub(super) fn take(&self, change: &MirrorChange, revision: StoreRevision) {
-        match change {
+    /// Takes in a change that is complete up to a revision; returns what of it was news.
+    pub(super) fn take(&self, change: MirrorChange, revision: StoreRevision) -> TakenNews {
+        let news = match change {
             MirrorChange::Replaced(items) => self.replace(items, revision),
-            MirrorChange::Changed(events) => {
-                for event in events {
-                    self.take_event(event);
-                }
-            }
-        }
+            MirrorChange::Changed(events) => TakenNews::Events(self.take_events(events)),
+        };
         self.complete.set(self.complete.get().max(revision));
         self.core.share_connections();
         let seeds: Arc<[VmAddress]> = self.core.vms.seeds().into();
@@ -63,6 +68,7 @@
             *current = seeds;
             differs
         });
+        news
     }
 
     /// Whether a change of a key is newer than what is known of it; from then on it is known.
@@ -76,15 +82,17 @@
         true
     }
 
-    fn replace(&self, items: &[StoreItem], revision: StoreRevision) {
-        for item in items {
+    fn replace(&self, items: Vec<StoreItem>, revision: StoreRevision) -> TakenNews {
+        let mut news = Vec::new();
+        for item in &items {
             if self.is_news(&item.key, item.revision) {
                 self.put(item);
+                news.push(StoreEvent::Written(item.clone()));
             }
         }
         if revision < self.complete.get() {
             // A source that is behind: what it lacks may have come since.
-            return;
+            return TakenNews::Events(news);
         }
         let present: FxHashSet<CompactString> = items.iter().map(|item| item.key.clone()).collect();
         self.core.registry.note_read(now());
@@ -100,12 +108,18 @@
             self.core.registry.len(),
             self.core.vms.count()
         );
+        TakenNews::Whole(items)
     }
 
-    fn take_event(&self, event: &StoreEvent) {
-        if !self.is_news(event.key(), event.revision()) {
-            return;
+    fn take_events(&self, mut events: Vec<StoreEvent>) -> Vec<StoreEvent> {
+        events.retain(|event| self.is_news(event.key(), event.revision()));
+        for event in &events {
+            self.take_event(event);
         }
+        events
+    }
+
+    fn take_event(&self, event: &StoreEvent) {
         match event {
             StoreEvent::Written(item) => self.put(item),
             StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
