Decide on answers as late as this VM can afford, by its own measured lag

The margin for timers and work was a constant of 0.003 core seconds: 12 ms with a quarter of a core, where 2.5 ms suffice, and 6 ms with half of one under load, where more is needed. Now the lateness of the query's timers and the time from the decision to the socket are tracked; their 95th percentiles, over some seconds, make the margin. Request lines state trip_ms and lag_ms. Tests: answer_lag_tests (a VM that turns slow and fast again).

--- /dev/null
+++ b/crates/ebonyfork/src/gateway/answer_lag_tests.rs
@@ -0,0 +1,45 @@
+use googletest::prelude::*;
+
+use super::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A VM answers 20 queries a second for some seconds, each with this lag.
+fn answer(
+    lag: &mut AnswerLag,
+    began: Instant,
+    seconds: u64,
+    timer: Duration,
+    work: Duration,
+) -> Instant {
+    let mut now = began;
+    for _ in 0..seconds * 20 {
+        now += ms(50);
+        lag.note_timer(timer, now);
+        lag.note_work(work, now);
+    }
+    now
+}
+
+#[gtest]
+fn the_margin_begins_with_what_is_assumed_of_the_vm() {
+    expect_that!(AnswerLag::new(0.5).margin(), all![ge(ms(4)), le(ms(8))]);
+    expect_that!(AnswerLag::new(0.12).margin(), ge(ms(16)));
+}
+
+/// The margin follows a VM that turns slow within two seconds, and is back as soon after the VM is.
+#[gtest]
+fn the_margin_follows_a_vm_that_turns_slow_and_fast_again() {
+    let mut lag = AnswerLag::new(0.25);
+    let now = answer(&mut lag, Instant::now(), 20, ms(1), ms(2));
+    expect_that!(lag.margin(), le(ms(5)));
+    let now = answer(&mut lag, now, 2, ms(8), ms(20));
+    expect_that!(lag.margin(), all![ge(ms(28)), le(ms(36))]);
+    let now = answer(&mut lag, now, 20, ms(1), ms(2));
+    expect_that!(lag.margin(), le(ms(5)));
+    // One answer that lags says nothing about the next.
+    lag.note_work(ms(60), now);
+    expect_that!(lag.margin(), le(ms(5)));
+}
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::gateway::aggregate::AggregateTable;
+use crate::gateway::answer_lag::AnswerLag;
 use crate::gateway::budget::RetryBudget;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
@@ -113,6 +114,8 @@
     pub vms: VmDirectory,
     /// Repeats that may still be sent.
     pub budget: RefCell<RetryBudget>,
+    /// How late this process's answers are after the decision on them.
+    pub lag: Rc<RefCell<AnswerLag>>,
     /// What each service of a weighted route is owed.
     pub shares: WeightShares,
     /// Parts of queries that other VMs gather for this one.
@@ -144,6 +147,7 @@
             registry: UpstreamRegistry::new(),
             vms: VmDirectory::new(settings.listen.callers),
             budget: RefCell::new(budget),
+            lag: Rc::new(RefCell::new(AnswerLag::new(settings.place.cores))),
             shares: WeightShares::new(),
             homes: RefCell::default(),
             relay: MirrorRelay::default(),
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -1,6 +1,6 @@
 //! The callers' connections: bounds on what they send, the route of each request, its answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::gateway::answer_lag::AnswerLag;
 use crate::gateway::core::{FlightGuard, GatewayCore, ServiceState, now};
 use crate::gateway::metrics::OutcomeLabel;
 use crate::gateway::reply::{CallerReply, RefusalReason, refusal};
@@ -69,6 +70,10 @@
     since: Cell<Instant>,
     /// Since when a request's head has been coming in.
     head_since: Cell<Option<Instant>>,
+    /// When the gathered answer was decided on that is about to be written.
+    decided: Cell<Option<Instant>>,
+    /// How late answers are after the decision on them.
+    lag: Rc<RefCell<AnswerLag>>,
 }
 
 impl StreamActivity {
@@ -78,6 +83,16 @@
             self.head_since.set(Some(now()));
         }
     }
+
+    /// Notes that an answer has been given to the kernel.
+    pub(super) fn note_written(&self) {
+        let Some(decided) = self.decided.take() else {
+            return;
+        };
+        let time = now();
+        let took = time.saturating_duration_since(decided);
+        self.lag.borrow_mut().note_work(took, time);
+    }
 }
 
 /// Why a connection is ended from this side.
@@ -102,6 +117,8 @@
         busy: Cell::new(false),
         since: Cell::new(now()),
         head_since: Cell::new(None),
+        decided: Cell::new(None),
+        lag: Rc::clone(&core.lag),
     });
     let service = service_fn({
         let core = Rc::clone(&core);
@@ -113,7 +130,8 @@
                 activity.busy.set(true);
                 activity.head_since.set(None);
                 let trip = activity.trip.request(activity.new.replace(false));
-                let reply = answer(&core, request, trip).await;
+                let (reply, decided) = answer(&core, request, trip).await;
+                activity.decided.set(decided);
                 activity.busy.set(false);
                 activity.since.set(now());
                 Ok::<_, Infallible>(reply)
@@ -175,12 +193,12 @@
     }
 }
 
-/// Answers one request and writes its log line.
+/// Answers one request and writes its log line; also returns when a gathered answer was decided on.
 async fn answer(
     core: &Rc<GatewayCore>,
     request: Request<Incoming>,
     trip: RequestTrip,
-) -> CallerReply {
+) -> (CallerReply, Option<Instant>) {
     let received = now();
     let (parts, body) = request.into_parts();
     let flight = FlightGuard::new(core);
@@ -191,6 +209,7 @@
             reply: refusal(reason),
             word: reason.word(),
             detail: CompactString::default(),
+            decided: None,
         },
     };
     let mut reply = report.reply;
@@ -201,7 +220,7 @@
         reply.headers_mut().insert(header::CONNECTION, close);
     }
     story.end(report.word, &report.detail, reply.status().as_u16());
-    reply
+    (reply, report.decided)
 }
 
 /// What is logged of a request, also when its caller leaves before the answer.
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! One thread runs a process: a VM has a fraction of one core. The shared state needs no locks.
 
 mod aggregate;
+mod answer_lag;
 mod budget;
 mod choice;
 mod control;
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -5,6 +5,7 @@
 use super::{QueryRun, RunReport, RunTarget};
 use crate::gateway::core::now;
 use crate::gateway::gather::GatherEnd;
+use crate::gateway::latency::millis;
 use crate::gateway::reply::{
     CallerReply, RefusalReason, forwarded, gathered, refusal, set_retry_after,
 };
@@ -15,9 +16,10 @@
 impl QueryRun {
     /// Makes the answer.
     pub(super) fn finish(mut self, end: GatherEnd) -> RunReport {
+        let decided = now();
         let postponed = self.state.shards().iter().filter(|shard| shard.postponed);
         let detail = format_compact!(
-            "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} lost={} postponed={}",
+            "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} lost={} postponed={} trip_ms={:.1} lag_ms={:.1}",
             self.state.answered(),
             self.state.shards().len(),
             self.live.len(),
@@ -26,7 +28,9 @@
             self.retries,
             self.unfunded.get(),
             self.state.lost(),
-            postponed.count()
+            postponed.count(),
+            millis(self.request.trip),
+            millis(self.lag)
         );
         let (word, reply) = match end {
             GatherEnd::Whole | GatherEnd::Partial => self.answer(end),
@@ -37,10 +41,12 @@
         } else {
             detail + &self.open_attempts()
         };
+        let gathered = matches!(self.target, RunTarget::Gather(_)) && reply.status().is_success();
         RunReport {
             reply,
             word,
             detail,
+            decided: gathered.then_some(decided),
         }
     }
 
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -38,10 +38,6 @@
 use self::attempt::{AttemptSet, LiveAttempt};
 use self::group::{PartialDuty, ShardGroup};
 
-/// What is kept of the target, beside the caller's trip, for late timers and the work on the answer, in seconds of a
-/// whole core: 12 ms on a VM with a quarter of one. With half of that a tenth of the answers came some
-/// milliseconds late.
-const ANSWER_WORK: f64 = 0.003;
 /// What is kept of the deadline for the same.
 const FINISH_MARGIN: Duration = Duration::from_millis(15);
 /// How long attempts that are no longer needed may go on, so that their connections can be used again: a new one holds
@@ -57,6 +53,8 @@
     pub word: &'static str,
     /// What decided it, for logs.
     pub detail: CompactString,
+    /// When a gathered answer was decided on.
+    pub decided: Option<Instant>,
 }
 
 /// Where a request goes.
@@ -108,6 +106,8 @@
     retries: usize,
     /// Repeats for which there was no budget.
     unfunded: Cell<usize>,
+    /// How much sooner than it must be on its way the answer is decided on.
+    lag: Duration,
 }
 
 /// Runs a request to its end. Dropping the future gives it up.
@@ -155,8 +155,8 @@
             RunTarget::One(_) => (1, 1),
             RunTarget::Gather(terms) => (terms.shards.len(), terms.least_shards()),
         };
-        let work = Duration::from_secs_f64(ANSWER_WORK / core.settings.place.cores);
-        let margin = request.trip + work;
+        let lag = core.lag.borrow().margin();
+        let margin = request.trip + lag;
         let answer_by = request.received + route.target.saturating_sub(margin);
         let finish_by = request.finish_by.checked_sub(FINISH_MARGIN);
         let finish_by = finish_by.unwrap_or(request.received);
@@ -188,6 +188,7 @@
             hedges: 0,
             retries: 0,
             unfunded: Cell::default(),
+            lag,
         }
     }
 
@@ -221,11 +222,18 @@
             tokio::select! {
                 Some(finished) = self.set.next() => self.take_ended(finished),
                 Some(event) = self.news.recv() => self.take_news(event),
-                () = &mut timer => {}
+                () = &mut timer => self.note_timer(wake.max(time)),
             }
         }
     }
 
+    fn note_timer(&self, due: Instant) {
+        let time = now();
+        let late = time.saturating_duration_since(due);
+        let mut lag = self.context.core.lag.borrow_mut();
+        lag.note_timer(late, time);
+    }
+
     /// Sends postponed shards after all: as many as have failed, and all once the target has passed without enough.
     fn resume_postponed(&mut self, time: Instant) {
         while self.state.lacks() || self.state.useful_until(time).is_none() {
--- a/crates/ebonyfork/src/gateway/trip.rs
+++ b/crates/ebonyfork/src/gateway/trip.rs
@@ -17,9 +17,10 @@
 const ASSUMED: Duration = Duration::from_micros(2_400);
 /// Longest round-trip time that is believed: it is measured once, and a lost packet makes it seconds.
 const LONGEST: Duration = Duration::from_millis(60);
-/// Round trips of a request on a new connection: look-up, handshake, request with its answer.
-const NEW_TRIPS: u32 = 3;
-/// Round trips on a connection that is kept: callers that send seldom look up anew each time.
+/// Round trips of a request on a new connection while it can't be told: handshake and request of the look-up, both again
+/// here, and one for the work of the hosts.
+const NEW_TRIPS: u32 = 5;
+/// Round trips on a connection that is kept while it can't be told: one in two callers has looked up before.
 const KEPT_TRIPS: u32 = 2;
 /// Longest time before a request that is believed. What seems longer is a repeated request, which has a target of its
 /// own, or one of a caller that waits less long than others.
@@ -99,7 +100,8 @@
         }
         self.longest[0] = self.longest[0].max(stated);
         self.stated = self.stated.saturating_add(1);
-        let before = self.longest[0].max(self.longest[1]) - stated;
+        let longest = self.longest[0].max(self.longest[1]);
+        let before = longest.saturating_sub(stated);
         (self.stated >= WAITS_LEAST && before <= LONGEST_BEFORE).then_some(before)
     }
 }
--- a/crates/ebonyfork/src/gateway/watched.rs
+++ b/crates/ebonyfork/src/gateway/watched.rs
@@ -1,4 +1,5 @@
-//! A caller's connection whose incoming bytes are noticed: the HTTP library tells of a request only once its head is whole.
+//! A caller's connection whose bytes are noticed: the HTTP library tells of a request only once its head is whole, and
+//! nothing of when an answer is written.
 
 use std::io;
 use std::pin::Pin;
@@ -10,7 +11,7 @@
 
 use crate::gateway::ingress::StreamActivity;
 
-/// A connection that notes when bytes come in.
+/// A connection that notes when bytes come in and go out.
 #[derive(Debug)]
 pub(super) struct WatchedStream {
     stream: TcpStream,
@@ -22,6 +23,12 @@
     pub(super) fn new(stream: TcpStream, activity: Rc<StreamActivity>) -> Self {
         Self { stream, activity }
     }
+
+    fn note_write(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(_)) = polled {
+            self.activity.note_written();
+        }
+    }
 }
 
 impl AsyncRead for WatchedStream {
@@ -45,7 +52,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note_write(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -53,7 +62,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
