Shards whose connection broke harmlessly are sent again side by side

Ruled out: the budget (unfunded 40 to 60 a second of 180 lost). Now a break is held against the request until the check of the upstream, some 25 ms later, finds it harmless. A gathering VM tells of a break only if the upstream was lost.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::core::{GatewayCore, RouteLatency, now};
 use crate::gateway::latency::millis;
-use crate::gateway::loss;
+use crate::gateway::loss::{self, LossCheck};
 use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::RepeatKind;
@@ -52,7 +52,26 @@
     /// Nothing of the request was sent.
     Unsent(CompactString),
     /// It was sent and may have run.
-    Lost(CompactString),
+    Lost(AttemptLoss),
+}
+
+/// An attempt that was sent and brought no answer.
+#[derive(Debug)]
+pub struct AttemptLoss {
+    /// What has happened.
+    pub reason: CompactString,
+    /// Whether the upstream was lost with it, where the connection broke.
+    pub check: Option<Rc<LossCheck>>,
+}
+
+impl From<CompactString> for AttemptLoss {
+    /// What the upstream has sent is no answer: it lives.
+    fn from(reason: CompactString) -> Self {
+        Self {
+            reason,
+            check: None,
+        }
+    }
 }
 
 impl AttemptOutcome {
@@ -78,7 +97,8 @@
         match self {
             Self::Answered(answer) => write!(f, "{word} status={}", answer.status.as_u16()),
             Self::Declined(status) => write!(f, "{word} status={}", status.as_u16()),
-            Self::Unsent(reason) | Self::Lost(reason) => write!(f, "{word} reason={reason:?}"),
+            Self::Unsent(reason) => write!(f, "{word} reason={reason:?}"),
+            Self::Lost(loss) => write!(f, "{word} reason={:?}", loss.reason),
         }
     }
 }
@@ -243,8 +263,11 @@
                 after_loss,
                 ..LostRequest::new(request.fingerprint, now().saturating_duration_since(sent))
             };
-            loss::note_loss(core, upstream, lost);
-            return AttemptOutcome::Lost(reason(&error));
+            let check = loss::note_loss(core, upstream, lost);
+            return AttemptOutcome::Lost(AttemptLoss {
+                reason: reason(&error),
+                check: Some(check),
+            });
         }
     };
     let outcome = read_response(context, request, response, held, upstream);
@@ -268,7 +291,8 @@
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some_and(|echoed| *echoed != request.id) {
         // A late second answer to an earlier request: this connection is out of step for good.
-        return AttemptOutcome::Lost("the answer is to another request".into());
+        let reason = CompactString::const_new("the answer is to another request");
+        return AttemptOutcome::Lost(reason.into());
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         log::info!(
@@ -282,10 +306,9 @@
     let declined = head.headers.contains_key(&names.not_run);
     let signed = head.headers.contains_key(&names.signature);
     if !declined && !signed {
-        return AttemptOutcome::Lost(compact_str::format_compact!(
-            "an unsigned answer with status {}",
-            head.status.as_u16()
-        ));
+        let status = head.status.as_u16();
+        let reason = compact_str::format_compact!("an unsigned answer with status {status}");
+        return AttemptOutcome::Lost(reason.into());
     }
     let keeps = keeps_connection(&head.headers);
     let idle = idle_time(&head.headers);
@@ -303,7 +326,10 @@
             }
             ReplyBody::Stream(Box::new(stream))
         }
-        (Some(_), _) => return AttemptOutcome::Lost("the answer is too long".into()),
+        (Some(_), _) => {
+            let reason = CompactString::const_new("the answer is too long");
+            return AttemptOutcome::Lost(reason.into());
+        }
     };
     if declined {
         upstream.narrow(now());
--- a/crates/ebonyfork/src/gateway/loss.rs
+++ b/crates/ebonyfork/src/gateway/loss.rs
@@ -3,6 +3,7 @@
 //! A request that crashes upstreams shows only by this. An upstream that merely resets one connection still accepts
 //! another, so after a break a new connection is tried; only if that fails counts the upstream as lost.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,26 +18,64 @@
 /// Longest wait for a connection that shows the upstream alive.
 const CHECK_TIME: Duration = Duration::from_millis(250);
 
+/// What a break of a connection has turned out to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossFinding {
+    /// It is being looked at.
+    Open,
+    /// The upstream takes connections: the request is not to blame.
+    Harmless,
+    /// The upstream is lost, and the request may be why.
+    Lost,
+}
+
+/// A break that is looked at; all requests under whose connections to the upstream broke meanwhile share one.
+#[derive(Debug)]
+pub struct LossCheck {
+    finding: Cell<LossFinding>,
+}
+
+impl LossCheck {
+    /// A check with a finding.
+    pub fn new(finding: LossFinding) -> Self {
+        Self {
+            finding: Cell::new(finding),
+        }
+    }
+
+    /// What it has found so far.
+    pub fn finding(&self) -> LossFinding {
+        self.finding.get()
+    }
+}
+
 /// Notes that a connection broke under a request.
-pub fn note_loss(core: &Rc<GatewayCore>, upstream: &Rc<Upstream>, lost: LostRequest) {
-    let first = upstream.add_lost(lost);
-    if !first {
-        return;
+pub fn note_loss(
+    core: &Rc<GatewayCore>,
+    upstream: &Rc<Upstream>,
+    lost: LostRequest,
+) -> Rc<LossCheck> {
+    let (check, first) = upstream.add_lost(lost);
+    if first {
+        let core = Rc::clone(core);
+        let upstream = Rc::clone(upstream);
+        let check = Rc::clone(&check);
+        tokio::task::spawn_local(async move { check_upstream(&core, &upstream, &check).await });
     }
-    let core = Rc::clone(core);
-    let upstream = Rc::clone(upstream);
-    tokio::task::spawn_local(async move { check_upstream(&core, &upstream).await });
+    check
 }
 
-async fn check_upstream(core: &GatewayCore, upstream: &Upstream) {
+async fn check_upstream(core: &GatewayCore, upstream: &Upstream, check: &LossCheck) {
     let broken = now();
     tokio::time::sleep(CHECK_DELAY).await;
     let entry = upstream.entry();
     let opened = HttpLink::open(entry.address, CHECK_TIME).await;
     let lost = upstream.take_lost();
     let Err(error) = opened else {
+        check.finding.set(LossFinding::Harmless);
         return;
     };
+    check.finding.set(LossFinding::Lost);
     log::info!(
         target: "ebonyfork::decision",
         "upstream lost instance={} address={} in_flight={}: {error}",
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::suspicion::RunSuspicion;
 use super::{QueryRun, RunTarget};
 use crate::gateway::choice::{UpstreamChoice, probe_upstream};
 use crate::gateway::core::now;
@@ -20,11 +21,9 @@
         let shards = self.state.shards().len();
         if standing == RequestStanding::Suspect && shards > 1 {
             // It may crash what runs it: one shard shows it before the others are put at risk.
-            self.request.after_loss.set(true);
             let probe = rand::random_range(0..shards);
-            self.probe = Some(probe);
-            self.held
-                .extend((0..shards).filter(|shard| *shard != probe));
+            self.suspicion = RunSuspicion::of_suspect(shards, probe);
+            self.request.after_loss.set(true);
             self.start(probe, Duration::ZERO);
             return;
         }
@@ -97,7 +96,7 @@
         shard: usize,
         choice: &UpstreamChoice,
     ) -> Option<UpstreamChoice> {
-        if self.attempts_allowed() < 2 || self.request.after_loss.get() {
+        if self.attempts_allowed() < 2 || self.is_suspected() {
             return None;
         }
         let core = &self.context.core;
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -14,6 +14,7 @@
 use crate::gateway::gather::ShardStanding;
 use crate::gateway::ident::PlaceName;
 use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::loss::{LossCheck, LossFinding};
 use crate::gateway::merge::merge_records;
 use crate::gateway::partial::{
     FailedShard, PartialQuery, PartialReply, ShardReach, ShardSignature,
@@ -88,7 +89,7 @@
     /// one more way there and back. Tells whether it did.
     pub(super) fn delegate_repeat(&mut self, shard: usize, choice: &UpstreamChoice) -> bool {
         let gather = matches!(self.target, RunTarget::Gather(_));
-        let suspected = self.probe.is_some() || self.request.after_loss.get();
+        let suspected = self.is_suspected();
         if !gather || suspected || choice.distance == PlaceDistance::Zone || self.duty.is_some() {
             return false;
         }
@@ -261,8 +262,8 @@
             ShardReach::Run => {}
             ShardReach::Broken => {
                 state.lost = true;
-                self.request.after_loss.set(true);
-                self.retry_lost(shard);
+                let check = Rc::new(LossCheck::new(LossFinding::Lost));
+                self.retry_lost(shard, Some(check));
                 return;
             }
         }
@@ -362,6 +363,15 @@
         u32::try_from(micros).unwrap_or(u32::MAX)
     }
 
+    /// How far the request got with a shard, as the VM that asked has to know. A break that has not been found to be a
+    /// loss of the upstream is none: as one it kept the asking VM's other shards waiting.
+    fn reach(&self, shard: usize) -> ShardReach {
+        match self.state.shards()[shard].reach() {
+            ShardReach::Broken if !self.suspicion.is_confirmed(shard) => ShardReach::Run,
+            reach => reach,
+        }
+    }
+
     fn partial_reply(&self, shards: &[usize]) -> PartialReply {
         let mut reply = PartialReply::default();
         let mut records = Vec::new();
@@ -379,7 +389,7 @@
             let avoid = self.duty.as_ref().is_some_and(|duty| duty.avoid[*number]);
             reply.failed.push(FailedShard {
                 shard: *number as u16,
-                reach: shard.reach(),
+                reach: self.reach(*number),
                 avoid,
             });
         }
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod settle;
 mod straggler;
+mod suspicion;
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
@@ -19,7 +20,6 @@
 use compact_str::CompactString;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use crate::gateway::core::{GatewayCore, ServiceState, now};
@@ -37,6 +37,7 @@
 
 use self::attempt::{AttemptSet, LiveAttempt};
 use self::group::{PartialDuty, ShardGroup};
+use self::suspicion::{LOSS_LOOK, RunSuspicion};
 
 /// What is kept of the deadline for the same.
 const FINISH_MARGIN: Duration = Duration::from_millis(15);
@@ -90,10 +91,8 @@
     single: Option<UpstreamAnswer>,
     /// The last answer that was no success, for requests to one service.
     failure: Option<UpstreamAnswer>,
-    /// The shard that goes alone while the request is suspected of crashing upstreams.
-    probe: Option<usize>,
-    /// Shards that wait for the probe.
-    held: SmallVec<[usize; 8]>,
+    /// What is known of the request as the cause of lost upstreams, and the shards that wait for it.
+    suspicion: RunSuspicion,
     /// Names the route's shards to other VMs; reckoned with the first group.
     mark: OnceCell<u64>,
     /// Shards that other VMs gather.
@@ -178,8 +177,7 @@
             cancelled: Rc::default(),
             single: None,
             failure: None,
-            probe: None,
-            held: SmallVec::new(),
+            suspicion: RunSuspicion::default(),
             mark: OnceCell::new(),
             groups: Vec::new(),
             news,
@@ -214,6 +212,7 @@
             if let Some(end) = self.state.judge(time) {
                 return end;
             }
+            self.resume_held();
             self.resume_postponed(time);
             self.look_for_stragglers(time);
             self.flush(reply);
@@ -246,6 +245,9 @@
 
     fn next_wake(&self, time: Instant) -> Instant {
         let mut wake = self.state.next_judgement(time);
+        if self.suspicion.waits() {
+            wake = wake.min(time + LOSS_LOOK);
+        }
         if self.route.repeat == RepeatKind::Once {
             // No second attempt is ever sent beside the first, so nobody looks for stragglers. With their times in here
             // each such request kept the processor busy from its 90th percentile to its answer.
--- a/crates/ebonyfork/src/gateway/run/straggler.rs
+++ b/crates/ebonyfork/src/gateway/run/straggler.rs
@@ -41,7 +41,7 @@
 
     fn hedge(&mut self, number: usize, time: Instant) {
         let shard = self.live[number].shard;
-        let suspected = self.probe.is_some() || self.request.after_loss.get();
+        let suspected = self.is_suspected();
         let full = self.upstreams_run(shard).len() >= self.attempts_allowed();
         if suspected || full || self.state.shards()[shard].ran >= self.sends_allowed() {
             return;
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::ident::{BirthTime, InstanceName, PlaceName, UpstreamLife, UpstreamService};
+use crate::gateway::loss::{LossCheck, LossFinding};
 use crate::gateway::slots::{SlotOrder, SlotPermit, SlotQueue};
 use crate::http_link::{HttpLink, LinkError};
 use crate::quarantine::LostRequest;
@@ -74,6 +75,8 @@
     leaving: Cell<bool>,
     /// Requests under which a connection broke, until it is known whether the upstream was lost.
     lost: RefCell<Vec<LostRequest>>,
+    /// How that is looked at.
+    loss_check: RefCell<Option<Rc<LossCheck>>>,
 }
 
 /// A connection that is in use, with the right to hold it.
@@ -100,6 +103,7 @@
             share: Cell::new(share),
             narrowed: Cell::new(None),
             lost: RefCell::default(),
+            loss_check: RefCell::default(),
         }
     }
 
@@ -168,15 +172,19 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Notes a request under which a connection broke; tells whether it is the first since [`Self::take_lost`].
-    pub fn add_lost(&self, request: LostRequest) -> bool {
-        let mut lost = self.lost.borrow_mut();
-        lost.push(request);
-        lost.len() == 1
+    /// Notes a request under which a connection broke. Returns how that is looked at, and whether it is the first since
+    /// [`Self::take_lost`].
+    pub fn add_lost(&self, request: LostRequest) -> (Rc<LossCheck>, bool) {
+        self.lost.borrow_mut().push(request);
+        let mut current = self.loss_check.borrow_mut();
+        let first = current.is_none();
+        let check = current.get_or_insert_with(|| Rc::new(LossCheck::new(LossFinding::Open)));
+        (Rc::clone(check), first)
     }
 
     /// Takes the requests under which connections broke.
     pub fn take_lost(&self) -> Vec<LostRequest> {
+        self.loss_check.take();
         self.lost.take()
     }
 
