--- a/crates/ebonyfork/src/gateway/fixture_upstream.rs
+++ b/crates/ebonyfork/src/gateway/fixture_upstream.rs
@@ -34,6 +34,8 @@
     },
     /// Answers that it has not run the request.
     Decline,
+    /// Ends the connection without an answer and takes no more.
+    Crash,
     /// Ends the connection without an answer.
     Break,
     /// Never answers.
@@ -78,7 +80,13 @@
             loop {
                 let (stream, _peer) = listener.accept().await.expect("a connection");
                 noted.borrow_mut().connections += 1;
-                tokio::task::spawn_local(serve(stream, reply, Rc::clone(&noted)));
+                let served = tokio::task::spawn_local(serve(stream, reply, Rc::clone(&noted)));
+                if reply == ScriptedReply::Crash {
+                    // The first request ends the whole upstream.
+                    drop(listener);
+                    let _ended = served.await;
+                    return;
+                }
             }
         });
         Self {
@@ -128,7 +136,7 @@
             );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
-        ScriptedReply::Break => return false,
+        ScriptedReply::Break | ScriptedReply::Crash => return false,
         ScriptedReply::Hold => {
             // Only the other side's close ends this.
             let _closed = stream.read_u8().await;
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -478,3 +478,28 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Upstreams that are gone after a break may have been crashed by the request: once two are, one shard goes alone, and
+/// when that loses its upstream too nothing more is sent.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crashes_upstreams_gets_no_further_ones() {
+    let test = async {
+        let core = core();
+        let services = ["s0", "s1", "s2", "s3", "s4", "s5"];
+        let mut crashing = Vec::new();
+        for service in services {
+            crashing.extend(upstreams(&core, service, 2, ScriptedReply::Crash).await);
+        }
+        let (route, target) = gather_route(&services, 1.0);
+        let request = request(Duration::from_secs(2));
+        let report = run_request(&core, &route, target, request, RequestStanding::Clear).await;
+        expect_that!(report.reply.status().as_u16(), eq(502));
+        let reached = crashing
+            .iter()
+            .filter(|upstream| !upstream.log.borrow().requests.is_empty());
+        // Six at first, one more by the first break, before it was known to be a loss, and the probe.
+        expect_that!(reached.count(), le(8));
+    };
+    LocalSet::new().run_until(test).await;
+}
