--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -147,7 +147,7 @@
 
     /// Puts a change in force and passes on what of it was news. A VM that follows one that is behind must not tell its
     /// own followers what that one has told: they would take an old configuration for the newest one, and hear of the
-    /// next version only. At 78 VMs, 23 of them cut off for 10 s, 5 of 12 runs had a VM that was a version behind for
+    /// next version only. At 78 VMs, 23 of them cut off for 10 s, 6 of 12 runs had a VM that was a version behind for
     /// 15 s.
     fn put_in_force(&self, change: MirrorChange, revision: StoreRevision) {
         let news = self.taker.take(change, revision);
--- a/crates/ebonyfork/src/gateway/trip.rs
+++ b/crates/ebonyfork/src/gateway/trip.rs
@@ -5,8 +5,8 @@
 //! distance of 3 ms. A caller states how long it will still wait. On a route that callers wait for equally long the
 //! difference from the longest wait stated is the time that has passed ([`WaitTrack`]); the kernel knows the way.
 //!
-//! Without the stated wait one round trip was assumed for what comes before: then two in five callers had their answers
-//! some milliseconds late, at a tenth of their worth, and the others were answered 6 ms too soon.
+//! Without the stated wait one round trip was assumed for what comes before. With it a calm day at 78 VMs, callers 3 ms
+//! away, earns 0.776 of its worth instead of 0.719 (mean of 3 runs and 1; repeats by token buckets came in between).
 
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
