Say 503 for a request that has only waited for a connection

Cause (issue's finding: 337 answers of 502 or 504 to requests that had reached no upstream): an attempt counted as run from the moment it was begun, also while it waited for a connection. 504 promises nothing, so a request that may run once is not sent again. Now an attempt counts once it has been handed to a connection or to another VM; one that still waits is never sent after the answer. Test red before (504): a_request_that_only_waited_for_a_connection_has_not_run.

--- a/crates/ebonyfork/src/gateway/gather.rs
+++ b/crates/ebonyfork/src/gateway/gather.rs
@@ -253,11 +253,6 @@
         self.shards.iter().filter(|shard| shard.lost).count()
     }
 
-    /// Whether any attempt may have run.
-    pub fn has_run(&self) -> bool {
-        self.shards.iter().any(|shard| shard.ran > 0)
-    }
-
     /// Until when a further part still adds to the worth of the answer; `None` once that has passed.
     pub fn useful_until(&self, now: Instant) -> Option<Instant> {
         (now < self.answer_by).then_some(self.answer_by)
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt after another: where it goes, what it is counted as, how it is sent.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,8 @@
     pub kind: AttemptKind,
     /// Whether the request may have run there.
     pub may_have_run: bool,
+    /// Whether it has been handed to a connection, or to another VM: until then it waits for one.
+    pub sent: Rc<Cell<bool>>,
     /// Ends it.
     pub abort: AbortHandle,
     /// When it was begun.
@@ -95,6 +98,13 @@
         }
     }
 
+    /// Whether an upstream may have run the request, or may run it yet. An attempt that still waits for a connection is
+    /// not sent any more once the request has ended.
+    pub(super) fn may_have_run(&self) -> bool {
+        let may_have = |attempt: &LiveAttempt| attempt.may_have_run && attempt.sent.get();
+        self.live.iter().any(may_have)
+    }
+
     /// Attempts of a shard.
     pub(super) fn attempts_of(&self, shard: usize) -> impl Iterator<Item = &LiveAttempt> {
         self.live
@@ -207,6 +217,7 @@
             upstream: Rc::clone(&choice.upstream),
             kind,
             may_have_run: true,
+            sent: Rc::new(Cell::new(kind == AttemptKind::Delegated)),
             abort,
             began,
             next_look: began + Duration::from_secs_f64(first_look / 1_000.0),
@@ -230,12 +241,16 @@
         let context = self.context.clone();
         let request = Rc::clone(&self.request);
         let cancelled = Rc::clone(&self.cancelled);
+        let sent = Rc::clone(&self.live[number].sent);
         let useful_until = self.state.useful_until(began);
         let attempt = async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
-            let may_send = || !cancelled.get();
+            let may_send = || {
+                sent.set(!cancelled.get());
+                sent.get()
+            };
             let upstream = &choice.upstream;
             let outcome = run_attempt(&context, upstream, &request, useful_until, may_send).await;
             FinishedAttempt { number, outcome }
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -86,7 +86,8 @@
         if let Some(failure) = self.failure.take().filter(|_failure| one) {
             return ("failed", forwarded(failure));
         }
-        let reason = match (self.state.has_run(), end) {
+        // 504 for a request that had only waited for a connection kept callers from sending it again where it may run once.
+        let reason = match (self.may_have_run(), end) {
             (true, GatherEnd::Late) => RefusalReason::Late,
             (true, _) => RefusalReason::Unknown,
             (false, GatherEnd::Late) => RefusalReason::LateUnsent,
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -503,3 +503,43 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A request that has only waited for a connection until its time was over has not run: the answer says so and when to
+/// come back, and it is not sent afterwards.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_only_waited_for_a_connection_has_not_run() {
+    let test = async {
+        let core = core();
+        let upstream = ScriptedUpstream::start(ScriptedReply::Hold).await;
+        let entry = entry("only", "s", "north-a", upstream.address);
+        core.registry.put(&"only".into(), entry, now(), 1);
+        let (route, target) = one(1);
+        let first = run_request(
+            &core,
+            &route,
+            target.clone(),
+            request(Duration::from_millis(600)),
+            RequestStanding::Clear,
+        );
+        let second = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let request = request(Duration::from_millis(200));
+            run_request(
+                &core,
+                &route,
+                target.clone(),
+                request,
+                RequestStanding::Clear,
+            )
+            .await
+        };
+        let (first, second) = tokio::join!(first, second);
+        expect_that!(first.reply.status().as_u16(), eq(504));
+        expect_that!(second.reply.status().as_u16(), eq(503));
+        expect_that!(second.reply.headers().contains_key("retry-after"), eq(true));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        expect_that!(upstream.log.borrow().requests.len(), eq(1));
+    };
+    LocalSet::new().run_until(test).await;
+}
