Reckon an upstream's remembered share once; one place for a soak entry and for starting held shards

Asking for the share of answers copied the whole health of each candidate, twice for each choice; it is now reckoned without a copy, by the same formula. The soak built an entry behind its proxy in two places, and two ends of a suspicion started the held shards with the same loop.

--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -129,10 +129,7 @@
 
     /// Writes an upstream's entry; callers reach it by its proxy.
     pub(super) fn register(&self, upstream: &SoakUpstream, state: &str) {
-        let entry = upstream.server.entry(upstream.zone, state);
-        let own = upstream.server.address().to_string();
-        let entry = entry.replace(&own, &upstream.proxy.address().to_string());
-        self.store.put(&key(upstream), entry);
+        self.store.put(&key(upstream), entry(upstream, state));
     }
 
     /// Ends an upstream: its entry goes and its record is kept.
@@ -163,10 +160,8 @@
         let (instance, stale) = {
             let upstreams = lock(&self.upstreams);
             let upstream = &upstreams[number];
-            let entry = upstream.server.entry(upstream.zone, "ready");
-            let own = upstream.server.address().to_string();
-            let entry = entry.replace(&own, &upstream.proxy.address().to_string());
-            (upstream.server.instance().to_owned(), entry)
+            let stale = entry(upstream, "ready");
+            (upstream.server.instance().to_owned(), stale)
         };
         let (service, zone) = self.end_upstream(number, None);
         if !seen {
@@ -232,6 +227,13 @@
     }
 }
 
+/// An upstream's entry, with the address of the proxy before it.
+fn entry(upstream: &SoakUpstream, state: &str) -> String {
+    let entry = upstream.server.entry(upstream.zone, state);
+    let own = upstream.server.address().to_string();
+    entry.replace(&own, &upstream.proxy.address().to_string())
+}
+
 fn key(upstream: &SoakUpstream) -> String {
     format!("servers/{}", upstream.server.instance())
 }
--- a/crates/ebonyfork/src/gateway/health.rs
+++ b/crates/ebonyfork/src/gateway/health.rs
@@ -69,10 +69,15 @@
         }
     }
 
+    /// Share of what is known that is still remembered.
+    fn kept(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.updated);
+        0.5_f64.powf(passed.as_secs_f64() / MEMORY.as_secs_f64())
+    }
+
     /// Forgets with time what is known.
     fn age(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.updated);
-        let kept = 0.5_f64.powf(passed.as_secs_f64() / MEMORY.as_secs_f64());
+        let kept = self.kept(now);
         self.slowness = 1.0 + (self.slowness - 1.0) * kept;
         self.success = 1.0 - (1.0 - self.success) * kept;
         self.updated = self.updated.max(now);
@@ -178,9 +183,7 @@
 
     /// Share of its attempts that were answered, as far as it is remembered.
     pub fn success(&self, now: Instant) -> f64 {
-        let mut aged = self.clone();
-        aged.age(now);
-        aged.success
+        1.0 - (1.0 - self.success) * self.kept(now)
     }
 
     /// Whether it has stopped answering just now, while it was not slow before.
--- a/crates/ebonyfork/src/gateway/run/suspicion.rs
+++ b/crates/ebonyfork/src/gateway/run/suspicion.rs
@@ -139,6 +139,10 @@
     fn release_held(&mut self) {
         self.suspicion.probe_broke = false;
         self.request.after_loss.set(self.is_suspected());
+        self.start_held();
+    }
+
+    fn start_held(&mut self) {
         for held in std::mem::take(&mut self.suspicion.held) {
             self.start(held, Duration::ZERO);
         }
@@ -150,8 +154,6 @@
             return;
         }
         self.suspicion.probe = None;
-        for held in std::mem::take(&mut self.suspicion.held) {
-            self.start(held, Duration::ZERO);
-        }
+        self.start_held();
     }
 }
