Say in the log and on the link how old the proof behind a copy of the store is

The record could not tell whether a VM's source was behind, silent, or vouched for a store that no longer answered it: the line that leaves a source named no reason, and nothing said when the store's word behind a copy was given. Now each message of a followed VM carries that age, the lines of a change of source name reason, age and revision, a copy older than 2 s is noted once, a failed call tells how long it was asked, and an upstream that is kept against the store's word is named. No decision uses it yet.

--- a/crates/ebonyfork/src/gateway/follow/message.rs
+++ b/crates/ebonyfork/src/gateway/follow/message.rs
@@ -36,5 +36,7 @@
     Alive {
         /// Whether the store answered the last call.
         answers: bool,
+        /// Milliseconds since the sender's copy was known to be up to date.
+        proof_age_ms: u64,
     },
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -8,6 +8,7 @@
 mod source;
 mod taker;
 
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -39,6 +40,30 @@
 /// How long a VM that the store turns away follows another one before it asks the store again.
 const DETOUR_TIME: Duration = Duration::from_secs(3);
 
+/// Age of the proof behind a copy from which a line in the log says so: more than a calm store ever lets it become.
+const NOTED_AGE: Duration = Duration::from_secs(2);
+
+/// Why a VM is no good source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SourceFault {
+    /// No link to it could be used.
+    Unreachable,
+    /// Nothing was heard of it for too long.
+    Silent,
+    /// It said that the store does not answer it.
+    Unanswered,
+}
+
+impl fmt::Display for SourceFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Unanswered => "store-not-answering",
+        })
+    }
+}
+
 /// Puts the store's changes in force until the future is dropped.
 pub async fn follow_store(
     core: Rc<GatewayCore>,
@@ -58,6 +83,7 @@
         avoided: Vec::new(),
         failing_since: None,
         detour_until: None,
+        noted_old: false,
         news,
         core,
     };
@@ -76,6 +102,8 @@
     failing_since: Option<Instant>,
     /// Until when another VM is followed because the store does not answer.
     detour_until: Option<Instant>,
+    /// Whether the log says that the copy is old.
+    noted_old: bool,
     news: mpsc::UnboundedReceiver<(VmAddress, MirrorMessage)>,
 }
 
@@ -83,7 +111,11 @@
     async fn run(mut self, mut feed: MirrorFeed<impl StorePort>) {
         let mut source = ChangeSource::Store;
         loop {
-            log::info!(target: "ebonyfork::decision", "store source={source:?}");
+            log::info!(
+                target: "ebonyfork::decision",
+                "store source={source} age_ms={} revision={}",
+                self.core.relay.proof_age().as_millis(), self.taker.complete()
+            );
             match source {
                 ChangeSource::Store => self.ask_store(&mut feed).await,
                 ChangeSource::Vm(vm) => self.follow_vm(vm).await,
@@ -121,6 +153,7 @@
                     taken = &mut step => break taken,
                     _ = look.tick() => {
                         self.core.relay.send_alive();
+                        self.note_age(ChangeSource::Store);
                         if self.choose() != ChangeSource::Store {
                             return;
                         }
@@ -133,6 +166,9 @@
 
     fn take_step(&mut self, step: crate::store::FeedStep) {
         self.core.relay.note_answers(step.answers);
+        if let Some(proof) = step.proof {
+            self.core.relay.note_proof(proof.into_std());
+        }
         if step.answers {
             if self.failing_since.take().is_some() {
                 self.core.registry.note_return(now());
@@ -164,7 +200,7 @@
         let known = self.taker.complete();
         let follow = PeerMessage::Mirror(MirrorMessage::Follow { known });
         if !self.core.delegates.tell(vm, follow) {
-            self.avoid(vm);
+            self.avoid(vm, SourceFault::Unreachable);
             return;
         }
         let mut heard = now();
@@ -178,13 +214,14 @@
                     }
                     heard = now();
                     if !self.take_news(message, &mut whole) {
-                        self.avoid(vm);
+                        self.avoid(vm, SourceFault::Unanswered);
                         break;
                     }
                 }
                 _ = look.tick() => {
+                    self.note_age(ChangeSource::Vm(vm));
                     if now().saturating_duration_since(heard) > SILENCE {
-                        self.avoid(vm);
+                        self.avoid(vm, SourceFault::Silent);
                         break;
                     }
                     if self.choose() != ChangeSource::Vm(vm) {
@@ -225,13 +262,44 @@
                 self.put_in_force(MirrorChange::Changed(events), revision);
                 true
             }
-            MirrorMessage::Alive { answers } => answers,
+            MirrorMessage::Alive {
+                answers,
+                proof_age_ms,
+            } => {
+                let proof = now().checked_sub(Duration::from_millis(proof_age_ms));
+                if let Some(proof) = proof {
+                    self.core.relay.note_proof(proof);
+                }
+                answers
+            }
             MirrorMessage::Follow { .. } | MirrorMessage::Leave => true,
         }
     }
 
-    fn avoid(&mut self, vm: VmAddress) {
-        log::info!(target: "ebonyfork::decision", "store source vm={vm} avoided");
+    /// Says once in the log that the copy has become old, and once that it is up to date again.
+    fn note_age(&mut self, source: ChangeSource) {
+        let age = self.core.relay.proof_age();
+        let old = age > NOTED_AGE;
+        if old == self.noted_old || age == Duration::MAX {
+            return;
+        }
+        self.noted_old = old;
+        log::warn!(
+            target: "ebonyfork::decision",
+            "store copy {} age_ms={} source={source} revision={}",
+            if old { "old" } else { "up to date" },
+            age.as_millis(),
+            self.taker.complete()
+        );
+    }
+
+    fn avoid(&mut self, vm: VmAddress, fault: SourceFault) {
+        log::info!(
+            target: "ebonyfork::decision",
+            "store source vm={vm} avoided reason={fault} age_ms={} revision={}",
+            self.core.relay.proof_age().as_millis(),
+            self.taker.complete()
+        );
         self.avoided.push((vm, now() + AVOIDED_TIME));
     }
 }
--- a/crates/ebonyfork/src/gateway/follow/relay.rs
+++ b/crates/ebonyfork/src/gateway/follow/relay.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::message::MirrorMessage;
+use crate::gateway::core::now;
 use crate::ident::{SessionId, VmAddress};
 use crate::store::{StoreEvent, StoreItem, StoreRevision};
 use crate::wire::{LinkSender, PeerMessage};
@@ -23,6 +25,8 @@
     /// Whether everything was read from the store at least once.
     whole: Cell<bool>,
     answers: Cell<bool>,
+    /// When what is told was last known to be all that the store held.
+    proof: Cell<Option<Instant>>,
     followers: RefCell<FxHashMap<SessionId, LinkSender>>,
     news: RefCell<Option<UnboundedSender<(VmAddress, MirrorMessage)>>>,
 }
@@ -50,7 +54,7 @@
     /// between 89 VMs.
     fn accept(&self, peer: SessionId, from: LinkSender, known: StoreRevision) {
         let answers = self.answers.get();
-        send(&from, MirrorMessage::Alive { answers });
+        send(&from, self.alive());
         if !answers {
             return;
         }
@@ -109,8 +113,25 @@
 
     /// Tells the followers that this VM lives and whether the store answers it.
     pub fn send_alive(&self) {
-        let answers = self.answers.get();
-        self.send_all(&MirrorMessage::Alive { answers });
+        self.send_all(&self.alive());
+    }
+
+    fn alive(&self) -> MirrorMessage {
+        MirrorMessage::Alive {
+            answers: self.answers.get(),
+            proof_age_ms: self.proof_age().as_millis() as u64,
+        }
+    }
+
+    /// Notes the moment at which this VM's copy is known to have been up to date.
+    pub fn note_proof(&self, at: Instant) {
+        self.proof.set(self.proof.get().max(Some(at)));
+    }
+
+    /// Time since this VM's copy was known to be up to date.
+    pub fn proof_age(&self) -> Duration {
+        let proof = self.proof.get();
+        proof.map_or(Duration::MAX, |at| now().saturating_duration_since(at))
     }
 
     fn send_whole(&self, to: &LinkSender) {
--- a/crates/ebonyfork/src/gateway/follow/source.rs
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -5,6 +5,7 @@
 //! hashing, so nothing is agreed on; two VMs that disagree for a moment cost a few calls. A VM that finds no other to
 //! follow asks the store itself.
 
+use std::fmt;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -28,6 +29,15 @@
     Vm(VmAddress),
 }
 
+impl fmt::Display for ChangeSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Vm(vm) => write!(f, "{vm}"),
+        }
+    }
+}
+
 /// The VMs of a zone that ask the store, those first that come first by hash.
 pub fn asking_vms(members: &MemberSnapshot, zone: &ZoneName) -> Vec<VmAddress> {
     let mut alive: Vec<VmAddress> = members
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -164,13 +164,14 @@
     }
 
     fn hold(&self, key: &CompactString, until: Instant) {
-        if !self.entries.borrow().contains_key(key) {
+        if !self.entries.borrow().contains_key(key) || self.missing.borrow().contains_key(key) {
             return;
         }
-        self.missing
-            .borrow_mut()
-            .entry(key.clone())
-            .or_insert(until);
+        log::info!(
+            target: "ebonyfork::decision",
+            "upstream held key={key}: its entry may have lapsed while the store was away"
+        );
+        self.missing.borrow_mut().insert(key.clone(), until);
     }
 
     /// Takes out the entries that have not come back in time.
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -55,6 +55,8 @@
     pub answers: bool,
     /// The store's revision up to which everything is known.
     pub revision: StoreRevision,
+    /// The moment at which the store is known to have held nothing newer; none if this call did not show it.
+    pub proof: Option<Instant>,
 }
 
 /// Follows a range of the store call by call.
@@ -67,6 +69,8 @@
     failing_since: Option<Instant>,
     /// Earliest moment of the next watch.
     next_watch: Instant,
+    /// When the first page of the range was asked for, while it is being read.
+    reading_since: Option<Instant>,
 }
 
 impl<P: StorePort> MirrorFeed<P> {
@@ -78,42 +82,61 @@
             state: MirrorState::new(),
             failing_since: None,
             next_watch: Instant::now(),
+            reading_since: None,
         }
     }
 
     /// Makes one call, or waits before the next one. Dropping the future gives the call up; the next one goes on from
     /// the same place.
     pub async fn step(&mut self) -> FeedStep {
-        let called = match self.state.next_step() {
+        let step = self.state.next_step();
+        if let MirrorStep::Watch { .. } = step {
+            tokio::time::sleep_until(self.next_watch).await;
+        }
+        let asked = Instant::now();
+        let called = match step {
             MirrorStep::Pause(pause) => {
                 tokio::time::sleep(pause).await;
                 return self.failed_step();
             }
             MirrorStep::Read { after } => {
+                if after.is_none() {
+                    self.reading_since = Some(asked);
+                }
                 let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
                 let page = answer_within(self.settings.answer, reading).await;
-                page.map(|page| self.state.take_page(page))
+                page.map(|page| {
+                    let change = self.state.take_page(page);
+                    let proof = change.is_some().then(|| self.reading_since.take());
+                    (change, proof.flatten())
+                })
             }
             MirrorStep::Watch { after } => {
                 let wait = self.settings.wait;
-                tokio::time::sleep_until(self.next_watch).await;
                 let watching = self.port.watch(&self.settings.prefix, after, wait);
                 let watch = answer_within(wait + self.settings.answer, watching).await;
                 self.next_watch = Instant::now() + self.settings.spacing;
-                watch.map(|watch| self.state.take_watch(watch))
+                let waited_out = asked.elapsed() >= wait;
+                watch.map(|watch| {
+                    // The answer may have been under way for all of the time, unless it had nothing to tell until the end.
+                    let idle = watch.events.is_empty() && waited_out;
+                    let proof = if idle { asked + wait } else { asked };
+                    (self.state.take_watch(watch), Some(proof))
+                })
             }
         };
         match called {
-            Ok(change) => {
+            Ok((change, proof)) => {
                 self.note_success();
                 FeedStep {
                     change,
                     answers: true,
                     revision: self.state.revision(),
+                    proof,
                 }
             }
             Err(error) => {
-                self.note_failure(&error);
+                self.note_failure(&error, asked);
                 self.failed_step()
             }
         }
@@ -124,6 +147,7 @@
             change: None,
             answers: self.failing_since.is_none(),
             revision: self.state.revision(),
+            proof: None,
         }
     }
 
@@ -137,7 +161,7 @@
         }
     }
 
-    fn note_failure(&mut self, error: &StoreError) {
+    fn note_failure(&mut self, error: &StoreError, asked: Instant) {
         self.state.take_failure(error, &mut rand::rng());
         if self.settings.rereads {
             self.state.read_anew();
@@ -151,7 +175,11 @@
         }
         if self.failing_since.is_none() {
             self.failing_since = Some(Instant::now());
-            log::warn!("store lost prefix=`{}`: {error}", self.settings.prefix);
+            log::warn!(
+                "store lost prefix=`{}` asked_ms={}: {error}",
+                self.settings.prefix,
+                asked.elapsed().as_millis()
+            );
         }
     }
 }
