--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -3,6 +3,8 @@
 //! One VM of a zone asks the store, the others hear of changes from it ([`source`]); a VM that the store turns away
 //! hears of them from whichever VM it answers.
 
+#[cfg(test)]
+mod fixture;
 mod message;
 mod relay;
 mod source;
@@ -303,3 +305,7 @@
         self.avoided.push((vm, now() + AVOIDED_TIME));
     }
 }
+
+#[cfg(test)]
+#[path = "follow_tests.rs"]
+mod tests;
