The removal's test failed for its own precondition; now it fails for the fault

The store in memory let a wait go on that had begun before it refused, so the VM heard of the upstream from the store itself, and the test stopped at the line that checks this. Now a refusal cuts waits as well.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -91,7 +91,7 @@
 pub enum StoreReach {
     /// They are answered.
     Answers,
-    /// They are refused at once.
+    /// They are refused at once, and those that wait are cut.
     Refuses,
     /// Nothing comes back, of calls that wait already neither.
     Silent,
@@ -217,16 +217,24 @@
         state.silences.get(&self.vm).copied().unwrap_or_default()
     }
 
+    fn reach(&self) -> StoreReach {
+        let reach = self.store.state().reach.get(&self.vm).copied();
+        reach.unwrap_or(StoreReach::Answers)
+    }
+
+    fn refuse() -> StoreError {
+        StoreError::Refused {
+            reason: "503".into(),
+        }
+    }
+
     /// The way to the store; returns how often the VM's connections had fallen silent when the call set out.
     async fn enter(&self) -> Result<u32, StoreError> {
         let silences = self.silences();
         tokio::time::sleep(ANSWER_TIME).await;
-        let reach = self.store.state().reach.get(&self.vm).copied();
-        match reach.unwrap_or(StoreReach::Answers) {
+        match self.reach() {
             StoreReach::Answers => Ok(silences),
-            StoreReach::Refuses => Err(StoreError::Refused {
-                reason: "503".into(),
-            }),
+            StoreReach::Refuses => Err(Self::refuse()),
             StoreReach::Silent => std::future::pending().await,
         }
     }
@@ -296,6 +304,9 @@
             }
             // The end of the wait is seen at the next turn.
             let _due = tokio::time::timeout_at(until, changed.changed()).await;
+            if self.reach() == StoreReach::Refuses {
+                return Err(Self::refuse());
+            }
         }
     }
 
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -62,7 +62,7 @@
         fleet.put_config(1);
         pass(3.0).await;
         fleet.store.set_reach(1, StoreReach::Refuses);
-        pass(1.5).await;
+        pass(2.0).await;
         fleet.store.put("upstream/x", "s");
         pass(0.5).await;
         expect_that!(
