Tell those that follow a VM also what it has read ahead; trust a range that is later than all that is known

The reader now keeps no record of its own and tells everything; whoever holds the items passes over what is not newer (the copy, and the watch of one key, whose test moves there and gains a case). A range as of a later revision than all that is known is believed even where an item seems to have been removed, so an error, should there be one, ends with the next whole read.

--- a/crates/ebonyfork/src/gateway/follow/copy.rs
+++ b/crates/ebonyfork/src/gateway/follow/copy.rs
@@ -109,7 +109,13 @@
             };
             events.extend(self.items.values().filter(gone).map(removal));
         }
-        events.retain(|event| self.apply(event));
+        let floor = if revision > self.complete {
+            // The range is later than all that is known, so what it holds is there whatever was thought of it.
+            StoreRevision::ABSENT
+        } else {
+            self.complete
+        };
+        events.retain(|event| self.apply(event, floor));
         if revision > self.complete {
             self.log.clear();
             self.log_bytes = 0;
@@ -127,7 +133,8 @@
         since: StoreRevision,
         revision: StoreRevision,
     ) -> CopyNews {
-        let news = events.iter().filter(|event| self.apply(event));
+        let floor = self.complete;
+        let news = events.iter().filter(|event| self.apply(event, floor));
         let news = news.cloned().collect();
         if since > self.complete {
             return CopyNews {
@@ -170,10 +177,10 @@
         self.removed.retain(|_key, removed| *removed > revision);
     }
 
-    /// Takes in one change; tells whether it was news.
-    fn apply(&mut self, event: &StoreEvent) -> bool {
+    /// Takes in one change; tells whether it was news. Everything up to the revision `floor` is known.
+    fn apply(&mut self, event: &StoreEvent, floor: StoreRevision) -> bool {
         let key = event.key();
-        if event.revision() <= self.known(key) {
+        if event.revision() <= self.known(key).max(floor) {
             return false;
         }
         match event {
@@ -189,12 +196,11 @@
         true
     }
 
-    /// The revision up to which the changes of a key are known.
+    /// The last change of a key that is known.
     fn known(&self, key: &CompactString) -> StoreRevision {
         let written = self.items.get(key).map(|item| item.revision);
         let removed = self.removed.get(key).copied();
-        let known = written.max(removed).unwrap_or_default();
-        known.max(self.complete)
+        written.max(removed).unwrap_or_default()
     }
 
     /// All changes after a revision, the newest of each key; none if they are no longer kept.
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -367,6 +367,13 @@
     }
 }
 
+impl Drop for FollowVm {
+    fn drop(&mut self) {
+        self.closing.cancel();
+        self.tasks.abort_all();
+    }
+}
+
 /// VMs that follow one store.
 pub struct FollowFleet {
     /// The store.
@@ -453,10 +460,10 @@
     /// Ends a VM's process and starts it again: it knows nothing.
     pub async fn restart(&mut self, place: usize, life: u64) {
         let old = self.vms.remove(place);
-        old.closing.cancel();
-        drop(old.tasks);
+        let (number, zone) = (old.number, old.zone.clone());
+        drop(old);
         tokio::time::sleep(Duration::from_millis(50)).await;
-        let vm = self.start_vm(old.number, old.zone, life).await;
+        let vm = self.start_vm(number, zone, life).await;
         self.vms.insert(place, vm);
     }
 
--- /dev/null
+++ b/crates/ebonyfork/src/store/key_watch_tests.rs
@@ -0,0 +1,86 @@
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+
+use super::*;
+use crate::store::{LeaseGrant, LeaseId, StoreError, StorePage, StoreWatch, StoreWrite};
+
+const KEY: &str = "config/newest";
+
+fn item(revision: u64) -> StoreItem {
+    StoreItem {
+        key: KEY.into(),
+        value: Bytes::from(revision.to_string()),
+        revision: StoreRevision(revision),
+    }
+}
+
+/// A store that answers reads and watches from scripts.
+#[derive(Debug, Clone)]
+struct ScriptedPort {
+    page: StorePage,
+    watches: Arc<Mutex<Vec<StoreWatch>>>,
+}
+
+impl StorePort for ScriptedPort {
+    async fn read_item(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
+        unreachable!("the watch reads a range")
+    }
+
+    async fn read_page(
+        &self,
+        _prefix: &str,
+        _after: Option<&str>,
+    ) -> Result<StorePage, StoreError> {
+        Ok(self.page.clone())
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        _after: StoreRevision,
+        _wait: Duration,
+    ) -> Result<StoreWatch, StoreError> {
+        let next = self.watches.lock().expect("no panic").pop();
+        next.ok_or(StoreError::HistoryGone)
+    }
+
+    async fn write(&self, _write: StoreWrite) -> Result<StoreRevision, StoreError> {
+        unreachable!("the watch writes nothing")
+    }
+
+    async fn open_lease(&self, _ttl: Duration) -> Result<LeaseGrant, StoreError> {
+        unreachable!("the watch holds no lease")
+    }
+
+    async fn renew_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        unreachable!("the watch holds no lease")
+    }
+
+    async fn end_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        unreachable!("the watch holds no lease")
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_key_never_goes_back() {
+    let watch = |revision: u64| StoreWatch {
+        events: vec![StoreEvent::Written(item(revision))],
+        revision: StoreRevision(revision + 1),
+    };
+    let port = ScriptedPort {
+        page: StorePage {
+            items: vec![item(20)],
+            more: false,
+            revision: StoreRevision(15),
+        },
+        // The last one is told first.
+        watches: Arc::new(Mutex::new(vec![watch(21), watch(17)])),
+    };
+    let mut watch = KeyWatch::new(port, KEY);
+    expect_that!(watch.next().await, some(eq(&item(20))));
+    expect_that!(watch.next().await, some(eq(&item(21))));
+}
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -1,9 +1,9 @@
 //! How a copy of a key range is kept: read all pages, then follow the changes, and read again when the history is gone.
 //!
 //! Pages are not a snapshot, so the watch goes on from the revision of the *first* page. It may then repeat a change
-//! that a later page has shown already, or an older one of the same key. The mirror remembers which items were newer than
-//! the first page and passes on only what is newer still: a reader never sees a key go back. Everything else it tells as
-//! it comes, removals of keys that it has never seen included: its reader may know them from elsewhere.
+//! that a later page has shown already, or an older one of the same key; who holds the items knows their revisions and
+//! passes over what is not newer. The mirror keeps no record of its own and tells all that has changed, what it has told
+//! or never seen included: its reader may know more, and others that hear of the changes from the reader may know less.
 
 use std::time::Duration;
 
@@ -83,8 +83,6 @@
     phase: MirrorPhase,
     backoff: Backoff,
     pause: Option<Duration>,
-    /// Keys whose items were newer than the first page, with their revisions.
-    read_ahead: FxHashMap<CompactString, StoreRevision>,
 }
 
 impl Default for MirrorState {
@@ -100,7 +98,6 @@
             phase: MirrorPhase::first_page(),
             backoff: Backoff::new(RETRY_FIRST, RETRY_LONGEST),
             pause: None,
-            read_ahead: FxHashMap::default(),
         }
     }
 
@@ -140,11 +137,6 @@
         }
         let items = std::mem::take(items);
         self.phase = MirrorPhase::Watching { after };
-        self.read_ahead = items
-            .iter()
-            .filter(|item| item.revision > after)
-            .map(|item| (item.key.clone(), item.revision))
-            .collect();
         Some(MirrorChange::Replaced(items))
     }
 
@@ -155,11 +147,7 @@
             return None;
         };
         *after = watch.revision.max(*after);
-        let mut changes = newest_events(watch.events);
-        let ahead = &mut self.read_ahead;
-        let told = |event: &StoreEvent| ahead.get(event.key()).copied().unwrap_or_default();
-        changes.retain(|event| event.revision() > told(event));
-        ahead.retain(|_key, revision| *revision > watch.revision);
+        let changes = newest_events(watch.events);
         (!changes.is_empty()).then_some(MirrorChange::Changed(changes))
     }
 
