Deny a route only if the copy of the store is known to be up to date

A VM whose proof is older than the limit does not know that there is no route: it says 503 with a Retry-After of 0.3 s, so that the caller asks another VM, instead of a 404 that ends the request. Test: a_vm_whose_copy_is_old_does_not_deny_a_route.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -17,6 +17,7 @@
 use crate::gateway::latency::{AttemptKind, LatencyTrack};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::registry::UpstreamRegistry;
+use crate::gateway::reply::RefusalReason;
 use crate::gateway::route::{RouteEntry, RouteTable};
 use crate::gateway::settings::{GatewaySettings, PlaceDistance};
 use crate::gateway::trip::WaitTrack;
@@ -184,6 +185,16 @@
         true
     }
 
+    /// Why a request is refused that no route matches. A VM whose configuration may be an old one does not know that there
+    /// is none: the caller is to ask another VM, which may have a route that this one has not heard of.
+    pub fn no_route(&self) -> RefusalReason {
+        if self.relay.is_old() {
+            RefusalReason::OldConfig
+        } else {
+            RefusalReason::NoRoute
+        }
+    }
+
     /// The attempt times of a route.
     pub fn latency(&self, route: &RouteEntry) -> Rc<RefCell<RouteLatency>> {
         if let Some(latency) = self.latencies.borrow().get(&route.name) {
--- a/crates/ebonyfork/src/gateway/core_tests.rs
+++ b/crates/ebonyfork/src/gateway/core_tests.rs
@@ -1,6 +1,7 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::gateway::fixture::{dialect, settings};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -29,3 +30,17 @@
     expect_that!(latency.quickest(PlaceDistance::Far), eq(AttemptKind::Far));
     expect_that!(latency.quickest(PlaceDistance::Zone), eq(AttemptKind::Zone));
 }
+
+/// Only a VM that knows what the store held lately can say that there is no route.
+#[gtest]
+fn a_vm_whose_copy_is_old_does_not_deny_a_route() {
+    let core = GatewayCore::new(settings(), dialect());
+    expect_that!(core.no_route(), eq(RefusalReason::OldConfig), "never read");
+    let Some(long_ago) = now().checked_sub(settings().change_bound) else {
+        return;
+    };
+    core.relay.note_proof(long_ago);
+    expect_that!(core.no_route(), eq(RefusalReason::OldConfig));
+    core.relay.note_proof(now());
+    expect_that!(core.no_route(), eq(RefusalReason::NoRoute));
+}
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -290,8 +290,8 @@
         return Err(RefusalReason::HeadTooLarge);
     }
     let host = request_host(&parts).ok_or(RefusalReason::Malformed)?;
-    let route = table.find(&host, parts.uri.path());
-    let route = Rc::clone(route.ok_or(RefusalReason::NoRoute)?);
+    let route = table.find(&host, parts.uri.path()).map(Rc::clone);
+    let route = route.ok_or_else(|| core.no_route())?;
     story.note_route(&route, &table);
     if core.state() == ServiceState::Finishing {
         return Err(RefusalReason::Stopping);
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -30,6 +30,8 @@
     HeadTooLarge,
     /// No configuration is known yet.
     NoConfig,
+    /// No route matches, but the configuration may be an old one.
+    OldConfig,
     /// This process is about to end.
     Stopping,
     /// The request crashes upstreams.
@@ -53,6 +55,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::NoConfig
+            | Self::OldConfig
             | Self::Stopping
             | Self::Quarantined
             | Self::NoUpstream
@@ -70,6 +73,7 @@
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
             Self::NoConfig => "no-config",
+            Self::OldConfig => "old-config",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::NoUpstream => "no-upstream",
@@ -85,7 +89,7 @@
             // Another VM takes it at once.
             Self::Stopping => Some(Duration::ZERO),
             // The store answers within milliseconds when it is up.
-            Self::NoConfig => Some(Duration::from_millis(300)),
+            Self::NoConfig | Self::OldConfig => Some(Duration::from_millis(300)),
             // A queue at an upstream drains within some service times.
             Self::NoUpstream | Self::LateUnsent => Some(Duration::from_millis(100)),
             Self::Quarantined => Some(Duration::from_mins(1)),
--- a/crates/ebonyfork/src/gateway/reply_tests.rs
+++ b/crates/ebonyfork/src/gateway/reply_tests.rs
@@ -5,12 +5,13 @@
 use super::*;
 use crate::gateway::fixture::{signed, wire_names};
 
-const REASONS: [RefusalReason; 11] = [
+const REASONS: [RefusalReason; 12] = [
     RefusalReason::Malformed,
     RefusalReason::NoRoute,
     RefusalReason::TooLarge,
     RefusalReason::HeadTooLarge,
     RefusalReason::NoConfig,
+    RefusalReason::OldConfig,
     RefusalReason::Stopping,
     RefusalReason::Quarantined,
     RefusalReason::NoUpstream,
