--- a/crates/ebonyfork-lab/src/experiment/callers.rs
+++ b/crates/ebonyfork-lab/src/experiment/callers.rs
@@ -5,21 +5,21 @@
 
 use compact_str::format_compact;
 use ebonyfork::declaration::ClassTarget;
-use ebonyfork::ident::CustomerName;
+use ebonyfork::ident::OrganisationName;
 
 use crate::clock::RunClock;
 use crate::experiment::address::AddressPlan;
 use crate::load::{AgentSettings, CallerAgent, ClassLoad, LoadPlan, LoadStream, StreamSelection};
 use crate::scenario::{FaultKind, Scenario, VariantSettings};
 
-/// Customers that may use a class.
+/// Organisations that may use a class.
 fn users<'a>(
     scenario: &'a Scenario,
     target: &'a ClassTarget,
-) -> impl Iterator<Item = &'a CustomerName> {
-    let customers = scenario.declared.customers.values();
-    let using = customers.filter(|customer| customer.classes.contains(&target.name));
-    using.map(|customer| &customer.name)
+) -> impl Iterator<Item = &'a OrganisationName> {
+    let organisations = scenario.declared.organisations.values();
+    let using = organisations.filter(|organisation| organisation.classes.contains(&target.name));
+    using.map(|organisation| &organisation.name)
 }
 
 /// What is sent in a variant.
@@ -45,12 +45,12 @@
             records: load.records,
             selection_size: load.selection_size,
         });
-        let users: Vec<&CustomerName> = users(scenario, target).collect();
+        let users: Vec<&OrganisationName> = users(scenario, target).collect();
         let rate = scenario.rate(load, variant.load_percent) / users.len().max(1) as f64;
-        for customer in users {
+        for organisation in users {
             plan.streams.push(LoadStream {
                 class,
-                customer: customer.clone(),
+                organisation: organisation.clone(),
                 rate,
                 from: Duration::ZERO,
                 until,
@@ -70,8 +70,14 @@
     for fault in &scenario.faults {
         let (from, until) = (fault.at, fault.at + fault.lasts);
         match &fault.kind {
-            FaultKind::Burst { customer, factor } => {
-                for stream in usual.iter().filter(|stream| stream.customer == *customer) {
+            FaultKind::Burst {
+                organisation,
+                factor,
+            } => {
+                for stream in usual
+                    .iter()
+                    .filter(|stream| stream.organisation == *organisation)
+                {
                     plan.streams.push(LoadStream {
                         rate: stream.rate * (factor - 1.0).max(0.0),
                         from,
@@ -98,7 +104,7 @@
     }
 }
 
-/// Callers of every customer in every zone, near the VMs of their zone.
+/// Callers of every organisation in every zone, near the VMs of their zone.
 pub(super) fn fleet_agents(
     scenario: &Scenario,
     plan: &AddressPlan,
@@ -106,7 +112,7 @@
 ) -> Vec<CallerAgent> {
     let fleet = &scenario.fleet;
     let mut agents = Vec::new();
-    for customer in scenario.declared.customers.keys() {
+    for organisation in scenario.declared.organisations.keys() {
         for number in 0..fleet.callers * fleet.zones.len() as u32 {
             let zone = plan.zone(number);
             let near = |node: &u32| plan.zone(*node) == zone;
@@ -120,7 +126,7 @@
                 delay: fleet.caller_delay,
                 known: addresses(known),
                 others: addresses(others),
-                customer: customer.clone(),
+                organisation: organisation.clone(),
                 number: agents.len() as u32,
             }));
         }
@@ -135,14 +141,14 @@
     clock: RunClock,
 ) -> Vec<CallerAgent> {
     let mut agents = Vec::new();
-    for customer in scenario.declared.customers.keys() {
+    for organisation in scenario.declared.organisations.keys() {
         for _ in 0..scenario.fleet.callers {
             agents.push(CallerAgent::new(AgentSettings {
                 clock,
                 delay: Duration::ZERO,
                 known: addresses.to_vec(),
                 others: Vec::new(),
-                customer: customer.clone(),
+                organisation: organisation.clone(),
                 number: agents.len() as u32,
             }));
         }
--- a/crates/ebonyfork-lab/src/load/agent.rs
+++ b/crates/ebonyfork-lab/src/load/agent.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use ebonyfork::ident::{CustomerName, IdempotencyKey, RunState, SessionId, VmAddress};
+use ebonyfork::ident::{IdempotencyKey, OrganisationName, RunState, SessionId, VmAddress};
 use http::Request;
 use http_body_util::Full;
 use rand::SeedableRng;
@@ -47,8 +47,8 @@
     pub known: Vec<SocketAddr>,
     /// Caller addresses of all other VMs, asked when those near don't answer.
     pub others: Vec<SocketAddr>,
-    /// Name of the customer whose requests this caller sends.
-    pub customer: CustomerName,
+    /// Name of the organisation whose requests this caller sends.
+    pub organisation: OrganisationName,
     /// Number of the caller, unique in the run: it tells apart the keys of callers that share a session.
     pub number: u32,
 }
@@ -59,7 +59,7 @@
     until: Duration,
 }
 
-/// A caller of one customer.
+/// A caller of one organisation.
 #[derive(Debug)]
 pub struct CallerAgent {
     settings: AgentSettings,
@@ -99,9 +99,9 @@
         }
     }
 
-    /// The customer whose requests it sends.
-    pub fn customer(&self) -> &CustomerName {
-        &self.settings.customer
+    /// The organisation whose requests it sends.
+    pub fn organisation(&self) -> &OrganisationName {
+        &self.settings.organisation
     }
 
     /// Sends a request, once more where that is safe, and records what came of it.
@@ -193,7 +193,7 @@
         let uri = format!("/v1/query/{}", request.load.class);
         let mut builder = Request::post(uri)
             .header("host", "ebonyfork")
-            .header("x-customer", self.settings.customer.as_str())
+            .header("x-organisation", self.settings.organisation.as_str())
             .header("x-record", request.record.as_str());
         if let Some(deadline) = request.load.deadline {
             builder = builder.header("x-deadline-ms", deadline.as_millis() as u64);
@@ -245,7 +245,7 @@
     async fn locate_at(&self, address: SocketAddr) -> Option<LocateReply> {
         let request = Request::get("/v1/locate")
             .header("host", "ebonyfork")
-            .header("x-customer", self.settings.customer.as_str())
+            .header("x-organisation", self.settings.organisation.as_str())
             .body(Full::default())
             .ok()?;
         tokio::time::sleep(self.settings.delay * 2).await;
--- a/crates/ebonyfork-lab/src/load/agent_tests.rs
+++ b/crates/ebonyfork-lab/src/load/agent_tests.rs
@@ -108,7 +108,7 @@
         delay: Duration::ZERO,
         known: vec![known],
         others: Vec::new(),
-        customer: "roofers".parse().expect("a name"),
+        organisation: "roofers".parse().expect("a name"),
         number: 3,
     });
     let record = agent.send(outgoing(idempotent)).await;
--- a/crates/ebonyfork-lab/src/load/generator.rs
+++ b/crates/ebonyfork-lab/src/load/generator.rs
@@ -57,7 +57,7 @@
         let loads: Vec<Arc<ClassLoad>> = self.plan.classes.into_iter().map(Arc::new).collect();
         let mut tasks = JoinSet::new();
         for (number, stream) in self.plan.streams.into_iter().enumerate() {
-            let own = |agent: &&Arc<CallerAgent>| *agent.customer() == stream.customer;
+            let own = |agent: &&Arc<CallerAgent>| *agent.organisation() == stream.organisation;
             let agents: Vec<Arc<CallerAgent>> = self.agents.iter().filter(own).cloned().collect();
             if agents.is_empty() {
                 continue;
--- a/crates/ebonyfork-lab/src/load/plan.rs
+++ b/crates/ebonyfork-lab/src/load/plan.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use ebonyfork::declaration::ClassScope;
-use ebonyfork::ident::{ClassName, CustomerName};
+use ebonyfork::ident::{ClassName, OrganisationName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -40,13 +40,13 @@
     Killer(CompactString),
 }
 
-/// A Poisson stream of requests of one class and one customer.
+/// A Poisson stream of requests of one class and one organisation.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadStream {
     /// Place of the class in [`LoadPlan::classes`].
     pub class: usize,
-    /// The customer.
-    pub customer: CustomerName,
+    /// The organisation.
+    pub organisation: OrganisationName,
     /// Requests a second.
     pub rate: f64,
     /// When it begins, since the start of the load.
--- a/crates/ebonyfork-lab/src/scenario/check.rs
+++ b/crates/ebonyfork-lab/src/scenario/check.rs
@@ -72,10 +72,10 @@
         FaultKind::Killer { class, .. } => {
             known(declared.classes.contains_key(class), "class", class)
         }
-        FaultKind::Burst { customer, .. } => known(
-            declared.customers.contains_key(customer),
-            "customer",
-            customer,
+        FaultKind::Burst { organisation, .. } => known(
+            declared.organisations.contains_key(organisation),
+            "organisation",
+            organisation,
         ),
         FaultKind::Kill { nodes } if *nodes >= scenario.fleet.nodes => {
             Err("kills every VM".to_owned())
--- a/crates/ebonyfork-lab/src/scenario/declared.rs
+++ b/crates/ebonyfork-lab/src/scenario/declared.rs
@@ -10,7 +10,7 @@
 use crate::scenario::model::ServiceGroup;
 
 /// Kinds of sections that are declarations.
-pub(super) const DECLARED: [&str; 2] = ["class", "customer"];
+pub(super) const DECLARED: [&str; 2] = ["class", "organisation"];
 
 /// Takes the declarations out of a scenario's text, those that are kept. All other lines are left empty, so that
 /// findings keep their place.
--- a/crates/ebonyfork-lab/src/scenario/fault.rs
+++ b/crates/ebonyfork-lab/src/scenario/fault.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use ebonyfork::finding::FindingList;
-use ebonyfork::ident::{ClassName, CustomerName, IndexName, ServiceName, ShardNumber};
+use ebonyfork::ident::{ClassName, IndexName, OrganisationName, ServiceName, ShardNumber};
 use ebonyfork::ini::{IniSection, SectionReader};
 use ebonyfork::quantity::TimeSpan;
 
@@ -113,10 +113,10 @@
         /// Times a second.
         rate: f64,
     },
-    /// A customer sends a multiple of its load.
+    /// An organisation sends a multiple of its load.
     Burst {
-        /// The customer.
-        customer: CustomerName,
+        /// The organisation.
+        organisation: OrganisationName,
         /// Multiple.
         factor: f64,
     },
@@ -238,7 +238,7 @@
             rate: reader.optional("rate").unwrap_or(2.0),
         },
         _ => FaultKind::Burst {
-            customer: reader.required("customer")?,
+            organisation: reader.required("organisation")?,
             factor: reader.required("factor")?,
         },
     })
--- a/crates/ebonyfork-lab/src/scenario/model.rs
+++ b/crates/ebonyfork-lab/src/scenario/model.rs
@@ -41,7 +41,7 @@
     pub vm_lag: Duration,
     /// How long callers keep a locate answer.
     pub locate_ttl: Duration,
-    /// Callers per customer and zone.
+    /// Callers per organisation and zone.
     pub callers: u32,
 }
 
--- a/crates/ebonyfork-lab/src/scenario/read.rs
+++ b/crates/ebonyfork-lab/src/scenario/read.rs
@@ -31,7 +31,7 @@
     "variant",
     "experiment",
     "class",
-    "customer",
+    "organisation",
 ];
 const SWITCH: [(&str, bool); 2] = [("on", true), ("off", false)];
 /// Most VMs of one run: they share one process.
--- a/crates/ebonyfork-lab/src/scenario/read_tests.rs
+++ b/crates/ebonyfork-lab/src/scenario/read_tests.rs
@@ -23,7 +23,7 @@
 coverage = 0.98
 gives-way = latency
 idempotent = yes
-[customer roofers]
+[organisation roofers]
 classes = tender-search
 [load tender-search]
 share = 0.5
--- a/crates/ebonyfork-lab/src/scenario/sources_tests.rs
+++ b/crates/ebonyfork-lab/src/scenario/sources_tests.rs
@@ -19,7 +19,7 @@
 coverage = 1
 gives-way = latency
 idempotent = yes
-[customer roofers]
+[organisation roofers]
 classes = search
 [load search]
 share = 1
--- a/crates/ebonyfork/benches/fleet.rs
+++ b/crates/ebonyfork/benches/fleet.rs
@@ -86,11 +86,12 @@
             caller_port: 7100,
             ttl: Duration::from_secs(5),
         };
-        let customer = "roofers".parse().expect("a name");
+        let organisation = "roofers".parse().expect("a name");
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         group.bench_function(BenchmarkId::new("locate", size), |bencher| {
-            bencher
-                .iter(|| locate_addresses(&view, &members, &settings, Some(&customer), &mut rng));
+            bencher.iter(|| {
+                locate_addresses(&view, &members, &settings, Some(&organisation), &mut rng)
+            });
         });
     }
     group.finish();
--- a/crates/ebonyfork/benches/query.rs
+++ b/crates/ebonyfork/benches/query.rs
@@ -12,7 +12,7 @@
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use ebonyfork::catalog::{IndexCatalog, VersionShards};
 use ebonyfork::declaration::{
-    ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, TargetPriority,
+    ClassScope, ClassTarget, DeclaredConfig, OrganisationEntry, TargetPriority,
 };
 use ebonyfork::entry::{EntryAction, EntryCore, EntryViews};
 use ebonyfork::ident::{IncarnationNumber, SessionId, SnapshotVersion, UpstreamAddress, VmAddress};
@@ -68,13 +68,15 @@
         bound: Duration::from_secs(1),
         idempotent: true,
     };
-    let customer = CustomerEntry {
+    let organisation = OrganisationEntry {
         name: "roofers".parse().unwrap(),
         classes: vec![class.name.clone()],
     };
     let mut config = DeclaredConfig::default();
     config.classes.insert(class.name.clone(), class);
-    config.customers.insert(customer.name.clone(), customer);
+    config
+        .organisations
+        .insert(organisation.name.clone(), organisation);
     let zone = |number: u32| format!("zone-{}", number % 3).parse().unwrap();
     let vms = (1..=VMS).map(|number| VmEntry {
         vm: vm(number),
@@ -137,7 +139,7 @@
     fn plan(&mut self) {
         let request = QueryRequest {
             class: "search".parse().unwrap(),
-            customer: "roofers".parse().unwrap(),
+            organisation: "roofers".parse().unwrap(),
             deadline: None,
             record: None,
             selection: Bytes::from_static(b"roofs"),
--- a/crates/ebonyfork/benches/relay.rs
+++ b/crates/ebonyfork/benches/relay.rs
@@ -5,18 +5,18 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use ebonyfork::relay::{
-    ClassId, ConcurrencyLimit, CustomerId, LimitSample, QueueEntry, RelayQueue, WorkId,
+    ClassId, ConcurrencyLimit, LimitSample, OrganisationId, QueueEntry, RelayQueue, WorkId,
 };
 use ebonyfork::settings::{LimitMode, QueueOrder};
 
 const WAITING: u32 = 512;
 
-fn entry(work: u32, customers: u32, now: Duration) -> QueueEntry {
+fn entry(work: u32, organisations: u32, now: Duration) -> QueueEntry {
     // Deadlines between 60 and 316 ms from now, in no order.
     let spread = u64::from(work.wrapping_mul(2_654_435_761) >> 24);
     QueueEntry {
         work: WorkId::from_u32(work),
-        customer: CustomerId::from_u32(work % customers),
+        organisation: OrganisationId::from_u32(work % organisations),
         class: ClassId::from_u32(0),
         deadline: now + Duration::from_millis(60 + spread),
         cost: Duration::from_millis(8),
@@ -26,18 +26,18 @@
 /// One attempt in and one out, with 512 waiting.
 fn push_and_pop(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("queue/push+pop");
-    for customers in [1, 8, 64, 256] {
-        group.bench_function(BenchmarkId::from_parameter(customers), |bencher| {
+    for organisations in [1, 8, 64, 256] {
+        group.bench_function(BenchmarkId::from_parameter(organisations), |bencher| {
             let mut queue = RelayQueue::new(QueueOrder::Slack);
             let mut expired = Vec::new();
             let mut now = Duration::ZERO;
             for work in 0..WAITING {
-                queue.push(entry(work, customers, now));
+                queue.push(entry(work, organisations, now));
             }
             let mut spare = WorkId::from_u32(WAITING);
             bencher.iter(|| {
                 now += Duration::from_micros(100);
-                queue.push(entry(spare.as_u32(), customers, now));
+                queue.push(entry(spare.as_u32(), organisations, now));
                 let popped = queue.pop(now, usize::MAX, |_| true, &mut expired);
                 spare = popped.or_else(|| expired.pop()).unwrap_or(spare);
                 expired.clear();
--- a/crates/ebonyfork/benches/relay_load.rs
+++ b/crates/ebonyfork/benches/relay_load.rs
@@ -169,7 +169,7 @@
     SubmitBatch {
         query,
         class: "search".parse().unwrap(),
-        customer: "roofers".parse().unwrap(),
+        organisation: "roofers".parse().unwrap(),
         index: "tenders".parse().unwrap(),
         version: SnapshotVersion(17),
         remaining_us: 5_000_000,
--- a/crates/ebonyfork/benches/support/codec_messages.rs
+++ b/crates/ebonyfork/benches/support/codec_messages.rs
@@ -36,7 +36,7 @@
         query: 1_000_000,
         fingerprint: RequestFingerprint::new(&class, &selection),
         class,
-        customer: "roofers-of-tartu".parse().expect("a valid name"),
+        organisation: "roofers-of-tartu".parse().expect("a valid name"),
         index: "tenders".parse().expect("a valid name"),
         version: SnapshotVersion(17),
         remaining_us: 300_000,
--- a/crates/ebonyfork/examples/slopes.rs
+++ b/crates/ebonyfork/examples/slopes.rs
@@ -206,14 +206,14 @@
     );
 }
 
-fn declarations(customers: u32) -> DeclaredFile {
+fn declarations(organisations: u32) -> DeclaredFile {
     let mut text = String::from(
         "[service tender-00]\nconnections = 25\n[class tender-search]\nindex = tenders\n\
          scope = all\nlatency = 300ms\npercentile = 99\ncoverage = 0.98\ngives-way = latency\n\
          idempotent = yes\n",
     );
-    for number in 0..customers {
-        text.push_str("[customer customer-");
+    for number in 0..organisations {
+        text.push_str("[organisation organisation-");
         text.push_str(&number.to_string());
         text.push_str("]\nclasses = tender-search\n");
     }
@@ -223,17 +223,17 @@
 fn report_declarations() {
     const SIZES: [u32; 4] = [50, 250, 1_000, 4_000];
     report(
-        "declarations: bytes by customers",
+        "declarations: bytes by organisations",
         "B",
         &SIZES,
-        |customers| declarations(customers).text.len() as f64,
+        |organisations| declarations(organisations).text.len() as f64,
     );
     report(
-        "declarations: parsed and checked by customers",
+        "declarations: parsed and checked by organisations",
         "ns",
         &SIZES,
-        |customers| {
-            let files = [declarations(customers)];
+        |organisations| {
+            let files = [declarations(organisations)];
             nanoseconds(|| DeclaredConfig::parse(&files, RevisionNumber(1)))
         },
     );
--- a/crates/ebonyfork/src/caller/message.rs
+++ b/crates/ebonyfork/src/caller/message.rs
@@ -105,7 +105,7 @@
     use http::StatusCode;
     match code {
         RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
-        RefusalCode::UnknownCustomer => StatusCode::FORBIDDEN,
+        RefusalCode::UnknownOrganisation => StatusCode::FORBIDDEN,
         RefusalCode::UnknownClass | RefusalCode::NotFound => StatusCode::NOT_FOUND,
         RefusalCode::OutcomeUnknown => StatusCode::CONFLICT,
         RefusalCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/ebonyfork/src/caller/mod.rs
+++ b/crates/ebonyfork/src/caller/mod.rs
@@ -8,7 +8,7 @@
 
 pub use message::LocateAnswer;
 pub use request::{
-    CUSTOMER_HEADER, DEADLINE_HEADER, KEY_HEADER, QUERY_HEADER, QUERY_ID_LIMIT, RECORD_HEADER,
+    DEADLINE_HEADER, KEY_HEADER, ORGANISATION_HEADER, QUERY_HEADER, QUERY_ID_LIMIT, RECORD_HEADER,
 };
 pub use server::serve_callers;
 pub use service::CallerService;
--- a/crates/ebonyfork/src/caller/request.rs
+++ b/crates/ebonyfork/src/caller/request.rs
@@ -8,11 +8,11 @@
 use compact_str::CompactString;
 use http::HeaderMap;
 
-use crate::ident::{ClassName, CustomerName, RunState};
+use crate::ident::{ClassName, OrganisationName, RunState};
 use crate::query::{QueryRefusal, QueryRequest, RECORD_LIMIT, RefusalCode};
 
-/// Header that names the customer.
-pub const CUSTOMER_HEADER: &str = "x-customer";
+/// Header that names the organisation.
+pub const ORGANISATION_HEADER: &str = "x-organisation";
 /// Header with the caller's bound, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Header with the key of a non-idempotent query.
@@ -33,11 +33,12 @@
     selection: Bytes,
 ) -> Result<QueryRequest, QueryRefusal> {
     let class: ClassName = class.parse().map_err(|error| bad("class", error))?;
-    let customer = read_parsed(headers, CUSTOMER_HEADER)?;
-    let customer = customer.ok_or_else(|| bad(CUSTOMER_HEADER, "the header is missing"))?;
+    let organisation = read_parsed(headers, ORGANISATION_HEADER)?;
+    let organisation =
+        organisation.ok_or_else(|| bad(ORGANISATION_HEADER, "the header is missing"))?;
     Ok(QueryRequest {
         class,
-        customer,
+        organisation,
         deadline: read_deadline(headers)?,
         record: read_text(headers, RECORD_HEADER, RECORD_LIMIT)?,
         selection,
@@ -46,9 +47,11 @@
     })
 }
 
-/// Reads the optional customer of a locate request.
-pub(super) fn read_customer(headers: &HeaderMap) -> Result<Option<CustomerName>, QueryRefusal> {
-    read_parsed(headers, CUSTOMER_HEADER)
+/// Reads the optional organisation of a locate request.
+pub(super) fn read_organisation(
+    headers: &HeaderMap,
+) -> Result<Option<OrganisationName>, QueryRefusal> {
+    read_parsed(headers, ORGANISATION_HEADER)
 }
 
 /// Reads the caller's name for the query, if it is acceptable.
--- a/crates/ebonyfork/src/caller/server_tests.rs
+++ b/crates/ebonyfork/src/caller/server_tests.rs
@@ -63,7 +63,7 @@
         }
         .boxed()
     };
-    let locate = |_customer| LocateAnswer {
+    let locate = |_organisation| LocateAnswer {
         addresses: smallvec::smallvec!["127.0.0.1:7100".parse().unwrap()],
         ttl: Duration::from_secs(5),
         session: "127.0.0.1-17".parse().unwrap(),
@@ -94,7 +94,7 @@
 
 fn query(class: &str, headers: &[(&str, &str)], body: Vec<u8>) -> Request<Full<Bytes>> {
     let path = format!("/v1/query/{class}");
-    let mut request = Request::post(path).header("x-customer", "roofers");
+    let mut request = Request::post(path).header("x-organisation", "roofers");
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
@@ -129,9 +129,9 @@
             "x-deadline-ms",
         ),
         (
-            query("search", &[("x-customer", "twice")], vec![]),
+            query("search", &[("x-organisation", "twice")], vec![]),
             400,
-            "x-customer",
+            "x-organisation",
         ),
         (
             query("search", &[("x-record", &long)], vec![]),
--- a/crates/ebonyfork/src/caller/service.rs
+++ b/crates/ebonyfork/src/caller/service.rs
@@ -14,8 +14,8 @@
 use hyper::body::Incoming;
 
 use super::message::{LocateAnswer, answer_body, refusal_body, refusal_status};
-use super::request::{KEY_HEADER, QUERY_HEADER, caller_id, read_customer, read_query};
-use crate::ident::{CustomerName, RunState};
+use super::request::{KEY_HEADER, QUERY_HEADER, caller_id, read_organisation, read_query};
+use crate::ident::{OrganisationName, RunState};
 use crate::query::{
     QueryAnswer, QueryOutcome, QueryRefusal, QueryRequest, RefusalCode, SELECTION_LIMIT,
 };
@@ -33,7 +33,7 @@
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
 type RunFunction = dyn Fn(QueryRequest) -> BoxFuture<'static, QueryOutcome> + Send + Sync;
-type LocateFunction = dyn Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync;
+type LocateFunction = dyn Fn(Option<OrganisationName>) -> LocateAnswer + Send + Sync;
 
 /// Answers callers' requests. Cheap to clone.
 #[derive(Clone)]
@@ -53,7 +53,7 @@
     /// Makes a service that runs queries by `run` and answers locate requests by `locate`.
     pub fn new(
         run: impl Fn(QueryRequest) -> BoxFuture<'static, QueryOutcome> + Send + Sync + 'static,
-        locate: impl Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync + 'static,
+        locate: impl Fn(Option<OrganisationName>) -> LocateAnswer + Send + Sync + 'static,
         views: NodeViews,
     ) -> Self {
         Self {
@@ -82,8 +82,8 @@
             if request.method() != Method::GET {
                 return Ok(wrong_method("GET"));
             }
-            let customer = read_customer(request.headers())?;
-            let answer = (self.locate)(customer);
+            let organisation = read_organisation(request.headers())?;
+            let answer = (self.locate)(organisation);
             let body = serde_json::to_vec(&answer).unwrap_or_default();
             return Ok(json_response(StatusCode::OK, body.into()));
         }
--- a/crates/ebonyfork/src/declaration/model.rs
+++ b/crates/ebonyfork/src/declaration/model.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ident::{ClassName, CustomerName, IndexName, RevisionNumber, ServiceName};
+use crate::ident::{ClassName, IndexName, OrganisationName, RevisionNumber, ServiceName};
 
 /// Which shards a query of a class goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -58,11 +58,11 @@
     pub drain: Duration,
 }
 
-/// A customer whose callers are served.
+/// An organisation whose callers are served.
 #[derive(Debug, Clone, PartialEq)]
-pub struct CustomerEntry {
-    /// Name of the customer.
-    pub name: CustomerName,
+pub struct OrganisationEntry {
+    /// Name of the organisation.
+    pub name: OrganisationName,
     /// The classes its callers may use.
     pub classes: Vec<ClassName>,
 }
@@ -76,6 +76,6 @@
     pub classes: BTreeMap<ClassName, ClassTarget>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceEntry>,
-    /// Customers by name.
-    pub customers: BTreeMap<CustomerName, CustomerEntry>,
+    /// Organisations by name.
+    pub organisations: BTreeMap<OrganisationName, OrganisationEntry>,
 }
--- a/crates/ebonyfork/src/declaration/parse.rs
+++ b/crates/ebonyfork/src/declaration/parse.rs
@@ -8,12 +8,12 @@
 use compact_str::CompactString;
 
 use crate::finding::FindingList;
-use crate::ident::{ClassName, CustomerName, RevisionNumber, ServiceName};
+use crate::ident::{ClassName, OrganisationName, RevisionNumber, ServiceName};
 use crate::ini::{IniDocument, IniSection, SectionReader, unknown_message};
 use crate::quantity::TimeSpan;
 
 use super::model::{
-    ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, ServiceEntry, TargetPriority,
+    ClassScope, ClassTarget, DeclaredConfig, OrganisationEntry, ServiceEntry, TargetPriority,
 };
 
 /// The bound of a class that states none, as a multiple of its latency.
@@ -27,7 +27,7 @@
 /// The most connections that one upstream may be said to accept.
 const MOST_CONNECTIONS: u32 = 100_000;
 
-const SECTIONS: [&str; 3] = ["service", "class", "customer"];
+const SECTIONS: [&str; 3] = ["service", "class", "organisation"];
 /// Keys that would steer work instead of stating a target.
 const STEERING_KEYS: [&str; 20] = [
     "weight",
@@ -93,7 +93,7 @@
     /// use ebonyfork::ident::RevisionNumber;
     ///
     /// let text = "[class search]\nindex = tenders\nlatency = 300ms\ncoverage = 0.98\n\
-    ///             gives-way = latency\nidempotent = yes\n[customer roofers]\nclasses = search\n";
+    ///             gives-way = latency\nidempotent = yes\n[organisation roofers]\nclasses = search\n";
     /// let files = [DeclaredFile::new("main.ini", text)];
     /// let config = DeclaredConfig::parse(&files, RevisionNumber(1))?;
     /// assert_eq!(config.classes.len(), 1);
@@ -108,7 +108,7 @@
         for file in files {
             draft.read_file(file);
         }
-        draft.check_customers();
+        draft.check_organisations();
         draft.findings.into_result(draft.config)
     }
 }
@@ -126,9 +126,10 @@
     config: DeclaredConfig,
     findings: FindingList,
     places: BTreeMap<(CompactString, CompactString), EntryPlace>,
-    /// Every class that a file declares, also those with findings: a customer may name it without a second finding.
+    /// Every class that a file declares, also those with findings: an organisation may name it without a second
+    /// finding.
     class_names: Vec<CompactString>,
-    /// Places of the customers' class lists, for the check across files.
+    /// Places of the organisations' class lists, for the check across files.
     class_uses: Vec<(EntryPlace, ClassName)>,
 }
 
@@ -155,7 +156,7 @@
             match section.kind.as_str() {
                 "service" => self.read_service(&file.name, section),
                 "class" => self.read_class(&file.name, section),
-                "customer" => self.read_customer(&file.name, section),
+                "organisation" => self.read_organisation(&file.name, section),
                 kind => self.reject_section(&file.name, section.line, kind),
             }
         }
@@ -229,8 +230,8 @@
         }
     }
 
-    fn read_customer(&mut self, file: &str, section: &IniSection) {
-        let name = self.read_name::<CustomerName>(file, section);
+    fn read_organisation(&mut self, file: &str, section: &IniSection) {
+        let name = self.read_name::<OrganisationName>(file, section);
         let mut reader = SectionReader::new(file, section, &mut self.findings);
         reject_steering(&mut reader, section);
         let stated = reader.required::<CompactString>("classes").is_some();
@@ -255,11 +256,11 @@
         }
         reader.finish();
         if let Some(name) = name {
-            let entry = CustomerEntry {
+            let entry = OrganisationEntry {
                 name: name.clone(),
                 classes,
             };
-            self.config.customers.insert(name, entry);
+            self.config.organisations.insert(name, entry);
         }
     }
 
@@ -283,8 +284,8 @@
         }
     }
 
-    /// Checks what customers name against the classes of all files.
-    fn check_customers(&mut self) {
+    /// Checks what organisations name against the classes of all files.
+    fn check_organisations(&mut self) {
         let known: Vec<&str> = self.class_names.iter().map(CompactString::as_str).collect();
         for (place, class) in &self.class_uses {
             if known.contains(&class.as_str()) {
--- a/crates/ebonyfork/src/declaration/parse_tests.rs
+++ b/crates/ebonyfork/src/declaration/parse_tests.rs
@@ -15,7 +15,7 @@
 gives-way = latency    ; latency | coverage
 bound = 2s
 idempotent = yes
-[customer roofers]
+[organisation roofers]
 classes = tender-search
 ";
 
@@ -27,6 +27,6 @@
     let class = &config.classes[&"tender-search".parse().unwrap()];
     expect_that!(class.bound, eq(Duration::from_secs(2)));
     expect_that!(class.priority, eq(TargetPriority::CoverageFirst));
-    expect_that!(config.customers.len(), eq(1));
+    expect_that!(config.organisations.len(), eq(1));
     expect_that!(config.services.len(), eq(1));
 }
--- a/crates/ebonyfork/src/entry/admission.rs
+++ b/crates/ebonyfork/src/entry/admission.rs
@@ -1,10 +1,11 @@
 //! Admission: a query whose target can't be met is refused before anything leaves.
 //!
-//! The wait that a query would meet is predicted from the relays' reported waits: the wait of the slowest shard that its
-//! coverage target needs. It may take what the class's latency leaves beyond the time that work takes on idle upstreams.
-//! How much of that a query may use depends on its customer: one that was idle or uses little may use nearly all, one
-//! that uses more than its fair share only half. So a customer that floods the tier keeps the queues at a level where
-//! the others still get in. A class that misses its target although queries were admitted tightens its own limit.
+//! The wait that a query would meet is predicted from the relays' reported waits: the wait of the slowest shard that
+//! its coverage target needs. It may take what the class's latency leaves beyond the time that work takes on idle
+//! upstreams. How much of that a query may use depends on its organisation: one that was idle or uses little may use
+//! nearly all, one that uses more than its fair share only half. So an organisation that floods the tier keeps the
+//! queues at a level where the others still get in. A class that misses its target although queries were admitted
+//! tightens its own limit.
 
 use std::time::Duration;
 
@@ -12,25 +13,25 @@
 use rustc_hash::FxHashMap;
 
 use super::terms::ClassId;
-use crate::ident::CustomerName;
+use crate::ident::OrganisationName;
 
-/// Share of a class's latency that a query of a customer with little use may take, waiting included.
+/// Share of a class's latency that a query of an organisation with little use may take, waiting included.
 const LIGHT_SHARE: f64 = 0.8;
-/// The same for a customer that uses about its fair share.
+/// The same for an organisation that uses about its fair share.
 const FAIR_SHARE: f64 = 0.65;
-/// The same for a customer that uses more than its fair share.
+/// The same for an organisation that uses more than its fair share.
 const HEAVY_SHARE: f64 = 0.4;
-/// A customer is light below this part of the fair share.
+/// An organisation is light below this part of the fair share.
 const LIGHT_USE: f64 = 0.5;
-/// A customer is heavy above this multiple of the fair share.
+/// An organisation is heavy above this multiple of the fair share.
 const HEAVY_USE: f64 = 1.5;
-/// Queries of its own size that a customer may have had lately and still count as light.
+/// Queries of its own size that an organisation may have had lately and still count as light.
 const LIGHT_QUERIES: f64 = 2.0;
 /// Time in which use loses half its weight.
 const USE_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Use below which a customer counts as idle: a thousandth of an upstream's second.
+/// Use below which an organisation counts as idle: a thousandth of an upstream's second.
 const USE_LEAST: f64 = 0.001;
-/// How often idle customers are forgotten and the active ones counted.
+/// How often idle organisations are forgotten and the active ones counted.
 const CENSUS_PERIOD: Duration = Duration::from_millis(250);
 /// Least part of the latency that may be waited, even if work alone takes all of it.
 const WAIT_LEAST_PART: u32 = 10;
@@ -52,8 +53,8 @@
 pub struct AdmissionCase<'a> {
     /// Its class.
     pub class: ClassId,
-    /// Its customer.
-    pub customer: &'a CustomerName,
+    /// Its organisation.
+    pub organisation: &'a OrganisationName,
     /// The class's latency, or the caller's deadline if that is shorter.
     pub latency: Duration,
     /// Predicted wait of the slowest shard that the coverage target needs.
@@ -79,9 +80,9 @@
     },
 }
 
-/// How much of its fair share a customer uses.
+/// How much of its fair share an organisation uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CustomerTier {
+pub enum OrganisationTier {
     /// It was idle or uses little.
     Light,
     /// It uses about its share.
@@ -129,7 +130,7 @@
 /// The door of one entry.
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
-    customers: FxHashMap<CustomerName, DecayingSum>,
+    organisations: FxHashMap<OrganisationName, DecayingSum>,
     total: DecayingSum,
     active: u32,
     census: Duration,
@@ -137,13 +138,13 @@
 }
 
 impl AdmissionControl {
-    /// Decides on a query. One that is admitted counts as its customer's use.
+    /// Decides on a query. One that is admitted counts as its organisation's use.
     pub fn admit(&mut self, now: Duration, case: AdmissionCase<'_>) -> AdmissionVerdict {
-        self.count_customers(now);
-        let share = match self.tier(now, case.customer, case.cost) {
-            CustomerTier::Light => LIGHT_SHARE,
-            CustomerTier::Fair => FAIR_SHARE,
-            CustomerTier::Heavy => HEAVY_SHARE,
+        self.count_organisations(now);
+        let share = match self.tier(now, case.organisation, case.cost) {
+            OrganisationTier::Light => LIGHT_SHARE,
+            OrganisationTier::Fair => FAIR_SHARE,
+            OrganisationTier::Heavy => HEAVY_SHARE,
         };
         let factor = self.classes[case.class].factor;
         let granted = case.latency.mul_f64(share * factor);
@@ -154,7 +155,7 @@
         {
             return AdmissionVerdict::Refused { excess };
         }
-        self.use_up(now, case.customer, case.cost);
+        self.use_up(now, case.organisation, case.cost);
         AdmissionVerdict::Admitted {
             pressed: case.wait > allowed / PRESSURE_PART,
         }
@@ -178,38 +179,47 @@
         limit.misses = 0;
     }
 
-    /// Tells how much of its fair share a customer uses, before a query that costs `cost`.
-    pub fn tier(&self, now: Duration, customer: &CustomerName, cost: f64) -> CustomerTier {
-        let used = self.customers.get(customer).map_or(0.0, |s| s.value(now));
+    /// Tells how much of its fair share an organisation uses, before a query that costs `cost`.
+    pub fn tier(
+        &self,
+        now: Duration,
+        organisation: &OrganisationName,
+        cost: f64,
+    ) -> OrganisationTier {
+        let used = self
+            .organisations
+            .get(organisation)
+            .map_or(0.0, |s| s.value(now));
         let fair = self.total.value(now) / f64::from(self.active.max(1));
         if used <= cost * LIGHT_QUERIES || (self.active > 1 && used < fair * LIGHT_USE) {
-            CustomerTier::Light
+            OrganisationTier::Light
         } else if self.active > 1 && used > fair * HEAVY_USE {
-            CustomerTier::Heavy
+            OrganisationTier::Heavy
         } else {
-            CustomerTier::Fair
+            OrganisationTier::Fair
         }
     }
 
-    fn use_up(&mut self, now: Duration, customer: &CustomerName, cost: f64) {
+    fn use_up(&mut self, now: Duration, organisation: &OrganisationName, cost: f64) {
         self.total.add(now, cost);
-        if let Some(sum) = self.customers.get_mut(customer) {
+        if let Some(sum) = self.organisations.get_mut(organisation) {
             sum.add(now, cost);
             return;
         }
         let mut sum = DecayingSum::default();
         sum.add(now, cost);
-        self.customers.insert(customer.clone(), sum);
+        self.organisations.insert(organisation.clone(), sum);
         self.active += 1;
     }
 
-    fn count_customers(&mut self, now: Duration) {
+    fn count_organisations(&mut self, now: Duration) {
         if now < self.census + CENSUS_PERIOD {
             return;
         }
         self.census = now;
-        self.customers.retain(|_, sum| sum.value(now) > USE_LEAST);
-        self.active = self.customers.len() as u32;
+        self.organisations
+            .retain(|_, sum| sum.value(now) > USE_LEAST);
+        self.active = self.organisations.len() as u32;
     }
 }
 
--- a/crates/ebonyfork/src/entry/admission_tests.rs
+++ b/crates/ebonyfork/src/entry/admission_tests.rs
@@ -3,10 +3,10 @@
 use super::*;
 use crate::entry::fixture::ms;
 
-fn case(customer: &CustomerName, wait: Duration) -> AdmissionCase<'_> {
+fn case(organisation: &OrganisationName, wait: Duration) -> AdmissionCase<'_> {
     AdmissionCase {
         class: ClassId::from_u32(0),
-        customer,
+        organisation,
         latency: ms(100),
         wait,
         work: ms(20),
@@ -16,7 +16,7 @@
 
 #[gtest]
 fn the_wait_that_is_allowed_follows_from_the_use() {
-    let names: Vec<CustomerName> = ["flood", "steady", "idle"]
+    let names: Vec<OrganisationName> = ["flood", "steady", "idle"]
         .map(|name| name.parse().unwrap())
         .into();
     let mut admission = AdmissionControl::default();
@@ -29,12 +29,12 @@
         }
     }
     let cases = [
-        (0, CustomerTier::Heavy, 20),
-        (1, CustomerTier::Light, 60),
-        (2, CustomerTier::Light, 60),
+        (0, OrganisationTier::Heavy, 20),
+        (1, OrganisationTier::Light, 60),
+        (2, OrganisationTier::Light, 60),
     ];
-    for (customer, tier, allowed) in cases {
-        let name = &names[customer];
+    for (organisation, tier, allowed) in cases {
+        let name = &names[organisation];
         expect_that!(admission.tier(now, name, 0.2), eq(tier));
         let refused = admission.admit(now, case(name, ms(allowed + 5)));
         expect_that!(refused, eq(AdmissionVerdict::Refused { excess: ms(5) }));
@@ -44,16 +44,19 @@
     // After ten idle seconds nothing is left of the flood.
     now += Duration::from_secs(10);
     admission.admit(now, case(&names[1], ms(0)));
-    expect_that!(admission.tier(now, &names[0], 0.2), eq(CustomerTier::Light));
+    expect_that!(
+        admission.tier(now, &names[0], 0.2),
+        eq(OrganisationTier::Light)
+    );
 }
 
 #[gtest]
 fn misses_tighten_the_limit_and_hits_relax_it_again() {
-    let customer = "steady".parse().unwrap();
+    let organisation = "steady".parse().unwrap();
     let class = ClassId::from_u32(0);
     let mut admission = AdmissionControl::default();
     let is_in = |admission: &mut AdmissionControl| {
-        let verdict = admission.admit(ms(1), case(&customer, ms(40)));
+        let verdict = admission.admit(ms(1), case(&organisation, ms(40)));
         matches!(verdict, AdmissionVerdict::Admitted { .. })
     };
     expect_that!(is_in(&mut admission), eq(true));
--- a/crates/ebonyfork/src/entry/core.rs
+++ b/crates/ebonyfork/src/entry/core.rs
@@ -402,16 +402,16 @@
             "the class is not declared",
         ));
     };
-    let Some(customer) = config.customers.get(&request.customer) else {
+    let Some(organisation) = config.organisations.get(&request.organisation) else {
         return Err(refuse(
-            RefusalCode::UnknownCustomer,
-            "the customer is not declared",
+            RefusalCode::UnknownOrganisation,
+            "the organisation is not declared",
         ));
     };
-    if !customer.classes.contains(&request.class) {
+    if !organisation.classes.contains(&request.class) {
         return Err(refuse(
-            RefusalCode::UnknownCustomer,
-            "the customer may not use this class",
+            RefusalCode::UnknownOrganisation,
+            "the organisation may not use this class",
         ));
     }
     Ok(target)
--- a/crates/ebonyfork/src/entry/core_tests.rs
+++ b/crates/ebonyfork/src/entry/core_tests.rs
@@ -82,7 +82,7 @@
     let mut fixture = EntryFixture::new(1, |class| class.idempotent = false);
     let cases = [
         ("class", RefusalCode::UnknownClass),
-        ("customer", RefusalCode::UnknownCustomer),
+        ("organisation", RefusalCode::UnknownOrganisation),
         ("key", RefusalCode::BadRequest),
         ("deadline", RefusalCode::Deadline),
     ];
@@ -93,7 +93,7 @@
         };
         match field {
             "class" => query.class = "other".parse().unwrap(),
-            "customer" => query.customer = "other".parse().unwrap(),
+            "organisation" => query.organisation = "other".parse().unwrap(),
             "key" => query.key = None,
             _ => query.deadline = Some(Duration::ZERO),
         }
--- a/crates/ebonyfork/src/entry/fixture.rs
+++ b/crates/ebonyfork/src/entry/fixture.rs
@@ -8,7 +8,9 @@
 
 use super::{EntryAction, EntryCore, EntryViews};
 use crate::catalog::{IndexCatalog, VersionShards};
-use crate::declaration::{ClassScope, ClassTarget, CustomerEntry, DeclaredConfig, TargetPriority};
+use crate::declaration::{
+    ClassScope, ClassTarget, DeclaredConfig, OrganisationEntry, TargetPriority,
+};
 use crate::ident::{IncarnationNumber, SessionId, SnapshotVersion, UpstreamAddress, VmAddress};
 use crate::query::{QueryOutcome, QueryRequest};
 use crate::relay::{
@@ -103,7 +105,7 @@
 pub(super) fn request() -> QueryRequest {
     QueryRequest {
         class: "search".parse().unwrap(),
-        customer: "roofers".parse().unwrap(),
+        organisation: "roofers".parse().unwrap(),
         deadline: None,
         record: Some("a record".into()),
         selection: Bytes::from_static(b"roofs"),
@@ -117,13 +119,15 @@
     pub(super) fn new(shards: usize, change: impl FnOnce(&mut ClassTarget)) -> Self {
         let mut class = search_class();
         change(&mut class);
-        let customers = ["roofers", "builders", "idlers"].map(|name| CustomerEntry {
+        let organisations = ["roofers", "builders", "idlers"].map(|name| OrganisationEntry {
             name: name.parse().unwrap(),
             classes: vec![class.name.clone()],
         });
         let mut config = DeclaredConfig::default();
-        for customer in customers {
-            config.customers.insert(customer.name.clone(), customer);
+        for organisation in organisations {
+            config
+                .organisations
+                .insert(organisation.name.clone(), organisation);
         }
         config.classes.insert(class.name.clone(), class);
         let session = SessionId::new(vm(1), IncarnationNumber(7));
--- a/crates/ebonyfork/src/entry/model.rs
+++ b/crates/ebonyfork/src/entry/model.rs
@@ -12,7 +12,7 @@
 use super::fixture::{EntryFixture, ms, request, rows};
 use super::{EntryAction, EntryCore};
 use crate::declaration::ClassTarget;
-use crate::ident::{CustomerName, IncarnationNumber, SessionId, UpstreamAddress};
+use crate::ident::{IncarnationNumber, OrganisationName, SessionId, UpstreamAddress};
 use crate::query::{QueryOutcome, QueryRequest};
 use crate::relay::{
     AttemptPurpose, OutcomeBatch, RefusalReason, ShardOutcome, ShardVerdict, SubmitBatch,
@@ -33,7 +33,7 @@
     entry: usize,
     query: u64,
     attempt: u32,
-    customer: CustomerName,
+    organisation: OrganisationName,
     arrived: Duration,
     useful_until: Duration,
     /// Whether its query came after the warm-up.
@@ -50,8 +50,8 @@
 struct FakeUpstream {
     queue: VecDeque<Job>,
     busy: usize,
-    /// Work done for each customer, for fairness.
-    shares: BTreeMap<CustomerName, f64>,
+    /// Work done for each organisation, for fairness.
+    shares: BTreeMap<OrganisationName, f64>,
     /// Factor on its service times; infinite: it never answers.
     slowness: f64,
 }
@@ -62,7 +62,7 @@
 )]
 enum Event {
     Caller {
-        customer: usize,
+        organisation: usize,
     },
     Arrive {
         upstream: UpstreamAddress,
@@ -88,17 +88,17 @@
     },
 }
 
-/// One customer's callers.
+/// One organisation's callers.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct CustomerLoad {
+pub(super) struct OrganisationLoad {
     pub(super) name: &'static str,
     /// Queries a second.
     pub(super) rate: f64,
 }
 
-/// What came of one customer's queries.
+/// What came of one organisation's queries.
 #[derive(Debug, Default, Clone)]
-pub(super) struct CustomerResult {
+pub(super) struct OrganisationResult {
     pub(super) latencies: Vec<Duration>,
     pub(super) queries: u32,
     pub(super) refused: u32,
@@ -108,7 +108,7 @@
     pub(super) good: u32,
 }
 
-impl CustomerResult {
+impl OrganisationResult {
     pub(super) fn quantile(&self, share: f64) -> Duration {
         let mut sorted = self.latencies.clone();
         sorted.sort();
@@ -134,9 +134,9 @@
     /// Draws the callers' arrivals, so that they are the same whatever the tier does.
     arrivals: ChaCha8Rng,
     rng: ChaCha8Rng,
-    customers: Vec<CustomerLoad>,
+    organisations: Vec<OrganisationLoad>,
     started: BTreeMap<(usize, u64), (usize, Duration)>,
-    pub(super) results: Vec<CustomerResult>,
+    pub(super) results: Vec<OrganisationResult>,
     /// Requests that upstreams began to run.
     pub(super) runs: u64,
     /// Requests that admitted queries needed.
@@ -151,7 +151,7 @@
     pub(super) fn new(
         shards: usize,
         switches: ExperimentSwitches,
-        customers: &[CustomerLoad],
+        organisations: &[OrganisationLoad],
         change: impl Fn(&mut ClassTarget),
     ) -> Self {
         let fixture = EntryFixture::new(shards, change);
@@ -191,9 +191,9 @@
             now: Duration::ZERO,
             arrivals: ChaCha8Rng::seed_from_u64(13),
             rng: ChaCha8Rng::seed_from_u64(11),
-            customers: customers.to_vec(),
+            organisations: organisations.to_vec(),
             started: BTreeMap::new(),
-            results: vec![CustomerResult::default(); customers.len()],
+            results: vec![OrganisationResult::default(); organisations.len()],
             runs: 0,
             needed: 0,
             stragglers: 0.01,
@@ -214,8 +214,8 @@
 
     /// Runs for a span of virtual time.
     pub(super) fn run(&mut self, span: Duration) {
-        for customer in 0..self.customers.len() {
-            self.schedule_caller(customer);
+        for organisation in 0..self.organisations.len() {
+            self.schedule_caller(organisation);
         }
         while let Some(Reverse((at, number))) = self.events.pop() {
             if at > span {
@@ -233,15 +233,15 @@
         self.pending.insert(self.sequence, event);
     }
 
-    fn schedule_caller(&mut self, customer: usize) {
+    fn schedule_caller(&mut self, organisation: usize) {
         let uniform: f64 = self.arrivals.random_range(f64::EPSILON..1.0);
-        let gap = -uniform.ln() / self.customers[customer].rate;
-        self.schedule(Duration::from_secs_f64(gap), Event::Caller { customer });
+        let gap = -uniform.ln() / self.organisations[organisation].rate;
+        self.schedule(Duration::from_secs_f64(gap), Event::Caller { organisation });
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Caller { customer } => self.call(customer),
+            Event::Caller { organisation } => self.call(organisation),
             Event::Arrive { upstream, job } => {
                 self.enqueue(upstream, job);
                 self.work(upstream);
@@ -273,7 +273,7 @@
                 }
                 let fake = self.upstreams.get_mut(&upstream).unwrap();
                 fake.busy -= 1;
-                *fake.shares.entry(job.customer.clone()).or_default() += served.as_secs_f64();
+                *fake.shares.entry(job.organisation.clone()).or_default() += served.as_secs_f64();
                 self.reply(upstream, &job, rows(17), served);
                 self.work(upstream);
             }
@@ -289,18 +289,19 @@
         }
     }
 
-    fn call(&mut self, customer: usize) {
-        self.schedule_caller(customer);
+    fn call(&mut self, organisation: usize) {
+        self.schedule_caller(organisation);
         let entry = self.arrivals.random_range(0..self.entries.len());
         let mut request = QueryRequest {
-            customer: self.customers[customer].name.parse().unwrap(),
+            organisation: self.organisations[organisation].name.parse().unwrap(),
             ..request()
         };
         if self.novel {
             request.selection = self.sequence.to_be_bytes().to_vec().into();
         }
         let number = self.entries[entry].start(self.now, request);
-        self.started.insert((entry, number), (customer, self.now));
+        self.started
+            .insert((entry, number), (organisation, self.now));
         self.perform(entry);
     }
 
@@ -347,7 +348,7 @@
                 entry,
                 query: batch.query,
                 attempt: target.attempt,
-                customer: batch.customer.clone(),
+                organisation: batch.organisation.clone(),
                 arrived: self.now + LINK_DELAY,
                 useful_until: self.now + Duration::from_micros(batch.remaining_us),
                 counted,
@@ -362,12 +363,17 @@
         let present = fake
             .queue
             .iter()
-            .any(|other| other.customer == job.customer);
+            .any(|other| other.organisation == job.organisation);
         if !present {
             // One that has been away starts level with the least served of those that wait.
-            let served = |job: &Job| fake.shares.get(&job.customer).copied().unwrap_or_default();
+            let served = |job: &Job| {
+                fake.shares
+                    .get(&job.organisation)
+                    .copied()
+                    .unwrap_or_default()
+            };
             let least = fake.queue.iter().map(served).fold(f64::INFINITY, f64::min);
-            let own = fake.shares.entry(job.customer.clone()).or_default();
+            let own = fake.shares.entry(job.organisation.clone()).or_default();
             if least.is_finite() {
                 *own = own.max(least);
             }
@@ -383,7 +389,12 @@
             if fake.busy >= SLOTS || fake.queue.is_empty() {
                 return;
             }
-            let share = |job: &Job| fake.shares.get(&job.customer).copied().unwrap_or_default();
+            let share = |job: &Job| {
+                fake.shares
+                    .get(&job.organisation)
+                    .copied()
+                    .unwrap_or_default()
+            };
             let (next, _) = fake
                 .queue
                 .iter()
@@ -458,12 +469,12 @@
 
     fn count(&mut self, entry: usize, query: u64, outcome: &QueryOutcome) {
         let known = self.started.remove(&(entry, query));
-        let (customer, started) = known.expect("each query finishes once");
+        let (organisation, started) = known.expect("each query finishes once");
         if started < WARM_UP {
             return;
         }
         let took = self.now.saturating_sub(started);
-        let result = &mut self.results[customer];
+        let result = &mut self.results[organisation];
         result.queries += 1;
         match outcome {
             Ok(answer) => {
@@ -498,18 +509,18 @@
 /// The span of a run, the warm-up included.
 pub(super) const RUN_SPAN: Duration = Duration::from_secs(5);
 
-/// Runs one customer's load at a share of the capacity.
+/// Runs one organisation's load at a share of the capacity.
 pub(super) fn run_at(
     share: f64,
     switches: ExperimentSwitches,
     change: impl Fn(&mut ClassTarget),
 ) -> LoadModel {
     let rate = LoadModel::capacity(20) * share;
-    let customers = [CustomerLoad {
+    let organisations = [OrganisationLoad {
         name: "roofers",
         rate,
     }];
-    let mut model = LoadModel::new(20, switches, &customers, |class| {
+    let mut model = LoadModel::new(20, switches, &organisations, |class| {
         class.latency = ms(150);
         change(class);
     });
--- a/crates/ebonyfork/src/entry/policy_tests.rs
+++ b/crates/ebonyfork/src/entry/policy_tests.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 
 use super::fixture::{ms, upstream};
-use super::model::{CustomerLoad, LoadModel, RUN_SPAN, run_at, without};
+use super::model::{LoadModel, OrganisationLoad, RUN_SPAN, run_at, without};
 use crate::declaration::TargetPriority;
 use crate::settings::ExperimentSwitches;
 
@@ -56,24 +56,26 @@
 }
 
 #[gtest]
-fn a_customer_at_fifty_times_its_load_does_not_spoil_the_others() {
+fn a_organisation_at_fifty_times_its_load_does_not_spoil_the_others() {
     let rate = LoadModel::capacity(20);
-    let customers = [
-        CustomerLoad {
+    let organisations = [
+        OrganisationLoad {
             name: "roofers",
             rate: rate * 1.5,
         },
-        CustomerLoad {
+        OrganisationLoad {
             name: "builders",
             rate: rate * 0.03,
         },
-        CustomerLoad {
+        OrganisationLoad {
             name: "idlers",
             rate: rate * 0.01,
         },
     ];
     let switches = ExperimentSwitches::default();
-    let mut model = LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+    let mut model = LoadModel::new(20, switches, &organisations, |class| {
+        class.latency = ms(150);
+    });
     model.run(RUN_SPAN);
     print("flood", &model);
     for light in &model.results[1..] {
@@ -89,13 +91,14 @@
     for share in [0.5, 1.3] {
         let run = |novel| {
             let rate = LoadModel::capacity(20) * share;
-            let customers = [CustomerLoad {
+            let organisations = [OrganisationLoad {
                 name: "roofers",
                 rate,
             }];
             let switches = ExperimentSwitches::default();
-            let mut model =
-                LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+            let mut model = LoadModel::new(20, switches, &organisations, |class| {
+                class.latency = ms(150);
+            });
             model.novel = novel;
             model.run(RUN_SPAN);
             print(&format!("novel={novel} {share}"), &model);
@@ -112,12 +115,14 @@
 
 #[gtest]
 fn silent_replicas_cost_neither_coverage_nor_a_hedge_each() {
-    let customers = [CustomerLoad {
+    let organisations = [OrganisationLoad {
         name: "roofers",
         rate: LoadModel::capacity(20) * 0.3,
     }];
     let switches = ExperimentSwitches::default();
-    let mut model = LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+    let mut model = LoadModel::new(20, switches, &organisations, |class| {
+        class.latency = ms(150);
+    });
     // With a single replica left, nothing can cover its stragglers; here only the silent ones count.
     model.stragglers = 0.0;
     for service in 0..2 {
@@ -132,12 +137,14 @@
 
 #[gtest]
 fn a_service_that_slows_down_whole_brings_no_storm_of_hedges() {
-    let customers = [CustomerLoad {
+    let organisations = [OrganisationLoad {
         name: "roofers",
         rate: LoadModel::capacity(20) * 0.3,
     }];
     let switches = ExperimentSwitches::default();
-    let mut model = LoadModel::new(20, switches, &customers, |class| class.latency = ms(150));
+    let mut model = LoadModel::new(20, switches, &organisations, |class| {
+        class.latency = ms(150);
+    });
     for replica in 0..2 {
         model.slow(upstream(3, replica), 3.0);
     }
--- a/crates/ebonyfork/src/entry/run.rs
+++ b/crates/ebonyfork/src/entry/run.rs
@@ -242,7 +242,7 @@
             .sum();
         let case = AdmissionCase {
             class: self.terms.class,
-            customer: &self.request.customer,
+            organisation: &self.request.organisation,
             latency: self.terms.latency,
             wait,
             work: work + canary_time,
@@ -404,7 +404,7 @@
         SubmitBatch {
             query: self.number,
             class: self.request.class.clone(),
-            customer: self.request.customer.clone(),
+            organisation: self.request.organisation.clone(),
             index: self.route.index.clone(),
             version: self.route.version,
             remaining_us: remaining.as_micros() as u64,
--- a/crates/ebonyfork/src/ident.rs
+++ b/crates/ebonyfork/src/ident.rs
@@ -113,8 +113,8 @@
     ClassName, "class name"
 );
 name_type!(
-    /// Name of a customer.
-    CustomerName, "customer name"
+    /// Name of an organisation.
+    OrganisationName, "organisation name"
 );
 
 macro_rules! number_type {
--- a/crates/ebonyfork/src/locate/answer.rs
+++ b/crates/ebonyfork/src/locate/answer.rs
@@ -7,15 +7,15 @@
 use smallvec::SmallVec;
 
 use crate::caller::LocateAnswer;
-use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress, ZoneName};
+use crate::ident::{IncarnationNumber, OrganisationName, SessionId, VmAddress, ZoneName};
 use crate::membership::MemberSnapshot;
 use crate::topology::TopologyView;
 
 /// Most addresses in one answer.
 pub const ADDRESS_LIMIT: usize = 4;
-/// VMs of one zone that serve one customer, as long as they are not busy.
-pub const CUSTOMER_SUBSET: usize = 8;
-/// Most VMs of one zone that serve one customer.
+/// VMs of one zone that serve one organisation, as long as they are not busy.
+pub const ORGANISATION_SUBSET: usize = 8;
+/// Most VMs of one zone that serve one organisation.
 const SUBSET_LIMIT: usize = 128;
 /// Mean load of a subset, in per mille, from which on it is doubled.
 const BUSY_LOAD: u32 = 600;
@@ -41,10 +41,10 @@
     score: u64,
 }
 
-/// Chooses the addresses that a caller of `customer` should use.
+/// Chooses the addresses that a caller of `organisation` should use.
 ///
-/// The first is the less loaded of two drawn from the customer's subset of the own zone; the rest are alternatives, the
-/// last of them in another zone if there is one. If nobody qualifies the own address is given.
+/// The first is the less loaded of two drawn from the organisation's subset of the own zone; the rest are alternatives,
+/// the last of them in another zone if there is one. If nobody qualifies the own address is given.
 ///
 /// # Examples
 ///
@@ -77,11 +77,11 @@
     view: &TopologyView,
     members: &MemberSnapshot,
     settings: &LocateSettings,
-    customer: Option<&CustomerName>,
+    organisation: Option<&OrganisationName>,
     rng: &mut impl Rng,
 ) -> LocateAnswer {
-    let near = zone_candidates(view, members, customer, |zone| *zone == settings.zone);
-    let far = zone_candidates(view, members, customer, |zone| *zone != settings.zone);
+    let near = zone_candidates(view, members, organisation, |zone| *zone == settings.zone);
+    let far = zone_candidates(view, members, organisation, |zone| *zone != settings.zone);
     let mut order = spread(near, rng);
     let far = spread(far, rng);
     order.truncate(if far.is_empty() {
@@ -110,11 +110,11 @@
     }
 }
 
-/// The customer's subset of the VMs that stay, in the zones that `wanted` accepts.
+/// The organisation's subset of the VMs that stay, in the zones that `wanted` accepts.
 fn zone_candidates(
     view: &TopologyView,
     members: &MemberSnapshot,
-    customer: Option<&CustomerName>,
+    organisation: Option<&OrganisationName>,
     wanted: impl Fn(&ZoneName) -> bool,
 ) -> Vec<Candidate> {
     let mut candidates = Vec::new();
@@ -130,17 +130,17 @@
             vm: entry.vm,
             incarnation,
             load,
-            score: customer.map_or(0, |customer| score(customer, entry.vm)),
+            score: organisation.map_or(0, |organisation| score(organisation, entry.vm)),
         });
     }
-    if customer.is_some() {
+    if organisation.is_some() {
         keep_subset(&mut candidates);
     }
     candidates
 }
 
-/// Keeps the VMs with the highest scores: few while they have room, more for a customer that fills them. Each step
-/// contains the smaller ones, so that a customer never moves, it only spreads.
+/// Keeps the VMs with the highest scores: few while they have room, more for an organisation that fills them. Each step
+/// contains the smaller ones, so that an organisation never moves, it only spreads.
 fn keep_subset(candidates: &mut Vec<Candidate>) {
     let by_score = |candidate: &Candidate| std::cmp::Reverse(candidate.score);
     if candidates.len() > SUBSET_LIMIT {
@@ -148,7 +148,7 @@
         candidates.truncate(SUBSET_LIMIT);
     }
     candidates.sort_unstable_by_key(by_score);
-    let mut size = CUSTOMER_SUBSET;
+    let mut size = ORGANISATION_SUBSET;
     while size < candidates.len() {
         let load: u32 = candidates[..size].iter().map(|vm| u32::from(vm.load)).sum();
         if load < BUSY_LOAD * size as u32 {
@@ -173,8 +173,8 @@
     candidates
 }
 
-fn score(customer: &CustomerName, vm: VmAddress) -> u64 {
-    let seed = xxhash_rust::xxh3::xxh3_64(customer.as_str().as_bytes());
+fn score(organisation: &OrganisationName, vm: VmAddress) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(organisation.as_str().as_bytes());
     match vm.0 {
         std::net::IpAddr::V4(ip) => xxhash_rust::xxh3::xxh3_64_with_seed(&ip.octets(), seed),
         std::net::IpAddr::V6(ip) => xxhash_rust::xxh3::xxh3_64_with_seed(&ip.octets(), seed),
--- a/crates/ebonyfork/src/locate/answer_tests.rs
+++ b/crates/ebonyfork/src/locate/answer_tests.rs
@@ -30,11 +30,11 @@
     }
 }
 
-fn locate(vms: &[VmEntry], customer: Option<&str>, rng: &mut ChaCha8Rng) -> LocateAnswer {
+fn locate(vms: &[VmEntry], organisation: Option<&str>, rng: &mut ChaCha8Rng) -> LocateAnswer {
     let view = TopologyView::new(vms.iter().cloned(), []);
-    let customer = customer.map(|name| name.parse().unwrap());
+    let organisation = organisation.map(|name| name.parse().unwrap());
     let members = MemberSnapshot::default();
-    locate_addresses(&view, &members, &settings(), customer.as_ref(), rng)
+    locate_addresses(&view, &members, &settings(), organisation.as_ref(), rng)
 }
 
 #[gtest]
@@ -97,7 +97,7 @@
 }
 
 #[gtest]
-fn a_customer_keeps_its_subset_when_vms_come_and_go() {
+fn a_organisation_keeps_its_subset_when_vms_come_and_go() {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut vms: Vec<_> = (1..=490).map(|number| entry(number, "a")).collect();
     let mut firsts = |vms: &[VmEntry]| -> BTreeSet<VmAddress> {
@@ -106,10 +106,13 @@
             .collect()
     };
     let before = firsts(&vms);
-    expect_that!(before.len(), eq(CUSTOMER_SUBSET));
+    expect_that!(before.len(), eq(ORGANISATION_SUBSET));
     vms.retain(|entry| entry.vm != *before.first().unwrap());
     let after = firsts(&vms);
-    expect_that!(after.intersection(&before).count(), eq(CUSTOMER_SUBSET - 1));
+    expect_that!(
+        after.intersection(&before).count(),
+        eq(ORGANISATION_SUBSET - 1)
+    );
 }
 
 #[gtest]
@@ -137,12 +140,12 @@
 }
 
 #[gtest]
-fn a_customer_that_fills_its_subset_gets_a_larger_one() {
+fn a_organisation_that_fills_its_subset_gets_a_larger_one() {
     let vms: Vec<_> = (1..=200).map(|number| entry(number, "a")).collect();
     let view = TopologyView::new(vms.iter().cloned(), []);
-    let customer = "roofers".parse().unwrap();
+    let organisation = "roofers".parse().unwrap();
     let mut before = BTreeSet::new();
-    // Load of every VM in per mille, and how many then serve the customer.
+    // Load of every VM in per mille, and how many then serve the organisation.
     for (load, size) in [(0, 8), (599, 8), (600, 128), (1_000, 128)] {
         let members = MemberSnapshot::new(vms.iter().map(|entry| MemberEntry {
             vm: entry.vm,
@@ -157,8 +160,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(5);
         let firsts: BTreeSet<VmAddress> = (0..4_000)
             .map(|_| {
-                let customer = Some(&customer);
-                locate_addresses(&view, &members, &settings(), customer, &mut rng)
+                let organisation = Some(&organisation);
+                locate_addresses(&view, &members, &settings(), organisation, &mut rng)
                     .session
                     .vm
             })
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -16,7 +16,7 @@
 use crate::catalog::CatalogHandle;
 use crate::declaration::DeclaredConfig;
 use crate::entry::{EntryHandle, EntrySettings};
-use crate::ident::{CustomerName, IncarnationNumber, SessionId, VmAddress};
+use crate::ident::{IncarnationNumber, OrganisationName, SessionId, VmAddress};
 use crate::lifecycle::{LifecycleHandle, LifecycleSettings, StopPlan, StopReport, StopSteps};
 use crate::locate::{LocateSettings, locate_addresses};
 use crate::membership::{MemberHandle, MemberSettings};
@@ -385,7 +385,7 @@
         &self,
         views: &NodeViews,
         members: &MemberHandle,
-    ) -> impl Fn(Option<CustomerName>) -> LocateAnswer + Send + Sync + 'static {
+    ) -> impl Fn(Option<OrganisationName>) -> LocateAnswer + Send + Sync + 'static {
         let settings = LocateSettings {
             own: self.session,
             zone: self.settings.zone.clone(),
@@ -394,10 +394,10 @@
         };
         let (topology, members) = (views.topology.clone(), members.snapshot());
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(self.session.incarnation.0));
-        move |customer| {
+        move |organisation| {
             let mut rng = rng.lock().unwrap_or_else(PoisonError::into_inner);
             let (view, members) = (topology.borrow().clone(), members.borrow().clone());
-            locate_addresses(&view, &members, &settings, customer.as_ref(), &mut *rng)
+            locate_addresses(&view, &members, &settings, organisation.as_ref(), &mut *rng)
         }
     }
 
--- a/crates/ebonyfork/src/once/adopted_tests.rs
+++ b/crates/ebonyfork/src/once/adopted_tests.rs
@@ -24,7 +24,7 @@
 fn digest() -> RequestDigest {
     RequestDigest::new(&QueryRequest {
         class: "deferral".parse().unwrap(),
-        customer: "hanbit".parse().unwrap(),
+        organisation: "hanbit".parse().unwrap(),
         deadline: None,
         record: None,
         selection: Bytes::new(),
--- a/crates/ebonyfork/src/once/handle_tests.rs
+++ b/crates/ebonyfork/src/once/handle_tests.rs
@@ -135,7 +135,7 @@
 fn request(class: &str, key: Option<IdempotencyKey>) -> QueryRequest {
     QueryRequest {
         class: class.parse().unwrap(),
-        customer: "hanbit".parse().unwrap(),
+        organisation: "hanbit".parse().unwrap(),
         deadline: None,
         record: None,
         selection: Bytes::from_static(b"juror 7"),
--- a/crates/ebonyfork/src/once/model_tests.rs
+++ b/crates/ebonyfork/src/once/model_tests.rs
@@ -98,7 +98,7 @@
 fn request(key: IdempotencyKey, variant: u64) -> QueryRequest {
     QueryRequest {
         class: "deferral".parse().unwrap(),
-        customer: "hanbit".parse().unwrap(),
+        organisation: "hanbit".parse().unwrap(),
         deadline: None,
         record: None,
         selection: Bytes::from(format!("{key} {variant}")),
--- a/crates/ebonyfork/src/once/state_tests.rs
+++ b/crates/ebonyfork/src/once/state_tests.rs
@@ -33,7 +33,7 @@
     };
     let request = QueryRequest {
         class: "deferral".parse().unwrap(),
-        customer: "hanbit".parse().unwrap(),
+        organisation: "hanbit".parse().unwrap(),
         deadline: None,
         record: None,
         selection: Bytes::new(),
--- a/crates/ebonyfork/src/once/table.rs
+++ b/crates/ebonyfork/src/once/table.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Digest of everything that a key was used for: class, customer, record and selection.
+/// Digest of everything that a key was used for: class, organisation, record and selection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestDigest(u128);
@@ -60,7 +60,7 @@
         let record = request.record.as_deref().unwrap_or_default();
         let parts = [
             request.class.as_str().as_bytes(),
-            request.customer.as_str().as_bytes(),
+            request.organisation.as_str().as_bytes(),
             record.as_bytes(),
             &request.selection,
         ];
--- a/crates/ebonyfork/src/query.rs
+++ b/crates/ebonyfork/src/query.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ident::{
-    ClassName, CustomerName, IdempotencyKey, RunState, ShardNumber, SnapshotVersion,
+    ClassName, IdempotencyKey, OrganisationName, RunState, ShardNumber, SnapshotVersion,
 };
 
 /// Largest selection, in bytes.
@@ -24,8 +24,8 @@
 pub struct QueryRequest {
     /// Class of work.
     pub class: ClassName,
-    /// The customer it is for.
-    pub customer: CustomerName,
+    /// The organisation it is for.
+    pub organisation: OrganisationName,
     /// The caller's own bound; it can only tighten the class's.
     pub deadline: Option<Duration>,
     /// Selects the shard of a one-shard class.
@@ -90,8 +90,8 @@
 pub enum RefusalCode {
     /// A field of the request is malformed or missing.
     BadRequest,
-    /// The customer is not declared, or may not use the class.
-    UnknownCustomer,
+    /// The organisation is not declared, or may not use the class.
+    UnknownOrganisation,
     /// The class is not declared.
     UnknownClass,
     /// There is nothing at this path.
@@ -121,7 +121,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::BadRequest => "bad-request",
-            Self::UnknownCustomer => "unknown-customer",
+            Self::UnknownOrganisation => "unknown-organisation",
             Self::UnknownClass => "unknown-class",
             Self::NotFound => "not-found",
             Self::OutcomeUnknown => "outcome-unknown",
--- a/crates/ebonyfork/src/relay/action.rs
+++ b/crates/ebonyfork/src/relay/action.rs
@@ -5,7 +5,7 @@
 use crate::ident::{RequestFingerprint, RunState, UpstreamAddress};
 use crate::quarantine::LostRequest;
 use crate::relay::clamp::ClassGoal;
-use crate::relay::ids::{ClassId, ConnectionId, CustomerId, UpstreamId, WorkId};
+use crate::relay::ids::{ClassId, ConnectionId, OrganisationId, UpstreamId, WorkId};
 use crate::relay::loss::UpstreamLoss;
 use crate::relay::message::{FailureReason, RefusalReason, ShardVerdict};
 use cranelift_entity::{PrimaryMap, SecondaryMap};
@@ -45,7 +45,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct WorkOrder {
     pub(super) upstream: UpstreamId,
-    pub(super) customer: CustomerId,
+    pub(super) organisation: OrganisationId,
     pub(super) class: ClassId,
     pub(super) arrived: Duration,
     pub(super) deadline: Duration,
--- a/crates/ebonyfork/src/relay/actor.rs
+++ b/crates/ebonyfork/src/relay/actor.rs
@@ -136,7 +136,7 @@
         };
         let topology = Arc::clone(&self.settings.views.topology.borrow());
         let config = Arc::clone(&self.settings.views.config.borrow());
-        let customer = self.state.customer(&batch.customer);
+        let organisation = self.state.organisation(&batch.organisation);
         let class = self.state.class(&batch.class, &config);
         let batch = Arc::new(batch);
         let submitted = Instant::now();
@@ -160,7 +160,7 @@
                     attempt: target.attempt,
                 },
                 upstream: target.upstream,
-                customer,
+                organisation,
                 class,
                 deadline: ticket.deadline().duration_since(self.started),
                 fingerprint: batch.fingerprint,
--- a/crates/ebonyfork/src/relay/answer.rs
+++ b/crates/ebonyfork/src/relay/answer.rs
@@ -31,7 +31,7 @@
         .header("x-deadline-ms", remaining_ms)
         .header("x-attempt", attempt.to_string())
         .header("x-query-id", attempt.query.to_string())
-        .header("x-customer", batch.customer.as_str())
+        .header("x-organisation", batch.organisation.as_str())
         .header("x-class", batch.class.as_str());
     if let Some(key) = batch.key {
         builder = builder.header("idempotency-key", key.to_string());
--- a/crates/ebonyfork/src/relay/ids.rs
+++ b/crates/ebonyfork/src/relay/ids.rs
@@ -17,17 +17,17 @@
 pub(super) struct ConnectionId(u32);
 entity_impl!(ConnectionId, "connection");
 
-/// A customer's name, interned.
+/// An organisation's name, interned.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CustomerId(u32);
-entity_impl!(CustomerId, "customer");
+pub struct OrganisationId(u32);
+entity_impl!(OrganisationId, "organisation");
 
 /// A class's name, interned.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ClassId(u32);
 entity_impl!(ClassId, "class");
 
-/// A customer's backlog within one queue.
+/// An organisation's backlog within one queue.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct LaneId(u32);
 entity_impl!(LaneId, "lane");
--- a/crates/ebonyfork/src/relay/message.rs
+++ b/crates/ebonyfork/src/relay/message.rs
@@ -8,8 +8,8 @@
 use smallvec::SmallVec;
 
 use crate::ident::{
-    ClassName, CustomerName, IdempotencyKey, IndexName, RequestFingerprint, RunState, ServiceName,
-    ShardNumber, SnapshotVersion, UpstreamAddress,
+    ClassName, IdempotencyKey, IndexName, OrganisationName, RequestFingerprint, RunState,
+    ServiceName, ShardNumber, SnapshotVersion, UpstreamAddress,
 };
 
 /// Why an attempt was made.
@@ -45,8 +45,8 @@
     pub query: u64,
     /// Its class.
     pub class: ClassName,
-    /// Its customer.
-    pub customer: CustomerName,
+    /// Its organisation.
+    pub organisation: OrganisationName,
     /// The index.
     pub index: IndexName,
     /// The pinned version.
--- a/crates/ebonyfork/src/relay/mod.rs
+++ b/crates/ebonyfork/src/relay/mod.rs
@@ -31,12 +31,14 @@
 
 pub use clamp::{ClassClamp, ClassGoal};
 pub use handle::RelayHandle;
-pub use ids::{ClassId, CustomerId, WorkId};
+pub use ids::{ClassId, OrganisationId, WorkId};
 pub use limit::{ConcurrencyLimit, LimitEpoch, LimitSample};
 pub use loss::UpstreamLoss;
 pub use message::{
     AttemptPurpose, CancelBatch, FailureReason, OutcomeBatch, RefusalReason, ShardOutcome,
     ShardTarget, ShardVerdict, SubmitBatch, UpstreamLoad,
 };
-pub use queue::{CUSTOMER_LIMIT, FAIR_QUANTUM, PushResult, QUEUE_LIMIT, QueueEntry, RelayQueue};
+pub use queue::{
+    FAIR_QUANTUM, ORGANISATION_LIMIT, PushResult, QUEUE_LIMIT, QueueEntry, RelayQueue,
+};
 pub use settings::RelaySettings;
--- a/crates/ebonyfork/src/relay/policy_tests.rs
+++ b/crates/ebonyfork/src/relay/policy_tests.rs
@@ -21,7 +21,7 @@
 /// One stream of arrivals.
 #[derive(Debug, Clone, Copy)]
 struct LoadStream {
-    customer: u32,
+    organisation: u32,
     class: u32,
     /// Attempts per second, as a function of the time in seconds.
     rate: ArrivalRate,
@@ -209,7 +209,7 @@
                 attempt: 0,
             },
             upstream: upstream(),
-            customer: CustomerId::from_u32(load.customer),
+            organisation: OrganisationId::from_u32(load.organisation),
             class: ClassId::from_u32(load.class),
             deadline: self.time() + Duration::from_micros(load.within),
             fingerprint: RequestFingerprint(self.submitted),
@@ -315,9 +315,9 @@
 }
 
 #[gtest]
-fn customer_that_wakes_spoils_no_other() {
-    let steady = |customer| LoadStream {
-        customer,
+fn organisation_that_wakes_spoils_no_other() {
+    let steady = |organisation| LoadStream {
+        organisation,
         class: 0,
         rate: |_| 20.0,
         service: 8_000.0,
@@ -340,14 +340,14 @@
 #[gtest]
 fn bulk_delays_no_lookup() {
     let lookup = LoadStream {
-        customer: 0,
+        organisation: 0,
         class: 0,
         rate: |_| 60.0,
         service: 2_000.0,
         within: 100_000,
     };
     let bulk = LoadStream {
-        customer: 1,
+        organisation: 1,
         class: 1,
         rate: |_| 40.0,
         service: 30_000.0,
@@ -365,14 +365,14 @@
 #[gtest]
 fn clamp_is_compared() {
     let lookup = |rate| LoadStream {
-        customer: 0,
+        organisation: 0,
         class: 0,
         rate,
         service: 2_000.0,
         within: 100_000,
     };
     let bulk = |rate| LoadStream {
-        customer: 1,
+        organisation: 1,
         class: 1,
         rate,
         service: 30_000.0,
@@ -416,7 +416,7 @@
 #[gtest]
 fn overload_keeps_its_goodput() {
     let stream = |rate| LoadStream {
-        customer: 0,
+        organisation: 0,
         class: 0,
         rate,
         service: 8_000.0 / 1.14,
--- a/crates/ebonyfork/src/relay/queue.rs
+++ b/crates/ebonyfork/src/relay/queue.rs
@@ -1,11 +1,11 @@
-//! The queue of one upstream: least slack first, fair between customers, bounded.
+//! The queue of one upstream: least slack first, fair between organisations, bounded.
 //!
-//! Each customer has a lane: a heap ordered by the latest time at which an attempt should start to be answered in time,
-//! its usual service time taken [`START_MARGIN`] times. A lane's *virtual
-//! time* grows by the expected cost of what it is served, and a lane that was empty starts at the queue's virtual time:
-//! a customer that wakes owes nothing for the time it slept and is served at once, however long another's backlog is.
-//! Among the lanes that are within [`FAIR_QUANTUM`] of the one furthest behind, the attempt with the least slack goes
-//! first, so that urgency decides as long as nobody is ahead of its share.
+//! Each organisation has a lane: a heap ordered by the latest time at which an attempt should start to be answered in
+//! time, its usual service time taken [`START_MARGIN`] times. A lane's *virtual time* grows by the expected cost of
+//! what it is served, and a lane that was empty starts at the queue's virtual time: an organisation that wakes owes
+//! nothing for the time it slept and is served at once, however long another's backlog is. Among the lanes that are
+//! within [`FAIR_QUANTUM`] of the one furthest behind, the attempt with the least slack goes first, so that urgency
+//! decides as long as nobody is ahead of its share.
 //!
 //! The least slack first is ruinous under overload if what has next to none is still sent: every slot then works on what
 //! will just miss. So an attempt that is past its latest start is given up at once while others wait that are not.
@@ -17,18 +17,18 @@
 use cranelift_entity::packed_option::PackedOption;
 use cranelift_entity::{PrimaryMap, SecondaryMap};
 
-use crate::relay::ids::{ClassId, CustomerId, LaneId, WorkId};
+use crate::relay::ids::{ClassId, LaneId, OrganisationId, WorkId};
 use crate::settings::QueueOrder;
 
 /// Attempts that may wait for one upstream.
 pub const QUEUE_LIMIT: usize = 1_024;
-/// Attempts of one customer that may wait for one upstream.
-pub const CUSTOMER_LIMIT: usize = QUEUE_LIMIT / 2;
-/// How many attempts of mean cost a customer may be ahead of another before urgency stops to count.
+/// Attempts of one organisation that may wait for one upstream.
+pub const ORGANISATION_LIMIT: usize = QUEUE_LIMIT / 2;
+/// How many attempts of mean cost an organisation may be ahead of another before urgency stops to count.
 pub const FAIR_QUANTUM: u64 = 4;
 /// Usual service times that an attempt should have left when it is sent.
 pub const START_MARGIN: u64 = 2;
-/// Lanes kept for customers without a backlog.
+/// Lanes kept for organisations without a backlog.
 const IDLE_LANES: usize = 64;
 
 /// One attempt that waits.
@@ -37,12 +37,12 @@
     /// The attempt.
     pub work: WorkId,
     /// Whose it is.
-    pub customer: CustomerId,
+    pub organisation: OrganisationId,
     /// Its class.
     pub class: ClassId,
     /// When its caller stops waiting.
     pub deadline: Duration,
-    /// Expected time at the upstream; counts against the customer's share.
+    /// Expected time at the upstream; counts against the organisation's share.
     pub cost: Duration,
 }
 
@@ -74,7 +74,7 @@
 
 #[derive(Debug)]
 struct QueueLane {
-    customer: CustomerId,
+    organisation: OrganisationId,
     heap: Vec<LaneEntry>,
     virtual_time: u64,
 }
@@ -86,12 +86,12 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use ebonyfork::relay::{ClassId, CustomerId, QueueEntry, RelayQueue, WorkId};
+/// use ebonyfork::relay::{ClassId, OrganisationId, QueueEntry, RelayQueue, WorkId};
 /// use ebonyfork::settings::QueueOrder;
 ///
 /// let entry = |work, deadline| QueueEntry {
 ///     work: WorkId::from_u32(work),
-///     customer: CustomerId::from_u32(0),
+///     organisation: OrganisationId::from_u32(0),
 ///     class: ClassId::from_u32(0),
 ///     deadline: Duration::from_millis(deadline),
 ///     cost: Duration::from_millis(1),
@@ -109,7 +109,7 @@
 pub struct RelayQueue {
     order: QueueOrder,
     lanes: PrimaryMap<LaneId, QueueLane>,
-    by_customer: SecondaryMap<CustomerId, PackedOption<LaneId>>,
+    by_organisation: SecondaryMap<OrganisationId, PackedOption<LaneId>>,
     active: Vec<LaneId>,
     idle: Vec<LaneId>,
     slots: SecondaryMap<WorkId, QueueSlot>,
@@ -125,7 +125,7 @@
         Self {
             order,
             lanes: PrimaryMap::new(),
-            by_customer: SecondaryMap::new(),
+            by_organisation: SecondaryMap::new(),
             active: Vec::new(),
             idle: Vec::new(),
             slots: SecondaryMap::new(),
@@ -147,9 +147,9 @@
     }
 
     /// Takes an attempt in. When that makes the queue too long, the attempt with the most slack of the longest backlog
-    /// is taken out, so that one customer's backlog can't keep another's out.
+    /// is taken out, so that one organisation's backlog can't keep another's out.
     pub fn push(&mut self, entry: QueueEntry) -> PushResult {
-        let lane = self.lane_of(entry.customer);
+        let lane = self.lane_of(entry.organisation);
         if self.lanes[lane].heap.is_empty() {
             self.activate(lane);
         }
@@ -269,36 +269,36 @@
 
     fn lane_limit(&self) -> usize {
         match self.order {
-            QueueOrder::Slack => CUSTOMER_LIMIT,
+            QueueOrder::Slack => ORGANISATION_LIMIT,
             QueueOrder::Arrival => QUEUE_LIMIT,
         }
     }
 
-    /// The lane of a customer; in order of arrival all share one.
-    fn lane_of(&mut self, customer: CustomerId) -> LaneId {
-        let customer = match self.order {
-            QueueOrder::Slack => customer,
-            QueueOrder::Arrival => CustomerId::from_u32(0),
+    /// The lane of an organisation; in order of arrival all share one.
+    fn lane_of(&mut self, organisation: OrganisationId) -> LaneId {
+        let organisation = match self.order {
+            QueueOrder::Slack => organisation,
+            QueueOrder::Arrival => OrganisationId::from_u32(0),
         };
-        if let Some(lane) = self.by_customer[customer].expand() {
+        if let Some(lane) = self.by_organisation[organisation].expand() {
             return lane;
         }
         let lane = match self.spare_lane() {
             Some(lane) => lane,
             None => self.lanes.push(QueueLane {
-                customer,
+                organisation,
                 heap: Vec::new(),
                 virtual_time: 0,
             }),
         };
-        self.lanes[lane].customer = customer;
+        self.lanes[lane].organisation = organisation;
         self.lanes[lane].virtual_time = self.virtual_time;
-        self.by_customer[customer] = lane.into();
+        self.by_organisation[organisation] = lane.into();
         self.idle.push(lane);
         lane
     }
 
-    /// An idle lane whose customer is not ahead of its share, so that forgetting it loses nothing.
+    /// An idle lane whose organisation is not ahead of its share, so that forgetting it loses nothing.
     fn spare_lane(&mut self) -> Option<LaneId> {
         if self.idle.len() < IDLE_LANES {
             return None;
@@ -307,7 +307,7 @@
         let spare = |lane: &LaneId| self.lanes[*lane].virtual_time <= limit;
         let position = self.idle.iter().position(spare)?;
         let lane = self.idle.swap_remove(position);
-        self.by_customer[self.lanes[lane].customer] = PackedOption::default();
+        self.by_organisation[self.lanes[lane].organisation] = PackedOption::default();
         Some(lane)
     }
 
--- a/crates/ebonyfork/src/relay/queue_tests.rs
+++ b/crates/ebonyfork/src/relay/queue_tests.rs
@@ -6,10 +6,10 @@
 
 use super::*;
 
-fn entry(work: u32, customer: u32, deadline: u64) -> QueueEntry {
+fn entry(work: u32, organisation: u32, deadline: u64) -> QueueEntry {
     QueueEntry {
         work: WorkId::from_u32(work),
-        customer: CustomerId::from_u32(customer),
+        organisation: OrganisationId::from_u32(organisation),
         class: ClassId::from_u32(0),
         deadline: Duration::from_millis(deadline),
         cost: Duration::from_millis(1),
@@ -35,7 +35,7 @@
 }
 
 #[gtest]
-fn customer_that_wakes_passes_the_backlog_of_another() {
+fn organisation_that_wakes_passes_the_backlog_of_another() {
     let mut queue = RelayQueue::new(QueueOrder::Slack);
     for work in 0..400 {
         queue.push(entry(work, 0, 100));
@@ -73,12 +73,12 @@
 }
 
 #[gtest]
-fn backlog_of_one_customer_keeps_no_other_out() {
+fn backlog_of_one_organisation_keeps_no_other_out() {
     let mut queue = RelayQueue::new(QueueOrder::Slack);
     let mut refused = Vec::new();
     for work in 0..QUEUE_LIMIT as u32 {
-        for customer in 0..3 {
-            let pushed = entry(3 * work + customer, customer, 100 + u64::from(work));
+        for organisation in 0..3 {
+            let pushed = entry(3 * work + organisation, organisation, 100 + u64::from(work));
             if let PushResult::Evicted(work) = queue.push(pushed) {
                 refused.push(work.as_u32());
             }
@@ -94,7 +94,7 @@
 
 #[derive(Debug, Clone)]
 enum QueueStep {
-    Push { customer: u32, deadline: u64 },
+    Push { organisation: u32, deadline: u64 },
     Pop,
     Cancel(u32),
     Expire,
@@ -104,7 +104,7 @@
 fn steps() -> impl Strategy<Value = Vec<QueueStep>> {
     let step = prop_oneof![
         8 => (0..5_u32, 0..400_u64)
-            .prop_map(|(customer, deadline)| QueueStep::Push { customer, deadline }),
+            .prop_map(|(organisation, deadline)| QueueStep::Push { organisation, deadline }),
         4 => Just(QueueStep::Pop),
         2 => (0..200_u32).prop_map(QueueStep::Cancel),
         1 => Just(QueueStep::Expire),
@@ -123,11 +123,15 @@
     for (number, step) in steps.iter().enumerate() {
         let now = Duration::from_millis(number as u64);
         match step {
-            QueueStep::Push { customer, deadline } => {
+            QueueStep::Push {
+                organisation,
+                deadline,
+            } => {
                 let work = deadlines.len() as u32;
                 deadlines.push(Duration::from_millis(*deadline));
                 assert!(waiting.insert(work));
-                if let PushResult::Evicted(work) = queue.push(entry(work, *customer, *deadline)) {
+                if let PushResult::Evicted(work) = queue.push(entry(work, *organisation, *deadline))
+                {
                     assert!(waiting.remove(&work.as_u32()));
                 }
             }
--- a/crates/ebonyfork/src/relay/state.rs
+++ b/crates/ebonyfork/src/relay/state.rs
@@ -7,11 +7,11 @@
 
 use crate::declaration::DeclaredConfig;
 use crate::ident::{
-    ClassName, CustomerName, RequestFingerprint, SessionId, UpstreamAddress, VmAddress,
+    ClassName, OrganisationName, RequestFingerprint, SessionId, UpstreamAddress, VmAddress,
 };
 use crate::relay::action::{RelayAction, RelayTables, WorkOrder, WorkSuspicion};
 use crate::relay::clamp::ClassGoal;
-use crate::relay::ids::{ClassId, ConnectionId, CustomerId, UpstreamId, WorkId};
+use crate::relay::ids::{ClassId, ConnectionId, OrganisationId, UpstreamId, WorkId};
 use crate::relay::message::{RefusalReason, UpstreamLoad};
 use crate::relay::upstream::{UpstreamAnswer, UpstreamState, UpstreamTerms};
 use crate::settings::{ExperimentSwitches, OwnershipMode};
@@ -36,7 +36,7 @@
 pub(super) struct WorkRequest {
     pub(super) key: AttemptKey,
     pub(super) upstream: UpstreamAddress,
-    pub(super) customer: CustomerId,
+    pub(super) organisation: OrganisationId,
     pub(super) class: ClassId,
     pub(super) deadline: Duration,
     pub(super) fingerprint: RequestFingerprint,
@@ -96,7 +96,7 @@
     by_address: FxHashMap<UpstreamAddress, UpstreamId>,
     by_key: FxHashMap<AttemptKey, WorkId>,
     keys: FxHashMap<WorkId, AttemptKey>,
-    customers: FxHashMap<CustomerName, CustomerId>,
+    organisations: FxHashMap<OrganisationName, OrganisationId>,
     classes: FxHashMap<ClassName, ClassId>,
     tables: RelayTables,
 }
@@ -111,19 +111,19 @@
             by_address: FxHashMap::default(),
             by_key: FxHashMap::default(),
             keys: FxHashMap::default(),
-            customers: FxHashMap::default(),
+            organisations: FxHashMap::default(),
             classes: FxHashMap::default(),
             tables: RelayTables::default(),
         }
     }
 
-    pub(super) fn customer(&mut self, name: &CustomerName) -> CustomerId {
-        if let Some(customer) = self.customers.get(name) {
-            return *customer;
+    pub(super) fn organisation(&mut self, name: &OrganisationName) -> OrganisationId {
+        if let Some(organisation) = self.organisations.get(name) {
+            return *organisation;
         }
-        let customer = CustomerId::from_u32(self.customers.len() as u32);
-        self.customers.insert(name.clone(), customer);
-        customer
+        let organisation = OrganisationId::from_u32(self.organisations.len() as u32);
+        self.organisations.insert(name.clone(), organisation);
+        organisation
     }
 
     pub(super) fn class(&mut self, name: &ClassName, config: &DeclaredConfig) -> ClassId {
@@ -149,7 +149,7 @@
         let upstream = self.upstream(now, views, request.upstream);
         let work = self.tables.add_work(WorkOrder {
             upstream,
-            customer: request.customer,
+            organisation: request.organisation,
             class: request.class,
             arrived: now,
             deadline: request.deadline,
--- a/crates/ebonyfork/src/relay/state_tests.rs
+++ b/crates/ebonyfork/src/relay/state_tests.rs
@@ -110,17 +110,17 @@
         }
     }
 
-    fn submit(&mut self, customer: u32, within: u64) -> u64 {
-        self.submit_as(customer, within, WorkSuspicion::Clear)
+    fn submit(&mut self, organisation: u32, within: u64) -> u64 {
+        self.submit_as(organisation, within, WorkSuspicion::Clear)
     }
 
-    fn submit_as(&mut self, customer: u32, within: u64, suspicion: WorkSuspicion) -> u64 {
+    fn submit_as(&mut self, organisation: u32, within: u64, suspicion: WorkSuspicion) -> u64 {
         let query = self.submitted;
         self.submitted += 1;
         let request = WorkRequest {
             key: Self::key(query),
             upstream: upstream(),
-            customer: CustomerId::from_u32(customer),
+            organisation: OrganisationId::from_u32(organisation),
             class: ClassId::from_u32(0),
             deadline: self.now + Duration::from_millis(within),
             fingerprint: RequestFingerprint(query),
@@ -259,7 +259,7 @@
 #[derive(Debug, Clone)]
 enum Step {
     Submit {
-        customer: u32,
+        organisation: u32,
         within: u64,
     },
     Cancel(u64),
@@ -286,7 +286,7 @@
         1 => Just(ShardVerdict::VersionGone { newest: SnapshotVersion(2) }),
     ];
     let step = prop_oneof![
-        12 => (0..4_u32, 0..300_u64).prop_map(|(customer, within)| Step::Submit { customer, within }),
+        12 => (0..4_u32, 0..300_u64).prop_map(|(organisation, within)| Step::Submit { organisation, within }),
         3 => (0..150_u64).prop_map(Step::Cancel),
         6 => Just(Step::Opened(OpenSign::Ready)),
         1 => Just(Step::Opened(OpenSign::Draining)),
@@ -308,13 +308,16 @@
 
 fn apply_step(bench: &mut Bench, step: Step) {
     match step {
-        Step::Submit { customer, within } => {
+        Step::Submit {
+            organisation,
+            within,
+        } => {
             let suspicion = match within % 5 {
                 0 => WorkSuspicion::Suspect,
                 1 => WorkSuspicion::AfterLoss,
                 _ => WorkSuspicion::Clear,
             };
-            bench.submit_as(customer, within, suspicion);
+            bench.submit_as(organisation, within, suspicion);
         }
         Step::Isolate if !bench.busy.is_empty() => bench.isolate(),
         Step::Cancel(query) => bench.cancel(query),
--- a/crates/ebonyfork/src/relay/upstream.rs
+++ b/crates/ebonyfork/src/relay/upstream.rs
@@ -138,7 +138,7 @@
         }
         let entry = QueueEntry {
             work,
-            customer: order.customer,
+            organisation: order.organisation,
             class: order.class,
             deadline: order.deadline,
             cost: self.service.expected(order.class),
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -26,7 +26,7 @@
 /// In which order a relay sends queued shard requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum QueueOrder {
-    /// Least slack first, fair between customers.
+    /// Least slack first, fair between organisations.
     #[default]
     Slack,
     /// In order of arrival: the baseline of the measurements.
--- a/crates/ebonyfork/tests/malformed.rs
+++ b/crates/ebonyfork/tests/malformed.rs
@@ -222,15 +222,15 @@
         "a.ini:3: expected `key = value`, found `stray words`",
     ),
     (
-        "[customer k]\n",
-        "a.ini:1: [customer k] lacks the key `classes`",
+        "[organisation k]\n",
+        "a.ini:1: [organisation k] lacks the key `classes`",
     ),
     (
-        "[customer k]\nclasses = c\n",
+        "[organisation k]\nclasses = c\n",
         "a.ini:2: classes: unknown class `c`, no class is declared",
     ),
     (
-        "[customer k]\nclasses =\n",
+        "[organisation k]\nclasses =\n",
         "a.ini:2: classes: `` is not a valid class name",
     ),
     (
@@ -372,16 +372,16 @@
     let files = [
         DeclaredFile::new("classes.ini", CLASS),
         DeclaredFile::new("more.ini", CLASS),
-        DeclaredFile::new("customers.ini", "[customer k]\nclasses = c, d, c\n"),
+        DeclaredFile::new("organisations.ini", "[organisation k]\nclasses = c, d, c\n"),
     ];
     let findings = DeclaredConfig::parse(&files, RevisionNumber(1)).unwrap_err();
     let findings: Vec<String> = findings.sorted().map(ToString::to_string).collect();
     expect_that!(
         findings,
         elements_are![
-            eq("customers.ini:2: classes: `c` stands twice"),
-            starts_with("customers.ini:2: classes: unknown class `d`, did you mean `c`?"),
             eq("more.ini:1: [class c] already stands at classes.ini:1"),
+            eq("organisations.ini:2: classes: `c` stands twice"),
+            starts_with("organisations.ini:2: classes: unknown class `d`, did you mean `c`?"),
         ]
     );
 }
@@ -398,7 +398,7 @@
 /// Lines that are nearly right, in any order.
 fn near_line() -> impl Strategy<Value = String> {
     prop_oneof![
-        "\\[(service|class|customer|node|platform)( [a-z;=\\[\\]]{0,6})?\\]?",
+        "\\[(service|class|organisation|node|platform)( [a-z;=\\[\\]]{0,6})?\\]?",
         "(latency|coverage|idempotent|drain|vm|zone) ?=? ?(300ms|0.9|yes|-1|NaN|1e999|[ -~]{0,12}) ?(; x)?",
         "\\PC{0,20}",
     ]
--- a/crates/ebonyfork/tests/relay.rs
+++ b/crates/ebonyfork/tests/relay.rs
@@ -262,7 +262,7 @@
     SubmitBatch {
         query,
         class: "search".parse().unwrap(),
-        customer: "roofers".parse().unwrap(),
+        organisation: "roofers".parse().unwrap(),
         index: "tenders".parse().unwrap(),
         version: SnapshotVersion(17),
         remaining_us: within.as_micros() as u64,
--- a/crates/ebonyforkctl/src/arguments.rs
+++ b/crates/ebonyforkctl/src/arguments.rs
@@ -8,7 +8,7 @@
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
-use ebonyfork::ident::{ClassName, CustomerName, RequestFingerprint, RevisionNumber};
+use ebonyfork::ident::{ClassName, OrganisationName, RequestFingerprint, RevisionNumber};
 use ebonyfork::quantity::TimeSpan;
 
 use crate::output::OutputForm;
@@ -171,15 +171,15 @@
         .required(true)
         .value_parser(value_parser!(SocketAddr))
         .help("Operators' port of a VM");
-    let customer = Arg::new("customer")
-        .long("customer")
+    let organisation = Arg::new("organisation")
+        .long("organisation")
         .value_name("NAME")
-        .value_parser(value_parser!(CustomerName))
-        .help("The customer to ask for");
+        .value_parser(value_parser!(OrganisationName))
+        .help("The organisation to ask for");
     let query = Command::new("query")
         .about("Runs one query and prints the answer as callers get it")
         .after_help(
-            "Example:\n  ebonyforkctl query tender-search --entry 10.0.0.1:7100 --customer roofers --selection roofs",
+            "Example:\n  ebonyforkctl query tender-search --entry 10.0.0.1:7100 --organisation roofers --selection roofs",
         )
         .arg(
             Arg::new("class")
@@ -188,16 +188,16 @@
                 .value_parser(value_parser!(ClassName)),
         )
         .arg(entry.clone())
-        .arg(customer.clone().required(true))
+        .arg(organisation.clone().required(true))
         .arg(text_argument("selection", "What every shard is asked").default_value(""))
         .arg(text_argument("record", "Record that selects the shard of a one-shard class"))
         .arg(text_argument("key", "Idempotency key <session>.<sequence>"))
         .arg(span_argument("deadline", "10s").help("Longest wait for the answer"));
     let locate = Command::new("locate")
         .about("Asks a VM which addresses callers should use")
-        .after_help("Example:\n  ebonyforkctl locate --entry 10.0.0.1:7100 --customer roofers")
+        .after_help("Example:\n  ebonyforkctl locate --entry 10.0.0.1:7100 --organisation roofers")
         .arg(entry)
-        .arg(customer);
+        .arg(organisation);
     let node = Command::new("node")
         .about("Prints what a VM says about itself")
         .after_help("Example:\n  ebonyforkctl node --operator 10.0.0.1:7102")
--- a/crates/ebonyforkctl/src/node.rs
+++ b/crates/ebonyforkctl/src/node.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use clap::ArgMatches;
 use compact_str::format_compact;
-use ebonyfork::ident::{ClassName, CustomerName, RequestFingerprint};
+use ebonyfork::ident::{ClassName, OrganisationName, RequestFingerprint};
 use http::{Method, Request, Response};
 use http_body_util::Full;
 
@@ -24,8 +24,8 @@
         .method(Method::POST)
         .uri(format!("/v1/query/{class}"))
         .header("x-deadline-ms", deadline.as_millis().to_string());
-    if let Some(customer) = matches.get_one::<CustomerName>("customer") {
-        request = request.header("x-customer", customer.as_str());
+    if let Some(organisation) = matches.get_one::<OrganisationName>("organisation") {
+        request = request.header("x-organisation", organisation.as_str());
     }
     for (option, header) in [("record", "x-record"), ("key", "idempotency-key")] {
         if let Some(text) = matches.get_one::<String>(option) {
@@ -45,8 +45,8 @@
     options: &CommonOptions,
 ) -> Result<ExitStatus, CtlError> {
     let mut request = Request::builder().uri("/v1/locate");
-    if let Some(customer) = matches.get_one::<CustomerName>("customer") {
-        request = request.header("x-customer", customer.as_str());
+    if let Some(organisation) = matches.get_one::<OrganisationName>("organisation") {
+        request = request.header("x-organisation", organisation.as_str());
     }
     let request = request.body(Full::default());
     let response = call_vm(matches, "entry", request, options.call_timeout).await?;
--- a/crates/ebonyforkctl/src/publish.rs
+++ b/crates/ebonyforkctl/src/publish.rs
@@ -57,7 +57,7 @@
         ("files", files.len()),
         ("services", config.services.len()),
         ("classes", config.classes.len()),
-        ("customers", config.customers.len()),
+        ("organisations", config.organisations.len()),
     ];
     for file in &files {
         if file.text.len() > LARGE_FILE {
