Break the circle of modules round the gateway's core; plain names for three of them

The shared state no longer depends on those that use it: clock, requests in flight, attempt times of a route, refusals, the table of queries gathered for others, what a broken connection turned out to be, and the copy of the store stand in modules of their own, below it. 24 modules were in the circle. trip is caller_time (CallerDistance, CallerTime), watched is stream_activity (ActivityStream, with the activity itself), side_server is http_server. In the log line of a request trip_ms is caller_ms. Behaviour unchanged.

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -1,39 +1,20 @@
 //! Gathering parts for other VMs: runs the asked shards on the upstreams beside this VM and replies with merged parts.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::{AbortHandle, Abortable};
-use rustc_hash::FxHashMap;
 
-use crate::gateway::core::{GatewayCore, ServiceState, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, ShardReach,
 };
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{GatherTerms, RouteEntry, RouteTarget};
 use crate::gateway::run::run_partial;
-use crate::ident::SessionId;
 use crate::wire::{LinkSender, PeerMessage};
 
-type AggregateKey = (Option<SessionId>, u64);
-
-/// Parts that this VM gathers for others.
-#[derive(Debug, Default)]
-pub struct AggregateTable {
-    running: RefCell<FxHashMap<AggregateKey, AbortHandle>>,
-}
-
-impl AggregateTable {
-    /// Ends the gathering of a query that another VM has ended.
-    pub fn cancel(&self, from: &LinkSender, number: u64) {
-        if let Some(running) = self.running.borrow_mut().remove(&(from.peer(), number)) {
-            running.abort();
-        }
-    }
-}
-
 /// Begins to gather the shards of another VM's query.
 pub fn take_query(core: &Rc<GatewayCore>, from: LinkSender, query: PartialQuery) {
     let Some((route, terms)) = find_terms(core, &query) else {
@@ -43,12 +24,12 @@
     let key = (from.peer(), query.number);
     let core = Rc::clone(core);
     let (abort, registration) = AbortHandle::new_pair();
-    core.aggregates.running.borrow_mut().insert(key, abort);
+    core.aggregates.begin(key, abort);
     tokio::task::spawn_local(async move {
         let gathering = gather_parts(&core, route, terms, query, &from);
         // Aborted when the asking VM has ended the query.
         let _aborted = Abortable::new(gathering, registration).await;
-        core.aggregates.running.borrow_mut().remove(&key);
+        core.aggregates.end(key);
     });
 }
 
--- a/crates/ebonyfork/src/gateway/trip.rs
+++ b/crates/ebonyfork/src/gateway/caller_time.rs
@@ -19,9 +19,9 @@
 const LONGEST: Duration = Duration::from_millis(60);
 /// Round trips of a request on a new connection while it can't be told: handshake and request of the look-up, both again
 /// here, and one for the work of the hosts.
-const NEW_TRIPS: u32 = 5;
+const NEW_ROUND_TRIPS: u32 = 5;
 /// Round trips on a connection that is kept while it can't be told: one in two callers has looked up before.
-const KEPT_TRIPS: u32 = 2;
+const KEPT_ROUND_TRIPS: u32 = 2;
 /// Longest time before a request that is believed. What seems longer is a repeated request, which has a target of its
 /// own, or one of a caller that waits less long than others.
 const LONGEST_BEFORE: Duration = Duration::from_millis(80);
@@ -32,12 +32,12 @@
 
 /// How far away a caller is: the round-trip time that the kernel measured when the connection was opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallerTrip {
+pub struct CallerDistance {
     round_trip: Duration,
 }
 
-impl CallerTrip {
-    /// The trip with a given round-trip time.
+impl CallerDistance {
+    /// The distance with a given round-trip time.
     pub fn new(round_trip: Duration) -> Self {
         Self {
             round_trip: round_trip.min(LONGEST),
@@ -50,25 +50,32 @@
         Self::new(measured.unwrap_or(ASSUMED))
     }
 
-    /// One request's part of the trip, as the first on its connection or a later one.
-    pub fn request(self, first: bool) -> RequestTrip {
-        RequestTrip { trip: self, first }
+    /// What the caller's side takes of a request's time, as the first on its connection or a later one.
+    pub fn request(self, first: bool) -> CallerTime {
+        CallerTime {
+            distance: self,
+            first,
+        }
     }
 }
 
 /// What the caller's side takes of one request's time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RequestTrip {
-    trip: CallerTrip,
+pub struct CallerTime {
+    distance: CallerDistance,
     first: bool,
 }
 
-impl RequestTrip {
+impl CallerTime {
     /// All of it: what passed before the request was sent, if that is known, and the way here and back.
-    pub fn time(self, before: Option<Duration>) -> Duration {
-        let round_trip = self.trip.round_trip;
+    pub fn total(self, before: Option<Duration>) -> Duration {
+        let round_trip = self.distance.round_trip;
         let Some(before) = before else {
-            let trips = if self.first { NEW_TRIPS } else { KEPT_TRIPS };
+            let trips = if self.first {
+                NEW_ROUND_TRIPS
+            } else {
+                KEPT_ROUND_TRIPS
+            };
             return round_trip * trips;
         };
         // The first request on a connection has had its handshake.
@@ -125,5 +132,5 @@
 }
 
 #[cfg(test)]
-#[path = "trip_tests.rs"]
+#[path = "caller_time_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/trip_tests.rs
+++ b/crates/ebonyfork/src/gateway/caller_time_tests.rs
@@ -9,21 +9,21 @@
 
 #[gtest]
 fn a_new_connection_has_cost_more() {
-    let trip = CallerTrip::new(ms(6));
-    expect_that!(trip.request(true).time(None), eq(ms(30)));
-    expect_that!(trip.request(false).time(None), eq(ms(12)));
-    let lost = CallerTrip::new(Duration::from_secs(3));
-    expect_that!(lost.request(false).time(None), eq(LONGEST * 2));
+    let distance = CallerDistance::new(ms(6));
+    expect_that!(distance.request(true).total(None), eq(ms(30)));
+    expect_that!(distance.request(false).total(None), eq(ms(12)));
+    let lost = CallerDistance::new(Duration::from_secs(3));
+    expect_that!(lost.request(false).total(None), eq(LONGEST * 2));
 }
 
 #[gtest]
 fn what_passed_before_a_request_replaces_what_is_assumed() {
-    let trip = CallerTrip::new(ms(6));
+    let distance = CallerDistance::new(ms(6));
     // A kept connection and nothing looked up; a look-up first; a handshake that took no longer than usual.
-    expect_that!(trip.request(false).time(Some(ms(0))), eq(ms(6)));
-    expect_that!(trip.request(false).time(Some(ms(15))), eq(ms(21)));
-    expect_that!(trip.request(true).time(Some(ms(0))), eq(ms(12)));
-    expect_that!(trip.request(true).time(Some(ms(23))), eq(ms(29)));
+    expect_that!(distance.request(false).total(Some(ms(0))), eq(ms(6)));
+    expect_that!(distance.request(false).total(Some(ms(15))), eq(ms(21)));
+    expect_that!(distance.request(true).total(Some(ms(0))), eq(ms(12)));
+    expect_that!(distance.request(true).total(Some(ms(23))), eq(ms(29)));
 }
 
 #[gtest]
@@ -63,6 +63,6 @@
     let (stream, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
     let _stream = stream.expect("connected");
     let (accepted, _peer) = accepted.expect("accepted");
-    let trip = CallerTrip::measure(&accepted).request(false);
-    expect_that!(trip.time(None), le(LONGEST * 2));
+    let time = CallerDistance::measure(&accepted).request(false);
+    expect_that!(time.total(None), le(LONGEST * 2));
 }
--- a/crates/ebonyfork/src/gateway/choice.rs
+++ b/crates/ebonyfork/src/gateway/choice.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use crate::gateway::core::RouteLatency;
 use crate::gateway::ident::UpstreamLife;
 use crate::gateway::latency::AttemptKind;
+use crate::gateway::route_latency::RouteLatency;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -8,12 +8,13 @@
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
-use crate::gateway::core::{GatewayCore, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{ControlCall, LocateQuery, LocateReply};
+use crate::gateway::http_server::serve_http;
 use crate::gateway::reply::CallerReply;
 use crate::gateway::route::RouteTarget;
 use crate::gateway::settings::NodePlace;
-use crate::gateway::side_server::serve_side;
 use crate::gateway::vms::{ZoneShares, zone_shares};
 
 /// How long a caller may keep a locate answer. Some keep it three times as long, so callers have left a stopping VM
@@ -24,7 +25,7 @@
 
 /// Serves the control calls on a listener until the future is dropped.
 pub async fn serve_control(core: Rc<GatewayCore>, listener: TcpListener) {
-    serve_side(listener, move |request| answer(&core, request)).await;
+    serve_http(listener, move |request| answer(&core, request)).await;
 }
 
 fn answer(core: &GatewayCore, request: &Request<Incoming>) -> CallerReply {
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -7,90 +7,30 @@
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
-use crate::gateway::aggregate::AggregateTable;
+use crate::gateway::aggregate_table::AggregateTable;
 use crate::gateway::answer_lag::AnswerLag;
 use crate::gateway::budget::RetryBudget;
+use crate::gateway::clock::now;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
-use crate::gateway::follow::{FreshnessTerms, MirrorRelay};
+use crate::gateway::flight::FlightCount;
 use crate::gateway::ident::{RouteName, UpstreamService};
-use crate::gateway::latency::{AttemptKind, LatencyTrack};
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::mirror::{FreshnessTerms, MirrorRelay};
+use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::UpstreamRegistry;
-use crate::gateway::reply::RefusalReason;
 use crate::gateway::route::{RouteEntry, RouteTable};
-use crate::gateway::settings::{GatewaySettings, PlaceDistance};
-use crate::gateway::trip::WaitTrack;
+use crate::gateway::route_latency::RouteLatency;
+use crate::gateway::settings::GatewaySettings;
 use crate::gateway::vms::{VmDirectory, ZoneShares};
 use crate::gateway::weights::WeightShares;
 use crate::quarantine::QuarantineHandle;
 
-/// Latency that is assumed of an attempt in the same zone before any was measured.
-const ASSUMED_NEAR: Duration = Duration::from_millis(30);
-/// The same for another zone of the region.
-const ASSUMED_REGION: Duration = Duration::from_millis(35);
-/// The same for another region: the stated distances are 10 to 20 ms one way.
-const ASSUMED_FAR: Duration = Duration::from_millis(70);
 /// Share of an upstream's connections that all VMs together use: the rest is for VMs that have just come or gone.
 const CONNECTION_SHARE: f64 = 0.9;
 /// Connections that one upstream is assumed to accept while no configuration states it.
 const CONNECTIONS_ASSUMED: usize = 16;
 
-/// How long the attempts of one route take, by kind.
-#[derive(Debug)]
-pub struct RouteLatency {
-    tracks: [LatencyTrack; 4],
-    /// How long its callers wait in all.
-    pub waits: WaitTrack,
-}
-
-impl Default for RouteLatency {
-    fn default() -> Self {
-        Self {
-            tracks: [ASSUMED_NEAR, ASSUMED_REGION, ASSUMED_FAR, ASSUMED_FAR].map(LatencyTrack::new),
-            waits: WaitTrack::default(),
-        }
-    }
-}
-
-impl RouteLatency {
-    /// The attempts of a kind.
-    pub fn track(&self, kind: impl Into<AttemptKind>) -> &LatencyTrack {
-        &self.tracks[kind.into() as usize]
-    }
-
-    /// How long attempts of a kind usually take, in milliseconds.
-    pub fn usual_ms(&self, kind: impl Into<AttemptKind>) -> f64 {
-        self.track(kind).quantile(0.5)
-    }
-
-    /// What the way to the upstream adds to the time of an attempt, in milliseconds.
-    pub fn way_ms(&self, kind: impl Into<AttemptKind>) -> f64 {
-        (self.usual_ms(kind) - self.usual_ms(AttemptKind::Zone)).max(0.0)
-    }
-
-    /// The time that an upstream took for an attempt over the time that one beside this VM usually takes.
-    pub fn slowness(&self, kind: impl Into<AttemptKind>, took_ms: f64) -> f64 {
-        let own_ms = (took_ms - self.way_ms(kind)).max(0.0);
-        own_ms / self.usual_ms(AttemptKind::Zone)
-    }
-
-    /// The quickest kind of attempt at a distance.
-    pub fn quickest(&self, distance: PlaceDistance) -> AttemptKind {
-        let direct = AttemptKind::from(distance);
-        let near = distance == PlaceDistance::Zone;
-        if near || self.usual_ms(direct) <= self.usual_ms(AttemptKind::Delegated) {
-            return direct;
-        }
-        AttemptKind::Delegated
-    }
-
-    /// The attempts of a kind.
-    pub fn track_mut(&mut self, kind: impl Into<AttemptKind>) -> &mut LatencyTrack {
-        &mut self.tracks[kind.into() as usize]
-    }
-}
-
 /// Whether the process takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServiceState {
@@ -134,7 +74,8 @@
     /// When the process started.
     pub started: Instant,
     state: Cell<ServiceState>,
-    in_flight: Cell<usize>,
+    /// Requests in flight.
+    pub flights: FlightCount,
     table: RefCell<Option<Rc<RouteTable>>>,
     latencies: RefCell<FxHashMap<RouteName, Rc<RefCell<RouteLatency>>>>,
 }
@@ -158,7 +99,7 @@
             metrics: GatewayMetrics::default(),
             started: now(),
             state: Cell::new(ServiceState::Serving),
-            in_flight: Cell::new(0),
+            flights: FlightCount::default(),
             table: RefCell::default(),
             latencies: RefCell::default(),
             settings,
@@ -239,40 +180,12 @@
         self.state.get() == ServiceState::Serving && self.table.borrow().is_some()
     }
 
-    /// Requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
-    }
-
     /// Time since the start, as the budget counts it.
     pub fn uptime(&self) -> Duration {
         now().saturating_duration_since(self.started)
     }
 }
 
-/// Counts a request as in flight for as long as it is held.
-#[derive(Debug)]
-pub struct FlightGuard(Rc<GatewayCore>);
-
-impl FlightGuard {
-    /// Counts one more request.
-    pub fn new(core: &Rc<GatewayCore>) -> Self {
-        core.in_flight.set(core.in_flight.get() + 1);
-        Self(Rc::clone(core))
-    }
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
-/// The steady clock; in tests it is virtual.
-pub fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
-
 #[cfg(test)]
 #[path = "core_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::latency::millis;
 use crate::gateway::partial::{PartialMessage, PartialQuery, PartialReply};
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -7,12 +7,15 @@
 use compact_str::CompactString;
 use http::{HeaderMap, Response, StatusCode, header};
 
-use crate::gateway::core::{GatewayCore, RouteLatency, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::GatewayCore;
 use crate::gateway::latency::millis;
-use crate::gateway::loss::{self, LossCheck};
+use crate::gateway::loss::LossCheck;
+use crate::gateway::loss_check::note_loss;
 use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::RepeatKind;
+use crate::gateway::route_latency::RouteLatency;
 use crate::gateway::slots::SlotOrder;
 use crate::gateway::upstream::{HeldLink, Upstream};
 use crate::http_link::{LinkBody, LinkError};
@@ -263,7 +266,7 @@
                 after_loss,
                 ..LostRequest::new(request.fingerprint, now().saturating_duration_since(sent))
             };
-            let check = loss::note_loss(core, upstream, lost);
+            let check = note_loss(core, upstream, lost);
             return AttemptOutcome::Lost(AttemptLoss {
                 reason: reason(&error),
                 check: Some(check),
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -14,6 +14,7 @@
 use crate::gateway::settings::{GatewaySettings, ListenAddresses, NodePlace};
 use crate::gateway::upstream::UpstreamEntry;
 use crate::settings::LogSettings;
+use crate::store::{StoreItem, StoreRevision};
 
 /// Header names that no platform uses.
 pub fn wire_names() -> WireNames {
@@ -110,3 +111,12 @@
         body: Bytes::from_static(body).into(),
     }
 }
+
+/// An item whose value is a text.
+pub fn item(key: &str, value: &str, revision: u64) -> StoreItem {
+    StoreItem {
+        key: key.into(),
+        value: Bytes::from(value.to_owned()),
+        revision: StoreRevision(revision),
+    }
+}
--- a/crates/ebonyfork/src/gateway/fixture_upstream.rs
+++ b/crates/ebonyfork/src/gateway/fixture_upstream.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 
 /// What an upstream does with each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -77,15 +77,6 @@
     }
 }
 
-/// An item whose value is a text.
-pub fn item(key: &str, value: &str, revision: u64) -> StoreItem {
-    StoreItem {
-        key: key.into(),
-        value: Bytes::from(value.to_owned()),
-        revision: StoreRevision(revision),
-    }
-}
-
 /// What becomes of a VM's calls to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreReach {
@@ -510,6 +501,6 @@
 async fn sweep(core: Rc<GatewayCore>) {
     loop {
         tokio::time::sleep(Duration::from_millis(250)).await;
-        core.registry.expire(crate::gateway::core::now());
+        core.registry.expire(crate::gateway::clock::now());
     }
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -1,16 +1,12 @@
 //! Follows the store: configuration, upstreams and our own VMs, all from one mirror, so that one call at a time waits.
 //!
 //! One VM of a zone asks the store, the others hear of changes from it ([`source`]); a VM that the store turns away
-//! hears of them from whichever VM it answers. Whatever the way, changes are taken into one copy ([`copy`]), and a source
-//! is given up once the proof that the copy is up to date has become too old ([`freshness`]): what a source believes of
+//! hears of them from whichever VM it answers. Whatever the way, changes are taken into one copy, and a source is given
+//! up once the proof that the copy is up to date has become too old ([`crate::gateway::mirror`]): what a source believes of
 //! itself does not count.
 
-mod copy;
 #[cfg(test)]
 mod fixture;
-mod freshness;
-mod message;
-mod relay;
 mod source;
 mod taker;
 
@@ -21,7 +17,9 @@
 
 use tokio::sync::{mpsc, watch};
 
-use crate::gateway::core::{GatewayCore, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::GatewayCore;
+use crate::gateway::mirror::{CopyChange, FreshnessTerms, MirrorMessage, OpenQuestions};
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::MemberSnapshot;
 use crate::store::{
@@ -29,12 +27,6 @@
 };
 use crate::wire::PeerMessage;
 
-pub use freshness::FreshnessTerms;
-pub use message::MirrorMessage;
-pub use relay::MirrorRelay;
-
-use self::copy::CopyChange;
-use self::freshness::OpenQuestions;
 use self::source::{ChangeSource, SETTLING_TIME, choose_source};
 use self::taker::StoreTaker;
 
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::watch;
 
-use super::copy::{CopyChange, CopyGap};
-use crate::gateway::core::{GatewayCore, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::StoredKind;
+use crate::gateway::mirror::{CopyChange, CopyGap};
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
 use crate::store::{StoreEvent, StoreItem};
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -1,8 +1,8 @@
 use googletest::prelude::*;
 
 use super::*;
-use crate::gateway::fixture::settings;
-use crate::gateway::follow::fixture::{item, text_dialect};
+use crate::gateway::fixture::{item, settings};
+use crate::gateway::follow::fixture::text_dialect;
 use crate::gateway::ident::UpstreamService;
 use crate::store::StoreRevision;
 
--- a/crates/ebonyfork/src/gateway/hedge.rs
+++ b/crates/ebonyfork/src/gateway/hedge.rs
@@ -1,11 +1,7 @@
 //! Whether a second attempt is worth its load: by what is known of the first one and of a fresh one elsewhere.
 
-use crate::gateway::latency::LatencyTrack;
+use crate::gateway::latency::{LatencyTrack, STRAGGLER_SHARE};
 
-/// Share of the attempts that have ended when one is first looked at as a straggler. With 0.9 a quarter of the budget was
-/// used, and where both upstreams of a shard are in other regions the second attempt came too late: mean worth of a quiet
-/// day and two with trouble 0.761 -> 0.770 and 0.752 -> 0.755 on two deployments; 0.7 gained nothing more.
-pub const STRAGGLER_SHARE: f64 = 0.8;
 /// Gain in the likelihood of an answer in time for which a hedge is sent. A hedge loads an upstream and may cross
 /// regions, which costs about a fifth of what a shard in time is worth.
 const LEAST_GAIN: f64 = 0.2;
--- a/crates/ebonyfork/src/gateway/side_server.rs
+++ b/crates/ebonyfork/src/gateway/http_server.rs
@@ -1,6 +1,7 @@
 //! The small HTTP servers beside the callers' one: control calls and metrics.
 
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,14 +12,22 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::gateway::ingress::note_accept_error;
 use crate::gateway::reply::CallerReply;
 
 /// How long a connection may lie idle.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
+/// Pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Logs a failed accept and waits a little.
+pub(super) async fn note_accept_error(error: &io::Error) {
+    log::warn!("accept: {error}");
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
 /// Answers requests on a listener until the future is dropped.
-pub async fn serve_side(
+pub async fn serve_http(
     listener: TcpListener,
     answer: impl Fn(&Request<Incoming>) -> CallerReply + 'static,
 ) {
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -1,8 +1,7 @@
 //! The callers' connections: bounds on what they send, the route of each request, its answer.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,21 +17,21 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::gateway::answer_lag::AnswerLag;
-use crate::gateway::core::{FlightGuard, GatewayCore, ServiceState, now};
+use crate::gateway::caller_time::{CallerDistance, CallerTime};
+use crate::gateway::clock::now;
+use crate::gateway::core::{GatewayCore, ServiceState};
+use crate::gateway::http_server::note_accept_error;
 use crate::gateway::metrics::OutcomeLabel;
-use crate::gateway::reply::{CallerReply, RefusalReason, refusal};
+use crate::gateway::refusal::RefusalReason;
+use crate::gateway::reply::{CallerReply, refusal};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{RouteEntry, RouteTable, RouteTarget};
 use crate::gateway::run::{RunReport, RunTarget, run_request};
-use crate::gateway::trip::{CallerTrip, RequestTrip};
-use crate::gateway::watched::WatchedStream;
+use crate::gateway::stream_activity::{ActivityStream, StreamActivity};
 use crate::quarantine::RequestStanding;
 
 /// Idle and header time of connections while no configuration states them.
 const TIME_ASSUMED: Duration = Duration::from_secs(15);
-/// Pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Least buffer that the HTTP library takes for a request's head, in bytes.
 const HEAD_BUFFER_LEAST: usize = 8_192;
 /// Buffer for a request's head while no configuration states its limit, in bytes.
@@ -53,48 +52,6 @@
     }
 }
 
-/// Logs a failed accept and waits a little.
-pub(super) async fn note_accept_error(error: &io::Error) {
-    log::warn!("accept: {error}");
-    tokio::time::sleep(ACCEPT_PAUSE).await;
-}
-
-/// Whether a connection is in use and since when it is not.
-#[derive(Debug)]
-pub(super) struct StreamActivity {
-    /// How far away the caller is.
-    trip: CallerTrip,
-    /// Whether no request has come yet.
-    new: Cell<bool>,
-    busy: Cell<bool>,
-    since: Cell<Instant>,
-    /// Since when a request's head has been coming in.
-    head_since: Cell<Option<Instant>>,
-    /// When the gathered answer was decided on that is about to be written.
-    decided: Cell<Option<Instant>>,
-    /// How late answers are after the decision on them.
-    lag: Rc<RefCell<AnswerLag>>,
-}
-
-impl StreamActivity {
-    /// Notes that bytes have come in.
-    pub(super) fn note_bytes(&self) {
-        if !self.busy.get() && self.head_since.get().is_none() {
-            self.head_since.set(Some(now()));
-        }
-    }
-
-    /// Notes that an answer has been given to the kernel.
-    pub(super) fn note_written(&self) {
-        let Some(decided) = self.decided.take() else {
-            return;
-        };
-        let time = now();
-        let took = time.saturating_duration_since(decided);
-        self.lag.borrow_mut().note_work(took, time);
-    }
-}
-
 /// Why a connection is ended from this side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamEnd {
@@ -112,7 +69,7 @@
     let limits = core.table().map(|table| table.limits());
     let head = limits.map_or(HEAD_BUFFER_ASSUMED, |limits| limits.header_bytes);
     let activity = Rc::new(StreamActivity {
-        trip: CallerTrip::measure(&stream),
+        distance: CallerDistance::measure(&stream),
         new: Cell::new(true),
         busy: Cell::new(false),
         since: Cell::new(now()),
@@ -129,8 +86,8 @@
             async move {
                 activity.busy.set(true);
                 activity.head_since.set(None);
-                let trip = activity.trip.request(activity.new.replace(false));
-                let (reply, decided) = answer(&core, request, trip).await;
+                let time = activity.distance.request(activity.new.replace(false));
+                let (reply, decided) = answer(&core, request, time).await;
                 activity.decided.set(decided);
                 activity.busy.set(false);
                 activity.since.set(now());
@@ -143,7 +100,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(head.max(HEAD_BUFFER_LEAST));
-    let stream = WatchedStream::new(stream, Rc::clone(&activity));
+    let stream = ActivityStream::new(stream, Rc::clone(&activity));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     loop {
@@ -197,13 +154,13 @@
 async fn answer(
     core: &Rc<GatewayCore>,
     request: Request<Incoming>,
-    trip: RequestTrip,
+    time: CallerTime,
 ) -> (CallerReply, Option<Instant>) {
     let received = now();
     let (parts, body) = request.into_parts();
-    let flight = FlightGuard::new(core);
+    let flight = core.flights.hold();
     let mut story = RequestStory::new(core, &parts, received);
-    let report = match handle(core, parts, body, (received, trip), &mut story).await {
+    let report = match handle(core, parts, body, (received, time), &mut story).await {
         Ok(report) => report,
         Err(reason) => RunReport {
             reply: refusal(reason),
@@ -282,7 +239,7 @@
     core: &Rc<GatewayCore>,
     parts: Parts,
     body: Incoming,
-    (received, trip): (Instant, RequestTrip),
+    (received, time): (Instant, CallerTime),
     story: &mut RequestStory,
 ) -> Result<RunReport, RefusalReason> {
     let table = core.table().ok_or(RefusalReason::NoConfig)?;
@@ -306,7 +263,7 @@
     let finish_by = received + wait;
     let body = read_body(body, table.limits().body_bytes, finish_by).await?;
     let request = ForwardRequest::new(names, parts, body, id, received, finish_by)
-        .with_trip(trip.time(before));
+        .with_caller_time(time.total(before));
     let standing = core.quarantine.admit(request.fingerprint);
     if standing == RequestStanding::Quarantined {
         return Err(RefusalReason::Quarantined);
--- a/crates/ebonyfork/src/gateway/latency.rs
+++ b/crates/ebonyfork/src/gateway/latency.rs
@@ -5,9 +5,12 @@
 
 use std::time::{Duration, Instant};
 
-use crate::gateway::hedge::STRAGGLER_SHARE;
 use crate::gateway::settings::PlaceDistance;
 
+/// Share of the attempts that have ended when one is first looked at as a straggler. With 0.9 a quarter of the budget was
+/// used, and where both upstreams of a shard are in other regions the second attempt came too late: mean worth of a quiet
+/// day and two with trouble 0.761 -> 0.770 and 0.752 -> 0.755 on two deployments; 0.7 gained nothing more.
+pub const STRAGGLER_SHARE: f64 = 0.8;
 /// Buckets of a histogram. With [`GROWTH`] they reach from [`FIRST_MS`] to about 30 s.
 const BUCKETS: usize = 64;
 /// Upper bound of the first bucket, in milliseconds.
--- a/crates/ebonyfork/src/gateway/load_model.rs
+++ b/crates/ebonyfork/src/gateway/load_model.rs
@@ -14,12 +14,12 @@
 
 use crate::gateway::budget::{BudgetTerms, RetryBudget};
 use crate::gateway::choice::{UpstreamChoice, choose_upstream};
-use crate::gateway::core::RouteLatency;
 use crate::gateway::fixture::{entry, place};
 use crate::gateway::gather::{GatherEnd, GatherState};
 use crate::gateway::hedge::HedgeQuestion;
 use crate::gateway::ident::{PlaceName, UpstreamService};
 use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::route_latency::RouteLatency;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
--- a/crates/ebonyfork/src/gateway/loss.rs
+++ b/crates/ebonyfork/src/gateway/loss.rs
@@ -1,22 +1,6 @@
-//! Tells a connection that broke from an upstream that was lost, and reports what was in flight at a lost one.
-//!
-//! A request that crashes upstreams shows only by this. An upstream that merely resets one connection still accepts
-//! another, so after a break a new connection is tried; only if that fails counts the upstream as lost.
+//! What the break of a connection has turned out to be: of the connection alone, or of the upstream.
 
 use std::cell::Cell;
-use std::rc::Rc;
-use std::time::Duration;
-
-use crate::gateway::core::{GatewayCore, now};
-use crate::gateway::upstream::Upstream;
-use crate::http_link::HttpLink;
-use crate::ident::UpstreamAddress;
-use crate::quarantine::LostRequest;
-
-/// How long after a break the upstream is looked at: by then a crashed one no longer accepts.
-const CHECK_DELAY: Duration = Duration::from_millis(20);
-/// Longest wait for a connection that shows the upstream alive.
-const CHECK_TIME: Duration = Duration::from_millis(250);
 
 /// What a break of a connection has turned out to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,41 +31,9 @@
     pub fn finding(&self) -> LossFinding {
         self.finding.get()
     }
-}
 
-/// Notes that a connection broke under a request.
-pub fn note_loss(
-    core: &Rc<GatewayCore>,
-    upstream: &Rc<Upstream>,
-    lost: LostRequest,
-) -> Rc<LossCheck> {
-    let (check, first) = upstream.add_lost(lost);
-    if first {
-        let core = Rc::clone(core);
-        let upstream = Rc::clone(upstream);
-        let check = Rc::clone(&check);
-        tokio::task::spawn_local(async move { check_upstream(&core, &upstream, &check).await });
+    /// Notes what it has found.
+    pub fn note(&self, finding: LossFinding) {
+        self.finding.set(finding);
     }
-    check
-}
-
-async fn check_upstream(core: &GatewayCore, upstream: &Upstream, check: &LossCheck) {
-    let broken = now();
-    tokio::time::sleep(CHECK_DELAY).await;
-    let entry = upstream.entry();
-    let opened = HttpLink::open(entry.address, CHECK_TIME).await;
-    let lost = upstream.take_lost();
-    let Err(error) = opened else {
-        check.finding.set(LossFinding::Harmless);
-        return;
-    };
-    check.finding.set(LossFinding::Lost);
-    log::info!(
-        target: "ebonyfork::decision",
-        "upstream lost instance={} address={} in_flight={}: {error}",
-        entry.instance, entry.address, lost.len()
-    );
-    let age = now().saturating_duration_since(broken);
-    core.quarantine
-        .report_broken(UpstreamAddress(entry.address), &lost, age);
 }
--- a/crates/ebonyfork/src/gateway/follow/copy_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
@@ -3,7 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
-use crate::gateway::follow::fixture::item;
+use crate::gateway::fixture::item;
 use crate::store::{MirrorChange, MirrorState, MirrorStep, StorePage, StoreWatch};
 
 const KEYS: [&str; 4] = ["a", "b", "c", "d"];
--- a/crates/ebonyfork/src/gateway/follow/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -8,7 +8,7 @@
 
 use super::copy::{CopyChange, CopyNews, StoreCopy};
 use super::message::MirrorMessage;
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::ident::{SessionId, VmAddress};
 use crate::store::{StoreItem, StoreRevision};
 use crate::wire::{LinkSender, PeerMessage};
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -11,9 +11,12 @@
 //! One thread runs a process: a VM has a fraction of one core. The shared state needs no locks.
 
 mod aggregate;
+mod aggregate_table;
 mod answer_lag;
 mod budget;
+mod caller_time;
 mod choice;
+mod clock;
 mod control;
 mod core;
 mod delegate;
@@ -23,11 +26,13 @@
 mod fixture;
 #[cfg(test)]
 mod fixture_upstream;
+mod flight;
 mod follow;
 mod gather;
 mod gossip;
 mod health;
 mod hedge;
+mod http_server;
 mod ident;
 mod ingress;
 mod latency;
@@ -36,39 +41,41 @@
 #[cfg(test)]
 mod load_tests;
 mod loss;
+mod loss_check;
 mod merge;
 mod metrics;
+mod mirror;
 mod node;
 mod partial;
 mod peers;
+mod refusal;
 mod register;
 mod registry;
 mod reply;
 mod reply_body;
 mod request;
 mod route;
+mod route_latency;
 mod run;
 mod settings;
-mod side_server;
 mod slots;
 mod status;
-mod trip;
+mod stream_activity;
 mod upstream;
 mod vms;
-mod watched;
 mod weights;
 
 pub use budget::{BudgetTerms, RetryBudget};
 pub use dialect::{
     ControlCall, DecodeError, GatewayDialect, LocateQuery, LocateReply, StoredKind, WireNames,
 };
-pub use follow::MirrorMessage;
 pub use gather::{GatherEnd, GatherState};
 pub use ident::{
     BirthTime, ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamLife, UpstreamService,
 };
 pub use latency::{AttemptKind, LatencyTrack};
 pub use merge::{RECORD_BYTES, merge_records};
+pub use mirror::MirrorMessage;
 pub use node::{GatewayError, GatewayNode};
 pub use partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -13,8 +13,9 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::gateway::clock::now;
 use crate::gateway::control::{LOCATE_TTL, serve_control};
-use crate::gateway::core::{GatewayCore, ServiceState, now};
+use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::follow::follow_store;
 use crate::gateway::gossip::join_gossip;
@@ -142,7 +143,7 @@
         let finish = began + grace.saturating_sub(FINISH_TIME);
         log::info!(
             "planned stop begins: in_flight={} grace_ms={}",
-            self.core.in_flight(),
+            self.core.flights.get(),
             grace.as_millis()
         );
         self.core.set_state(ServiceState::Leaving);
@@ -151,12 +152,12 @@
         let forgotten = began + LOCATE_TTL * TTL_FACTOR + LOOKUP_TIME;
         sleep_until(forgotten.min(finish)).await;
         self.core.set_state(ServiceState::Finishing);
-        while self.core.in_flight() > 0 && now() < last {
+        while self.core.flights.get() > 0 && now() < last {
             tokio::time::sleep(FLIGHT_PERIOD).await;
         }
         log::info!(
             "planned stop ends: in_flight={} took_ms={}",
-            self.core.in_flight(),
+            self.core.flights.get(),
             now().saturating_duration_since(began).as_millis()
         );
         self.closing.cancel();
--- a/crates/ebonyfork/src/gateway/reply_body.rs
+++ b/crates/ebonyfork/src/gateway/reply_body.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-use crate::gateway::core::FlightGuard;
+use crate::gateway::flight::FlightGuard;
 use crate::gateway::upstream::{HeldLink, Upstream};
 
 /// Why the rest of an answer does not come. The caller's connection ends with it, so that what it has can't look whole.
--- a/crates/ebonyfork/src/gateway/reply_tests.rs
+++ b/crates/ebonyfork/src/gateway/reply_tests.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use googletest::prelude::*;
+use http::StatusCode;
 
 use super::*;
 use crate::gateway::fixture::{signed, wire_names};
--- a/crates/ebonyfork/src/gateway/request.rs
+++ b/crates/ebonyfork/src/gateway/request.rs
@@ -64,7 +64,7 @@
     /// When its head had been read.
     pub received: Instant,
     /// What the caller's side takes of the request's time.
-    pub trip: Duration,
+    pub caller_time: Duration,
     /// When the caller gives up, or the route does.
     pub finish_by: Instant,
     /// Names the request across attempts: the same request sent again has the same one.
@@ -98,7 +98,7 @@
         Self {
             id,
             received,
-            trip: Duration::ZERO,
+            caller_time: Duration::ZERO,
             finish_by,
             fingerprint,
             after_loss: Cell::new(false),
@@ -111,8 +111,8 @@
 
     /// States what the caller's side takes of the request's time.
     #[must_use]
-    pub fn with_trip(mut self, trip: Duration) -> Self {
-        self.trip = trip;
+    pub fn with_caller_time(mut self, time: Duration) -> Self {
+        self.caller_time = time;
         self
     }
 
@@ -135,7 +135,7 @@
         Ok(Self {
             id,
             received,
-            trip: Duration::ZERO,
+            caller_time: Duration::ZERO,
             finish_by,
             fingerprint: fingerprint(&method, &target, &headers, &partial.body),
             after_loss: Cell::new(false),
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::QueryRun;
 use crate::gateway::choice::{UpstreamChoice, choose_upstream};
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
 use crate::gateway::hedge::HedgeQuestion;
 use crate::gateway::ident::UpstreamLife;
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -7,7 +7,7 @@
 use super::suspicion::RunSuspicion;
 use super::{QueryRun, RunTarget};
 use crate::gateway::choice::{UpstreamChoice, probe_upstream};
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::latency::{AttemptKind, millis};
 use crate::gateway::settings::PlaceDistance;
 use crate::quarantine::RequestStanding;
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -3,12 +3,11 @@
 use compact_str::format_compact;
 
 use super::{QueryRun, RunReport, RunTarget};
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::gather::GatherEnd;
 use crate::gateway::latency::millis;
-use crate::gateway::reply::{
-    CallerReply, RefusalReason, forwarded, gathered, refusal, set_retry_after,
-};
+use crate::gateway::refusal::RefusalReason;
+use crate::gateway::reply::{CallerReply, forwarded, gathered, refusal, set_retry_after};
 
 /// Attempts that a failed request's log line names at most.
 const OPEN_LIMIT: usize = 4;
@@ -19,7 +18,7 @@
         let decided = now();
         let postponed = self.state.shards().iter().filter(|shard| shard.postponed);
         let detail = format_compact!(
-            "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} lost={} postponed={} trip_ms={:.1} lag_ms={:.1}",
+            "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} lost={} postponed={} caller_ms={:.1} lag_ms={:.1}",
             self.state.answered(),
             self.state.shards().len(),
             self.live.len(),
@@ -29,7 +28,7 @@
             self.unfunded.get(),
             self.state.lost(),
             postponed.count(),
-            millis(self.request.trip),
+            millis(self.request.caller_time),
             millis(self.lag)
         );
         let (word, reply) = match end {
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -9,7 +9,7 @@
 
 use super::{QueryRun, RunTarget};
 use crate::gateway::choice::UpstreamChoice;
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::delegate::{GroupEvent, GroupNews};
 use crate::gateway::gather::ShardStanding;
 use crate::gateway::ident::PlaceName;
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -22,12 +22,13 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 
-use crate::gateway::core::{GatewayCore, ServiceState, now};
+use crate::gateway::clock::now;
+use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::delegate::GroupEvent;
 use crate::gateway::exchange::{AttemptContext, UpstreamAnswer};
 use crate::gateway::gather::{GatherEnd, GatherState};
-use crate::gateway::hedge::STRAGGLER_SHARE;
 use crate::gateway::ident::UpstreamService;
+use crate::gateway::latency::STRAGGLER_SHARE;
 use crate::gateway::latency::millis;
 use crate::gateway::partial::PartialReply;
 use crate::gateway::reply::CallerReply;
@@ -155,7 +156,7 @@
             RunTarget::Gather(terms) => (terms.shards.len(), terms.least_shards()),
         };
         let lag = core.lag.borrow().margin();
-        let margin = request.trip + lag;
+        let margin = request.caller_time + lag;
         let answer_by = request.received + route.target.saturating_sub(margin);
         let finish_by = request.finish_by.checked_sub(FINISH_MARGIN);
         let finish_by = finish_by.unwrap_or(request.received);
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{QueryRun, RunTarget};
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 use crate::gateway::exchange::{AttemptOutcome, UpstreamAnswer};
 use crate::gateway::metrics::OutcomeLabel;
 use crate::gateway::run::attempt::FinishedAttempt;
--- a/crates/ebonyfork/src/gateway/run/settle.rs
+++ b/crates/ebonyfork/src/gateway/run/settle.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::QueryRun;
-use crate::gateway::core::now;
+use crate::gateway::clock::now;
 
 impl QueryRun {
     /// Returns once enough shards have an upstream, or no more can be expected in time.
--- a/crates/ebonyfork/src/gateway/slots.rs
+++ b/crates/ebonyfork/src/gateway/slots.rs
@@ -120,7 +120,7 @@
         if state.used >= state.granted {
             return None;
         }
-        let now = super::core::now();
+        let now = crate::gateway::clock::now();
         let ranked = state.waiters.iter().enumerate();
         let (first, waiter) = ranked.min_by_key(|(_number, waiter)| waiter.order.rank(now))?;
         let (late, _) = waiter.order.rank(now);
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -5,14 +5,14 @@
 use prometheus_client::registry::Registry;
 use tokio::net::TcpListener;
 
+use crate::gateway::http_server::serve_http;
 use crate::gateway::reply::CallerReply;
-use crate::gateway::side_server::serve_side;
 
 const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Serves the metrics until the future is dropped.
 pub async fn serve_metrics(registry: Registry, listener: TcpListener) {
-    serve_side(listener, move |_request| encode(&registry)).await;
+    serve_http(listener, move |_request| encode(&registry)).await;
 }
 
 fn encode(registry: &Registry) -> CallerReply {
--- a/crates/ebonyfork/src/gateway/watched.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -1,24 +1,64 @@
 //! A caller's connection whose bytes are noticed: the HTTP library tells of a request only once its head is whole, and
 //! nothing of when an answer is written.
 
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::gateway::ingress::StreamActivity;
+use crate::gateway::answer_lag::AnswerLag;
+use crate::gateway::caller_time::CallerDistance;
+use crate::gateway::clock::now;
+
+/// Whether a connection is in use and since when it is not.
+#[derive(Debug)]
+pub(super) struct StreamActivity {
+    /// How far away the caller is.
+    pub(super) distance: CallerDistance,
+    /// Whether no request has come yet.
+    pub(super) new: Cell<bool>,
+    pub(super) busy: Cell<bool>,
+    pub(super) since: Cell<Instant>,
+    /// Since when a request's head has been coming in.
+    pub(super) head_since: Cell<Option<Instant>>,
+    /// When the gathered answer was decided on that is about to be written.
+    pub(super) decided: Cell<Option<Instant>>,
+    /// How late answers are after the decision on them.
+    pub(super) lag: Rc<RefCell<AnswerLag>>,
+}
+
+impl StreamActivity {
+    /// Notes that bytes have come in.
+    pub(super) fn note_bytes(&self) {
+        if !self.busy.get() && self.head_since.get().is_none() {
+            self.head_since.set(Some(now()));
+        }
+    }
+
+    /// Notes that an answer has been given to the kernel.
+    pub(super) fn note_written(&self) {
+        let Some(decided) = self.decided.take() else {
+            return;
+        };
+        let time = now();
+        let took = time.saturating_duration_since(decided);
+        self.lag.borrow_mut().note_work(took, time);
+    }
+}
 
 /// A connection that notes when bytes come in and go out.
 #[derive(Debug)]
-pub(super) struct WatchedStream {
+pub(super) struct ActivityStream {
     stream: TcpStream,
     activity: Rc<StreamActivity>,
 }
 
-impl WatchedStream {
+impl ActivityStream {
     /// Watches a connection.
     pub(super) fn new(stream: TcpStream, activity: Rc<StreamActivity>) -> Self {
         Self { stream, activity }
@@ -31,7 +71,7 @@
     }
 }
 
-impl AsyncRead for WatchedStream {
+impl AsyncRead for ActivityStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -46,7 +86,7 @@
     }
 }
 
-impl AsyncWrite for WatchedStream {
+impl AsyncWrite for ActivityStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
