--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -218,6 +218,8 @@
         };
         match self.taker.take(change) {
             Ok(()) => self.core.relay.note_proof(proof.into_std()),
+            // Not to be expected: the feed goes on from the copy. Without a proof the copy becomes old, another source brings
+            // it up to date, and the feed goes on from there.
             Err(gap) => log::error!(
                 "store changes after {since} do not join {}: {gap:?}",
                 self.complete()
