--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -47,7 +47,8 @@
     _folder: TestFolder,
 }
 
-/// Starts a gateway on an address of its own, so that fixed ports don't meet those of other tests.
+/// Starts a gateway on an address of its own, so that fixed ports don't meet those of other tests, nor those of a soak on this
+/// machine, which takes loopback networks from 10 to 209: on one of these a soak's VMs answered for the gateways of six tests.
 fn start_gateway(name: &str, address: &str, store: SocketAddr) -> GatewayProcess {
     let folder = TestFolder::new(name);
     let path = folder.0.join("gateway.ini");
@@ -125,7 +126,7 @@
 #[tokio::test]
 async fn a_process_without_configuration_promises_that_nothing_ran() {
     let (store, upstream) = store_and_upstream().await;
-    let gateway = start_gateway("early", "127.90.0.1", store.address());
+    let gateway = start_gateway("early", "127.230.0.1", store.address());
     wait_status(gateway.callers, "/r/1", 503).await;
     wait_status(gateway.ready, "/v1/ready", 503).await;
     store.put("op/config", config(3, "idempotent"));
@@ -140,7 +141,7 @@
 async fn a_request_that_may_run_once_is_not_sent_again() {
     let (store, upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "non_idempotent"));
-    let gateway = start_gateway("once", "127.90.0.2", store.address());
+    let gateway = start_gateway("once", "127.230.0.2", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     upstream.set_faults(UpstreamFaults {
         lose: 1.0,
@@ -174,7 +175,7 @@
 async fn a_caller_that_leaves_ends_its_request() {
     let (store, upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "idempotent"));
-    let gateway = start_gateway("leaves", "127.90.0.5", store.address());
+    let gateway = start_gateway("leaves", "127.230.0.5", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     upstream.set_faults(UpstreamFaults {
         silent: true,
@@ -184,7 +185,7 @@
     let left = tokio::time::timeout(short, get(gateway.callers, "/r/2", "leaves")).await;
     expect_that!(left.is_err(), eq(true));
     // The upstream never answers, so only the caller's close can have ended the request.
-    let metrics = "127.90.0.5:7103".parse().expect("an address");
+    let metrics = "127.230.0.5:7103".parse().expect("an address");
     let told = async {
         loop {
             let text = get(metrics, "/metrics", "m").await.map(Response::into_body);
@@ -204,7 +205,7 @@
 async fn an_answer_to_another_request_is_never_passed_on() {
     let (store, upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "non_idempotent"));
-    let gateway = start_gateway("foreign", "127.90.0.3", store.address());
+    let gateway = start_gateway("foreign", "127.230.0.3", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     upstream.set_faults(UpstreamFaults {
         foreign: 1.0,
@@ -222,7 +223,7 @@
 async fn a_request_whose_head_takes_too_long_ends_its_connection() {
     let (store, upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "idempotent"));
-    let gateway = start_gateway("slow-head", "127.90.0.6", store.address());
+    let gateway = start_gateway("slow-head", "127.230.0.6", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     let whole =
         "GET /r/2 HTTP/1.1\r\nHost: t.example\r\nRequest-Id: used\r\nDeadline-Ms: 4000\r\n\r\n";
@@ -264,7 +265,7 @@
     const LIMIT: usize = 16_384;
     let (store, _upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "idempotent"));
-    let gateway = start_gateway("long-head", "127.90.0.7", store.address());
+    let gateway = start_gateway("long-head", "127.230.0.7", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     for (length, status) in [(LIMIT, "200"), (LIMIT + 1, "431")] {
         let mut stream = TcpStream::connect(gateway.callers)
@@ -286,7 +287,7 @@
 async fn a_planned_stop_sends_callers_away_and_serves_until_they_are_gone() {
     let (store, _upstream) = store_and_upstream().await;
     store.put("op/config", config(3, "idempotent"));
-    let mut gateway = start_gateway("stop", "127.90.0.4", store.address());
+    let mut gateway = start_gateway("stop", "127.230.0.4", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
     let id = gateway.child.id().expect("a running process") as i32;
     // SAFETY: `kill` takes two integers; the child has not been waited for, so the id is its own.
