--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -15,14 +15,16 @@
 use crate::gateway::caller_time::CallerDistance;
 use crate::gateway::clock::now;
 
-/// Whether a connection is in use and since when it is not.
+/// What a caller's connection is doing: whether it is in use, since when not, how far its request and answer have come.
 #[derive(Debug)]
 pub(super) struct StreamActivity {
     /// How far away the caller is.
     pub(super) distance: CallerDistance,
     /// Whether no request has come yet.
     pub(super) new: Cell<bool>,
+    /// Whether a request is being answered.
     pub(super) busy: Cell<bool>,
+    /// Since when none is.
     pub(super) since: Cell<Instant>,
     /// Since when a request's head has been coming in.
     pub(super) head_since: Cell<Option<Instant>>,
