Tests that fail: a large configuration does not reach the VMs that follow another one in time

Callers saw requests handled by routes that a change had replaced 5 s before and more. The fleet of the tests gets links of a rate and configurations of thousands of routes.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -16,8 +16,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::follow_store;
+use super::link_fixture::{LinkMap, serve_link};
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{DecodeError, GatewayDialect, StoredKind};
 use crate::gateway::fixture::{dialect, entry, settings};
@@ -43,7 +45,7 @@
 /// Key of the configuration.
 pub const CONFIG_KEY: &str = "config";
 
-/// Configurations are their version as text; an upstream belongs to the service that is its value; VMs are VM records.
+/// Configurations are their version as text, in a line of its own if routes follow; an upstream belongs to the service that is its value; VMs are VM records.
 pub fn text_dialect() -> GatewayDialect {
     GatewayDialect {
         classify: |key| match key.split('/').next() {
@@ -54,7 +56,8 @@
         },
         read_config: |_key, value| {
             let text = String::from_utf8_lossy(value);
-            let version = ConfigVersion(text.parse().expect("a version"));
+            let first = text.lines().next().unwrap_or_default();
+            let version = ConfigVersion(first.parse().expect("a version"));
             let limits = CallerLimits {
                 header_bytes: 1,
                 body_bytes: 1,
@@ -187,10 +190,11 @@
             .collect()
     }
 
-    fn port(&self, vm: u8) -> FakePort {
+    fn port(&self, vm: u8, links: LinkMap) -> FakePort {
         FakePort {
             store: self.clone(),
             vm,
+            links,
         }
     }
 }
@@ -200,6 +204,7 @@
 struct FakePort {
     store: FakeStore,
     vm: u8,
+    links: LinkMap,
 }
 
 impl FakePort {
@@ -230,14 +235,26 @@
         }
     }
 
-    /// The way back: nothing comes over a connection that has fallen silent since the call set out.
-    async fn leave(&self, silences: u32) {
+    /// The way back, with the bytes of all values: nothing comes over a connection that has fallen silent since the call
+    /// set out.
+    async fn leave(&self, silences: u32, bytes: usize) {
+        if let Some(link) = self.links.link(vm_address(self.vm)) {
+            // Values travel as base64.
+            link.received.carry(bytes * 4 / 3).await;
+        }
         if self.silences() != silences {
             std::future::pending::<()>().await;
         }
     }
 }
 
+fn value_bytes(event: &StoreEvent) -> usize {
+    match event {
+        StoreEvent::Written(item) => item.value.len(),
+        StoreEvent::Removed { .. } => 0,
+    }
+}
+
 impl StorePort for FakePort {
     async fn read_item(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
         unreachable!("followers read ranges")
@@ -263,7 +280,8 @@
                 revision: state.revision,
             }
         };
-        self.leave(silences).await;
+        let bytes = page.items.iter().map(|item| item.value.len()).sum();
+        self.leave(silences, bytes).await;
         Ok(page)
     }
 
@@ -290,7 +308,8 @@
             };
             let due = tokio::time::Instant::now() >= until;
             if due || !found.events.is_empty() {
-                self.leave(silences).await;
+                let bytes = found.events.iter().map(value_bytes).sum();
+                self.leave(silences, bytes).await;
                 return Ok(found);
             }
             // The end of the wait is seen at the next turn.
@@ -326,11 +345,18 @@
     pub zone: ZoneName,
     core: Rc<GatewayCore>,
     pool: PeerPool,
+    links: LinkMap,
     closing: CancellationToken,
     tasks: JoinSet<()>,
 }
 
 impl FollowVm {
+    /// Bytes that its link has carried, if that has a rate.
+    pub fn sent_bytes(&self) -> usize {
+        let link = self.links.link(vm_address(self.number));
+        link.map_or(0, |link| link.sent.carried())
+    }
+
     /// The version of the configuration in force; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.core.table().map_or(0, |table| table.version().0)
@@ -373,11 +399,22 @@
     pub vms: Vec<FollowVm>,
     members: watch::Sender<Arc<MemberSnapshot>>,
     peer_port: u16,
+    links: LinkMap,
+    change_bound: Duration,
 }
 
 impl FollowFleet {
     /// Starts a VM in each of the zones named. Must run inside a `LocalSet` on a paused clock.
     pub async fn start(zones: &[&str]) -> Self {
+        Self::start_with(zones, None, settings().change_bound).await
+    }
+
+    /// Starts VMs whose links carry only so many bytes a second, with changes due within a time.
+    pub async fn start_with(
+        zones: &[&str],
+        link_rate: Option<f64>,
+        change_bound: Duration,
+    ) -> Self {
         tokio::task::spawn_local(async {
             loop {
                 tokio::time::sleep(CLOCK_STEP).await;
@@ -392,6 +429,8 @@
             vms: Vec::new(),
             members: watch::Sender::default(),
             peer_port,
+            links: LinkMap::new(link_rate),
+            change_bound,
         };
         for (number, zone) in (1..).zip(zones) {
             let zone: ZoneName = zone.parse().expect("a valid name");
@@ -416,10 +455,11 @@
 
     async fn start_vm(&self, number: u8, zone: ZoneName, life: u64) -> FollowVm {
         let vm = vm_address(number);
-        let listener = TcpListener::bind((vm.0, self.peer_port)).await;
-        let listener = listener.expect("the fleet's port");
+        let mut tasks = JoinSet::new();
+        let listener = self.listen(vm, &mut tasks).await;
         let mut settings = settings();
         settings.place.address = vm.0;
+        settings.change_bound = self.change_bound;
         settings.listen.callers = SocketAddr::new(vm.0, self.peer_port);
         let core = Rc::new(GatewayCore::new(settings, text_dialect()));
         let session = SessionId::new(vm, IncarnationNumber(life));
@@ -427,13 +467,12 @@
         let (pool, events) = open_links(session, self.peer_port, closing.clone());
         core.delegates.set_pool(pool.clone());
         let (seeds, _receiver) = watch::channel(Arc::default());
-        let mut tasks = JoinSet::new();
         tasks.spawn_local(accept_links(pool.clone(), listener));
         tasks.spawn_local(follow_links(Rc::clone(&core), events));
         tasks.spawn_local(sweep(Rc::clone(&core)));
         tasks.spawn_local(follow_store(
             Rc::clone(&core),
-            self.store.port(number),
+            self.store.port(number, self.links.clone()),
             seeds,
             self.members.subscribe(),
             (vm, zone.clone()),
@@ -443,11 +482,25 @@
             zone,
             core,
             pool,
+            links: self.links.clone(),
             closing,
             tasks,
         }
     }
 
+    /// The listener of a VM's process, behind its link if that has a rate.
+    async fn listen(&self, vm: VmAddress, tasks: &mut JoinSet<()>) -> TcpListener {
+        let outer = TcpListener::bind((vm.0, self.peer_port)).await;
+        let outer = outer.expect("the fleet's port");
+        if self.links.link(vm).is_none() {
+            return outer;
+        }
+        let inner = TcpListener::bind((vm.0, 0)).await.expect("a free port");
+        let address = inner.local_addr().expect("a bound address");
+        tasks.spawn_local(serve_link(outer, address, vm, self.links.clone()));
+        inner
+    }
+
     /// Ends a VM's process and starts it again: it knows nothing.
     pub async fn restart(&mut self, place: usize, life: u64) {
         let old = self.vms.remove(place);
@@ -475,6 +528,15 @@
         self.store.put(CONFIG_KEY, version.to_string());
     }
 
+    /// Writes a configuration of many routes, each as long as an operator's; those of a smaller one stay as they are.
+    pub fn put_routes(&self, version: u64, routes: u64) {
+        let mut text = format!("{version}\n");
+        for number in 0..routes {
+            text.push_str(&route_text(number));
+        }
+        self.store.put(CONFIG_KEY, text);
+    }
+
     /// Writes the record of a VM that is not of this fleet.
     pub fn put_vm(&self, last: u8) {
         let address = IpAddr::V4(Ipv4Addr::new(10, 9, 0, last));
@@ -489,6 +551,22 @@
     }
 }
 
+/// A route as an operator writes it, some 170 bytes.
+fn route_text(number: u64) -> String {
+    let name = xxh3_64(&number.to_be_bytes());
+    format!(
+        "{{\"name\":\"r-{:07x}\",\"host\":\"{:04x}{:02}.example\",\"prefix\":\"/{:08x}/\",\"service\":\"svc{}\",\
+         \"routeType\":\"idempotent\",\"timeoutMs\":{},\"maxAttempts\":2,\"sloMs\":400,\"priority\":{}}},\n",
+        name & 0x0fff_ffff,
+        name >> 48,
+        number % 3,
+        name >> 16 & 0xffff_ffff,
+        name % 6,
+        600 + name % 3 * 950,
+        name % 2,
+    )
+}
+
 /// Key of the record of a VM that is not of the fleet.
 pub fn vm_key(last: u8) -> CompactString {
     format_compact!("vm/10.9.0.{last}")
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+use super::fixture::FollowFleet;
+
+/// Time within which a grown deployment wants a change in force.
+const CHANGE_BOUND: Duration = Duration::from_secs(5);
+/// Time within which the last VM follows the first one on a calm day.
+const SPREAD_AIM: Duration = Duration::from_secs(1);
+/// Bytes a second of the slowest link of a VM, 14 Mbit/s.
+const SLOW_LINK: f64 = 14e6 / 8.0;
+/// How often the VMs' versions are looked at.
+const LOOK_TIME: Duration = Duration::from_millis(10);
+
+async fn pass(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+async fn slow_fleet(vms: usize) -> FollowFleet {
+    FollowFleet::start_with(&vec!["a"; vms], Some(SLOW_LINK), CHANGE_BOUND).await
+}
+
+/// Waits until a version is in force on all VMs, at most twice the bound; returns how long it took for each, by number.
+async fn times_to_version(fleet: &FollowFleet, version: u64) -> Vec<Option<Duration>> {
+    let since = Instant::now();
+    let mut times = vec![None; fleet.vms.len()];
+    while since.elapsed() < CHANGE_BOUND * 2 && times.contains(&None) {
+        pass(LOOK_TIME.as_secs_f64()).await;
+        for (time, vm) in times.iter_mut().zip(&fleet.vms) {
+            if vm.version() >= version {
+                time.get_or_insert(since.elapsed());
+            }
+        }
+    }
+    times
+}
+
+/// 14 VMs of a zone on links of 14 Mbit/s, one of which asks the store. A change had made the configuration 0.49 MB long, 2,850
+/// routes, and others followed while it was still on its way. VMs ran requests by the old routes 5.3 s after the change had
+/// been accepted.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn large_changes_in_a_row_are_in_force_in_time() {
+    let test = async {
+        let fleet = slow_fleet(14).await;
+        fleet.put_routes(1, 1_450);
+        pass(8.0).await;
+        for version in 2..=20 {
+            fleet.put_routes(version, 2_848 + version);
+            pass(1.0).await;
+            let Some(due) = version.checked_sub(CHANGE_BOUND.as_secs() - 1) else {
+                continue;
+            };
+            for vm in &fleet.vms {
+                expect_that!(
+                    vm.version(),
+                    ge(due),
+                    "VM {} 5 s after version {due}",
+                    vm.number
+                );
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// On a calm day the last VM of a zone follows the first one within a second, whether a change adds one route or 1,400.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_large_change_reaches_the_last_vm_within_a_second() {
+    let test = async {
+        let fleet = slow_fleet(14).await;
+        for (version, routes) in [(1, 50), (2, 1_450), (3, 1_451), (4, 2_851), (5, 2_850)] {
+            fleet.put_routes(version, routes);
+            let times = times_to_version(&fleet, version).await;
+            for (time, vm) in times.into_iter().zip(&fleet.vms) {
+                let late = time.is_none_or(|time| time > SPREAD_AIM);
+                expect_that!(
+                    late,
+                    eq(false),
+                    "version {version}, VM {}: {time:?}",
+                    vm.number
+                );
+            }
+            pass(3.0).await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -7,6 +7,8 @@
 
 #[cfg(test)]
 mod fixture;
+#[cfg(test)]
+mod link_fixture;
 mod source;
 mod taker;
 
@@ -419,6 +421,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "large_config_tests.rs"]
+mod large_config_tests;
 #[cfg(test)]
 #[path = "follow_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/wire/traffic.rs
+++ b/crates/ebonyfork/src/wire/traffic.rs
@@ -41,11 +41,11 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.reader).poll_read(cx, buffer);
-        let read = buffer.filled().len() - before;
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.reader).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
         self.traffic
             .received
             .fetch_add(read as u64, Ordering::Relaxed);
