--- a/crates/ebonyfork/src/gateway/mirror/history_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/history_tests.rs
@@ -7,10 +7,9 @@
 fn value(lines: u64) -> String {
     let mut text = String::new();
     for line in 0..lines {
-        text.push_str(&format!(
-            "a line that is like others, but for {}\n",
-            line * line
-        ));
+        text.push_str("a line that is like others, but for ");
+        text.push_str(&(line * line).to_string());
+        text.push('\n');
     }
     text
 }
