Wait for a long answer of the store while it comes in

A VM that asks the store over a slow link gave a call up 1 s after its wait, whole or not, or left the store for another VM after 0.8 s, and what it asked for anew was as long again and longer with each change: the same cause as with followed VMs. Bytes of an answer's body are counted as they come in; only silence ends a call. Test: four versions of 1 MB on 14 Mbit/s, red in both ways before.

--- a/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -4,7 +4,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm};
+use super::fixture::{FollowFleet, FollowVm, StoreReach};
 
 /// Time within which a grown deployment wants a change in force.
 const CHANGE_BOUND: Duration = Duration::from_secs(5);
@@ -143,3 +143,32 @@
     }
     expect_that!(busiest[1], le(busiest[0] * 5 / 4), "{busiest:?} bytes");
 }
+
+/// A VM that has nobody to follow asks the store, on a link of 14 Mbit/s, for four versions of 1 MB: 3 s for one answer. It
+/// gave the call up after 1.05 s and asked anew, each time with more to come, and never had any of them. A VM that knew of
+/// another one went there after 0.8 s, although that one had nothing.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_long_answer_of_the_store_is_waited_for_while_it_comes_in() {
+    for zones in [&["a"][..], &["a", "b"]] {
+        LocalSet::new().run_until(read_long_answer(zones)).await;
+    }
+}
+
+/// The first VM of a fleet reads a long answer; no other one reaches the store.
+async fn read_long_answer(zones: &[&str]) {
+    let fleet = FollowFleet::start_with(zones, Some(SLOW_LINK), CHANGE_BOUND).await;
+    fleet.put_routes(1, 50);
+    pass(3.0).await;
+    fleet.store.set_reach(1, StoreReach::Refuses);
+    for vm in &fleet.vms[1..] {
+        fleet.store.set_reach(vm.number, StoreReach::Silent);
+    }
+    for version in 2..6 {
+        fleet.put_routes(version, 6_000 + version);
+    }
+    pass(4.0).await;
+    fleet.store.set_reach(1, StoreReach::Answers);
+    pass(CHANGE_BOUND.as_secs_f64()).await;
+    expect_that!(fleet.vms[0].version(), eq(5), "zones {zones:?}");
+}
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -152,7 +152,9 @@
         self.asking_since = now();
         feed.resume_at(self.complete());
         let mut next_look = now();
+        let traffic = feed.traffic();
         loop {
+            let mut received = traffic.received();
             let age = self.core.relay.proof_age().unwrap_or(self.terms.limit);
             feed.set_wait(self.terms.wait(age + feed.until_next_watch()));
             // A call stays open over many looks: giving it up would cost another one.
@@ -165,7 +167,10 @@
                     () = tokio::time::sleep_until(wake) => {
                         next_look = now() + self.terms.period;
                         self.note_age(ChangeSource::Store);
-                        if self.choose(ChangeSource::Store) != ChangeSource::Store {
+                        let before = std::mem::replace(&mut received, traffic.received());
+                        // Elsewhere what is coming in would begin anew.
+                        let advances = received > before;
+                        if !advances && self.choose(ChangeSource::Store) != ChangeSource::Store {
                             return;
                         }
                     }
--- a/crates/ebonyfork/src/http_link.rs
+++ b/crates/ebonyfork/src/http_link.rs
@@ -16,6 +16,8 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
+use crate::traffic::LinkTraffic;
+
 /// Why an exchange brought no whole answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum LinkError {
@@ -91,7 +93,21 @@
         request: Request<Full<Bytes>>,
         body_limit: usize,
     ) -> Result<Response<Bytes>, LinkError> {
-        let response = self.begin_exchange(request, body_limit).await?;
+        let uncounted = LinkTraffic::default();
+        self.exchange_counted(request, body_limit, &uncounted).await
+    }
+
+    /// Does an exchange and counts what comes in of the answer's body.
+    pub async fn exchange_counted(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        body_limit: usize,
+        traffic: &LinkTraffic,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let response = self.send(request).await?;
+        let (head, body) = response.into_parts();
+        let body = begin_body(body, body_limit, traffic).await?;
+        let response = Response::from_parts(head, body);
         let (head, body) = response.into_parts();
         if body.rest.is_some() {
             return Err(lost(format_compact!("longer than {body_limit} bytes")));
@@ -106,21 +122,28 @@
         request: Request<Full<Bytes>>,
         whole: usize,
     ) -> Result<Response<LinkBody>, LinkError> {
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
+        let response = self.send(request).await?;
+        let (head, body) = response.into_parts();
+        let body = begin_body(body, whole, &LinkTraffic::default()).await?;
+        Ok(Response::from_parts(head, body))
+    }
+
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, LinkError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
             Err(mut error) => {
                 let unsent_request = error.take_message().is_some();
                 let error = error.into_error();
-                return Err(if unsent_request {
+                Err(if unsent_request {
                     unsent(error)
                 } else {
                     lost(error)
-                });
+                })
             }
-        };
-        let (head, body) = response.into_parts();
-        let body = begin_body(body, whole).await?;
-        Ok(Response::from_parts(head, body))
+        }
     }
 
     /// Waits until the connection takes another request after an exchange; false if it has ended.
@@ -130,7 +153,11 @@
 }
 
 /// Reads a body up to a limit.
-async fn begin_body(mut body: Incoming, whole: usize) -> Result<LinkBody, LinkError> {
+async fn begin_body(
+    mut body: Incoming,
+    whole: usize,
+    traffic: &LinkTraffic,
+) -> Result<LinkBody, LinkError> {
     let mut first = Bytes::new();
     let mut begun = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -138,6 +165,7 @@
         let Ok(data) = frame.map_err(lost)?.into_data() else {
             continue;
         };
+        traffic.note(data.len());
         if first.is_empty() {
             // Most answers come in one piece, which needs no copy.
             first = data;
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use crate::store::mirror::{MirrorChange, MirrorState, MirrorStep};
-use crate::store::{StoreError, StorePort, StoreRevision, answer_within};
+use crate::store::{StoreError, StorePort, StoreRevision, answer_while_coming};
+use crate::traffic::LinkTraffic;
 
 /// How long one watch waits for changes. A connection that has gone silent for good is noticed after this and the
 /// answer time together, which is within the shortest time that a leaving upstream may still get work.
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 pub struct MirrorFeed<P> {
     port: P,
+    /// Counts what comes in of answers.
+    traffic: LinkTraffic,
     settings: MirrorSettings,
     state: MirrorState,
     /// When the last failure was, while no call has succeeded since.
@@ -80,8 +83,10 @@
 impl<P: StorePort> MirrorFeed<P> {
     /// Makes a feed that has read nothing.
     pub fn new(port: P, settings: MirrorSettings) -> Self {
+        let traffic = LinkTraffic::default();
         Self {
-            port,
+            port: port.with_traffic(traffic.clone()),
+            traffic,
             settings,
             state: MirrorState::new(),
             failing_since: None,
@@ -91,6 +96,11 @@
         }
     }
 
+    /// Counts what comes in of the store's answers, before they are whole.
+    pub fn traffic(&self) -> LinkTraffic {
+        self.traffic.clone()
+    }
+
     /// Sets how long the next watches wait for changes.
     pub fn set_wait(&mut self, wait: Duration) {
         self.settings.wait = wait;
@@ -127,7 +137,7 @@
                     self.reading_since = Some(asked);
                 }
                 let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
-                let page = answer_within(self.settings.answer, reading).await;
+                let page = self.answer(self.settings.answer, reading).await;
                 page.map(|page| {
                     let change = self.state.take_page(page);
                     let proof = change.is_some().then(|| self.reading_since.take());
@@ -137,7 +147,7 @@
             MirrorStep::Watch { after } => {
                 let wait = self.settings.wait;
                 let watching = self.port.watch(&self.settings.prefix, after, wait);
-                let watch = answer_within(wait + self.settings.answer, watching).await;
+                let watch = self.answer(wait + self.settings.answer, watching).await;
                 self.next_watch = Instant::now() + self.settings.spacing;
                 let waited_out = asked.elapsed() >= wait;
                 watch.map(|watch| {
@@ -166,6 +176,15 @@
         }
     }
 
+    /// Waits for an answer, and on while it is coming in.
+    async fn answer<T>(
+        &self,
+        bound: Duration,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        answer_while_coming(bound, self.settings.answer, &self.traffic, call).await
+    }
+
     fn failed_step(&self) -> FeedStep {
         FeedStep {
             change: None,
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -19,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::traffic::LinkTraffic;
+
 pub use backoff::Backoff;
 pub use call_budget::CallBudget;
 pub use client::{StoreClient, VALUE_LIMIT};
@@ -206,6 +208,13 @@
 ///
 /// The futures can be sent between threads, so that actors on a runtime of many threads may hold a port.
 pub trait StorePort: Clone + Send + Sync + 'static {
+    /// Counts what comes in of the answers to this port's calls, before they are whole, so that a long answer can be told
+    /// from none. A port that can't count returns itself.
+    #[must_use]
+    fn with_traffic(self, _traffic: LinkTraffic) -> Self {
+        self
+    }
+
     /// Reads one item; `None` if the key does not exist.
     fn read_item(
         &self,
@@ -253,8 +262,32 @@
 ) -> Result<T, StoreError> {
     match tokio::time::timeout(bound, call).await {
         Ok(result) => result,
-        Err(_elapsed) => Err(StoreError::Lost {
-            reason: compact_str::format_compact!("no answer within {} ms", bound.as_millis()),
-        }),
+        Err(_elapsed) => Err(unanswered(bound)),
+    }
+}
+
+/// Bounds the wait for the first part of an answer, then the silence between two parts: a long answer over a slow link is
+/// no silence, and asked for anew it is as long again.
+pub async fn answer_while_coming<T>(
+    bound: Duration,
+    silence: Duration,
+    traffic: &LinkTraffic,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    tokio::pin!(call);
+    let mut wait = bound;
+    loop {
+        let before = traffic.received();
+        match tokio::time::timeout(wait, &mut call).await {
+            Ok(result) => return result,
+            Err(_elapsed) if traffic.received() == before => return Err(unanswered(wait)),
+            Err(_elapsed) => wait = silence,
+        }
+    }
+}
+
+fn unanswered(bound: Duration) -> StoreError {
+    StoreError::Lost {
+        reason: compact_str::format_compact!("no answer within {} ms", bound.as_millis()),
     }
 }
--- a/crates/ebonyfork/src/traffic.rs
+++ b/crates/ebonyfork/src/traffic.rs
@@ -1,4 +1,4 @@
-//! What has come in on a link, counted before whole messages can be made of it.
+//! What has come in from elsewhere, counted before whole messages can be made of it.
 //!
 //! A long message is silent to its receiver until its last byte is there. The count tells a peer that sends it slowly from
 //! one that sends nothing.
@@ -11,7 +11,17 @@
 
 use tokio::io::{AsyncRead, ReadBuf};
 
-/// Counts the bytes that a link has received. Clones share the count.
+/// Counts the bytes that have come in. Clones share the count.
+///
+/// # Examples
+///
+/// ```
+/// use ebonyfork::traffic::LinkTraffic;
+///
+/// let traffic = LinkTraffic::default();
+/// traffic.clone().note(1_400);
+/// assert_eq!(traffic.received(), 1_400); // bytes
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct LinkTraffic {
     received: Arc<AtomicU64>,
@@ -22,6 +32,11 @@
     pub fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
     }
+
+    /// Counts some bytes more.
+    pub fn note(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
 }
 
 /// A reader that counts what it reads.
@@ -45,10 +60,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.reader).poll_read(cx, buf);
-        let read = buf.filled().len() - before;
-        self.traffic
-            .received
-            .fetch_add(read as u64, Ordering::Relaxed);
+        self.traffic.note(buf.filled().len() - before);
         polled
     }
 }
