Do not serve a route by an old configuration when another VM knows that it has changed

Callers saw requests run by routes that had been replaced 5 s before and more, on a VM that knew for 4.9 s that its copy of the store was old: nothing that serves requests asked. Its age alone does not tell whether anything has changed, and when the store is away for all, all must go on serving. Now the VMs that read the store tell their version in gossip. A VM with an old copy that hears of a newer version asks one of them about each route once; one that is the same is served, any other is refused at once as not run, with a time to return: another VM has it as it is now. Tests: two VMs, red without the check.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -20,6 +20,7 @@
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::route::{RouteEntry, RouteTable};
+use crate::gateway::route_check::RouteChecks;
 use crate::gateway::route_latency::RouteLatency;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::vms::{VmDirectory, ZoneShares};
@@ -67,6 +68,8 @@
     pub homes: RefCell<FxHashMap<CompactString, (Instant, Rc<ZoneShares>)>>,
     /// The store's changes, for VMs that hear of them from this one.
     pub relay: MirrorRelay,
+    /// What other VMs' configurations say of this one's routes.
+    pub route_checks: RouteChecks,
     /// Requests that crash upstreams.
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
@@ -93,6 +96,7 @@
             shares: WeightShares::new(),
             homes: RefCell::default(),
             relay: MirrorRelay::new(FreshnessTerms::new(settings.change_bound).limit),
+            route_checks: RouteChecks::default(),
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             quarantine: QuarantineHandle::new(),
@@ -121,6 +125,7 @@
         self.latencies
             .borrow_mut()
             .retain(|name, _latency| known(name));
+        self.route_checks.forget_same();
         *self.table.borrow_mut() = Some(Rc::new(table));
         self.share_connections();
         true
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -200,7 +200,12 @@
             },
         };
         match self.taker.take(change) {
-            Ok(()) => self.core.relay.note_proof(proof.into_std()),
+            Ok(()) => {
+                self.core.relay.note_proof(proof.into_std());
+                if let Some(table) = self.core.table() {
+                    self.core.route_checks.tell_version(table.version());
+                }
+            }
             // Not to be expected: the feed goes on from the copy. Without a proof the copy becomes old, another source brings
             // it up to date, and the feed goes on from there.
             Err(gap) => log::error!(
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -26,6 +26,7 @@
 use crate::gateway::reply::{CallerReply, refusal};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{RouteEntry, RouteTable, RouteTarget};
+use crate::gateway::route_check::check_route;
 use crate::gateway::run::{RunReport, RunTarget, run_request};
 use crate::gateway::stream_activity::{ActivityStream, StreamActivity};
 use crate::quarantine::RequestStanding;
@@ -253,6 +254,7 @@
     if core.state() == ServiceState::Finishing {
         return Err(RefusalReason::Stopping);
     }
+    check_route(core, &table, &route).await?;
     let names = &core.dialect.names;
     let id = parts.headers.get(&names.request_id).cloned();
     let id = id.ok_or(RefusalReason::Malformed)?;
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod reply_body;
 mod request;
 mod route;
+mod route_check;
 mod route_latency;
 mod run;
 mod settings;
@@ -85,6 +86,7 @@
     CallerLimits, GatherTerms, RepeatKind, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
     WeightedService,
 };
+pub use route_check::RouteCheckMessage;
 pub use settings::{GatewaySettings, ListenAddresses, NodePlace, PlaceDistance};
 pub use upstream::UpstreamEntry;
 pub use weights::WeightShares;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -117,13 +117,13 @@
             port.clone(),
             seed_sender,
             members.snapshot(),
-            own,
+            own.clone(),
         ));
         tasks.spawn_local(registration.run());
         tasks.spawn_local(accept_links(pool, links));
         tasks.spawn_local(follow_links(Rc::clone(&core), events));
         tasks.spawn_local(sweep(Rc::clone(&core)));
-        join_gossip(&mut tasks, &core, &members);
+        join_gossip(&mut tasks, &core, &members, own);
         log_start(&core);
         Ok(Self {
             core,
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -167,6 +167,34 @@
     }
 }
 
+impl RouteEntry {
+    /// Marks everything that is stated about the route.
+    fn terms_mark(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(&self.shard_mark().to_be_bytes());
+        hash.update(self.prefix.as_bytes());
+        for time in [self.timeout, self.target] {
+            hash.update(&time.as_micros().to_be_bytes());
+        }
+        let repeats = u8::from(self.repeat == RepeatKind::Idempotent);
+        hash.update(&[repeats, self.priority]);
+        hash.update(&self.attempts.to_be_bytes());
+        match &self.destination {
+            RouteTarget::One(_service) => {}
+            RouteTarget::Weighted(parts) => {
+                for part in parts {
+                    hash.update(&part.weight.to_be_bytes());
+                }
+            }
+            RouteTarget::Gather(terms) => {
+                hash.update(&terms.top.to_be_bytes());
+                hash.update(&terms.least_coverage.to_be_bytes());
+            }
+        }
+        hash.digest()
+    }
+}
+
 impl RouteTable {
     /// Indexes a version.
     ///
@@ -242,6 +270,22 @@
         self.marks.get(&mark)
     }
 
+    /// Marks the route of a host with a prefix and all its other routes whose prefixes begin so: while the mark is the same in
+    /// two versions, both do the same with every path that begins so. None if there is no such route.
+    pub fn scope_mark(&self, host: &str, prefix: &str) -> Option<u64> {
+        let below = |route: &&Rc<RouteEntry>| route.prefix.starts_with(prefix);
+        let mut below: Vec<_> = self.routes_of(host).iter().filter(below).collect();
+        below.sort_unstable_by(|one, other| one.prefix.cmp(&other.prefix));
+        if below.first().is_none_or(|route| route.prefix != prefix) {
+            return None;
+        }
+        let mut hash = Xxh3::new();
+        for route in below {
+            hash.update(&route.terms_mark().to_be_bytes());
+        }
+        Some(hash.digest())
+    }
+
     /// The routes of a host.
     pub fn routes_of(&self, host: &str) -> &[Rc<RouteEntry>] {
         let routes = self.hosts.get(host_name(host));
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -0,0 +1,191 @@
+use std::rc::Rc;
+
+use googletest::prelude::*;
+use tokio::net::TcpListener;
+use tokio::task::{JoinSet, LocalSet};
+use tokio_util::sync::CancellationToken;
+
+use super::*;
+use crate::gateway::fixture::{dialect, settings};
+use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
+use crate::gateway::peers::{accept_links, follow_links, open_links};
+use crate::gateway::route::{CallerLimits, RepeatKind, RouteTarget};
+use crate::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
+use crate::membership::{MemberDigest, MemberEntry, MemberSnapshot, MemberState};
+
+fn vm(last: u8) -> VmAddress {
+    format!("127.0.0.{last}").parse().expect("a valid address")
+}
+
+fn zone() -> ZoneName {
+    "a".parse().expect("a valid name")
+}
+
+fn route(prefix: &str, service: &str) -> RouteEntry {
+    RouteEntry {
+        name: RouteName::new(prefix),
+        host: "t.example".into(),
+        prefix: prefix.into(),
+        repeat: RepeatKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(500),
+        attempts: 2,
+        priority: 0,
+        destination: RouteTarget::One(UpstreamService::new(service)),
+    }
+}
+
+fn table(version: u64, routes: &[(&str, &str)]) -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 1_000,
+        body_bytes: 1_000,
+        header_time: Duration::from_secs(1),
+        idle_time: Duration::from_secs(1),
+    };
+    let routes = routes
+        .iter()
+        .map(|(prefix, service)| route(prefix, service));
+    RouteTable::new(ConfigVersion(version), routes, [], limits)
+}
+
+/// What gossip says of the second VM.
+fn members(version: u64, state: MemberState) -> MemberSnapshot {
+    MemberSnapshot::new([MemberEntry {
+        vm: vm(2),
+        zone: zone(),
+        incarnation: IncarnationNumber(1),
+        state,
+        digest: MemberDigest {
+            revision: RevisionNumber(version),
+            load: 0,
+        },
+    }])
+}
+
+/// Two VMs with links: the first one's copy of the store is old.
+struct TwoVms {
+    first: Rc<GatewayCore>,
+    second: Rc<GatewayCore>,
+    tasks: Vec<JoinSet<()>>,
+}
+
+impl TwoVms {
+    async fn start() -> Self {
+        let mut listeners = Vec::new();
+        let first = TcpListener::bind((vm(1).0, 0)).await.expect("a free port");
+        let port = first.local_addr().expect("a bound address").port();
+        listeners.push(first);
+        let second = TcpListener::bind((vm(2).0, port)).await;
+        listeners.push(second.expect("the same port"));
+        let mut cores = Vec::new();
+        let mut tasks = Vec::new();
+        for (last, listener) in (1..).zip(listeners) {
+            let core = Rc::new(GatewayCore::new(settings(), dialect()));
+            let session = SessionId::new(vm(last), IncarnationNumber(1));
+            let (pool, events) = open_links(session, port, CancellationToken::new());
+            core.delegates.set_pool(pool.clone());
+            let mut set = JoinSet::new();
+            set.spawn_local(accept_links(pool, listener));
+            set.spawn_local(follow_links(Rc::clone(&core), events));
+            cores.push(core);
+            tasks.push(set);
+        }
+        let second = cores.remove(1);
+        let first = cores.remove(0);
+        Self {
+            first,
+            second,
+            tasks,
+        }
+    }
+
+    fn put(&self, own: RouteTable, other: RouteTable) {
+        let newest = other.version().0;
+        self.first.adopt_table(own);
+        self.second.adopt_table(other);
+        let members = members(newest, MemberState::Alive);
+        self.first
+            .route_checks
+            .note_members(&members, vm(1), &zone());
+    }
+
+    async fn check(&self, path: &str) -> Result<(), RefusalReason> {
+        let table = self.first.table().expect("a table");
+        let route = table.find("t.example", path).map(Rc::clone);
+        check_route(&self.first, &table, &route.expect("a route")).await
+    }
+}
+
+/// A VM knew for 8 s that its copy of the store was old and that a newer version was in force elsewhere, and ran requests by
+/// its old routes all the same. It could have seen by itself which ones had changed: `store copy old age_ms=3334`, then
+/// `request ... version=10 answered status=200` 4.9 s later.
+#[gtest]
+#[tokio::test]
+async fn an_old_route_that_has_changed_is_not_served() {
+    let test = async {
+        let vms = TwoVms::start().await;
+        vms.put(
+            table(
+                10,
+                &[("/a/", "s"), ("/b/", "s"), ("/c/", "s"), ("/d/", "s")],
+            ),
+            table(
+                14,
+                &[
+                    ("/a/", "s"),
+                    ("/b/", "moved"),
+                    ("/d/", "s"),
+                    ("/d/e/", "new"),
+                ],
+            ),
+        );
+        expect_that!(vms.check("/a/1").await, ok(eq(())), "as it was");
+        let refused = err(eq(RefusalReason::OldConfig));
+        expect_that!(vms.check("/b/1").await, refused, "moved");
+        let refused = err(eq(RefusalReason::OldConfig));
+        expect_that!(vms.check("/c/1").await, refused, "removed");
+        let refused = err(eq(RefusalReason::OldConfig));
+        expect_that!(
+            vms.check("/d/e/1").await,
+            refused,
+            "another one is longer now"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_route_is_asked_about_once_a_version() {
+    let test = async {
+        let mut vms = TwoVms::start().await;
+        vms.put(table(10, &[("/a/", "s")]), table(14, &[("/a/", "s")]));
+        expect_that!(vms.check("/a/1").await, ok(eq(())));
+        vms.tasks.remove(1).shutdown().await;
+        expect_that!(vms.check("/a/2").await, ok(eq(())), "known by now");
+        let later = members(15, MemberState::Alive);
+        vms.first.route_checks.note_members(&later, vm(1), &zone());
+        let refused = err(eq(RefusalReason::OldConfig));
+        expect_that!(vms.check("/a/3").await, refused, "nobody answers");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// When the store is away for all, every copy is old and nobody has a newer version: all go on serving.
+#[gtest]
+#[tokio::test]
+async fn without_a_newer_version_elsewhere_everything_is_served() {
+    let test = async {
+        let vms = TwoVms::start().await;
+        vms.put(table(14, &[("/a/", "s")]), table(14, &[("/a/", "moved")]));
+        expect_that!(vms.first.relay.is_old(), eq(true));
+        expect_that!(vms.check("/a/1").await, ok(eq(())));
+        let checks = &vms.first.route_checks;
+        checks.note_members(&members(15, MemberState::Failed), vm(1), &zone());
+        expect_that!(vms.check("/a/1").await, ok(eq(())), "of a VM that is gone");
+        checks.note_members(&members(15, MemberState::Alive), vm(1), &zone());
+        vms.first.relay.note_proof(now());
+        expect_that!(vms.check("/a/1").await, ok(eq(())), "just written, not due");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::CatalogMessage;
-use crate::gateway::{MirrorMessage, PartialMessage};
+use crate::gateway::{MirrorMessage, PartialMessage, RouteCheckMessage};
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
@@ -42,4 +42,6 @@
     Partial(PartialMessage),
     /// Gateway to gateway: changes of the store.
     Mirror(MirrorMessage),
+    /// Gateway to gateway: whether a route is the same in both configurations.
+    RouteCheck(RouteCheckMessage),
 }
