--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -33,7 +33,7 @@
 }
 
 /// What is known of other VMs' configurations.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RouteChecks {
     /// The newest version that another VM has in force.
     newest: Cell<ConfigVersion>,
@@ -47,19 +47,6 @@
     told: watch::Sender<ConfigVersion>,
 }
 
-impl Default for RouteChecks {
-    fn default() -> Self {
-        Self {
-            newest: Cell::default(),
-            holders: RefCell::default(),
-            same: RefCell::default(),
-            pending: RefCell::default(),
-            next: Cell::default(),
-            told: watch::Sender::default(),
-        }
-    }
-}
-
 impl RouteChecks {
     /// Tells other VMs which version is in force here.
     pub fn tell_version(&self, version: ConfigVersion) {
