Measure how a configuration reaches a fleet; soak with 50 and 1,500 routes and slow links to the store

`ebonyfork-lab spread` starts gateways as processes and prints the time to the last VM, what the busiest one tells others, and memory, by VMs and routes. Four versions of the soak's configuration in turn have 50 and 1,500 routes that nobody uses; a short delay of a link becomes a rate of 14 Mbit/s (draws of a seed stay as they were). New metric: bytes told to followers.

--- a/crates/ebonyfork-lab/src/command/mod.rs
+++ b/crates/ebonyfork-lab/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod platform;
 mod run;
 mod soak;
+mod spread;
 mod upstream;
 
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
         .subcommand(platform::command())
         .subcommand(upstream::command())
         .subcommand(soak::command())
+        .subcommand(spread::command())
 }
 
 /// Runs the command line of this process.
@@ -33,6 +35,7 @@
         Some(("load", matches)) => run::load(matches).await,
         Some(("platform", matches)) => platform::run(matches).await,
         Some(("soak", matches)) => soak::run(matches).await,
+        Some(("spread", matches)) => spread::run(matches).await,
         Some(("upstream", matches)) => upstream::run(matches).await,
         _ => Ok(ExitCode::FAILURE),
     }
--- a/crates/ebonyfork-lab/src/command/soak.rs
+++ b/crates/ebonyfork-lab/src/command/soak.rs
@@ -71,7 +71,7 @@
 }
 
 /// The gateway's program beside this one.
-fn gateway_program() -> Result<PathBuf, LabError> {
+pub(super) fn gateway_program() -> Result<PathBuf, LabError> {
     let own = std::env::current_exe().map_err(|source| LabError::System {
         what: "the path of this program",
         source,
--- a/crates/ebonyfork-lab/src/lib.rs
+++ b/crates/ebonyfork-lab/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod publish_model;
 pub mod scenario;
 pub mod soak;
+pub mod spread;
 pub mod upstream;
--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -76,8 +76,13 @@
 }
 
 fn draw_link_fault(rng: &mut impl Rng) -> LinkFault {
+    /// A link of 14 Mbit/s, the slowest that a VM has.
+    const SLOW_LINK: u32 = 14_000_000 / 8;
     match rng.random_range(0..4) {
-        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(20..400))),
+        0 => match rng.random_range(20..400) {
+            20..100 => LinkFault::Rate(SLOW_LINK),
+            delay => LinkFault::Delay(Duration::from_millis(delay)),
+        },
         1 => LinkFault::Reset,
         2 => LinkFault::Silent,
         _ => LinkFault::OneWay,
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -31,9 +31,9 @@
 
 /// One VM with its process and its link to the store.
 #[derive(Debug)]
-pub(super) struct GatewayVm {
+pub(crate) struct GatewayVm {
     pub address: Ipv4Addr,
-    pub link: LinkProxy,
+    pub(super) link: LinkProxy,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -41,7 +41,7 @@
 
 /// All VMs.
 #[derive(Debug)]
-pub(super) struct GatewayFleet {
+pub(crate) struct GatewayFleet {
     pub vms: Vec<GatewayVm>,
     program: PathBuf,
     /// Keeps the network to this run for as long as it lasts.
@@ -49,7 +49,7 @@
 }
 
 impl GatewayFleet {
-    pub(super) async fn start(
+    pub(crate) async fn start(
         settings: &SoakSettings,
         world: &SoakWorld,
     ) -> Result<Self, LabError> {
@@ -60,7 +60,8 @@
         let (network, claim) = claim_network(settings.seed)?;
         let mut vms = Vec::new();
         for number in 0..settings.vms * ZONES.len() {
-            let address = Ipv4Addr::new(127, network, 0, number as u8 + 1);
+            let place = number as u16 + 1;
+            let address = Ipv4Addr::new(127, network, (place >> 8) as u8, place as u8);
             let link = LinkProxy::start(world.store.address()).await?;
             let name = format!("vm-{number}");
             let path = settings.folder.join(format!("{name}.ini"));
@@ -88,6 +89,24 @@
         Ok(fleet)
     }
 
+    /// The logs of all VMs.
+    pub(crate) fn logs(&self) -> impl Iterator<Item = &Path> {
+        self.vms.iter().map(|vm| vm.log.as_path())
+    }
+
+    /// The process ids of all VMs that run.
+    pub(crate) fn process_ids(&self) -> impl Iterator<Item = u32> {
+        self.vms
+            .iter()
+            .filter_map(|vm| vm.child.as_ref().and_then(Child::id))
+    }
+
+    /// The metrics addresses of all VMs.
+    pub(crate) fn metrics(&self) -> impl Iterator<Item = SocketAddr> {
+        let address = |vm: &GatewayVm| SocketAddr::from((vm.address, METRICS_PORT));
+        self.vms.iter().map(address)
+    }
+
     /// Directory and caller addresses of all VMs.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let directory = |vm: &GatewayVm| SocketAddr::from((vm.address, DIRECTORY_PORT));
@@ -139,7 +158,7 @@
     }
 
     /// Ends all processes.
-    pub(super) async fn end(&mut self) {
+    pub(crate) async fn end(&mut self) {
         for number in 0..self.vms.len() {
             self.kill(number).await;
         }
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -6,10 +6,10 @@
 
 mod callers;
 mod faults;
-mod fleet;
+pub(crate) mod fleet;
 pub mod judge;
 mod proxy;
-mod world;
+pub(crate) mod world;
 
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/ebonyfork-lab/src/soak/proxy.rs
+++ b/crates/ebonyfork-lab/src/soak/proxy.rs
@@ -20,6 +20,8 @@
     None,
     /// It passes them on late.
     Delay(Duration),
+    /// It passes so many bytes a second on, each way of each connection.
+    Rate(u32),
     /// It ends all connections and takes no new ones.
     Reset,
     /// It loses all bytes, and new connections are never answered.
@@ -126,6 +128,10 @@
             LinkFault::Silent => continue,
             LinkFault::OneWay if back => continue,
             LinkFault::Delay(delay) => tokio::time::sleep(delay).await,
+            LinkFault::Rate(rate) => {
+                let takes = count as f64 / f64::from(rate);
+                tokio::time::sleep(Duration::from_secs_f64(takes)).await;
+            }
             LinkFault::None | LinkFault::OneWay | LinkFault::Reset => {}
         }
         if write.write_all(&buffer[..count]).await.is_err() {
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -7,6 +7,8 @@
 use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_server::StoreServer;
 use ebonyfork_stand_in::upstream::{ArrivalRecord, UpstreamServer};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -24,17 +26,20 @@
 /// Least share of the shards in a gathered answer.
 pub(super) const LEAST: f64 = 0.5;
 
+/// Routes that nobody uses: of a small configuration, and of one that takes a quarter of a megabyte.
+const IDLE_ROUTES: [u64; 2] = [50, 1_500];
+
 /// One upstream with the proxy before it.
 #[derive(Debug)]
-pub(super) struct SoakUpstream {
+pub(crate) struct SoakUpstream {
     pub server: UpstreamServer,
-    pub proxy: LinkProxy,
+    pub(super) proxy: LinkProxy,
     pub zone: &'static str,
 }
 
 /// An upstream's life that has ended, with what it saw.
 #[derive(Debug)]
-pub(super) struct PastLife {
+pub(crate) struct PastLife {
     pub service: String,
     pub arrivals: Vec<ArrivalRecord>,
     /// When its leaving was written to the store.
@@ -42,11 +47,11 @@
 }
 
 /// A version of the configuration: its number, when it was written, whether the extra route is in it.
-pub(super) type WrittenVersion = (u64, Instant, bool);
+pub(crate) type WrittenVersion = (u64, Instant, bool);
 
 /// Everything outside the gateways.
 #[derive(Debug)]
-pub(super) struct SoakWorld {
+pub(crate) struct SoakWorld {
     pub store: StoreServer,
     pub upstreams: Mutex<Vec<SoakUpstream>>,
     pub past: Mutex<Vec<PastLife>>,
@@ -57,7 +62,7 @@
 }
 
 impl SoakWorld {
-    pub(super) async fn start(seed: u64) -> Result<Self, LabError> {
+    pub(crate) async fn start(seed: u64) -> Result<Self, LabError> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = StoreServer::start(listen)
             .await
@@ -200,14 +205,23 @@
         }
     }
 
-    /// Writes a new version of the configuration, with or without the extra route.
+    /// Writes a new version of the configuration, with or without the extra route, and with many routes or a few that nobody
+    /// uses: four versions of each kind in turn.
     pub(super) fn write_config(&self, extra: bool) {
+        const TURN: usize = 4;
+        let written = lock(&self.versions).len();
+        let idle = IDLE_ROUTES[written / TURN % IDLE_ROUTES.len()];
+        self.write_config_of(extra, idle);
+    }
+
+    /// Writes a new version of the configuration, with or without the extra route, and with some routes that nobody uses.
+    pub(crate) fn write_config_of(&self, extra: bool, idle: u64) {
         let mut versions = lock(&self.versions);
         let version = versions
             .last()
             .map_or(3, |(version, _at, _extra)| version + 3);
         self.store
-            .put("op/config", config(version, extra).to_string());
+            .put("op/config", config(version, extra, idle).to_string());
         versions.push((version, Instant::now(), extra));
     }
 
@@ -238,7 +252,18 @@
     format!("servers/{}", upstream.server.instance())
 }
 
-fn config(version: u64, extra: bool) -> Value {
+/// A route that nobody uses, as long as an operator's, some 170 bytes.
+fn idle_route(number: u64) -> Value {
+    let mut rng = ChaCha8Rng::seed_from_u64(number);
+    let (name, path): (u32, u32) = (rng.random(), rng.random());
+    json!({
+        "name": format!("r-{name:08x}"), "host": format!("idle{}.example", number % 7),
+        "prefix": format!("/{path:08x}/"), "routeType": "idempotent", "timeoutMs": 2_000, "sloMs": 200,
+        "priority": 1, "maxAttempts": 2, "service": "single",
+    })
+}
+
+fn config(version: u64, extra: bool, idle: u64) -> Value {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
     let route = |name: &str, kind: &str, target: (&str, Value)| {
         let mut route = json!({
@@ -257,6 +282,9 @@
     if extra {
         routes.push(route("extra", "idempotent", ("service", json!("single"))));
     }
+    for number in 0..idle {
+        routes.push(idle_route(number));
+    }
     let services: Vec<Value> = shards
         .iter()
         .map(String::as_str)
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -87,6 +87,8 @@
     /// Makes the state of a process that has just started.
     pub fn new(settings: GatewaySettings, dialect: GatewayDialect) -> Self {
         let budget = RetryBudget::new(settings.budget);
+        let metrics = GatewayMetrics::default();
+        let limit = FreshnessTerms::new(settings.change_bound).limit;
         Self {
             dialect,
             registry: UpstreamRegistry::new(),
@@ -95,12 +97,12 @@
             lag: Rc::new(RefCell::new(AnswerLag::new(settings.place.cores))),
             shares: WeightShares::new(),
             homes: RefCell::default(),
-            relay: MirrorRelay::new(FreshnessTerms::new(settings.change_bound).limit),
+            relay: MirrorRelay::new(limit, metrics.told_bytes.clone()),
             route_checks: RouteChecks::default(),
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             quarantine: QuarantineHandle::new(),
-            metrics: GatewayMetrics::default(),
+            metrics,
             started: now(),
             state: Cell::new(ServiceState::Serving),
             flights: FlightCount::default(),
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -46,6 +46,8 @@
     pub copy_age: Gauge<f64, AtomicU64>,
     /// The store's revision up to which the copy is whole.
     pub copy_revision: Gauge<u64, AtomicU64>,
+    /// Bytes of what VMs that follow this one have been told about the store.
+    pub told_bytes: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -59,6 +61,7 @@
             latency: Histogram::new(LATENCY_BOUNDS),
             copy_age: Gauge::default(),
             copy_revision: Gauge::default(),
+            told_bytes: Counter::default(),
         }
     }
 }
@@ -98,5 +101,10 @@
             "The store's revision up to which the copy is whole",
             self.copy_revision.clone(),
         );
+        registry.register(
+            "store_told_bytes",
+            "Bytes told to the VMs that follow this one",
+            self.told_bytes.clone(),
+        );
     }
 }
--- a/crates/ebonyfork/src/gateway/mirror/followers.rs
+++ b/crates/ebonyfork/src/gateway/mirror/followers.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
 
 use super::content::{HeldValues, held_values, write_content};
 use super::copy::StoreCopy;
@@ -65,15 +66,26 @@
 }
 
 /// All followers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct FollowerTable {
     followers: BTreeMap<SessionId, MirrorFollower>,
     transfers: u64,
     /// The last message: most followers lack the same.
     written: Option<WrittenContent>,
+    told_bytes: Counter,
 }
 
 impl FollowerTable {
+    /// No followers; counts the bytes that they are told.
+    pub(super) fn new(told_bytes: Counter) -> Self {
+        Self {
+            followers: BTreeMap::new(),
+            transfers: 0,
+            written: None,
+            told_bytes,
+        }
+    }
+
     /// Whether nobody follows.
     pub(super) fn is_empty(&self) -> bool {
         self.followers.is_empty()
@@ -129,6 +141,7 @@
             return;
         };
         done.log(peer, now);
+        self.told_bytes.inc_by(done.transfer.total() as u64);
         follower.knows = done.knows;
         follower.behind_since = None;
         follower.send_state(follower.told(done.proof));
--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, Ref, RefCell};
 use std::time::{Duration, Instant};
 
+use prometheus_client::metrics::counter::Counter;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::copy::{CopyChange, CopyNews, StoreCopy};
@@ -25,13 +26,14 @@
 }
 
 impl MirrorRelay {
-    /// Holds an empty copy; `limit` is the age of the proof from which it is no good for others.
-    pub fn new(limit: Duration) -> Self {
+    /// Holds an empty copy; `limit` is the age of the proof from which it is no good for others, `told_bytes` counts what
+    /// they are told.
+    pub fn new(limit: Duration, told_bytes: Counter) -> Self {
         Self {
             copy: RefCell::default(),
             proof: Cell::default(),
             limit,
-            followers: RefCell::default(),
+            followers: RefCell::new(FollowerTable::new(told_bytes)),
             news: RefCell::default(),
         }
     }
