--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -95,7 +95,11 @@
                 );
             }
             // The version in force stays: half a configuration would be worse.
-            Err(error) => log::error!("config revision={} not read: {error}", item.revision),
+            Err(error) => log::error!(
+                "config revision={} bytes={} not read: {error}",
+                item.revision,
+                item.value.len()
+            ),
         }
     }
 
--- a/crates/ebonyfork/src/gateway/mirror/pack.rs
+++ b/crates/ebonyfork/src/gateway/mirror/pack.rs
@@ -44,6 +44,9 @@
 /// Compresses bytes on a base that the receiver holds; an empty one is none.
 pub fn compress(base: &[u8], bytes: &[u8]) -> Result<Bytes, PackError> {
     let size = bytes.len();
+    if size > EXPANDED_LIMIT {
+        return TooLongSnafu { size }.fail();
+    }
     let mut compressor = Compressor::with_dictionary(LEVEL, base).context(CodecSnafu { size })?;
     // A base that differs from the sender's is noticed.
     compressor
--- a/crates/ebonyfork/src/gateway/mirror/pack_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/pack_tests.rs
@@ -58,4 +58,10 @@
         expand(b"base", &packed, EXPANDED_LIMIT + 1),
         err(pat!(PackError::TooLong { .. }))
     );
+    let too_long = vec![0; EXPANDED_LIMIT + 1];
+    expect_that!(
+        compress(&[], &too_long),
+        err(pat!(PackError::TooLong { .. })),
+        "what nobody would take is not sent"
+    );
 }
--- a/crates/ebonyforkd/src/daemon.rs
+++ b/crates/ebonyforkd/src/daemon.rs
@@ -9,6 +9,7 @@
 
 use crate::arguments::DaemonArguments;
 use crate::logging::{self, LoggingError};
+use crate::memory::refuse_huge_pages;
 
 /// Exit status when the settings have findings.
 const EXIT_FINDINGS: u8 = 2;
@@ -70,6 +71,9 @@
 
 /// Runs a daemon with the process's command line and tells its exit status.
 pub fn run_daemon(run: impl FnOnce(&DaemonArguments) -> Result<(), DaemonError>) -> ExitCode {
+    if let Err(error) = refuse_huge_pages() {
+        eprintln!("memory is backed by huge pages: {error}");
+    }
     let arguments = DaemonArguments::parse();
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
