Pass over pieces of a message that was given up; avoid a source whose messages can't be read

A piece that was on its way when its receiver went elsewhere counted as a broken transfer when it came back to the same VM, and a message that can't be read was asked for again at once, as fast as the link carries it.

--- a/crates/ebonyfork/src/gateway/follow/following.rs
+++ b/crates/ebonyfork/src/gateway/follow/following.rs
@@ -21,6 +21,8 @@
     Old,
     /// What it told does not join what is known. Asked anew it tells everything.
     Gap,
+    /// What it told can't be read. Asked anew at once it would tell the same, as fast as the link carries it.
+    Unreadable,
 }
 
 impl fmt::Display for SourceFault {
@@ -30,6 +32,7 @@
             Self::Silent => "silent",
             Self::Old => "old",
             Self::Gap => "gap",
+            Self::Unreadable => "unreadable",
         })
     }
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -24,8 +24,8 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::mirror::{
-    CopyChange, FreshnessTerms, MirrorMessage, PieceOutcome, SourceStanding, held_values,
-    read_content,
+    ContentError, CopyChange, FreshnessTerms, MirrorMessage, PieceOutcome, SourceStanding,
+    held_values, read_content,
 };
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberSnapshot, MemberState};
@@ -327,6 +327,7 @@
                 self.put_in_force(following.vm, &content)?;
                 content.len()
             }
+            PieceOutcome::Stray => return Ok(()),
             PieceOutcome::Broken => return Err(SourceFault::Gap),
         };
         let taken = MirrorMessage::Taken {
@@ -340,7 +341,12 @@
         let change = read_content(&self.core.relay.copy(), content);
         let change = change.map_err(|error| {
             log::warn!("store changes of {vm} bytes={}: {error}", content.len());
-            SourceFault::Gap
+            match error {
+                ContentError::Base { .. } => SourceFault::Gap,
+                ContentError::Malformed { .. } | ContentError::Pack { .. } => {
+                    SourceFault::Unreadable
+                }
+            }
         })?;
         if self.core.relay.is_old() && self.failing_since.take().is_some() {
             // The store was away, perhaps for all: entries that lapsed meanwhile may come back.
--- a/crates/ebonyfork/src/gateway/mirror/mod.rs
+++ b/crates/ebonyfork/src/gateway/mirror/mod.rs
@@ -14,7 +14,7 @@
 mod relay;
 mod transfer;
 
-pub use content::{held_values, read_content};
+pub use content::{ContentError, held_values, read_content};
 pub use copy::{CopyChange, CopyGap};
 pub use freshness::{FreshnessTerms, OpenQuestions};
 pub use message::{MirrorMessage, SourceStanding};
--- a/crates/ebonyfork/src/gateway/mirror/transfer.rs
+++ b/crates/ebonyfork/src/gateway/mirror/transfer.rs
@@ -87,6 +87,8 @@
     More(usize),
     /// The message is whole.
     Whole(Bytes),
+    /// The piece is of a message whose beginning was not taken: it was on its way when its receiver went elsewhere.
+    Stray,
     /// The piece does not follow the one before it, or the message is too long.
     Broken,
 }
@@ -110,8 +112,10 @@
             self.number = Some(number);
             self.bytes.clear();
         }
-        let follows = self.number == Some(number) && self.bytes.len() == offset;
-        if !follows || total > EXPANDED_LIMIT || offset + piece.len() > total {
+        if self.number != Some(number) {
+            return PieceOutcome::Stray;
+        }
+        if self.bytes.len() != offset || total > EXPANDED_LIMIT || offset + piece.len() > total {
             self.number = None;
             return PieceOutcome::Broken;
         }
