--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -3,8 +3,9 @@
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 
-use super::fixture::{FollowFleet, StoreReach};
+use super::fixture::FollowFleet;
 use super::random_history::{HistoryTerms, play_history};
+use super::store_fixture::StoreReach;
 
 /// Time within which the users want a change in force: the shortest that a deployment states.
 const CHANGE_BOUND: Duration = Duration::from_secs(3);
--- a/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -4,8 +4,9 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm, StoreReach};
+use super::fixture::{FollowFleet, FollowVm};
 use super::random_history::{HistoryTerms, play_history};
+use super::store_fixture::StoreReach;
 
 /// Time within which a grown deployment wants a change in force.
 const CHANGE_BOUND: Duration = Duration::from_secs(5);
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -13,6 +13,8 @@
 #[cfg(test)]
 mod random_history;
 mod source;
+#[cfg(test)]
+mod store_fixture;
 mod taker;
 
 use std::rc::Rc;
--- a/crates/ebonyfork/src/gateway/follow/random_history.rs
+++ b/crates/ebonyfork/src/gateway/follow/random_history.rs
@@ -9,7 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm, StoreReach, vm_key};
+use super::fixture::{FollowFleet, FollowVm, vm_key};
+use super::store_fixture::StoreReach;
 
 /// What a history is played with.
 #[derive(Debug, Clone, Copy)]
