--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -95,6 +95,11 @@
         link.map_or(0, |link| link.sent.carried())
     }
 
+    /// Whether it knows that its copy of the store may lack changes that are due.
+    pub fn is_old(&self) -> bool {
+        self.core.relay.is_old()
+    }
+
     /// The version of the configuration in force; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.core.table().map_or(0, |table| table.version().0)
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -83,6 +83,31 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// A VM that passes the store on was frozen. The one that followed it heard nothing for 2 s, until its own copy was old, and
+/// only then asked the store: for the 60 ms until the answer it refused a request for a route that there was not with 503
+/// instead of 404. What settled it: `given up reason=silent age_ms=2000`, and 9 ms later `request ... old-config`.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_silent_source_is_left_before_the_copy_is_old() {
+    let test = async {
+        let bound = Duration::from_secs(3);
+        let fleet = FollowFleet::start_with(&["a", "a", "a"], Some(1e9), bound).await;
+        fleet.put_config(1);
+        pass(4.0).await;
+        let asking = fleet.asking("a");
+        // One byte a second.
+        fleet.set_link_rate(fleet.vms[asking].number, 1.0);
+        for _look in 0..500 {
+            pass(0.01).await;
+            for (place, vm) in fleet.vms.iter().enumerate() {
+                let old = place != asking && vm.is_old();
+                expect_that!(old, eq(false), "VM {}", vm.number);
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Whatever the order of writes, removals, outages, silent connections, broken links, lost history and restarts: a VM with
 /// a good way to the store is up to date within the bound, none goes back, and once all is well each holds what the store
 /// holds. The two faults above were found elsewhere first; this looks for others of their class.
