Leave a source that falls silent before the copy is old

Callers saw 503 instead of 404 for a route that there is not, for some 60 ms after the VM that another one follows was frozen: the follower gave it up only when its own copy was old, and asked the store then. Now two unanswered questions are enough, which leaves a third of the time for a change for asking elsewhere while the copy still counts. A source that sends is kept as before.

--- a/crates/ebonyfork/src/gateway/follow/following.rs
+++ b/crates/ebonyfork/src/gateway/follow/following.rs
@@ -78,15 +78,22 @@
         self.answered_at.is_some_and(recent)
     }
 
-    /// Whether it may still bring the copy up to date, which is too old by now. One that is sending something does:
+    /// Whether it is still a good source; `old` tells whether the copy is too old by now. One that is sending something is:
     /// followers on links of 14 Mbit/s that left while a change of 1,400 routes was coming in had it sent anew by the
-    /// next VM, left that one as well, and never got it while one change a second was made.
-    pub(super) fn check(&self, time: Instant, period: Duration) -> Result<(), SourceFault> {
+    /// next VM, left that one as well, and never got it while one change a second was made. One that has left two questions
+    /// unanswered is not, before the copy is old: while another source is asked then, some 60 ms, a VM can't tell that there
+    /// is no route.
+    pub(super) fn check(
+        &self,
+        time: Instant,
+        period: Duration,
+        old: bool,
+    ) -> Result<(), SourceFault> {
         if self.is_advancing(time) {
             return Ok(());
         }
         if self.answers(time, period) {
-            return Err(SourceFault::Old);
+            return if old { Err(SourceFault::Old) } else { Ok(()) };
         }
         let followed = time.saturating_duration_since(self.since);
         if self.answered_at.is_none() && followed <= FIRST_ANSWER_TIME {
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -273,9 +273,7 @@
     /// Asks a followed VM for what is new and for the age of its proof.
     fn ask_vm(&self, following: &mut VmFollowing) -> Result<(), SourceFault> {
         let time = now();
-        if self.core.relay.is_old() {
-            following.check(time, self.terms.period)?;
-        }
+        following.check(time, self.terms.period, self.core.relay.is_old())?;
         let held = held_values(&self.core.relay.copy());
         let follow = MirrorMessage::Follow {
             known: self.complete(),
