Drop questions about routes that nobody waits for

A request whose caller left while another VM was asked about its route kept its question until the answer came, for good if none did. Questions whose receiver is gone are dropped when the next one begins, so nothing has to end them. Test: three callers that leave while the VM that is asked is dead leave one question open, three without the drop.

--- a/crates/ebonyfork/src/gateway/route_check/mod.rs
+++ b/crates/ebonyfork/src/gateway/route_check/mod.rs
@@ -52,7 +52,6 @@
     } else {
         Ok(Ok(RouteVerdict::default()))
     };
-    checks.end(number);
     // A VM that does not answer, and one that knows no better, leave the question open.
     let verdict = verdict.ok().and_then(Result::ok).unwrap_or_default();
     let same = verdict.mark == table.scope_mark(&route.host, &route.prefix);
--- a/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -189,3 +189,21 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A question whose caller left, or which was not answered in time, stayed for good if the VM that was asked never answered.
+#[gtest]
+#[tokio::test]
+async fn questions_that_nobody_waits_for_are_dropped() {
+    let test = async {
+        let mut vms = TwoVms::start().await;
+        vms.put(table(10, &[("/a/", "s")]), table(14, &[("/a/", "s")]));
+        vms.tasks.remove(1).shutdown().await;
+        for _question in 0..3 {
+            let asking = vms.check("/a/1");
+            let left = tokio::time::timeout(Duration::from_millis(5), asking).await;
+            expect_that!(left.is_err(), eq(true), "the caller has left");
+        }
+        expect_that!(vms.first.route_checks.open_questions(), eq(1));
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -116,18 +116,22 @@
         self.same.borrow_mut().clear();
     }
 
-    /// Begins a question: its number, and where the verdict comes.
+    /// Begins a question: its number, and where the verdict comes. Questions that nobody waits for any more are dropped: a
+    /// caller may have left, and the VM that was asked may never answer.
     pub(super) fn begin(&self) -> (u64, oneshot::Receiver<RouteVerdict>) {
         let number = self.next.get();
         self.next.set(number + 1);
         let (sender, verdict) = oneshot::channel();
-        self.pending.borrow_mut().insert(number, sender);
+        let mut pending = self.pending.borrow_mut();
+        pending.retain(|_number, asked| !asked.is_closed());
+        pending.insert(number, sender);
         (number, verdict)
     }
 
-    /// Ends a question, answered or not.
-    pub(super) fn end(&self, number: u64) {
-        self.pending.borrow_mut().remove(&number);
+    /// Questions without a verdict.
+    #[cfg(test)]
+    pub(super) fn open_questions(&self) -> usize {
+        self.pending.borrow().len()
     }
 
     /// Hands a verdict to the one who asked, unless that has ended.
