--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -329,6 +329,11 @@
     )
 }
 
+/// Lets virtual time pass.
+pub async fn pass(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
 /// Key of the record of a VM that is not of the fleet.
 pub fn vm_key(last: u8) -> CompactString {
     format_compact!("vm/10.9.0.{last}")
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 
-use super::fixture::FollowFleet;
+use super::fixture::{FollowFleet, pass};
 use super::random_history::{HistoryTerms, play_history};
 use super::store_fixture::StoreReach;
 
@@ -15,10 +15,6 @@
 /// one, once in some runs, what a VM had read ahead was never told to those that followed it.
 const FAILED_SEEDS: [u64; 5] = [123, 248, 349, 423, 540];
 
-async fn pass(seconds: f64) {
-    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
-}
-
 /// In each availability zone one VM asks the store and the others follow it. Its connection to the store fell silent, and
 /// it waited 5 s for an answer before it believed that. All that while it told its follower twice a second that the store
 /// answers, so the follower, whose own way to the store was good, did without the changes of those seconds and answered
--- a/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -4,7 +4,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm};
+use super::fixture::{FollowFleet, FollowVm, pass};
 use super::random_history::{HistoryTerms, play_history};
 use super::store_fixture::StoreReach;
 
@@ -23,10 +23,6 @@
 /// How often the VMs' versions are looked at.
 const LOOK_TIME: Duration = Duration::from_millis(10);
 
-async fn pass(seconds: f64) {
-    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
-}
-
 async fn slow_fleet(vms: usize) -> FollowFleet {
     FollowFleet::start_with(&vec!["a"; vms], Some(SLOW_LINK), CHANGE_BOUND).await
 }
--- a/crates/ebonyfork/src/gateway/follow/random_history.rs
+++ b/crates/ebonyfork/src/gateway/follow/random_history.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm, vm_key};
+use super::fixture::{FollowFleet, FollowVm, pass, vm_key};
 use super::store_fixture::StoreReach;
 
 /// What a history is played with.
@@ -42,10 +42,6 @@
     }
 }
 
-async fn pass(seconds: f64) {
-    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
-}
-
 /// What happens to a fleet at one step of a random history.
 async fn random_step(fleet: &mut FollowFleet, rng: &mut ChaCha8Rng, history: &mut RandomHistory) {
     let place = rng.random_range(0..fleet.vms.len());
--- a/crates/ebonyfork/src/gateway/mirror/content.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content.rs
@@ -10,6 +10,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::copy::{CopyChange, LONG_VALUE, StoreCopy};
+use super::history::ValuePatch;
 use super::pack::{PackError, compress, expand};
 use crate::store::{StoreEvent, StoreItem, StoreRevision};
 
@@ -55,13 +56,6 @@
     },
 }
 
-/// One step from a value to the next.
-#[derive(Debug, Serialize, Deserialize)]
-struct SentPatch {
-    size: u32,
-    bytes: Bytes,
-}
-
 /// A value on its way.
 #[derive(Debug, Serialize, Deserialize)]
 enum SentValue {
@@ -69,11 +63,8 @@
     Plain(Bytes),
     /// The receiver holds it.
     Held,
-    /// Patches, one after another, on the value that the receiver holds at a revision.
-    Patched {
-        base: StoreRevision,
-        patches: Vec<SentPatch>,
-    },
+    /// Patches, one after another; the receiver holds the base of the first one.
+    Patched(Vec<ValuePatch>),
 }
 
 /// An event on its way.
@@ -183,14 +174,7 @@
     let Some(chain) = chain else {
         return SentValue::Plain(item.value.clone());
     };
-    let patches = chain.into_iter().map(|patch| SentPatch {
-        size: patch.size as u32,
-        bytes: patch.bytes.clone(),
-    });
-    SentValue::Patched {
-        base,
-        patches: patches.collect(),
-    }
+    SentValue::Patched(chain.into_iter().cloned().collect())
 }
 
 /// Reads what another VM has told to one that has this copy.
@@ -250,7 +234,8 @@
             }
             .fail();
         }
-        SentValue::Patched { base, patches } => {
+        SentValue::Patched(patches) => {
+            let base = patches.first().map_or(revision, |patch| patch.base);
             let own = own.filter(|own| own.revision == base);
             let own = own.with_context(|| BaseSnafu {
                 key: key.clone(),
@@ -266,10 +251,10 @@
     }))
 }
 
-fn read_patches(base: &StoreItem, patches: &[SentPatch]) -> Result<Bytes, ContentError> {
+fn read_patches(base: &StoreItem, patches: &[ValuePatch]) -> Result<Bytes, ContentError> {
     let mut value = base.value.clone();
     for patch in patches {
-        let expanded = expand(&value, &patch.bytes, patch.size as usize);
+        let expanded = expand(&value, &patch.bytes, patch.size);
         value = expanded.context(PackSnafu {
             key: base.key.clone(),
         })?;
--- a/crates/ebonyfork/src/gateway/mirror/followers.rs
+++ b/crates/ebonyfork/src/gateway/mirror/followers.rs
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Sends followers what they lack: short messages at once, long ones a few at a time, those first that have lacked
-    /// something for longest. Followers whose links are gone are forgotten: they ask again.
+    /// Sends followers what they lack: short messages at once, long ones a few at a time. Followers whose links are gone are
+    /// forgotten: they ask again.
     pub(super) fn tell(&mut self, copy: &StoreCopy, proof: Instant, now: Instant) {
         let complete = copy.complete();
         let mut behind = Vec::new();
@@ -180,7 +180,25 @@
         }
         if behind.is_empty() {
             self.written = None;
+        } else {
+            self.serve(behind, busy, copy, (proof, now));
         }
+        self.followers
+            .retain(|_peer, follower| !follower.link.is_closed());
+    }
+
+    /// Begins transfers to followers that lack something, those first that have lacked it for longest.
+    fn serve(
+        &mut self,
+        mut behind: Vec<(Instant, SessionId)>,
+        mut busy: usize,
+        copy: &StoreCopy,
+        times: (Instant, Instant),
+    ) {
+        let knows = FollowerKnowledge {
+            known: copy.complete(),
+            held: held_values(copy),
+        };
         behind.sort_unstable();
         for (_since, peer) in behind {
             let Some(bytes) = self.content(copy, peer) else {
@@ -191,10 +209,8 @@
                 continue;
             }
             busy += usize::from(long);
-            self.begin(peer, bytes, copy, (proof, now));
+            self.begin(peer, bytes, knows.clone(), times);
         }
-        self.followers
-            .retain(|_peer, follower| !follower.link.is_closed());
     }
 
     /// What a follower lacks.
@@ -227,7 +243,7 @@
         &mut self,
         peer: SessionId,
         bytes: Bytes,
-        copy: &StoreCopy,
+        knows: FollowerKnowledge,
         (proof, now): (Instant, Instant),
     ) {
         let Some(follower) = self.followers.get_mut(&peer) else {
@@ -237,10 +253,7 @@
         follower.transfer = Some(FollowerTransfer {
             number: self.transfers,
             transfer: OutgoingTransfer::new(bytes, now),
-            knows: FollowerKnowledge {
-                known: copy.complete(),
-                held: held_values(copy),
-            },
+            knows,
             proof,
             began: now,
         });
--- a/crates/ebonyfork/src/gateway/mirror/history.rs
+++ b/crates/ebonyfork/src/gateway/mirror/history.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 
 use super::pack::compress;
 use crate::store::{StoreItem, StoreRevision};
@@ -13,7 +14,7 @@
 const CHAIN_PART: usize = 8;
 
 /// How a value came out of the one before it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ValuePatch {
     /// Revision of the value before.
     pub base: StoreRevision,
