A VM that gathers is not blamed for its upstreams; repeats after a pause go by it as well

Cause: where all upstreams of a shard are slow or decline, the reply of the VM beside them brings no part. A repeat after an upstream had declined went directly too.

--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -10,14 +10,16 @@
 use crate::gateway::clock::now;
 use crate::gateway::health::UpstreamHealth;
 use crate::gateway::latency::millis;
-use crate::gateway::partial::{PartialMessage, PartialQuery, PartialReply};
+use crate::gateway::partial::{
+    FailedShard, PartialMessage, PartialQuery, PartialReply, ShardReach,
+};
 use crate::ident::VmAddress;
 use crate::wire::{PeerMessage, PeerPool};
 
 /// Queries that a VM is assumed to gather side by side without becoming slower.
 const VM_SLOTS: usize = 16;
-/// Share of its replies that must bring parts for a VM to be asked: one that does not know the upstreams, because the
-/// store turns it away, hands everything back and costs a way there and back.
+/// Share of its replies that must show that it knows upstreams for a VM to be asked: one that does not, because the store
+/// turns it away, hands everything back and costs a way there and back.
 const USEFUL_SHARE: f64 = 0.5;
 /// A VM whose oldest answer is overdue by this factor over the usual time is not asked: it is frozen, cut off or gone.
 const OVERDUE: f64 = 3.0;
@@ -54,6 +56,13 @@
     heard: bool,
 }
 
+/// Whether a reply shows that the VM knows upstreams to ask. That they decline or lose what they are asked is no fault of
+/// the VM: without it their requests come directly from all VMs, and nobody sees the queue at the upstream.
+fn shows_upstreams(reply: &PartialReply) -> bool {
+    let unknown = |failed: &FailedShard| failed.reach == ShardReach::Unsent && !failed.avoid;
+    !reply.parts.is_empty() || !reply.failed.iter().all(unknown)
+}
+
 /// Queries that other VMs gather parts for.
 #[derive(Debug, Default)]
 pub struct DelegateTable {
@@ -153,7 +162,7 @@
         };
         if !query.heard {
             query.heard = true;
-            self.note_heard(query, !reply.parts.is_empty());
+            self.note_heard(query, shows_upstreams(&reply));
         }
         let event = GroupEvent {
             group: query.group,
@@ -238,3 +247,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "delegate_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/delegate_tests.rs
@@ -0,0 +1,40 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::gateway::partial::ShardSignature;
+
+fn failed(reach: ShardReach, avoid: bool) -> FailedShard {
+    FailedShard {
+        shard: 1,
+        reach,
+        avoid,
+    }
+}
+
+/// Upstreams of a zone decline or lose all that they are asked: the VM that asks them for others goes on being asked, since
+/// it alone sees how many requests wait there.
+#[gtest]
+fn a_vm_is_not_blamed_for_its_upstreams() {
+    let part = ShardSignature {
+        shard: 0,
+        signature: bytes::Bytes::from_static(b"s"),
+        took_us: 10,
+    };
+    let cases = [
+        (vec![part], vec![failed(ShardReach::Unsent, false)], true),
+        (vec![], vec![failed(ShardReach::Declined, false)], true),
+        (vec![], vec![failed(ShardReach::Run, false)], true),
+        (vec![], vec![failed(ShardReach::Broken, false)], true),
+        (vec![], vec![failed(ShardReach::Unsent, true)], true),
+        (vec![], vec![failed(ShardReach::Unsent, false)], false),
+        (vec![], vec![], false),
+    ];
+    for (parts, failed, expected) in cases {
+        let reply = PartialReply {
+            parts,
+            failed,
+            ..PartialReply::default()
+        };
+        expect_that!(shows_upstreams(&reply), eq(expected), "{reply:?}");
+    }
+}
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -84,7 +84,8 @@
         if repeat && !self.spend(shard) {
             return false;
         }
-        let delegated = pause.is_zero() && repeat && self.delegate_repeat(shard, &choice);
+        // The way to another zone is pause enough.
+        let delegated = repeat && self.delegate_repeat(shard, &choice);
         if !delegated {
             self.launch(shard, choice, pause);
         }
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -71,6 +71,7 @@
                 return;
             }
             self.state.shard_mut(shard).postponed = true;
+            self.postponed += 1;
         }
     }
 
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -16,7 +16,6 @@
     /// Makes the answer.
     pub(super) fn finish(mut self, end: GatherEnd) -> RunReport {
         let decided = now();
-        let postponed = self.state.shards().iter().filter(|shard| shard.postponed);
         let detail = format_compact!(
             "parts={}/{} attempts={} groups={} hedges={} retries={} unfunded={} denied={} lost={} postponed={} caller_ms={:.1} lag_ms={:.1}",
             self.state.answered(),
@@ -28,7 +27,7 @@
             self.unfunded.get(),
             self.denial.get(),
             self.state.lost(),
-            postponed.count(),
+            self.postponed,
             millis(self.request.caller_time),
             millis(self.lag)
         );
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -106,6 +106,8 @@
     retries: usize,
     /// Repeats for which there was no budget.
     unfunded: Cell<usize>,
+    /// Shards that were postponed at the beginning.
+    postponed: usize,
     /// Why the last of them was denied.
     denial: Cell<&'static str>,
     /// How much sooner than it must be on its way the answer is decided on.
@@ -189,6 +191,7 @@
             hedges: 0,
             retries: 0,
             unfunded: Cell::default(),
+            postponed: 0,
             denial: Cell::new("-"),
             lag,
         }
