VMs tell one another the longest wait that callers of a route state

Cause: what passed before a request was sent is the difference between the longest wait stated and its own. The longest wait stated to a VM goes along with its partial queries; what was only heard is not passed on, and what is far beyond the own callers' waits is not believed.

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -21,6 +21,8 @@
         refuse(&from, &query);
         return;
     };
+    let longest = Duration::from_micros(u64::from(query.longest_wait_us));
+    core.latency(&route).borrow_mut().waits.hear(longest, now());
     let key = (from.peer(), query.number);
     let core = Rc::clone(core);
     let (abort, registration) = AbortHandle::new_pair();
--- a/crates/ebonyfork/src/gateway/caller_time.rs
+++ b/crates/ebonyfork/src/gateway/caller_time.rs
@@ -88,28 +88,70 @@
     }
 }
 
-/// How long the callers of a route wait in all, from what they state when they send.
+/// The longest wait of the last while.
 #[derive(Debug, Default)]
-pub struct WaitTrack {
-    /// The longest wait stated lately, and in the time before that.
+struct LongestWait {
+    /// The longest lately, and in the time before that.
     longest: [Duration; 2],
     since: Option<Instant>,
-    stated: u32,
 }
 
-impl WaitTrack {
-    /// Takes in the wait that a caller states, and returns how long before that it began, if that can be told.
-    pub fn note(&mut self, stated: Duration, now: Instant) -> Option<Duration> {
+impl LongestWait {
+    fn get(&self) -> Duration {
+        self.longest[0].max(self.longest[1])
+    }
+
+    fn note(&mut self, wait: Duration, now: Instant) {
         let since = *self.since.get_or_insert(now);
         if now.saturating_duration_since(since) >= WAIT_MEMORY {
             self.longest = [Duration::ZERO, self.longest[0]];
             self.since = Some(now);
         }
-        self.longest[0] = self.longest[0].max(stated);
+        self.longest[0] = self.longest[0].max(wait);
+    }
+}
+
+/// How long the callers of a route wait in all, from what they state when they send, here or to other VMs.
+#[derive(Debug, Default)]
+pub struct WaitTrack {
+    own: LongestWait,
+    heard: LongestWait,
+    stated: u32,
+}
+
+impl WaitTrack {
+    /// Takes in the wait that a caller states, and returns how long before that it began, if that can be told.
+    pub fn note(&mut self, stated: Duration, now: Instant) -> Option<Duration> {
+        self.own.note(stated, now);
         self.stated = self.stated.saturating_add(1);
-        let longest = self.longest[0].max(self.longest[1]);
-        let before = longest.saturating_sub(stated);
-        (self.stated >= WAITS_LEAST && before <= LONGEST_BEFORE).then_some(before)
+        let own = self.own.get();
+        let heard = self.heard_longest();
+        let before = heard.unwrap_or(own).max(own).saturating_sub(stated);
+        let known = self.stated >= WAITS_LEAST || heard.is_some();
+        (known && before <= LONGEST_BEFORE).then_some(before)
+    }
+
+    /// The longest wait that callers have stated to this VM; zero if there was none.
+    pub fn own_longest(&self) -> Duration {
+        self.own.get()
+    }
+
+    /// Takes in the longest wait that callers have stated to another VM. Each VM tells what it was told by callers only, so
+    /// that a wait that nobody states any more is forgotten everywhere. One far longer than any stated here is of a caller
+    /// that waits longer than others.
+    pub fn hear(&mut self, wait: Duration, now: Instant) {
+        let own = self.own.get();
+        let usual = own.is_zero() || wait.saturating_sub(own) <= LONGEST_BEFORE;
+        if usual && !wait.is_zero() {
+            self.heard.note(wait, now);
+        }
+    }
+
+    /// The longest wait stated to other VMs, unless it is far beyond those stated here.
+    fn heard_longest(&self) -> Option<Duration> {
+        let heard = self.heard.get();
+        let usual = heard.saturating_sub(self.own.get()) <= LONGEST_BEFORE;
+        (usual && !heard.is_zero()).then_some(heard)
     }
 }
 
--- a/crates/ebonyfork/src/gateway/caller_time_tests.rs
+++ b/crates/ebonyfork/src/gateway/caller_time_tests.rs
@@ -40,6 +40,29 @@
     expect_that!(track.note(ms(500), now), none());
 }
 
+/// A VM that sees few of a route's requests hears from others how long its callers wait. What it only heard it does not
+/// pass on, and it does not believe what is far beyond all that is stated to itself.
+#[gtest]
+fn the_longest_wait_is_heard_from_other_vms() {
+    let now = Instant::now();
+    let mut track = WaitTrack::default();
+    expect_that!(track.note(ms(1_187), now), none());
+    track.hear(ms(1_200), now);
+    expect_that!(track.note(ms(1_187), now), some(eq(ms(13))));
+    expect_that!(track.own_longest(), eq(ms(1_187)));
+    track.hear(ms(2_400), now);
+    expect_that!(track.note(ms(1_187), now), some(eq(ms(13))));
+}
+
+/// What was heard before any caller has stated a wait gives way to what callers state.
+#[gtest]
+fn a_wait_that_was_heard_does_not_spoil_the_callers_own() {
+    let now = Instant::now();
+    let mut track = WaitTrack::default();
+    track.hear(ms(60_000), now);
+    expect_that!(track.note(ms(1_187), now), none());
+}
+
 /// Callers may come to wait for a shorter time: what the earlier ones stated is forgotten.
 #[gtest]
 fn waits_are_forgotten() {
--- a/crates/ebonyfork/src/gateway/partial.rs
+++ b/crates/ebonyfork/src/gateway/partial.rs
@@ -22,6 +22,8 @@
     pub answer_left_us: u32,
     /// Microseconds until the query ends.
     pub finish_left_us: u32,
+    /// The longest wait that callers of the route have stated to the asking VM, in microseconds; 0 if there was none.
+    pub longest_wait_us: u32,
     /// The caller's request.
     pub request: PartialRequest,
 }
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -131,6 +131,7 @@
             u32::try_from(left).unwrap_or(u32::MAX)
         };
         let useful = self.state.useful_until(time);
+        let longest = self.context.latency.borrow().waits.own_longest();
         PartialQuery {
             number: 0,
             mark: *self.mark.get_or_init(|| self.route.shard_mark()),
@@ -140,6 +141,7 @@
                 .collect(),
             answer_left_us: useful.map_or(0, micros),
             finish_left_us: micros(self.request.finish_by),
+            longest_wait_us: u32::try_from(longest.as_micros()).unwrap_or(u32::MAX),
             request: self.request.to_partial(),
         }
     }
