Decisions about requests in one folder, policy/, apart from what carries them out

Moved as they were: choice, hedge, gather, latency, health, answer lag, repeats' budget. Taken out of the code that carries them out: which VMs serve, which shards wait at first, when a shard is given up. No change of behaviour; the exchange of shares, which speaks to other VMs, stays outside.

--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -8,11 +8,11 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::gateway::clock::now;
-use crate::gateway::health::UpstreamHealth;
-use crate::gateway::latency::millis;
 use crate::gateway::partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, ShardReach,
 };
+use crate::gateway::policy::health::UpstreamHealth;
+use crate::gateway::policy::latency::millis;
 use crate::ident::VmAddress;
 use crate::wire::{PeerMessage, PeerPool};
 
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -9,13 +9,13 @@
 
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
-use crate::gateway::latency::millis;
 use crate::gateway::loss::LossCheck;
 use crate::gateway::loss_check::note_loss;
+use crate::gateway::policy::latency::millis;
+use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::RepeatKind;
-use crate::gateway::route_latency::RouteLatency;
 use crate::gateway::slots::SlotOrder;
 use crate::gateway::upstream::{HeldLink, Upstream};
 use crate::http_link::{LinkBody, LinkError};
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -7,10 +7,10 @@
 use compact_str::CompactString;
 use http::{HeaderName, HeaderValue, StatusCode};
 
-use crate::gateway::budget::BudgetTerms;
 use crate::gateway::dialect::{GatewayDialect, StoredKind, WireNames};
 use crate::gateway::exchange::UpstreamAnswer;
 use crate::gateway::ident::{InstanceName, PlaceName, UpstreamService};
+use crate::gateway::policy::budget::BudgetTerms;
 use crate::gateway::settings::{GatewaySettings, ListenAddresses, NodePlace};
 use crate::gateway::upstream::UpstreamEntry;
 use crate::settings::LogSettings;
--- a/crates/ebonyfork/src/gateway/gossip.rs
+++ b/crates/ebonyfork/src/gateway/gossip.rs
@@ -6,7 +6,7 @@
 use tokio::task::JoinSet;
 
 use crate::gateway::core::GatewayCore;
-use crate::gateway::latency::millis;
+use crate::gateway::policy::latency::millis;
 use crate::ident::{RevisionNumber, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberHandle};
 use crate::quarantine::{hear_notices, tell_notices};
--- a/crates/ebonyfork/src/gateway/load_model.rs
+++ b/crates/ebonyfork/src/gateway/load_model.rs
@@ -12,14 +12,14 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::gateway::budget::{BudgetTerms, RetryBudget};
-use crate::gateway::choice::{UpstreamChoice, choose_upstream};
 use crate::gateway::fixture::{entry, place};
-use crate::gateway::gather::{GatherEnd, GatherState};
-use crate::gateway::hedge::HedgeQuestion;
 use crate::gateway::ident::{PlaceName, UpstreamService};
-use crate::gateway::latency::{AttemptKind, millis};
-use crate::gateway::route_latency::RouteLatency;
+use crate::gateway::policy::budget::{BudgetTerms, RetryBudget};
+use crate::gateway::policy::choice::{UpstreamChoice, choose_upstream};
+use crate::gateway::policy::gather::{GatherEnd, GatherState};
+use crate::gateway::policy::hedge::HedgeQuestion;
+use crate::gateway::policy::latency::{AttemptKind, millis};
+use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -12,10 +12,7 @@
 
 mod aggregate;
 mod aggregate_table;
-mod answer_lag;
-mod budget;
 mod caller_time;
-mod choice;
 mod clock;
 mod control;
 mod core;
@@ -28,14 +25,10 @@
 mod fixture_upstream;
 mod flight;
 mod follow;
-mod gather;
 mod gossip;
-mod health;
-mod hedge;
 mod http_server;
 mod ident;
 mod ingress;
-mod latency;
 #[cfg(test)]
 mod load_model;
 #[cfg(test)]
@@ -48,6 +41,7 @@
 mod node;
 mod partial;
 mod peers;
+mod policy;
 mod refusal;
 mod register;
 mod registry;
@@ -56,9 +50,9 @@
 mod request;
 mod route;
 mod route_check;
-mod route_latency;
 mod run;
 mod settings;
+mod share_exchange;
 mod slots;
 mod status;
 mod stream_activity;
@@ -66,21 +60,21 @@
 mod vms;
 mod weights;
 
-pub use budget::{BudgetTerms, RepeatAccount, RetryBudget, ShareLeases, ShareMessage};
 pub use dialect::{
     ControlCall, DecodeError, GatewayDialect, LocateQuery, LocateReply, StoredKind, WireNames,
 };
-pub use gather::{GatherEnd, GatherState};
 pub use ident::{
     BirthTime, ConfigVersion, InstanceName, PlaceName, RouteName, UpstreamLife, UpstreamService,
 };
-pub use latency::{AttemptKind, LatencyTrack};
 pub use merge::{RECORD_BYTES, merge_records};
 pub use mirror::MirrorMessage;
 pub use node::{GatewayError, GatewayNode};
 pub use partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
 };
+pub use policy::budget::{BudgetTerms, RepeatAccount, RetryBudget, ShareLeases, ShareMessage};
+pub use policy::gather::{GatherEnd, GatherState};
+pub use policy::latency::{AttemptKind, LatencyTrack};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, RepeatKind, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -13,7 +13,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::gateway::budget::run_leases;
 use crate::gateway::clock::now;
 use crate::gateway::control::{LOCATE_TTL, serve_control};
 use crate::gateway::core::{GatewayCore, ServiceState};
@@ -24,6 +23,7 @@
 use crate::gateway::peers::{accept_links, follow_links, open_links};
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::share_exchange::run_leases;
 use crate::gateway::status::serve_metrics;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberHandle, MemberSettings};
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -8,10 +8,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::aggregate;
-use crate::gateway::budget;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::partial::PartialMessage;
 use crate::gateway::route_check;
+use crate::gateway::share_exchange;
 use crate::ident::SessionId;
 use crate::wire::{EventFuture, LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
 
@@ -57,7 +57,7 @@
         }
         PeerMessage::Partial(PartialMessage::Reply(reply)) => core.delegates.take_reply(reply),
         PeerMessage::Mirror(message) => core.relay.take_message(from, message),
-        PeerMessage::Share(message) => budget::take_message(core, &from, message),
+        PeerMessage::Share(message) => share_exchange::take_message(core, &from, message),
         PeerMessage::RouteCheck(message) => route_check::take_message(core, &from, message),
         other => log::debug!("unexpected message from {:?}: {other:?}", from.peer()),
     }
--- a/crates/ebonyfork/src/gateway/answer_lag.rs
+++ b/crates/ebonyfork/src/gateway/policy/answer_lag.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::gateway::latency::LatencyTrack;
+use crate::gateway::policy::latency::LatencyTrack;
 
 /// Work on an answer that is assumed before any was measured, in seconds of a whole core: 2 ms on a VM with half of one,
 /// 8 ms on one with 0.12. The margin begins with twice that.
--- a/crates/ebonyfork/src/gateway/budget/account_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/account_tests.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
-use crate::gateway::budget::bucket::tests::check_spans;
+use crate::gateway::policy::budget::bucket::tests::check_spans;
 
 const TERMS: BudgetTerms = BudgetTerms {
     ratio: 0.2,
--- a/crates/ebonyfork/src/gateway/budget/bucket_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/bucket_tests.rs
@@ -118,7 +118,7 @@
 }
 
 /// Requests count in the span, the one before it or the one half a span before it, whichever has most.
-pub(in crate::gateway::budget) fn check_spans(
+pub(in crate::gateway::policy::budget) fn check_spans(
     terms: BudgetTerms,
     seed: u64,
     requests: &[Duration],
--- a/crates/ebonyfork/src/gateway/budget/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/mod.rs
@@ -17,12 +17,10 @@
 
 mod account;
 mod bucket;
-mod exchange;
 mod lease;
 mod message;
 
 pub use account::RepeatAccount;
 pub use bucket::{BudgetTerms, RetryBudget};
-pub use exchange::{run_leases, take_message};
 pub use lease::ShareLeases;
 pub use message::ShareMessage;
--- a/crates/ebonyfork/src/gateway/choice.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use crate::gateway::ident::UpstreamLife;
-use crate::gateway::latency::AttemptKind;
-use crate::gateway::route_latency::RouteLatency;
+use crate::gateway::policy::latency::AttemptKind;
+use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
--- a/crates/ebonyfork/src/gateway/hedge.rs
+++ b/crates/ebonyfork/src/gateway/policy/hedge.rs
@@ -1,6 +1,6 @@
 //! Whether a second attempt is worth its load: by what is known of the first one and of a fresh one elsewhere.
 
-use crate::gateway::latency::{LatencyTrack, STRAGGLER_SHARE};
+use crate::gateway::policy::latency::{LatencyTrack, STRAGGLER_SHARE};
 
 /// Gain in the likelihood of an answer in time for which a hedge is sent. A hedge loads an upstream and may cross
 /// regions, which costs about a fifth of what a shard in time is worth.
--- a/crates/ebonyfork/src/gateway/latency.rs
+++ b/crates/ebonyfork/src/gateway/policy/latency.rs
@@ -159,7 +159,7 @@
 }
 
 /// A duration in milliseconds.
-pub(super) fn millis(duration: Duration) -> f64 {
+pub fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
 
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/policy/retry_tests.rs
@@ -0,0 +1,16 @@
+use googletest::prelude::*;
+
+use super::*;
+
+#[gtest]
+fn a_shard_that_is_declined_or_unsent_is_given_up_after_a_few_tries() {
+    let tries = |step: fn(usize) -> RetryStep| (1..100).find(|n| step(*n) == RetryStep::GiveUp);
+    expect_that!(tries(after_declined), some(eq(3)));
+    expect_that!(tries(after_unsent), some(eq(4)));
+}
+
+#[gtest]
+fn what_may_run_once_is_sent_once() {
+    expect_that!(sends_allowed(RepeatKind::Once), eq(1));
+    expect_that!(sends_allowed(RepeatKind::Idempotent), gt(1));
+}
--- a/crates/ebonyfork/src/gateway/route_latency.rs
+++ b/crates/ebonyfork/src/gateway/policy/route_latency.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::gateway::caller_time::WaitTrack;
-use crate::gateway::latency::{AttemptKind, LatencyTrack};
+use crate::gateway::policy::latency::{AttemptKind, LatencyTrack};
 use crate::gateway::settings::PlaceDistance;
 
 /// Latency that is assumed of an attempt in the same zone before any was measured.
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/policy/serving_tests.rs
@@ -0,0 +1,35 @@
+use googletest::prelude::*;
+
+use super::*;
+
+#[gtest]
+fn strong_vms_go_before_weak_ones_if_they_have_the_capacity() {
+    let chosen = |cores: &[f32], load: u16| {
+        let vms = cores.iter().map(|cores| VmCapacity {
+            cores: *cores,
+            load,
+        });
+        let least = least_cores(vms);
+        cores.iter().filter(|cores| **cores >= least).count()
+    };
+    let cases: [(&[f32], usize); 4] = [
+        (&[0.25, 0.25, 0.25], 3),
+        (&[0.5, 0.5, 0.12, 0.12, 0.12, 0.12], 2),
+        (&[0.5, 0.3, 0.12], 2),
+        // One strong VM beside many weak ones can't carry them all.
+        (
+            &[
+                0.5, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12,
+            ],
+            12,
+        ),
+    ];
+    for (cores, expected) in cases {
+        expect_that!(chosen(cores, 0), eq(expected), "{cores:?}");
+    }
+    // A few strong VMs can, until their answers lag.
+    let mut many = vec![0.12; 35];
+    many.extend([0.5; 3]);
+    expect_that!(chosen(&many, 250), eq(3));
+    expect_that!(chosen(&many, 750), eq(38));
+}
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -9,8 +9,8 @@
 
 use crate::gateway::dialect::WireNames;
 use crate::gateway::exchange::UpstreamAnswer;
-use crate::gateway::gather::GatherState;
 use crate::gateway::merge::merge_records;
+use crate::gateway::policy::gather::GatherState;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::reply_body::ReplyBody;
 use crate::gateway::request::strip_hop_headers;
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -9,20 +9,17 @@
 use smallvec::SmallVec;
 
 use super::QueryRun;
-use crate::gateway::choice::{UpstreamChoice, choose_upstream};
 use crate::gateway::clock::now;
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
-use crate::gateway::hedge::HedgeQuestion;
 use crate::gateway::ident::UpstreamLife;
-use crate::gateway::latency::AttemptKind;
 use crate::gateway::metrics::OutcomeLabel;
-use crate::gateway::route::RepeatKind;
+use crate::gateway::policy::choice::{UpstreamChoice, choose_upstream};
+use crate::gateway::policy::hedge::HedgeQuestion;
+use crate::gateway::policy::latency::AttemptKind;
+use crate::gateway::policy::retry;
 use crate::gateway::settings::PlaceDistance;
 use crate::gateway::upstream::Upstream;
 
-/// Attempts of one shard that may have run before it is given up, on the same upstreams or others.
-const SENT_LIMIT: usize = 4;
-
 /// An attempt that has ended.
 pub(super) struct FinishedAttempt {
     /// Its place in the list of attempts.
@@ -94,10 +91,7 @@
 
     /// Most attempts of a shard that may run, on the same upstreams or others.
     pub(super) fn sends_allowed(&self) -> usize {
-        match self.route.repeat {
-            RepeatKind::Idempotent => SENT_LIMIT,
-            RepeatKind::Once => 1,
-        }
+        retry::sends_allowed(self.route.repeat)
     }
 
     /// Whether an upstream may have run the request, or may run it yet. An attempt that still waits for a connection is
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -6,16 +6,13 @@
 
 use super::suspicion::RunSuspicion;
 use super::{QueryRun, RunTarget};
-use crate::gateway::choice::{UpstreamChoice, probe_upstream};
 use crate::gateway::clock::now;
-use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::policy::choice::{UpstreamChoice, probe_upstream};
+use crate::gateway::policy::latency::{AttemptKind, millis};
+use crate::gateway::policy::postpone::{ShardLikelihood, is_hopeless, postponed_shards};
 use crate::gateway::settings::PlaceDistance;
 use crate::quarantine::RequestStanding;
 
-/// Likelihood of a part in time below which a shard is left out from the start, if enough others remain. What it would
-/// add is less than what its work takes from the queries behind it.
-const SKIP_LIKELIHOOD: f64 = 0.3;
-
 impl QueryRun {
     pub(super) fn begin(&mut self, standing: RequestStanding) {
         let shards = self.state.shards().len();
@@ -51,25 +48,20 @@
         }
     }
 
-    /// Postpones the shards whose parts are least likely to come in time, as far as the others suffice. The least likely
-    /// go first, so that the load falls where it is highest.
+    /// Postpones the shards whose parts are unlikely to come in time, as far as the others suffice.
     fn postpone_hopeless(&mut self, choices: &[Option<UpstreamChoice>]) {
         if self.state.surplus() == 0 {
             return;
         }
-        let mut hopeless: SmallVec<[(f64, usize); 8]> = SmallVec::new();
+        let mut likelihoods: SmallVec<[ShardLikelihood; 8]> = SmallVec::new();
         for (shard, choice) in choices.iter().enumerate() {
             let Some(choice) = choice else { continue };
             let likelihood = self.likelihood(choice);
-            if likelihood < SKIP_LIKELIHOOD && self.find_probe(shard, choice).is_none() {
-                hopeless.push((likelihood, shard));
+            if is_hopeless(likelihood) && self.find_probe(shard, choice).is_none() {
+                likelihoods.push(ShardLikelihood { shard, likelihood });
             }
         }
-        hopeless.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        for (_likelihood, shard) in hopeless {
-            if self.state.surplus() == 0 {
-                return;
-            }
+        for shard in postponed_shards(likelihoods, self.state.surplus()) {
             self.state.shard_mut(shard).postponed = true;
             self.postponed += 1;
         }
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -4,8 +4,8 @@
 
 use super::{QueryRun, RunReport, RunTarget};
 use crate::gateway::clock::now;
-use crate::gateway::gather::GatherEnd;
-use crate::gateway::latency::millis;
+use crate::gateway::policy::gather::GatherEnd;
+use crate::gateway::policy::latency::millis;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::reply::{CallerReply, forwarded, gathered, refusal, set_retry_after};
 
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -8,17 +8,17 @@
 use smallvec::SmallVec;
 
 use super::{QueryRun, RunTarget};
-use crate::gateway::choice::UpstreamChoice;
 use crate::gateway::clock::now;
 use crate::gateway::delegate::{GroupEvent, GroupNews};
-use crate::gateway::gather::ShardStanding;
 use crate::gateway::ident::PlaceName;
-use crate::gateway::latency::{AttemptKind, millis};
 use crate::gateway::loss::{LossCheck, LossFinding};
 use crate::gateway::merge::merge_records;
 use crate::gateway::partial::{
     FailedShard, PartialQuery, PartialReply, ShardReach, ShardSignature,
 };
+use crate::gateway::policy::choice::UpstreamChoice;
+use crate::gateway::policy::gather::ShardStanding;
+use crate::gateway::policy::latency::{AttemptKind, millis};
 use crate::gateway::settings::PlaceDistance;
 
 /// A group of shards that another VM gathers.
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -6,15 +6,9 @@
 use crate::gateway::clock::now;
 use crate::gateway::exchange::{AttemptOutcome, UpstreamAnswer};
 use crate::gateway::metrics::OutcomeLabel;
+use crate::gateway::policy::retry::{RetryStep, after_declined, after_unsent};
 use crate::gateway::run::attempt::FinishedAttempt;
 
-/// Wait before a shard is sent again to an upstream that has declined it: about one service time.
-const DECLINED_PAUSE: Duration = Duration::from_millis(25);
-/// Attempts of one shard that upstreams may decline before it is given up.
-const DECLINED_LIMIT: usize = 3;
-/// Attempts of one shard of which nothing was sent before it is given up.
-const UNSENT_LIMIT: usize = 4;
-
 impl QueryRun {
     /// An attempt has ended; one that was aborted belongs to a shard whose part is in.
     pub(super) fn take_ended(&mut self, finished: Option<FinishedAttempt>) {
@@ -50,14 +44,14 @@
             AttemptOutcome::Declined(_) => {
                 state.ran -= 1;
                 state.declined += 1;
-                let given_up = state.declined >= DECLINED_LIMIT;
-                self.retry_unless(given_up, shard, DECLINED_PAUSE);
+                let step = after_declined(state.declined);
+                self.take_retry_step(step, shard);
             }
             AttemptOutcome::Unsent(_) => {
                 state.ran -= 1;
                 state.unsent += 1;
-                let given_up = state.unsent >= UNSENT_LIMIT;
-                self.retry_unless(given_up, shard, Duration::ZERO);
+                let step = after_unsent(state.unsent);
+                self.take_retry_step(step, shard);
             }
             AttemptOutcome::Lost(loss) => {
                 state.lost = true;
@@ -95,12 +89,13 @@
         );
     }
 
-    fn retry_unless(&mut self, given_up: bool, shard: usize, pause: Duration) {
-        if given_up && self.state.shards()[shard].out == 0 {
-            self.state.fail(shard);
-            return;
+    fn take_retry_step(&mut self, step: RetryStep, shard: usize) {
+        let alone = self.state.shards()[shard].out == 0;
+        match step {
+            RetryStep::GiveUp if alone => self.state.fail(shard),
+            RetryStep::GiveUp => {}
+            RetryStep::Again { pause } => self.retry(shard, pause),
         }
-        self.retry(shard, pause);
     }
 
     /// Sends a shard again unless its part is in or another attempt is out.
--- a/crates/ebonyfork/src/gateway/run/straggler.rs
+++ b/crates/ebonyfork/src/gateway/run/straggler.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::QueryRun;
-use crate::gateway::hedge::HedgeQuestion;
-use crate::gateway::latency::{AttemptKind, millis};
+use crate::gateway::policy::hedge::HedgeQuestion;
+use crate::gateway::policy::latency::{AttemptKind, millis};
 use crate::gateway::route::RepeatKind;
 use crate::gateway::settings::PlaceDistance;
 
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -7,8 +7,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::finding::FindingList;
-use crate::gateway::budget::BudgetTerms;
 use crate::gateway::ident::PlaceName;
+use crate::gateway::policy::budget::BudgetTerms;
 use crate::ini::{IniDocument, IniSection, SectionReader};
 use crate::settings::LogSettings;
 
--- a/crates/ebonyfork/src/gateway/budget/exchange.rs
+++ b/crates/ebonyfork/src/gateway/share_exchange.rs
@@ -5,8 +5,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::message::ShareMessage;
 use crate::gateway::core::GatewayCore;
+use crate::gateway::policy::budget::ShareMessage;
 use crate::ident::VmAddress;
 use crate::wire::{LinkSender, PeerMessage};
 
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -11,9 +11,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::gateway::answer_lag::AnswerLag;
 use crate::gateway::caller_time::CallerDistance;
 use crate::gateway::clock::now;
+use crate::gateway::policy::answer_lag::AnswerLag;
 
 /// What a caller's connection is doing: whether it is in use, since when not, how far its request and answer have come.
 #[derive(Debug)]
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::gateway::health::UpstreamHealth;
 use crate::gateway::ident::{BirthTime, InstanceName, PlaceName, UpstreamLife, UpstreamService};
 use crate::gateway::loss::{LossCheck, LossFinding};
+use crate::gateway::policy::health::UpstreamHealth;
 use crate::gateway::slots::{SlotOrder, SlotPermit, SlotQueue};
 use crate::http_link::{HttpLink, LinkError};
 use crate::quarantine::LostRequest;
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::ident::{PlaceName, UpstreamService};
+use crate::gateway::policy::serving::{VmCapacity, least_cores};
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::settings::NodePlace;
 use crate::ident::VmAddress;
@@ -18,14 +19,6 @@
 const ADDRESS_LIMIT: usize = 64;
 /// Fewest VMs that a caller is told of, if there are as many: one that fails must leave another to go to.
 const ADDRESS_LEAST: usize = 2;
-/// Processor of a VM, over that of the strongest, from which it counts as strong.
-const STRONG_SHARE: f32 = 0.5;
-/// Share of the processor of all VMs with which the strong ones take all the work in any case.
-const CAPACITY_SHARE: f32 = 0.3;
-/// Share with which they take it while they are not busy, if there are [`ADDRESS_LEAST`] of them.
-const CALM_SHARE: f32 = 0.1;
-/// Mean load of the strong VMs, in per mille, from which the weak ones take work as well.
-const BUSY_LOAD: f32 = 500.0;
 /// Share of a host's shards that must have an upstream in a zone for that zone's VMs to serve the host's callers. A VM
 /// without upstreams beside it fetches each part across zones; a caller that goes to a VM beside them fetches one merged
 /// answer, a twentieth of the bytes at 20 shards.
@@ -165,15 +158,15 @@
     pub fn working_in(&self, zone: &PlaceName) -> Vec<VmAddress> {
         let mut usable = self.usable(None);
         usable.retain(|vm| vm.record.zone == zone.as_str());
-        let strong = strong_vms(usable.iter());
-        strong.iter().map(|vm| vm.address()).collect()
+        let serving = serving_vms(usable.iter());
+        serving.iter().map(|vm| vm.address()).collect()
     }
 
     /// The VMs of a zone by the work that they take, this process among them.
     pub fn zone_roles(&self, own: &NodePlace) -> ZoneRoles {
         let mut usable = self.usable(Some(own));
         usable.retain(|vm| vm.record.zone == own.zone.as_str());
-        let serving: FxHashSet<_> = strong_vms(usable.iter())
+        let serving: FxHashSet<_> = serving_vms(usable.iter())
             .iter()
             .map(|vm| vm.address())
             .collect();
@@ -229,7 +222,7 @@
         let mut addresses = Vec::new();
         for group in preferred_zones(asker, homes) {
             let fits = |vm: &&UsableVm| group.iter().any(|zone| zone.as_str() == vm.record.zone);
-            for vm in strong_vms(usable.iter().filter(fits)) {
+            for vm in serving_vms(usable.iter().filter(fits)) {
                 if !addresses.contains(&vm.record.caller) {
                     addresses.push(vm.record.caller);
                 }
@@ -247,21 +240,14 @@
     }
 }
 
-/// Of VMs of unequal size the strong ones, unless they are too few or too busy. The work of a query takes a weak VM
-/// several times as long, and all of it comes before the answer. Few VMs that see much of the traffic also know upstreams
-/// and callers better than many that see little each.
-fn strong_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
+/// Those of some VMs that take requests.
+fn serving_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
     let mut vms: Vec<_> = vms.collect();
-    let cores = |vms: &[&UsableVm]| vms.iter().map(|vm| vm.record.cores).sum::<f32>();
-    let most = vms.iter().map(|vm| vm.record.cores).fold(0.0, f32::max);
-    let mut strong = vms.clone();
-    strong.retain(|vm| vm.record.cores >= most * STRONG_SHARE);
-    let share = cores(&strong) / cores(&vms);
-    let load = strong.iter().map(|vm| f32::from(vm.load)).sum::<f32>() / strong.len() as f32;
-    let calm = share >= CALM_SHARE && strong.len() >= ADDRESS_LEAST && load < BUSY_LOAD;
-    if calm || share >= CAPACITY_SHARE {
-        vms = strong;
-    }
+    let least = least_cores(vms.iter().map(|vm| VmCapacity {
+        cores: vm.record.cores,
+        load: vm.load,
+    }));
+    vms.retain(|vm| vm.record.cores >= least);
     vms
 }
 
