A VM that starts learns from registrations how many VMs may run

Cause (found by reading, not by a run): the share of a VM is the slack over the VMs that it knows. One that restarts while others are cut off from the store, their leases lapsed, would count only the rest and take a larger share, while those that are cut off go on with theirs. Each registration now states how many VMs its writer knew; the largest counts.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -306,6 +306,7 @@
             caller: SocketAddr::new(address, 1),
             zone: "other".into(),
             region: "other".into(),
+            vms: 1,
             cores: 1.0,
         };
         let encoded = postcard::to_stdvec(&record).expect("a record");
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -93,6 +93,7 @@
             zone: CompactString::new(place.zone.as_str()),
             region: CompactString::new(place.region.as_str()),
             cores: place.cores as f32,
+            vms: self.core.vms.count() as u32,
         };
         let encoded = postcard::to_stdvec(&record);
         encoded
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -19,6 +19,8 @@
 const ADDRESS_LIMIT: usize = 64;
 /// Fewest VMs that a caller is told of, if there are as many: one that fails must leave another to go to.
 const ADDRESS_LEAST: usize = 2;
+/// Most VMs that a registration is believed to know: twice the largest fleet that is planned for.
+const KNOWN_LIMIT: usize = 10_000;
 /// Share of a host's shards that must have an upstream in a zone for that zone's VMs to serve the host's callers. A VM
 /// without upstreams beside it fetches each part across zones; a caller that goes to a VM beside them fetches one merged
 /// answer, a twentieth of the bytes at 20 shards.
@@ -35,19 +37,24 @@
     pub region: CompactString,
     /// Processor that it has, in whole cores.
     pub cores: f32,
+    /// VMs that it knew when it registered. A process that starts while others are cut off, and their entries have lapsed,
+    /// learns from this that they may still run.
+    pub vms: u32,
 }
 
 /// A VM that takes requests.
 #[derive(Debug, Clone)]
 struct UsableVm {
-    record: VmRecord,
+    caller: SocketAddr,
+    zone: CompactString,
+    cores: f32,
     /// How busy it is, in per mille of what it can take.
     load: u16,
 }
 
 impl UsableVm {
     fn address(&self) -> VmAddress {
-        VmAddress(self.record.caller.ip())
+        VmAddress(self.caller.ip())
     }
 }
 
@@ -88,8 +95,10 @@
     /// Takes in a registration.
     pub fn put(&self, key: &CompactString, record: VmRecord) {
         self.missing.borrow_mut().remove(key);
+        let known = (record.vms as usize).min(KNOWN_LIMIT);
         self.records.borrow_mut().insert(key.clone(), record);
-        self.most.set(self.most.get().max(self.count()));
+        let most = self.most.get().max(self.count()).max(known);
+        self.most.set(most);
     }
 
     /// Takes in that a registration has ended. A VM that gossip still hears stays: its lease may have lapsed while
@@ -157,7 +166,7 @@
     /// The other VMs of a zone that are believed to work.
     pub fn working_in(&self, zone: &PlaceName) -> Vec<VmAddress> {
         let mut usable = self.usable(None);
-        usable.retain(|vm| vm.record.zone == zone.as_str());
+        usable.retain(|vm| vm.zone == zone.as_str());
         let serving = serving_vms(usable.iter());
         serving.iter().map(|vm| vm.address()).collect()
     }
@@ -165,7 +174,7 @@
     /// The VMs of a zone by the work that they take, this process among them.
     pub fn zone_roles(&self, own: &NodePlace) -> ZoneRoles {
         let mut usable = self.usable(Some(own));
-        usable.retain(|vm| vm.record.zone == own.zone.as_str());
+        usable.retain(|vm| vm.zone == own.zone.as_str());
         let serving: FxHashSet<_> = serving_vms(usable.iter())
             .iter()
             .map(|vm| vm.address())
@@ -187,18 +196,17 @@
                 continue;
             }
             usable.push(UsableVm {
-                record: record.clone(),
+                caller: record.caller,
+                zone: record.zone.clone(),
+                cores: record.cores,
                 load: member.map_or(0, |member| member.digest.load),
             });
         }
         if let Some(own) = own {
             usable.push(UsableVm {
-                record: VmRecord {
-                    caller: self.own,
-                    zone: own.zone.as_str().into(),
-                    region: own.region.as_str().into(),
-                    cores: own.cores as f32,
-                },
+                caller: self.own,
+                zone: own.zone.as_str().into(),
+                cores: own.cores as f32,
                 load: self.own_load.get(),
             });
         }
@@ -221,10 +229,10 @@
         let usable = self.usable(own);
         let mut addresses = Vec::new();
         for group in preferred_zones(asker, homes) {
-            let fits = |vm: &&UsableVm| group.iter().any(|zone| zone.as_str() == vm.record.zone);
+            let fits = |vm: &&UsableVm| group.iter().any(|zone| zone.as_str() == vm.zone);
             for vm in serving_vms(usable.iter().filter(fits)) {
-                if !addresses.contains(&vm.record.caller) {
-                    addresses.push(vm.record.caller);
+                if !addresses.contains(&vm.caller) {
+                    addresses.push(vm.caller);
                 }
             }
             if addresses.len() >= ADDRESS_LEAST {
@@ -232,7 +240,7 @@
             }
         }
         if addresses.len() < ADDRESS_LEAST {
-            addresses = usable.iter().map(|vm| vm.record.caller).collect();
+            addresses = usable.iter().map(|vm| vm.caller).collect();
         }
         addresses.sort_unstable();
         spread(&mut addresses);
@@ -244,10 +252,10 @@
 fn serving_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
     let mut vms: Vec<_> = vms.collect();
     let least = least_cores(vms.iter().map(|vm| VmCapacity {
-        cores: vm.record.cores,
+        cores: vm.cores,
         load: vm.load,
     }));
-    vms.retain(|vm| vm.record.cores >= least);
+    vms.retain(|vm| vm.cores >= least);
     vms
 }
 
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -15,6 +15,7 @@
         zone: zone.into(),
         region: region.into(),
         cores: 0.25,
+        vms: 1,
     }
 }
 
@@ -84,6 +85,26 @@
     }
 }
 
+/// Two of the VMs that a registration knew are cut off and their entries have lapsed; they may still run and repeat. What
+/// no fleet can be is not believed.
+#[gtest]
+fn vms_that_another_one_knew_are_counted_among_those_that_may_run() {
+    let directory = directory();
+    expect_that!(directory.most_count(), eq(6));
+    let later = VmRecord {
+        vms: 8,
+        ..record(7, "north-a", "north")
+    };
+    directory.put(&"vm/7".into(), later);
+    expect_that!((directory.count(), directory.most_count()), eq((7, 8)));
+    let wrong = VmRecord {
+        vms: u32::MAX,
+        ..record(8, "north-a", "north")
+    };
+    directory.put(&"vm/8".into(), wrong);
+    expect_that!(directory.most_count(), eq(KNOWN_LIMIT));
+}
+
 #[gtest]
 fn failed_and_leaving_vms_are_left_out() {
     let directory = directory();
