--- a/crates/ebonyfork/src/gateway/caller_time.rs
+++ b/crates/ebonyfork/src/gateway/caller_time.rs
@@ -5,8 +5,7 @@
 //! distance of 3 ms. A caller states how long it will still wait. On a route that callers wait for equally long the
 //! difference from the longest wait stated is the time that has passed ([`WaitTrack`]); the kernel knows the way.
 //!
-//! Without the stated wait one round trip was assumed for what comes before. With it a calm day at 78 VMs, callers 3 ms
-//! away, earns 0.776 of its worth instead of 0.719 (mean of 3 runs and 1; repeats by token buckets came in between).
+//! A VM that sees few requests of a route may never meet a whole wait, so VMs tell one another the longest stated to them.
 
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
--- a/crates/ebonyfork/src/gateway/follow/source.rs
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -14,15 +14,14 @@
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberSnapshot, MemberState};
 
-/// VMs of a zone that ask the store. While the one is away the others ask for themselves, for some seconds; a second one
-/// asking all the time cost more calls than that.
+/// VMs of a zone that ask the store. While the one is away the others ask for themselves, for some seconds, which costs
+/// fewer calls than a second one that asks all the time.
 pub const ASKING_VMS: usize = 1;
 /// VMs that follow one VM: what a change puts on a link does not grow with the zone. A change of 1,400 routes is 29 kB for
 /// each of them, 0.3 s of a link of 14 Mbit/s in all; the zones of today's sizes need no second level, and the 490 VMs of
 /// a zone at 4,900 three.
 pub const FOLLOWERS: usize = 16;
-/// Time after a start before another VM is followed: by then gossip knows the others. At 89 VMs that start together each
-/// second more costs some 350 calls.
+/// Time after a start before another VM is followed: by then gossip knows the others.
 pub const SETTLING_TIME: Duration = Duration::from_millis(800);
 
 /// Where the changes come from.
--- a/crates/ebonyfork/src/gateway/policy/choice.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice.rs
@@ -9,15 +9,11 @@
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
-/// What a near upstream may be slower before one in another zone or region is taken, in milliseconds. It pays for the
-/// bytes between zones: at today's sizes and prices one shard request across regions costs a tenth of what a whole
-/// answer gains for that shard.
+/// What a near upstream may be slower before one in another zone or region is taken, in milliseconds: it pays for the bytes
+/// between zones.
 const FAR_BIAS_MS: f64 = 8.0;
-/// What an attempt that brings no answer costs beside its time, in usual attempts beside this VM. It takes a repeat, of
-/// which there is one for five requests; where they have run out the part is missing, and the answer with it. Where half
-/// of the upstreams declined 6 of 10 requests and the other half stood idle further away, the seconds earned 0.45 to 0.58
-/// of their worth by time alone, 0.75 to 0.80 with this. Less than half of it and twice as much: 0.690 and 0.721 of the
-/// day instead of 0.719.
+/// What an attempt that brings no answer costs beside its time, in usual attempts beside this VM. It takes a repeat, and
+/// where they have run out the part is missing, and the answer with it.
 const FAILURE_TIMES: f64 = 10.0;
 /// Weight of the expected time of an upstream that was not reachable: it is taken if there is no other.
 const EJECTED_MS: f64 = 100_000.0;
--- a/crates/ebonyfork/src/gateway/policy/latency.rs
+++ b/crates/ebonyfork/src/gateway/policy/latency.rs
@@ -7,9 +7,8 @@
 
 use crate::gateway::settings::PlaceDistance;
 
-/// Share of the attempts that have ended when one is first looked at as a straggler. With 0.9 a quarter of the budget was
-/// used, and where both upstreams of a shard are in other regions the second attempt came too late: mean worth of a quiet
-/// day and two with trouble 0.761 -> 0.770 and 0.752 -> 0.755 on two deployments; 0.7 gained nothing more.
+/// Share of the attempts that have ended when one is first looked at as a straggler: early enough for a second attempt where
+/// both upstreams of a shard are in other regions.
 pub const STRAGGLER_SHARE: f64 = 0.8;
 /// Buckets of a histogram. With [`GROWTH`] they reach from [`FIRST_MS`] to about 30 s.
 const BUCKETS: usize = 64;
@@ -17,9 +16,8 @@
 const FIRST_MS: f64 = 0.5;
 /// Ratio of the bounds of two neighbouring buckets: a quantile is off by at most a fifth.
 const GROWTH: f64 = 1.19;
-/// Time in which samples lose half of their weight. Slow phases of upstreams last some seconds; a longer memory took
-/// them for usual long after they had passed, so that hedges were sent too late (quick checks at light load had 43 %
-/// partial answers).
+/// Time in which samples lose half of their weight. Slow phases of upstreams last some seconds; with a longer memory they
+/// would count as usual long after they have passed, and hedges come too late.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight below which samples are no longer forgotten: some picture must remain of a route with few requests.
 const WEIGHT_LEAST: f64 = 24.0;
--- a/crates/ebonyfork/src/gateway/policy/serving.rs
+++ b/crates/ebonyfork/src/gateway/policy/serving.rs
@@ -1,9 +1,8 @@
 //! Which VMs take requests, of those that could.
 //!
 //! The work of a query takes a weak VM several times as long as a strong one, and all of it comes before the answer. And few
-//! VMs that see much of the traffic know upstreams and callers better than many that see little each: of 195 VMs with 48
-//! queries a second each one would meet an upstream once in 13 s. So the strong ones serve alone, as long as they have the
-//! capacity and their answers do not lag.
+//! VMs that see much of the traffic know upstreams and callers better than hundreds that see little each. So the strong
+//! ones serve alone, as long as they have the capacity and their answers do not lag.
 
 use smallvec::SmallVec;
 
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -233,8 +233,7 @@
     }
 
     /// A part that another VM should have gathered won't come from there: it is asked for directly. What upstreams there
-    /// have declined has arrived, so the next attempt is paid for; unpaid, a service whose upstreams declined 6 of 10
-    /// requests got 338 repeats in 10 s where 327 were allowed.
+    /// have declined has arrived, so the next attempt is paid for.
     fn end_delegated(&mut self, number: usize, reach: ShardReach) {
         let attempt = &mut self.live[number];
         if attempt.ended {
--- a/crates/ebonyfork/src/gateway/run/settle.rs
+++ b/crates/ebonyfork/src/gateway/run/settle.rs
@@ -2,8 +2,7 @@
 //!
 //! After an outage of the store entries that lapsed come back within about two seconds. A process that reads the store
 //! meanwhile, as all do when they lost power together, knows a few upstreams only. A request that could not be answered
-//! with those waits for the others, as far as it has the time. Refused at once, 104 of 5,457 requests of such a run were
-//! not served at all.
+//! with those waits for the others, as far as it has the time.
 
 use std::time::Duration;
 
--- a/crates/ebonyfork/src/gateway/share_exchange.rs
+++ b/crates/ebonyfork/src/gateway/share_exchange.rs
@@ -1,4 +1,4 @@
-//! Leases shares between the VMs of a zone: those that serve ask those that stand by, each one of them.
+//! Leases shares of the repeats' slack between the VMs of a zone: each VM that stands by is asked by one that serves.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +13,13 @@
 /// Time between two questions to the same VM: two may be lost before the lease ends.
 const ASK_PERIOD: Duration = Duration::from_secs(1);
 
+/// The shares that are on lease, as they were last logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ShareHolding {
+    borrowed: usize,
+    lent: Option<VmAddress>,
+}
+
 /// Asks for shares until the future is dropped.
 pub async fn run_leases(core: Rc<GatewayCore>, own: VmAddress) {
     let mut logged = None;
@@ -47,19 +54,25 @@
     serving.iter().copied().max_by_key(score)
 }
 
-fn note_shares(core: &GatewayCore, logged: &mut Option<(usize, Option<VmAddress>)>) {
+/// Puts the shares that are on lease into the metrics, and into the log if they have changed.
+fn note_shares(core: &GatewayCore, logged: &mut Option<ShareHolding>) {
     let time = core.running_time();
     let account = core.repeats.borrow();
-    let (borrowed, lent) = (account.borrowed(time), account.lent_to(time));
-    core.metrics.borrowed_shares.set(borrowed as u64);
-    if *logged == Some((borrowed, lent)) {
+    let holding = ShareHolding {
+        borrowed: account.borrowed(time),
+        lent: account.lent_to(time),
+    };
+    core.metrics.borrowed_shares.set(holding.borrowed as u64);
+    if *logged == Some(holding) {
         return;
     }
-    *logged = Some((borrowed, lent));
-    let lent = lent.map_or_else(|| "-".to_owned(), |vm| vm.to_string());
+    *logged = Some(holding);
+    let lent = holding.lent.map(|vm| vm.to_string());
     log::info!(
         target: "ebonyfork::decision",
-        "repeat shares borrowed={borrowed} lent_to={lent} vms={}",
+        "repeat shares borrowed={} lent_to={} vms={}",
+        holding.borrowed,
+        lent.as_deref().unwrap_or("-"),
         core.vms.most_count()
     );
 }
--- a/crates/ebonyfork/src/gateway/slots.rs
+++ b/crates/ebonyfork/src/gateway/slots.rs
@@ -11,8 +11,7 @@
 use tokio::sync::oneshot;
 
 /// Of the connections, one in this many is left to requests that can no longer be in time, and one at least. What is sent
-/// waits in the upstream's own queue, where nothing overtakes it: without the bound and with more connections than the
-/// upstream has slots, the worst two seconds of eight days under overload earned 0.33 of their worth, with both 0.39.
+/// waits in the upstream's own queue, where nothing overtakes it.
 const LATE_PART: usize = 2;
 
 /// What a request that waits for a connection is worth, by time.
