Homes and evacuations: one list of upstreams that a request may go to

Cause: nothing read the regions that a route names, nor the operators' evacuations. Now policy/homes says where a route may be served; QueryRun::candidates is the only list from which a first attempt, a hedge, a probe, a retry and a group beside the upstreams are chosen; the registry marks upstreams of evacuated zones, and what waits for a connection is looked at once more before it is sent. The directory names VMs of the caller's region, then of a home. Weights hold among the services that have an upstream at home. A request without one is refused at once, as not run, with Retry-After.

--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -12,16 +12,17 @@
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{ControlCall, LocateQuery, LocateReply};
 use crate::gateway::http_server::serve_http;
+use crate::gateway::policy::homes::HostRegions;
 use crate::gateway::reply::CallerReply;
-use crate::gateway::route::RouteTarget;
+use crate::gateway::route::{RouteTable, RouteTarget};
 use crate::gateway::settings::NodePlace;
-use crate::gateway::vms::{ZoneShares, zone_shares};
+use crate::gateway::vms::{HostNeeds, ZoneShares, zone_shares};
 
 /// How long a caller may keep a locate answer. Some keep it three times as long, so callers have left a stopping VM
 /// after 3 s, half of the stated grace time.
 pub const LOCATE_TTL: Duration = Duration::from_secs(1);
-/// How long it is kept where a host's upstreams are.
-const HOMES_KEPT: Duration = Duration::from_secs(1);
+/// How long it is kept what a host needs.
+const NEEDS_KEPT: Duration = Duration::from_secs(1);
 
 /// Serves the control calls on a listener until the future is dropped.
 pub async fn serve_control(core: Rc<GatewayCore>, listener: TcpListener) {
@@ -54,7 +55,7 @@
         ..place.clone()
     };
     let own = core.is_ready().then_some(place);
-    let addresses = core.vms.locate(&asker, &host_homes(core, query), own);
+    let addresses = core.vms.locate(&asker, &host_needs(core, query), own);
     if addresses.is_empty() {
         // Nobody is known to serve; the caller keeps what it has or asks elsewhere.
         return plain(StatusCode::SERVICE_UNAVAILABLE);
@@ -76,26 +77,34 @@
     reply
 }
 
-/// Where the upstreams are that a host's queries over many shards need. Reckoning it takes a look at every upstream of
-/// the host, so it is kept for a moment.
-fn host_homes(core: &GatewayCore, query: &LocateQuery) -> Rc<ZoneShares> {
+/// What a host's routes need. Reckoning it takes a look at every upstream of the host, so it is kept for a moment.
+fn host_needs(core: &GatewayCore, query: &LocateQuery) -> Rc<HostNeeds> {
     let time = now();
-    if let Some((reckoned, homes)) = core.homes.borrow().get(&query.host)
-        && time.saturating_duration_since(*reckoned) < HOMES_KEPT
+    if let Some((reckoned, needs)) = core.needs.borrow().get(&query.host)
+        && time.saturating_duration_since(*reckoned) < NEEDS_KEPT
     {
-        return Rc::clone(homes);
+        return Rc::clone(needs);
     }
-    let homes = Rc::new(reckon_homes(core, query));
-    let mut kept = core.homes.borrow_mut();
-    kept.retain(|_host, (reckoned, _homes)| time.saturating_duration_since(*reckoned) < HOMES_KEPT);
-    kept.insert(query.host.clone(), (time, Rc::clone(&homes)));
-    homes
+    let needs = Rc::new(reckon_needs(core, query));
+    let mut kept = core.needs.borrow_mut();
+    kept.retain(|_host, (reckoned, _needs)| time.saturating_duration_since(*reckoned) < NEEDS_KEPT);
+    kept.insert(query.host.clone(), (time, Rc::clone(&needs)));
+    needs
 }
 
-fn reckon_homes(core: &GatewayCore, query: &LocateQuery) -> ZoneShares {
+fn reckon_needs(core: &GatewayCore, query: &LocateQuery) -> HostNeeds {
     let Some(table) = core.table() else {
-        return ZoneShares::default();
+        return HostNeeds::default();
     };
+    let routes = table.routes_of(&query.host).iter();
+    HostNeeds {
+        zones: upstream_zones(core, &table, query),
+        regions: HostRegions::new(routes.map(|route| &route.homes)),
+    }
+}
+
+/// Where the upstreams are that a host's queries over many shards need.
+fn upstream_zones(core: &GatewayCore, table: &RouteTable, query: &LocateQuery) -> ZoneShares {
     // All routes over many shards of a host usually name the same shards.
     for route in table.routes_of(&query.host) {
         if let RouteTarget::Gather(terms) = &route.destination {
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -1,5 +1,6 @@
 //! What all requests of one process share. One thread runs them all, so nothing here needs a lock.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,10 +21,10 @@
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::UpstreamRegistry;
-use crate::gateway::route::{RouteEntry, RouteTable};
+use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
 use crate::gateway::route_check::RouteChecks;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::vms::{VmDirectory, ZoneShares};
+use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightShares;
 use crate::quarantine::QuarantineHandle;
 
@@ -64,8 +65,8 @@
     pub delegates: DelegateTable,
     /// Parts of queries that this VM gathers for others.
     pub aggregates: AggregateTable,
-    /// Where each host's upstreams are, with the time at which that was reckoned.
-    pub homes: RefCell<FxHashMap<CompactString, (Instant, Rc<ZoneShares>)>>,
+    /// What each host's routes need, with the time at which that was reckoned.
+    pub needs: RefCell<FxHashMap<CompactString, (Instant, Rc<HostNeeds>)>>,
     /// The store's changes, for VMs that hear of them from this one.
     pub relay: MirrorRelay,
     /// What other VMs' configurations say of this one's routes.
@@ -98,7 +99,7 @@
             repeats: RefCell::new(repeats),
             lag: Rc::new(RefCell::new(AnswerLag::new(settings.place.cores))),
             shares: WeightShares::new(),
-            homes: RefCell::default(),
+            needs: RefCell::default(),
             relay: MirrorRelay::new(limit, metrics.told_bytes.clone()),
             route_checks: RouteChecks::default(),
             delegates: DelegateTable::default(),
@@ -131,6 +132,7 @@
             .borrow_mut()
             .retain(|name, _latency| known(name));
         self.route_checks.forget_same();
+        self.needs.borrow_mut().clear();
         *self.table.borrow_mut() = Some(Rc::new(table));
         self.share_connections();
         true
@@ -146,6 +148,28 @@
         }
     }
 
+    /// Those of a route's weighted services that have an upstream in its home regions: their weights hold among them. An
+    /// evacuation moves nothing from one service to another.
+    pub fn parts_at_home<'a>(
+        &self,
+        route: &RouteEntry,
+        parts: &'a [WeightedService],
+    ) -> Cow<'a, [WeightedService]> {
+        let homes = &route.homes;
+        if !homes.is_limited() {
+            return Cow::Borrowed(parts);
+        }
+        let place = &self.settings.place;
+        let at_home = |part: &&WeightedService| {
+            let upstreams = self.registry.upstreams(&part.service);
+            upstreams.iter().any(|upstream| {
+                let region = place.region_of(&upstream.entry().zone).cloned();
+                !upstream.is_leaving() && homes.allows(region.as_ref())
+            })
+        };
+        Cow::Owned(parts.iter().filter(at_home).cloned().collect())
+    }
+
     /// The attempt times of a route.
     pub fn latency(&self, route: &RouteEntry) -> Rc<RefCell<RouteLatency>> {
         if let Some(latency) = self.latencies.borrow().get(&route.name) {
--- a/crates/ebonyfork/src/gateway/dialect.rs
+++ b/crates/ebonyfork/src/gateway/dialect.rs
@@ -34,7 +34,7 @@
 }
 
 /// What a key of the store stands for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoredKind {
     /// The operators' configuration.
     Config,
@@ -42,6 +42,8 @@
     Upstream,
     /// The entry of one of our VMs.
     Vm,
+    /// The operators want no new requests at the upstreams of an availability zone, as long as the key is there.
+    Evacuation(PlaceName),
     /// Nothing of ours.
     Other,
 }
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -219,7 +219,7 @@
             let sent = now();
             let left = request.finish_by.saturating_duration_since(sent);
             let left_ms = left.as_millis() as u64;
-            if upstream.is_leaving() || left_ms == 0 || !before_send() {
+            if !upstream.takes_requests() || left_ms == 0 || !before_send() {
                 // Nothing of this is the upstream's fault.
                 upstream.keep(held, None);
                 record.noted = true;
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -23,7 +23,7 @@
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{DecodeError, GatewayDialect, StoredKind};
 use crate::gateway::fixture::{dialect, entry, settings};
-use crate::gateway::ident::ConfigVersion;
+use crate::gateway::ident::{ConfigVersion, PlaceName};
 use crate::gateway::peers::{accept_links, follow_links, open_links};
 use crate::gateway::route::{CallerLimits, RouteTable};
 use crate::gateway::vms::VmRecord;
@@ -40,13 +40,14 @@
 pub const CONFIG_KEY: &str = "config";
 
 /// Configurations are their version as text, in a line of its own if routes follow; an upstream belongs to the service that
-/// is its value; VMs are VM records.
+/// is its value; VMs are VM records; a key of an evacuation ends with its availability zone.
 pub fn text_dialect() -> GatewayDialect {
     GatewayDialect {
         classify: |key| match key.split('/').next() {
             Some(CONFIG_KEY) => StoredKind::Config,
             Some("upstream") => StoredKind::Upstream,
             Some("vm") => StoredKind::Vm,
+            Some("evacuate") => StoredKind::Evacuation(PlaceName::new(&key["evacuate/".len()..])),
             _ => StoredKind::Other,
         },
         read_config: |_key, value| {
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -8,7 +8,9 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::StoredKind;
+use crate::gateway::ident::PlaceName;
 use crate::gateway::mirror::{CopyChange, CopyGap};
+use crate::gateway::route::RouteTable;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
 use crate::store::{StoreEvent, StoreItem};
@@ -68,6 +70,7 @@
             StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
                 StoredKind::Upstream => self.core.registry.remove(key, now()),
                 StoredKind::Vm => self.core.vms.remove(key),
+                StoredKind::Evacuation(zone) => self.core.registry.readmit(&zone),
                 StoredKind::Config | StoredKind::Other => {}
             },
         }
@@ -78,6 +81,7 @@
             StoredKind::Config => self.put_config(item),
             StoredKind::Upstream => self.put_upstream(item),
             StoredKind::Vm => self.put_vm(item),
+            StoredKind::Evacuation(zone) => self.evacuate(&zone, item),
             StoredKind::Other => {}
         }
     }
@@ -85,6 +89,7 @@
     fn put_config(&self, item: &StoreItem) {
         match (self.core.dialect.read_config)(&item.key, &item.value) {
             Ok(table) => {
+                self.log_unknown_homes(&table);
                 let (version, routes) = (table.version(), table.route_count());
                 let adopted = self.core.adopt_table(table);
                 let word = if adopted { "in force" } else { "not newer" };
@@ -103,6 +108,24 @@
         }
     }
 
+    /// Tells of routes whose home regions no availability zone of the settings is in: an upstream there would be unknown.
+    /// The other routes of the version are as the operators want them, so it goes in force.
+    fn log_unknown_homes(&self, table: &RouteTable) {
+        let zones = &self.core.settings.place.zones;
+        for route in table.routes() {
+            for region in route.homes.regions() {
+                if zones.values().any(|known| known == region) {
+                    continue;
+                }
+                log::warn!(
+                    "config version={} route {}: no availability zone is in home region {region}",
+                    table.version(),
+                    route.name
+                );
+            }
+        }
+    }
+
     fn put_upstream(&self, item: &StoreItem) {
         match (self.core.dialect.read_upstream)(&item.key, &item.value) {
             Ok(entry) => {
@@ -120,6 +143,17 @@
         }
     }
 
+    /// Puts an evacuation in force; its value states nothing.
+    fn evacuate(&self, zone: &PlaceName, item: &StoreItem) {
+        if self.core.settings.place.region_of(zone).is_none() {
+            log::warn!(
+                "evacuation revision={}: no availability zone of the settings is called {zone}",
+                item.revision
+            );
+        }
+        self.core.registry.evacuate(zone);
+    }
+
     fn put_vm(&self, item: &StoreItem) {
         match postcard::from_bytes::<VmRecord>(&item.value) {
             Ok(record) => self.core.vms.put(&item.key, record),
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -100,3 +100,39 @@
     expect_that!(taker.take(changed(event, 5)), ok(eq(())));
     expect_that!(upstreams(&taker, "s"), eq(2));
 }
+
+/// An evacuation is in force as long as its key is there, whatever the key holds and whichever source tells.
+#[gtest]
+fn an_evacuation_is_in_force_while_its_key_is_there() {
+    let taker = taker();
+    let takes = || {
+        let listed = taker.core.registry.upstreams(&UpstreamService::new("s"));
+        listed
+            .iter()
+            .filter(|upstream| upstream.takes_requests())
+            .count()
+    };
+    let items = vec![
+        item("evacuate/north-a", "{}", 2),
+        item("evacuate/nowhere", "\u{1}", 3),
+        item("upstream/a", "s", 4),
+    ];
+    expect_that!(taker.take(whole(items.clone(), 4)), ok(eq(())));
+    expect_that!(takes(), eq(0));
+    let removed = StoreEvent::Removed {
+        key: "evacuate/north-a".into(),
+        revision: StoreRevision(6),
+    };
+    expect_that!(taker.take(changed(removed, 6)), ok(eq(())));
+    expect_that!(takes(), eq(1));
+    expect_that!(taker.take(whole(items, 5)), ok(eq(())));
+    expect_that!(takes(), eq(1));
+    let again = StoreEvent::Written(item("evacuate/north-a", "", 9));
+    expect_that!(taker.take(changed(again, 9)), ok(eq(())));
+    expect_that!(takes(), eq(0));
+    expect_that!(
+        taker.take(whole(vec![item("upstream/a", "s", 4)], 12)),
+        ok(eq(()))
+    );
+    expect_that!(takes(), eq(1));
+}
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -344,7 +344,11 @@
         RouteTarget::One(service) => Ok(RunTarget::One(service.clone())),
         RouteTarget::Gather(terms) => Ok(RunTarget::Gather(terms.clone())),
         RouteTarget::Weighted(parts) => {
-            let picked = core.shares.pick(&route.name, parts);
+            let at_home = core.parts_at_home(route, parts);
+            if at_home.is_empty() {
+                return Err(RefusalReason::NotAtHome);
+            }
+            let picked = core.shares.pick(&route.name, &at_home);
             picked.map(RunTarget::One).ok_or(RefusalReason::NoUpstream)
         }
     }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -74,6 +74,7 @@
 };
 pub use policy::budget::{BudgetTerms, RepeatAccount, RetryBudget, ShareLeases, ShareMessage};
 pub use policy::gather::{GatherEnd, GatherState};
+pub use policy::homes::HomeRegions;
 pub use policy::latency::{AttemptKind, LatencyTrack};
 pub use request::strip_hop_headers;
 pub use route::{
--- a/crates/ebonyfork/src/gateway/policy/choice.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice.rs
@@ -29,7 +29,7 @@
     pub slowness: f64,
 }
 
-/// Chooses among the upstreams of a service that are allowed and don't leave.
+/// Chooses among the upstreams of a service that are allowed and take requests.
 pub fn choose_upstream(
     candidates: &[Rc<Upstream>],
     allowed: impl Fn(&Upstream, &UpstreamLife) -> bool,
@@ -43,7 +43,7 @@
     for number in 0..candidates.len() {
         let upstream = &candidates[(number + offset) % candidates.len()];
         let entry = upstream.entry();
-        if upstream.is_leaving() || !allowed(upstream, &entry.life()) {
+        if !upstream.takes_requests() || !allowed(upstream, &entry.life()) {
             continue;
         }
         let distance = place.distance(&entry.zone);
@@ -81,7 +81,7 @@
 ) -> Option<UpstreamChoice> {
     for upstream in candidates {
         let distance = place.distance(&upstream.entry().zone);
-        if distance >= chosen.distance || upstream.is_leaving() {
+        if distance >= chosen.distance || !upstream.takes_requests() {
             continue;
         }
         if !upstream.health.borrow().wants_probe(now) {
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! | decision | module | load pattern that it answers |
 //! | --- | --- | --- |
+//! | where a request may be served | [`homes`] | routes that are bound to regions, moved while they are in use |
 //! | which VMs take requests | [`serving`] | hundreds of VMs, each of which would see too little to know upstreams and callers |
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline while others have room |
 //! | what is known of an upstream | [`health`], [`latency`], [`route_latency`] | pauses, slow phases, crashes, cold starts |
@@ -21,6 +22,7 @@
 pub mod gather;
 pub mod health;
 pub mod hedge;
+pub mod homes;
 pub mod latency;
 pub mod postpone;
 pub mod retry;
--- a/crates/ebonyfork/src/gateway/refusal.rs
+++ b/crates/ebonyfork/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     Quarantined,
     /// No upstream took it.
     NoUpstream,
+    /// The upstreams that could take it are outside the route's home regions, or their availability zones are evacuated.
+    NotAtHome,
     /// It may have run, and no answer came.
     Unknown,
     /// It may have run, and time ran out.
@@ -46,6 +48,7 @@
             | Self::Stopping
             | Self::Quarantined
             | Self::NoUpstream
+            | Self::NotAtHome
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -64,6 +67,7 @@
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::NoUpstream => "no-upstream",
+            Self::NotAtHome => "not-at-home",
             Self::Unknown => "unknown",
             Self::Late => "late",
             Self::LateUnsent => "late-unsent",
@@ -79,6 +83,8 @@
             Self::NoConfig | Self::OldConfig => Some(Duration::from_millis(300)),
             // A queue at an upstream drains within some service times.
             Self::NoUpstream | Self::LateUnsent => Some(Duration::from_millis(100)),
+            // Operators take an evacuation back, or upstreams start, within seconds at best.
+            Self::NotAtHome => Some(Duration::from_secs(1)),
             Self::Quarantined => Some(Duration::from_mins(1)),
             Self::Malformed
             | Self::NoRoute
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -9,11 +9,11 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
-use crate::gateway::ident::UpstreamService;
+use crate::gateway::ident::{PlaceName, UpstreamService};
 use crate::gateway::upstream::{Upstream, UpstreamEntry};
 
 /// How long after the store's return a missing entry is kept. Upstreams that live are back after about 2 s.
@@ -31,7 +31,8 @@
     pub until: Instant,
 }
 
-type UpstreamList = SmallVec<[Rc<Upstream>; 4]>;
+/// Some upstreams.
+pub type UpstreamList = SmallVec<[Rc<Upstream>; 4]>;
 
 /// The upstreams by the key of their entry and by service.
 #[derive(Debug, Default)]
@@ -44,6 +45,8 @@
     returning_until: Cell<Option<Instant>>,
     /// When the store was first read.
     first_read: Cell<Option<Instant>>,
+    /// Availability zones whose upstreams get no new requests.
+    evacuated: RefCell<FxHashSet<PlaceName>>,
     /// Told of each entry that is new.
     changed: Notify,
 }
@@ -67,11 +70,34 @@
         }
     }
 
-    /// Whether a service has an upstream that takes requests.
-    pub fn serves(&self, service: &UpstreamService) -> bool {
-        let services = self.services.borrow();
-        let upstreams = services.get(service);
-        upstreams.is_some_and(|list| list.iter().any(|upstream| !upstream.is_leaving()))
+    /// The operators want no new requests in an availability zone. Requests that run there are left to end.
+    pub fn evacuate(&self, zone: &PlaceName) {
+        self.evacuated.borrow_mut().insert(zone.clone());
+        self.set_evacuated(zone, true);
+    }
+
+    /// The upstreams of an evacuated availability zone may get requests again.
+    pub fn readmit(&self, zone: &PlaceName) {
+        self.evacuated.borrow_mut().remove(zone);
+        self.set_evacuated(zone, false);
+    }
+
+    fn set_evacuated(&self, zone: &PlaceName, evacuated: bool) {
+        let mut upstreams = 0;
+        self.for_each(|upstream| {
+            if upstream.entry().zone == *zone {
+                upstream.set_evacuated(evacuated);
+                upstreams += 1;
+            }
+        });
+        log::info!(
+            target: "ebonyfork::decision",
+            "zone {zone} evacuated={evacuated} upstreams={upstreams}"
+        );
+    }
+
+    fn is_evacuated(&self, zone: &PlaceName) -> bool {
+        self.evacuated.borrow().contains(zone)
     }
 
     /// Notes that the whole store has been read.
@@ -117,7 +143,9 @@
             };
             if same {
                 log_leaving(&known, &entry);
+                let evacuated = self.is_evacuated(&entry.zone);
                 known.update(entry);
+                known.set_evacuated(evacuated);
                 return;
             }
             self.take_out(key, "replaced");
@@ -128,7 +156,9 @@
             entry.life(), entry.service, entry.address, entry.zone, entry.leaving
         );
         let service = entry.service.clone();
+        let evacuated = self.is_evacuated(&entry.zone);
         let upstream = Rc::new(Upstream::new(entry, now, share));
+        upstream.set_evacuated(evacuated);
         let mut services = self.services.borrow_mut();
         services
             .entry(service)
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -122,3 +122,35 @@
     registry.disown(&KEY);
     expect_that!(registry.upstreams(&service()).len(), eq(0));
 }
+
+/// An evacuation holds for upstreams that register before and after it, and for those that change their entry.
+#[gtest]
+fn an_evacuated_zone_gets_no_requests_until_it_is_taken_back() {
+    let registry = UpstreamRegistry::new();
+    let now = Instant::now();
+    let address = ([127, 0, 0, 1], 1).into();
+    let put = |key: &str, zone: &str| {
+        registry.put(&key.into(), entry(key, "s", zone, address), now, 2);
+    };
+    let takers = || {
+        let listed = registry.upstreams(&service());
+        let taking = listed.iter().filter(|upstream| upstream.takes_requests());
+        let mut names: Vec<_> = taking
+            .map(|upstream| upstream.entry().instance.to_string())
+            .collect();
+        names.sort_unstable();
+        names
+    };
+    put("a", "north-a");
+    put("b", "north-b");
+    registry.evacuate(&PlaceName::new("north-a"));
+    registry.evacuate(&PlaceName::new("nowhere"));
+    put("c", "north-a");
+    put("a", "north-a");
+    expect_that!(takers(), eq(&["b"]));
+    registry.evacuate(&PlaceName::new("north-b"));
+    registry.readmit(&PlaceName::new("north-a"));
+    expect_that!(takers(), eq(&["a", "c"]));
+    registry.readmit(&PlaceName::new("north-b"));
+    expect_that!(takers(), eq(&["a", "b", "c"]));
+}
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
+use crate::gateway::policy::homes::HomeRegions;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -91,6 +92,8 @@
     pub priority: u8,
     /// Where its requests go.
     pub destination: RouteTarget,
+    /// In which regions its requests may be served.
+    pub homes: HomeRegions,
 }
 
 /// What is stated about a service.
@@ -133,7 +136,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use ebonyfork::gateway::{RepeatKind, RouteEntry, RouteName, RouteTarget, UpstreamService};
+    /// use ebonyfork::gateway::{HomeRegions, RepeatKind, RouteEntry, RouteName, RouteTarget, UpstreamService};
     ///
     /// let route = |timeout| RouteEntry {
     ///     name: RouteName::new("r"),
@@ -145,6 +148,7 @@
     ///     attempts: 2,
     ///     priority: 1,
     ///     destination: RouteTarget::One(UpstreamService::new("s")),
+    ///     homes: HomeRegions::default(),
     /// };
     /// let shorter = route(Duration::from_secs(1));
     /// assert_eq!(route(Duration::from_secs(2)).shard_mark(), shorter.shard_mark());
@@ -179,6 +183,10 @@
         let repeats = u8::from(self.repeat == RepeatKind::Idempotent);
         hash.update(&[repeats, self.priority]);
         hash.update(&self.attempts.to_be_bytes());
+        for region in self.homes.regions() {
+            hash.update(region.as_str().as_bytes());
+            hash.update(&[0]);
+        }
         match &self.destination {
             RouteTarget::One(_service) => {}
             RouteTarget::Weighted(parts) => {
@@ -297,9 +305,14 @@
         self.services.get(service).copied()
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<RouteEntry>> {
+        self.hosts.values().flatten()
+    }
+
     /// Names of all routes.
     pub fn route_names(&self) -> impl Iterator<Item = &RouteName> {
-        self.hosts.values().flatten().map(|route| &route.name)
+        self.routes().map(|route| &route.name)
     }
 
     /// The number of routes.
--- a/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -9,6 +9,7 @@
 use crate::gateway::fixture::{dialect, settings};
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
 use crate::gateway::peers::{accept_links, follow_links, open_links};
+use crate::gateway::policy::homes::HomeRegions;
 use crate::gateway::route::{CallerLimits, RepeatKind, RouteTarget};
 use crate::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberEntry, MemberSnapshot, MemberState};
@@ -32,6 +33,7 @@
         attempts: 2,
         priority: 0,
         destination: RouteTarget::One(UpstreamService::new(service)),
+        homes: HomeRegions::default(),
     }
 }
 
--- a/crates/ebonyfork/src/gateway/route_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_tests.rs
@@ -22,6 +22,7 @@
         attempts: 2,
         priority: 1,
         destination: RouteTarget::One(UpstreamService::new("s")),
+        homes: HomeRegions::default(),
     }
 }
 
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -17,6 +17,7 @@
 use crate::gateway::policy::hedge::HedgeQuestion;
 use crate::gateway::policy::latency::AttemptKind;
 use crate::gateway::policy::retry;
+use crate::gateway::registry::UpstreamList;
 use crate::gateway::settings::PlaceDistance;
 use crate::gateway::upstream::Upstream;
 
@@ -164,11 +165,23 @@
             .note_request(service, core.running_time());
     }
 
+    /// The upstreams that a shard may go to, whatever is known of them: those in the home regions of the route.
+    pub(super) fn candidates(&self, shard: usize) -> UpstreamList {
+        let core = &self.context.core;
+        let mut listed = core.registry.upstreams(self.target.service(shard));
+        let homes = &self.route.homes;
+        if homes.is_limited() {
+            let place = &core.settings.place;
+            listed.retain(|upstream| homes.allows(place.region_of(&upstream.entry().zone)));
+        }
+        listed
+    }
+
     /// Chooses an upstream that the shard was not sent to; if there is none and no attempt is out, one that it was sent
     /// to, but never more upstreams than the route allows. For another VM only upstreams beside this one count.
     pub(super) fn choose(&self, shard: usize, repeat: bool) -> Option<UpstreamChoice> {
         let core = &self.context.core;
-        let candidates = core.registry.upstreams(self.target.service(shard));
+        let candidates = self.candidates(shard);
         let latency = self.context.latency.borrow();
         let place = &core.settings.place;
         let time = now();
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -93,7 +93,7 @@
             return None;
         }
         let core = &self.context.core;
-        let candidates = core.registry.upstreams(self.target.service(shard));
+        let candidates = self.candidates(shard);
         probe_upstream(&candidates, choice, &core.settings.place, now())
     }
 
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -90,6 +90,7 @@
             (true, GatherEnd::Late) => RefusalReason::Late,
             (true, _) => RefusalReason::Unknown,
             (false, GatherEnd::Late) => RefusalReason::LateUnsent,
+            (false, _) if self.is_excluded() => RefusalReason::NotAtHome,
             (false, _) => RefusalReason::NoUpstream,
         };
         let mut reply = refusal(reason);
--- a/crates/ebonyfork/src/gateway/run/retry.rs
+++ b/crates/ebonyfork/src/gateway/run/retry.rs
@@ -115,12 +115,11 @@
     }
 
     fn has_untried(&self, shard: usize) -> bool {
-        let service = self.target.service(shard);
-        let candidates = self.context.core.registry.upstreams(service);
+        let candidates = self.candidates(shard);
         candidates.iter().any(|upstream| {
             let entry = upstream.entry();
             let mut attempts = self.attempts_of(shard);
-            !upstream.is_leaving() && !attempts.any(|attempt| attempt.life == entry.life())
+            upstream.takes_requests() && !attempts.any(|attempt| attempt.life == entry.life())
         })
     }
 }
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -12,7 +12,9 @@
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
 use crate::gateway::fixture::{dialect, entry, settings, wire_names};
 use crate::gateway::fixture_upstream::{ScriptedReply, ScriptedUpstream};
+use crate::gateway::ident::PlaceName;
 use crate::gateway::partial::ShardReach;
+use crate::gateway::policy::homes::HomeRegions;
 use crate::gateway::reply_body::ReplyBody;
 use crate::gateway::route::RouteTarget;
 use crate::gateway::settings::GatewaySettings;
@@ -72,6 +74,7 @@
         attempts,
         priority: 0,
         destination,
+        homes: HomeRegions::default(),
     })
 }
 
@@ -559,3 +562,141 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Registers upstreams of a service that are set up for a test, with a number in their key.
+fn register_in(core: &GatewayCore, service: &str, zone: &str, upstream: &ScriptedUpstream) {
+    let key = format_compact!("{service}-{zone}-{}", upstream.address.port());
+    let entry = entry(&key, service, zone, upstream.address);
+    core.registry.put(&key, entry, now(), 4);
+}
+
+fn at_home(route: &Rc<RouteEntry>, regions: &[&str]) -> Rc<RouteEntry> {
+    Rc::new(RouteEntry {
+        homes: HomeRegions::new(regions.iter().map(PlaceName::new)),
+        ..RouteEntry::clone(route)
+    })
+}
+
+fn arrivals(upstreams: &[ScriptedUpstream]) -> usize {
+    let counts = upstreams
+        .iter()
+        .map(|upstream| upstream.log.borrow().requests.len());
+    counts.sum()
+}
+
+/// Whatever becomes of the attempts at home, none goes elsewhere: not the first one, nor a retry, a hedge or a probe.
+#[gtest]
+#[tokio::test]
+async fn no_attempt_leaves_the_home_regions() {
+    let test = async {
+        for reply in [
+            ScriptedReply::Answer(16),
+            ScriptedReply::Break,
+            ScriptedReply::Decline,
+            ScriptedReply::Crash,
+            ScriptedReply::Hold,
+        ] {
+            for gathered in [false, true] {
+                let core = core();
+                let services = ["s", "s1", "s2"];
+                let (mut home, mut other) = (Vec::new(), Vec::new());
+                for service in services {
+                    earn_repeats(&core, service);
+                    for zone in ["north-a", "north-b", "south-a", "unknown"] {
+                        let upstream = ScriptedUpstream::start(reply).await;
+                        register_in(&core, service, zone, &upstream);
+                        let list = if zone == "south-a" {
+                            &mut home
+                        } else {
+                            &mut other
+                        };
+                        list.push(upstream);
+                    }
+                }
+                let (route, target) = if gathered {
+                    gather_route(&services, 0.3)
+                } else {
+                    one(3)
+                };
+                let route = at_home(&route, &["south"]);
+                let request = request(Duration::from_millis(900));
+                run_request(&core, &route, target, request, RequestStanding::Clear).await;
+                expect_that!(arrivals(&other), eq(0), "{reply:?} gathered={gathered}");
+                expect_that!(arrivals(&home), ge(1), "{reply:?} gathered={gathered}");
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Upstreams elsewhere, or in evacuated availability zones, are no reason to wait: the caller hears at once that nothing
+/// has run, and when to come back.
+#[gtest]
+#[tokio::test]
+async fn a_request_without_an_upstream_at_home_is_refused_at_once() {
+    let test = async {
+        for evacuated in [false, true] {
+            let core = core();
+            core.registry.note_read(now());
+            let upstream = ScriptedUpstream::start(ScriptedReply::Answer(16)).await;
+            register_in(&core, "s", "south-a", &upstream);
+            let (route, target) = one(2);
+            let home = if evacuated { "south" } else { "north" };
+            if evacuated {
+                core.registry.evacuate(&PlaceName::new("south-a"));
+            }
+            let route = at_home(&route, &[home]);
+            let began = now();
+            let report =
+                run_request(&core, &route, target, request(LONG), RequestStanding::Clear).await;
+            if evacuated {
+                expect_that!(now() - began, lt(Duration::from_millis(100)));
+            }
+            expect_that!(report.reply.status().as_u16(), eq(503));
+            expect_that!(report.word, eq("not-at-home"));
+            expect_that!(report.reply.headers().contains_key("retry-after"), eq(true));
+            expect_that!(upstream.log.borrow().requests.len(), eq(0));
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// An attempt that waits for a connection when its availability zone is evacuated is not sent; one that runs ends in peace.
+#[gtest]
+#[tokio::test]
+async fn what_waits_is_not_sent_to_an_evacuated_zone() {
+    let test = async {
+        let core = core();
+        let upstream = ScriptedUpstream::start(ScriptedReply::Slow {
+            whole: 16,
+            begun: 1,
+            rest_after: Duration::from_millis(300),
+        })
+        .await;
+        let entry = entry("only", "s", "north-a", upstream.address);
+        core.registry.put(&"only".into(), entry, now(), 1);
+        let (route, target) = one(1);
+        let run = || {
+            run_request(
+                &core,
+                &route,
+                target.clone(),
+                request(Duration::from_millis(900)),
+                RequestStanding::Clear,
+            )
+        };
+        let second = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            run().await
+        };
+        let evacuation = async {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            core.registry.evacuate(&PlaceName::new("north-a"));
+        };
+        let (first, second, ()) = tokio::join!(run(), second, evacuation);
+        expect_that!(first.reply.status().as_u16(), eq(200));
+        expect_that!(second.reply.status().as_u16(), eq(503));
+        expect_that!(upstream.log.borrow().requests.len(), eq(1));
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/run/settle.rs
+++ b/crates/ebonyfork/src/gateway/run/settle.rs
@@ -33,11 +33,32 @@
         Some(settling.until.saturating_duration_since(time))
     }
 
-    /// Whether enough shards have an upstream for an answer.
+    /// Whether enough shards have an upstream for an answer. One in an evacuated availability zone counts: no other is
+    /// on its way because of that.
     fn suffices(&self) -> bool {
-        let registry = &self.context.core.registry;
         let shards = 0..self.state.shards().len();
-        let lacking = shards.filter(|shard| !registry.serves(self.target.service(*shard)));
+        let registered = |shard: &usize| {
+            let candidates = self.candidates(*shard);
+            candidates.iter().any(|upstream| !upstream.is_leaving())
+        };
+        let lacking = shards.filter(|shard| !registered(shard));
         lacking.count() <= self.state.surplus()
     }
+
+    /// Whether a shard has upstreams, but none that may get the route's requests: they are outside its home regions or in
+    /// evacuated availability zones.
+    pub(super) fn is_excluded(&self) -> bool {
+        let excluded = |shard: usize| {
+            let listed = self
+                .context
+                .core
+                .registry
+                .upstreams(self.target.service(shard));
+            let mut staying = listed.iter().filter(|upstream| !upstream.is_leaving());
+            let candidates = self.candidates(shard);
+            let served = candidates.iter().any(|upstream| upstream.takes_requests());
+            staying.next().is_some() && !served
+        };
+        (0..self.state.shards().len()).any(excluded)
+    }
 }
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -41,12 +41,17 @@
 }
 
 impl NodePlace {
+    /// The region of an availability zone, if the settings name it.
+    pub fn region_of(&self, zone: &PlaceName) -> Option<&PlaceName> {
+        self.zones.get(zone)
+    }
+
     /// How far away an availability zone is.
     pub fn distance(&self, zone: &PlaceName) -> PlaceDistance {
         if *zone == self.zone {
             return PlaceDistance::Zone;
         }
-        match self.zones.get(zone) {
+        match self.region_of(zone) {
             Some(region) if *region == self.region => PlaceDistance::Region,
             _ => PlaceDistance::Far,
         }
@@ -79,7 +84,7 @@
     pub store: SocketAddr,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
-    /// How soon a change in the store must be in force: a configuration, or that an upstream leaves.
+    /// How soon a change in the store must be in force: a configuration, that an upstream leaves, or an evacuation.
     pub change_bound: Duration,
     /// The bound on repeats, for all VMs together.
     pub budget: BudgetTerms,
@@ -209,6 +214,7 @@
     let grace = read_seconds(&mut reader, "grace-s");
     let config = read_change_bound(&mut reader, "config-in-force-ms");
     let leaving = read_change_bound(&mut reader, "leaving-upstream-ms");
+    let evacuation = read_change_bound(&mut reader, "evacuation-ms");
     let ratio = read_amount(&mut reader, "retry-ratio");
     let slack = read_amount(&mut reader, "retry-slack");
     let window = read_seconds(&mut reader, "retry-window-s");
@@ -218,7 +224,10 @@
         slack: slack?,
         window: window?,
     };
-    Some((grace?, config.min(leaving), budget))
+    let config = config.unwrap_or(CHANGE_BOUND);
+    let leaving = leaving.unwrap_or(CHANGE_BOUND);
+    let change = config.min(leaving).min(evacuation.unwrap_or(config));
+    Some((grace?, change, budget))
 }
 
 /// Reads a finite number that is not negative.
@@ -241,17 +250,14 @@
     None
 }
 
-/// Reads how soon a change must be in force, in whole milliseconds.
-fn read_change_bound(reader: &mut SectionReader<'_>, key: &'static str) -> Duration {
-    let stated = reader.optional::<u64>(key).map(Duration::from_millis);
-    let Some(bound) = stated else {
-        return CHANGE_BOUND;
-    };
+/// Reads how soon a change must be in force, in whole milliseconds; `None` if that is not stated.
+fn read_change_bound(reader: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
+    let bound = Duration::from_millis(reader.optional::<u64>(key)?);
     if bound < LEAST_CHANGE_BOUND {
         let least = LEAST_CHANGE_BOUND.as_millis();
         reader.report(key, format_args!("expected at least {least} ms"));
     }
-    bound
+    Some(bound)
 }
 
 /// Reads a positive number of seconds.
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -73,6 +73,8 @@
     /// When the upstream last turned a connection away, or a permit was given back since.
     narrowed: Cell<Option<Instant>>,
     leaving: Cell<bool>,
+    /// Whether its availability zone is evacuated.
+    evacuated: Cell<bool>,
     /// Requests under which a connection broke, until it is known whether the upstream was lost.
     lost: RefCell<Vec<LostRequest>>,
     /// How that is looked at.
@@ -97,6 +99,7 @@
         Self {
             health: RefCell::new(UpstreamHealth::new(now, entry.cold)),
             leaving: Cell::new(entry.leaving),
+            evacuated: Cell::new(false),
             entry: RefCell::new(Rc::new(entry)),
             idle: RefCell::default(),
             slots: SlotQueue::new(share),
@@ -129,6 +132,16 @@
         self.leaving.get()
     }
 
+    /// States whether its availability zone is evacuated.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        self.evacuated.set(evacuated);
+    }
+
+    /// Whether it may get new requests: it does not leave and its availability zone is not evacuated.
+    pub fn takes_requests(&self) -> bool {
+        !self.leaving.get() && !self.evacuated.get()
+    }
+
     /// Changes how many connections this process may hold.
     pub fn set_share(&self, share: usize) {
         let share = share.min(self.entry().slots).max(1);
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::ident::{PlaceName, UpstreamService};
+use crate::gateway::policy::homes::HostRegions;
 use crate::gateway::policy::serving::{VmCapacity, least_cores};
 use crate::gateway::registry::UpstreamRegistry;
 use crate::gateway::settings::NodePlace;
@@ -47,6 +48,7 @@
 struct UsableVm {
     caller: SocketAddr,
     zone: CompactString,
+    region: PlaceName,
     cores: f32,
     /// How busy it is, in per mille of what it can take.
     load: u16,
@@ -198,6 +200,7 @@
             usable.push(UsableVm {
                 caller: record.caller,
                 zone: record.zone.clone(),
+                region: PlaceName::new(&record.region),
                 cores: record.cores,
                 load: member.map_or(0, |member| member.digest.load),
             });
@@ -206,6 +209,7 @@
             usable.push(UsableVm {
                 caller: self.own,
                 zone: own.zone.as_str().into(),
+                region: own.region.clone(),
                 cores: own.cores as f32,
                 load: self.own_load.get(),
             });
@@ -218,17 +222,18 @@
         self.own_load.set(load);
     }
 
-    /// The addresses that a caller is told: VMs beside the upstreams that its host needs, the caller's own zone first.
-    /// `own` is this process's place unless it is about to stop.
+    /// The addresses that a caller is told: VMs beside the upstreams that its host needs, the caller's own zone first, and
+    /// of those the ones that the homes of the host's routes allow. `own` is this process's place unless it is about to
+    /// stop.
     pub fn locate(
         &self,
         asker: &NodePlace,
-        homes: &ZoneShares,
+        needs: &HostNeeds,
         own: Option<&NodePlace>,
     ) -> Vec<SocketAddr> {
-        let usable = self.usable(own);
+        let usable = allowed_vms(self.usable(own), asker, &needs.regions);
         let mut addresses = Vec::new();
-        for group in preferred_zones(asker, homes) {
+        for group in preferred_zones(asker, &needs.zones) {
             let fits = |vm: &&UsableVm| group.iter().any(|zone| zone.as_str() == vm.zone);
             for vm in serving_vms(usable.iter().filter(fits)) {
                 if !addresses.contains(&vm.caller) {
@@ -248,6 +253,23 @@
     }
 }
 
+/// Those VMs that suit a caller best by the homes of a host's routes: two regions' worth of them only where the better one
+/// has too few.
+fn allowed_vms(vms: Vec<UsableVm>, asker: &NodePlace, regions: &HostRegions) -> Vec<UsableVm> {
+    if !regions.is_limited() {
+        return vms;
+    }
+    let rank = |vm: &UsableVm| regions.rank(&vm.region, &asker.region);
+    let mut ranks: Vec<_> = vms.iter().filter_map(rank).collect();
+    ranks.sort_unstable();
+    let Some(last) = ranks.get(ADDRESS_LEAST - 1).or(ranks.last()).copied() else {
+        // Any VM can send a request home; without one there is no answer at all.
+        return vms;
+    };
+    let fits = |vm: &UsableVm| rank(vm).is_some_and(|rank| rank <= last);
+    vms.into_iter().filter(fits).collect()
+}
+
 /// Those of some VMs that take requests.
 fn serving_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
     let mut vms: Vec<_> = vms.collect();
@@ -272,6 +294,15 @@
 /// Share of a host's shards that have an upstream in each zone.
 pub type ZoneShares = FxHashMap<PlaceName, f64>;
 
+/// What a host's routes need of the VMs that its callers are told of.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HostNeeds {
+    /// Where its upstreams are.
+    pub zones: ZoneShares,
+    /// Which regions its routes allow.
+    pub regions: HostRegions,
+}
+
 /// Computes the share of the shards that have an upstream in each zone.
 pub fn zone_shares<'a>(
     registry: &UpstreamRegistry,
@@ -284,7 +315,7 @@
         let upstreams = registry.upstreams(shard);
         let zones: FxHashSet<_> = upstreams
             .iter()
-            .filter(|upstream| !upstream.is_leaving())
+            .filter(|upstream| upstream.takes_requests())
             .map(|upstream| upstream.entry().zone.clone())
             .collect();
         for zone in zones {
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::gateway::fixture::place;
+use crate::gateway::policy::homes::HomeRegions;
 use crate::ident::IncarnationNumber;
 use crate::membership::{MemberDigest, MemberEntry};
 
@@ -53,9 +54,22 @@
 }
 
 fn located(directory: &VmDirectory, homes: &ZoneShares, own: bool) -> Vec<u8> {
+    let needs = HostNeeds {
+        zones: homes.clone(),
+        regions: HostRegions::default(),
+    };
+    located_by_needs(directory, &place(), &needs, own)
+}
+
+fn located_by_needs(
+    directory: &VmDirectory,
+    asker: &NodePlace,
+    needs: &HostNeeds,
+    own: bool,
+) -> Vec<u8> {
     let place = place();
     let own = own.then_some(&place);
-    let addresses = directory.locate(&place, homes, own);
+    let addresses = directory.locate(asker, needs, own);
     let last = |address: &SocketAddr| match address.ip() {
         std::net::IpAddr::V4(ip) => ip.octets()[3],
         std::net::IpAddr::V6(_) => 0,
@@ -85,6 +99,35 @@
     }
 }
 
+/// A caller of a host with homes is told of its own region's VMs, wherever the upstreams are; of a home's where its region
+/// has too few; of others only where there are no such VMs.
+#[gtest]
+fn callers_of_limited_routes_go_to_their_own_region_or_a_home() {
+    let directory = directory();
+    let needs = |zones: &[(&str, f64)], region: &str| {
+        let limited = HomeRegions::new([PlaceName::new(region)]);
+        HostNeeds {
+            zones: homes(zones),
+            regions: HostRegions::new([&limited]),
+        }
+    };
+    let found = |needs: &HostNeeds| located_by_needs(&directory, &place(), needs, true);
+    expect_that!(
+        found(&needs(&[("south-a", 1.0)], "south")),
+        eq(&[1, 2, 3, 4])
+    );
+    expect_that!(found(&needs(&[], "south")), eq(&[1, 2]));
+    expect_that!(found(&needs(&[("north-b", 1.0)], "north")), eq(&[3, 4]));
+    let asker = NodePlace {
+        zone: PlaceName::new("west-a"),
+        region: PlaceName::new("west"),
+        ..place()
+    };
+    let found = |needs: &HostNeeds| located_by_needs(&directory, &asker, needs, true);
+    expect_that!(found(&needs(&[("north-a", 1.0)], "south")), eq(&[5, 6]));
+    expect_that!(found(&needs(&[], "west")), eq(&[1, 2, 3, 4, 5, 6]));
+}
+
 /// Two of the VMs that a registration knew are cut off and their entries have lapsed; they may still run and repeat. What
 /// no fleet can be is not believed.
 #[gtest]
