Cold upstreams: one VM sends for all, claimed by zone in the store

Cause: nothing read warmupPerS, Warmup-Ms or warmupLeftMs as a bound.

Ways weighed: a static share a VM is 0.2 of a request; shares on lease, as for repeats, give 12 strong VMs 1.4 each, of which 1 is usable, and only 2 of them are beside the upstreams; one VM beside the upstreams that sends for all, by a claim in the store (kept). The claim is one key a zone, written on a condition only; the holder sends for 4 s from the beginning of a write, another VM waits 5.5 s without a change. One or two store calls in 1.3 s for a zone with cold upstreams, none otherwise, whatever the number of VMs. An evacuated zone is claimed ahead; when it is taken back its upstreams count as cold for warmupS; a process that starts asks the claims.

Random histories of the claim, 40 seeds of 240 s: no second above the pace.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::aggregate_table::AggregateTable;
 use crate::gateway::clock::{boot_time, now};
+use crate::gateway::cold_claims::ColdClaims;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::flight::FlightCount;
@@ -26,6 +27,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightShares;
+use crate::ident::{IncarnationNumber, SessionId, VmAddress};
 use crate::quarantine::QuarantineHandle;
 
 /// Share of an upstream's connections that all VMs together use: the rest is for VMs that have just come or gone.
@@ -49,6 +51,8 @@
 pub struct GatewayCore {
     /// The settings.
     pub settings: GatewaySettings,
+    /// This life of this VM's process.
+    pub session: SessionId,
     /// The deployment's protocols.
     pub dialect: GatewayDialect,
     /// The upstreams.
@@ -71,6 +75,8 @@
     pub relay: MirrorRelay,
     /// What other VMs' configurations say of this one's routes.
     pub route_checks: RouteChecks,
+    /// Which VMs send to cold upstreams.
+    pub cold_claims: ColdClaims,
     /// Requests that crash upstreams.
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
@@ -86,13 +92,25 @@
     latencies: RefCell<FxHashMap<RouteName, Rc<RefCell<RouteLatency>>>>,
 }
 
+/// This life of this VM's process.
+fn own_session(settings: &GatewaySettings) -> SessionId {
+    // The wall clock only tells lives apart; if it steps back, peers learn the newer life by refutation.
+    let life = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64);
+    let vm = VmAddress(settings.place.address);
+    SessionId::new(vm, IncarnationNumber(life))
+}
+
 impl GatewayCore {
     /// Makes the state of a process that has just started.
     pub fn new(settings: GatewaySettings, dialect: GatewayDialect) -> Self {
         let repeats = RepeatAccount::new(settings.budget);
         let metrics = GatewayMetrics::default();
         let limit = FreshnessTerms::new(settings.change_bound).limit;
+        let session = own_session(&settings);
         Self {
+            session,
             dialect,
             registry: UpstreamRegistry::new(),
             vms: VmDirectory::new(settings.listen.callers),
@@ -104,6 +122,7 @@
             route_checks: RouteChecks::default(),
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
+            cold_claims: ColdClaims::new(session),
             quarantine: QuarantineHandle::new(),
             metrics,
             started: now(),
--- a/crates/ebonyfork/src/gateway/dialect.rs
+++ b/crates/ebonyfork/src/gateway/dialect.rs
@@ -44,6 +44,8 @@
     Vm,
     /// The operators want no new requests at the upstreams of an availability zone, as long as the key is there.
     Evacuation(PlaceName),
+    /// Which VM sends to the cold upstreams of an availability zone.
+    ZoneClaim(PlaceName),
     /// Nothing of ours.
     Other,
 }
@@ -100,6 +102,8 @@
     pub read_upstream: fn(key: &str, value: &[u8]) -> Result<UpstreamEntry, DecodeError>,
     /// The key of the entry of one of our VMs.
     pub vm_key: fn(caller: SocketAddr) -> CompactString,
+    /// The key of the claim on the cold upstreams of an availability zone.
+    pub claim_key: fn(zone: &PlaceName) -> CompactString,
     /// Reads a call to the control addresses.
     pub read_call: fn(uri: &Uri) -> Option<ControlCall>,
     /// Writes a locate answer.
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -216,10 +216,12 @@
     let outcome = match upstream.connect(order, fresh, CONNECT_TIME).await {
         Err(error) => AttemptOutcome::Unsent(reason(&error)),
         Ok(held) => {
+            let core = &context.core;
             let sent = now();
             let left = request.finish_by.saturating_duration_since(sent);
             let left_ms = left.as_millis() as u64;
-            if !upstream.takes_requests() || left_ms == 0 || !before_send() {
+            let open = upstream.takes_requests() && core.take_cold_room(upstream);
+            if !open || left_ms == 0 || !before_send() {
                 // Nothing of this is the upstream's fault.
                 upstream.keep(held, None);
                 record.noted = true;
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -37,6 +37,7 @@
         read_config: |_key, _value| unreachable!("no configuration is stored in this test"),
         read_upstream: |_key, _value| unreachable!("no upstream is stored in this test"),
         vm_key: |caller| CompactString::new(caller.to_string()),
+        claim_key: |zone| CompactString::new(zone.as_str()),
         read_call: |_uri| None,
         write_locate: |_reply| (HeaderValue::from_static("text/plain"), Bytes::new()),
     }
@@ -77,6 +78,7 @@
         store: address,
         grace: Duration::from_secs(6),
         change_bound: Duration::from_secs(3),
+        cold_bound: None,
         budget: BudgetTerms {
             ratio: 0.2,
             slack: 50.0,
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -10,6 +10,7 @@
 use crate::gateway::dialect::StoredKind;
 use crate::gateway::ident::PlaceName;
 use crate::gateway::mirror::{CopyChange, CopyGap};
+use crate::gateway::policy::cold::ClaimRecord;
 use crate::gateway::route::RouteTable;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
@@ -34,6 +35,9 @@
             self.take_event(event);
         }
         if whole {
+            if self.core.registry.is_first_read() {
+                self.core.assume_cold_where_claimed();
+            }
             self.core.registry.note_read(now());
             self.log_whole();
         }
@@ -70,8 +74,8 @@
             StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
                 StoredKind::Upstream => self.core.registry.remove(key, now()),
                 StoredKind::Vm => self.core.vms.remove(key),
-                StoredKind::Evacuation(zone) => self.core.registry.readmit(&zone),
-                StoredKind::Config | StoredKind::Other => {}
+                StoredKind::Evacuation(zone) => self.readmit(&zone),
+                StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
             },
         }
     }
@@ -82,6 +86,7 @@
             StoredKind::Upstream => self.put_upstream(item),
             StoredKind::Vm => self.put_vm(item),
             StoredKind::Evacuation(zone) => self.evacuate(&zone, item),
+            StoredKind::ZoneClaim(zone) => self.put_claim(&zone, item),
             StoredKind::Other => {}
         }
     }
@@ -154,6 +159,23 @@
         self.core.registry.evacuate(zone);
     }
 
+    fn readmit(&self, zone: &PlaceName) {
+        // First, so that nothing is sent meanwhile as to warm ones.
+        self.core.assume_cold(zone);
+        self.core.registry.readmit(zone);
+    }
+
+    fn put_claim(&self, zone: &PlaceName, item: &StoreItem) {
+        match postcard::from_bytes::<ClaimRecord>(&item.value) {
+            Ok(record) => {
+                let time = self.core.running_time();
+                let claims = &self.core.cold_claims;
+                claims.observe(zone, item.revision, record, time);
+            }
+            Err(error) => log::error!("claim {} not read: {error}", item.key),
+        }
+    }
+
     fn put_vm(&self, item: &StoreItem) {
         match postcard::from_bytes::<VmRecord>(&item.value) {
             Ok(record) => self.core.vms.put(&item.key, record),
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod aggregate_table;
 mod caller_time;
 mod clock;
+mod cold_claims;
 mod control;
 mod core;
 mod delegate;
@@ -73,6 +74,7 @@
     FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
 };
 pub use policy::budget::{BudgetTerms, RepeatAccount, RetryBudget, ShareLeases, ShareMessage};
+pub use policy::cold::{ClaimRecord, ClaimWrite, ColdBound, RequestRate, SendWindow, ZoneClaim};
 pub use policy::gather::{GatherEnd, GatherState};
 pub use policy::homes::HomeRegions;
 pub use policy::latency::{AttemptKind, LatencyTrack};
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::clock::now;
+use crate::gateway::cold_claims::run_claims;
 use crate::gateway::control::{LOCATE_TTL, serve_control};
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::dialect::GatewayDialect;
@@ -25,7 +26,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::share_exchange::run_leases;
 use crate::gateway::status::serve_metrics;
-use crate::ident::{IncarnationNumber, SessionId, VmAddress, ZoneName};
+use crate::ident::{SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::store::{LeaseId, StorePort};
 
@@ -95,7 +96,7 @@
         })?;
         let links = bind("peer", peer).await?;
         let core = Rc::new(GatewayCore::new(settings, dialect));
-        let session = own_session(&core);
+        let session = core.session;
         let closing = CancellationToken::new();
         let (pool, events) = open_links(session, listen.peer_port, closing.clone());
         core.delegates.set_pool(pool.clone());
@@ -125,6 +126,7 @@
         tasks.spawn_local(follow_links(Rc::clone(&core), events));
         tasks.spawn_local(sweep(Rc::clone(&core)));
         tasks.spawn_local(run_leases(Rc::clone(&core), own.0));
+        tasks.spawn_local(run_claims(Rc::clone(&core), port.clone()));
         join_gossip(&mut tasks, &core, &members, own);
         log_start(&core);
         Ok(Self {
@@ -190,15 +192,6 @@
     bound.context(BindSnafu { role, address })
 }
 
-fn own_session(core: &GatewayCore) -> SessionId {
-    // The wall clock only tells lives apart; if it steps back, peers learn the newer life by refutation.
-    let life = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64);
-    let vm = VmAddress(core.settings.place.address);
-    SessionId::new(vm, IncarnationNumber(life))
-}
-
 /// The zone as gossip names it.
 fn own_zone(core: &GatewayCore) -> ZoneName {
     let zone = core.settings.place.zone.as_str().parse::<ZoneName>();
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/policy/cold/bound.rs
@@ -0,0 +1,60 @@
+//! The bound on requests to a cold upstream.
+
+use std::fmt;
+use std::num::ParseFloatError;
+use std::str::FromStr;
+
+/// Requests a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct RequestRate(pub f64);
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, ParseFloatError> {
+        text.parse().map(Self)
+    }
+}
+
+/// What a cold upstream may get in one second beyond the rate that it tolerates.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBound {
+    /// Factor on the rate.
+    pub overage: f64,
+    /// Requests on top of that.
+    pub slack: f64,
+}
+
+impl ColdBound {
+    /// Requests that all VMs together may send to one upstream in any second.
+    pub fn limit(&self, tolerated: RequestRate) -> usize {
+        (tolerated.0 * self.overage + self.slack) as usize
+    }
+
+    /// Requests that the VM that sends for all sends in any second: what the upstream tolerates, and one at least. `None`
+    /// if the upstream states no rate.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::gateway::{ColdBound, RequestRate};
+    ///
+    /// let bound = ColdBound { overage: 1.5, slack: 5.0 };
+    /// assert_eq!(bound.pace(RequestRate(8.0)), Some(8));
+    /// assert_eq!(bound.pace(RequestRate(0.3)), Some(1));
+    /// assert_eq!(bound.pace(RequestRate(0.0)), None);
+    /// ```
+    pub fn pace(&self, tolerated: RequestRate) -> Option<usize> {
+        if tolerated.0 <= 0.0 {
+            return None;
+        }
+        let tolerated_whole = (tolerated.0 as usize).max(1);
+        Some(tolerated_whole.min(self.limit(tolerated)))
+    }
+}
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
@@ -0,0 +1,293 @@
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::gateway::policy::cold::SendWindow;
+use crate::ident::{IncarnationNumber, VmAddress};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn session(vm: u8, life: u64) -> SessionId {
+    SessionId::new(VmAddress([10, 0, 0, vm].into()), IncarnationNumber(life))
+}
+
+fn held_by(holder: SessionId) -> ClaimRecord {
+    ClaimRecord {
+        holder: Some(holder),
+    }
+}
+
+#[gtest]
+fn a_claim_of_another_vm_is_taken_over_after_its_term() {
+    let mut claim = ZoneClaim::new(session(1, 1));
+    claim.observe(StoreRevision(7), held_by(session(2, 1)), ms(1_000));
+    expect_that!(claim.step(true, ms(5_000)), none());
+    expect_that!(claim.is_held(ms(5_000)), eq(true));
+    claim.observe(StoreRevision(8), held_by(session(2, 1)), ms(5_000));
+    expect_that!(claim.step(true, ms(10_400)), none());
+    let write = claim.step(true, ms(10_500)).expect("the term has passed");
+    expect_that!(write.expected, eq(StoreRevision(8)));
+    claim.note_written(write, StoreRevision(9), ms(10_500), ms(10_520));
+    expect_that!(claim.may_send(ms(11_519)), eq(false));
+    expect_that!(claim.may_send(ms(11_520)), eq(true));
+    expect_that!(claim.may_send(ms(14_500)), eq(false));
+}
+
+#[gtest]
+fn a_holder_stops_before_it_gives_the_claim_back() {
+    let mut claim = ZoneClaim::new(session(1, 1));
+    let write = claim.step(true, ms(0)).expect("nobody holds it");
+    claim.note_written(write, StoreRevision(2), ms(0), ms(10));
+    expect_that!(claim.step(true, ms(1_000)), none());
+    expect_that!(claim.step(true, ms(1_300)), some(anything()));
+    let back = claim.step(false, ms(2_000)).expect("it is given back");
+    expect_that!(back.record.holder, none());
+    expect_that!(claim.may_send(ms(2_000)), eq(false));
+    claim.note_written(back, StoreRevision(3), ms(2_000), ms(2_010));
+    expect_that!(claim.step(false, ms(9_000)), none());
+}
+
+#[gtest]
+fn a_holder_that_hears_of_another_one_stops() {
+    let mut claim = ZoneClaim::new(session(1, 1));
+    let write = claim.step(true, ms(0)).expect("nobody holds it");
+    claim.note_written(write, StoreRevision(2), ms(0), ms(10));
+    expect_that!(claim.may_send(ms(100)), eq(true));
+    claim.observe(StoreRevision(3), held_by(session(2, 1)), ms(100));
+    expect_that!(claim.may_send(ms(100)), eq(false));
+}
+
+/// Requests that the holder sends in a second.
+const PACE: usize = 3;
+/// Step of the modelled time.
+const STEP: Duration = ms_const(20);
+
+const fn ms_const(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A write on its way to the store and back.
+#[derive(Debug, Clone, Copy)]
+struct WriteOnWay {
+    write: ClaimWrite,
+    begun: Duration,
+    arrives: Duration,
+    /// When the answer comes; `None` if it is lost.
+    answered: Option<Duration>,
+    done: Option<StoreRevision>,
+}
+
+/// What a VM will hear of the store.
+#[derive(Debug, Clone, Copy)]
+struct StoreNews {
+    at: Duration,
+    revision: StoreRevision,
+    record: ClaimRecord,
+}
+
+struct ModelVm {
+    number: u8,
+    life: u64,
+    claim: ZoneClaim,
+    sent: SendWindow,
+    news: Vec<StoreNews>,
+    writes: Vec<WriteOnWay>,
+    paused_until: Duration,
+    dead_until: Option<Duration>,
+    /// Whether it finds that it should send.
+    wants: bool,
+}
+
+impl ModelVm {
+    fn new(number: u8, life: u64) -> Self {
+        Self {
+            number,
+            life,
+            claim: ZoneClaim::new(session(number, life)),
+            sent: SendWindow::new(),
+            news: Vec::new(),
+            writes: Vec::new(),
+            paused_until: Duration::ZERO,
+            dead_until: None,
+            wants: false,
+        }
+    }
+}
+
+/// VMs that contend for one claim: writes that are lost, done late or not at all, news that come late, VMs that pause, are
+/// killed and start again, and any number of them that find that they should send.
+struct ModelHistory {
+    rng: ChaCha8Rng,
+    now: Duration,
+    vms: Vec<ModelVm>,
+    key: Option<(StoreRevision, ClaimRecord)>,
+    revision: u64,
+    down_until: Duration,
+    /// All requests, in order of time.
+    sends: Vec<Duration>,
+}
+
+impl ModelHistory {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            vms: (1..=5).map(|number| ModelVm::new(number, 1)).collect(),
+            key: None,
+            revision: 0,
+            down_until: Duration::ZERO,
+            sends: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, length: Duration) {
+        while self.now < length {
+            self.disturb();
+            for number in 0..self.vms.len() {
+                self.do_writes(number);
+                self.run_vm(number);
+            }
+            self.now += STEP;
+        }
+    }
+
+    fn disturb(&mut self) {
+        let now = self.now;
+        if self.rng.random_bool(0.001) {
+            self.down_until = now + ms(self.rng.random_range(200..6_000));
+        }
+        for vm in &mut self.vms {
+            if vm.dead_until.is_some_and(|until| until <= now) {
+                let news = vm.news.clone();
+                *vm = ModelVm::new(vm.number, vm.life + 1);
+                vm.news = news;
+            }
+            if self.rng.random_bool(0.002) {
+                vm.wants = !vm.wants;
+            }
+            if self.rng.random_bool(0.002) {
+                vm.paused_until = now + ms(self.rng.random_range(100..7_000));
+            }
+            if self.rng.random_bool(0.0007) {
+                vm.dead_until = Some(now + ms(self.rng.random_range(100..3_000)));
+                // What is on its way to the store gets there.
+                for write in &mut vm.writes {
+                    write.answered = None;
+                }
+            }
+        }
+    }
+
+    /// Does the writes that arrive at the store; each may be done on the condition that it states.
+    fn do_writes(&mut self, number: usize) {
+        let mut writes = std::mem::take(&mut self.vms[number].writes);
+        for write in &mut writes {
+            if write.done.is_some() || write.arrives > self.now || self.now < self.down_until {
+                continue;
+            }
+            write.arrives = Duration::MAX;
+            let current = self
+                .key
+                .map_or(StoreRevision::ABSENT, |(revision, _)| revision);
+            if current != write.write.expected {
+                continue;
+            }
+            self.revision += 1;
+            let revision = StoreRevision(self.revision);
+            self.key = Some((revision, write.write.record));
+            write.done = Some(revision);
+            self.spread(revision, write.write.record);
+        }
+        self.vms[number].writes = writes;
+    }
+
+    fn spread(&mut self, revision: StoreRevision, record: ClaimRecord) {
+        for vm in &mut self.vms {
+            let lag = if self.rng.random_bool(0.1) {
+                5_000
+            } else {
+                300
+            };
+            let at = self.now + ms(self.rng.random_range(5..lag));
+            vm.news.push(StoreNews {
+                at,
+                revision,
+                record,
+            });
+        }
+    }
+
+    fn run_vm(&mut self, number: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[number];
+        if vm.dead_until.is_some() || now < vm.paused_until {
+            return;
+        }
+        for news in &vm.news {
+            if news.at <= now {
+                vm.claim.observe(news.revision, news.record, now);
+            }
+        }
+        vm.news.retain(|news| news.at > now);
+        let (answers, rest): (Vec<_>, Vec<_>) = vm
+            .writes
+            .drain(..)
+            .partition(|write| write.answered.is_some_and(|at| at <= now));
+        vm.writes = rest;
+        for answer in answers {
+            if let Some(revision) = answer.done {
+                vm.claim
+                    .note_written(answer.write, revision, answer.begun, now);
+            }
+        }
+        if let Some(write) = vm.claim.step(vm.wants, now) {
+            let late = self.rng.random_bool(0.05);
+            let way = self.rng.random_range(2..if late { 6_000 } else { 100 });
+            let arrives = now + ms(way);
+            let lost = late || self.rng.random_bool(0.1);
+            vm.writes.push(WriteOnWay {
+                write,
+                begun: now,
+                arrives,
+                answered: (!lost).then_some(arrives + ms(40)),
+                done: None,
+            });
+        }
+        // As many requests as come: each is counted as it is sent.
+        while vm.claim.may_send(now) && vm.sent.take(PACE, now) {
+            self.sends.push(now);
+        }
+    }
+
+    /// The most requests in any second.
+    fn busiest(&self) -> usize {
+        let first = |sent: &Duration| {
+            self.sends
+                .partition_point(|other| *other + ms(1_000) <= *sent)
+        };
+        let counts = self.sends.iter().enumerate();
+        counts
+            .map(|(number, sent)| number + 1 - first(sent))
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+/// By construction: whatever happens to VMs and writes, no second has more requests than one VM may send. And the claim is
+/// of use: somebody sends for most of the time.
+#[gtest]
+fn no_second_has_more_requests_than_one_vm_may_send() {
+    const LENGTH: Duration = ms_const(240_000);
+    let mut sent = 0;
+    for seed in 0..40 {
+        let mut history = ModelHistory::new(seed);
+        history.run(LENGTH);
+        expect_that!(history.busiest(), le(PACE), "seed {seed}");
+        sent += history.sends.len();
+    }
+    let possible = 40 * PACE * LENGTH.as_secs() as usize;
+    expect_that!(sent, ge(possible / 3), "of {possible}");
+}
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -9,6 +9,7 @@
 //! | which VMs take requests | [`serving`] | hundreds of VMs, each of which would see too little to know upstreams and callers |
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline while others have room |
 //! | what is known of an upstream | [`health`], [`latency`], [`route_latency`] | pauses, slow phases, crashes, cold starts |
+//! | how many requests a cold upstream gets, and from which VM | [`cold`] | the upstreams of a zone return together and cold |
 //! | which shards wait at first | [`postpone`] | some shards have no upstream that answers in time, coverage allows to leave them out |
 //! | whether a shard is sent again | [`retry`] | upstreams decline, or can't be reached |
 //! | whether a second attempt is sent beside the first | [`hedge`] | pauses of a few hundred milliseconds |
@@ -19,6 +20,7 @@
 pub mod answer_lag;
 pub mod budget;
 pub mod choice;
+pub mod cold;
 pub mod gather;
 pub mod health;
 pub mod hedge;
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether the store has not been read whole yet.
+    pub fn is_first_read(&self) -> bool {
+        self.first_read.get().is_none()
+    }
+
     /// Whether upstreams that the first read lacked may still come: the store may have returned from an outage just
     /// before this process started.
     pub fn settling(&self, now: Instant) -> Option<SettlingTime> {
@@ -144,7 +149,7 @@
             if same {
                 log_leaving(&known, &entry);
                 let evacuated = self.is_evacuated(&entry.zone);
-                known.update(entry);
+                known.update(entry, now);
                 known.set_evacuated(evacuated);
                 return;
             }
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
+use crate::gateway::policy::cold::RequestRate;
 use crate::gateway::policy::homes::HomeRegions;
 
 /// Whether a request may run more than once.
@@ -97,10 +98,14 @@
 }
 
 /// What is stated about a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceTerms {
     /// Connections that one upstream accepts from all VMs together.
     pub connections: usize,
+    /// Requests a second that one upstream tolerates while it is cold; 0 if that is not stated.
+    pub cold_rate: RequestRate,
+    /// How long an upstream is cold after a start.
+    pub cold_time: Duration,
 }
 
 /// What callers may send and how long they may take.
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -165,8 +165,16 @@
             .note_request(service, core.running_time());
     }
 
-    /// The upstreams that a shard may go to, whatever is known of them: those in the home regions of the route.
+    /// The upstreams that a shard may go to: those in the home regions of the route, less cold ones that may get no
+    /// request from this VM now.
     pub(super) fn candidates(&self, shard: usize) -> UpstreamList {
+        let mut listed = self.at_home(shard);
+        listed.retain(|upstream| self.context.core.has_cold_room(upstream));
+        listed
+    }
+
+    /// The upstreams in the home regions of the route.
+    pub(super) fn at_home(&self, shard: usize) -> UpstreamList {
         let core = &self.context.core;
         let mut listed = core.registry.upstreams(self.target.service(shard));
         let homes = &self.route.homes;
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -95,7 +95,7 @@
         };
         let mut reply = refusal(reason);
         if reason == RefusalReason::NoUpstream
-            && let Some(wait) = self.settles_in()
+            && let Some(wait) = self.settles_in().or_else(|| self.warms_in())
         {
             set_retry_after(&mut reply, wait);
         }
--- a/crates/ebonyfork/src/gateway/run/settle.rs
+++ b/crates/ebonyfork/src/gateway/run/settle.rs
@@ -26,6 +26,16 @@
         }
     }
 
+    /// When the first of the upstreams is warm that could serve a shard if they were.
+    pub(super) fn warms_in(&self) -> Option<Duration> {
+        let time = now();
+        let shards = 0..self.state.shards().len();
+        let cold = shards.flat_map(|shard| self.at_home(shard));
+        let cold = cold.filter(|upstream| upstream.takes_requests() && upstream.is_cold(time));
+        let until = cold.map(|upstream| upstream.cold_until()).min()?;
+        Some(until.saturating_duration_since(time))
+    }
+
     /// When a request that lacks upstreams should come again, if more of them are about to be registered.
     pub(super) fn settles_in(&self) -> Option<Duration> {
         let time = now();
@@ -33,12 +43,12 @@
         Some(settling.until.saturating_duration_since(time))
     }
 
-    /// Whether enough shards have an upstream for an answer. One in an evacuated availability zone counts: no other is
-    /// on its way because of that.
+    /// Whether enough shards have an upstream for an answer. One that is cold or in an evacuated availability zone
+    /// counts: no other is on its way because of that.
     fn suffices(&self) -> bool {
         let shards = 0..self.state.shards().len();
         let registered = |shard: &usize| {
-            let candidates = self.candidates(*shard);
+            let candidates = self.at_home(*shard);
             candidates.iter().any(|upstream| !upstream.is_leaving())
         };
         let lacking = shards.filter(|shard| !registered(shard));
@@ -55,8 +65,8 @@
                 .registry
                 .upstreams(self.target.service(shard));
             let mut staying = listed.iter().filter(|upstream| !upstream.is_leaving());
-            let candidates = self.candidates(shard);
-            let served = candidates.iter().any(|upstream| upstream.takes_requests());
+            let served = self.at_home(shard);
+            let served = served.iter().any(|upstream| upstream.takes_requests());
             staying.next().is_some() && !served
         };
         (0..self.state.shards().len()).any(excluded)
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -9,6 +9,7 @@
 use crate::finding::FindingList;
 use crate::gateway::ident::PlaceName;
 use crate::gateway::policy::budget::BudgetTerms;
+use crate::gateway::policy::cold::ColdBound;
 use crate::ini::{IniDocument, IniSection, SectionReader};
 use crate::settings::LogSettings;
 
@@ -88,6 +89,8 @@
     pub change_bound: Duration,
     /// The bound on repeats, for all VMs together.
     pub budget: BudgetTerms,
+    /// The bound on requests to a cold upstream, for all VMs together; `None` where none holds.
+    pub cold_bound: Option<ColdBound>,
     /// Logging.
     pub log: LogSettings,
 }
@@ -136,14 +139,15 @@
     let store = read_store(document, findings);
     let bounds = read_bounds(document, findings);
     let log = LogSettings::read(document, findings);
-    let (grace, change_bound, budget) = bounds?;
+    let bounds = bounds?;
     Some(GatewaySettings {
         place: place?,
         listen: listen?,
         store: store?,
-        grace,
-        change_bound,
-        budget,
+        grace: bounds.grace,
+        change_bound: bounds.change,
+        budget: bounds.budget,
+        cold_bound: bounds.cold,
         log,
     })
 }
@@ -205,10 +209,15 @@
     address
 }
 
-fn read_bounds(
-    document: &IniDocument,
-    findings: &mut FindingList,
-) -> Option<(Duration, Duration, BudgetTerms)> {
+/// What the section of bounds states.
+struct StatedBounds {
+    grace: Duration,
+    change: Duration,
+    budget: BudgetTerms,
+    cold: Option<ColdBound>,
+}
+
+fn read_bounds(document: &IniDocument, findings: &mut FindingList) -> Option<StatedBounds> {
     let section = document.needed_section("bounds", findings)?;
     let mut reader = SectionReader::new(&document.file, section, findings);
     let grace = read_seconds(&mut reader, "grace-s");
@@ -218,6 +227,7 @@
     let ratio = read_amount(&mut reader, "retry-ratio");
     let slack = read_amount(&mut reader, "retry-slack");
     let window = read_seconds(&mut reader, "retry-window-s");
+    let cold = read_cold_bound(&mut reader);
     reader.finish();
     let budget = BudgetTerms {
         ratio: ratio?,
@@ -227,7 +237,31 @@
     let config = config.unwrap_or(CHANGE_BOUND);
     let leaving = leaving.unwrap_or(CHANGE_BOUND);
     let change = config.min(leaving).min(evacuation.unwrap_or(config));
-    Some((grace?, change, budget))
+    Some(StatedBounds {
+        grace: grace?,
+        change,
+        budget,
+        cold,
+    })
+}
+
+/// Reads the bound on requests to cold upstreams; both of its figures or neither are stated.
+fn read_cold_bound(reader: &mut SectionReader<'_>) -> Option<ColdBound> {
+    let (overage_key, slack_key) = ("cold-overage", "cold-slack");
+    let overage = reader.optional::<f64>(overage_key);
+    let slack = reader.optional::<f64>(slack_key);
+    for (key, amount, other) in [(overage_key, overage, slack), (slack_key, slack, overage)] {
+        if amount.is_some_and(|amount| !amount.is_finite() || amount < 0.0) {
+            reader.report(key, "expected a number that is not negative");
+        }
+        if amount.is_some() && other.is_none() {
+            reader.report(key, "expected both cold-overage and cold-slack");
+        }
+    }
+    Some(ColdBound {
+        overage: overage?,
+        slack: slack?,
+    })
 }
 
 /// Reads a finite number that is not negative.
--- a/crates/ebonyfork/src/gateway/share_exchange.rs
+++ b/crates/ebonyfork/src/gateway/share_exchange.rs
@@ -3,10 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::gateway::core::GatewayCore;
 use crate::gateway::policy::budget::ShareMessage;
+use crate::gateway::vms::rendezvous;
 use crate::ident::VmAddress;
 use crate::wire::{LinkSender, PeerMessage};
 
@@ -29,7 +28,7 @@
         let serves = roles.serving.contains(&own);
         if serves && core.is_ready() {
             for owner in roles.idle {
-                if choose_borrower(owner, &roles.serving) == Some(own) {
+                if rendezvous(&roles.serving, owner) == Some(own) {
                     ask(&core, owner);
                 }
             }
@@ -45,15 +44,6 @@
     let _sent = core.delegates.tell(owner, message);
 }
 
-/// Chooses the VM that borrows a share, by rendezvous hashing.
-fn choose_borrower(owner: VmAddress, serving: &[VmAddress]) -> Option<VmAddress> {
-    let score = |vm: &VmAddress| {
-        let pair = format!("{vm} {owner}");
-        xxh3_64(pair.as_bytes())
-    };
-    serving.iter().copied().max_by_key(score)
-}
-
 /// Puts the shares that are on lease into the metrics, and into the log if they have changed.
 fn note_shares(core: &GatewayCore, logged: &mut Option<ShareHolding>) {
     let time = core.running_time();
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::ident::{BirthTime, InstanceName, PlaceName, UpstreamLife, UpstreamService};
 use crate::gateway::loss::{LossCheck, LossFinding};
+use crate::gateway::policy::cold::SendWindow;
 use crate::gateway::policy::health::UpstreamHealth;
 use crate::gateway::slots::{SlotOrder, SlotPermit, SlotQueue};
 use crate::http_link::{HttpLink, LinkError};
@@ -75,6 +76,12 @@
     leaving: Cell<bool>,
     /// Whether its availability zone is evacuated.
     evacuated: Cell<bool>,
+    /// Until when it is cold by what it has registered.
+    stated_cold: Cell<Instant>,
+    /// Until when it may be cold although it has not said so.
+    assumed_cold: Cell<Instant>,
+    /// Requests that it got from this process while it was cold.
+    pub cold_sends: RefCell<SendWindow>,
     /// Requests under which a connection broke, until it is known whether the upstream was lost.
     lost: RefCell<Vec<LostRequest>>,
     /// How that is looked at.
@@ -100,6 +107,9 @@
             health: RefCell::new(UpstreamHealth::new(now, entry.cold)),
             leaving: Cell::new(entry.leaving),
             evacuated: Cell::new(false),
+            stated_cold: Cell::new(now + entry.cold),
+            assumed_cold: Cell::new(now),
+            cold_sends: RefCell::new(SendWindow::new()),
             entry: RefCell::new(Rc::new(entry)),
             idle: RefCell::default(),
             slots: SlotQueue::new(share),
@@ -116,8 +126,9 @@
     }
 
     /// Takes in what the same life of the upstream has registered anew.
-    pub fn update(&self, entry: UpstreamEntry) {
+    pub fn update(&self, entry: UpstreamEntry, now: Instant) {
         self.leaving.set(entry.leaving);
+        self.stated_cold.set(now + entry.cold);
         *self.entry.borrow_mut() = Rc::new(entry);
     }
 
@@ -137,6 +148,26 @@
         self.evacuated.set(evacuated);
     }
 
+    /// Whether its availability zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.get()
+    }
+
+    /// It may have become cold and not have said so yet.
+    pub fn assume_cold(&self, until: Instant) {
+        self.assumed_cold.set(until.max(self.assumed_cold.get()));
+    }
+
+    /// Whether it is cold, as far as is known.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until()
+    }
+
+    /// Until when it is cold, as far as is known.
+    pub fn cold_until(&self) -> Instant {
+        self.stated_cold.get().max(self.assumed_cold.get())
+    }
+
     /// Whether it may get new requests: it does not leave and its availability zone is not evacuated.
     pub fn takes_requests(&self) -> bool {
         !self.leaving.get() && !self.evacuated.get()
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -1,12 +1,14 @@
 //! Our own VMs: what each has registered, and which of them a caller is told to use.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::ident::{PlaceName, UpstreamService};
 use crate::gateway::policy::homes::HostRegions;
@@ -173,6 +175,18 @@
         serving.iter().map(|vm| vm.address()).collect()
     }
 
+    /// The VMs that take requests beside the upstreams of a zone, this process among them; of all zones if it has none.
+    pub fn serving_for(&self, zone: &PlaceName, own: &NodePlace) -> Vec<VmAddress> {
+        let usable = self.usable(Some(own));
+        let beside = serving_vms(usable.iter().filter(|vm| vm.zone == zone.as_str()));
+        let serving = if beside.is_empty() {
+            serving_vms(usable.iter())
+        } else {
+            beside
+        };
+        serving.iter().map(|vm| vm.address()).collect()
+    }
+
     /// The VMs of a zone by the work that they take, this process among them.
     pub fn zone_roles(&self, own: &NodePlace) -> ZoneRoles {
         let mut usable = self.usable(Some(own));
@@ -270,6 +284,15 @@
     vms.into_iter().filter(fits).collect()
 }
 
+/// Chooses one of some VMs for a purpose, by rendezvous hashing: a VM more or less changes the choice for few purposes.
+pub fn rendezvous(vms: &[VmAddress], purpose: impl fmt::Display) -> Option<VmAddress> {
+    let score = |vm: &VmAddress| {
+        let pair = format!("{vm} {purpose}");
+        xxh3_64(pair.as_bytes())
+    };
+    vms.iter().copied().max_by_key(score)
+}
+
 /// Those of some VMs that take requests.
 fn serving_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
     let mut vms: Vec<_> = vms.collect();
