--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -120,7 +120,7 @@
 
 impl SoakCaller {
     async fn run(mut self) {
-        const ROUTES: [&str; 5] = ["gather", "gather", "read", "once", "extra"];
+        const ROUTES: [&str; 6] = ["gather", "gather", "read", "once", "extra", "home"];
         loop {
             tokio::time::sleep(PAUSE).await;
             self.turn += 1;
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -29,6 +29,10 @@
 pub(super) const RETRY_SLACK: f64 = 54.0;
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// The bound on requests to a cold upstream: a factor on the rate that it tolerates, and a slack.
+pub(super) const COLD_OVERAGE: f64 = 1.5;
+pub(super) const COLD_SLACK: f64 = 5.0;
+
 /// One VM with its process and its link to the store.
 #[derive(Debug)]
 pub(crate) struct GatewayVm {
@@ -215,7 +219,8 @@
          callers = {address}:{CALLER_PORT}\nready = {address}:{READY_PORT}\n\
          directory = {address}:{DIRECTORY_PORT}\nmetrics = {address}:{METRICS_PORT}\n\
          peer-port = {PEER_PORT}\n[store]\naddress = {store}\n[bounds]\ngrace-s = 6\nconfig-in-force-ms = 3000\nleaving-upstream-ms = 3000\n\
-         retry-ratio = {RETRY_RATIO}\nretry-slack = {RETRY_SLACK}\nretry-window-s = {window}\n"
+         retry-ratio = {RETRY_RATIO}\nretry-slack = {RETRY_SLACK}\nretry-window-s = {window}\n\
+         evacuation-ms = 3000\ncold-overage = {COLD_OVERAGE}\ncold-slack = {COLD_SLACK}\n"
     )
 }
 
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -13,13 +13,14 @@
 use crate::soak::callers::{CallEnd, CallRecord};
 use crate::soak::faults::SoakEvent;
 use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::soak::judge_places::{check_cold, check_evacuations, check_homes};
 use crate::soak::world::{LEAST, PastLife, SHARDS, SoakWorld, TOP, WrittenVersion};
 
 /// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
 /// another one and a request that waits for its connection all take their time.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 /// Time after which a version must be in force everywhere.
-const CONFIG_BOUND: Duration = Duration::from_secs(3);
+pub(super) const CONFIG_BOUND: Duration = Duration::from_secs(3);
 /// Share of the requests that must be served once all faults have ended.
 const CALM_SHARE: f64 = 0.95;
 /// Time after the last fault from which that holds: the recovery of all VMs at once takes about 2 s.
@@ -99,6 +100,11 @@
     violations.extend(check_planned(calls, events));
     violations.extend(check_drains(&lock(&world.past), events));
     violations.extend(check_versions(calls, &lock(&world.versions), events));
+    let lives = world.lives();
+    let versions = lock(&world.versions).clone();
+    violations.extend(check_homes(calls, &lives, &versions, events));
+    violations.extend(check_evacuations(&lives, &lock(&world.evacuations), events));
+    violations.extend(check_cold(&lives, events));
     violations.extend(check_repeats(calls, &arrivals));
     violations.extend(check_calm(calls, calm_from));
     SoakVerdict {
@@ -238,7 +244,12 @@
 }
 
 /// Whether neither the store nor VMs were disturbed; with `vm`, neither the store nor this VM.
-fn is_calm(events: &[SoakEvent], vm: Option<IpAddr>, from: Instant, until: Instant) -> bool {
+pub(super) fn is_calm(
+    events: &[SoakEvent],
+    vm: Option<IpAddr>,
+    from: Instant,
+    until: Instant,
+) -> bool {
     !events.iter().any(|event| {
         let elsewhere = vm.is_some() && event.vm.is_some() && event.vm != vm;
         let store = event.what.starts_with("store") || event.what.contains("vm-");
--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -19,6 +19,7 @@
         ran: true,
         signature: signature.to_owned(),
         body: vec![byte; RECORD_BYTES],
+        cold: None,
     }
 }
 
@@ -177,6 +178,7 @@
     let leaving = Instant::now();
     let life = |after: Duration| PastLife {
         service: "single".to_owned(),
+        zone: "north-a",
         arrivals: vec![ArrivalRecord {
             at: leaving + after,
             ..run("a.1", 1)
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 pub(crate) mod fleet;
 pub mod judge;
+mod judge_places;
 mod proxy;
 pub(crate) mod world;
 
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -6,7 +6,7 @@
 
 use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_server::StoreServer;
-use ebonyfork_stand_in::upstream::{ArrivalRecord, UpstreamServer};
+use ebonyfork_stand_in::upstream::{ArrivalRecord, ColdCause, UpstreamServer};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -26,6 +26,11 @@
 /// Least share of the shards in a gathered answer.
 pub(super) const LEAST: f64 = 0.5;
 
+/// Requests a second that an upstream tolerates while it is cold.
+pub(super) const COLD_RATE: f64 = 20.0;
+/// How long an upstream is cold.
+const COLD_TIME: Duration = Duration::from_secs(2);
+
 /// Routes that nobody uses: of a small configuration, and of one that takes a quarter of a megabyte.
 const IDLE_ROUTES: [u64; 2] = [50, 1_500];
 
@@ -38,14 +43,30 @@
 }
 
 /// An upstream's life that has ended, with what it saw.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct PastLife {
     pub service: String,
+    pub zone: &'static str,
     pub arrivals: Vec<ArrivalRecord>,
     /// When its leaving was written to the store.
     pub leaving: Option<Instant>,
 }
 
+/// A zone that was to get nothing for a time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EvacuationRecord {
+    pub zone: &'static str,
+    pub from: Instant,
+    /// When it was taken back.
+    pub until: Option<Instant>,
+}
+
+/// The zone whose region is the home of a route in a version of the configuration: another one every few versions.
+pub(super) fn home_zone(version: u64) -> &'static str {
+    const VERSIONS: u64 = 9;
+    ZONES[(version / VERSIONS) as usize % ZONES.len()]
+}
+
 /// A version of the configuration: its number, when it was written, whether the extra route is in it.
 pub(crate) type WrittenVersion = (u64, Instant, bool);
 
@@ -55,6 +76,8 @@
     pub store: StoreServer,
     pub upstreams: Mutex<Vec<SoakUpstream>>,
     pub past: Mutex<Vec<PastLife>>,
+    /// Zones that were to get nothing for a time.
+    pub evacuations: Mutex<Vec<EvacuationRecord>>,
     /// Versions that were written.
     pub versions: Mutex<Vec<WrittenVersion>>,
     lives: Mutex<u64>,
@@ -74,6 +97,7 @@
             store,
             upstreams: Mutex::default(),
             past: Mutex::default(),
+            evacuations: Mutex::default(),
             versions: Mutex::default(),
             lives: Mutex::default(),
             seed,
@@ -107,6 +131,34 @@
         self.start_upstream(service, zone, &instance).await
     }
 
+    /// Asks that nothing more be sent to the upstreams of a zone.
+    pub(super) fn evacuate(&self, zone: &'static str) {
+        self.store.put(&evacuation_key(zone), "{}");
+        lock(&self.evacuations).push(EvacuationRecord {
+            zone,
+            from: Instant::now(),
+            until: None,
+        });
+    }
+
+    /// Takes an evacuation back; the upstreams of the zone have become cold.
+    pub(super) fn readmit(&self, zone: &'static str) {
+        let mut evacuations = lock(&self.evacuations);
+        let open = |evacuation: &&mut EvacuationRecord| {
+            evacuation.zone == zone && evacuation.until.is_none()
+        };
+        let Some(evacuation) = evacuations.iter_mut().find(open) else {
+            return;
+        };
+        evacuation.until = Some(Instant::now());
+        for upstream in lock(&self.upstreams).iter() {
+            if upstream.zone == zone {
+                upstream.server.set_cold(ColdCause::Evacuation, COLD_TIME);
+            }
+        }
+        self.store.remove(&evacuation_key(zone));
+    }
+
     /// Starts an upstream under a name, which an earlier life may have had, and registers it.
     pub(super) async fn start_upstream(
         &self,
@@ -121,6 +173,7 @@
             what: "an upstream's listener",
             source,
         })?;
+        server.set_cold(ColdCause::Start, COLD_TIME);
         let proxy = LinkProxy::start(server.address()).await?;
         let upstream = SoakUpstream {
             server,
@@ -148,6 +201,7 @@
         let service = upstream.server.service().to_owned();
         let past = PastLife {
             service: service.clone(),
+            zone: upstream.zone,
             arrivals: upstream.server.arrivals(),
             leaving,
         };
@@ -225,17 +279,26 @@
         versions.push((version, Instant::now(), extra));
     }
 
+    /// What each upstream saw, those that have ended included.
+    pub(super) fn lives(&self) -> Vec<PastLife> {
+        let mut lives: Vec<PastLife> = lock(&self.past).clone();
+        for upstream in lock(&self.upstreams).iter() {
+            lives.push(PastLife {
+                service: upstream.server.service().to_owned(),
+                zone: upstream.zone,
+                arrivals: upstream.server.arrivals(),
+                leaving: None,
+            });
+        }
+        lives
+    }
+
     /// All that reached the upstreams, with the service of each.
     pub(super) fn arrivals(&self) -> Vec<(String, ArrivalRecord)> {
         let mut all = Vec::new();
-        for upstream in lock(&self.upstreams).iter() {
-            let service = upstream.server.service();
-            let arrivals = upstream.server.arrivals().into_iter();
-            all.extend(arrivals.map(|arrival| (service.to_owned(), arrival)));
-        }
-        for past in lock(&self.past).iter() {
-            let arrivals = past.arrivals.iter().cloned();
-            all.extend(arrivals.map(|arrival| (past.service.clone(), arrival)));
+        for life in self.lives() {
+            let arrivals = life.arrivals.into_iter();
+            all.extend(arrivals.map(|arrival| (life.service.clone(), arrival)));
         }
         all
     }
@@ -248,6 +311,10 @@
     entry.replace(&own, &upstream.proxy.address().to_string())
 }
 
+fn evacuation_key(zone: &str) -> String {
+    format!("op/evacuate/{zone}")
+}
+
 fn key(upstream: &SoakUpstream) -> String {
     format!("servers/{}", upstream.server.instance())
 }
@@ -279,6 +346,9 @@
         route("read", "idempotent", ("service", json!("single"))),
         route("once", "non_idempotent", ("service", json!("single"))),
     ];
+    let mut home = route("home", "idempotent", ("service", json!("single")));
+    home["allowedRegions"] = json!([format!("{}-region", home_zone(version))]);
+    routes.push(home);
     if extra {
         routes.push(route("extra", "idempotent", ("service", json!("single"))));
     }
@@ -289,7 +359,10 @@
         .iter()
         .map(String::as_str)
         .chain(["single"])
-        .map(|name| json!({"name": name, "healthPath": "/health", "maxConns": 60}))
+        .map(|name| {
+            json!({"name": name, "healthPath": "/health", "maxConns": 60,
+                "warmupS": COLD_TIME.as_secs_f64(), "warmupPerS": COLD_RATE})
+        })
         .collect();
     json!({"version": version, "routes": routes, "services": services, "limits": {
         "maxHeaderBytes": 16_384, "maxBodyBytes": 262_144,
