--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -116,6 +116,13 @@
         keys.into_inner()
     }
 
+    /// The keys of the evacuations that it has in force.
+    pub fn evacuations(&self) -> BTreeSet<CompactString> {
+        let zones = self.core.registry.evacuated_zones();
+        let key = |zone: &PlaceName| evacuation_key(zone.as_str());
+        zones.iter().map(key).collect()
+    }
+
     /// The keys of the VMs that it knows from the store.
     pub fn vms(&self) -> BTreeSet<CompactString> {
         let seeds = self.core.vms.seeds();
@@ -336,6 +343,11 @@
     tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
 }
 
+/// Key of the evacuation of an availability zone.
+pub fn evacuation_key(zone: &str) -> CompactString {
+    format_compact!("evacuate/{zone}")
+}
+
 /// Key of the record of a VM that is not of the fleet.
 pub fn vm_key(last: u8) -> CompactString {
     format_compact!("vm/10.9.0.{last}")
--- a/crates/ebonyfork/src/gateway/follow/random_history.rs
+++ b/crates/ebonyfork/src/gateway/follow/random_history.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use super::fixture::{FollowFleet, FollowVm, pass, vm_key};
+use super::fixture::{FollowFleet, FollowVm, evacuation_key, pass, vm_key};
 use super::store_fixture::StoreReach;
 
 /// What a history is played with.
@@ -81,6 +81,28 @@
     }
 }
 
+/// Zones that are evacuated at random.
+const EVACUATED: [&str; 3] = ["north-a", "north-b", "south-a"];
+
+/// Evacuates a zone, or takes an evacuation back, in some steps of a history. It draws by itself, so that the rest of a
+/// history is the same with it and without.
+fn random_evacuation(fleet: &FollowFleet, rng: &mut ChaCha8Rng, history: &mut RandomHistory) {
+    if !rng.random_bool(0.2) {
+        return;
+    }
+    let zone = EVACUATED[rng.random_range(0..EVACUATED.len())];
+    let key = evacuation_key(zone);
+    let evacuated = fleet.store.keys(&key).contains(&key);
+    if evacuated {
+        fleet.store.remove(&key);
+    } else {
+        fleet.store.put(&key, "{}");
+    }
+    history
+        .evacuations
+        .insert(key, (!evacuated, Instant::now()));
+}
+
 /// What has happened so far, as far as it bounds what a VM may hold.
 struct RandomHistory {
     terms: HistoryTerms,
@@ -90,6 +112,8 @@
     versions: Vec<(Instant, u64)>,
     /// When each upstream that is gone was removed.
     removed: BTreeMap<compact_str::CompactString, Instant>,
+    /// Whether each zone is evacuated, and since when.
+    evacuations: BTreeMap<compact_str::CompactString, (bool, Instant)>,
     /// Since when each VM's own way to the store has been good.
     calm_since: BTreeMap<u8, Instant>,
     /// VMs whose calls to the store are not answered.
@@ -108,6 +132,7 @@
             lives: 1,
             versions: Vec::new(),
             removed: BTreeMap::new(),
+            evacuations: BTreeMap::new(),
             calm_since: BTreeMap::new(),
             cut_off: BTreeMap::new(),
             slow: None,
@@ -186,6 +211,17 @@
         if let Some((age, due)) = due {
             expect_that!(version, ge(due), "VM {} after {age:?}", vm.number);
         }
+        let evacuations = vm.evacuations();
+        for (key, (evacuated, since)) in &self.evacuations {
+            if since.elapsed() > self.terms.change_bound {
+                expect_that!(
+                    evacuations.contains(key),
+                    eq(*evacuated),
+                    "VM {} {key}",
+                    vm.number
+                );
+            }
+        }
         for key in vm.upstreams() {
             let Some(removed) = self.removed.get(&key) else {
                 continue;
@@ -203,6 +239,7 @@
 /// Plays one history.
 pub async fn play_history(seed: u64, terms: HistoryTerms) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut zone_rng = ChaCha8Rng::seed_from_u64(!seed);
     let mut fleet = FollowFleet::start_with(terms.zones, terms.link_rate, terms.change_bound).await;
     let mut history = RandomHistory::new(terms);
     let mut seen = BTreeMap::new();
@@ -210,6 +247,7 @@
     for _step in 0..150 {
         let lives = history.lives;
         random_step(&mut fleet, &mut rng, &mut history).await;
+        random_evacuation(&fleet, &mut zone_rng, &mut history);
         if history.lives != lives {
             seen.clear();
         }
@@ -231,5 +269,7 @@
         let upstreams = fleet.store.keys("upstream/");
         expect_that!(vm.upstreams(), eq(&upstreams), "VM {}", vm.number);
         expect_that!(vm.vms(), eq(&fleet.store.keys("vm/")), "VM {}", vm.number);
+        let evacuations = fleet.store.keys("evacuate/");
+        expect_that!(vm.evacuations(), eq(&evacuations), "VM {}", vm.number);
     }
 }
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -96,6 +96,12 @@
         );
     }
 
+    /// The zones whose upstreams get no new requests.
+    #[cfg(test)]
+    pub fn evacuated_zones(&self) -> FxHashSet<PlaceName> {
+        self.evacuated.borrow().clone()
+    }
+
     fn is_evacuated(&self, zone: &PlaceName) -> bool {
         self.evacuated.borrow().contains(zone)
     }
