--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -17,9 +17,12 @@
 const RENEWAL_PERIOD: Duration = Duration::from_secs(4);
 /// Longest wait for one answer.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Shortest and longest wait after a failure.
+/// Shortest and longest wait after a failure while there is no entry.
 const RETRY_FIRST: Duration = Duration::from_millis(200);
 const RETRY_LONGEST: Duration = Duration::from_secs(2);
+/// The same while there is one: the lease outlasts some failures, and each call to a store that is away has its price.
+const RENEWAL_RETRY_FIRST: Duration = Duration::from_secs(2);
+const RENEWAL_RETRY_LONGEST: Duration = RENEWAL_PERIOD;
 
 /// Keeps the entry of this process.
 #[derive(Debug)]
@@ -47,13 +50,19 @@
     /// Registers and renews until the future is dropped or a stop begins.
     pub async fn run(self) {
         let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
+        let mut renewal_backoff = Backoff::new(RENEWAL_RETRY_FIRST, RENEWAL_RETRY_LONGEST);
         while self.core.state() == ServiceState::Serving {
             match self.keep().await {
                 Ok(()) => {
                     backoff.reset();
+                    renewal_backoff.reset();
                     tokio::time::sleep(RENEWAL_PERIOD).await;
                 }
                 Err(error) => {
+                    let backoff = match self.lease.get() {
+                        Some(_) => &mut renewal_backoff,
+                        None => &mut backoff,
+                    };
                     let wait = backoff.next_wait(&mut rand::rng());
                     log::info!("registration: {error}; again in {} ms", wait.as_millis());
                     tokio::time::sleep(wait).await;
