--- a/crates/ebonyfork/src/gateway/route_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_tests.rs
@@ -1,6 +1,7 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::gateway::ident::PlaceName;
 
 fn limits() -> CallerLimits {
     CallerLimits {
@@ -79,3 +80,20 @@
         );
     }
 }
+
+/// A VM that has an older version must see that a route's homes are others in the newer one.
+#[gtest]
+fn other_homes_are_another_scope() {
+    let mark = |regions: &[&str]| {
+        let route = RouteEntry {
+            homes: HomeRegions::new(regions.iter().map(PlaceName::new)),
+            ..route("r", "a.example", "/x/")
+        };
+        let table = RouteTable::new(ConfigVersion(1), [route], [], limits());
+        table.scope_mark("a.example", "/x/")
+    };
+    expect_that!(mark(&["north"]), eq(mark(&["north"])));
+    expect_that!(mark(&["north"]), not(eq(mark(&[]))));
+    expect_that!(mark(&["north"]), not(eq(mark(&["south"]))));
+    expect_that!(mark(&["north"]), not(eq(mark(&["north", "south"]))));
+}
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -567,7 +567,8 @@
 fn register_in(core: &GatewayCore, service: &str, zone: &str, upstream: &ScriptedUpstream) {
     let key = format_compact!("{service}-{zone}-{}", upstream.address.port());
     let entry = entry(&key, service, zone, upstream.address);
-    core.registry.put(&key, entry, now(), 4);
+    // Known for long enough to be worth a probe.
+    core.registry.put(&key, entry, now() - LONG, 4);
 }
 
 fn at_home(route: &Rc<RouteEntry>, regions: &[&str]) -> Rc<RouteEntry> {
