--- a/crates/ebonyfork/src/gateway/policy/budget/account_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/account_tests.rs
@@ -38,6 +38,8 @@
     rate: f64,
     paused_until: Duration,
     next_ask: Duration,
+    /// Whether it held no share when it last ran, and when that was.
+    held_none: (bool, Duration),
 }
 
 impl FleetVm {
@@ -49,6 +51,7 @@
             rate,
             paused_until: now,
             next_ask: now,
+            held_none: (true, Duration::ZERO),
         }
     }
 
@@ -144,6 +147,8 @@
             let count = self.vms.len();
             let account = &mut self.vms[number].account;
             account.share_among(count, time);
+            self.check_bucket(number, time);
+            let account = &mut self.vms[number].account;
             if !serves {
                 continue;
             }
@@ -158,6 +163,45 @@
         }
     }
 
+    /// Whoever begins to hold a share begins with an empty bucket.
+    fn check_bucket(&mut self, number: usize, time: Duration) {
+        let vm = &mut self.vms[number];
+        let shares = vm.account.budget.shares();
+        let (held_none, ran) = std::mem::replace(&mut vm.held_none, (shares == 0, time));
+        if held_none && shares > 0 {
+            // What has come in since it last ran, at the rate of all shares together.
+            let rate = self.terms.slack / self.terms.window.as_secs_f64();
+            let most = rate * time.saturating_sub(ran).as_secs_f64();
+            let left = vm.account.left(&service(), time);
+            expect_that!(left, le(most), "VM {number} at {:?}", self.now);
+        }
+    }
+
+    /// No share has two holders that may spend, whether they are paused or not: a pause may end at any moment.
+    fn check_holders(&self) {
+        for owner in 0..self.vms.len() {
+            let mut holders = Vec::new();
+            for (number, holder) in self.vms.iter().enumerate() {
+                let time = holder.time(self.now);
+                let leases = &holder.account.leases;
+                let holds = if number == owner {
+                    leases.holds_own(time)
+                } else {
+                    leases.holds_share_of(vm(owner), time)
+                };
+                if holds {
+                    holders.push(number);
+                }
+            }
+            expect_that!(
+                holders.len(),
+                le(1),
+                "share of {owner} at {:?}: {holders:?}",
+                self.now
+            );
+        }
+    }
+
     fn disturb(&mut self) {
         for number in 0..self.vms.len() {
             if self.rng.random_bool(self.trouble.restarts) {
@@ -255,6 +299,7 @@
                 per_step = rng.random_range(0.0..2.0);
             }
             fleet.step(serving, per_step);
+            fleet.check_holders();
         }
         check_spans(TERMS, seed, &fleet.requests, &fleet.repeats);
     }
--- a/crates/ebonyfork/src/gateway/policy/budget/lease.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/lease.rs
@@ -91,7 +91,15 @@
         (now < until).then_some(borrower)
     }
 
-    fn holds_own(&self, now: Duration) -> bool {
+    /// Whether another VM's share is held at a moment.
+    #[cfg(test)]
+    pub(super) fn holds_share_of(&self, owner: VmAddress, now: Duration) -> bool {
+        let share = self.borrowed.get(&owner);
+        share.is_some_and(|share| now < share.until)
+    }
+
+    /// Whether this VM's own share is held at a moment.
+    pub(super) fn holds_own(&self, now: Duration) -> bool {
         now >= LEASE_TERM && self.lent_to(now).is_none()
     }
 
