Read what upstreams say of their load; it counts by its age beside what was observed

A VM sees one upstream of member-desk about once in 9 s and one of a shard seven times a second, so most reports are old when they are needed. Unreadable and absurd reports: logged once an upstream, not used.

--- a/crates/ebonyfork/src/gateway/dialect.rs
+++ b/crates/ebonyfork/src/gateway/dialect.rs
@@ -27,6 +27,8 @@
     pub expected_instance: HeaderName,
     /// Present in an answer: the request did not run.
     pub not_run: HeaderName,
+    /// How busy an upstream is, in its answers, where upstreams tell.
+    pub load: HeaderName,
     /// Signatures of the parts that are in a gathered answer.
     pub part_signatures: HeaderName,
     /// Number of shards that are not in a gathered answer.
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -9,9 +9,11 @@
 
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
+use crate::gateway::dialect::WireNames;
 use crate::gateway::loss::LossCheck;
 use crate::gateway::loss_check::note_loss;
 use crate::gateway::policy::latency::millis;
+use crate::gateway::policy::load_report::LoadReport;
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
@@ -315,6 +317,7 @@
         let reason = compact_str::format_compact!("an unsigned answer with status {status}");
         return AttemptOutcome::Lost(reason.into());
     }
+    note_load(names, &head.headers, upstream);
     let keeps = keeps_connection(&head.headers);
     let idle = idle_time(&head.headers);
     let body = match (body.rest, context.stream_patience) {
@@ -347,6 +350,23 @@
     })
 }
 
+/// Takes in what an upstream says of its load. A report that can't be read is told of once.
+fn note_load(names: &WireNames, headers: &HeaderMap, upstream: &Upstream) {
+    let Some(stated) = headers.get(&names.load) else {
+        return;
+    };
+    let report = stated.to_str().unwrap_or_default().parse::<LoadReport>();
+    match report {
+        Ok(report) => upstream.health.borrow_mut().note_load(report, now()),
+        Err(error) if !upstream.load_warned.replace(true) => log::warn!(
+            target: "ebonyfork::decision",
+            "upstream instance={}: {error}; its load is not used",
+            upstream.entry().instance
+        ),
+        Err(_known) => {}
+    }
+}
+
 fn keeps_connection(headers: &HeaderMap) -> bool {
     let closes = |value: &header::HeaderValue| {
         value
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -24,6 +24,7 @@
         signature: HeaderName::from_static("x-signature"),
         expected_instance: HeaderName::from_static("x-instance"),
         not_run: HeaderName::from_static("x-not-run"),
+        load: HeaderName::from_static("x-load"),
         part_signatures: HeaderName::from_static("x-signatures"),
         missing_parts: HeaderName::from_static("x-missing"),
     }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -78,6 +78,7 @@
 pub use policy::gather::{GatherEnd, GatherState};
 pub use policy::homes::HomeRegions;
 pub use policy::latency::{AttemptKind, LatencyTrack};
+pub use policy::load_report::{LoadReport, LoadReportError};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, RepeatKind, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/policy/health.rs
+++ b/crates/ebonyfork/src/gateway/policy/health.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use super::latency::millis;
+use super::load_report::{AgedReport, LoadReport};
 
 /// Weight of a new sample against what is known.
 const SAMPLE_WEIGHT: f64 = 0.25;
@@ -51,6 +52,8 @@
     used: Instant,
     /// When each attempt that is out was begun.
     out: SmallVec<[Instant; 8]>,
+    /// What it has last said of its load.
+    report: Option<AgedReport>,
 }
 
 impl UpstreamHealth {
@@ -66,6 +69,7 @@
             late_since: None,
             used: now,
             out: SmallVec::new(),
+            report: None,
         }
     }
 
@@ -121,6 +125,11 @@
         }
     }
 
+    /// The upstream has said how busy it is.
+    pub fn note_load(&mut self, report: LoadReport, now: Instant) {
+        self.report = Some(AgedReport { report, at: now });
+    }
+
     /// An attempt was declined, or failed after it was sent.
     pub fn note_failure(&mut self, began: Instant, now: Instant) {
         self.end(began);
@@ -203,8 +212,14 @@
         } else {
             1.0
         };
-        let queued = self.out.len() as f64 / slots.max(1) as f64;
-        let own = usual_ms * aged.slowness.max(cold);
+        let mut queued = self.out.len() as f64 / slots.max(1) as f64;
+        let mut slowness = aged.slowness.max(cold);
+        if let Some(aged) = &self.report {
+            let weight = aged.weight(now);
+            slowness += (aged.report.slowness() - slowness) * weight;
+            queued += (aged.report.queued() - queued).max(0.0) * weight;
+        }
+        let own = usual_ms * slowness;
         let expected = own * (1.0 + queued) / aged.success.max(LEAST_SUCCESS);
         let oldest = millis(self.oldest(now));
         if oldest > own * LATE {
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -8,7 +8,7 @@
 //! | where a request may be served | [`homes`] | routes that are bound to regions, moved while they are in use |
 //! | which VMs take requests | [`serving`] | hundreds of VMs, each of which would see too little to know upstreams and callers |
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline while others have room |
-//! | what is known of an upstream | [`health`], [`latency`], [`route_latency`] | pauses, slow phases, crashes, cold starts |
+//! | what is known of an upstream | [`health`], [`latency`], [`route_latency`], [`load_report`] | pauses, slow phases, crashes, cold starts, neighbours on the upstream's machine |
 //! | how many requests a cold upstream gets, and from which VM | [`cold`] | the upstreams of a zone return together and cold |
 //! | which shards wait at first | [`postpone`] | some shards have no upstream that answers in time, coverage allows to leave them out |
 //! | whether a shard is sent again | [`retry`] | upstreams decline, or can't be reached |
@@ -26,6 +26,7 @@
 pub mod hedge;
 pub mod homes;
 pub mod latency;
+pub mod load_report;
 pub mod postpone;
 pub mod retry;
 pub mod route_latency;
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -80,6 +80,8 @@
     stated_cold: Cell<Instant>,
     /// Until when it may be cold although it has not said so.
     assumed_cold: Cell<Instant>,
+    /// Whether the log tells that its load can't be read.
+    pub load_warned: Cell<bool>,
     /// Requests that it got from this process while it was cold.
     pub cold_sends: RefCell<SendWindow>,
     /// Requests under which a connection broke, until it is known whether the upstream was lost.
@@ -109,6 +111,7 @@
             evacuated: Cell::new(false),
             stated_cold: Cell::new(now + entry.cold),
             assumed_cold: Cell::new(now),
+            load_warned: Cell::new(false),
             cold_sends: RefCell::new(SendWindow::new()),
             entry: RefCell::new(Rc::new(entry)),
             idle: RefCell::default(),
