--- a/crates/ebonyfork/src/gateway/cold_claims.rs
+++ b/crates/ebonyfork/src/gateway/cold_claims.rs
@@ -37,7 +37,8 @@
         }
     }
 
-    fn with_zone<T>(&self, zone: &PlaceName, use_claim: impl FnOnce(&mut ZoneClaim) -> T) -> T {
+    /// Uses the claim on a zone.
+    pub fn with_zone<T>(&self, zone: &PlaceName, use_claim: impl FnOnce(&mut ZoneClaim) -> T) -> T {
         let mut zones = self.zones.borrow_mut();
         let claim = zones
             .entry(zone.clone())
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -12,12 +12,15 @@
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
 use crate::gateway::fixture::{dialect, entry, settings, wire_names};
 use crate::gateway::fixture_upstream::{ScriptedReply, ScriptedUpstream};
-use crate::gateway::ident::PlaceName;
+use crate::gateway::ident::{ConfigVersion, PlaceName};
 use crate::gateway::partial::ShardReach;
+use crate::gateway::policy::cold::{ColdBound, RequestRate};
 use crate::gateway::policy::homes::HomeRegions;
 use crate::gateway::reply_body::ReplyBody;
-use crate::gateway::route::RouteTarget;
+use crate::gateway::route::{CallerLimits, RouteTable, RouteTarget, ServiceTerms};
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::upstream::UpstreamEntry;
+use crate::store::StoreRevision;
 
 const ID: &str = "r-1";
 /// Far longer than anything here takes.
@@ -701,3 +704,115 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A process of a deployment that bounds requests to cold upstreams, and a service that tolerates some a second.
+fn core_with_cold(tolerated: f64) -> Rc<GatewayCore> {
+    let core = core_with(GatewaySettings {
+        cold_bound: Some(ColdBound {
+            overage: 1.5,
+            slack: 5.0,
+        }),
+        ..settings()
+    });
+    let terms = ServiceTerms {
+        connections: 60,
+        cold_rate: RequestRate(tolerated),
+        cold_time: Duration::from_secs(3),
+    };
+    let limits = CallerLimits {
+        header_bytes: 1_000,
+        body_bytes: 1_000,
+        header_time: LONG,
+        idle_time: LONG,
+    };
+    let services = [(UpstreamService::new("s"), terms)];
+    core.adopt_table(RouteTable::new(ConfigVersion(1), [], services, limits));
+    core
+}
+
+/// Registers an upstream that says that it is cold.
+async fn cold_upstream(core: &GatewayCore, instance: &str) -> ScriptedUpstream {
+    let upstream = ScriptedUpstream::start(ScriptedReply::Answer(16)).await;
+    let entry = UpstreamEntry {
+        cold: Duration::from_secs(2),
+        ..entry(instance, "s", "north-a", upstream.address)
+    };
+    core.registry.put(&instance.into(), entry, now(), 4);
+    upstream
+}
+
+/// Puts a claim of this process on its zone in force.
+fn hold_claim(core: &GatewayCore) {
+    let zone = &core.settings.place.zone;
+    core.cold_claims.with_zone(zone, |claim| {
+        let time = core.running_time();
+        let write = claim.step(true, time).expect("nobody holds it");
+        claim.note_written(write, StoreRevision(1), time, time);
+    });
+}
+
+/// The load of a zone that returns cold: a VM without the claim sends nothing there, and what has a warm upstream goes there.
+#[gtest]
+#[tokio::test]
+async fn a_cold_upstream_is_left_to_the_vm_that_has_the_claim() {
+    let test = async {
+        let core = core_with_cold(3.0);
+        let cold = cold_upstream(&core, "cold").await;
+        let report = run(&core, 2).await;
+        expect_that!(report.reply.status().as_u16(), eq(503));
+        let wait = report.reply.headers()["retry-after"].to_str();
+        let wait: f64 = wait.expect("a text").parse().expect("seconds");
+        expect_that!(wait, all![gt(1.0), le(2.0)]);
+        let warm = ScriptedUpstream::start(ScriptedReply::Answer(16)).await;
+        register_in(&core, "s", "south-a", &warm);
+        for _ in 0..8 {
+            let report = run(&core, 2).await;
+            expect_that!(report.reply.status().as_u16(), eq(200));
+        }
+        expect_that!(cold.log.borrow().requests.len(), eq(0));
+        expect_that!(warm.log.borrow().requests.len(), eq(8));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// The VM that has the claim uses what a cold upstream tolerates, and the others for the rest, whatever route asks.
+#[gtest]
+#[tokio::test]
+async fn the_vm_that_has_the_claim_keeps_to_the_pace() {
+    let test = async {
+        let core = core_with_cold(3.0);
+        hold_claim(&core);
+        let cold = cold_upstream(&core, "cold").await;
+        let warm = ScriptedUpstream::start(ScriptedReply::Answer(16)).await;
+        register_in(&core, "s", "south-a", &warm);
+        let began = now();
+        for _ in 0..20 {
+            let report = run(&core, 2).await;
+            expect_that!(report.reply.status().as_u16(), eq(200));
+        }
+        expect_that!(now() - began, lt(Duration::from_secs(1)));
+        expect_that!(cold.log.borrow().requests.len(), eq(3));
+        expect_that!(warm.log.borrow().requests.len(), eq(17));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// An upstream of a zone that was evacuated may be cold again and not have said so yet.
+#[gtest]
+#[tokio::test]
+async fn an_evacuation_leaves_cold_upstreams() {
+    let test = async {
+        for (tolerated, expected) in [(3.0, 503), (0.0, 200)] {
+            let core = core_with_cold(tolerated);
+            let upstream = ScriptedUpstream::start(ScriptedReply::Answer(16)).await;
+            register_in(&core, "s", "north-a", &upstream);
+            let zone = PlaceName::new("north-a");
+            core.registry.evacuate(&zone);
+            core.assume_cold(&zone);
+            core.registry.readmit(&zone);
+            let report = run(&core, 2).await;
+            expect_that!(report.reply.status().as_u16(), eq(expected), "{tolerated}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/settings_tests.rs
+++ b/crates/ebonyfork/src/gateway/settings_tests.rs
@@ -61,3 +61,25 @@
     let findings = GatewaySettings::parse("g.ini", "[node]\n").expect_err("findings");
     expect_that!(findings.to_string(), contains_substring("[bounds]"));
 }
+
+/// Deployments that bound neither evacuations nor cold upstreams state nothing of them.
+#[gtest]
+fn bounds_of_places_are_optional() {
+    let plain = GatewaySettings::parse("g.ini", WHOLE).expect("no findings");
+    expect_that!(plain.cold_bound, none());
+    let stated = format!("{WHOLE}evacuation-ms = 2500\ncold-overage = 1.5\ncold-slack = 5\n");
+    let settings = GatewaySettings::parse("g.ini", &stated).expect("no findings");
+    expect_that!(settings.change_bound, eq(Duration::from_millis(2_500)));
+    let bound = settings.cold_bound.expect("a bound");
+    expect_that!((bound.overage, bound.slack), eq((1.5, 5.0)));
+    for (wrong, expected) in [
+        ("cold-overage = 1.5\n", "both"),
+        ("cold-slack = 5\n", "both"),
+        ("cold-overage = -1\ncold-slack = 5\n", "not negative"),
+        ("evacuation-ms = 20\n", "at least 1000 ms"),
+    ] {
+        let findings = GatewaySettings::parse("g.ini", &format!("{WHOLE}{wrong}"));
+        let findings = findings.expect_err("a finding").to_string();
+        expect_that!(findings, contains_substring(expected), "{wrong}");
+    }
+}
