--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -571,7 +571,10 @@
     let key = format_compact!("{service}-{zone}-{}", upstream.address.port());
     let entry = entry(&key, service, zone, upstream.address);
     // Known for long enough to be worth a probe.
-    core.registry.put(&key, entry, now() - LONG, 4);
+    let known_since = now()
+        .checked_sub(LONG)
+        .expect("a time after the start of the clock");
+    core.registry.put(&key, entry, known_since, 4);
 }
 
 fn at_home(route: &Rc<RouteEntry>, regions: &[&str]) -> Rc<RouteEntry> {
