--- a/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
@@ -63,11 +63,7 @@
 /// Requests that the holder sends in a second.
 const PACE: usize = 3;
 /// Step of the modelled time.
-const STEP: Duration = ms_const(20);
-
-const fn ms_const(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
+const STEP: Duration = Duration::from_millis(20);
 
 /// A write on its way to the store and back.
 #[derive(Debug, Clone, Copy)]
@@ -280,7 +276,7 @@
 /// of use: somebody sends for most of the time.
 #[gtest]
 fn no_second_has_more_requests_than_one_vm_may_send() {
-    const LENGTH: Duration = ms_const(240_000);
+    const LENGTH: Duration = Duration::from_mins(4);
     let mut sent = 0;
     for seed in 0..40 {
         let mut history = ModelHistory::new(seed);
