--- a/crates/ebonyfork/src/gateway/policy/cold/claim.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/claim.rs
@@ -43,14 +43,21 @@
     since: Duration,
 }
 
+/// When a process sends.
+#[derive(Debug, Clone, Copy)]
+struct SendTerm {
+    from: Duration,
+    until: Duration,
+}
+
 /// The claim on one availability zone as one process knows it; times are spans since its start on a clock that goes on
 /// while the VM is suspended.
 #[derive(Debug)]
 pub struct ZoneClaim {
     own: SessionId,
     seen: Option<SeenClaim>,
-    /// Until when this process sends, and from when on.
-    term: Option<(Duration, Duration)>,
+    /// When this process sends.
+    term: Option<SendTerm>,
     /// When a write was last begun.
     written: Option<Duration>,
 }
@@ -87,7 +94,7 @@
     /// Whether this process may send to cold upstreams of the zone.
     pub fn may_send(&self, now: Duration) -> bool {
         self.term
-            .is_some_and(|(from, until)| from <= now && now < until)
+            .is_some_and(|term| term.from <= now && now < term.until)
     }
 
     /// Whether some process, this one or another, may be sending to cold upstreams of the zone.
@@ -185,13 +192,16 @@
             return;
         }
         let from = match (self.term, before) {
-            (Some((from, _until)), _) => from,
+            (Some(term), _) => term.from,
             // Nobody has ever held it.
             (None, None) => begun,
             // Whoever held it before, this process included, may have sent until now.
             (None, Some(_)) => now + WINDOW,
         };
-        self.term = Some((from, begun + CLAIM_TERM));
+        self.term = Some(SendTerm {
+            from,
+            until: begun + CLAIM_TERM,
+        });
     }
 }
 
