--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -72,7 +72,8 @@
     events: &[SoakEvent],
     calm_from: Instant,
 ) -> SoakVerdict {
-    let arrivals = world.arrivals();
+    let lives = world.lives();
+    let arrivals = arrivals_of(&lives);
     let mut runs = RunIndex::new();
     for (service, arrival) in &arrivals {
         if arrival.ran {
@@ -98,9 +99,8 @@
         }
     }
     violations.extend(check_planned(calls, events));
-    violations.extend(check_drains(&lock(&world.past), events));
+    violations.extend(check_drains(&lives, events));
     violations.extend(check_versions(calls, &lock(&world.versions), events));
-    let lives = world.lives();
     let versions = lock(&world.versions).clone();
     violations.extend(check_homes(calls, &lives, &versions, events));
     violations.extend(check_evacuations(&lives, &lock(&world.evacuations), events));
@@ -116,6 +116,16 @@
     }
 }
 
+/// All that reached the upstreams, with the service of each.
+fn arrivals_of(lives: &[PastLife]) -> Vec<(String, ArrivalRecord)> {
+    let mut all = Vec::new();
+    for life in lives {
+        let arrivals = life.arrivals.iter().cloned();
+        all.extend(arrivals.map(|arrival| (life.service.clone(), arrival)));
+    }
+    all
+}
+
 fn is_served(call: &CallRecord) -> bool {
     matches!(call.end, CallEnd::Answered { status: 200, .. })
 }
@@ -377,4 +387,4 @@
 
 #[cfg(test)]
 #[path = "judge_tests.rs"]
-mod tests;
+pub(super) mod tests;
--- a/crates/ebonyfork-lab/src/soak/judge_places_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_places_tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::soak::callers::CallEnd;
+use crate::soak::judge::tests::event;
 use crate::soak::world::ZONES;
 
 fn arrival(request: &str, at: Instant) -> ArrivalRecord {
@@ -41,16 +42,6 @@
     }
 }
 
-fn outage(what: &str, from: Instant, lasting: Duration) -> SoakEvent {
-    SoakEvent {
-        from,
-        until: from + lasting,
-        what: what.to_owned(),
-        planned: false,
-        vm: None,
-    }
-}
-
 /// The lowest version whose home is a zone.
 fn version_at(zone: &str) -> u64 {
     (1..100)
@@ -81,7 +72,7 @@
     }
     let at = begin + Duration::from_secs(30);
     let lives = [life(ZONES[0], vec![arrival("q1", at)])];
-    let away = outage("store Busy", at, Duration::ZERO);
+    let away = event("store Busy", at, Duration::ZERO);
     expect_that!(
         check_homes(&[call(at)], &lives, &versions, &[away]).len(),
         eq(0)
@@ -104,7 +95,7 @@
     expect_that!(found(ZONES[0], EVACUATION_BOUND * 2, &[]), eq(1));
     expect_that!(found(ZONES[0], EVACUATION_BOUND * 3, &[]), eq(0));
     expect_that!(found(ZONES[1], EVACUATION_BOUND * 2, &[]), eq(0));
-    let away = [outage("store Silent", begin, EVACUATION_BOUND * 2)];
+    let away = [event("store Silent", begin, EVACUATION_BOUND * 2)];
     expect_that!(found(ZONES[0], EVACUATION_BOUND * 2, &away), eq(0));
 }
 
@@ -119,7 +110,7 @@
         };
         (0..count).map(one).collect::<Vec<_>>()
     };
-    let disturbed = [outage("freeze vm-1", begin, COLD_WINDOW)];
+    let disturbed = [event("freeze vm-1", begin, COLD_WINDOW)];
     for (count, cause, events, broken) in [
         (allowed, ColdCause::Start, &[][..], 0),
         (allowed + 1, ColdCause::Start, &[], 1),
--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -163,7 +163,7 @@
     expect_that!(check_planned(&[cut], &killed).len(), eq(0));
 }
 
-fn event(what: &str, from: Instant, lasting: Duration) -> SoakEvent {
+pub fn event(what: &str, from: Instant, lasting: Duration) -> SoakEvent {
     SoakEvent {
         from,
         until: from + lasting,
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -292,16 +292,6 @@
         }
         lives
     }
-
-    /// All that reached the upstreams, with the service of each.
-    pub(super) fn arrivals(&self) -> Vec<(String, ArrivalRecord)> {
-        let mut all = Vec::new();
-        for life in self.lives() {
-            let arrivals = life.arrivals.into_iter();
-            all.extend(arrivals.map(|arrival| (life.service.clone(), arrival)));
-        }
-        all
-    }
 }
 
 /// An upstream's entry, with the address of the proxy before it.
--- a/crates/ebonyfork/src/gateway/cold_claims.rs
+++ b/crates/ebonyfork/src/gateway/cold_claims.rs
@@ -11,10 +11,11 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::ident::PlaceName;
-use crate::gateway::policy::cold::{ClaimRecord, ClaimWrite, ZoneClaim};
+use crate::gateway::policy::cold::{ClaimWrite, ZoneClaim};
 use crate::gateway::upstream::Upstream;
+use crate::gateway::vms::rendezvous;
 use crate::ident::{SessionId, VmAddress};
-use crate::store::{StoreError, StorePort, StoreRevision, StoreWrite, answer_within};
+use crate::store::{StoreError, StorePort, StoreWrite, answer_within};
 
 /// Time between two looks at what is claimed.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
@@ -57,49 +58,35 @@
         let zones = self.zones.borrow();
         zones.get(zone).is_some_and(|claim| claim.is_held(now))
     }
-
-    /// Takes in what the store holds for a zone.
-    pub fn observe(
-        &self,
-        zone: &PlaceName,
-        revision: StoreRevision,
-        record: ClaimRecord,
-        now: Duration,
-    ) {
-        self.with_zone(zone, |claim| claim.observe(revision, record, now));
-    }
 }
 
 impl GatewayCore {
-    /// Requests that an upstream may get in a second while it is cold; `None` if it is warm or states no rate.
-    fn cold_pace(&self, upstream: &Upstream) -> Option<usize> {
+    /// Requests that an upstream may get from this VM in a second while it is cold, none without the claim on its zone;
+    /// `None` if it is warm or states no rate.
+    fn cold_pace(&self, upstream: &Upstream, time: Duration) -> Option<usize> {
         let bound = self.settings.cold_bound?;
         if !upstream.is_cold(now()) {
             return None;
         }
-        let table = self.table();
-        let terms = table.and_then(|table| table.service(&upstream.entry().service))?;
-        bound.pace(terms.cold_rate)
+        let entry = upstream.entry();
+        let terms = self.table()?.service(&entry.service)?;
+        let pace = bound.pace(terms.cold_rate)?;
+        let claimed = self.cold_claims.may_send(&entry.zone, time);
+        Some(if claimed { pace } else { 0 })
     }
 
     /// Whether a request may be sent to an upstream for all that is known of its being cold.
     pub fn has_cold_room(&self, upstream: &Upstream) -> bool {
-        let Some(pace) = self.cold_pace(upstream) else {
-            return true;
-        };
         let time = self.running_time();
-        let claimed = self.cold_claims.may_send(&upstream.entry().zone, time);
-        claimed && upstream.cold_sends.borrow().room(pace, time) > 0
+        let pace = self.cold_pace(upstream, time);
+        pace.is_none_or(|pace| upstream.cold_sends.borrow().room(pace, time) > 0)
     }
 
     /// Counts a request that is about to be sent to an upstream; false if it must not be sent because that is cold.
     pub fn take_cold_room(&self, upstream: &Upstream) -> bool {
-        let Some(pace) = self.cold_pace(upstream) else {
-            return true;
-        };
         let time = self.running_time();
-        let claimed = self.cold_claims.may_send(&upstream.entry().zone, time);
-        claimed && upstream.cold_sends.borrow_mut().take(pace, time)
+        let pace = self.cold_pace(upstream, time);
+        pace.is_none_or(|pace| upstream.cold_sends.borrow_mut().take(pace, time))
     }
 
     /// The upstreams of a zone may have become cold unnoticed: they count as cold for as long as it usually takes.
@@ -123,10 +110,9 @@
     /// become cold while no process of this VM ran, and not have said so yet.
     pub fn assume_cold_where_claimed(&self) {
         let time = self.running_time();
-        let zones: Vec<PlaceName> = self.settings.place.zones.keys().cloned().collect();
-        for zone in zones {
-            if self.cold_claims.is_held(&zone, time) {
-                self.assume_cold(&zone);
+        for zone in self.settings.place.zones.keys() {
+            if self.cold_claims.is_held(zone, time) {
+                self.assume_cold(zone);
             }
         }
     }
@@ -181,8 +167,7 @@
 /// Whether this VM is the one that should send to cold upstreams of a zone: it takes requests beside them.
 fn is_sender(core: &GatewayCore, zone: &PlaceName) -> bool {
     let vms = core.vms.serving_for(zone, &core.settings.place);
-    let chosen = crate::gateway::vms::rendezvous(&vms, zone);
-    chosen == Some(VmAddress(core.settings.place.address))
+    rendezvous(&vms, zone) == Some(VmAddress(core.settings.place.address))
 }
 
 async fn do_write(core: Rc<GatewayCore>, port: impl StorePort, zone: PlaceName, write: ClaimWrite) {
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -21,10 +21,11 @@
 use crate::gateway::policy::budget::RepeatAccount;
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::refusal::RefusalReason;
-use crate::gateway::registry::UpstreamRegistry;
+use crate::gateway::registry::{UpstreamList, UpstreamRegistry};
 use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
 use crate::gateway::route_check::RouteChecks;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::upstream::Upstream;
 use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightShares;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress};
@@ -167,6 +168,19 @@
         }
     }
 
+    /// The upstreams of a service in the home regions of a route.
+    pub fn upstreams_at_home(&self, route: &RouteEntry, service: &UpstreamService) -> UpstreamList {
+        let mut listed = self.registry.upstreams(service);
+        if route.homes.is_limited() {
+            let region_of = |upstream: &Upstream| {
+                let zone = &upstream.entry().zone;
+                self.settings.place.region_of(zone).cloned()
+            };
+            listed.retain(|upstream| route.homes.allows(region_of(upstream).as_ref()));
+        }
+        listed
+    }
+
     /// Those of a route's weighted services that have an upstream in its home regions: their weights hold among them. An
     /// evacuation moves nothing from one service to another.
     pub fn parts_at_home<'a>(
@@ -174,17 +188,12 @@
         route: &RouteEntry,
         parts: &'a [WeightedService],
     ) -> Cow<'a, [WeightedService]> {
-        let homes = &route.homes;
-        if !homes.is_limited() {
+        if !route.homes.is_limited() {
             return Cow::Borrowed(parts);
         }
-        let place = &self.settings.place;
         let at_home = |part: &&WeightedService| {
-            let upstreams = self.registry.upstreams(&part.service);
-            upstreams.iter().any(|upstream| {
-                let region = place.region_of(&upstream.entry().zone).cloned();
-                !upstream.is_leaving() && homes.allows(region.as_ref())
-            })
+            let upstreams = self.upstreams_at_home(route, &part.service);
+            upstreams.iter().any(|upstream| !upstream.is_leaving())
         };
         Cow::Owned(parts.iter().filter(at_home).cloned().collect())
     }
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -170,7 +170,7 @@
             Ok(record) => {
                 let time = self.core.running_time();
                 let claims = &self.core.cold_claims;
-                claims.observe(zone, item.revision, record, time);
+                claims.with_zone(zone, |claim| claim.observe(item.revision, record, time));
             }
             Err(error) => log::error!("claim {} not read: {error}", item.key),
         }
--- a/crates/ebonyfork/src/gateway/policy/choice_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice_tests.rs
@@ -84,6 +84,18 @@
     expect_that!(chosen(&candidates[..1], now), some(eq("near")));
 }
 
+fn decline_two_of_five(upstream: &Upstream, now: Instant) {
+    for number in 0..20_u32 {
+        let mut health = upstream.health.borrow_mut();
+        health.begin(now);
+        if number % 5 < 2 {
+            health.note_failure(now, now);
+        } else {
+            health.note_answer(now, now, 1.0);
+        }
+    }
+}
+
 /// A near upstream that declines two of five requests is no slower than a far one that runs all, but each decline takes a
 /// repeat.
 #[gtest]
@@ -93,25 +105,9 @@
         upstream("near", "north-a", now),
         upstream("far", "south-a", now),
     ];
-    for number in 0..20_u32 {
-        let mut health = candidates[0].health.borrow_mut();
-        health.begin(now);
-        if number % 5 < 2 {
-            health.note_failure(now, now);
-        } else {
-            health.note_answer(now, now, 1.0);
-        }
-    }
+    decline_two_of_five(&candidates[0], now);
     expect_that!(chosen(&candidates, now), some(eq("far")));
     // If both decline as often the near one is as good as ever.
-    for number in 0..20_u32 {
-        let mut health = candidates[1].health.borrow_mut();
-        health.begin(now);
-        if number % 5 < 2 {
-            health.note_failure(now, now);
-        } else {
-            health.note_answer(now, now, 1.0);
-        }
-    }
+    decline_two_of_five(&candidates[1], now);
     expect_that!(chosen(&candidates, now), some(eq("near")));
 }
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -142,6 +142,7 @@
     /// Takes in an entry. `share` is the number of connections that this process may hold to the upstream.
     pub fn put(&self, key: &CompactString, entry: UpstreamEntry, now: Instant, share: usize) {
         self.missing.borrow_mut().remove(key);
+        let evacuated = self.is_evacuated(&entry.zone);
         let known = self.entries.borrow().get(key).cloned();
         if let Some(known) = known {
             let same = {
@@ -154,7 +155,6 @@
             };
             if same {
                 log_leaving(&known, &entry);
-                let evacuated = self.is_evacuated(&entry.zone);
                 known.update(entry, now);
                 known.set_evacuated(evacuated);
                 return;
@@ -167,7 +167,6 @@
             entry.life(), entry.service, entry.address, entry.zone, entry.leaving
         );
         let service = entry.service.clone();
-        let evacuated = self.is_evacuated(&entry.zone);
         let upstream = Rc::new(Upstream::new(entry, now, share));
         upstream.set_evacuated(evacuated);
         let mut services = self.services.borrow_mut();
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -175,14 +175,8 @@
 
     /// The upstreams in the home regions of the route.
     pub(super) fn at_home(&self, shard: usize) -> UpstreamList {
-        let core = &self.context.core;
-        let mut listed = core.registry.upstreams(self.target.service(shard));
-        let homes = &self.route.homes;
-        if homes.is_limited() {
-            let place = &core.settings.place;
-            listed.retain(|upstream| homes.allows(place.region_of(&upstream.entry().zone)));
-        }
-        listed
+        let service = self.target.service(shard);
+        self.context.core.upstreams_at_home(&self.route, service)
     }
 
     /// Chooses an upstream that the shard was not sent to; if there is none and no attempt is out, one that it was sent
