Log what the store states when it is below what a VM knows of it

`store read` now names the revision that was read and how much of it was news; `store behind` tells which revision the store stated, from where the call went on and how many keys its answer told of. No decision changes.

--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -212,6 +212,7 @@
         // A page that is not the last one shows nothing yet.
         let Some(proof) = step.proof else { return };
         let (since, revision) = (step.since, step.revision);
+        self.log_behind(&step);
         let change = match step.change {
             Some(MirrorChange::Replaced(items)) => CopyChange::Whole { items, revision },
             changed => CopyChange::Changes {
@@ -236,6 +237,20 @@
         }
     }
 
+    /// Says that the store states a revision below what this VM has seen of it, and what came with that.
+    fn log_behind(&self, step: &FeedStep) {
+        let known = self.complete();
+        let Some(stated) = step.stated.filter(|stated| *stated < known) else {
+            return;
+        };
+        let brought = step.change.as_ref().map_or(0, MirrorChange::len);
+        log::warn!(
+            target: "ebonyfork::decision",
+            "store behind stated={stated} known={known} watched_after={} brought={brought}",
+            step.since
+        );
+    }
+
     /// Follows another VM until it is no good source any more or another one is the right one.
     async fn follow_vm(&mut self, vm: VmAddress) {
         while self.news.try_recv().is_ok() {}
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -14,7 +14,7 @@
 use crate::gateway::route::RouteTable;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
-use crate::store::{StoreEvent, StoreItem};
+use crate::store::{StoreEvent, StoreItem, StoreRevision};
 
 /// Takes the store's changes in.
 pub(super) struct StoreTaker {
@@ -29,17 +29,20 @@
 
     /// Takes a change into the copy and puts in force what of it was news.
     pub(super) fn take(&self, change: CopyChange) -> Result<(), CopyGap> {
-        let whole = matches!(change, CopyChange::Whole { .. });
+        let read = match &change {
+            CopyChange::Whole { revision, .. } => Some(*revision),
+            CopyChange::Changes { .. } => None,
+        };
         let news = self.core.relay.take(change);
         for event in &news.events {
             self.take_event(event);
         }
-        if whole {
+        if let Some(read) = read {
             if self.core.registry.is_first_read() {
                 self.core.assume_cold_where_claimed();
             }
             self.core.registry.note_read(now());
-            self.log_whole();
+            self.log_whole(read, news.events.len());
         }
         if !news.events.is_empty() {
             self.core.share_connections();
@@ -48,10 +51,10 @@
         news.joined
     }
 
-    fn log_whole(&self) {
+    fn log_whole(&self, read: StoreRevision, news: usize) {
         let copy = self.core.relay.copy();
         log::info!(
-            "store read items={} upstreams={} vms={} revision={}",
+            "store read items={} upstreams={} vms={} revision={} read_revision={read} news={news}",
             copy.items().count(),
             self.core.registry.len(),
             self.core.vms.count(),
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -58,6 +58,8 @@
     pub since: StoreRevision,
     /// The store's revision up to which everything is known.
     pub revision: StoreRevision,
+    /// The revision that the store stated; none if the call brought no answer.
+    pub stated: Option<StoreRevision>,
     /// The moment at which the store is known to have held nothing newer; none if this call did not show it.
     pub proof: Option<Instant>,
 }
@@ -146,9 +148,10 @@
                 let reading = self.port.read_page(&self.settings.prefix, after.as_deref());
                 let page = self.answer(self.settings.answer, reading).await;
                 page.map(|page| {
+                    let stated = page.revision;
                     let change = self.state.take_page(page);
                     let proof = change.is_some().then(|| self.reading_since.take());
-                    (change, proof.flatten())
+                    (stated, change, proof.flatten())
                 })
             }
             MirrorStep::Watch { after } => {
@@ -161,18 +164,20 @@
                     // The answer may have been under way for all of the time, unless it had nothing to tell until the end.
                     let idle = watch.events.is_empty() && waited_out;
                     let proof = if idle { asked + wait } else { asked };
-                    (self.state.take_watch(watch), Some(proof))
+                    let stated = watch.revision;
+                    (stated, self.state.take_watch(watch), Some(proof))
                 })
             }
         };
         match called {
-            Ok((change, proof)) => {
+            Ok((stated, change, proof)) => {
                 self.note_success();
                 FeedStep {
                     change,
                     answers: true,
                     since,
                     revision: self.state.revision(),
+                    stated: Some(stated),
                     proof,
                 }
             }
@@ -198,6 +203,7 @@
             answers: self.answers,
             since: self.state.revision(),
             revision: self.state.revision(),
+            stated: None,
             proof: None,
         }
     }
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -47,6 +47,15 @@
 }
 
 impl MirrorChange {
+    /// The number of keys that it tells of.
+    #[expect(clippy::len_without_is_empty, reason = "a change that tells of nothing is none")]
+    pub fn len(&self) -> usize {
+        match self {
+            Self::Replaced(items) => items.len(),
+            Self::Changed(events) => events.len(),
+        }
+    }
+
     /// What was written and removed.
     pub fn into_events(self) -> Vec<StoreEvent> {
         match self {
