Failing test: a change at a revision that the store gives out again is never in force

The store of the tests can come back from a copy: what was written since is gone and its revisions are given out again. On the code as it is all four VMs stay at version 3 when version 4 is written at the revision that version 2 had.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -19,7 +19,7 @@
 
 use super::follow_store;
 use super::link_fixture::{LinkMap, serve_link};
-use super::store_fixture::FakeStore;
+use super::store_fixture::{FakeStore, StoreReach};
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{DecodeError, GatewayDialect, StoredKind};
 use crate::gateway::fixture::{dialect, entry, settings};
@@ -273,6 +273,13 @@
         self.vms.insert(place, vm);
     }
 
+    /// Sets what becomes of all VMs' calls to the store.
+    pub fn set_reach(&self, reach: StoreReach) {
+        for vm in &self.vms {
+            self.store.set_reach(vm.number, reach);
+        }
+    }
+
     /// Changes what a VM's link carries, in bytes a second each way.
     pub fn set_link_rate(&self, number: u8, rate: f64) {
         if let Some(link) = self.links.link(vm_address(number)) {
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -45,6 +45,35 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// The store came back from an older copy and gave out again the revisions of what it had lost, to other changes.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_change_at_a_revision_that_is_given_out_again_is_in_force() {
+    let test = async {
+        let fleet = FollowFleet::start(&["a", "a", "b", "b"]).await;
+        fleet.put_config(1);
+        pass(4.0).await;
+        let copy = fleet.store.content();
+        fleet.put_config(2);
+        fleet.put_config(3);
+        pass(1.0).await;
+        fleet.set_reach(StoreReach::Refuses);
+        pass(2.5).await;
+        fleet.store.restore(copy);
+        fleet.set_reach(StoreReach::Answers);
+        pass(HistoryTerms::default().calm_time.as_secs_f64()).await;
+        for vm in &fleet.vms {
+            expect_that!(vm.version(), eq(3), "VM {} went back", vm.number);
+        }
+        fleet.put_config(4);
+        pass(CHANGE_BOUND.as_secs_f64()).await;
+        for vm in &fleet.vms {
+            expect_that!(vm.version(), eq(4), "VM {}", vm.number);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A VM that the store turned away followed another one and learnt of an upstream from it. The upstream was removed while
 /// the followed VM was behind; then the VM went back to the store. What it was told from where it had left off was that
 /// the upstream came and went; the part that reads the store had never seen it and dropped its removal, so the VM sent
--- a/crates/ebonyfork/src/gateway/follow/store_fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/store_fixture.rs
@@ -34,13 +34,19 @@
     Silent,
 }
 
-#[derive(Debug, Default)]
-struct StoreState {
+/// What a store holds at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct StoreContent {
     revision: StoreRevision,
     items: BTreeMap<CompactString, StoreItem>,
     log: Vec<StoreEvent>,
     /// The revision after which the history is held.
     history: StoreRevision,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    content: StoreContent,
     reach: BTreeMap<u8, StoreReach>,
     /// How often a VM's connections have fallen silent for good.
     silences: BTreeMap<u8, u32>,
@@ -75,14 +81,15 @@
     /// Writes a key.
     pub fn put(&self, key: &str, value: impl Into<Bytes>) {
         let mut state = self.state();
-        state.revision.0 += 1;
+        let content = &mut state.content;
+        content.revision.0 += 1;
         let item = StoreItem {
             key: key.into(),
             value: value.into(),
-            revision: state.revision,
+            revision: content.revision,
         };
-        state.items.insert(item.key.clone(), item.clone());
-        state.log.push(StoreEvent::Written(item));
+        content.items.insert(item.key.clone(), item.clone());
+        content.log.push(StoreEvent::Written(item));
         drop(state);
         self.wake();
     }
@@ -90,12 +97,13 @@
     /// Removes a key, if it is there.
     pub fn remove(&self, key: &str) {
         let mut state = self.state();
-        if state.items.remove(key).is_none() {
+        let content = &mut state.content;
+        if content.items.remove(key).is_none() {
             return;
         }
-        state.revision.0 += 1;
-        let revision = state.revision;
-        state.log.push(StoreEvent::Removed {
+        content.revision.0 += 1;
+        let revision = content.revision;
+        content.log.push(StoreEvent::Removed {
             key: key.into(),
             revision,
         });
@@ -106,11 +114,22 @@
     /// Drops the history, so that whoever is behind has to read anew.
     pub fn forget_history(&self) {
         let mut state = self.state();
-        state.history = state.revision;
+        state.content.history = state.content.revision;
         drop(state);
         self.wake();
     }
 
+    /// What it holds now, history included.
+    pub fn content(&self) -> StoreContent {
+        self.state().content.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: StoreContent) {
+        self.state().content = copy;
+        self.wake();
+    }
+
     /// Sets what becomes of a VM's calls.
     pub fn set_reach(&self, vm: u8, reach: StoreReach) {
         let mut state = self.state();
@@ -130,7 +149,7 @@
     /// The keys that begin with a prefix.
     pub fn keys(&self, prefix: &str) -> BTreeSet<CompactString> {
         let state = self.state();
-        let keys = state.items.keys();
+        let keys = state.content.items.keys();
         keys.filter(|key| key.starts_with(prefix))
             .cloned()
             .collect()
@@ -233,6 +252,7 @@
                 key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
             };
             let mut items: Vec<_> = state
+                .content
                 .items
                 .values()
                 .filter(|item| later(&item.key))
@@ -242,7 +262,7 @@
             StorePage {
                 items: items.into_iter().cloned().collect(),
                 more,
-                revision: state.revision,
+                revision: state.content.revision,
             }
         };
         let bytes = page.items.iter().map(|item| item.value.len()).sum();
@@ -261,14 +281,15 @@
         let mut changed = self.store.changed.subscribe();
         loop {
             let found = {
-                let state = self.store.state();
-                if after < state.history {
+                let content = &self.store.state().content;
+                if after < content.history || after > content.revision {
                     return Err(StoreError::HistoryGone);
                 }
-                let later = state.log.iter().filter(|event| event.revision() > after);
+                let later = content.log.iter();
+                let later = later.filter(|event| event.revision() > after);
                 StoreWatch {
                     events: later.cloned().collect(),
-                    revision: state.revision,
+                    revision: content.revision,
                 }
             };
             let due = tokio::time::Instant::now() >= until;
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -48,7 +48,10 @@
 
 impl MirrorChange {
     /// The number of keys that it tells of.
-    #[expect(clippy::len_without_is_empty, reason = "a change that tells of nothing is none")]
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "a change that tells of nothing is none"
+    )]
     pub fn len(&self) -> usize {
         match self {
             Self::Replaced(items) => items.len(),
