Order what is known of the store by its era, then by its revision

What callers saw: for up to 7 s after the store had been away, requests were handled by a configuration that three acknowledged ones had replaced, on all VMs.

Cause: the store came back from an older copy and gave revisions out again. All VMs held everything up to 63; the range that they read was of 60 and moved nothing on, and the changes that followed at 61 to 63 counted as known and were dropped. A VM that changed its source went on from 63, which the store had not reached again. Class: a number that another process hands out was taken to rise for good.

A silent way to the store (3) is ruled out: each answer came.

Now a revision carries the era that the answer states, in one type that orders by era first; a bare number is compared nowhere. Answers of a later era join nothing that was read before: the range is read anew, and what it holds is news. VMs tell one another eras with revisions, in changes, patches and proofs. A store that states none, or a lower one than before, is followed as until now, with a line in the log. The stand-in store and the one of the tests state an era that rises when they are restored.

--- a/crates/ebonyfork-lab/src/publish_model/store.rs
+++ b/crates/ebonyfork-lab/src/publish_model/store.rs
@@ -29,7 +29,7 @@
             return Err(StoreError::Conflict { current });
         }
         self.counter += 1;
-        let version = StoreRevision(self.counter);
+        let version = StoreRevision::new(self.counter);
         self.head = Some((version, head));
         Ok(version)
     }
--- a/crates/ebonyfork-lab/tests/store_client.rs
+++ b/crates/ebonyfork-lab/tests/store_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use ebonyfork::store::{
-    CallBudget, KeyWatch, StoreClient, StoreError, StorePort, StoreRevision, StoreWrite,
+    CallBudget, KeyWatch, StoreClient, StoreEra, StoreError, StorePort, StoreRevision, StoreWrite,
     VALUE_LIMIT,
 };
 use ebonyfork_platform::PlatformStore;
@@ -38,7 +38,8 @@
 }
 
 fn revision_of(server: &StoreServer, key: &str) -> StoreRevision {
-    StoreRevision(server.get(key).map_or(0, |(_value, revision)| revision))
+    let number = server.get(key).map_or(0, |(_value, revision)| revision);
+    StoreRevision::new(number).with_era(StoreEra(server.era()))
 }
 
 #[tokio::test]
@@ -67,7 +68,7 @@
             Expected::Any => None,
             Expected::Absent => ABSENT,
             Expected::Current => Some(before),
-            Expected::Later => Some(StoreRevision(before.0 + 1)),
+            Expected::Later => Some(before.next()),
         };
         let written = client.put("a/b", number.to_string(), expected).await;
         assert_that!(kind(&written), eq(outcome), "{number}");
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -120,6 +120,6 @@
     StoreItem {
         key: key.into(),
         value: Bytes::from(value.to_owned()),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -26,7 +26,7 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::mirror::{
-    ContentError, CopyChange, FreshnessTerms, MirrorMessage, PieceOutcome, SourceStanding,
+    ContentError, CopyChange, CopyGap, FreshnessTerms, MirrorMessage, PieceOutcome, SourceStanding,
     held_values, read_content,
 };
 use crate::ident::{VmAddress, ZoneName};
@@ -221,7 +221,7 @@
                 revision,
             },
         };
-        match self.taker.take(change) {
+        match self.take_change(ChangeSource::Store, change) {
             Ok(()) => {
                 self.core.relay.note_proof(proof.into_std());
                 if let Some(table) = self.core.table() {
@@ -381,7 +381,24 @@
             // The store was away, perhaps for all: entries that lapsed meanwhile may come back.
             self.core.registry.note_return(now());
         }
-        self.taker.take(change).map_err(|_gap| SourceFault::Gap)
+        let taken = self.take_change(ChangeSource::Vm(vm), change);
+        taken.map_err(|_gap| SourceFault::Gap)
+    }
+
+    /// Takes a change in, and says so if the store has come back from an older copy since the one before.
+    fn take_change(&self, source: ChangeSource, change: CopyChange) -> Result<(), CopyGap> {
+        let before = self.complete();
+        let taken = self.taker.take(change);
+        let after = self.complete();
+        if before > StoreRevision::ABSENT && after.era() > before.era() {
+            log::warn!(
+                target: "ebonyfork::decision",
+                "store era rose old={} new={} known={before} revision={after} source={source}",
+                before.era(),
+                after.era()
+            );
+        }
+        taken
     }
 
     /// Takes in how far a followed VM has come with telling, and as of when that was everything.
--- a/crates/ebonyfork/src/gateway/follow/store_fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/store_fixture.rs
@@ -11,8 +11,8 @@
 use super::fixture::vm_address;
 use super::link_fixture::LinkMap;
 use crate::store::{
-    LeaseGrant, LeaseId, StoreError, StoreEvent, StoreItem, StorePage, StorePort, StoreRevision,
-    StoreWatch, StoreWrite,
+    LeaseGrant, LeaseId, StoreEra, StoreError, StoreEvent, StoreItem, StorePage, StorePort,
+    StoreRevision, StoreWatch, StoreWrite,
 };
 use crate::traffic::LinkTraffic;
 
@@ -47,6 +47,7 @@
 #[derive(Debug, Default)]
 struct StoreState {
     content: StoreContent,
+    era: StoreEra,
     reach: BTreeMap<u8, StoreReach>,
     /// How often a VM's connections have fallen silent for good.
     silences: BTreeMap<u8, u32>,
@@ -82,7 +83,7 @@
     pub fn put(&self, key: &str, value: impl Into<Bytes>) {
         let mut state = self.state();
         let content = &mut state.content;
-        content.revision.0 += 1;
+        content.revision = content.revision.next();
         let item = StoreItem {
             key: key.into(),
             value: value.into(),
@@ -101,7 +102,7 @@
         if content.items.remove(key).is_none() {
             return;
         }
-        content.revision.0 += 1;
+        content.revision = content.revision.next();
         let revision = content.revision;
         content.log.push(StoreEvent::Removed {
             key: key.into(),
@@ -126,7 +127,10 @@
 
     /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
     pub fn restore(&self, copy: StoreContent) {
-        self.state().content = copy;
+        let mut state = self.state();
+        state.content = copy;
+        state.era.0 += 1;
+        drop(state);
         self.wake();
     }
 
@@ -259,11 +263,12 @@
                 .collect();
             let more = items.len() > PAGE_ITEMS;
             items.truncate(PAGE_ITEMS);
-            StorePage {
+            let page = StorePage {
                 items: items.into_iter().cloned().collect(),
                 more,
                 revision: state.content.revision,
-            }
+            };
+            page.with_era(state.era)
         };
         let bytes = page.items.iter().map(|item| item.value.len()).sum();
         self.leave(silences, bytes).await;
@@ -281,16 +286,20 @@
         let mut changed = self.store.changed.subscribe();
         loop {
             let found = {
-                let content = &self.store.state().content;
+                let state = self.store.state();
+                let content = &state.content;
+                // Only its number reaches the store.
+                let after = StoreRevision::new(after.number());
                 if after < content.history || after > content.revision {
                     return Err(StoreError::HistoryGone);
                 }
                 let later = content.log.iter();
                 let later = later.filter(|event| event.revision() > after);
-                StoreWatch {
+                let watch = StoreWatch {
                     events: later.cloned().collect(),
                     revision: content.revision,
-                }
+                };
+                watch.with_era(state.era)
             };
             let due = tokio::time::Instant::now() >= until;
             if due || !found.events.is_empty() {
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -4,7 +4,6 @@
 use crate::gateway::fixture::{item, settings};
 use crate::gateway::follow::fixture::text_dialect;
 use crate::gateway::ident::UpstreamService;
-use crate::store::StoreRevision;
 
 fn taker() -> StoreTaker {
     let core = Rc::new(GatewayCore::new(settings(), text_dialect()));
@@ -19,7 +18,7 @@
 fn whole(items: Vec<StoreItem>, revision: u64) -> CopyChange {
     CopyChange::Whole {
         items,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -27,8 +26,8 @@
 fn changed(event: StoreEvent, revision: u64) -> CopyChange {
     CopyChange::Changes {
         events: vec![event],
-        since: StoreRevision(0),
-        revision: StoreRevision(revision),
+        since: StoreRevision::new(0),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -53,7 +52,7 @@
     let older = StoreEvent::Written(item("config", "6", 15));
     expect_that!(taker.take(changed(older, 15)), ok(eq(())));
     expect_that!(version(&taker), eq(7));
-    expect_that!(complete(&taker), eq(StoreRevision(20)));
+    expect_that!(complete(&taker), eq(StoreRevision::new(20)));
 }
 
 #[gtest]
@@ -63,7 +62,7 @@
     expect_that!(taker.take(whole(all, 3)), ok(eq(())));
     let removed = StoreEvent::Removed {
         key: "upstream/a".into(),
-        revision: StoreRevision(9),
+        revision: StoreRevision::new(9),
     };
     expect_that!(taker.take(changed(removed, 9)), ok(eq(())));
     expect_that!(upstreams(&taker, "s"), eq(0));
@@ -121,7 +120,7 @@
     expect_that!(takes(), eq(0));
     let removed = StoreEvent::Removed {
         key: "evacuate/north-a".into(),
-        revision: StoreRevision(6),
+        revision: StoreRevision::new(6),
     };
     expect_that!(taker.take(changed(removed, 6)), ok(eq(())));
     expect_that!(takes(), eq(1));
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -46,8 +46,10 @@
     pub latency: Histogram,
     /// Time since this VM's copy of the store was known to be up to date, in seconds.
     pub copy_age: Gauge<f64, AtomicU64>,
-    /// The store's revision up to which the copy is whole.
+    /// The store's revision up to which the copy is whole: its number within the era.
     pub copy_revision: Gauge<u64, AtomicU64>,
+    /// The era of that revision.
+    pub copy_era: Gauge<u64, AtomicU64>,
     /// Bytes of what VMs that follow this one have been told about the store.
     pub told_bytes: Counter,
 }
@@ -64,6 +66,7 @@
             latency: Histogram::new(LATENCY_BOUNDS),
             copy_age: Gauge::default(),
             copy_revision: Gauge::default(),
+            copy_era: Gauge::default(),
             told_bytes: Counter::default(),
         }
     }
@@ -74,7 +77,8 @@
     pub fn note_copy(&self, age: Option<Duration>, revision: StoreRevision) {
         self.copy_age
             .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
-        self.copy_revision.set(revision.0);
+        self.copy_revision.set(revision.number());
+        self.copy_era.set(revision.era().0);
     }
 
     /// Registers all of them.
@@ -109,6 +113,11 @@
             "The store's revision up to which the copy is whole",
             self.copy_revision.clone(),
         );
+        registry.register(
+            "store_copy_era",
+            "The store's era up to which the copy is whole",
+            self.copy_era.clone(),
+        );
         registry.register(
             "store_told_bytes",
             "Bytes told to the VMs that follow this one",
--- a/crates/ebonyfork/src/gateway/mirror/content_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::gateway::fixture::item;
+use crate::store::StoreEra;
 
 fn routes(count: u64) -> String {
     let mut text = String::new();
@@ -23,8 +24,8 @@
     let events = items.iter().cloned().map(StoreEvent::Written).collect();
     let change = CopyChange::Changes {
         events,
-        since: StoreRevision(since),
-        revision: StoreRevision(revision),
+        since: StoreRevision::new(since),
+        revision: StoreRevision::new(revision),
     };
     copy.take(change);
 }
@@ -34,7 +35,7 @@
     copy.keep_patches(true);
     copy.take(CopyChange::Whole {
         items: items.to_vec(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     });
     copy
 }
@@ -72,6 +73,21 @@
 }
 
 /// The store has lost its history and everything was read anew: what a follower holds is not sent again.
+/// Two VMs hold a value at the same number of two eras, so neither a patch nor "held" fits.
+#[gtest]
+fn a_value_of_another_era_is_not_taken_for_the_one_held() {
+    let era = StoreEra(1);
+    let mut source = copy_of(&[config(2_850, 3)], 10);
+    let mut follower = copy_of(&[config(2_850, 3)], 10);
+    source.take(CopyChange::Whole {
+        items: vec![config(2_800, 3).with_era(era)],
+        revision: StoreRevision::new(3).with_era(era),
+    });
+    tell(&source, &mut follower);
+    expect_that!(items(&follower), eq(&items(&source)));
+    expect_that!(follower.complete(), eq(source.complete()));
+}
+
 #[gtest]
 fn a_value_that_is_held_is_not_sent_again() {
     let mut source = copy_of(&[config(2_850, 3)], 10);
@@ -79,7 +95,7 @@
     tell(&source, &mut follower);
     source.take(CopyChange::Whole {
         items: vec![config(2_850, 3), item("upstream/b", "s", 12)],
-        revision: StoreRevision(20),
+        revision: StoreRevision::new(20),
     });
     expect_that!(source.changes_since(follower.complete()), none());
     expect_that!(tell(&source, &mut follower), lt(200));
@@ -97,7 +113,7 @@
     let change = read_content(&follower, &content).unwrap();
     follower.take(change);
     expect_that!(items(&follower), elements_are![eq(&&config(202, 15))]);
-    expect_that!(follower.complete(), eq(StoreRevision(12)));
+    expect_that!(follower.complete(), eq(StoreRevision::new(12)));
 }
 
 #[gtest]
@@ -106,9 +122,9 @@
     take(&mut source, &[config(201, 12)], 10, 12);
     let held = [HeldValue {
         key: "config".into(),
-        revision: StoreRevision(3),
+        revision: StoreRevision::new(3),
     }];
-    let content = write_content(&source, StoreRevision(10), &held).unwrap();
+    let content = write_content(&source, StoreRevision::new(10), &held).unwrap();
     let stranger = copy_of(&[config(200, 2)], 10);
     expect_that!(
         read_content(&stranger, &content),
--- a/crates/ebonyfork/src/gateway/mirror/copy.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy.rs
@@ -4,6 +4,9 @@
 //! is kept of them all, so that no two of them can disagree about what is known. It rests on a single statement: *every
 //! change up to [`StoreCopy::complete`] has been taken in*. A change up to it is no news, wherever it comes from; a range
 //! that is read as of a later revision tells what is gone; changes after a later revision leave a gap and move nothing on.
+//!
+//! Revisions are ordered by the store's era first. A store that comes back from an older copy begins a new one, so whatever
+//! is read of it then is later than all that was known before, also where numbers are given out again.
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
@@ -4,22 +4,24 @@
 
 use super::*;
 use crate::gateway::fixture::item;
-use crate::store::{MirrorChange, MirrorState, MirrorStep, StorePage, StoreWatch, newest_events};
+use crate::store::{
+    MirrorChange, MirrorState, MirrorStep, StoreEra, StorePage, StoreWatch, newest_events,
+};
 
 const KEYS: [&str; 4] = ["a", "b", "c", "d"];
 
 fn whole(items: &[StoreItem], revision: u64) -> CopyChange {
     CopyChange::Whole {
         items: items.to_vec(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
 fn changes(events: &[StoreEvent], since: u64, revision: u64) -> CopyChange {
     CopyChange::Changes {
         events: events.to_vec(),
-        since: StoreRevision(since),
-        revision: StoreRevision(revision),
+        since: StoreRevision::new(since),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -30,7 +32,7 @@
 fn removed(key: &str, revision: u64) -> StoreEvent {
     StoreEvent::Removed {
         key: key.into(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -54,7 +56,37 @@
     let events = [written("config", 363), written("config", 436)];
     let news = copy.take(changes(&events, 362, 436));
     expect_that!(news.events, elements_are![eq(&written("config", 436))]);
-    expect_that!(copy.complete(), eq(StoreRevision(436)));
+    expect_that!(copy.complete(), eq(StoreRevision::new(436)));
+}
+
+/// In a later era a number that was seen before belongs to another change, and what is not there any more is gone.
+#[gtest]
+fn a_later_era_is_news_whatever_its_numbers() {
+    let mut copy = StoreCopy::default();
+    let known = [item("config", "8", 63), item("upstream/a", "s", 40)];
+    copy.take(whole(&known, 63));
+    let era = StoreEra(1);
+    let older = [item("config", "7", 60)].map(|item| item.with_era(era));
+    let complete = StoreRevision::new(60).with_era(era);
+    let news = copy.take(CopyChange::Whole {
+        items: older.to_vec(),
+        revision: complete,
+    });
+    let gone = removed("upstream/a", 60).with_era(era);
+    let back = StoreEvent::Written(older[0].clone());
+    expect_that!(news.events, elements_are![eq(&back), eq(&gone)]);
+    expect_that!(copy.complete(), eq(complete));
+    let again = written("config", 63).with_era(era);
+    let news = copy.take(CopyChange::Changes {
+        events: vec![again.clone()],
+        since: complete,
+        revision: again.revision(),
+    });
+    expect_that!(news.events, elements_are![eq(&again)]);
+    // What a VM tells that is still in the era before moves nothing.
+    let behind = copy.take(changes(&[written("config", 70)], 63, 70));
+    expect_that!(behind.events, is_empty());
+    expect_that!(copy.complete(), eq(again.revision()));
 }
 
 #[gtest]
@@ -68,11 +100,11 @@
         elements_are![eq(&written("b", 14))],
         "it is true all the same"
     );
-    expect_that!(copy.complete(), eq(StoreRevision(10)));
+    expect_that!(copy.complete(), eq(StoreRevision::new(10)));
     let news = copy.take(changes(&[removed("a", 11), written("b", 14)], 10, 14));
     expect_that!(news.joined, ok(eq(())));
     expect_that!(news.events, elements_are![eq(&removed("a", 11))]);
-    expect_that!(copy.complete(), eq(StoreRevision(14)));
+    expect_that!(copy.complete(), eq(StoreRevision::new(14)));
 }
 
 /// Pages are no snapshot: what was written after the first page may be missing from a range, or be in it.
@@ -95,7 +127,7 @@
     let mut copy = StoreCopy::default();
     copy.take(whole(&[], 10));
     copy.take(changes(&[removed("x", 12)], 10, 12));
-    let told = copy.changes_since(StoreRevision(10));
+    let told = copy.changes_since(StoreRevision::new(10));
     expect_that!(told, some(elements_are![eq(&removed("x", 12))]));
 }
 
@@ -106,23 +138,23 @@
     copy.take(changes(&[written("b", 11)], 10, 11));
     copy.take(changes(&[], 11, 12));
     copy.take(changes(&[written("b", 13), removed("a", 14)], 12, 14));
-    let told = copy.changes_since(StoreRevision(11));
+    let told = copy.changes_since(StoreRevision::new(11));
     expect_that!(
         told,
         some(elements_are![eq(&written("b", 13)), eq(&removed("a", 14))])
     );
-    expect_that!(copy.changes_since(StoreRevision(9)), none());
+    expect_that!(copy.changes_since(StoreRevision::new(9)), none());
     let many: Vec<_> = (0..LOG_CHANGES)
         .map(|number| written(&format!("many/{number}"), 15))
         .collect();
     copy.take(changes(&many, 14, 15));
     expect_that!(
-        copy.changes_since(StoreRevision(13)),
+        copy.changes_since(StoreRevision::new(13)),
         none(),
         "the log is bounded"
     );
     expect_that!(
-        copy.changes_since(StoreRevision(14))
+        copy.changes_since(StoreRevision::new(14))
             .map(|events| events.len()),
         some(eq(LOG_CHANGES))
     );
@@ -139,9 +171,9 @@
         let event = StoreEvent::Written(item("config", &long, revision));
         copy.take(changes(&[event], revision - 1, revision));
     }
-    let told = copy.changes_since(StoreRevision(10));
+    let told = copy.changes_since(StoreRevision::new(10));
     let told = told.map(|events| events.iter().map(StoreEvent::revision).collect::<Vec<_>>());
-    expect_that!(told, some(elements_are![eq(&StoreRevision(29))]));
+    expect_that!(told, some(elements_are![eq(&StoreRevision::new(29))]));
 }
 
 /// Whatever is told in whatever order, truly but late, in part or twice: a copy equals the store at the revision up to which
@@ -172,12 +204,12 @@
             let change = match rng.random_range(0..3) {
                 0 => CopyChange::Whole {
                     items: read_in_pages(&log, until, &mut rng),
-                    revision: StoreRevision(until),
+                    revision: StoreRevision::new(until),
                 },
                 1 => CopyChange::Changes {
                     events: newest_events(log[from as usize..until as usize].to_vec()),
-                    since: StoreRevision(from),
-                    revision: StoreRevision(until),
+                    since: StoreRevision::new(from),
+                    revision: StoreRevision::new(until),
                 },
                 _ => told(&copies[other], copies[place].complete()),
             };
@@ -217,7 +249,10 @@
 
 fn state(log: &[StoreEvent], until: u64) -> BTreeMap<CompactString, StoreItem> {
     let mut items = BTreeMap::new();
-    for event in log.iter().filter(|event| event.revision().0 <= until) {
+    for event in log
+        .iter()
+        .filter(|event| event.revision().number() <= until)
+    {
         match event {
             StoreEvent::Written(item) => items.insert(item.key.clone(), item.clone()),
             StoreEvent::Removed { key, .. } => items.remove(key),
@@ -228,7 +263,7 @@
 
 /// Each key is as it was in the store at some revision that is not before the one up to which the copy is whole.
 fn check(copy: &StoreCopy, log: &[StoreEvent], seed: u64) {
-    let later = copy.complete().0..=log.len() as u64;
+    let later = copy.complete().number()..=log.len() as u64;
     let states: Vec<_> = later.map(|until| state(log, until)).collect();
     for key in KEYS {
         let held = copy.items.get(key);
@@ -254,7 +289,7 @@
             if rng.random_bool(0.2) {
                 follower.take(CopyChange::Whole {
                     items: state(&log, revision).into_values().collect(),
-                    revision: StoreRevision(revision),
+                    revision: StoreRevision::new(revision),
                 });
             }
             if rng.random_bool(0.1) {
@@ -262,7 +297,7 @@
             }
             let since = mirror.revision();
             let change = call(&mut mirror, &log);
-            let is_watch = mirror.is_following() && since.0 > 0;
+            let is_watch = mirror.is_following() && since > StoreRevision::ABSENT;
             let revision = mirror.revision();
             match change {
                 Some(MirrorChange::Replaced(items)) => {
@@ -289,10 +324,10 @@
 
 /// One call to a store with a history, in pages of a single item.
 fn call(mirror: &mut MirrorState, log: &[StoreEvent]) -> Option<MirrorChange> {
-    let revision = StoreRevision(log.len() as u64);
+    let revision = StoreRevision::new(log.len() as u64);
     match mirror.next_step() {
         MirrorStep::Read { after } => {
-            let items = state(log, revision.0).into_values();
+            let items = state(log, revision.number()).into_values();
             let mut later =
                 items.filter(|item| after.as_ref().is_none_or(|after| item.key > *after));
             let items: Vec<_> = later.by_ref().take(1).collect();
@@ -304,7 +339,7 @@
             })
         }
         MirrorStep::Watch { after } => mirror.take_watch(StoreWatch {
-            events: log[after.0 as usize..].to_vec(),
+            events: log[after.number() as usize..].to_vec(),
             revision,
         }),
         MirrorStep::Pause(_pause) => None,
--- a/crates/ebonyfork/src/gateway/mirror/history_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/history_tests.rs
@@ -29,7 +29,7 @@
     let history = history(5);
     let key = CompactString::from("config");
     let patches = history
-        .between(&key, StoreRevision(2), StoreRevision(5))
+        .between(&key, StoreRevision::new(2), StoreRevision::new(5))
         .expect("kept");
     let mut bytes = Bytes::from(value(103));
     for patch in &patches {
@@ -37,8 +37,9 @@
     }
     expect_that!(patches.len(), eq(3));
     expect_that!(bytes == value(106), eq(true));
-    let between =
-        |base, revision| history.between(&key, StoreRevision(base), StoreRevision(revision));
+    let between = |base, revision| {
+        history.between(&key, StoreRevision::new(base), StoreRevision::new(revision))
+    };
     expect_that!(between(5, 5), none(), "there is nothing to patch");
     expect_that!(between(2, 4), none(), "only the newest value is there");
     expect_that!(between(9, 5), none());
@@ -53,16 +54,16 @@
     );
     let key = CompactString::from("config");
     expect_that!(
-        history.between(&key, StoreRevision(4), StoreRevision(8)),
+        history.between(&key, StoreRevision::new(4), StoreRevision::new(8)),
         none()
     );
     expect_that!(
-        history.between(&key, StoreRevision(7), StoreRevision(8)),
+        history.between(&key, StoreRevision::new(7), StoreRevision::new(8)),
         some(len(eq(1)))
     );
     history.forget(&key);
     expect_that!(
-        history.between(&key, StoreRevision(7), StoreRevision(8)),
+        history.between(&key, StoreRevision::new(7), StoreRevision::new(8)),
         none()
     );
 }
--- a/crates/ebonyfork/src/gateway/policy/cold/claim.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/claim.rs
@@ -77,7 +77,7 @@
     /// let now = Duration::from_secs(60);
     /// let write = claim.step(true, now).expect("nobody holds it");
     /// assert!(!claim.may_send(now));
-    /// claim.note_written(write, StoreRevision(4), now, now);
+    /// claim.note_written(write, StoreRevision::new(4), now, now);
     /// assert!(claim.may_send(now));
     /// assert!(!claim.may_send(now + Duration::from_secs(5)));
     /// # Ok::<(), ebonyfork::ident::IdentError>(())
--- a/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
@@ -23,14 +23,14 @@
 #[gtest]
 fn a_claim_of_another_vm_is_taken_over_after_its_term() {
     let mut claim = ZoneClaim::new(session(1, 1));
-    claim.observe(StoreRevision(7), held_by(session(2, 1)), ms(1_000));
+    claim.observe(StoreRevision::new(7), held_by(session(2, 1)), ms(1_000));
     expect_that!(claim.step(true, ms(5_000)), none());
     expect_that!(claim.is_held(ms(5_000)), eq(true));
-    claim.observe(StoreRevision(8), held_by(session(2, 1)), ms(5_000));
+    claim.observe(StoreRevision::new(8), held_by(session(2, 1)), ms(5_000));
     expect_that!(claim.step(true, ms(10_400)), none());
     let write = claim.step(true, ms(10_500)).expect("the term has passed");
-    expect_that!(write.expected, eq(StoreRevision(8)));
-    claim.note_written(write, StoreRevision(9), ms(10_500), ms(10_520));
+    expect_that!(write.expected, eq(StoreRevision::new(8)));
+    claim.note_written(write, StoreRevision::new(9), ms(10_500), ms(10_520));
     expect_that!(claim.may_send(ms(11_519)), eq(false));
     expect_that!(claim.may_send(ms(11_520)), eq(true));
     expect_that!(claim.may_send(ms(14_500)), eq(false));
@@ -40,13 +40,13 @@
 fn a_holder_stops_before_it_gives_the_claim_back() {
     let mut claim = ZoneClaim::new(session(1, 1));
     let write = claim.step(true, ms(0)).expect("nobody holds it");
-    claim.note_written(write, StoreRevision(2), ms(0), ms(10));
+    claim.note_written(write, StoreRevision::new(2), ms(0), ms(10));
     expect_that!(claim.step(true, ms(1_000)), none());
     expect_that!(claim.step(true, ms(1_300)), some(anything()));
     let back = claim.step(false, ms(2_000)).expect("it is given back");
     expect_that!(back.record.holder, none());
     expect_that!(claim.may_send(ms(2_000)), eq(false));
-    claim.note_written(back, StoreRevision(3), ms(2_000), ms(2_010));
+    claim.note_written(back, StoreRevision::new(3), ms(2_000), ms(2_010));
     expect_that!(claim.step(false, ms(9_000)), none());
 }
 
@@ -54,9 +54,9 @@
 fn a_holder_that_hears_of_another_one_stops() {
     let mut claim = ZoneClaim::new(session(1, 1));
     let write = claim.step(true, ms(0)).expect("nobody holds it");
-    claim.note_written(write, StoreRevision(2), ms(0), ms(10));
+    claim.note_written(write, StoreRevision::new(2), ms(0), ms(10));
     expect_that!(claim.may_send(ms(100)), eq(true));
-    claim.observe(StoreRevision(3), held_by(session(2, 1)), ms(100));
+    claim.observe(StoreRevision::new(3), held_by(session(2, 1)), ms(100));
     expect_that!(claim.may_send(ms(100)), eq(false));
 }
 
@@ -192,7 +192,7 @@
                 continue;
             }
             self.revision += 1;
-            let revision = StoreRevision(self.revision);
+            let revision = StoreRevision::new(self.revision);
             self.key = Some((revision, write.write.record));
             write.done = Some(revision);
             self.spread(revision, write.write.record);
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -750,7 +750,7 @@
     core.cold_claims.with_zone(zone, |claim| {
         let time = core.running_time();
         let write = claim.step(true, time).expect("nobody holds it");
-        claim.note_written(write, StoreRevision(1), time, time);
+        claim.note_written(write, StoreRevision::new(1), time, time);
     });
 }
 
--- a/crates/ebonyfork/src/revision/publish_tests.rs
+++ b/crates/ebonyfork/src/revision/publish_tests.rs
@@ -50,7 +50,7 @@
     fn answer(&mut self, action: PublishAction) -> PublishReply {
         match action {
             PublishAction::ReadHead => PublishReply::Head(Ok(if self.sent == 0 {
-                Some((StoreRevision(1), head(1, BASE)))
+                Some((StoreRevision::new(1), head(1, BASE)))
             } else {
                 self.after
             })),
@@ -113,28 +113,28 @@
 }
 
 fn conflict() -> std::result::Result<StoreRevision, StoreError> {
-    let current = StoreRevision(2);
+    let current = StoreRevision::new(2);
     Err(StoreError::Conflict { current })
 }
 
 #[gtest]
 fn each_answer_to_the_swap_comes_to_its_outcome() {
-    let unmoved = Some((StoreRevision(1), head(1, BASE)));
-    let own = Some((StoreRevision(2), head(2, OWN)));
-    let theirs = Some((StoreRevision(2), head(2, THEIRS)));
-    let later = Some((StoreRevision(3), head(3, THEIRS)));
-    let older = Some((StoreRevision(7), head(0, THEIRS)));
+    let unmoved = Some((StoreRevision::new(1), head(1, BASE)));
+    let own = Some((StoreRevision::new(2), head(2, OWN)));
+    let theirs = Some((StoreRevision::new(2), head(2, THEIRS)));
+    let later = Some((StoreRevision::new(3), head(3, THEIRS)));
+    let older = Some((StoreRevision::new(7), head(0, THEIRS)));
     let on_base = record(2, THEIRS, Some(BASE));
     let on_own = record(3, THEIRS, Some(OWN));
     // Answers to the swaps, the head afterwards, their record, the outcome, swaps sent.
     let cases = [
-        (vec![Ok(StoreRevision(2))], own, None, "published", 1),
+        (vec![Ok(StoreRevision::new(2))], own, None, "published", 1),
         (vec![lost()], own, None, "published", 1),
         (vec![lost()], later, Some(on_own), "published, followed", 1),
         (vec![lost()], theirs, Some(on_base.clone()), "conflict", 1),
         (vec![conflict()], theirs, Some(on_base), "conflict", 1),
         (
-            vec![lost(), Ok(StoreRevision(2))],
+            vec![lost(), Ok(StoreRevision::new(2))],
             unmoved,
             None,
             "published",
@@ -180,7 +180,7 @@
         (Vec::new(), Vec::new()),
     ] {
         let mut store = ScriptedStore {
-            swaps: vec![Ok(StoreRevision(2))],
+            swaps: vec![Ok(StoreRevision::new(2))],
             after: None,
             records,
             evidence,
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -58,7 +58,7 @@
     pub since: StoreRevision,
     /// The store's revision up to which everything is known.
     pub revision: StoreRevision,
-    /// The revision that the store stated; none if the call brought no answer.
+    /// The revision that the store stated, as it stated it; none if the call brought no answer.
     pub stated: Option<StoreRevision>,
     /// The moment at which the store is known to have held nothing newer; none if this call did not show it.
     pub proof: Option<Instant>,
@@ -80,6 +80,8 @@
     next_watch: Instant,
     /// When the first page of the range was asked for, while it is being read.
     reading_since: Option<Instant>,
+    /// Whether the store states a lower era than it did, as the log says.
+    era_fallen: bool,
 }
 
 impl<P: StorePort> MirrorFeed<P> {
@@ -95,6 +97,7 @@
             answers: true,
             next_watch: Instant::now(),
             reading_since: None,
+            era_fallen: false,
         }
     }
 
@@ -165,13 +168,17 @@
                     let idle = watch.events.is_empty() && waited_out;
                     let proof = if idle { asked + wait } else { asked };
                     let stated = watch.revision;
-                    (stated, self.state.take_watch(watch), Some(proof))
+                    let change = self.state.take_watch(watch);
+                    // Changes that don't join what was read before prove nothing.
+                    let joined = self.state.is_following();
+                    (stated, change, joined.then_some(proof))
                 })
             }
         };
         match called {
             Ok((stated, change, proof)) => {
                 self.note_success();
+                self.note_era(stated);
                 FeedStep {
                     change,
                     answers: true,
@@ -219,6 +226,20 @@
         }
     }
 
+    /// Says once that the store states a lower era than it did.
+    fn note_era(&mut self, stated: StoreRevision) {
+        let fallen = stated.era() < self.state.era();
+        if fallen && !self.era_fallen {
+            log::warn!(
+                "store era fell prefix=`{}` stated={} known={}: its answers count as of the known one",
+                self.settings.prefix,
+                stated.era(),
+                self.state.era()
+            );
+        }
+        self.era_fallen = fallen;
+    }
+
     fn note_failure(&mut self, error: &StoreError, asked: Instant) {
         self.state.take_failure(error, &mut rand::rng());
         if self.settings.rereads {
--- a/crates/ebonyfork/src/store/key_watch_tests.rs
+++ b/crates/ebonyfork/src/store/key_watch_tests.rs
@@ -13,7 +13,7 @@
     StoreItem {
         key: KEY.into(),
         value: Bytes::from(revision.to_string()),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -69,13 +69,13 @@
 async fn a_key_never_goes_back() {
     let watch = |revision: u64| StoreWatch {
         events: vec![StoreEvent::Written(item(revision))],
-        revision: StoreRevision(revision + 1),
+        revision: StoreRevision::new(revision + 1),
     };
     let port = ScriptedPort {
         page: StorePage {
             items: vec![item(20)],
             more: false,
-            revision: StoreRevision(15),
+            revision: StoreRevision::new(15),
         },
         // The last one is told first.
         watches: Arc::new(Mutex::new(vec![watch(21), watch(17)])),
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -4,6 +4,10 @@
 //! that a later page has shown already, or an older one of the same key; who holds the items knows their revisions and
 //! passes over what is not newer. The mirror keeps no record of its own and tells all that has changed, what it has told
 //! or never seen included: its reader may know more, and others that hear of the changes from the reader may know less.
+//!
+//! An answer of a higher era belongs to another history: pages and changes of the one before don't join it, so the range is
+//! read from its first page. A store whose era falls, or that states none any more, can't be ordered by it; its answers
+//! count as of the highest era that it has stated.
 
 use std::time::Duration;
 
@@ -11,7 +15,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::store::{
-    Backoff, StoreError, StoreEvent, StoreItem, StorePage, StoreRevision, StoreWatch,
+    Backoff, StoreEra, StoreError, StoreEvent, StoreItem, StorePage, StoreRevision, StoreWatch,
 };
 
 /// Shortest wait after a failed call. At 7 to 90 VMs that is at most 900 calls a second in the first moment of an
@@ -93,6 +97,8 @@
 #[derive(Debug)]
 pub struct MirrorState {
     phase: MirrorPhase,
+    /// The highest era that was heard of.
+    era: StoreEra,
     backoff: Backoff,
     pause: Option<Duration>,
 }
@@ -108,6 +114,7 @@
     pub fn new() -> Self {
         Self {
             phase: MirrorPhase::first_page(),
+            era: StoreEra::UNSTATED,
             backoff: Backoff::new(RETRY_FIRST, RETRY_LONGEST),
             pause: None,
         }
@@ -138,10 +145,16 @@
     /// Takes in a page; the last one gives the whole range.
     pub fn take_page(&mut self, page: StorePage) -> Option<MirrorChange> {
         self.backoff.reset();
+        let era = self.enter_era(page.revision.era());
+        let page = page.with_era(era);
         let MirrorPhase::Reading { base, items } = &mut self.phase else {
             return None;
         };
         let after = *base.get_or_insert(page.revision);
+        if after.era() < page.revision.era() {
+            self.phase = MirrorPhase::first_page();
+            return None;
+        }
         let last = page.items.is_empty() || !page.more;
         items.extend(page.items);
         if !last {
@@ -155,14 +168,26 @@
     /// Takes in what a watch returned.
     pub fn take_watch(&mut self, watch: StoreWatch) -> Option<MirrorChange> {
         self.backoff.reset();
+        let era = self.enter_era(watch.revision.era());
+        let watch = watch.with_era(era);
         let MirrorPhase::Watching { after } = &mut self.phase else {
             return None;
         };
+        if after.era() < watch.revision.era() {
+            self.phase = MirrorPhase::first_page();
+            return None;
+        }
         *after = watch.revision.max(*after);
         let changes = newest_events(watch.events);
         (!changes.is_empty()).then_some(MirrorChange::Changed(changes))
     }
 
+    /// Takes in the era that an answer states; returns the one as of which it counts.
+    fn enter_era(&mut self, stated: StoreEra) -> StoreEra {
+        self.era = self.era.max(stated);
+        self.era
+    }
+
     /// Takes in that a call failed.
     pub fn take_failure(&mut self, error: &StoreError, rng: &mut impl rand::Rng) {
         if matches!(
@@ -195,14 +220,20 @@
     }
 
     /// Goes on at once, after a revision up to which the reader has learnt everything elsewhere unless the mirror is
-    /// further on.
+    /// further on. In a history that has ended nothing can be gone on from.
     pub fn resume_at(&mut self, revision: StoreRevision) {
         self.pause = None;
-        if revision > self.revision() {
+        if revision > self.revision() && revision.era() >= self.era {
+            self.era = revision.era();
             self.phase = MirrorPhase::Watching { after: revision };
         }
     }
 
+    /// The highest era that was heard of.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Whether the range has been read and only changes are awaited.
     pub fn is_following(&self) -> bool {
         matches!(self.phase, MirrorPhase::Watching { .. })
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -9,7 +9,7 @@
     StoreItem {
         key: key.into(),
         value: Bytes::from(revision.to_string()),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -17,21 +17,21 @@
     StorePage {
         items,
         more,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
 fn watch(events: Vec<StoreEvent>, revision: u64) -> StoreWatch {
     StoreWatch {
         events,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
 fn removed(key: &str, revision: u64) -> StoreEvent {
     StoreEvent::Removed {
         key: key.into(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(revision),
     }
 }
 
@@ -51,7 +51,7 @@
     let change = mirror.take_page(page(vec![item("b", 12)], false, 13));
     let whole = MirrorChange::Replaced(vec![item("a", 3), item("b", 12)]);
     expect_that!(change, some(eq(&whole)));
-    let after = StoreRevision(10);
+    let after = StoreRevision::new(10);
     expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
     // The change that the second page has shown already is told all the same: it belongs to those after the first page,
     // and who hears of these from the reader may not have it.
@@ -75,6 +75,59 @@
     expect_that!(change, some(eq(&MirrorChange::Changed(expected))));
 }
 
+fn in_era(number: u64, era: u64) -> StoreRevision {
+    StoreRevision::new(number).with_era(StoreEra(era))
+}
+
+/// The new history may have reached the revision that was asked for: the store then answers as if it were the old one.
+#[gtest]
+fn changes_of_a_later_era_are_no_continuation() {
+    let mut mirror = following(vec![item("a", 1)], 5);
+    let changes = watch(vec![StoreEvent::Written(item("b", 8))], 8);
+    expect_that!(mirror.take_watch(changes.with_era(StoreEra(1))), none());
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    let whole = page(vec![item("a", 1)], false, 9).with_era(StoreEra(1));
+    expect_that!(mirror.take_page(whole), some(anything()));
+    let after = in_era(9, 1);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+}
+
+#[gtest]
+fn pages_of_two_eras_are_no_range() {
+    let mut mirror = MirrorState::new();
+    let first = page(vec![item("a", 3)], true, 10).with_era(StoreEra(1));
+    let second = page(vec![item("b", 4)], false, 10).with_era(StoreEra(2));
+    expect_that!(mirror.take_page(first), none());
+    expect_that!(mirror.take_page(second.clone()), none());
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    expect_that!(mirror.take_page(second), some(anything()));
+}
+
+#[gtest]
+fn a_history_that_has_ended_is_not_resumed() {
+    let mut mirror = following(vec![item("a", 1)], 5);
+    mirror.take_watch(watch(vec![], 4).with_era(StoreEra(2)));
+    mirror.resume_at(in_era(90, 1));
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    let after = in_era(3, 3);
+    mirror.resume_at(after);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+}
+
+#[gtest]
+fn answers_of_a_lower_era_count_as_of_the_known_one() {
+    let mut mirror = MirrorState::new();
+    mirror.take_page(page(vec![], false, 5).with_era(StoreEra(2)));
+    for stated in [0, 1] {
+        let changes = watch(vec![StoreEvent::Written(item("a", 6))], 6);
+        let change = mirror.take_watch(changes.with_era(StoreEra(stated)));
+        let known = StoreEvent::Written(item("a", 6)).with_era(StoreEra(2));
+        expect_that!(change, some(eq(&MirrorChange::Changed(vec![known]))));
+        let after = in_era(6, 2);
+        expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+    }
+}
+
 #[gtest]
 fn lost_history_means_reading_anew_at_once() {
     let mut mirror = following(vec![item("a", 1)], 1);
@@ -98,7 +151,7 @@
             panic!("expected a pause");
         };
         pauses.push(pause);
-        let after = StoreRevision(7);
+        let after = StoreRevision::new(7);
         expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
     }
     expect_that!(pauses[0], le(RETRY_FIRST));
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -10,6 +10,7 @@
 mod feed;
 mod key_watch;
 mod mirror;
+mod revision;
 
 use std::fmt;
 use std::time::Duration;
@@ -29,23 +30,7 @@
 #[cfg(test)]
 pub(crate) use mirror::newest_events;
 pub use mirror::{MirrorChange, MirrorState, MirrorStep};
-
-/// A point in the history of the store: it rises by one with each change of any key. 0 is before every change.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-pub struct StoreRevision(pub u64);
-
-impl StoreRevision {
-    /// The revision of a key that does not exist.
-    pub const ABSENT: Self = Self(0);
-}
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
+pub use revision::{ParseRevisionError, StoreEra, StoreRevision};
 
 /// A lease: keys written under it vanish when it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -82,7 +67,28 @@
     },
 }
 
+impl StoreItem {
+    /// The same item at the same number of another era.
+    #[must_use]
+    pub fn with_era(mut self, era: StoreEra) -> Self {
+        self.revision = self.revision.with_era(era);
+        self
+    }
+}
+
 impl StoreEvent {
+    /// The same change at the same number of another era.
+    #[must_use]
+    pub fn with_era(self, era: StoreEra) -> Self {
+        match self {
+            Self::Written(item) => Self::Written(item.with_era(era)),
+            Self::Removed { key, revision } => Self::Removed {
+                key,
+                revision: revision.with_era(era),
+            },
+        }
+    }
+
     /// The key that changed.
     pub fn key(&self) -> &CompactString {
         match self {
@@ -111,6 +117,20 @@
     pub revision: StoreRevision,
 }
 
+impl StorePage {
+    /// The same page as of another era.
+    #[must_use]
+    pub fn with_era(mut self, era: StoreEra) -> Self {
+        self.revision = self.revision.with_era(era);
+        self.items = self
+            .items
+            .into_iter()
+            .map(|item| item.with_era(era))
+            .collect();
+        self
+    }
+}
+
 /// What a watch returned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreWatch {
@@ -120,6 +140,20 @@
     pub revision: StoreRevision,
 }
 
+impl StoreWatch {
+    /// The same changes as of another era.
+    #[must_use]
+    pub fn with_era(mut self, era: StoreEra) -> Self {
+        self.revision = self.revision.with_era(era);
+        self.events = self
+            .events
+            .into_iter()
+            .map(|event| event.with_era(era))
+            .collect();
+        self
+    }
+}
+
 /// A lease as the store granted it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseGrant {
@@ -204,7 +238,9 @@
     }
 }
 
-/// What the product needs of a store. Implementations send one call each and neither retry nor cache.
+/// What the product needs of a store. Implementations send one call each and neither retry nor cache. The revisions of an
+/// answer carry the era that the answer states; the number alone goes into a call, so whether a call met the history that
+/// it was made for shows only in the era of its answer.
 ///
 /// The futures can be sent between threads, so that actors on a runtime of many threads may hold a port.
 pub trait StorePort: Clone + Send + Sync + 'static {
