An evacuation that a restored store lacks stays in force until it is written again

Callers' requests would have reached an evacuated zone from the store's return until the operators had written the evacuation again: the range of the older copy lacks its key, and a key that is missing counted as taken back. Nobody had removed it. Now it stays for 10 s; a removal in the new era ends it at once.

The first test is red when what a restored store lacks counts as removed.

--- a/crates/ebonyfork/src/gateway/cold_claims.rs
+++ b/crates/ebonyfork/src/gateway/cold_claims.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::format_compact;
@@ -106,6 +106,21 @@
         });
     }
 
+    /// The upstreams of an evacuated zone may get requests again; they may have become cold.
+    pub fn readmit(&self, zone: &PlaceName) {
+        // First, so that nothing is sent meanwhile as to warm ones.
+        self.assume_cold(zone);
+        self.registry.readmit(zone);
+    }
+
+    /// Takes out what the store has lost and nobody has written again in time.
+    pub fn expire_missing(&self, time: Instant) {
+        self.registry.expire(time);
+        for zone in self.registry.ended_evacuations(time) {
+            self.readmit(&zone);
+        }
+    }
+
     /// This process has just read the store for the first time. Where somebody sends to cold upstreams, others may have
     /// become cold while no process of this VM ran, and not have said so yet.
     pub fn assume_cold_where_claimed(&self) {
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -367,6 +367,6 @@
 async fn sweep(core: Rc<GatewayCore>) {
     loop {
         tokio::time::sleep(Duration::from_millis(250)).await;
-        core.registry.expire(crate::gateway::clock::now());
+        core.expire_missing(crate::gateway::clock::now());
     }
 }
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use tokio::sync::watch;
 
 use crate::gateway::clock::now;
@@ -33,9 +34,19 @@
             CopyChange::Whole { revision, .. } => Some(*revision),
             CopyChange::Changes { .. } => None,
         };
+        let before = self.core.relay.copy().complete();
         let news = self.core.relay.take(change);
+        let after = self.core.relay.copy().complete();
+        let restored = before > StoreRevision::ABSENT && after.era() > before.era();
+        if restored {
+            // Entries that the older copy lacks are written again.
+            self.core.registry.note_return(now());
+        }
         for event in &news.events {
-            self.take_event(event);
+            match event {
+                StoreEvent::Removed { key, .. } if restored => self.miss(key),
+                event => self.take_event(event),
+            }
         }
         if let Some(read) = read {
             if self.core.registry.is_first_read() {
@@ -77,12 +88,22 @@
             StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
                 StoredKind::Upstream => self.core.registry.remove(key, now()),
                 StoredKind::Vm => self.core.vms.remove(key),
-                StoredKind::Evacuation(zone) => self.readmit(&zone),
+                StoredKind::Evacuation(zone) => self.core.readmit(&zone),
                 StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
             },
         }
     }
 
+    /// A store that came back from an older copy lacks a key. Nobody has removed it.
+    fn miss(&self, key: &CompactString) {
+        match (self.core.dialect.classify)(key) {
+            StoredKind::Evacuation(zone) => self.core.registry.keep_evacuated(&zone, now()),
+            StoredKind::Upstream => self.core.registry.remove(key, now()),
+            StoredKind::Vm => self.core.vms.remove(key),
+            StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
+        }
+    }
+
     fn put(&self, item: &StoreItem) {
         match (self.core.dialect.classify)(&item.key) {
             StoredKind::Config => self.put_config(item),
@@ -162,12 +183,6 @@
         self.core.registry.evacuate(zone);
     }
 
-    fn readmit(&self, zone: &PlaceName) {
-        // First, so that nothing is sent meanwhile as to warm ones.
-        self.core.assume_cold(zone);
-        self.core.registry.readmit(zone);
-    }
-
     fn put_claim(&self, zone: &PlaceName, item: &StoreItem) {
         match postcard::from_bytes::<ClaimRecord>(&item.value) {
             Ok(record) => {
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -1,9 +1,12 @@
+use std::time::Duration;
+
 use googletest::prelude::*;
 
 use super::*;
 use crate::gateway::fixture::{item, settings};
 use crate::gateway::follow::fixture::text_dialect;
 use crate::gateway::ident::UpstreamService;
+use crate::store::StoreEra;
 
 fn taker() -> StoreTaker {
     let core = Rc::new(GatewayCore::new(settings(), text_dialect()));
@@ -31,6 +34,18 @@
     }
 }
 
+/// Everything that a store holds which has come back from older copies.
+fn restored(items: &[StoreItem], revision: u64, era: u64) -> CopyChange {
+    let era = StoreEra(era);
+    CopyChange::Whole {
+        items: items
+            .iter()
+            .map(|item| item.clone().with_era(era))
+            .collect(),
+        revision: StoreRevision::new(revision).with_era(era),
+    }
+}
+
 fn complete(taker: &StoreTaker) -> StoreRevision {
     taker.core.relay.copy().complete()
 }
@@ -135,3 +150,57 @@
     );
     expect_that!(takes(), eq(1));
 }
+
+/// The store came back without an evacuation that it had acknowledged, and the zone got requests until the operators had
+/// written it again.
+#[gtest]
+fn an_evacuation_that_a_restored_store_lacks_stays_in_force() {
+    let taker = taker();
+    let zones = || taker.core.registry.evacuated_zones().len();
+    let later = |seconds| now() + Duration::from_secs(seconds);
+    let evacuation = item("evacuate/north-a", "{}", 5);
+    expect_that!(taker.take(whole(vec![evacuation.clone()], 9)), ok(eq(())));
+    // Two drills: written again after the first one, not after the second.
+    expect_that!(taker.take(restored(&[], 4, 1)), ok(eq(())));
+    taker.core.expire_missing(later(9));
+    expect_that!(zones(), eq(1));
+    let again = evacuation.clone().with_era(StoreEra(1));
+    let again = CopyChange::Changes {
+        since: StoreRevision::new(4).with_era(StoreEra(1)),
+        revision: again.revision,
+        events: vec![StoreEvent::Written(again)],
+    };
+    expect_that!(taker.take(again), ok(eq(())));
+    taker.core.expire_missing(later(60));
+    expect_that!(zones(), eq(1));
+    expect_that!(taker.take(restored(&[], 2, 2)), ok(eq(())));
+    expect_that!(zones(), eq(1));
+    taker.core.expire_missing(later(11));
+    expect_that!(zones(), eq(0));
+    // One that the operators take back in the new era ends at once.
+    expect_that!(taker.take(restored(&[evacuation], 6, 3)), ok(eq(())));
+    expect_that!(zones(), eq(1));
+    let removed = StoreEvent::Removed {
+        key: "evacuate/north-a".into(),
+        revision: StoreRevision::new(7),
+    };
+    let removed = CopyChange::Changes {
+        events: vec![removed.with_era(StoreEra(3))],
+        since: StoreRevision::new(6).with_era(StoreEra(3)),
+        revision: StoreRevision::new(7).with_era(StoreEra(3)),
+    };
+    expect_that!(taker.take(removed), ok(eq(())));
+    expect_that!(zones(), eq(0));
+}
+
+/// Upstreams that the older copy lacks are written again by their heartbeats.
+#[gtest]
+fn an_upstream_that_a_restored_store_lacks_is_kept_for_its_next_heartbeat() {
+    let taker = taker();
+    let items = vec![item("upstream/a", "s", 3), item("upstream/b", "s", 4)];
+    expect_that!(taker.take(whole(items.clone(), 4)), ok(eq(())));
+    expect_that!(taker.take(restored(&items[..1], 3, 1)), ok(eq(())));
+    expect_that!(upstreams(&taker, "s"), eq(2));
+    taker.core.expire_missing(now() + Duration::from_secs(3));
+    expect_that!(upstreams(&taker, "s"), eq(1));
+}
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -227,7 +227,7 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let time = now();
-        core.registry.expire(time);
+        core.expire_missing(time);
         core.registry.for_each(|upstream| {
             upstream.drop_stale(time);
             upstream.widen(time);
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -2,14 +2,15 @@
 //!
 //! Entries come from the store's mirror. While the store is away nothing is known about who lives; the last picture is
 //! kept, and an upstream that is gone is found out by its connections. When the store is back, entries that lapsed
-//! meanwhile return within about two seconds, so an entry that is missing is kept for that long.
+//! meanwhile return within about two seconds, so an entry that is missing is kept for that long. A store that comes back
+//! from an older copy may lack an evacuation that it had acknowledged: that stays in force until it has been written again.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
@@ -22,6 +23,10 @@
 /// each shard half of the time brings three quarters of the shards.
 const LIKELY_TIME: Duration = Duration::from_millis(1_150);
 
+/// How long an evacuation stays in force that a store lacks which came back from an older copy. The operators write it
+/// again within seconds; one that they had taken back just before ends with this time.
+const EVACUATION_KEPT: Duration = Duration::from_secs(10);
+
 /// While upstreams may still come that the first read of the store lacked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettlingTime {
@@ -45,8 +50,9 @@
     returning_until: Cell<Option<Instant>>,
     /// When the store was first read.
     first_read: Cell<Option<Instant>>,
-    /// Availability zones whose upstreams get no new requests.
-    evacuated: RefCell<FxHashSet<PlaceName>>,
+    /// Availability zones whose upstreams get no new requests; with the time at which that ends if the store has lost the
+    /// evacuation.
+    evacuated: RefCell<FxHashMap<PlaceName, Option<Instant>>>,
     /// Told of each entry that is new.
     changed: Notify,
 }
@@ -72,10 +78,32 @@
 
     /// The operators want no new requests in an availability zone. Requests that run there are left to end.
     pub fn evacuate(&self, zone: &PlaceName) {
-        self.evacuated.borrow_mut().insert(zone.clone());
+        self.evacuated.borrow_mut().insert(zone.clone(), None);
         self.set_evacuated(zone, true);
     }
 
+    /// The store came back from an older copy that lacks an evacuation.
+    pub fn keep_evacuated(&self, zone: &PlaceName, now: Instant) {
+        let mut evacuated = self.evacuated.borrow_mut();
+        let Some(ends) = evacuated.get_mut(zone) else {
+            return;
+        };
+        log::info!(
+            target: "ebonyfork::decision",
+            "zone {zone} kept evacuated: the store has lost the evacuation"
+        );
+        *ends = Some(now + EVACUATION_KEPT);
+    }
+
+    /// The zones whose evacuation the store has lost and nobody has written again in time.
+    pub fn ended_evacuations(&self, now: Instant) -> Vec<PlaceName> {
+        let evacuated = self.evacuated.borrow();
+        let ended = evacuated
+            .iter()
+            .filter(|(_zone, ends)| ends.is_some_and(|ends| ends <= now));
+        ended.map(|(zone, _ends)| zone.clone()).collect()
+    }
+
     /// The upstreams of an evacuated availability zone may get requests again.
     pub fn readmit(&self, zone: &PlaceName) {
         self.evacuated.borrow_mut().remove(zone);
@@ -98,12 +126,12 @@
 
     /// The zones whose upstreams get no new requests.
     #[cfg(test)]
-    pub fn evacuated_zones(&self) -> FxHashSet<PlaceName> {
-        self.evacuated.borrow().clone()
+    pub fn evacuated_zones(&self) -> rustc_hash::FxHashSet<PlaceName> {
+        self.evacuated.borrow().keys().cloned().collect()
     }
 
     fn is_evacuated(&self, zone: &PlaceName) -> bool {
-        self.evacuated.borrow().contains(zone)
+        self.evacuated.borrow().contains_key(zone)
     }
 
     /// Notes that the whole store has been read.
