What an upstream has said since the copy holds when the store comes back older

An upstream that leaves would have got new work again from the store's return until its next heartbeat: the older copy holds it for ready, and the entry last read counted. One that had left would have come back with its old entry, to an address where nobody is or another service. Now an entry of a restored store that the same life has replaced, by its count of heartbeats, changes nothing, and one of a life that has left is withheld for 5 s, in which the store lets the entries of the dead lapse.

Both tests are red with the entry simply put: the first lists the upstream as not leaving, the second lists it at once.

--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -98,6 +98,7 @@
         address,
         zone: PlaceName::new(zone),
         slots: 2,
+        heartbeats: 1,
         leaving: false,
         cold: Duration::ZERO,
     }
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -44,8 +44,9 @@
         }
         for event in &news.events {
             match event {
+                StoreEvent::Written(item) => self.put(item, restored),
                 StoreEvent::Removed { key, .. } if restored => self.miss(key),
-                event => self.take_event(event),
+                StoreEvent::Removed { key, .. } => self.remove(key),
             }
         }
         if let Some(read) = read {
@@ -82,15 +83,12 @@
         });
     }
 
-    fn take_event(&self, event: &StoreEvent) {
-        match event {
-            StoreEvent::Written(item) => self.put(item),
-            StoreEvent::Removed { key, .. } => match (self.core.dialect.classify)(key) {
-                StoredKind::Upstream => self.core.registry.remove(key, now()),
-                StoredKind::Vm => self.core.vms.remove(key),
-                StoredKind::Evacuation(zone) => self.core.readmit(&zone),
-                StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
-            },
+    fn remove(&self, key: &CompactString) {
+        match (self.core.dialect.classify)(key) {
+            StoredKind::Upstream => self.core.registry.remove(key, now()),
+            StoredKind::Vm => self.core.vms.remove(key),
+            StoredKind::Evacuation(zone) => self.core.readmit(&zone),
+            StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
         }
     }
 
@@ -98,16 +96,15 @@
     fn miss(&self, key: &CompactString) {
         match (self.core.dialect.classify)(key) {
             StoredKind::Evacuation(zone) => self.core.registry.keep_evacuated(&zone, now()),
-            StoredKind::Upstream => self.core.registry.remove(key, now()),
-            StoredKind::Vm => self.core.vms.remove(key),
-            StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
+            _ => self.remove(key),
         }
     }
 
-    fn put(&self, item: &StoreItem) {
+    /// Puts an item in force; `restored` tells whether it was read of a store that has just come back from an older copy.
+    fn put(&self, item: &StoreItem, restored: bool) {
         match (self.core.dialect.classify)(&item.key) {
             StoredKind::Config => self.put_config(item),
-            StoredKind::Upstream => self.put_upstream(item),
+            StoredKind::Upstream => self.put_upstream(item, restored),
             StoredKind::Vm => self.put_vm(item),
             StoredKind::Evacuation(zone) => self.evacuate(&zone, item),
             StoredKind::ZoneClaim(zone) => self.put_claim(&zone, item),
@@ -155,11 +152,16 @@
         }
     }
 
-    fn put_upstream(&self, item: &StoreItem) {
+    fn put_upstream(&self, item: &StoreItem, restored: bool) {
         match (self.core.dialect.read_upstream)(&item.key, &item.value) {
             Ok(entry) => {
                 let share = self.core.connection_share(&entry.service);
-                self.core.registry.put(&item.key, entry, now(), share);
+                let registry = &self.core.registry;
+                if restored {
+                    registry.put_restored(&item.key, entry, now(), share);
+                } else {
+                    registry.put(&item.key, entry, now(), share);
+                }
             }
             // Whatever stood there before is no longer stated by anybody; all other entries hold.
             Err(error) => {
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
-use crate::gateway::ident::{PlaceName, UpstreamService};
+use crate::gateway::ident::{PlaceName, UpstreamLife, UpstreamService};
 use crate::gateway::upstream::{Upstream, UpstreamEntry};
 
 /// How long after the store's return a missing entry is kept. Upstreams that live are back after about 2 s.
@@ -27,6 +27,12 @@
 /// again within seconds; one that they had taken back just before ends with this time.
 const EVACUATION_KEPT: Duration = Duration::from_secs(10);
 
+/// How long it is remembered which lives have left: longer than a copy from which the store comes back is old.
+const DEPARTED_REMEMBERED: Duration = Duration::from_mins(1);
+/// How long an entry is withheld that came back with an older copy though its upstream had left: the store lets an entry
+/// lapse after three heartbeats of silence, 3.6 s where they are stated.
+const WITHHELD_TIME: Duration = Duration::from_secs(5);
+
 /// While upstreams may still come that the first read of the store lacked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettlingTime {
@@ -39,6 +45,21 @@
 /// Some upstreams.
 pub type UpstreamList = SmallVec<[Rc<Upstream>; 4]>;
 
+/// A life of an upstream whose entry was removed.
+#[derive(Debug)]
+struct DepartedLife {
+    life: UpstreamLife,
+    at: Instant,
+}
+
+/// An entry that is not believed yet.
+#[derive(Debug)]
+struct WithheldEntry {
+    entry: UpstreamEntry,
+    share: usize,
+    until: Instant,
+}
+
 /// The upstreams by the key of their entry and by service.
 #[derive(Debug, Default)]
 pub struct UpstreamRegistry {
@@ -53,6 +74,10 @@
     /// Availability zones whose upstreams get no new requests; with the time at which that ends if the store has lost the
     /// evacuation.
     evacuated: RefCell<FxHashMap<PlaceName, Option<Instant>>>,
+    /// Lives that have left lately.
+    departed: RefCell<FxHashMap<CompactString, DepartedLife>>,
+    /// Entries of such lives that came back with an older copy of the store.
+    withheld: RefCell<FxHashMap<CompactString, WithheldEntry>>,
     /// Told of each entry that is new.
     changed: Notify,
 }
@@ -170,6 +195,7 @@
     /// Takes in an entry. `share` is the number of connections that this process may hold to the upstream.
     pub fn put(&self, key: &CompactString, entry: UpstreamEntry, now: Instant, share: usize) {
         self.missing.borrow_mut().remove(key);
+        self.withheld.borrow_mut().remove(key);
         let evacuated = self.is_evacuated(&entry.zone);
         let known = self.entries.borrow().get(key).cloned();
         if let Some(known) = known {
@@ -206,6 +232,58 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes in an entry of a store that has come back from an older copy. What this process has heard of the same life
+    /// since that copy holds: that it leaves, and for a while that it has left.
+    pub fn put_restored(
+        &self,
+        key: &CompactString,
+        entry: UpstreamEntry,
+        now: Instant,
+        share: usize,
+    ) {
+        if self.is_older(key, &entry) {
+            self.missing.borrow_mut().remove(key);
+            log::info!(
+                target: "ebonyfork::decision",
+                "upstream entry older instance={} heartbeats={} leaving={}: what is known holds",
+                entry.life(), entry.heartbeats, entry.leaving
+            );
+            return;
+        }
+        if !self.has_departed(key, &entry, now) {
+            self.put(key, entry, now, share);
+            return;
+        }
+        log::info!(
+            target: "ebonyfork::decision",
+            "upstream withheld instance={}: it had left before the store came back older",
+            entry.life()
+        );
+        let withheld = WithheldEntry {
+            entry,
+            share,
+            until: now + WITHHELD_TIME,
+        };
+        self.withheld.borrow_mut().insert(key.clone(), withheld);
+    }
+
+    /// Whether the same life has stated something since.
+    fn is_older(&self, key: &CompactString, entry: &UpstreamEntry) -> bool {
+        let entries = self.entries.borrow();
+        let known = entries.get(key).map(|upstream| upstream.entry());
+        known.is_some_and(|known| {
+            known.life() == entry.life() && known.heartbeats > entry.heartbeats
+        })
+    }
+
+    fn has_departed(&self, key: &CompactString, entry: &UpstreamEntry, now: Instant) -> bool {
+        let departed = self.departed.borrow();
+        departed.get(key).is_some_and(|departed| {
+            let recent = now < departed.at + DEPARTED_REMEMBERED;
+            recent && departed.life == entry.life()
+        })
+    }
+
     /// Takes out an entry that names no upstream any more, whatever the store has been through.
     pub fn disown(&self, key: &CompactString) {
         self.take_out(key, "its entry names no upstream");
@@ -213,11 +291,26 @@
 
     /// Takes in that an entry was removed.
     pub fn remove(&self, key: &CompactString, now: Instant) {
+        self.withheld.borrow_mut().remove(key);
         let returning = self.returning_until.get().filter(|until| now < *until);
-        match returning {
-            Some(until) => self.hold(key, until),
-            None => self.take_out(key, "removed"),
+        if let Some(until) = returning {
+            self.hold(key, until);
+            return;
         }
+        self.note_departed(key, now);
+        self.take_out(key, "removed");
+    }
+
+    fn note_departed(&self, key: &CompactString, now: Instant) {
+        let entries = self.entries.borrow();
+        let Some(upstream) = entries.get(key) else {
+            return;
+        };
+        let departed = DepartedLife {
+            life: upstream.entry().life(),
+            at: now,
+        };
+        self.departed.borrow_mut().insert(key.clone(), departed);
     }
 
     fn hold(&self, key: &CompactString, until: Instant) {
@@ -231,8 +324,13 @@
         self.missing.borrow_mut().insert(key.clone(), until);
     }
 
-    /// Takes out the entries that have not come back in time.
+    /// Takes out the entries that have not come back in time, and takes in those that were withheld for long enough.
     pub fn expire(&self, now: Instant) {
+        self.admit_withheld(now);
+        let remembered = |departed: &mut DepartedLife| now < departed.at + DEPARTED_REMEMBERED;
+        self.departed
+            .borrow_mut()
+            .retain(|_key, departed| remembered(departed));
         let missing = self.missing.borrow();
         let due: Vec<_> = missing
             .iter()
@@ -245,6 +343,17 @@
         }
     }
 
+    fn admit_withheld(&self, now: Instant) {
+        let mut withheld = self.withheld.borrow_mut();
+        let due: Vec<_> = withheld
+            .extract_if(|_key, withheld| withheld.until <= now)
+            .collect();
+        drop(withheld);
+        for (key, withheld) in due {
+            self.put(&key, withheld.entry, now, withheld.share);
+        }
+    }
+
     fn take_out(&self, key: &CompactString, reason: &str) {
         self.missing.borrow_mut().remove(key);
         let Some(upstream) = self.entries.borrow_mut().remove(key) else {
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -154,3 +154,53 @@
     registry.readmit(&PlaceName::new("north-b"));
     expect_that!(takers(), eq(&["a", "b", "c"]));
 }
+
+/// A store that came back from an older copy held an upstream for ready that had said that it leaves.
+#[gtest]
+fn a_leaving_upstream_does_not_return_with_an_older_copy() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    let older = entry("i-1", "s", "north-a", address());
+    let mut leaving = older.clone();
+    leaving.leaving = true;
+    leaving.heartbeats += 1;
+    registry.put(&KEY, leaving.clone(), now, 1);
+    registry.put_restored(&KEY, older.clone(), now, 1);
+    let listed = registry.upstreams(&service());
+    expect_that!(listed[0].is_leaving(), eq(true));
+    // What it writes itself from then on counts, and so does another life.
+    leaving.leaving = false;
+    registry.put(&KEY, leaving, now, 1);
+    expect_that!(listed[0].is_leaving(), eq(false));
+    let mut next = older;
+    next.born = Some(BirthTime(7));
+    next.heartbeats = 0;
+    registry.put_restored(&KEY, next, now, 1);
+    let listed = registry.upstreams(&service());
+    expect_that!(listed[0].entry().born, some(eq(BirthTime(7))));
+}
+
+/// The older copy holds the entries of upstreams that have left since; the store lets them lapse in a few seconds.
+#[gtest]
+fn an_upstream_that_has_left_does_not_return_with_an_older_copy() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    let gone = entry("i-1", "s", "north-a", address());
+    let listed = || registry.upstreams(&service()).len();
+    registry.put(&KEY, gone.clone(), now, 1);
+    registry.remove(&KEY, now);
+    registry.put_restored(&KEY, gone.clone(), now + ms(2_000), 1);
+    expect_that!(listed(), eq(0));
+    registry.remove(&KEY, now + ms(4_000));
+    registry.expire(now + ms(8_000));
+    expect_that!(listed(), eq(0), "it lapsed");
+    registry.put_restored(&KEY, gone.clone(), now + ms(9_000), 1);
+    registry.expire(now + ms(13_900));
+    expect_that!(listed(), eq(0));
+    registry.expire(now + ms(14_000));
+    expect_that!(listed(), eq(1), "it has not lapsed, so it lives");
+    registry.remove(&KEY, now + ms(20_000));
+    registry.put_restored(&KEY, gone.clone(), now + ms(21_000), 1);
+    registry.put(&KEY, gone, now + ms(21_100), 1);
+    expect_that!(listed(), eq(1), "it has written its entry again");
+}
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -28,6 +28,8 @@
     pub zone: PlaceName,
     /// Requests that it runs side by side.
     pub slots: usize,
+    /// Heartbeats of this life when it wrote the entry.
+    pub heartbeats: u64,
     /// Whether it is about to leave.
     pub leaving: bool,
     /// How much longer it is slow after its start.
