A VM's registration is written again in a new era, under a new lease

A store that came back from an older copy had lost the registration and the lease. The VM noticed at its next renewal, up to 4 s later; and if the lease's number had been given out again, renewing it succeeded: the VM kept another one's keys alive and had no entry of its own. Now an entry counts for the era in which it was written, and is written again within a second of hearing of the next.

--- a/crates/ebonyfork/src/gateway/cold_claims.rs
+++ b/crates/ebonyfork/src/gateway/cold_claims.rs
@@ -222,7 +222,7 @@
     let outcome = match &written {
         Ok(revision) => {
             let time = core.running_time();
-            core.cold_claims.enter_era(revision.era(), time);
+            core.enter_era(revision.era());
             core.cold_claims.with_zone(&zone, |claim| {
                 claim.note_written(write, *revision, begun, time);
             });
@@ -230,8 +230,7 @@
             format_compact!("revision={revision} void={void}")
         }
         Err(StoreError::Conflict { current }) => {
-            let time = core.running_time();
-            core.cold_claims.enter_era(current.era(), time);
+            core.enter_era(current.era());
             format_compact!("another VM was first, {current}")
         }
         Err(error) => format_compact!("failed: {error}"),
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
+use tokio::sync::watch;
 
 use crate::gateway::aggregate_table::AggregateTable;
 use crate::gateway::clock::{boot_time, now};
@@ -30,6 +31,7 @@
 use crate::gateway::weights::WeightShares;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress};
 use crate::quarantine::QuarantineHandle;
+use crate::store::StoreEra;
 
 /// Share of an upstream's connections that all VMs together use: the rest is for VMs that have just come or gone.
 const CONNECTION_SHARE: f64 = 0.9;
@@ -78,6 +80,8 @@
     pub route_checks: RouteChecks,
     /// Which VMs send to cold upstreams.
     pub cold_claims: ColdClaims,
+    /// The store's era, as far as this VM has heard.
+    era: watch::Sender<StoreEra>,
     /// Requests that crash upstreams.
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
@@ -124,6 +128,7 @@
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             cold_claims: ColdClaims::new(session),
+            era: watch::Sender::default(),
             quarantine: QuarantineHandle::new(),
             metrics,
             started: now(),
@@ -229,6 +234,21 @@
         });
     }
 
+    /// Takes in that the store is in an era: what rests on a write in the one before is void.
+    pub fn enter_era(&self, era: StoreEra) {
+        self.cold_claims.enter_era(era, self.running_time());
+        self.era.send_if_modified(|known| {
+            let rises = era > *known;
+            *known = era.max(*known);
+            rises
+        });
+    }
+
+    /// The store's era, as it rises.
+    pub fn eras(&self) -> watch::Receiver<StoreEra> {
+        self.era.subscribe()
+    }
+
     /// Whether new requests are taken.
     pub fn state(&self) -> ServiceState {
         self.state.get()
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -37,8 +37,7 @@
         let before = self.core.relay.copy().complete();
         let news = self.core.relay.take(change);
         let after = self.core.relay.copy().complete();
-        let time = self.core.running_time();
-        self.core.cold_claims.enter_era(after.era(), time);
+        self.core.enter_era(after.era());
         let restored = before > StoreRevision::ABSENT && after.era() > before.era();
         if restored {
             // Entries that the older copy lacks are written again.
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -1,4 +1,7 @@
 //! Keeps this VM's own entry in the store: under a lease, so that it vanishes with the process.
+//!
+//! A store that comes back from an older copy may hold neither, and may have given the lease's number to somebody else. So
+//! an entry counts for the era in which it was written, and is written again under a new lease in the next.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -6,10 +9,11 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use tokio::sync::watch;
 
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::vms::VmRecord;
-use crate::store::{Backoff, LeaseId, StoreError, StorePort, StoreWrite, answer_within};
+use crate::store::{Backoff, LeaseId, StoreEra, StoreError, StorePort, StoreWrite, answer_within};
 
 /// How long the entry outlives the process. Gossip notices a dead VM within about 2 s; the lease only cleans up.
 const LEASE_TTL: Duration = Duration::from_secs(12);
@@ -24,12 +28,17 @@
 const RENEWAL_RETRY_FIRST: Duration = Duration::from_secs(2);
 const RENEWAL_RETRY_LONGEST: Duration = RENEWAL_PERIOD;
 
+/// Longest wait before the entry is written again in a new era: all VMs hear of it within moments.
+const NEW_ERA_SPREAD: Duration = Duration::from_secs(1);
+
 /// Keeps the entry of this process.
 #[derive(Debug)]
 pub struct VmRegistration<P> {
     core: Rc<GatewayCore>,
     port: P,
     lease: Rc<Cell<Option<LeaseId>>>,
+    /// The store's era in which the entry was written.
+    written_in: Cell<StoreEra>,
 }
 
 impl<P: StorePort> VmRegistration<P> {
@@ -39,6 +48,7 @@
             core,
             port,
             lease: Rc::default(),
+            written_in: Cell::default(),
         }
     }
 
@@ -50,13 +60,14 @@
     /// Registers and renews until the future is dropped or a stop begins.
     pub async fn run(self) {
         let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
+        let mut eras = self.core.eras();
         let mut renewal_backoff = Backoff::new(RENEWAL_RETRY_FIRST, RENEWAL_RETRY_LONGEST);
         while self.core.state() == ServiceState::Serving {
             match self.keep().await {
                 Ok(()) => {
                     backoff.reset();
                     renewal_backoff.reset();
-                    tokio::time::sleep(RENEWAL_PERIOD).await;
+                    self.rest(&mut eras).await;
                 }
                 Err(error) => {
                     let backoff = match self.lease.get() {
@@ -71,17 +82,34 @@
         }
     }
 
+    /// Waits until the lease has to be renewed, or the entry written again because the store is in a new era.
+    async fn rest(&self, eras: &mut watch::Receiver<StoreEra>) {
+        let lost = eras.wait_for(|era| *era > self.written_in.get());
+        let Ok(Ok(_era)) = tokio::time::timeout(RENEWAL_PERIOD, lost).await else {
+            return;
+        };
+        let spread = NEW_ERA_SPREAD.mul_f64(rand::random());
+        tokio::time::sleep(spread).await;
+    }
+
+    /// Whether the entry is in the store for all that is known.
+    fn is_written(&self, key: &CompactString) -> bool {
+        let lost = *self.core.eras().borrow() > self.written_in.get();
+        !lost && !self.core.vms.is_missing(key)
+    }
+
     /// Renews the lease, or opens one and writes the entry under it.
     async fn keep(&self) -> Result<(), StoreError> {
         let key = (self.core.dialect.vm_key)(self.core.settings.listen.callers);
         if let Some(lease) = self.lease.get()
-            && !self.core.vms.is_missing(&key)
+            && self.is_written(&key)
         {
             match answer_within(ANSWER_TIME, self.port.renew_lease(lease)).await {
                 Err(StoreError::LeaseEnded) => self.lease.set(None),
                 other => return other,
             }
         }
+        let known = *self.core.eras().borrow();
         let grant = answer_within(ANSWER_TIME, self.port.open_lease(LEASE_TTL)).await?;
         let write = StoreWrite {
             key,
@@ -91,6 +119,9 @@
         };
         let revision = answer_within(ANSWER_TIME, self.port.write(write)).await?;
         self.lease.set(Some(grant.lease));
+        // One that states a lower era than it did counts as of the known one.
+        self.written_in.set(revision.era().max(known));
+        self.core.enter_era(revision.era());
         log::info!("registered lease={} revision={revision}", grant.lease);
         Ok(())
     }
@@ -112,3 +143,7 @@
             })
     }
 }
+
+#[cfg(test)]
+#[path = "register_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/register_tests.rs
@@ -0,0 +1,106 @@
+use std::sync::{Arc, Mutex};
+
+use googletest::prelude::*;
+use tokio::task::LocalSet;
+
+use super::*;
+use crate::gateway::fixture::{dialect, settings};
+use crate::store::{LeaseGrant, StoreItem, StorePage, StoreRevision, StoreWatch};
+
+/// A store that counts what is done to leases, and knows those of its era only.
+#[derive(Debug, Default)]
+struct LeaseBook {
+    era: u64,
+    opened: Vec<LeaseId>,
+    renewed: Vec<LeaseId>,
+    written: Vec<LeaseId>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct LeasePort(Arc<Mutex<LeaseBook>>);
+
+impl LeasePort {
+    fn book(&self) -> std::sync::MutexGuard<'_, LeaseBook> {
+        self.0.lock().expect("no panic")
+    }
+}
+
+impl StorePort for LeasePort {
+    async fn read_item(&self, _key: &str) -> std::result::Result<Option<StoreItem>, StoreError> {
+        unreachable!("registrations read nothing")
+    }
+
+    async fn read_page(
+        &self,
+        _prefix: &str,
+        _after: Option<&str>,
+    ) -> std::result::Result<StorePage, StoreError> {
+        unreachable!("registrations read nothing")
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        _after: StoreRevision,
+        _wait: Duration,
+    ) -> std::result::Result<StoreWatch, StoreError> {
+        unreachable!("registrations watch nothing")
+    }
+
+    async fn write(&self, write: StoreWrite) -> std::result::Result<StoreRevision, StoreError> {
+        let mut book = self.book();
+        book.written.extend(write.lease);
+        Ok(StoreRevision::new(1).with_era(StoreEra(book.era)))
+    }
+
+    async fn open_lease(&self, ttl: Duration) -> std::result::Result<LeaseGrant, StoreError> {
+        let mut book = self.book();
+        let lease = LeaseId(book.opened.len() as u64 + 1);
+        book.opened.push(lease);
+        Ok(LeaseGrant { lease, ttl })
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> std::result::Result<(), StoreError> {
+        self.book().renewed.push(lease);
+        Ok(())
+    }
+
+    async fn end_lease(&self, _lease: LeaseId) -> std::result::Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+/// The store came back without the entry. Its lease's number was given out again, so renewing it succeeded and kept somebody
+/// else's keys alive.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_entry_is_written_again_in_a_new_era() {
+    let test = async {
+        let core = Rc::new(GatewayCore::new(settings(), dialect()));
+        let port = LeasePort::default();
+        port.book().era = 1;
+        let registration = VmRegistration::new(Rc::clone(&core), port.clone());
+        let lease = registration.lease();
+        tokio::task::spawn_local(registration.run());
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        expect_that!(
+            port.book().renewed,
+            elements_are![eq(&LeaseId(1)), eq(&LeaseId(1))]
+        );
+        port.book().era = 2;
+        core.enter_era(StoreEra(2));
+        tokio::time::sleep(NEW_ERA_SPREAD + Duration::from_millis(10)).await;
+        expect_that!(
+            port.book().written,
+            elements_are![eq(&LeaseId(1)), eq(&LeaseId(2))]
+        );
+        expect_that!(lease.get(), some(eq(LeaseId(2))));
+        // Whoever hears of an era again, or of an earlier one, has lost nothing.
+        core.enter_era(StoreEra(2));
+        core.enter_era(StoreEra(1));
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        expect_that!(port.book().opened.len(), eq(2));
+        expect_that!(port.book().renewed.last(), some(eq(&LeaseId(2))));
+    };
+    LocalSet::new().run_until(test).await;
+}
