VMs that gossip hears count for the division of the repeats' slack

The slack is divided among the most VMs that were known to run. A VM that starts while the store holds an older copy of the registrations reads too few, and its share would have been too large until the others had registered again, up to 4 s later. Gossip hears them within a second, and a share is not used before three.

--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -118,8 +118,15 @@
     }
 
     /// Takes in what gossip believes. VMs that it holds for gone are forgotten, and so is a registration that the store no
-    /// longer holds once gossip does not hear the VM any more.
+    /// longer holds once gossip does not hear the VM any more. One that gossip hears runs, also if the store has come back
+    /// from a copy that is older than its registration.
     pub fn take_members(&self, members: Arc<MemberSnapshot>) {
+        let others = members
+            .members()
+            .iter()
+            .filter(|member| member.vm.0 != self.own.ip() && member.state != MemberState::Failed);
+        let heard = others.count() + 1;
+        self.most.set(self.most.get().max(heard));
         *self.members.borrow_mut() = members;
         let members = self.members.borrow();
         let failed = |record: &VmRecord| {
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -234,3 +234,20 @@
     expect_that!(shares[&PlaceName::new("north-a")], eq(0.5));
     expect_that!(shares[&PlaceName::new("south-a")], eq(0.5));
 }
+
+/// A store that came back older held one registration only, and a VM that started just then took the whole slack of repeats
+/// for its share of two.
+#[gtest]
+fn vms_that_gossip_hears_count_although_the_store_has_lost_them() {
+    let directory = VmDirectory::new(caller(1));
+    directory.put(&"vm/2".into(), record(2, "north-a", "north"));
+    expect_that!(directory.most_count(), eq(2));
+    directory.take_members(members(&[
+        (1, MemberState::Alive),
+        (2, MemberState::Alive),
+        (3, MemberState::Suspect),
+        (4, MemberState::Alive),
+        (5, MemberState::Failed),
+    ]));
+    expect_that!(directory.most_count(), eq(4));
+}
