A route of a version that the store has lost is not served by a VM that never had its successor

A VM that starts while the store holds an older configuration put that in force and served its routes until the newer one had been written again, though its neighbours had the newer one; its copy was up to date, so nothing told it. Now a version that others have had in force for longer than a change may take counts as missed: routes are compared with theirs, one that differs is refused as not run, and an unknown one is not answered 404. The VM does not fetch the newer version from them.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -15,7 +15,7 @@
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::flight::FlightCount;
-use crate::gateway::ident::{RouteName, UpstreamService};
+use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::{FreshnessTerms, MirrorRelay};
 use crate::gateway::policy::answer_lag::AnswerLag;
@@ -160,13 +160,32 @@
         self.needs.borrow_mut().clear();
         *self.table.borrow_mut() = Some(Rc::new(table));
         self.share_connections();
+        self.note_own_version();
         true
     }
 
+    /// Compares the version in force with those of other VMs.
+    pub fn note_own_version(&self) {
+        let own = self
+            .table()
+            .map_or(ConfigVersion(0), |table| table.version());
+        self.route_checks.note_own(own, now());
+    }
+
+    /// Whether the configuration in force may be an old one: changes may not have reached this VM, or the store has lost a
+    /// version that others have in force.
+    pub fn has_old_config(&self) -> bool {
+        let own = self
+            .table()
+            .map_or(ConfigVersion(0), |table| table.version());
+        let bound = self.settings.change_bound;
+        self.relay.is_old() || self.route_checks.is_overdue(own, now(), bound)
+    }
+
     /// Why a request is refused that no route matches. A VM whose configuration may be an old one does not know that there
     /// is none: the caller is to ask another VM, which may have a route that this one has not heard of.
     pub fn no_route(&self) -> RefusalReason {
-        if self.relay.is_old() {
+        if self.has_old_config() {
             RefusalReason::OldConfig
         } else {
             RefusalReason::NoRoute
--- a/crates/ebonyfork/src/gateway/route_check/mod.rs
+++ b/crates/ebonyfork/src/gateway/route_check/mod.rs
@@ -5,6 +5,9 @@
 //! those VMs about each route once, and a route that is as it was is served on. Any other request is refused as not run:
 //! the caller comes back on another VM, which has the route as it is now.
 //!
+//! The same holds while the copy is up to date and other VMs have had a newer version for longer than a change may take: the
+//! store came back from an older copy without it, and this VM started since or had not heard of it before.
+//!
 //! Asked is one of the VMs that read the store themselves: only these tell their version in gossip.
 
 mod message;
@@ -33,7 +36,7 @@
     route: &RouteEntry,
 ) -> Result<(), RefusalReason> {
     let checks = &core.route_checks;
-    let old = core.relay.is_old();
+    let old = core.has_old_config();
     let (newest, vm) = match checks.standing(table.version(), &route.name, old) {
         RouteStanding::Certain => return Ok(()),
         RouteStanding::Unknown => return Err(RefusalReason::OldConfig),
--- a/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -192,6 +192,33 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// The store came back without the newest version, and a VM that started just then served the routes of the one before it.
+#[gtest]
+#[tokio::test]
+async fn a_version_that_the_store_has_lost_is_missed_once_it_is_overdue() {
+    let test = async {
+        let vms = TwoVms::start().await;
+        let lost = [("/a/", "s"), ("/b/", "moved"), ("/c/", "new")];
+        vms.put(table(10, &[("/a/", "s"), ("/b/", "s")]), table(14, &lost));
+        vms.first.relay.note_proof(now());
+        vms.first.note_own_version();
+        expect_that!(vms.check("/b/1").await, ok(eq(())), "it may be on its way");
+        expect_that!(vms.first.no_route(), eq(RefusalReason::NoRoute));
+        let since = now().checked_sub(settings().change_bound);
+        let Some(since) = since else { return };
+        vms.first.route_checks.note_own(ConfigVersion(9), since);
+        vms.first.route_checks.note_own(ConfigVersion(10), since);
+        expect_that!(vms.check("/a/1").await, ok(eq(())), "as it was");
+        let refused = err(eq(RefusalReason::OldConfig));
+        expect_that!(vms.check("/b/1").await, refused, "moved");
+        expect_that!(vms.first.no_route(), eq(RefusalReason::OldConfig));
+        vms.first.adopt_table(table(14, &lost));
+        expect_that!(vms.check("/b/1").await, ok(eq(())), "written again");
+        expect_that!(vms.first.no_route(), eq(RefusalReason::NoRoute));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A question whose caller left, or which was not answered in time, stayed for good if the VM that was asked never answered.
 #[gtest]
 #[tokio::test]
--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -1,6 +1,7 @@
 //! Which versions other VMs have in force, and which routes are known to be the same there.
 
 use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
 
 use rand::seq::IndexedRandom;
 use rustc_hash::FxHashMap;
@@ -37,7 +38,9 @@
 pub struct RouteChecks {
     /// The newest version that another VM has in force.
     newest: Cell<ConfigVersion>,
-    /// The VMs that have it, of the own zone if any are.
+    /// The version in force here while there is a newer one elsewhere, and since when.
+    behind: Cell<Option<(ConfigVersion, Instant)>>,
+    /// The VMs that have the newest, of the own zone if any are.
     holders: RefCell<SmallVec<[VmAddress; 8]>>,
     /// Routes that are the same in a version as in this VM's own.
     same: RefCell<FxHashMap<RouteName, ConfigVersion>>,
@@ -84,6 +87,23 @@
         self.newest.set(ConfigVersion(newest));
     }
 
+    /// Takes in which version is in force here.
+    pub fn note_own(&self, own: ConfigVersion, now: Instant) {
+        let since = match self.behind.get() {
+            Some((version, since)) if version == own => since,
+            _ => now,
+        };
+        let behind = self.newest.get() > own;
+        self.behind.set(behind.then_some((own, since)));
+    }
+
+    /// Whether other VMs have had a newer version in force for longer than a change may take, so that the store would have
+    /// told of it if it still held it.
+    pub fn is_overdue(&self, own: ConfigVersion, now: Instant, bound: Duration) -> bool {
+        let behind = self.behind.get();
+        behind.is_some_and(|(version, since)| version == own && now >= since + bound)
+    }
+
     /// Whether a route of the version in force may be served; `old` tells whether that may be an old one.
     pub(super) fn standing(
         &self,
