--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -170,3 +170,28 @@
         LocalSet::new().run_until(play_history(seed, terms)).await;
     }
 }
+
+/// The same while the store comes back from older copies, twice within seconds too, and VMs start meanwhile.
+async fn play_drills(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        println!("seed {seed}");
+        let terms = HistoryTerms {
+            drills: true,
+            ..HistoryTerms::default()
+        };
+        LocalSet::new().run_until(play_history(seed, terms)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn no_vm_goes_back_or_lacks_anything_after_the_store_came_back_older() {
+    play_drills(0..16).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+#[ignore = "by hand: takes minutes"]
+async fn many_histories_of_a_store_that_comes_back_older() {
+    play_drills(1_000..1_200).await;
+}
--- a/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -194,6 +194,7 @@
             calm_time: CALM_TIME,
             routes: &[50, 1_450, 1_451, 2_850, 2_851],
             config_spacing: Duration::from_secs(1),
+            drills: false,
         };
         LocalSet::new().run_until(play_history(seed, terms)).await;
     }
--- a/crates/ebonyfork/src/gateway/follow/random_history.rs
+++ b/crates/ebonyfork/src/gateway/follow/random_history.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::fixture::{FollowFleet, FollowVm, evacuation_key, pass, vm_key};
-use super::store_fixture::StoreReach;
+use super::store_fixture::{StoreContent, StoreReach};
 
 /// What a history is played with.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +27,8 @@
     pub routes: &'static [u64],
     /// Shortest time between two configurations.
     pub config_spacing: Duration,
+    /// Whether the store may come back from an older copy.
+    pub drills: bool,
 }
 
 impl Default for HistoryTerms {
@@ -38,6 +40,7 @@
             calm_time: Duration::from_secs(5),
             routes: &[],
             config_spacing: Duration::ZERO,
+            drills: false,
         }
     }
 }
@@ -122,6 +125,10 @@
     slow: Option<u8>,
     /// The VM that gossip suspects.
     suspected: Option<u8>,
+    /// What the store held at each step, if it may come back from that.
+    copies: Vec<StoreContent>,
+    /// When the store came back from an older copy last.
+    drilled: Option<Instant>,
 }
 
 impl RandomHistory {
@@ -137,9 +144,17 @@
             cut_off: BTreeMap::new(),
             slow: None,
             suspected: None,
+            copies: Vec::new(),
+            drilled: None,
         }
     }
 
+    /// Whether an evacuation that the operators have taken back may still be in force: one that the store lost is kept for
+    /// a while, by VMs that had not heard yet that it was taken back.
+    fn may_be_kept(&self) -> bool {
+        self.drilled.is_some_and(|at| at.elapsed() < KEPT_TIME)
+    }
+
     fn put_config(&mut self, fleet: &FollowFleet, rng: &mut ChaCha8Rng) {
         let last = self.versions.last();
         if last.is_some_and(|(at, _version)| at.elapsed() < self.terms.config_spacing) {
@@ -213,6 +228,9 @@
         }
         let evacuations = vm.evacuations();
         for (key, (evacuated, since)) in &self.evacuations {
+            if !evacuated && self.may_be_kept() {
+                continue;
+            }
             if since.elapsed() > self.terms.change_bound {
                 expect_that!(
                     evacuations.contains(key),
@@ -236,9 +254,62 @@
     }
 }
 
+/// How long an evacuation may be kept that the store has lost, and the time until a VM hears of that.
+const KEPT_TIME: Duration = Duration::from_secs(15);
+/// Steps of a history within which a copy is taken from which the store may come back: some 5 s.
+const COPY_STEPS: usize = 25;
+
+/// In some steps the store is away for a moment and comes back from an older copy; VMs may start just then, and it may happen
+/// again before what was lost has been written again, in any order.
+async fn random_drill(
+    fleet: &mut FollowFleet,
+    rng: &mut ChaCha8Rng,
+    history: &mut RandomHistory,
+    seen: &mut BTreeMap<u8, u64>,
+) {
+    history.copies.push(fleet.store.content());
+    if !rng.random_bool(0.04) {
+        return;
+    }
+    let truth = fleet.store.content();
+    let drills = if rng.random_bool(0.3) { 2 } else { 1 };
+    for _drill in 0..drills {
+        for vm in &fleet.vms {
+            fleet.store.set_reach(vm.number, StoreReach::Refuses);
+        }
+        pass(rng.random_range(0.0..2.5)).await;
+        let oldest = history.copies.len().saturating_sub(COPY_STEPS);
+        let place = rng.random_range(oldest..history.copies.len());
+        fleet.store.restore(history.copies[place].clone());
+        // Later drills find what this one has left.
+        history.copies.truncate(place + 1);
+        for vm in &fleet.vms {
+            let reach = history.cut_off.get(&vm.number).copied();
+            let reach = reach.unwrap_or(StoreReach::Answers);
+            fleet.store.set_reach(vm.number, reach);
+        }
+        if rng.random_bool(0.3) {
+            let place = rng.random_range(0..fleet.vms.len());
+            history.lives += 1;
+            seen.remove(&fleet.vms[place].number);
+            fleet.restart(place, history.lives).await;
+        }
+        for _look in 0..rng.random_range(1..8) {
+            pass(0.25).await;
+            history.drilled = Some(Instant::now());
+            for vm in &fleet.vms {
+                history.calm_since.insert(vm.number, Instant::now());
+                history.check(vm, seen);
+            }
+        }
+    }
+    fleet.store.write_again(&truth, rng);
+}
+
 /// Plays one history.
 pub async fn play_history(seed: u64, terms: HistoryTerms) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut drill_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut zone_rng = ChaCha8Rng::seed_from_u64(!seed);
     let mut fleet = FollowFleet::start_with(terms.zones, terms.link_rate, terms.change_bound).await;
     let mut history = RandomHistory::new(terms);
@@ -251,6 +322,9 @@
         if history.lives != lives {
             seen.clear();
         }
+        if terms.drills {
+            random_drill(&mut fleet, &mut drill_rng, &mut history, &mut seen).await;
+        }
         pass(rng.random_range(0.0..0.4)).await;
         for vm in &fleet.vms {
             history.check(vm, &mut seen);
@@ -264,6 +338,9 @@
     }
     // Longer than any VM follows another one or avoids one, and than a missing entry is kept.
     pass(10.0).await;
+    if terms.drills {
+        pass(KEPT_TIME.as_secs_f64()).await;
+    }
     for vm in &fleet.vms {
         expect_that!(vm.version(), eq(history.version), "VM {}", vm.number);
         let upstreams = fleet.store.keys("upstream/");
--- a/crates/ebonyfork/src/gateway/follow/store_fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/store_fixture.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use rand::Rng;
+use rand::seq::SliceRandom;
 use tokio::sync::watch;
 
 use super::fixture::vm_address;
@@ -134,6 +136,25 @@
         self.wake();
     }
 
+    /// Operators and upstreams write again, in any order, what the store has lost of what it held, and remove again what
+    /// had been gone.
+    pub fn write_again(&self, truth: &StoreContent, rng: &mut impl Rng) {
+        let held = self.content().items;
+        let gone = held.keys().filter(|key| !truth.items.contains_key(*key));
+        let lost = truth.items.values().filter(|item| {
+            let held = held.get(&item.key);
+            held.is_none_or(|held| held.value != item.value)
+        });
+        let mut keys: Vec<_> = lost.map(|item| &item.key).chain(gone).collect();
+        keys.shuffle(rng);
+        for key in keys {
+            match truth.items.get(key) {
+                Some(item) => self.put(key, item.value.clone()),
+                None => self.remove(key),
+            }
+        }
+    }
+
     /// Sets what becomes of a VM's calls.
     pub fn set_reach(&self, vm: u8, reach: StoreReach) {
         let mut state = self.state();
