--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -19,6 +19,10 @@
 const KINDS: usize = 21;
 /// Those of them that concern whole availability zones.
 const PLACE_KINDS: std::ops::Range<usize> = 16..20;
+/// How often an event is followed by one in which the store comes back from an older copy.
+const RESTORE_SHARE: f64 = 0.15;
+/// Keys that operators and upstreams write.
+const FOREIGN_KEYS: [&str; 2] = ["op/", "servers/"];
 /// How long a leaving upstream goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -46,9 +50,16 @@
 ) -> Result<Vec<SoakEvent>, LabError> {
     let end = Instant::now() + time;
     let mut events = Vec::new();
+    // It draws by itself, so that what else a seed draws stays the same.
+    let mut restore_rng = rng.clone();
+    restore_rng.set_stream(1);
     while Instant::now() < end {
         let from = Instant::now();
-        let drawn = run_event(rng, world, fleet).await?;
+        let drawn = if restore_rng.random_bool(RESTORE_SHARE) {
+            run_restore(&mut restore_rng, world, fleet).await?
+        } else {
+            run_event(rng, world, fleet).await?
+        };
         events.push(SoakEvent {
             from,
             until: Instant::now(),
@@ -282,6 +293,37 @@
     Ok(DrawnEvent::new(what))
 }
 
+/// The store is away for a moment and comes back from an older copy, perhaps twice, while a VM may start; then operators and
+/// upstreams write again what it has lost.
+async fn run_restore(
+    rng: &mut ChaCha8Rng,
+    world: &SoakWorld,
+    fleet: &mut GatewayFleet,
+) -> Result<DrawnEvent, LabError> {
+    let copy = world.store.backup();
+    let lasting = pause(rng, 300, 6_000);
+    last_with_changes(rng, world, lasting).await;
+    let held = world.store.backup();
+    let rounds = if rng.random_bool(0.3) { 2 } else { 1 };
+    for _round in 0..rounds {
+        let lasting = pause(rng, 100, 2_500);
+        run_outage(true, lasting, rng, world).await;
+        world.store.restore(copy.clone());
+        if rng.random_bool(0.3) {
+            let vm = rng.random_range(0..fleet.vms.len());
+            fleet.kill(vm).await;
+            tokio::time::sleep(pause(rng, 50, 500)).await;
+            fleet.start_vm(vm)?;
+        }
+        tokio::time::sleep(pause(rng, 1, 1_500)).await;
+    }
+    world.store.write_again(&held, &FOREIGN_KEYS, rng);
+    let era = world.store.era();
+    Ok(DrawnEvent::new(format!(
+        "store came back {lasting:?} older, era {era}"
+    )))
+}
+
 /// The store is away, or slow and forgetful, for a time.
 async fn run_outage(
     away: bool,
