Numbers of questions to a followed VM are not given out twice

A VM that left another one and followed it again began its questions anew. An answer to a question of the round before, which a slow link brought late, counted for a question of the new round with the same number, and made the proof of the copy's age younger by the time between: the copy would have counted as up to date while it may lack changes that are due. The numbers now go on. The test is red with numbers that begin anew.

--- a/crates/ebonyfork/src/gateway/follow/following.rs
+++ b/crates/ebonyfork/src/gateway/follow/following.rs
@@ -54,13 +54,13 @@
 }
 
 impl VmFollowing {
-    pub(super) fn new(vm: VmAddress, received_before: u64) -> Self {
+    pub(super) fn new(vm: VmAddress, received_before: u64, questions: OpenQuestions) -> Self {
         Self {
             vm,
             since: now(),
             received_before,
             answered_at: None,
-            questions: OpenQuestions::default(),
+            questions,
             incoming: IncomingTransfer::default(),
             advanced_at: None,
         }
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -26,8 +26,8 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::mirror::{
-    ContentError, CopyChange, CopyGap, FreshnessTerms, MirrorMessage, PieceOutcome, SourceStanding,
-    held_values, read_content,
+    ContentError, CopyChange, CopyGap, FreshnessTerms, MirrorMessage, OpenQuestions, PieceOutcome,
+    SourceStanding, held_values, read_content,
 };
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberSnapshot, MemberState};
@@ -68,6 +68,7 @@
         asking_since: now(),
         failing_since: None,
         detour_until: None,
+        questions: OpenQuestions::default(),
         noted_old: true,
         news,
         core,
@@ -90,6 +91,8 @@
     failing_since: Option<Instant>,
     /// Until when another VM is followed because the store does not answer.
     detour_until: Option<Instant>,
+    /// The questions of the round before, while no VM is followed.
+    questions: OpenQuestions,
     /// Whether the log says that the copy is old.
     noted_old: bool,
     news: mpsc::UnboundedReceiver<(VmAddress, MirrorMessage)>,
@@ -254,7 +257,9 @@
     /// Follows another VM until it is no good source any more or another one is the right one.
     async fn follow_vm(&mut self, vm: VmAddress) {
         while self.news.try_recv().is_ok() {}
-        let mut following = VmFollowing::new(vm, self.core.delegates.received_bytes(vm));
+        let questions = std::mem::take(&mut self.questions).renewed();
+        let received = self.core.delegates.received_bytes(vm);
+        let mut following = VmFollowing::new(vm, received, questions);
         let mut next_look = now();
         let fault = loop {
             let wake = self.wake(next_look);
@@ -283,6 +288,7 @@
         if let Some(fault) = fault {
             self.give_up(&following, fault);
         }
+        self.questions = following.questions;
         let leave = PeerMessage::Mirror(MirrorMessage::Leave);
         self.core.delegates.tell(vm, leave);
     }
--- a/crates/ebonyfork/src/gateway/mirror/freshness.rs
+++ b/crates/ebonyfork/src/gateway/mirror/freshness.rs
@@ -55,7 +55,8 @@
     }
 }
 
-/// The last questions to a followed VM.
+/// The last questions to a followed VM. A number is never given out twice in a process: an answer to a question that the VM
+/// was asked when it was followed before may come late, and must not count as one to a question asked since.
 #[derive(Debug, Default)]
 pub struct OpenQuestions {
     next: u64,
@@ -66,6 +67,15 @@
 const QUESTIONS_KEPT: usize = 8;
 
 impl OpenQuestions {
+    /// No questions yet, to another VM or the same one again.
+    #[must_use]
+    pub fn renewed(self) -> Self {
+        Self {
+            asked: SmallVec::new(),
+            ..self
+        }
+    }
+
     /// Notes a question that is asked now; returns its number.
     pub fn ask(&mut self, now: Instant) -> u64 {
         let number = self.next;
--- a/crates/ebonyfork/src/gateway/mirror/freshness_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/freshness_tests.rs
@@ -37,6 +37,19 @@
     expect_that!(questions.proof(99, 0), none(), "never asked");
 }
 
+/// An answer that a slow link brought after the VM had been left and was followed again counted for the first question of the
+/// new round, and made the copy look younger by the time between.
+#[gtest]
+fn an_answer_to_a_question_of_an_earlier_round_proves_nothing() {
+    let start = Instant::now();
+    let mut questions = OpenQuestions::default();
+    let early = questions.ask(start);
+    let mut questions = questions.renewed();
+    let later = questions.ask(start + ms(5_000));
+    expect_that!(questions.proof(early, -100), none());
+    expect_that!(questions.proof(later, 0), some(eq(start + ms(5_000))));
+}
+
 #[gtest]
 fn only_the_last_questions_are_remembered() {
     let start = Instant::now();
