An upstream that wrote its entry again after a silence has not left

Its earlier removal was remembered for a minute, and a store that came back older within it withheld an entry that was in use. Found by reading the change; no run has shown it.

--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -196,6 +196,7 @@
     pub fn put(&self, key: &CompactString, entry: UpstreamEntry, now: Instant, share: usize) {
         self.missing.borrow_mut().remove(key);
         self.withheld.borrow_mut().remove(key);
+        self.departed.borrow_mut().remove(key);
         let evacuated = self.is_evacuated(&entry.zone);
         let known = self.entries.borrow().get(key).cloned();
         if let Some(known) = known {
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -204,3 +204,22 @@
     registry.put(&KEY, gone, now + ms(21_100), 1);
     expect_that!(listed(), eq(1), "it has written its entry again");
 }
+
+/// An upstream that fell silent for a while and wrote its entry again has not left.
+#[gtest]
+fn an_upstream_that_came_back_by_itself_is_not_withheld() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    let known = entry("i-1", "s", "north-a", address());
+    registry.put(&KEY, known.clone(), now, 1);
+    registry.remove(&KEY, now);
+    registry.put(&KEY, known.clone(), now + ms(1_000), 1);
+    let listed = registry.upstreams(&service());
+    let mut leaving = known.clone();
+    leaving.leaving = true;
+    leaving.heartbeats += 1;
+    registry.put_restored(&KEY, known, now + ms(2_000), 1);
+    registry.put(&KEY, leaving, now + ms(3_000), 1);
+    registry.expire(now + ms(9_000));
+    expect_that!(listed[0].is_leaving(), eq(true));
+}
