--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -136,6 +136,38 @@
     expect_that!(upstream.arrivals().len(), ge(1));
 }
 
+/// The store comes back without the newest configuration and without the gateway's registration, and gives their revisions
+/// out again.
+#[gtest]
+#[tokio::test]
+async fn a_gateway_goes_on_with_a_store_that_came_back_older() {
+    let routed_at = |version, prefix: &str| config(version, "idempotent").replace("/r/", prefix);
+    let (store, _upstream) = store_and_upstream().await;
+    store.put("op/config", routed_at(3, "/a/"));
+    let copy = store.backup();
+    let gateway = start_gateway("older", "127.230.0.9", store.address());
+    wait_status(gateway.callers, "/a/1", 200).await;
+    let registrations = || store.keys("ebonyfork/").len();
+    store.put("op/config", routed_at(4, "/b/"));
+    wait_status(gateway.callers, "/b/1", 200).await;
+    expect_that!(registrations(), eq(1));
+    store.restore(copy);
+    expect_that!(registrations(), eq(0));
+    let again = async {
+        while registrations() == 0 {
+            let answer = get(gateway.callers, "/b/2", "gap").await;
+            let status = answer.map(|answer| answer.status().as_u16());
+            expect_that!(status, some(eq(200)), "never back");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let again = tokio::time::timeout(PATIENCE, again).await;
+    expect_that!(again.is_ok(), eq(true), "registered again");
+    store.put("op/config", routed_at(5, "/c/"));
+    wait_status(gateway.callers, "/c/1", 200).await;
+    wait_status(gateway.callers, "/b/3", 404).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_request_that_may_run_once_is_not_sent_again() {
