--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -46,7 +46,7 @@
         for event in &news.events {
             match event {
                 StoreEvent::Written(item) => self.put(item, restored),
-                StoreEvent::Removed { key, .. } if restored => self.miss(key),
+                StoreEvent::Removed { key, .. } if restored => self.take_lost(key),
                 StoreEvent::Removed { key, .. } => self.remove(key),
             }
         }
@@ -94,7 +94,7 @@
     }
 
     /// A store that came back from an older copy lacks a key. Nobody has removed it.
-    fn miss(&self, key: &CompactString) {
+    fn take_lost(&self, key: &CompactString) {
         match (self.core.dialect.classify)(key) {
             StoredKind::Evacuation(zone) => self.core.registry.keep_evacuated(&zone, now()),
             _ => self.remove(key),
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -67,7 +67,7 @@
                 Ok(()) => {
                     backoff.reset();
                     renewal_backoff.reset();
-                    self.rest(&mut eras).await;
+                    self.wait_due(&mut eras).await;
                 }
                 Err(error) => {
                     let backoff = match self.lease.get() {
@@ -83,7 +83,7 @@
     }
 
     /// Waits until the lease has to be renewed, or the entry written again because the store is in a new era.
-    async fn rest(&self, eras: &mut watch::Receiver<StoreEra>) {
+    async fn wait_due(&self, eras: &mut watch::Receiver<StoreEra>) {
         let lost = eras.wait_for(|era| *era > self.written_in.get());
         let Ok(Ok(_era)) = tokio::time::timeout(RENEWAL_PERIOD, lost).await else {
             return;
