That an upstream leaves holds against an older copy also between two heartbeats

The count only orders what is written at different heartbeats, so of two statements with the same count the one that it leaves holds.

--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -301,6 +301,19 @@
     fleet: &mut GatewayFleet,
 ) -> Result<DrawnEvent, LabError> {
     let copy = world.store.backup();
+    // What the store is going to lose: an evacuation, and that an upstream leaves.
+    let evacuated = rng
+        .random_bool(0.5)
+        .then(|| ZONES[rng.random_range(0..ZONES.len())]);
+    if let Some(zone) = evacuated {
+        world.evacuate(zone);
+    }
+    let upstreams = lock(&world.upstreams).len();
+    let leaving = if rng.random_bool(0.5) {
+        Some(begin_drain(world, rng.random_range(0..upstreams)).await?)
+    } else {
+        None
+    };
     let lasting = pause(rng, 300, 6_000);
     last_with_changes(rng, world, lasting).await;
     let held = world.store.backup();
@@ -318,9 +331,18 @@
         tokio::time::sleep(pause(rng, 1, 1_500)).await;
     }
     world.store.write_again(&held, &FOREIGN_KEYS, rng);
+    if let Some(leaving) = &leaving {
+        tokio::time::sleep_until(leaving.since + DRAIN_TIME).await;
+        world.end_upstream(leaving.number, Some(leaving.since));
+    }
+    if let Some(zone) = evacuated {
+        tokio::time::sleep(pause(rng, 500, 2_000)).await;
+        world.readmit(zone);
+    }
     let era = world.store.era();
+    let drained = leaving.is_some();
     Ok(DrawnEvent::new(format!(
-        "store came back {lasting:?} older, era {era}"
+        "store came back {lasting:?} older, era {era} evacuated={evacuated:?} drained={drained}"
     )))
 }
 
@@ -448,19 +470,31 @@
     }
 }
 
-/// Another upstream starts, this one says that it leaves, serves on and ends; its address goes to another service.
-async fn drain(world: &SoakWorld, number: usize) -> Result<(), LabError> {
+/// An upstream that is leaving.
+#[derive(Debug, Clone, Copy)]
+struct LeavingUpstream {
+    number: usize,
+    since: Instant,
+}
+
+/// An upstream says that it leaves, with another one in its place.
+async fn begin_drain(world: &SoakWorld, number: usize) -> Result<LeavingUpstream, LabError> {
     let (service, zone) = {
         let upstreams = lock(&world.upstreams);
         let upstream = &upstreams[number];
         (upstream.server.service().to_owned(), upstream.zone)
     };
     world.add_upstream(&service, zone).await?;
-    let leaving = Instant::now();
-    {
-        let upstreams = lock(&world.upstreams);
-        world.register(&upstreams[number], "draining");
-    };
+    let since = Instant::now();
+    let upstreams = lock(&world.upstreams);
+    world.register(&upstreams[number], "draining");
+    Ok(LeavingUpstream { number, since })
+}
+
+/// Another upstream starts, this one says that it leaves, serves on and ends; its address goes to another service.
+async fn drain(world: &SoakWorld, number: usize) -> Result<(), LabError> {
+    let leaving = begin_drain(world, number).await?;
+    let service = lock(&world.upstreams)[number].server.service().to_owned();
     tokio::time::sleep(DRAIN_TIME).await;
     let reused = {
         let upstreams = lock(&world.upstreams);
@@ -473,6 +507,6 @@
         lock(&world.upstreams)[number].proxy.set_target(reused);
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    world.end_upstream(number, Some(leaving));
+    world.end_upstream(number, Some(leaving.since));
     Ok(())
 }
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -268,12 +268,15 @@
         self.withheld.borrow_mut().insert(key.clone(), withheld);
     }
 
-    /// Whether the same life has stated something since.
+    /// Whether the same life has stated something since. Between two statements with the same count of heartbeats the one that
+    /// it leaves holds, since nobody takes that back.
     fn is_older(&self, key: &CompactString, entry: &UpstreamEntry) -> bool {
         let entries = self.entries.borrow();
         let known = entries.get(key).map(|upstream| upstream.entry());
         known.is_some_and(|known| {
-            known.life() == entry.life() && known.heartbeats > entry.heartbeats
+            let later = known.heartbeats > entry.heartbeats;
+            let leaves = known.heartbeats == entry.heartbeats && known.leaving;
+            known.life() == entry.life() && (later || leaves)
         })
     }
 
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -168,6 +168,10 @@
     registry.put_restored(&KEY, older.clone(), now, 1);
     let listed = registry.upstreams(&service());
     expect_that!(listed[0].is_leaving(), eq(true));
+    leaving.heartbeats = older.heartbeats;
+    registry.put(&KEY, leaving.clone(), now, 1);
+    registry.put_restored(&KEY, older.clone(), now, 1);
+    expect_that!(listed[0].is_leaving(), eq(true), "between two heartbeats");
     // What it writes itself from then on counts, and so does another life.
     leaving.leaving = false;
     registry.put(&KEY, leaving, now, 1);
