--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -5,8 +5,10 @@
 
 use futures_util::future::{AbortHandle, Abortable};
 
+use crate::gateway::authorise::route_of_passed_on;
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
+use crate::gateway::organisation::OrganisationName;
 use crate::gateway::partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, ShardProgress,
 };
@@ -61,7 +63,17 @@
         max_records: gather_terms.max_records,
         min_coverage: 0.0,
     };
-    Some((Rc::clone(route), gather_terms))
+    let organisation = stated_organisation(core, query);
+    let route = route_of_passed_on(&table, route, organisation)?;
+    Some((route, gather_terms))
+}
+
+/// Returns the organisation that a query states to upstreams.
+fn stated_organisation(core: &GatewayCore, query: &PartialQuery) -> Option<OrganisationName> {
+    let name = core.dialect.names.organisation.as_str();
+    let headers = &query.request.headers;
+    let (_name, value) = headers.iter().find(|(header, _value)| header == name)?;
+    std::str::from_utf8(value).ok().map(OrganisationName::new)
 }
 
 /// Replies that none of the requested shards was sent to an upstream.
--- a/crates/ebonyfork/src/gateway/cold_claims.rs
+++ b/crates/ebonyfork/src/gateway/cold_claims.rs
@@ -5,23 +5,22 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use compact_str::format_compact;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::gateway::claim_write::{AppliedWrite, ClaimTarget, write_claim};
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::ident::PlaceName;
-use crate::gateway::policy::cold::{ClaimWrite, ZoneClaim};
+use crate::gateway::policy::claim::StoreClaim;
+use crate::gateway::policy::cold::COLD_CLAIM;
 use crate::gateway::upstream::Upstream;
 use crate::gateway::vms::rendezvous;
 use crate::ident::{SessionId, VmAddress};
-use crate::store::{StoreEra, StoreError, StorePort, StoreWrite, answer_within};
+use crate::store::{StoreEra, StorePort};
 
 /// Time between two checks of the claims.
 const CLAIM_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Longest wait for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Claims on all availability zones, as known to this process.
 #[derive(Debug)]
@@ -29,7 +28,7 @@
     own_session: SessionId,
     /// Era of the store, and the time at which this process learnt of it.
     era: Cell<(StoreEra, Duration)>,
-    zones: RefCell<FxHashMap<PlaceName, ZoneClaim>>,
+    zones: RefCell<FxHashMap<PlaceName, StoreClaim>>,
 }
 
 impl ColdClaims {
@@ -43,10 +42,14 @@
     }
 
     /// Calls a function with the claim on a zone.
-    pub fn with_zone<T>(&self, zone: &PlaceName, use_claim: impl FnOnce(&mut ZoneClaim) -> T) -> T {
+    pub fn with_zone<T>(
+        &self,
+        zone: &PlaceName,
+        use_claim: impl FnOnce(&mut StoreClaim) -> T,
+    ) -> T {
         let mut zones = self.zones.borrow_mut();
         let claim = zones.entry(zone.clone()).or_insert_with(|| {
-            let mut claim = ZoneClaim::new(self.own_session);
+            let mut claim = StoreClaim::new(self.own_session, COLD_CLAIM);
             let (era, since) = self.era.get();
             claim.enter_era(era, since);
             claim
@@ -69,7 +72,7 @@
     /// Returns whether this process may send to cold upstreams of a zone.
     pub fn may_send(&self, zone: &PlaceName, now: Duration) -> bool {
         let zones = self.zones.borrow();
-        zones.get(zone).is_some_and(|claim| claim.may_send(now))
+        zones.get(zone).is_some_and(|claim| claim.is_usable(now))
     }
 
     /// Returns whether any process may be sending to cold upstreams of a zone.
@@ -201,7 +204,25 @@
                 .cold_claims
                 .with_zone(&zone, |claim| claim.next_write(is_wanted, time));
             if let Some(write) = write {
-                tokio::task::spawn_local(write_claim(Rc::clone(&core), port.clone(), zone, write));
+                let target = ClaimTarget {
+                    key: (core.dialect.claim_key)(&zone),
+                    label: format_compact!("cold zone {zone}"),
+                };
+                let record = {
+                    let core = Rc::clone(&core);
+                    move |applied: AppliedWrite| {
+                        core.cold_claims.with_zone(&zone, |claim| {
+                            claim.record_write(
+                                applied.write,
+                                applied.revision,
+                                applied.begun_at,
+                                applied.answered_at,
+                            );
+                        });
+                    }
+                };
+                let write = write_claim(Rc::clone(&core), port.clone(), target, write, record);
+                tokio::task::spawn_local(write);
             }
         }
     }
@@ -213,49 +234,3 @@
     let vms = core.vms.serving_near(zone, &core.settings.place);
     rendezvous(&vms, zone) == Some(VmAddress(core.settings.place.address))
 }
-
-async fn write_claim(
-    core: Rc<GatewayCore>,
-    port: impl StorePort,
-    zone: PlaceName,
-    write: ClaimWrite,
-) {
-    let started_at = core.running_time();
-    let value = match postcard::to_stdvec(&write.record) {
-        Ok(value) => Bytes::from(value),
-        Err(error) => {
-            log::error!("claim of zone {zone} can't be encoded: {error}");
-            return;
-        }
-    };
-    let store_write = StoreWrite {
-        key: (core.dialect.claim_key)(&zone),
-        value,
-        expected: Some(write.expected_revision),
-        lease: None,
-    };
-    let result = answer_within(STORE_TIMEOUT, port.write(store_write)).await;
-    let outcome = match &result {
-        Ok(revision) => {
-            let time = core.running_time();
-            core.enter_era(revision.era());
-            core.cold_claims.with_zone(&zone, |claim| {
-                claim.record_write(write, *revision, started_at, time);
-            });
-            let void = write.expected_revision.era() != revision.era();
-            format_compact!("revision={revision} void={void}")
-        }
-        Err(StoreError::Conflict { current }) => {
-            core.enter_era(current.era());
-            format_compact!("another VM wrote first, current revision {current}")
-        }
-        Err(error) => format_compact!("failed: {error}"),
-    };
-    let holder = write.record.holder.map(|holder| holder.to_string());
-    log::info!(
-        target: "ebonyfork::decision",
-        "cold zone {zone} claim holder={} expected={} {outcome}",
-        holder.as_deref().unwrap_or("-"),
-        write.expected_revision
-    );
-}
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -21,6 +21,7 @@
 use crate::gateway::policy::answer_lag::AnswerLag;
 use crate::gateway::policy::budget::LeasedRetryBudget;
 use crate::gateway::policy::route_latency::RouteLatency;
+use crate::gateway::quota_exchange::QuotaDesk;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::{UpstreamList, UpstreamRegistry};
 use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
@@ -81,6 +82,8 @@
     pub route_checks: RouteChecks,
     /// Claims that decide which VM sends to cold upstreams.
     pub cold_claims: ColdClaims,
+    /// Tokens of organisations' quotas.
+    pub quota_desk: QuotaDesk,
     /// Latest era of the store that this VM knows of.
     era: watch::Sender<StoreEra>,
     /// Quarantine of requests that crash upstreams.
@@ -130,6 +133,7 @@
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             cold_claims: ColdClaims::new(session),
+            quota_desk: QuotaDesk::new(session),
             era: watch::Sender::default(),
             quarantine: QuarantineHandle::new(),
             metrics,
@@ -187,6 +191,15 @@
                 .is_overdue(own_version, now(), change_bound)
     }
 
+    /// Returns whether a credential may have been removed without this VM having learnt of it, on a deployment that
+    /// doesn't accept that.
+    pub fn may_lack_credential_removal(&self) -> bool {
+        let Some(max_age) = self.settings.credential_max_age else {
+            return false;
+        };
+        self.relay.copy_age().is_none_or(|age| age > max_age)
+    }
+
     /// Returns the reason for refusing a request that no route matches. A VM whose configuration may be stale can't
     /// tell that the route does not exist, so the caller is asked to try another VM, which may know it.
     pub fn no_route_reason(&self) -> RefusalReason {
@@ -274,6 +287,7 @@
     /// Records that the store has entered an era. Claims that rest on a write in an earlier era become void.
     pub fn enter_era(&self, era: StoreEra) {
         self.cold_claims.enter_era(era, self.running_time());
+        self.quota_desk.enter_era(era, self.running_time());
         self.era.send_if_modified(|known_era| {
             let is_later = era > *known_era;
             *known_era = era.max(*known_era);
--- a/crates/ebonyfork/src/gateway/dialect.rs
+++ b/crates/ebonyfork/src/gateway/dialect.rs
@@ -25,6 +25,8 @@
     pub signature: HeaderName,
     /// Incarnation of the upstream for which a request is meant; any other one refuses it.
     pub expected_instance: HeaderName,
+    /// Organisation of the caller, as told to upstreams.
+    pub organisation: HeaderName,
     /// Present in an answer if the request did not run.
     pub not_run: HeaderName,
     /// Load of the upstream, present in answers on deployments whose upstreams report it.
@@ -48,6 +50,8 @@
     Evacuation(PlaceName),
     /// Claim on the cold upstreams of an availability zone.
     ZoneClaim(PlaceName),
+    /// Claim on a part of all organisations' quotas.
+    QuotaPart(u8),
     /// A key that the gateway does not use.
     Other,
 }
@@ -106,6 +110,8 @@
     pub vm_key: fn(caller: SocketAddr) -> CompactString,
     /// Returns the key of the claim on the cold upstreams of an availability zone.
     pub claim_key: fn(zone: &PlaceName) -> CompactString,
+    /// Returns the key of the claim on a part of all organisations' quotas.
+    pub quota_key: fn(part: u8) -> CompactString,
     /// Parses a call to the control addresses.
     pub read_call: fn(uri: &Uri) -> Option<ControlCall>,
     /// Encodes a locate answer as content type and body.
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -23,6 +23,7 @@
         deadline: HeaderName::from_static("x-deadline"),
         signature: HeaderName::from_static("x-signature"),
         expected_instance: HeaderName::from_static("x-instance"),
+        organisation: HeaderName::from_static("x-organisation"),
         not_run: HeaderName::from_static("x-not-run"),
         load: HeaderName::from_static("x-load"),
         part_signatures: HeaderName::from_static("x-signatures"),
@@ -39,6 +40,7 @@
         read_upstream: |_key, _value| unreachable!("no upstream is stored in this test"),
         vm_key: |caller| CompactString::new(caller.to_string()),
         claim_key: |zone| CompactString::new(zone.as_str()),
+        quota_key: |part| compact_str::format_compact!("quota/{part}"),
         read_call: |_uri| None,
         write_locate: |_reply| (HeaderValue::from_static("text/plain"), Bytes::new()),
     }
@@ -80,6 +82,8 @@
         grace: Duration::from_secs(6),
         change_bound: Duration::from_secs(3),
         cold_bound: None,
+        quota_bound: crate::gateway::policy::quota::QuotaBound::default(),
+        credential_max_age: None,
         budget: RetryBudgetConfig {
             ratio: 0.2,
             slack: 50.0,
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use tokio::sync::watch;
@@ -11,7 +12,7 @@
 use crate::gateway::dialect::StoredKind;
 use crate::gateway::ident::PlaceName;
 use crate::gateway::mirror::{CopyChange, CopyGap};
-use crate::gateway::policy::cold::ClaimRecord;
+use crate::gateway::policy::claim::ClaimRecord;
 use crate::gateway::route::RouteTable;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
@@ -93,7 +94,10 @@
             StoredKind::Upstream => self.core.registry.remove(key, now()),
             StoredKind::Vm => self.core.vms.remove(key),
             StoredKind::Evacuation(zone) => self.core.end_evacuation(&zone),
-            StoredKind::Config | StoredKind::ZoneClaim(_) | StoredKind::Other => {}
+            StoredKind::Config
+            | StoredKind::ZoneClaim(_)
+            | StoredKind::QuotaPart(_)
+            | StoredKind::Other => {}
         }
     }
 
@@ -114,7 +118,18 @@
             StoredKind::Upstream => self.put_upstream(item, is_restored),
             StoredKind::Vm => self.put_vm(item),
             StoredKind::Evacuation(zone) => self.evacuate(&zone, item),
-            StoredKind::ZoneClaim(zone) => self.put_claim(&zone, item),
+            StoredKind::ZoneClaim(zone) => {
+                let claims = &self.core.cold_claims;
+                self.put_claim(item, |record, time| {
+                    claims.with_zone(&zone, |claim| claim.observe(item.revision, record, time));
+                });
+            }
+            StoredKind::QuotaPart(part) => {
+                let desk = &self.core.quota_desk;
+                self.put_claim(item, |record, time| {
+                    desk.with_claim(part, |claim| claim.observe(item.revision, record, time));
+                });
+            }
             StoredKind::Other => {}
         }
     }
@@ -193,13 +208,9 @@
         self.core.registry.evacuate(zone);
     }
 
-    fn put_claim(&self, zone: &PlaceName, item: &StoreItem) {
+    fn put_claim(&self, item: &StoreItem, observe: impl FnOnce(ClaimRecord, Duration)) {
         match postcard::from_bytes::<ClaimRecord>(&item.value) {
-            Ok(record) => {
-                let time = self.core.running_time();
-                let claims = &self.core.cold_claims;
-                claims.with_zone(zone, |claim| claim.observe(item.revision, record, time));
-            }
+            Ok(record) => observe(record, self.core.running_time()),
             Err(error) => log::error!("claim {} can't be decoded: {error}", item.key),
         }
     }
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use googletest::prelude::*;
 
 use super::*;
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -17,11 +17,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::gateway::authorise::{authorise, route_of_organisation};
 use crate::gateway::caller_time::{CallerDistance, CallerOverhead};
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::http_server::log_accept_error;
 use crate::gateway::metrics::OutcomeLabel;
+use crate::gateway::organisation::OrganisationEntry;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::reply::{CallerReply, refusal_reply};
 use crate::gateway::request::ForwardRequest;
@@ -218,6 +220,10 @@
         self.route = format_compact!("{} version={}", route.name, table.version());
     }
 
+    fn set_organisation(&mut self, organisation: &OrganisationEntry) {
+        self.route = format_compact!("{} organisation={}", self.route, organisation.name);
+    }
+
     fn finish(mut self, outcome: &'static str, detail: &str, status: u16) {
         self.logged = true;
         let elapsed = now().saturating_duration_since(self.received);
@@ -265,7 +271,14 @@
     if core.state() == ServiceState::Draining {
         return Err(RefusalReason::Stopping);
     }
-    check_route(core, &table, &route).await?;
+    let caller = authorise(core, &table, &route, &parts.headers)?;
+    if let Some(caller) = &caller {
+        request_log.set_organisation(&caller.organisation);
+    }
+    let credential = caller.as_ref().map(|caller| caller.credential);
+    check_route(core, &table, &route, credential).await?;
+    let organisation = caller.as_ref().map(|caller| &*caller.organisation);
+    let route = route_of_organisation(&route, organisation);
     let names = &core.dialect.names;
     let id = parts.headers.get(&names.request_id).cloned();
     let id = id.ok_or(RefusalReason::Malformed)?;
@@ -276,13 +289,20 @@
     let wait = stated_wait.map_or(route.timeout, |wait| wait.min(route.timeout));
     let finish_by = received + wait;
     let body = read_body(body, table.limits().body_bytes, finish_by).await?;
-    let request = ForwardRequest::new(names, parts, body, id, received, finish_by)
+    let mut request = ForwardRequest::new(names, parts, body, id, received, finish_by)
         .with_caller_overhead(caller_overhead.total(time_before_request));
+    if table.organisations().is_some() {
+        request = request.with_organisation(names, organisation);
+    }
     let quarantine_status = core.quarantine.admit(request.fingerprint);
     if quarantine_status == QuarantineStatus::Quarantined {
         return Err(RefusalReason::Quarantined);
     }
     let target = select_target(core, &route)?;
+    if let Some(organisation) = organisation {
+        // Comes last, because a request that is refused for another reason must not use up the quota.
+        core.take_quota_token(organisation, &request_log.id).await?;
+    }
     Ok(run_request(core, &route, target, Rc::new(request), quarantine_status).await)
 }
 
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -13,7 +13,9 @@
 
 mod aggregate;
 mod aggregate_table;
+mod authorise;
 mod caller_time;
+mod claim_write;
 mod clock;
 mod cold_claims;
 mod control;
@@ -41,9 +43,11 @@
 mod metrics;
 mod mirror;
 mod node;
+mod organisation;
 mod partial;
 mod peers;
 mod policy;
+mod quota_exchange;
 mod refusal;
 mod register;
 mod registry;
@@ -72,17 +76,26 @@
 pub use merge::{RECORD_BYTES, merge_records};
 pub use mirror::MirrorMessage;
 pub use node::{GatewayError, GatewayNode};
+pub use organisation::{
+    CredentialDigest, OrganisationDeclaration, OrganisationEntry, OrganisationError,
+    OrganisationName, OrganisationTable, read_credential,
+};
 pub use partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
 };
 pub use policy::budget::{
     LeasedRetryBudget, RetryBudget, RetryBudgetConfig, ShareLeases, ShareMessage,
 };
-pub use policy::cold::{ClaimRecord, ClaimWrite, ColdBound, RequestRate, SendWindow, ZoneClaim};
+pub use policy::claim::{ClaimRecord, ClaimTimings, ClaimWrite, StoreClaim};
+pub use policy::cold::{ColdBound, RequestRate, SendWindow};
 pub use policy::gather::{GatherEnd, GatherState};
 pub use policy::homes::HomeRegions;
 pub use policy::latency::{AttemptKind, LatencyHistogram};
 pub use policy::load_report::{LoadReport, LoadReportError};
+pub use policy::quota::{
+    AskPlan, PartLedger, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal,
+    RequestQuota, next_return, plan_asks,
+};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, Idempotency, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -22,6 +22,7 @@
 use crate::gateway::gossip::connect_gossip;
 use crate::gateway::ingress::serve_callers;
 use crate::gateway::peers::{accept_links, follow_links, open_links};
+use crate::gateway::quota_exchange::run_quota_claims;
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::share_exchange::run_leases;
@@ -127,6 +128,7 @@
         tasks.spawn_local(sweep(Rc::clone(&core)));
         tasks.spawn_local(run_leases(Rc::clone(&core), own_vm.0));
         tasks.spawn_local(run_claims(Rc::clone(&core), port.clone()));
+        tasks.spawn_local(run_quota_claims(Rc::clone(&core), port.clone()));
         connect_gossip(&mut tasks, &core, &membership, own_vm);
         log_start(&core);
         Ok(Self {
@@ -237,6 +239,7 @@
         if sweeps.is_multiple_of(SWEEPS_PER_BUDGET_CLEANUP) {
             let time = core.running_time();
             core.retry_budget.borrow_mut().remove_idle(time);
+            core.quota_desk.remove_idle(time);
         }
     }
 }
--- a/crates/ebonyfork/src/gateway/policy/cold/claim.rs
+++ b/crates/ebonyfork/src/gateway/policy/claim.rs
@@ -1,6 +1,7 @@
-//! Decides which VM sends to the cold upstreams of an availability zone. Does no I/O.
+//! Decides which VM holds an exclusive right that all VMs compete for through the store. Does no I/O.
 //!
-//! A claim is a record that is written on the condition that its key is unchanged since it was read. If the store is
+//! A claim is a record that is written on the condition that its key is unchanged since it was read. Its holder may use
+//! the right for a term that starts when it began the write. If the store is
 //! restored from an older copy, this condition no longer protects the claim: the record may be missing while its holder
 //! still sends, and a revision number may have been assigned twice. Therefore
 //!
@@ -14,25 +15,32 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::window::WINDOW_LENGTH;
 use crate::ident::SessionId;
 use crate::store::{StoreEra, StoreRevision};
 
-/// Time for which a holder may send, from the moment at which it began to write its claim.
-pub const CLAIM_TERM: Duration = Duration::from_secs(4);
-/// Time after which a holder renews its claim. Two renewals may fail before the term ends.
-const RENEWAL_PERIOD: Duration = Duration::from_millis(1_300);
-/// Time for which a claim must be unchanged before another VM takes it over, and for which a store era must be known
-/// before claims are written in it: [`CLAIM_TERM`], [`WINDOW_LENGTH`], and an allowance for clock drift between two
-/// VMs.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(5_500);
+/// Times that govern a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimTimings {
+    /// Time for which a holder may use the right, from the moment at which it began to write its claim.
+    pub term: Duration,
+    /// Time after which a holder renews its claim.
+    pub renewal_period: Duration,
+    /// Time for which a claim must be unchanged before another VM takes it over, and for which a store era must be
+    /// known before claims are written in it: the term, the quiet time, and an allowance for clock drift between two
+    /// VMs.
+    pub takeover_delay: Duration,
+    /// Time for which a new holder does not use the right yet, because the previous one may have used it until the
+    /// takeover.
+    pub quiet_time: Duration,
+}
+
 /// Minimum time from the beginning of a write to that of the next one, which repeats the first one if it failed.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Record in the store that states which process holds the claim on an availability zone's cold upstreams.
+/// Record in the store that states which process holds a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRecord {
-    /// Process that may send to the zone's cold upstreams; `None` once it has given the claim back.
+    /// Process that may use the right; `None` once it has given the claim back.
     pub holder: Option<SessionId>,
     /// Store era in which the condition of the write was read.
     pub era: StoreEra,
@@ -57,31 +65,32 @@
     first_seen: Duration,
 }
 
-/// Period in which this process may send requests to the zone's cold upstreams, because it holds the claim. Ends one
-/// [`CLAIM_TERM`] after the process began the write that gave it the claim or renewed it.
+/// Period in which this process may use the right, because it holds the claim. Ends one term after the process began the
+/// write that gave it the claim or renewed it.
 #[derive(Debug, Clone, Copy)]
-struct SendPeriod {
+struct HoldPeriod {
     start: Duration,
     end: Duration,
 }
 
-/// Claim on the cold upstreams of one availability zone, as known to one process. Times are durations since the process
+/// Claim on an exclusive right, as known to one process. Times are durations since the process
 /// started, on a clock that keeps running while the VM is suspended.
 #[derive(Debug)]
-pub struct ZoneClaim {
+pub struct StoreClaim {
     own_session: SessionId,
+    timings: ClaimTimings,
     /// Latest store era that this process knows of.
     era: StoreEra,
     /// Time until which a claim of the previous store era may still be in use on some VM.
     no_writes_until: Duration,
     observed_claim: Option<ObservedClaim>,
-    /// Period in which this process may send to the zone's cold upstreams; `None` if it doesn't hold the claim.
-    send_period: Option<SendPeriod>,
+    /// Period in which this process may use the right; `None` if it doesn't hold the claim.
+    hold_period: Option<HoldPeriod>,
     /// Time at which this process began its last write of the claim.
     last_write: Option<Duration>,
 }
 
-impl ZoneClaim {
+impl StoreClaim {
     /// Creates the state of a process that knows nothing of the claim.
     ///
     /// # Examples
@@ -89,39 +98,58 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use ebonyfork::gateway::ZoneClaim;
+    /// use ebonyfork::gateway::{ClaimTimings, StoreClaim};
     /// use ebonyfork::store::StoreRevision;
     ///
-    /// let mut claim = ZoneClaim::new("10.0.0.1-7".parse()?);
+    /// let timings = ClaimTimings {
+    ///     term: Duration::from_secs(4),
+    ///     renewal_period: Duration::from_secs(1),
+    ///     takeover_delay: Duration::from_secs(5),
+    ///     quiet_time: Duration::ZERO,
+    /// };
+    /// let mut claim = StoreClaim::new("10.0.0.1-7".parse()?, timings);
     /// let now = Duration::from_secs(60);
     /// let write = claim.next_write(true, now).expect("nobody holds it");
-    /// assert!(!claim.may_send(now));
+    /// assert!(!claim.is_usable(now));
     /// claim.record_write(write, StoreRevision::new(4), now, now);
-    /// assert!(claim.may_send(now));
-    /// assert!(!claim.may_send(now + Duration::from_secs(5)));
+    /// assert!(claim.is_usable(now));
+    /// assert!(!claim.is_usable(now + Duration::from_secs(5)));
     /// # Ok::<(), ebonyfork::ident::IdentError>(())
     /// ```
-    pub fn new(own_session: SessionId) -> Self {
+    pub fn new(own_session: SessionId, timings: ClaimTimings) -> Self {
         Self {
             own_session,
+            timings,
             era: StoreEra::UNSTATED,
             no_writes_until: Duration::ZERO,
             observed_claim: None,
-            send_period: None,
+            hold_period: None,
             last_write: None,
         }
     }
 
-    /// Returns whether this process may send to the zone's cold upstreams.
-    pub fn may_send(&self, now: Duration) -> bool {
-        self.send_period
-            .is_some_and(|period| period.start <= now && now < period.end)
+    /// Returns whether this process may use the right.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.usable_since(now).is_some()
+    }
+
+    /// Returns since when this process has held the right without interruption by another holder; `None` if it may not
+    /// use the right now.
+    pub fn usable_since(&self, now: Duration) -> Option<Duration> {
+        let period = self.hold_period?;
+        (period.start <= now && now < period.end).then_some(period.start)
+    }
+
+    /// Returns the process that the latest known record names as the holder.
+    pub fn holder(&self) -> Option<SessionId> {
+        self.observed_claim?.record.holder
     }
 
-    /// Returns whether any process, including this one, may be sending to the zone's cold upstreams.
+    /// Returns whether any process, including this one, may be using the right.
     pub fn is_held(&self, now: Duration) -> bool {
         let may_be_in_use = |observed: &ObservedClaim| {
-            observed.record.holder.is_some() && now < observed.first_seen + TAKEOVER_DELAY
+            observed.record.holder.is_some()
+                && now < observed.first_seen + self.timings.takeover_delay
         };
         self.observed_claim.as_ref().is_some_and(may_be_in_use)
     }
@@ -132,9 +160,9 @@
             return;
         }
         self.era = era;
-        self.no_writes_until = now + TAKEOVER_DELAY;
+        self.no_writes_until = now + self.timings.takeover_delay;
         self.observed_claim = None;
-        self.send_period = None;
+        self.hold_period = None;
         self.last_write = None;
     }
 
@@ -148,7 +176,7 @@
             return;
         }
         if !self.is_own(record) {
-            self.send_period = None;
+            self.hold_period = None;
         }
         self.observed_claim = Some(ObservedClaim {
             revision,
@@ -157,8 +185,7 @@
         });
     }
 
-    /// Returns the write that is due, if any. `wants_claim` tells whether this process should send to the zone's cold
-    /// upstreams.
+    /// Returns the write that is due, if any. `wants_claim` tells whether this process should hold the claim.
     pub fn next_write(&mut self, wants_claim: bool, now: Duration) -> Option<ClaimWrite> {
         if now < self.no_writes_until {
             return None;
@@ -181,8 +208,8 @@
             if !is_own {
                 return None;
             }
-            // This process stops sending before it gives the claim back.
-            self.send_period = None;
+            // This process stops using the right before it gives the claim back.
+            self.hold_period = None;
             self.last_write = Some(now);
             return Some(ClaimWrite {
                 expected_revision,
@@ -192,8 +219,9 @@
                 },
             });
         }
-        let has_period = self.send_period.is_some();
-        if (is_own && has_period && wrote_within(RENEWAL_PERIOD)) || (!is_own && !self.is_free(now))
+        let has_period = self.hold_period.is_some();
+        if (is_own && has_period && wrote_within(self.timings.renewal_period))
+            || (!is_own && !self.is_free(now))
         {
             return None;
         }
@@ -212,20 +240,20 @@
         record.holder == Some(self.own_session) && record.era == self.era
     }
 
-    /// Returns whether no other process can be sending to the zone's cold upstreams any more. It may have stopped only
-    /// now; a process that takes the claim over therefore waits for one [`WINDOW_LENGTH`] before it sends.
+    /// Returns whether no other process can be using the right any more. It may have stopped only now; a process that
+    /// takes the claim over therefore waits for the quiet time.
     fn is_free(&self, now: Duration) -> bool {
         let Some(observed) = self.observed_claim else {
             return true;
         };
         if observed.record.era != self.era {
-            return now >= observed.first_seen + TAKEOVER_DELAY;
+            return now >= observed.first_seen + self.timings.takeover_delay;
         }
         match observed.record.holder {
             None => true,
             // The holder is a previous process on this VM, which has ended.
             Some(holder) if holder.vm == self.own_session.vm => true,
-            Some(_other) => now >= observed.first_seen + TAKEOVER_DELAY,
+            Some(_other) => now >= observed.first_seen + self.timings.takeover_delay,
         }
     }
 
@@ -256,19 +284,19 @@
             first_seen: now,
         });
         if write.record.holder.is_none() {
-            self.send_period = None;
+            self.hold_period = None;
             return;
         }
-        let start = match (self.send_period, previous_claim) {
+        let start = match (self.hold_period, previous_claim) {
             (Some(period), _) => period.start,
             // The claim's key didn't exist, so no process has held the claim.
             (None, None) => begun_at,
-            // Any previous holder, including this process, may have sent until now.
-            (None, Some(_)) => now + WINDOW_LENGTH,
+            // Any previous holder, including this process, may have used the right until now.
+            (None, Some(_)) => now + self.timings.quiet_time,
         };
-        self.send_period = Some(SendPeriod {
+        self.hold_period = Some(HoldPeriod {
             start,
-            end: begun_at + CLAIM_TERM,
+            end: begun_at + self.timings.term,
         });
     }
 }
--- a/crates/ebonyfork/src/gateway/policy/cold/claim_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/claim_tests.rs
@@ -3,7 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
-use crate::gateway::policy::cold::SendWindow;
+use crate::gateway::policy::cold::{COLD_CLAIM, SendWindow};
 use crate::ident::{IncarnationNumber, VmAddress};
 
 fn ms(millis: u64) -> Duration {
@@ -32,18 +32,18 @@
 /// it learns of the new era.
 #[gtest]
 fn a_claim_is_void_in_a_new_era_and_written_again_after_its_term() {
-    let mut holder = ZoneClaim::new(session(1, 1));
+    let mut holder = StoreClaim::new(session(1, 1), COLD_CLAIM);
     let write = holder.next_write(true, ms(0)).expect("nobody holds it");
     holder.record_write(write, StoreRevision::new(9), ms(0), ms(10));
-    expect_that!(holder.may_send(ms(100)), eq(true));
+    expect_that!(holder.is_usable(ms(100)), eq(true));
     holder.enter_era(StoreEra(1), ms(100));
-    expect_that!(holder.may_send(ms(100)), eq(false));
+    expect_that!(holder.is_usable(ms(100)), eq(false));
     expect_that!(holder.next_write(true, ms(5_599)), none());
     let write = holder.next_write(true, ms(5_600)).expect("no term is left");
     expect_that!(write.expected_revision, eq(in_era(0, 1)));
     // A process that has just started can't know when the era began, so it writes no claim until as much time has
     // passed since it learned of the era.
-    let mut new_process = ZoneClaim::new(session(2, 1));
+    let mut new_process = StoreClaim::new(session(2, 1), COLD_CLAIM);
     new_process.enter_era(StoreEra(1), ms(20));
     expect_that!(new_process.next_write(true, ms(5_519)), none());
     expect_that!(new_process.next_write(true, ms(5_520)), some(anything()));
@@ -51,15 +51,15 @@
 
 #[gtest]
 fn a_write_applied_in_another_era_is_ignored() {
-    let mut claim = ZoneClaim::new(session(1, 1));
+    let mut claim = StoreClaim::new(session(1, 1), COLD_CLAIM);
     let write = claim.next_write(true, ms(0)).expect("nobody holds it");
     claim.record_write(write, in_era(9, 1), ms(0), ms(10));
-    expect_that!(claim.may_send(ms(100)), eq(false));
+    expect_that!(claim.is_usable(ms(100)), eq(false));
     expect_that!(claim.next_write(true, ms(2_000)), none());
     // A write is also ignored if the era in which it was applied has ended.
     claim.enter_era(StoreEra(2), ms(3_000));
     claim.record_write(write, in_era(9, 1), ms(0), ms(3_100));
-    expect_that!(claim.may_send(ms(3_100)), eq(false));
+    expect_that!(claim.is_usable(ms(3_100)), eq(false));
 }
 
 /// The store applied the write because a revision number was assigned twice, so its record has replaced a claim that
@@ -71,7 +71,7 @@
         era: StoreEra(1),
     };
     for holder in [None, Some(session(1, 1)), Some(session(2, 1))] {
-        let mut claim = ZoneClaim::new(session(1, 1));
+        let mut claim = StoreClaim::new(session(1, 1), COLD_CLAIM);
         claim.enter_era(StoreEra(2), ms(0));
         claim.observe(in_era(7, 2), record_of_era_1(holder), ms(6_000));
         expect_that!(claim.next_write(true, ms(11_499)), none());
@@ -81,7 +81,7 @@
 
 #[gtest]
 fn a_claim_of_another_vm_is_taken_over_after_its_term() {
-    let mut claim = ZoneClaim::new(session(1, 1));
+    let mut claim = StoreClaim::new(session(1, 1), COLD_CLAIM);
     claim.observe(StoreRevision::new(7), held_by(session(2, 1)), ms(1_000));
     expect_that!(claim.next_write(true, ms(5_000)), none());
     expect_that!(claim.is_held(ms(5_000)), eq(true));
@@ -92,14 +92,14 @@
         .expect("the term has passed");
     expect_that!(write.expected_revision, eq(StoreRevision::new(8)));
     claim.record_write(write, StoreRevision::new(9), ms(10_500), ms(10_520));
-    expect_that!(claim.may_send(ms(11_519)), eq(false));
-    expect_that!(claim.may_send(ms(11_520)), eq(true));
-    expect_that!(claim.may_send(ms(14_500)), eq(false));
+    expect_that!(claim.is_usable(ms(11_519)), eq(false));
+    expect_that!(claim.is_usable(ms(11_520)), eq(true));
+    expect_that!(claim.is_usable(ms(14_500)), eq(false));
 }
 
 #[gtest]
 fn a_holder_stops_before_it_gives_the_claim_back() {
-    let mut claim = ZoneClaim::new(session(1, 1));
+    let mut claim = StoreClaim::new(session(1, 1), COLD_CLAIM);
     let write = claim.next_write(true, ms(0)).expect("nobody holds it");
     claim.record_write(write, StoreRevision::new(2), ms(0), ms(10));
     expect_that!(claim.next_write(true, ms(1_000)), none());
@@ -108,19 +108,19 @@
         .next_write(false, ms(2_000))
         .expect("it is given back");
     expect_that!(give_back.record.holder, none());
-    expect_that!(claim.may_send(ms(2_000)), eq(false));
+    expect_that!(claim.is_usable(ms(2_000)), eq(false));
     claim.record_write(give_back, StoreRevision::new(3), ms(2_000), ms(2_010));
     expect_that!(claim.next_write(false, ms(9_000)), none());
 }
 
 #[gtest]
 fn a_holder_that_observes_another_holder_stops() {
-    let mut claim = ZoneClaim::new(session(1, 1));
+    let mut claim = StoreClaim::new(session(1, 1), COLD_CLAIM);
     let write = claim.next_write(true, ms(0)).expect("nobody holds it");
     claim.record_write(write, StoreRevision::new(2), ms(0), ms(10));
-    expect_that!(claim.may_send(ms(100)), eq(true));
+    expect_that!(claim.is_usable(ms(100)), eq(true));
     claim.observe(StoreRevision::new(3), held_by(session(2, 1)), ms(100));
-    expect_that!(claim.may_send(ms(100)), eq(false));
+    expect_that!(claim.is_usable(ms(100)), eq(false));
 }
 
 /// Number of requests that the holder of the claim may send per second.
@@ -161,7 +161,7 @@
 struct ModelVm {
     number: u8,
     incarnation: u64,
-    claim: ZoneClaim,
+    claim: StoreClaim,
     send_window: SendWindow,
     notifications: Vec<StoreNotification>,
     writes: Vec<WriteInTransit>,
@@ -176,7 +176,7 @@
         Self {
             number,
             incarnation,
-            claim: ZoneClaim::new(session(number, incarnation)),
+            claim: StoreClaim::new(session(number, incarnation), COLD_CLAIM),
             send_window: SendWindow::new(),
             notifications: Vec::new(),
             writes: Vec::new(),
@@ -390,7 +390,7 @@
             });
         }
         // The callers' demand is unlimited: the VM sends as many requests as its window allows.
-        while vm.claim.may_send(now) && vm.send_window.try_record(PACE, now) {
+        while vm.claim.is_usable(now) && vm.send_window.try_record(PACE, now) {
             self.send_times.push(now);
         }
     }
--- a/crates/ebonyfork/src/gateway/policy/cold/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! An upstream that has just started, or whose zone was evacuated, crashes under the load that it handles when warm.
 //! It tolerates a few requests per second, and the share of one VM among tens or hundreds would be less than one. So in
-//! each availability zone a single VM sends all requests to cold upstreams ([`ZoneClaim`]): a VM in the same zone,
+//! each availability zone a single VM sends all requests to cold upstreams ([`StoreClaim`]): a VM in the same zone,
 //! which receives requests for them from its own callers and from the queries of other VMs. It counts the requests that
 //! it sends in a sliding window of one second ([`SendWindow`]); the other VMs treat a cold upstream as absent.
 //!
@@ -20,9 +20,22 @@
 //! delayed by a pause and for requests from VMs that don't know yet that an upstream is cold.
 
 mod bound;
-mod claim;
 mod window;
 
 pub use bound::{ColdBound, RequestRate};
-pub use claim::{ClaimRecord, ClaimWrite, ZoneClaim};
 pub use window::SendWindow;
+
+use std::time::Duration;
+
+use crate::gateway::policy::claim::ClaimTimings;
+#[cfg(doc)]
+use crate::gateway::policy::claim::StoreClaim;
+use window::WINDOW_LENGTH;
+
+/// Times of the claims on cold upstreams. Two renewals may fail before the term ends.
+pub const COLD_CLAIM: ClaimTimings = ClaimTimings {
+    term: Duration::from_secs(4),
+    renewal_period: Duration::from_millis(1_300),
+    takeover_delay: Duration::from_millis(5_500),
+    quiet_time: WINDOW_LENGTH,
+};
--- a/crates/ebonyfork/src/gateway/policy/homes.rs
+++ b/crates/ebonyfork/src/gateway/policy/homes.rs
@@ -26,15 +26,47 @@
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HomeRegions {
-    /// Home regions; empty if requests may be served in any region.
+    /// Whether requests may only be served in the home regions.
+    is_limited: bool,
+    /// Home regions; empty if requests may be served in any region, or if two limits exclude each other.
     regions: SmallVec<[PlaceName; 2]>,
 }
 
 impl HomeRegions {
     /// Creates the home regions of a route. If `regions` is empty, requests may be served in any region.
     pub fn new(regions: impl IntoIterator<Item = PlaceName>) -> Self {
+        let regions: SmallVec<[PlaceName; 2]> = regions.into_iter().collect();
         Self {
-            regions: regions.into_iter().collect(),
+            is_limited: !regions.is_empty(),
+            regions,
+        }
+    }
+
+    /// Returns the regions that both limits allow.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::gateway::{HomeRegions, PlaceName};
+    ///
+    /// let north = PlaceName::new("north");
+    /// let limited = HomeRegions::new([north.clone()]);
+    /// assert_eq!(limited.and(&HomeRegions::default()), limited);
+    /// let nowhere = limited.and(&HomeRegions::new([PlaceName::new("south")]));
+    /// assert!(!nowhere.allows(Some(&north)));
+    /// ```
+    #[must_use]
+    pub fn and(&self, other: &Self) -> Self {
+        if !other.is_limited {
+            return self.clone();
+        }
+        if !self.is_limited {
+            return other.clone();
+        }
+        let is_in_both = |region: &&PlaceName| other.regions.contains(region);
+        Self {
+            is_limited: true,
+            regions: self.regions.iter().filter(is_in_both).cloned().collect(),
         }
     }
 
@@ -45,7 +77,7 @@
 
     /// Returns whether requests are limited to certain regions.
     pub fn is_limited(&self) -> bool {
-        !self.regions.is_empty()
+        self.is_limited
     }
 
     /// Returns whether a request may be served in a region. If any limit applies, an unknown region is not allowed.
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -12,6 +12,8 @@
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline requests while the others have capacity |
 //! | how an upstream performs | [`health`], [`latency`], [`route_latency`], [`load_report`] | pauses, slow phases, crashes, cold starts, other load on the upstream's machine |
 //! | how many requests a cold upstream gets, and from which VM | [`cold`] | all upstreams of a zone return at once, and cold |
+//! | which VM holds an exclusive right | [`claim`] | holders that are killed, paused or cut off, and a store that is restored from an older copy |
+//! | whether an organisation's request is within its quota | [`quota`] | one organisation sends many times its usual, to a few VMs or to all, while some VMs are lost |
 //! | which shards are postponed | [`postpone`] | no upstream of some shards answers in time, and the required coverage is met without them |
 //! | whether a shard is retried | [`retry`] | upstreams that decline requests or can't be reached |
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
@@ -22,6 +24,7 @@
 pub mod answer_lag;
 pub mod budget;
 pub mod choice;
+pub mod claim;
 pub mod cold;
 pub mod gather;
 pub mod health;
@@ -30,6 +33,7 @@
 pub mod latency;
 pub mod load_report;
 pub mod postpone;
+pub mod quota;
 pub mod retry;
 pub mod route_latency;
 pub mod serving;
--- /dev/null
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -0,0 +1,52 @@
+//! Limits the requests of an organisation to its quota, over all VMs together.
+//!
+//! The quota of each organisation is divided into up to [`QUOTA_PARTS`] equal parts, each a token bucket of its own.
+//! Part 1 of all organisations' quotas is held by one VM, part 2 by another, and so on; a claim in the store decides
+//! which ([`QUOTA_CLAIM`]). A VM that receives a request takes a token from the nearest holder, and from the others if
+//! that part is empty ([`plan_asks`]). No VM spends a token without an answer of a holder, so the sum over all VMs stays
+//! within the bound, whichever VMs are killed, paused, partitioned or unknown to the others:
+//!
+//! - At most one process holds a part at any time ([`super::claim`]), on a clock that keeps running while its VM is
+//!   suspended.
+//! - A token is granted for one request that waits for it. A grant that arrives after the request stopped waiting is
+//!   given back and never used, so a request that callers sent within some window was also granted within it.
+//! - A new holder doesn't know what its predecessor granted, so its buckets start empty.
+//!
+//! The bound tolerates some requests in addition to the quota ([`QuotaBound`]). Most of them enlarge the buckets, so that
+//! a burst which the bound allows is not refused. The others refill the buckets of a new holder faster for the length of
+//! one window. Together they stay within the bound however often holders change ([`PartTerms`]).
+//!
+//! With several parts, the loss of a holder leaves the other parts usable, and each region has a holder nearby. The
+//! term of a claim is longer than the usual outage of the store, because without a valid claim no part can be used.
+
+mod ask;
+mod bucket;
+mod message;
+mod returns;
+mod terms;
+
+use std::time::Duration;
+
+pub use ask::{AskPlan, PartView, QuotaRefusal, plan_asks, refusal};
+pub use bucket::PartLedger;
+pub use message::{QuotaAnswer, QuotaMessage};
+pub use returns::next_return;
+pub use terms::{PartTerms, QuotaBound, RequestQuota};
+
+use crate::gateway::policy::claim::ClaimTimings;
+
+/// Number of parts into which quotas are divided. All VMs must use the same number.
+pub const QUOTA_PARTS: usize = 6;
+
+/// Times of the claims on the parts. Two renewals may fail before the term ends. A new holder needs no quiet time,
+/// because its buckets start empty.
+pub const QUOTA_CLAIM: ClaimTimings = ClaimTimings {
+    term: Duration::from_secs(25),
+    renewal_period: Duration::from_secs(8),
+    takeover_delay: Duration::from_secs(28),
+    quiet_time: Duration::ZERO,
+};
+
+#[cfg(test)]
+#[path = "quota_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/refusal.rs
+++ b/crates/ebonyfork/src/gateway/refusal.rs
@@ -9,6 +9,12 @@
 pub enum RefusalReason {
     /// The request is malformed or incomplete.
     Malformed,
+    /// The caller's credential is missing, malformed or unknown.
+    Unauthorised,
+    /// The caller's organisation has used up its quota; another request is possible after the wait.
+    OverQuota(Duration),
+    /// The VMs that hold the quota of the caller's organisation can't be reached.
+    QuotaUnknown,
     /// No route matches.
     NoRoute,
     /// The body exceeds the limit.
@@ -37,11 +43,13 @@
 }
 
 impl RefusalReason {
-    /// Returns the status code. 503 guarantees that the request has not run and will not run; 502 and 504 guarantee
+    /// Returns the status code. 429 and 503 guarantee that the request has not run and will not run; 502 and 504 guarantee
     /// nothing.
     pub fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Unauthorised => StatusCode::UNAUTHORIZED,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -51,6 +59,7 @@
             | Self::Quarantined
             | Self::NoUpstream
             | Self::NotAtHome
+            | Self::QuotaUnknown
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -61,6 +70,9 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::Unauthorised => "unauthorised",
+            Self::OverQuota(_) => "over-quota",
+            Self::QuotaUnknown => "quota-unknown",
             Self::NoRoute => "no-route",
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
@@ -88,7 +100,11 @@
             // Operators end an evacuation, or upstreams start, within seconds at best.
             Self::NotAtHome => Some(Duration::from_secs(1)),
             Self::Quarantined => Some(Duration::from_mins(1)),
+            Self::OverQuota(wait) => Some(wait),
+            // Another VM may reach the holders, and a link between VMs is usually back within a few tries.
+            Self::QuotaUnknown => Some(Duration::from_millis(200)),
             Self::Malformed
+            | Self::Unauthorised
             | Self::NoRoute
             | Self::TooLarge
             | Self::HeadTooLarge
--- a/crates/ebonyfork/src/gateway/reply.rs
+++ b/crates/ebonyfork/src/gateway/reply.rs
@@ -27,6 +27,10 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("text/plain; charset=utf-8"),
     );
+    if reason == RefusalReason::Unauthorised {
+        let scheme = HeaderValue::from_static("Bearer");
+        headers.insert(header::WWW_AUTHENTICATE, scheme);
+    }
     if let Some(wait) = reason.retry_after() {
         set_retry_after(&mut reply, wait);
     }
--- a/crates/ebonyfork/src/gateway/request.rs
+++ b/crates/ebonyfork/src/gateway/request.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::dialect::WireNames;
 use crate::gateway::ident::InstanceName;
+use crate::gateway::organisation::OrganisationEntry;
 use crate::gateway::partial::PartialRequest;
 use crate::ident::RequestFingerprint;
 
@@ -92,6 +93,7 @@
         strip_hop_headers(&mut headers);
         headers.remove(&names.deadline);
         headers.remove(&names.expected_instance);
+        headers.remove(&names.organisation);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         let fingerprint = fingerprint(&parts.method, &parts.uri, &headers, &body);
@@ -116,6 +118,29 @@
         self
     }
 
+    /// Removes the caller's credential and states the caller's organisation instead, if there is one.
+    #[must_use]
+    pub fn with_organisation(
+        mut self,
+        names: &WireNames,
+        organisation: Option<&OrganisationEntry>,
+    ) -> Self {
+        self.headers.remove(header::AUTHORIZATION);
+        let Some(organisation) = organisation else {
+            return self;
+        };
+        match HeaderValue::from_str(organisation.name.as_str()) {
+            Ok(value) => {
+                self.headers.insert(names.organisation.clone(), value);
+            }
+            Err(error) => log::error!(
+                "organisation `{}` is not a valid header value: {error}",
+                organisation.name
+            ),
+        }
+        self
+    }
+
     /// Creates a request from one that another VM has passed on.
     pub fn from_partial(
         names: &WireNames,
--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
+use crate::gateway::organisation::{CredentialDigest, OrganisationTable};
 use crate::gateway::policy::cold::RequestRate;
 use crate::gateway::policy::homes::HomeRegions;
 
@@ -95,6 +96,8 @@
     pub destination: RouteTarget,
     /// Regions in which the route's requests may be served.
     pub home_regions: HomeRegions,
+    /// Whether callers need no credential, even if the configuration has organisations.
+    pub is_public: bool,
 }
 
 /// Properties that the configuration states for a service.
@@ -130,6 +133,7 @@
     routes_by_digest: FxHashMap<u64, Rc<RouteEntry>>,
     services: FxHashMap<UpstreamService, ServiceTerms>,
     limits: CallerLimits,
+    organisations: Option<OrganisationTable>,
 }
 
 impl RouteEntry {
@@ -154,6 +158,7 @@
     ///     priority: 1,
     ///     destination: RouteTarget::One(UpstreamService::new("s")),
     ///     home_regions: HomeRegions::default(),
+    ///     is_public: false,
     /// };
     /// let shorter = route(Duration::from_secs(1));
     /// assert_eq!(route(Duration::from_secs(2)).shard_digest(), shorter.shard_digest());
@@ -186,7 +191,7 @@
             hash.update(&time.as_micros().to_be_bytes());
         }
         let idempotency_byte = u8::from(self.idempotency == Idempotency::Idempotent);
-        hash.update(&[idempotency_byte, self.priority]);
+        hash.update(&[idempotency_byte, self.priority, u8::from(self.is_public)]);
         hash.update(&self.attempts.to_be_bytes());
         for region in self.home_regions.regions() {
             hash.update(region.as_str().as_bytes());
@@ -253,9 +258,24 @@
             routes_by_digest,
             services: services.into_iter().collect(),
             limits,
+            organisations: None,
         }
     }
 
+    /// Adds organisations. Callers then need a credential on all routes that aren't public.
+    #[must_use]
+    pub fn with_organisations(self, organisations: OrganisationTable) -> Self {
+        Self {
+            organisations: Some(organisations),
+            ..self
+        }
+    }
+
+    /// Returns the organisations; `None` if the configuration has none, so that callers need no credential.
+    pub fn organisations(&self) -> Option<&OrganisationTable> {
+        self.organisations.as_ref()
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> ConfigVersion {
         self.version
@@ -305,6 +325,38 @@
         Some(hash.digest())
     }
 
+    /// Returns a digest of what a request with this host, prefix and credential may do: the [scope
+    /// digest](Self::scope_digest) and the organisation of the credential. Returns `None` if there is no such route or
+    /// organisation.
+    pub fn access_digest(
+        &self,
+        host: &str,
+        prefix: &str,
+        credential: Option<CredentialDigest>,
+    ) -> Option<u64> {
+        let scope_digest = self.scope_digest(host, prefix)?;
+        let Some(credential) = credential else {
+            return Some(scope_digest);
+        };
+        let organisation = self.organisations.as_ref()?.find(credential)?;
+        let mut hash = Xxh3::new();
+        hash.update(&scope_digest.to_be_bytes());
+        hash.update(organisation.name.as_str().as_bytes());
+        hash.update(&[
+            0,
+            organisation.priority.map_or(u8::MAX, |priority| priority),
+        ]);
+        if let Some(quota) = organisation.quota {
+            hash.update(&quota.rate.0.to_be_bytes());
+            hash.update(&quota.burst.to_be_bytes());
+        }
+        for region in organisation.home_regions.regions() {
+            hash.update(region.as_str().as_bytes());
+            hash.update(&[0]);
+        }
+        Some(hash.digest())
+    }
+
     /// Returns the routes of a host.
     pub fn routes_of(&self, host: &str) -> &[Rc<RouteEntry>] {
         let routes = self.routes_by_host.get(host_name(host));
--- a/crates/ebonyfork/src/gateway/route_check/message.rs
+++ b/crates/ebonyfork/src/gateway/route_check/message.rs
@@ -14,6 +14,8 @@
         host: CompactString,
         /// The route's path prefix.
         prefix: CompactString,
+        /// Digest of the caller's credential, if the route requires one.
+        credential: Option<[u8; 32]>,
     },
     /// Answers a [`RouteCheckMessage::Request`].
     Response {
@@ -21,8 +23,8 @@
         request_number: u64,
         /// The sender's configuration version in force; 0 if there is none.
         version: u64,
-        /// Fingerprint of the route and of all routes whose path prefixes extend its own; none if there is no such
-        /// route.
+        /// Fingerprint of the route, of all routes whose path prefixes extend its own, and of the credential's
+        /// organisation; none if there is no such route or organisation.
         scope_mark: Option<u64>,
     },
 }
--- a/crates/ebonyfork/src/gateway/route_check/mod.rs
+++ b/crates/ebonyfork/src/gateway/route_check/mod.rs
@@ -24,6 +24,7 @@
 use self::state::{RouteFreshness, RouteState};
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
+use crate::gateway::organisation::CredentialDigest;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::{RouteEntry, RouteTable};
 use crate::wire::{LinkSender, PeerMessage};
@@ -32,17 +33,19 @@
 /// and less than the latency target of every class so far.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Checks with another VM that a route is the same in the newest configuration version that other VMs have in force.
+/// Checks with another VM that a route, and the organisation of a credential on it, are the same in the newest configuration version that other VMs have in force.
 /// Returns [`RefusalReason::OldConfig`] if the route differs there or could not be compared.
 pub async fn check_route(
     core: &GatewayCore,
     table: &RouteTable,
     route: &RouteEntry,
+    credential: Option<CredentialDigest>,
 ) -> Result<(), RefusalReason> {
     let checks = &core.route_checks;
     let may_be_outdated = core.may_have_stale_config();
-    let (newest_version, vm) = match checks.freshness(table.version(), &route.name, may_be_outdated)
-    {
+    let access = (route.name.clone(), credential);
+    let freshness = checks.freshness(table.version(), &access, may_be_outdated);
+    let (newest_version, vm) = match freshness {
         RouteFreshness::Current => return Ok(()),
         RouteFreshness::Unknown => return Err(RefusalReason::OldConfig),
         RouteFreshness::CheckWith { newest_version, vm } => (newest_version, vm),
@@ -52,6 +55,7 @@
         request_number,
         host: route.host.clone(),
         prefix: route.prefix.clone(),
+        credential: credential.map(CredentialDigest::to_bytes),
     };
     let requested_at = now();
     let is_sent = core
@@ -64,7 +68,8 @@
     };
     // Without a response, or with one from a VM that has no newer version, the check is inconclusive.
     let response = response.ok().and_then(Result::ok).unwrap_or_default();
-    let is_same = response.scope_mark == table.scope_digest(&route.host, &route.prefix);
+    let own_mark = table.access_digest(&route.host, &route.prefix, credential);
+    let is_same = response.scope_mark == own_mark;
     let is_conclusive = response.version >= newest_version && response.scope_mark.is_some();
     log::info!(
         target: "ebonyfork::decision",
@@ -75,7 +80,7 @@
         now().saturating_duration_since(requested_at).as_millis()
     );
     if is_conclusive && is_same {
-        checks.record_match(&route.name, response.version);
+        checks.record_match(access, response.version);
         return Ok(());
     }
     Err(RefusalReason::OldConfig)
@@ -88,11 +93,13 @@
             request_number,
             host,
             prefix,
+            credential,
         } => {
+            let credential = credential.map(CredentialDigest::from_bytes);
             let table = core.table();
             let response = table.map(|table| RouteState {
                 version: table.version(),
-                scope_mark: table.scope_digest(&host, &prefix),
+                scope_mark: table.access_digest(&host, &prefix, credential),
             });
             let response = response.unwrap_or_default();
             let response = RouteCheckMessage::Response {
--- a/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -8,6 +8,9 @@
 use super::*;
 use crate::gateway::fixture::{dialect, settings};
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
+use crate::gateway::organisation::{
+    OrganisationDeclaration, OrganisationEntry, OrganisationName, OrganisationTable,
+};
 use crate::gateway::peers::{accept_links, follow_links, open_links};
 use crate::gateway::policy::homes::HomeRegions;
 use crate::gateway::route::{CallerLimits, Idempotency, RouteTarget};
@@ -36,6 +39,7 @@
         priority: 0,
         destination: RouteTarget::One(UpstreamService::new(service)),
         home_regions: HomeRegions::default(),
+        is_public: false,
     }
 }
 
@@ -114,9 +118,18 @@
     }
 
     async fn check(&self, path: &str) -> Result<(), RefusalReason> {
+        self.check_credential(path, None).await
+    }
+
+    async fn check_credential(
+        &self,
+        path: &str,
+        credential: Option<CredentialDigest>,
+    ) -> Result<(), RefusalReason> {
         let table = self.first_core.table().expect("a table");
         let route = table.find("t.example", path).map(Rc::clone);
-        check_route(&self.first_core, &table, &route.expect("a route")).await
+        let route = route.expect("a route");
+        check_route(&self.first_core, &table, &route, credential).await
     }
 }
 
@@ -259,3 +272,53 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+fn organisation(name: &str, credentials: &[&[u8]]) -> OrganisationDeclaration {
+    OrganisationDeclaration {
+        organisation: OrganisationEntry {
+            name: OrganisationName::new(name),
+            quota: None,
+            priority: None,
+            home_regions: HomeRegions::default(),
+        },
+        credentials: credentials
+            .iter()
+            .map(|credential| CredentialDigest::new(credential))
+            .collect(),
+    }
+}
+
+fn organisations(declarations: [OrganisationDeclaration; 2]) -> OrganisationTable {
+    OrganisationTable::new(declarations).expect("distinct organisations")
+}
+
+/// A credential that the newer version has removed must not be served by a VM that is behind, on a route that is the
+/// same in both versions. The other credentials are served.
+#[gtest]
+#[tokio::test]
+async fn a_removed_credential_is_refused_on_an_unchanged_route() {
+    let test = async {
+        let vms = TwoVms::start().await;
+        let older = organisations([
+            organisation("kept", &[b"1", b"2"]),
+            organisation("removed", &[b"3"]),
+        ]);
+        let newer = organisations([
+            organisation("kept", &[b"1"]),
+            organisation("added", &[b"4"]),
+        ]);
+        vms.put_tables(
+            table(10, &[("/a/", "s")]).with_organisations(older),
+            table(11, &[("/a/", "s")]).with_organisations(newer),
+        );
+        let check = async |credential: &[u8]| {
+            let credential = Some(CredentialDigest::new(credential));
+            vms.check_credential("/a/1", credential).await
+        };
+        expect_that!(check(b"1").await, ok(eq(())));
+        expect_that!(check(b"2").await, err(eq(RefusalReason::OldConfig)));
+        expect_that!(check(b"3").await, err(eq(RefusalReason::OldConfig)));
+        drop(vms.tasks);
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::gateway::ident::{ConfigVersion, RouteName};
+use crate::gateway::organisation::CredentialDigest;
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberEntry, MemberSnapshot, MemberState};
 
@@ -22,6 +23,9 @@
     pub(super) scope_mark: Option<u64>,
 }
 
+/// A route, and the credential of a caller that uses it; none if the route requires none.
+pub(super) type RouteAccess = (RouteName, Option<CredentialDigest>);
+
 /// Whether a route may be served without a check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RouteFreshness {
@@ -50,7 +54,7 @@
     /// The VMs that have the newest version in force; only those in this VM's zone if any of them are in it.
     holders: RefCell<SmallVec<[VmAddress; 8]>>,
     /// Routes that are the same in another VM's version as in this VM's own, each with that other version.
-    matching_routes: RefCell<FxHashMap<RouteName, ConfigVersion>>,
+    matching_routes: RefCell<FxHashMap<RouteAccess, ConfigVersion>>,
     /// Requests without a response, by number, each with the sender that wakes its check.
     pending_requests: RefCell<FxHashMap<u64, oneshot::Sender<RouteState>>>,
     /// Number that the next request gets.
@@ -130,14 +134,14 @@
     pub(super) fn freshness(
         &self,
         own_version: ConfigVersion,
-        route: &RouteName,
+        access: &RouteAccess,
         may_be_outdated: bool,
     ) -> RouteFreshness {
         let newest_version = self.newest_version.get();
         if !may_be_outdated || newest_version <= own_version {
             return RouteFreshness::Current;
         }
-        let matching_version = self.matching_routes.borrow().get(route).copied();
+        let matching_version = self.matching_routes.borrow().get(access).copied();
         if matching_version.is_some_and(|version| version >= newest_version) {
             return RouteFreshness::Current;
         }
@@ -152,10 +156,8 @@
     }
 
     /// Records that a route is the same in the version `version` of another VM as in this VM's own.
-    pub(super) fn record_match(&self, route: &RouteName, version: ConfigVersion) {
-        self.matching_routes
-            .borrow_mut()
-            .insert(route.clone(), version);
+    pub(super) fn record_match(&self, access: RouteAccess, version: ConfigVersion) {
+        self.matching_routes.borrow_mut().insert(access, version);
     }
 
     /// Drops all recorded matches, because the routes of a new version in force on this VM may differ from those that
--- a/crates/ebonyfork/src/gateway/route_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_tests.rs
@@ -24,6 +24,7 @@
         priority: 1,
         destination: RouteTarget::One(UpstreamService::new("s")),
         home_regions: HomeRegions::default(),
+        is_public: false,
     }
 }
 
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -78,6 +78,7 @@
         priority: 0,
         destination,
         home_regions: HomeRegions::default(),
+        is_public: false,
     })
 }
 
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -10,6 +10,7 @@
 use crate::gateway::ident::PlaceName;
 use crate::gateway::policy::budget::RetryBudgetConfig;
 use crate::gateway::policy::cold::ColdBound;
+use crate::gateway::policy::quota::QuotaBound;
 use crate::ini::{IniDocument, IniSection, SectionReader};
 use crate::settings::LogSettings;
 
@@ -92,6 +93,11 @@
     pub budget: RetryBudgetConfig,
     /// Bound on requests to a cold upstream, shared by all VMs; `None` if the settings state none.
     pub cold_bound: Option<ColdBound>,
+    /// Bound on the requests of an organisation, shared by all VMs.
+    pub quota_bound: QuotaBound,
+    /// Age of the configuration above which requests with a credential are refused, because the credential may have
+    /// been removed; `None` if a VM that can't learn of changes goes on with what it knows.
+    pub credential_max_age: Option<Duration>,
     /// Settings of the log.
     pub log: LogSettings,
 }
@@ -149,6 +155,8 @@
         change_bound: bounds.change_bound,
         budget: bounds.budget,
         cold_bound: bounds.cold_bound,
+        quota_bound: bounds.quota_bound,
+        credential_max_age: bounds.credential_max_age,
         log,
     })
 }
@@ -216,6 +224,8 @@
     change_bound: Duration,
     budget: RetryBudgetConfig,
     cold_bound: Option<ColdBound>,
+    quota_bound: QuotaBound,
+    credential_max_age: Option<Duration>,
 }
 
 fn read_bounds(document: &IniDocument, findings: &mut FindingList) -> Option<BoundsSection> {
@@ -229,6 +239,9 @@
     let slack = read_amount(&mut reader, "retry-slack");
     let window = read_seconds(&mut reader, "retry-window-s");
     let cold_bound = read_cold_bound(&mut reader);
+    let quota_bound = read_quota_bound(&mut reader);
+    let revoke_bound = read_change_bound(&mut reader, "credential-removal-ms");
+    let is_strict = reader.optional::<bool>("credential-removal-strict");
     reader.finish();
     let budget = RetryBudgetConfig {
         ratio: ratio?,
@@ -245,9 +258,34 @@
         change_bound,
         budget,
         cold_bound,
+        quota_bound,
+        credential_max_age: revoke_bound.filter(|_bound| is_strict.unwrap_or_default()),
     })
 }
 
+/// Reads the bound on the requests of an organisation. Nothing is tolerated in addition to quotas unless stated.
+fn read_quota_bound(reader: &mut SectionReader<'_>) -> QuotaBound {
+    let default = QuotaBound::default();
+    let (window_key, overage_key, slack_key) = ("quota-window-s", "quota-overage", "quota-slack");
+    let window = reader.optional::<f64>(window_key);
+    if window.is_some_and(|seconds| !seconds.is_finite() || seconds <= 0.0) {
+        reader.report(window_key, "expected more than 0");
+    }
+    let mut amount = |key: &'static str, default: f64| {
+        let amount = reader.optional::<f64>(key).unwrap_or(default);
+        if !amount.is_finite() || amount < 0.0 {
+            reader.report(key, "expected a number that is not negative");
+        }
+        amount
+    };
+    let window = window.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    QuotaBound {
+        window: window.unwrap_or(default.window),
+        overage: amount(overage_key, default.overage),
+        slack: amount(slack_key, default.slack),
+    }
+}
+
 /// Reads the bound on requests to cold upstreams. Both values or neither must be stated.
 fn read_cold_bound(reader: &mut SectionReader<'_>) -> Option<ColdBound> {
     let (overage_key, slack_key) = ("cold-overage", "cold-slack");
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -180,6 +180,14 @@
             .collect()
     }
 
+    /// Returns the availability zone of a VM, if it is registered.
+    pub fn zone_of(&self, vm: VmAddress) -> Option<PlaceName> {
+        let records = self.records.borrow();
+        let mut records = records.values();
+        let record = records.find(|record| record.caller.ip() == vm.0)?;
+        Some(PlaceName::new(&record.zone))
+    }
+
     /// Returns the other serving VMs of a zone.
     pub fn serving_in_zone(&self, zone: &PlaceName) -> Vec<VmAddress> {
         let mut usable_vms = self.usable_vms(None);
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -51,7 +51,8 @@
             PeerMessage::Partial(_)
             | PeerMessage::Mirror(_)
             | PeerMessage::RouteCheck(_)
-            | PeerMessage::Share(_) => {
+            | PeerMessage::Share(_)
+            | PeerMessage::Quota(_) => {
                 log::debug!("ignoring a gateway message from {:?}", link.peer());
             }
             PeerMessage::Hello(_) => log::debug!("ignoring a second hello from {:?}", link.peer()),
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -3,14 +3,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::CatalogMessage;
-use crate::gateway::{MirrorMessage, PartialMessage, RouteCheckMessage, ShareMessage};
+use crate::gateway::{
+    MirrorMessage, PartialMessage, QuotaMessage, RouteCheckMessage, ShareMessage,
+};
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
 use crate::relay::{CancelBatch, OutcomeBatch, SubmitBatch};
 use crate::revision::RevisionMessage;
 
 /// Version of the link protocol; peers with any other version are refused.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// First message in each direction of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,4 +48,6 @@
     RouteCheck(RouteCheckMessage),
     /// Gateway to gateway: shares of the retry budget.
     Share(ShareMessage),
+    /// Gateway to gateway: tokens of organisations' quotas.
+    Quota(QuotaMessage),
 }
