Prefer an upstream with a pooled connection

Change: a new connection has a cost in the choice, so a VM stays with the upstream that it has a connection to.

--- a/crates/ebonyfork/src/gateway/policy/choice.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice.rs
@@ -12,6 +12,10 @@
 /// Cost in milliseconds of an upstream in another zone or region, which accounts for the price of traffic between
 /// zones.
 const FAR_BIAS_MS: f64 = 8.0;
+/// Cost in milliseconds of a new connection: round trips, processor time on both sides, and a slot of the upstream that
+/// is occupied meanwhile. Without it, a VM that sees few requests would spread them over all upstreams of a shard, and
+/// the connections to each would be closed as idle before it is used again.
+const NEW_CONNECTION_COST_MS: f64 = 5.0;
 /// Cost of a failed attempt, as a multiple of the median time of attempts in the same zone. A failure uses up a repeat;
 /// once the budget is empty the shard's part is missing, and possibly the whole answer.
 const FAILURE_COST_FACTOR: f64 = 10.0;
@@ -58,6 +62,9 @@
         if distance != PlaceDistance::Zone {
             cost_ms += FAR_BIAS_MS;
         }
+        if !upstream.has_idle_link(now) {
+            cost_ms += NEW_CONNECTION_COST_MS;
+        }
         if health.is_ejected(now) {
             cost_ms += EJECTED_COST_MS;
         }
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -915,3 +915,33 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Load pattern: each VM of a large fleet sees few requests, and each shard has many upstreams. A VM that spread its
+/// requests over all of them would open a new connection for most requests, the more upstreams there are. At most one
+/// request in five may open one.
+#[gtest]
+#[tokio::test]
+async fn a_vm_with_few_requests_reuses_its_connections() {
+    let test = async {
+        const REQUESTS: usize = 30;
+        for upstream_count in [7, 21] {
+            let core = core();
+            let started = upstreams(&core, "s", upstream_count, ScriptedReply::Answer(10)).await;
+            for _ in 0..REQUESTS {
+                let report = run(&core, 2).await;
+                expect_that!(report.reply.status().as_u16(), eq(200));
+                drop(report);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let connections = started
+                .iter()
+                .map(|upstream| upstream.log.borrow().connections);
+            expect_that!(
+                connections.sum::<usize>(),
+                le(REQUESTS / 5),
+                "{upstream_count} upstreams"
+            );
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -274,6 +274,14 @@
         })
     }
 
+    /// Returns whether a pooled connection is available.
+    pub fn has_idle_link(&self, now: Instant) -> bool {
+        self.idle_links.borrow().iter().any(|idle_link| {
+            now.saturating_duration_since(idle_link.idle_since) <= idle_link.max_idle
+                && idle_link.link.is_ready()
+        })
+    }
+
     fn take_idle_link(&self, max_idle: Duration) -> Option<HttpLink> {
         let now = tokio::time::Instant::now().into_std();
         let mut idle_links = self.idle_links.borrow_mut();
