Tell a repeated read of the store as a difference

Cause: when the store discards its history, a reader reads everything again; its log of changes was cleared, so all followers, and theirs in turn, got whole copies (9,600 entries) over links of 20 Mbit/s. Change: the difference that the read shows continues the log. A page read can hide removals, so a difference carries a digest of the content after it; a follower that deviates reports a gap and takes another source. Ruled out: inferring the removals (random histories found keys that were written or removed during the read). Test: the changes told after a repeated read do not grow with the number of entries (100, 1,000).

--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -34,7 +34,7 @@
     pub(super) fn apply(&self, change: CopyChange) -> Result<(), CopyGap> {
         let read_revision = match &change {
             CopyChange::Full { revision, .. } => Some(*revision),
-            CopyChange::Changes { .. } => None,
+            CopyChange::Changes { .. } | CopyChange::Difference { .. } => None,
         };
         let old_revision = self.core.relay.copy().complete_revision();
         let outcome = self.core.relay.apply(change);
--- a/crates/ebonyfork/src/gateway/mirror/content.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content.rs
@@ -97,6 +97,8 @@
     events: Vec<SentEvent>,
     /// The revision that the changes follow, exclusive; none for a full copy.
     base_revision: Option<StoreRevision>,
+    /// Digest of the content at `revision` if the changes are only the difference between two contents; none otherwise.
+    content_digest: Option<u64>,
     /// The last revision that the content covers, inclusive.
     revision: StoreRevision,
 }
@@ -142,6 +144,9 @@
     let content = MirrorContent {
         events: sent_events,
         base_revision,
+        content_digest: copy
+            .is_difference_since(known_revision)
+            .then(|| copy.content_digest()),
         revision: copy.complete_revision(),
     };
     encode_frame(&content)
@@ -209,6 +214,14 @@
         let items = items.collect();
         return Ok(CopyChange::Full { items, revision });
     };
+    if let Some(content_digest) = content.content_digest {
+        return Ok(CopyChange::Difference {
+            events,
+            base_revision,
+            revision,
+            content_digest,
+        });
+    }
     Ok(CopyChange::Changes {
         events,
         base_revision,
--- a/crates/ebonyfork/src/gateway/mirror/content_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content_tests.rs
@@ -89,13 +89,18 @@
     expect_that!(follower.complete_revision(), eq(source.complete_revision()));
 }
 
-/// After the store dropped its log of changes, a source reads everything again and sends its followers a full copy.
-/// Long values that a follower states as held are left out of it.
+/// After the store dropped its log of changes, a source reads everything again. A follower that lacks some of the changes
+/// before that read is sent a full copy. Long values that it states as held are left out of it.
 #[gtest]
 fn a_held_value_is_not_sent_again() {
     let mut source = copy_of(&[config(2_850, 3)], 10);
     let mut follower = copy_of(&[], 0);
     send(&source, &mut follower);
+    follower.apply(CopyChange::Changes {
+        events: Vec::new(),
+        base_revision: StoreRevision::new(10),
+        revision: StoreRevision::new(11),
+    });
     source.apply(CopyChange::Full {
         items: vec![config(2_850, 3), item("upstream/b", "s", 12)],
         revision: StoreRevision::new(20),
--- a/crates/ebonyfork/src/gateway/mirror/copy.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy.rs
@@ -14,6 +14,7 @@
 
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHashSet};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::history::PatchHistory;
 use crate::store::{StoreEvent, StoreItem, StoreRevision};
@@ -45,6 +46,19 @@
         /// The last revision that the changes cover, inclusive.
         revision: StoreRevision,
     },
+    /// The difference between the contents at two revisions, as a full read shows it. It may lack removals: a page read
+    /// shows keys as of different moments, so a key may have been gone in a page although it existed at the revision of
+    /// the read. The digest of the later content reveals that.
+    Difference {
+        /// The newest known change of each key whose content differs.
+        events: Vec<StoreEvent>,
+        /// The revision of the earlier content.
+        base_revision: StoreRevision,
+        /// The revision of the later content.
+        revision: StoreRevision,
+        /// [Digest](StoreCopy::content_digest) of the later content.
+        content_digest: u64,
+    },
 }
 
 /// The error that changes start after the copy's complete revision, so that the changes in between are missing.
@@ -67,6 +81,8 @@
     changed_keys: Vec<(CompactString, StoreRevision)>,
     /// The revision that the changes follow, exclusive.
     base_revision: StoreRevision,
+    /// Whether the changes are only the [difference](CopyChange::Difference) between two contents.
+    is_difference: bool,
 }
 
 /// The store's items as this VM knows them, with what followers that are slightly behind need.
@@ -122,7 +138,13 @@
                 events,
                 base_revision,
                 revision,
-            } => self.apply_changes(events, base_revision, revision),
+            } => self.apply_changes(events, (base_revision, revision), None),
+            CopyChange::Difference {
+                events,
+                base_revision,
+                revision,
+                content_digest,
+            } => self.apply_changes(events, (base_revision, revision), Some(content_digest)),
         }
     }
 
@@ -146,10 +168,21 @@
         } else {
             self.complete_revision
         };
+        let continues_log = self.complete_revision > StoreRevision::ABSENT
+            && self.complete_revision.era() == revision.era();
+        let difference = if continues_log {
+            self.difference_of_read(&events, &present_keys, revision)
+        } else {
+            Vec::new()
+        };
         events.retain(|event| self.apply_event(event, known_until));
         if revision > self.complete_revision {
-            self.change_log.clear();
-            self.logged_key_count = 0;
+            if continues_log {
+                self.log_changes(&difference, true);
+            } else {
+                self.change_log.clear();
+                self.logged_key_count = 0;
+            }
             self.advance(revision);
         }
         ChangeOutcome {
@@ -158,25 +191,72 @@
         }
     }
 
+    /// Returns the changes since the complete revision that a full read shows. `events` are the read items and the
+    /// removals of held items that the read lacks.
+    fn difference_of_read(
+        &self,
+        events: &[StoreEvent],
+        present_keys: &FxHashSet<CompactString>,
+        revision: StoreRevision,
+    ) -> Vec<StoreEvent> {
+        let is_later = |event: &&StoreEvent| event.revision() > self.complete_revision;
+        let mut changes: Vec<_> = events.iter().filter(is_later).cloned().collect();
+        // An item that was written after the read may have replaced one that was gone by then.
+        let later_items = self
+            .items
+            .values()
+            .filter(|item| item.revision > revision && !present_keys.contains(&item.key));
+        changes.extend(later_items.cloned().map(StoreEvent::Written));
+        for (key, removal) in &self.removals {
+            if present_keys.contains(key) {
+                continue;
+            }
+            changes.push(StoreEvent::Removed {
+                key: key.clone(),
+                revision: *removal,
+            });
+        }
+        changes
+    }
+
+    /// Returns a digest of all keys with the revisions of their last changes. Two copies with the same digest have the
+    /// same content.
+    pub fn content_digest(&self) -> u64 {
+        let mut digest = 0;
+        for item in self.items.values() {
+            let mut hash = Xxh3::new();
+            hash.update(&item.revision.number().to_be_bytes());
+            hash.update(&item.revision.era().0.to_be_bytes());
+            hash.update(item.key.as_bytes());
+            digest ^= hash.digest();
+        }
+        digest
+    }
+
+    /// Applies changes between two revisions. `content_digest` is the digest of the content after them, if they are only
+    /// a difference.
     fn apply_changes(
         &mut self,
         events: Vec<StoreEvent>,
-        base_revision: StoreRevision,
-        revision: StoreRevision,
+        (base_revision, revision): (StoreRevision, StoreRevision),
+        content_digest: Option<u64>,
     ) -> ChangeOutcome {
         let known_until = self.complete_revision;
         let applied_events = events
             .iter()
             .filter(|event| self.apply_event(event, known_until));
         let applied_events = applied_events.cloned().collect();
-        if base_revision > self.complete_revision {
+        let lacks_changes = content_digest.is_some_and(|digest| {
+            revision > self.complete_revision && digest != self.content_digest()
+        });
+        if base_revision > self.complete_revision || lacks_changes {
             return ChangeOutcome {
                 events: applied_events,
                 result: Err(CopyGap),
             };
         }
         if revision > self.complete_revision {
-            self.log_changes(&events);
+            self.log_changes(&events, content_digest.is_some());
             self.advance(revision);
         }
         ChangeOutcome {
@@ -187,20 +267,21 @@
 
     /// Adds changes after the complete revision to the log, for followers that lack them. This includes changes that
     /// were already known and changes of keys that this copy never held, because another copy may hold them.
-    fn log_changes(&mut self, events: &[StoreEvent]) {
+    fn log_changes(&mut self, events: &[StoreEvent], is_difference: bool) {
         let later_events = events
             .iter()
             .filter(|event| event.revision() > self.complete_revision);
         let changed_keys: Vec<_> = later_events
             .map(|event| (event.key().clone(), event.revision()))
             .collect();
-        if changed_keys.is_empty() && !self.change_log.is_empty() {
+        if changed_keys.is_empty() && !self.change_log.is_empty() && !is_difference {
             return;
         }
         self.logged_key_count += changed_keys.len();
         self.change_log.push_back(ChangeBatch {
             changed_keys,
             base_revision: self.complete_revision,
+            is_difference,
         });
         while self.logged_key_count > MAX_LOGGED_CHANGES && self.change_log.len() > 1 {
             let oldest_batch = self.change_log.pop_front();
@@ -253,14 +334,35 @@
         write_revision.max(removal_revision).unwrap_or_default()
     }
 
+    /// Returns whether [`Self::changes_since`] returns only the [difference](CopyChange::Difference) to the content at
+    /// `known_revision`.
+    pub fn is_difference_since(&self, known_revision: StoreRevision) -> bool {
+        let mut later_batches = self.batches_after(known_revision);
+        later_batches.any(|batch| batch.is_difference)
+    }
+
+    /// Iterates over the batches that contain changes after a revision.
+    fn batches_after(&self, known_revision: StoreRevision) -> impl Iterator<Item = &ChangeBatch> {
+        let next_bases = self.change_log.iter().skip(1);
+        let ends = next_bases
+            .map(|batch| batch.base_revision)
+            .chain([self.complete_revision]);
+        let batches = self.change_log.iter().zip(ends);
+        batches
+            .filter(move |(_batch, end)| *end > known_revision)
+            .map(|(batch, _end)| batch)
+    }
+
     /// Returns the current state of every key that changed after the revision `known_revision`; none if the log does
-    /// not reach back that far.
+    /// not reach back that far, or if only the difference from an earlier content is known.
     pub fn changes_since(&self, known_revision: StoreRevision) -> Option<Vec<StoreEvent>> {
         let log_start = self
             .change_log
             .front()
             .map_or(self.complete_revision, |batch| batch.base_revision);
-        if known_revision < log_start {
+        let lies_within =
+            |batch: &ChangeBatch| batch.is_difference && batch.base_revision < known_revision;
+        if known_revision < log_start || self.batches_after(known_revision).any(lies_within) {
             return None;
         }
         let mut newest_revisions: BTreeMap<&CompactString, StoreRevision> = BTreeMap::new();
--- a/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
@@ -182,6 +182,50 @@
     );
 }
 
+/// The store has discarded its history, so a VM reads everything again. If its followers then got everything as well,
+/// and theirs in turn, each VM of the fleet would receive a whole copy: the larger the store, the longer nothing new
+/// reaches the last VM.
+#[gtest]
+fn a_repeated_read_is_told_as_the_changes_since_the_last_one() {
+    for item_count in [100, 1_000] {
+        let mut items: Vec<_> = (0..item_count)
+            .map(|number| item(&format!("upstream/{number:04}"), "v", 5))
+            .collect();
+        let mut source = StoreCopy::default();
+        source.apply(full_copy(&items, 10));
+        let mut follower = StoreCopy::default();
+        follower.apply(full_copy(&items, 10));
+        // A change that the source knows from elsewhere.
+        source.apply(changes(&[removal_event("upstream/0002", 14)], 13, 14));
+        items[0] = item("upstream/0000", "w", 15);
+        items.remove(2);
+        items.remove(1);
+        source.apply(full_copy(&items, 20));
+        let sent_events = source.changes_since(StoreRevision::new(10));
+        let sent_events = sent_events.expect("the log goes on");
+        expect_that!(
+            sent_events,
+            unordered_elements_are![
+                eq(&StoreEvent::Written(item("upstream/0000", "w", 15))),
+                eq(&removal_event("upstream/0001", 20)),
+                eq(&removal_event("upstream/0002", 14)),
+            ],
+            "{item_count} items"
+        );
+        follower.apply(changes_to_send(&source, StoreRevision::new(10)));
+        expect_that!(keys(&follower), eq(&keys(&source)));
+        // A follower whose revision lies within the read may hold keys that the read can't show to be gone.
+        expect_that!(source.changes_since(StoreRevision::new(12)), none());
+        // One that holds such a key for another reason notices it by the digest.
+        let mut deviating = StoreCopy::default();
+        items.push(item("upstream/gone", "v", 6));
+        deviating.apply(full_copy(&items, 10));
+        let outcome = deviating.apply(changes_to_send(&source, StoreRevision::new(10)));
+        expect_that!(outcome.result, err(eq(CopyGap)));
+        expect_that!(deviating.complete_revision(), eq(StoreRevision::new(10)));
+    }
+}
+
 /// The log holds only keys, so long configurations don't reduce the number of changes in it. A log limited to 256 kB of
 /// values would hold a single change of 1,450 routes, and followers that lack more would be sent everything.
 #[gtest]
@@ -265,7 +309,14 @@
 /// Returns what `source` sends a follower that has applied every change up to `known_revision`.
 fn changes_to_send(source: &StoreCopy, known_revision: StoreRevision) -> CopyChange {
     let revision = source.complete_revision();
+    let is_difference = source.is_difference_since(known_revision);
     match source.changes_since(known_revision) {
+        Some(events) if is_difference => CopyChange::Difference {
+            events,
+            base_revision: known_revision,
+            revision,
+            content_digest: source.content_digest(),
+        },
         Some(events) => CopyChange::Changes {
             events,
             base_revision: known_revision,
