Read old pages of the store and merge the changes since

Cause: a VM that starts, and a reader whose history is gone, reads some 20 pages at full price. Change: pages may be some seconds old; the changes since the oldest are fetched with one watch and merged before anything is returned. After a gap in the history or a new era the latest pages are read. Tests: the random histories of followers read such pages; the mirror's state with old, late and useless pages.

--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -59,7 +59,7 @@
     let (sender, messages) = mpsc::unbounded_channel();
     core.relay.set_message_sink(sender);
     let applier = StoreApplier::new(Rc::clone(&core), seeds);
-    let feed = MirrorFeed::new(port, MirrorSettings::new(STORE_PREFIX));
+    let feed = MirrorFeed::new(port, MirrorSettings::new(STORE_PREFIX)).with_stale_pages();
     let follower = StoreFollower {
         applier,
         members,
--- a/crates/ebonyfork/src/gateway/follow/store_fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/store_fixture.rs
@@ -51,6 +51,32 @@
     oldest_watch_revision: StoreRevision,
 }
 
+impl StoreContent {
+    /// Returns the content as it was some changes ago.
+    fn aged(&self, changes: u64) -> Self {
+        let number = self.revision.number().saturating_sub(changes);
+        let revision = StoreRevision::new(number);
+        let mut content = Self {
+            revision,
+            ..Self::default()
+        };
+        for event in &self.change_log {
+            if event.revision().number() > number {
+                break;
+            }
+            match event {
+                StoreEvent::Written(item) => {
+                    content.items.insert(item.key.clone(), item.clone());
+                }
+                StoreEvent::Removed { key, .. } => {
+                    content.items.remove(key);
+                }
+            }
+        }
+        content
+    }
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     content: StoreContent,
@@ -281,24 +307,22 @@
     }
 }
 
-impl StorePort for FakePort {
-    fn with_traffic(self, traffic: LinkTraffic) -> Self {
-        Self { traffic, ..self }
-    }
-
-    async fn read_item(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
-        unreachable!("followers read pages")
-    }
-
-    async fn read_page(&self, prefix: &str, after: Option<&str>) -> Result<StorePage, StoreError> {
+impl FakePort {
+    /// Reads a page as it was `age` changes ago.
+    async fn read_aged_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        age: u64,
+    ) -> Result<StorePage, StoreError> {
         let silence_count_at_start = self.begin_call().await?;
         let page = {
             let state = self.store.state();
+            let content = state.content.aged(age);
             let is_on_page = |key: &CompactString| {
                 key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
             };
-            let mut items: Vec<_> = state
-                .content
+            let mut items: Vec<_> = content
                 .items
                 .values()
                 .filter(|item| is_on_page(&item.key))
@@ -308,7 +332,7 @@
             let page = StorePage {
                 items: items.into_iter().cloned().collect(),
                 has_more,
-                revision: state.content.revision,
+                revision: content.revision,
             };
             page.with_era(state.era)
         };
@@ -316,6 +340,30 @@
         self.finish_call(silence_count_at_start, bytes).await;
         Ok(page)
     }
+}
+
+impl StorePort for FakePort {
+    fn with_traffic(self, traffic: LinkTraffic) -> Self {
+        Self { traffic, ..self }
+    }
+
+    async fn read_item(&self, _key: &str) -> Result<Option<StoreItem>, StoreError> {
+        unreachable!("followers read pages")
+    }
+
+    async fn read_page(&self, prefix: &str, after: Option<&str>) -> Result<StorePage, StoreError> {
+        self.read_aged_page(prefix, after, 0).await
+    }
+
+    async fn read_stale_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<StorePage, StoreError> {
+        // Each page is older by another number of changes.
+        let age = after.map_or(3, |after| after.len() as u64 % 7);
+        self.read_aged_page(prefix, after, age).await
+    }
 
     async fn watch(
         &self,
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -15,6 +15,8 @@
 /// How long an answer may take beyond the wait that the call asks for. The store usually answers in about 4 ms, and a
 /// slow store in 60 times that.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the watch after a read of old pages waits for changes: it fetches those that exist.
+const MERGE_WAIT: Duration = Duration::from_millis(1);
 /// Minimum time between two watches, so that changes in quick succession arrive in one answer.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -103,6 +105,13 @@
         }
     }
 
+    /// Reads the range from pages that may be some seconds old, and fetches the changes since then.
+    #[must_use]
+    pub fn with_stale_pages(mut self) -> Self {
+        self.state = self.state.with_stale_pages();
+        self
+    }
+
     /// Returns the counter of the bytes received in answers, including incomplete ones.
     pub fn traffic(&self) -> LinkTraffic {
         self.traffic.clone()
@@ -138,7 +147,10 @@
     pub async fn step(&mut self) -> FeedStep {
         let previous_revision = self.state.revision();
         let step = self.state.next_step();
-        if let MirrorStep::Watch { .. } = step {
+        let is_merging = self.state.is_merging();
+        if let MirrorStep::Watch { .. } = step
+            && !is_merging
+        {
             tokio::time::sleep_until(self.next_watch_at).await;
         }
         let called_at = Instant::now();
@@ -151,10 +163,15 @@
                 if after.is_none() {
                     self.reading_since = Some(called_at);
                 }
-                let page_read = self.port.read_page(&self.settings.prefix, after.as_deref());
-                let page = self
-                    .await_answer(self.settings.answer_timeout, page_read)
-                    .await;
+                let (prefix, after) = (&self.settings.prefix, after.as_deref());
+                let timeout = self.settings.answer_timeout;
+                let page = if self.state.reads_stale_pages() {
+                    let page_read = self.port.read_stale_page(prefix, after);
+                    self.await_answer(timeout, page_read).await
+                } else {
+                    let page_read = self.port.read_page(prefix, after);
+                    self.await_answer(timeout, page_read).await
+                };
                 page.map(|page| {
                     let stated_revision = page.revision;
                     let change = self.state.apply_page(page);
@@ -163,7 +180,11 @@
                 })
             }
             MirrorStep::Watch { after } => {
-                let watch_wait = self.settings.watch_wait;
+                let watch_wait = if is_merging {
+                    MERGE_WAIT
+                } else {
+                    self.settings.watch_wait
+                };
                 let watch_call = self.port.watch(&self.settings.prefix, after, watch_wait);
                 let watch = self
                     .await_answer(watch_wait + self.settings.answer_timeout, watch_call)
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -7,10 +7,15 @@
 //! returned before or whose key it never saw: the reader may know more than the mirror, and others that get the changes
 //! from the reader may know less.
 //!
+//! Pages may also be some seconds old, each by another time. The changes since the lowest of their revisions are then
+//! merged into them before anything is returned, so that the reader never sees the old content
+//! ([`MirrorState::with_stale_pages`]).
+//!
 //! An answer with a higher era belongs to another history. Its pages and changes can't be combined with those of the
 //! previous one, so the range is read again from its first page. If the store's era falls or is no longer stated, its
 //! answers can't be ordered by it; they count as answers of the highest era seen.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -82,6 +87,11 @@
         first_revision: Option<StoreRevision>,
         items: Vec<StoreItem>,
     },
+    /// Old pages of the whole range have been read; their changes since `known_revision` are missing.
+    Merging {
+        known_revision: StoreRevision,
+        items: Vec<StoreItem>,
+    },
     /// The range has been read, and all of its changes up to `known_revision` are known.
     Watching { known_revision: StoreRevision },
 }
@@ -101,6 +111,11 @@
     phase: MirrorPhase,
     /// The highest era seen in any answer.
     era: StoreEra,
+    /// Whether pages may be old.
+    allows_stale_pages: bool,
+    /// Whether the next read of the range must be of the latest pages: the store has dropped the history that old pages
+    /// need, or has entered an era to which they may not belong.
+    needs_latest_pages: bool,
     backoff: Backoff,
     /// Wait before the next call, after a failed one.
     pause: Option<Duration>,
@@ -118,11 +133,32 @@
         Self {
             phase: MirrorPhase::reading_first_page(),
             era: StoreEra::UNSTATED,
+            allows_stale_pages: false,
+            needs_latest_pages: false,
             backoff: Backoff::new(FIRST_RETRY_WAIT, MAX_RETRY_WAIT),
             pause: None,
         }
     }
 
+    /// Allows pages that are some seconds old, except where they would be of no use.
+    #[must_use]
+    pub fn with_stale_pages(self) -> Self {
+        Self {
+            allows_stale_pages: true,
+            ..self
+        }
+    }
+
+    /// Returns whether the pages that are read next may be old.
+    pub fn reads_stale_pages(&self) -> bool {
+        self.allows_stale_pages && !self.needs_latest_pages
+    }
+
+    /// Returns whether the range has been read and the changes since then are to be fetched without waiting for more.
+    pub fn is_merging(&self) -> bool {
+        matches!(self.phase, MirrorPhase::Merging { .. })
+    }
+
     /// Returns the next action. A pause is returned only once.
     ///
     /// # Examples
@@ -141,7 +177,8 @@
             MirrorPhase::Reading { items, .. } => MirrorStep::Read {
                 after: items.last().map(|item| item.key.clone()),
             },
-            MirrorPhase::Watching { known_revision } => MirrorStep::Watch {
+            MirrorPhase::Merging { known_revision, .. }
+            | MirrorPhase::Watching { known_revision } => MirrorStep::Watch {
                 after: *known_revision,
             },
         }
@@ -152,6 +189,7 @@
         self.backoff.reset();
         let era = self.raise_era(page.revision.era());
         let page = page.with_era(era);
+        let is_stale = self.reads_stale_pages();
         let MirrorPhase::Reading {
             first_revision,
             items,
@@ -159,17 +197,29 @@
         else {
             return None;
         };
-        let known_revision = *first_revision.get_or_insert(page.revision);
+        let first_revision = first_revision.get_or_insert(page.revision);
+        let known_revision = *first_revision;
         if known_revision.era() < page.revision.era() {
             self.phase = MirrorPhase::reading_first_page();
             return None;
         }
+        // Old pages may be older than the first one.
+        *first_revision = known_revision.min(page.revision);
+        let known_revision = *first_revision;
         let is_last = page.items.is_empty() || !page.has_more;
         items.extend(page.items);
         if !is_last {
             return None;
         }
         let items = std::mem::take(items);
+        if is_stale {
+            self.phase = MirrorPhase::Merging {
+                known_revision,
+                items,
+            };
+            return None;
+        }
+        self.needs_latest_pages = false;
         self.phase = MirrorPhase::Watching { known_revision };
         Some(MirrorChange::Replaced(items))
     }
@@ -179,13 +229,28 @@
         self.backoff.reset();
         let era = self.raise_era(watch.revision.era());
         let watch = watch.with_era(era);
-        let MirrorPhase::Watching { known_revision } = &mut self.phase else {
+        let (MirrorPhase::Merging { known_revision, .. }
+        | MirrorPhase::Watching { known_revision }) = &mut self.phase
+        else {
             return None;
         };
         if known_revision.era() < watch.revision.era() {
             self.phase = MirrorPhase::reading_first_page();
             return None;
         }
+        if let MirrorPhase::Merging {
+            known_revision,
+            items,
+        } = &mut self.phase
+        {
+            let known_revision = watch.revision.max(*known_revision);
+            let items = merge_events(std::mem::take(items), watch.events);
+            self.phase = MirrorPhase::Watching { known_revision };
+            return Some(MirrorChange::Replaced(items));
+        }
+        let MirrorPhase::Watching { known_revision } = &mut self.phase else {
+            return None;
+        };
         *known_revision = watch.revision.max(*known_revision);
         let newest_changes = newest_events(watch.events);
         (!newest_changes.is_empty()).then_some(MirrorChange::Changed(newest_changes))
@@ -193,6 +258,7 @@
 
     /// Records the era that an answer states and returns the era that the answer counts as: the highest seen.
     fn raise_era(&mut self, stated_era: StoreEra) -> StoreEra {
+        self.needs_latest_pages |= stated_era > self.era && self.era > StoreEra::UNSTATED;
         self.era = self.era.max(stated_era);
         self.era
     }
@@ -203,6 +269,7 @@
             error,
             StoreError::HistoryGone | StoreError::Malformed { .. }
         ) {
+            self.needs_latest_pages |= self.is_merging();
             self.phase = MirrorPhase::reading_first_page();
         }
         if matches!(error, StoreError::HistoryGone) {
@@ -224,7 +291,8 @@
     pub fn revision(&self) -> StoreRevision {
         match &self.phase {
             MirrorPhase::Reading { first_revision, .. } => first_revision.unwrap_or_default(),
-            MirrorPhase::Watching { known_revision } => *known_revision,
+            MirrorPhase::Merging { known_revision, .. }
+            | MirrorPhase::Watching { known_revision } => *known_revision,
         }
     }
 
@@ -251,6 +319,32 @@
     }
 }
 
+/// Returns items with changes applied that follow some of them.
+fn merge_events(items: Vec<StoreItem>, events: Vec<StoreEvent>) -> Vec<StoreItem> {
+    if events.is_empty() {
+        return items;
+    }
+    let mut items: BTreeMap<_, _> = items
+        .into_iter()
+        .map(|item| (item.key.clone(), item))
+        .collect();
+    for event in newest_events(events) {
+        let known_revision = items.get(event.key()).map(|item| item.revision);
+        if known_revision.is_some_and(|known_revision| known_revision >= event.revision()) {
+            continue;
+        }
+        match event {
+            StoreEvent::Written(item) => {
+                items.insert(item.key.clone(), item);
+            }
+            StoreEvent::Removed { key, .. } => {
+                items.remove(&key);
+            }
+        }
+    }
+    items.into_values().collect()
+}
+
 /// Returns the newest event of each key, ordered by revision.
 pub fn newest_events(events: impl IntoIterator<Item = StoreEvent>) -> Vec<StoreEvent> {
     let mut newest_by_key: FxHashMap<CompactString, StoreEvent> = FxHashMap::default();
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -183,3 +183,64 @@
     expect_that!(matches!(mirror.next_step(), MirrorStep::Pause(_)), eq(true));
     expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
 }
+
+fn read_stale_pages(mirror: &mut MirrorState) {
+    let first = mirror.apply_page(page(vec![item("a", 3), item("b", 6)], true, 8));
+    expect_that!(first, none());
+    // The second page is older than the first one.
+    expect_that!(
+        mirror.apply_page(page(vec![item("c", 2)], false, 5)),
+        none()
+    );
+}
+
+#[gtest]
+fn old_pages_are_returned_with_the_changes_since_the_oldest() {
+    let mut mirror = MirrorState::new().with_stale_pages();
+    expect_that!(mirror.reads_stale_pages(), eq(true));
+    read_stale_pages(&mut mirror);
+    expect_that!(mirror.is_merging(), eq(true));
+    let after = StoreRevision::new(5);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+    let events = vec![
+        StoreEvent::Written(item("b", 6)),
+        removed_event("a", 7),
+        removed_event("c", 9),
+        StoreEvent::Written(item("d", 10)),
+    ];
+    let change = mirror.apply_watch(watch(events, 12));
+    let content = vec![item("b", 6), item("d", 10)];
+    expect_that!(change, some(eq(&MirrorChange::Replaced(content))));
+    let after = StoreRevision::new(12);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Watch { after }));
+}
+
+/// Old pages whose changes the store no longer holds would be of no use a second time either.
+#[gtest]
+fn without_history_the_latest_pages_are_read() {
+    let mut mirror = MirrorState::new().with_stale_pages();
+    read_stale_pages(&mut mirror);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    mirror.apply_failure(&StoreError::HistoryGone, &mut rng);
+    expect_that!(mirror.reads_stale_pages(), eq(false));
+    let change = mirror.apply_page(page(vec![item("a", 3)], false, 20));
+    expect_that!(
+        change,
+        some(eq(&MirrorChange::Replaced(vec![item("a", 3)])))
+    );
+    mirror.reread();
+    expect_that!(mirror.reads_stale_pages(), eq(true));
+}
+
+/// Old pages that are read just after the store was restored may be from before.
+#[gtest]
+fn in_a_new_era_the_latest_pages_are_read() {
+    let mut mirror = MirrorState::new().with_stale_pages();
+    let in_era = |era| watch(Vec::new(), 12).with_era(StoreEra(era));
+    let first_page = page(vec![item("a", 3)], false, 8).with_era(StoreEra(1));
+    expect_that!(mirror.apply_page(first_page), none());
+    expect_that!(mirror.apply_watch(in_era(1)).is_some(), eq(true));
+    expect_that!(mirror.apply_watch(in_era(2)), none());
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    expect_that!(mirror.reads_stale_pages(), eq(false));
+}
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns whether the key was removed.
+    pub fn is_removal(&self) -> bool {
+        matches!(self, Self::Removed { .. })
+    }
+
     /// Returns the store revision of the change.
     pub fn revision(&self) -> StoreRevision {
         match self {
@@ -264,6 +269,16 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<StorePage, StoreError>> + Send;
 
+    /// Reads a page that may be some seconds old, which costs the store less. Its revision is that of its content. A port
+    /// that has no such call reads the latest page.
+    fn read_stale_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<StorePage, StoreError>> + Send {
+        self.read_page(prefix, after)
+    }
+
     /// Waits up to `wait` for changes of keys that begin with `prefix`, after a revision.
     fn watch(
         &self,
