--- a/crates/ebonyfork/src/gateway/policy/choice.rs
+++ b/crates/ebonyfork/src/gateway/policy/choice.rs
@@ -14,7 +14,8 @@
 const FAR_BIAS_MS: f64 = 8.0;
 /// Cost in milliseconds of a new connection: round trips, processor time on both sides, and a slot of the upstream that
 /// is occupied meanwhile. Without it, a VM that sees few requests would spread them over all upstreams of a shard, and
-/// the connections to each would be closed as idle before it is used again.
+/// the connections to each would be closed as idle before it is used again. It doesn't apply to an upstream whose
+/// connections are all in use: its load is part of the expected time.
 const NEW_CONNECTION_COST_MS: f64 = 5.0;
 /// Cost of a failed attempt, as a multiple of the median time of attempts in the same zone. A failure uses up a repeat;
 /// once the budget is empty the shard's part is missing, and possibly the whole answer.
@@ -62,7 +63,7 @@
         if distance != PlaceDistance::Zone {
             cost_ms += FAR_BIAS_MS;
         }
-        if !upstream.has_idle_link(now) {
+        if !upstream.has_connection(now) {
             cost_ms += NEW_CONNECTION_COST_MS;
         }
         if health.is_ejected(now) {
--- a/crates/ebonyfork/src/gateway/slots.rs
+++ b/crates/ebonyfork/src/gateway/slots.rs
@@ -85,6 +85,11 @@
         self.state.borrow().limit
     }
 
+    /// Returns how many connections are in use.
+    pub fn in_use(&self) -> usize {
+        self.state.borrow().in_use
+    }
+
     /// Sets how many connections may be in use at a time. Permits already handed out stay valid until they are dropped.
     pub fn set_limit(&self, limit: usize) {
         self.state.borrow_mut().limit = limit;
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -274,12 +274,14 @@
         })
     }
 
-    /// Returns whether a pooled connection is available.
-    pub fn has_idle_link(&self, now: Instant) -> bool {
-        self.idle_links.borrow().iter().any(|idle_link| {
-            now.saturating_duration_since(idle_link.idle_since) <= idle_link.max_idle
-                && idle_link.link.is_ready()
-        })
+    /// Returns whether there is a connection, in use or pooled.
+    pub fn has_connection(&self, now: Instant) -> bool {
+        let idle_links = self.idle_links.borrow();
+        self.slots.in_use() > 0
+            || idle_links.iter().any(|idle_link| {
+                now.saturating_duration_since(idle_link.idle_since) <= idle_link.max_idle
+                    && idle_link.link.is_ready()
+            })
     }
 
     fn take_idle_link(&self, max_idle: Duration) -> Option<HttpLink> {
