--- a/crates/ebonyfork-lab/src/publish_model/counts.rs
+++ b/crates/ebonyfork-lab/src/publish_model/counts.rs
@@ -1,6 +1,6 @@
-//! What histories came to.
+//! Counts of the outcomes of histories.
 
-/// What a set of histories came to.
+/// Outcome counts of a set of histories.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HistoryCounts {
     /// Histories that were run.
--- a/crates/ebonyfork-lab/src/scenario/fault.rs
+++ b/crates/ebonyfork-lab/src/scenario/fault.rs
@@ -28,7 +28,7 @@
     Slow(Duration),
     /// This share of answers is lost after the call took effect.
     LostAnswers(f64),
-    /// So few calls a second are taken.
+    /// Limits the calls per second that the store accepts.
     Limited(u32),
     /// It starts again with the data it had when the load began.
     OlderData,
