Return unused tokens of a quota to the hold that granted them

Cause: a grant stated the start of its hold in microseconds and the ledger compares it in nanoseconds, so no token that was granted in addition was ever accepted back; and a VM remembered a part as empty until the stated time, although returned tokens may be there earlier. Change: nanoseconds; an empty part is asked again after 250 ms. Test: four tokens in four parts serve four requests; 2 of 4 before.

--- a/crates/ebonyfork/src/gateway/policy/quota/message.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/message.rs
@@ -9,8 +9,8 @@
 pub enum QuotaAnswer {
     /// The asking VM may send one request.
     Granted {
-        /// Start of the hold in which the token was granted, in microseconds of the holder's clock.
-        held_since_us: u64,
+        /// Start of the hold in which the token was granted, in nanoseconds of the holder's clock.
+        held_since_ns: u64,
     },
     /// The part of the quota is used up.
     Empty {
@@ -51,6 +51,6 @@
         /// Organisation whose quota it is.
         organisation: OrganisationName,
         /// The start of the hold that the grant stated.
-        held_since_us: u64,
+        held_since_ns: u64,
     },
 }
--- a/crates/ebonyfork/src/gateway/quota_exchange.rs
+++ b/crates/ebonyfork/src/gateway/quota_exchange.rs
@@ -52,8 +52,22 @@
     silent_until: Duration,
 }
 
-/// Parts that were empty when they were last asked, each with the time of its next token.
-type EmptyParts = SmallVec<[(u8, Duration); QUOTA_PARTS]>;
+/// Part that was empty when it was last asked.
+#[derive(Debug, Clone, Copy)]
+struct EmptyPart {
+    part: u8,
+    /// Time of its next token, as its holder stated.
+    next_token: Duration,
+    /// Time at which the holder answered.
+    answered_at: Duration,
+}
+
+/// Empty parts of one organisation's quota.
+type EmptyParts = SmallVec<[EmptyPart; QUOTA_PARTS]>;
+
+/// Time for which an empty part is not asked again. Its holder may have a token earlier than it has stated, if one is
+/// returned.
+const EMPTY_MEMORY: Duration = Duration::from_millis(250);
 
 /// Answer to a request for a token, with the part that answers.
 type NumberedAnswer = (u8, QuotaAnswer);
@@ -70,6 +84,13 @@
     next_number: Cell<u64>,
 }
 
+impl EmptyPart {
+    /// Returns whether the part is known to be empty without asking again.
+    fn is_remembered(&self, now: Duration) -> bool {
+        now < self.next_token && now < self.answered_at + EMPTY_MEMORY
+    }
+}
+
 impl QuotaDesk {
     /// Creates the state of a process that holds no part; `own_session` is the session of the process.
     pub fn new(own_session: SessionId) -> Self {
@@ -117,7 +138,7 @@
             .retain(|_organisation, last_return| *last_return > now);
         self.empty_parts
             .borrow_mut()
-            .retain(|_organisation, parts| parts.iter().any(|(_part, until)| *until > now));
+            .retain(|_organisation, parts| parts.iter().any(|empty| empty.is_remembered(now)));
     }
 
     /// Takes a token from a part that this process holds.
@@ -137,7 +158,7 @@
         };
         match part.ledger.take(organisation, terms, held_since, now) {
             Ok(()) => QuotaAnswer::Granted {
-                held_since_us: held_since.as_micros() as u64,
+                held_since_ns: held_since.as_nanos() as u64,
             },
             Err(wait) => QuotaAnswer::Empty {
                 // Rounded up, so that the token is there at the stated time.
@@ -151,20 +172,20 @@
         part: u8,
         organisation: &OrganisationName,
         terms: PartTerms,
-        held_since_us: u64,
+        held_since_ns: u64,
     ) {
         if let Some(part) = self.parts.borrow_mut().get_mut(usize::from(part)) {
-            let held_since = Duration::from_micros(held_since_us);
+            let held_since = Duration::from_nanos(held_since_ns);
             part.ledger.give_back(organisation, terms, held_since);
         }
     }
 
-    /// Records that a part has no token of an organisation until a given time.
-    fn note_empty(&self, part: u8, organisation: &OrganisationName, until: Duration) {
+    /// Records that a part has no token of an organisation.
+    fn note_empty(&self, organisation: &OrganisationName, empty: EmptyPart) {
         let mut empty_parts = self.empty_parts.borrow_mut();
         let parts = empty_parts.entry(organisation.clone()).or_default();
-        parts.retain(|(other, _until)| *other != part);
-        parts.push((part, until));
+        parts.retain(|other| other.part != empty.part);
+        parts.push(empty);
     }
 
     fn empty_for(
@@ -175,8 +196,9 @@
     ) -> Option<Duration> {
         let empty_parts = self.empty_parts.borrow();
         let parts = empty_parts.get(organisation)?;
-        let (_part, until) = parts.iter().find(|(other, _until)| *other == part)?;
-        until.checked_sub(now).filter(|wait| !wait.is_zero())
+        let empty = parts.iter().find(|empty| empty.part == part)?;
+        let wait = empty.next_token.saturating_sub(now);
+        empty.is_remembered(now).then_some(wait)
     }
 
     /// Returns when the caller of a refused request should return, if the next token is due after `wait`.
@@ -221,9 +243,9 @@
         self.answers.close();
         // Grants that arrived together with the one that was used.
         while let Ok((part, answer)) = self.answers.try_recv() {
-            if let QuotaAnswer::Granted { held_since_us } = answer {
+            if let QuotaAnswer::Granted { held_since_ns } = answer {
                 self.core
-                    .give_back(part, &self.organisation.name, held_since_us);
+                    .give_back(part, &self.organisation.name, held_since_ns);
             }
         }
     }
@@ -279,9 +301,14 @@
         match answer {
             QuotaAnswer::Granted { .. } => true,
             QuotaAnswer::Empty { wait_ms } => {
-                let until = self.core.running_time() + Duration::from_millis(u64::from(wait_ms));
+                let now = self.core.running_time();
+                let empty = EmptyPart {
+                    part,
+                    next_token: now + Duration::from_millis(u64::from(wait_ms)),
+                    answered_at: now,
+                };
                 let desk = &self.core.quota_desk;
-                desk.note_empty(part, &self.organisation.name, until);
+                desk.note_empty(&self.organisation.name, empty);
                 self.empty.push(part);
                 false
             }
@@ -424,7 +451,7 @@
     }
 
     /// Returns a token to the holder that granted it.
-    fn give_back(&self, part: u8, organisation: &OrganisationName, held_since_us: u64) {
+    fn give_back(&self, part: u8, organisation: &OrganisationName, held_since_ns: u64) {
         let holder = self.quota_desk.with_claim(part, |claim| claim.holder());
         let Some(holder) = holder.flatten() else {
             return;
@@ -432,7 +459,7 @@
         let message = QuotaMessage::GiveBack {
             part,
             organisation: organisation.clone(),
-            held_since_us,
+            held_since_ns,
         };
         // A token that can't be returned is lost.
         let _sent = self
@@ -484,19 +511,19 @@
         } => {
             let waiting = desk.pending.borrow().get(&number).cloned();
             let is_taken = waiting.is_some_and(|waiting| waiting.send((part, answer)).is_ok());
-            if let QuotaAnswer::Granted { held_since_us } = answer
+            if let QuotaAnswer::Granted { held_since_ns } = answer
                 && !is_taken
             {
-                core.give_back(part, &organisation, held_since_us);
+                core.give_back(part, &organisation, held_since_ns);
             }
         }
         QuotaMessage::GiveBack {
             part,
             organisation,
-            held_since_us,
+            held_since_ns,
         } => {
             if let Some(terms) = core.quota_terms(part, &organisation) {
-                desk.give_back_own(part, &organisation, terms, held_since_us);
+                desk.give_back_own(part, &organisation, terms, held_since_ns);
             }
         }
     }
@@ -568,3 +595,7 @@
     let vms = core.vms.serving_near(zone, place);
     rendezvous(&vms, format_args!("quota part {part}")) == Some(own_vm)
 }
+
+#[cfg(test)]
+#[path = "quota_exchange_tests.rs"]
+mod tests;
