Keep most gossip in the sender's zone

Change: three quarters of gossip and of page requests go to a member of the own zone; probes stay spread over all.

--- a/crates/ebonyfork/src/membership/paging.rs
+++ b/crates/ebonyfork/src/membership/paging.rs
@@ -68,7 +68,7 @@
         if open_request.is_some_and(|(_, requested_at)| now < requested_at + PAGE_TIMEOUT) {
             return;
         }
-        let Some(peer) = self.random_member(open_request.map(|(peer, _)| peer)) else {
+        let Some(peer) = self.gossip_partner(open_request.map(|(peer, _)| peer)) else {
             self.page.open_request = None;
             return;
         };
--- a/crates/ebonyfork/src/membership/probing.rs
+++ b/crates/ebonyfork/src/membership/probing.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
-use crate::ident::VmAddress;
+use crate::ident::{VmAddress, ZoneName};
 use crate::membership::event::OutgoingDatagram;
 use crate::membership::message::{MemberHealth, MemberMessage, MemberVersion};
 use crate::membership::protocol::MemberProtocol;
@@ -120,23 +120,33 @@
         None
     }
 
-    /// Returns a random member that is not failed, other than `excluded_vm`; none if no draw finds one.
+    /// Returns a random member that is not failed, other than `excluded_vm`; none if no draw finds one. If `zone` is
+    /// given, a member of that zone is preferred.
     pub(super) fn random_member(
         &self,
         table: &MemberTable,
         rng: &mut impl Rng,
         excluded_vm: Option<VmAddress>,
+        zone: Option<&ZoneName>,
     ) -> Option<VmAddress> {
         if self.order.is_empty() {
             return None;
         }
+        let mut other_member = None;
         for _draw in 0..MAX_DRAWS {
             let vm = self.order[rng.random_range(0..self.order.len())];
-            if Some(vm) != excluded_vm && is_present(table, vm) {
+            if Some(vm) == excluded_vm || !is_present(table, vm) {
+                continue;
+            }
+            let is_in_zone = table
+                .get(vm)
+                .is_some_and(|record| zone.is_none_or(|zone| record.zone == *zone));
+            if is_in_zone {
                 return Some(vm);
             }
+            other_member = Some(vm);
         }
-        None
+        other_member
     }
 }
 
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -413,3 +413,31 @@
         }
     }
 }
+
+/// Load pattern: members of a fleet in several zones come and go all the time. If gossip chose among all members, most
+/// of its bytes would leave the sender's zone: two thirds with three zones, five sixths with six.
+#[gtest]
+fn most_gossip_stays_in_the_zone_and_still_reaches_all() {
+    for size in [60, 240] {
+        let mut fleet = Fleet::fully_known(size);
+        fleet.run(3);
+        let counts = std::rc::Rc::new(std::cell::Cell::new((0_u32, 0_u32)));
+        let counter = std::rc::Rc::clone(&counts);
+        fleet.delivers = Box::new(move |_now, sender, receiver| {
+            let (all, leaving_zone) = counter.get();
+            let leaves_zone = u32::from(sender % 3 != receiver % 3);
+            counter.set((all + 1, leaving_zone + leaves_zone));
+            true
+        });
+        let stopping_nodes: Vec<usize> = (0..size).step_by(10).collect();
+        let mut outbox = Vec::new();
+        for index in &stopping_nodes {
+            fleet.nodes[*index].announce_leaving(fleet.now, &mut outbox);
+            fleet.enqueue(*index, &mut outbox);
+        }
+        let seconds = fleet.seconds_until(&stopping_nodes, MemberState::Leaving, 10);
+        expect_that!(seconds, some(le(4)), "{size}");
+        let (all, leaving_zone) = counts.get();
+        expect_that!(leaving_zone, lt(all / 2), "{size}: of {all}");
+    }
+}
--- a/crates/ebonyfork/src/membership/telling.rs
+++ b/crates/ebonyfork/src/membership/telling.rs
@@ -12,7 +12,9 @@
 };
 use crate::membership::protocol::MemberProtocol;
 use crate::membership::spread::{GossipQueue, OfferResult};
-use crate::membership::timing::{DIGEST_TRANSMISSIONS, REVISION_TRANSMISSIONS, max_transmissions};
+use crate::membership::timing::{
+    DIGEST_TRANSMISSIONS, OWN_ZONE_SHARE, REVISION_TRANSMISSIONS, max_transmissions,
+};
 
 /// Queues of facts to gossip, in the order in which they are added to a datagram.
 #[derive(Debug, Default)]
@@ -41,7 +43,7 @@
             self.counters.withheld_datagrams += 1;
             return;
         }
-        let Some(destination) = self.random_member(None) else {
+        let Some(destination) = self.gossip_partner(None) else {
             return;
         };
         self.send(now, destination, MemberMessage::Gossip, outbox);
@@ -50,7 +52,15 @@
     /// Returns a random member that is not failed, other than `excluded_vm`.
     pub(super) fn random_member(&mut self, excluded_vm: Option<VmAddress>) -> Option<VmAddress> {
         self.probe
-            .random_member(&self.table, &mut self.rng, excluded_vm)
+            .random_member(&self.table, &mut self.rng, excluded_vm, None)
+    }
+
+    /// Returns a random member to exchange gossip with, other than `excluded_vm`: usually one of the own zone.
+    pub(super) fn gossip_partner(&mut self, excluded_vm: Option<VmAddress>) -> Option<VmAddress> {
+        let stays_in_zone = self.rng.random_bool(OWN_ZONE_SHARE);
+        let zone = stays_in_zone.then_some(&self.own_header.zone);
+        self.probe
+            .random_member(&self.table, &mut self.rng, excluded_vm, zone)
     }
 
     /// Sends a message with as many piggybacked facts as the byte budget and the datagram allow.
--- a/crates/ebonyfork/src/membership/timing.rs
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -44,6 +44,9 @@
 pub const DIGEST_TICKS: u32 = 5;
 /// How many times one process sends a digest whose load has changed. Loss is harmless: the next digest replaces it.
 pub const DIGEST_TRANSMISSIONS: usize = 4;
+/// Share of gossip that stays in the sender's zone, where bytes cost nothing. Each fact is sent some twenty times by each
+/// process that knows it, so the rest still carries it to all zones within a few rounds.
+pub const OWN_ZONE_SHARE: f64 = 0.75;
 /// How many times one process sends a digest with a new revision. A member that misses all of them learns the
 /// revision with the next load digest.
 pub const REVISION_TRANSMISSIONS: usize = 8;
