Let one VM of a zone read the store when its reader's copy is stale

Cause: all copies of a zone become stale at the same moment, and each VM left its source for the store: a pause of the watches became a full read of the store by the whole fleet (985 x 9,600 entries, 30 s of the store's link). Change: a VM that avoids its source computes the tree without it, so the next VM reads and the others follow it; a newly followed VM has a third of the remaining time to become up to date. After a gap the latest pages are read.

--- a/crates/ebonyfork/src/gateway/follow/following.rs
+++ b/crates/ebonyfork/src/gateway/follow/following.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::clock::now;
-use crate::gateway::mirror::{IncomingTransfer, PendingPolls, STALL_TIMEOUT};
+use crate::gateway::mirror::{FreshnessTimings, IncomingTransfer, PendingPolls, STALL_TIMEOUT};
 use crate::ident::VmAddress;
 
 /// Maximum wait for the first response of a followed VM, which includes opening a link to it.
@@ -76,6 +76,12 @@
         self.progress_at.is_some_and(is_recent)
     }
 
+    /// Returns whether the VM has been followed for so short a time that its copy may still be stale. All VMs of a zone
+    /// leave a source whose copy became stale at the same moment, and the next reader among them has to read first.
+    pub(super) fn may_be_refreshing(&self, time: Instant, timings: &FreshnessTimings) -> bool {
+        time.saturating_duration_since(self.followed_since) <= timings.refresh_time
+    }
+
     /// Returns whether the VM has responded to one of the last two polls.
     pub(super) fn is_responsive(&self, time: Instant, poll_interval: Duration) -> bool {
         let is_recent = |at: Instant| time.saturating_duration_since(at) <= poll_interval * 2;
@@ -92,14 +98,14 @@
     pub(super) fn check_source(
         &self,
         time: Instant,
-        poll_interval: Duration,
+        timings: &FreshnessTimings,
         copy_is_stale: bool,
     ) -> Result<(), SourceFault> {
         if self.is_progressing(time) {
             return Ok(());
         }
-        if self.is_responsive(time, poll_interval) {
-            return if copy_is_stale {
+        if self.is_responsive(time, timings.poll_interval) {
+            return if copy_is_stale && !self.may_be_refreshing(time, timings) {
                 Err(SourceFault::Stale)
             } else {
                 Ok(())
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -339,7 +339,7 @@
     /// is no longer a usable source.
     fn poll_vm(&self, following: &mut VmFollowing) -> Result<(), SourceFault> {
         let time = now();
-        following.check_source(time, self.timings.poll_interval, self.core.relay.is_stale())?;
+        following.check_source(time, &self.timings, self.core.relay.is_stale())?;
         let held_values = held_values(&self.core.relay.copy());
         let follow_message = MirrorMessage::Follow {
             known_revision: self.complete_revision(),
@@ -462,6 +462,9 @@
                 up_to_date_ms,
             } => (revision, up_to_date_ms),
             SourceState::Sending => return Ok(()),
+            SourceState::Stale if following.may_be_refreshing(now(), &self.timings) => {
+                return Ok(());
+            }
             SourceState::Stale => return Err(SourceFault::Stale),
         };
         if revision > self.complete_revision() {
--- a/crates/ebonyfork/src/gateway/follow/source.rs
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -5,6 +5,10 @@
 //! [`MAX_FOLLOWERS`] direct followers. Each VM computes the tree from gossip by hashing, without any agreement. Two VMs
 //! that disagree for a moment cost a few calls, or follow each other until their copies are stale. A VM that finds no
 //! other VM to follow reads the store itself.
+//!
+//! A VM that avoids another one, because that one's copy is stale, computes the tree without it. So the next VM of the
+//! zone reads the store and the others follow that one. If all of them read the store instead, a pause of the store's
+//! answers to a few readers would become a full read by the whole fleet at the same moment.
 
 use std::fmt;
 use std::time::Duration;
@@ -87,12 +91,13 @@
     avoided_vms: &[VmAddress],
     is_store_avoided: bool,
 ) -> ChangeSource {
-    let order = zone_order(members, zone);
+    let is_usable = |vm: &VmAddress| *vm != own_vm && !avoided_vms.contains(vm);
+    let mut order = zone_order(members, zone);
+    order.retain(|vm| *vm == own_vm || is_usable(vm));
     let index = order.partition_point(|vm| order_key(vm) < order_key(&own_vm));
     if index < STORE_READERS_PER_ZONE && !is_store_avoided {
         return ChangeSource::Store;
     }
-    let is_usable = |vm: &VmAddress| *vm != own_vm && !avoided_vms.contains(vm);
     if let Some(vm) = ancestors(&order, index).find(is_usable) {
         return ChangeSource::Vm(vm);
     }
--- a/crates/ebonyfork/src/gateway/mirror/freshness.rs
+++ b/crates/ebonyfork/src/gateway/mirror/freshness.rs
@@ -18,6 +18,9 @@
 const MAX_AGE_FRACTION: f64 = 2.0 / 3.0;
 /// Number of polls of a followed VM within the maximum age of the copy: three of them may be lost.
 const POLLS_PER_MAX_AGE: u32 = 4;
+/// Number of VMs that can be followed in turn until one is up to date, after the copy became stale and before a change
+/// must be in force.
+const REFRESHES_PER_MARGIN: u32 = 3;
 /// Time allowed for a response of the store and one of a followed VM together.
 const RESPONSE_ALLOWANCE: Duration = Duration::from_millis(300);
 /// Lower bound of the time for which a watch asks the store to wait for changes.
@@ -33,6 +36,8 @@
     /// Age of the copy at which a watch of the store must return, so that its response confirms that the copy is up to
     /// date.
     pub renewal_age: Duration,
+    /// Time that a VM which is followed newly has until its own copy must be up to date.
+    pub refresh_time: Duration,
     /// Age of the copy above which the store is read in full instead of being watched from the copy's revision. A watch
     /// returns every version of a key that changed often, and twelve versions of 0.49 MB take 4.5 s at 14 Mbit/s.
     pub max_age_to_watch: Duration,
@@ -48,6 +53,7 @@
             max_age,
             poll_interval,
             renewal_age: renewal_age.max(MIN_WATCH_TIME),
+            refresh_time: max_change_delay.saturating_sub(max_age) / REFRESHES_PER_MARGIN,
             max_age_to_watch: max_change_delay,
         }
     }
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -269,7 +269,8 @@
             error,
             StoreError::HistoryGone | StoreError::Malformed { .. }
         ) {
-            self.needs_latest_pages |= self.is_merging();
+            // Old pages would be from before the gap.
+            self.needs_latest_pages = true;
             self.phase = MirrorPhase::reading_first_page();
         }
         if matches!(error, StoreError::HistoryGone) {
