Give the quotas a folder of their own

quota_exchange.rs held the state, the requests for tokens, the messages and the claims in 560 lines; now one file each. Whether a configuration has quotas is computed once, not at each check of the claims. No change of behaviour.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -21,7 +21,7 @@
 use crate::gateway::policy::answer_lag::AnswerLag;
 use crate::gateway::policy::budget::LeasedRetryBudget;
 use crate::gateway::policy::route_latency::RouteLatency;
-use crate::gateway::quota_exchange::QuotaDesk;
+use crate::gateway::quota::QuotaDesk;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::{UpstreamList, UpstreamRegistry};
 use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -47,7 +47,7 @@
 mod partial;
 mod peers;
 mod policy;
-mod quota_exchange;
+mod quota;
 mod refusal;
 mod register;
 mod registry;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -22,7 +22,7 @@
 use crate::gateway::gossip::connect_gossip;
 use crate::gateway::ingress::serve_callers;
 use crate::gateway::peers::{accept_links, follow_links, open_links};
-use crate::gateway::quota_exchange::run_quota_claims;
+use crate::gateway::quota::run_quota_claims;
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::share_exchange::run_leases;
--- a/crates/ebonyfork/src/gateway/organisation.rs
+++ b/crates/ebonyfork/src/gateway/organisation.rs
@@ -128,6 +128,7 @@
 pub struct OrganisationTable {
     by_credential: FxHashMap<CredentialDigest, Rc<OrganisationEntry>>,
     by_name: FxHashMap<OrganisationName, Rc<OrganisationEntry>>,
+    has_quotas: bool,
 }
 
 impl OrganisationTable {
@@ -162,6 +163,7 @@
         for declaration in declarations {
             let organisation = Rc::new(declaration.organisation);
             let name = organisation.name.clone();
+            table.has_quotas |= organisation.quota.is_some();
             for credential in declaration.credentials {
                 let previous = table
                     .by_credential
@@ -192,9 +194,7 @@
 
     /// Returns whether any organisation has a quota.
     pub fn has_quotas(&self) -> bool {
-        self.by_name
-            .values()
-            .any(|organisation| organisation.quota.is_some())
+        self.has_quotas
     }
 
     /// Returns the number of organisations.
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use crate::gateway::aggregate;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::partial::PartialMessage;
-use crate::gateway::quota_exchange;
+use crate::gateway::quota;
 use crate::gateway::route_check;
 use crate::gateway::share_exchange;
 use crate::ident::SessionId;
@@ -59,7 +59,7 @@
         PeerMessage::Partial(PartialMessage::Reply(reply)) => core.delegates.take_reply(reply),
         PeerMessage::Mirror(message) => core.relay.handle_message(sender, message),
         PeerMessage::Share(message) => share_exchange::take_message(core, &sender, message),
-        PeerMessage::Quota(message) => quota_exchange::take_message(core, &sender, message),
+        PeerMessage::Quota(message) => quota::take_message(core, &sender, message),
         PeerMessage::RouteCheck(message) => route_check::handle_message(core, &sender, message),
         other => log::debug!("unexpected message from {:?}: {other:?}", sender.peer()),
     }
--- a/crates/ebonyfork/src/gateway/quota_exchange_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -1,4 +1,5 @@
 use std::net::IpAddr;
+use std::rc::Rc;
 
 use googletest::prelude::*;
 use tokio::net::TcpListener;
@@ -8,13 +9,14 @@
 use super::*;
 use crate::gateway::fixture::{dialect, settings};
 use crate::gateway::ident::ConfigVersion;
-use crate::gateway::organisation::OrganisationDeclaration;
+use crate::gateway::organisation::{OrganisationDeclaration, OrganisationTable};
 use crate::gateway::peers::{accept_links, follow_links, open_links};
 use crate::gateway::policy::claim::ClaimRecord;
 use crate::gateway::policy::cold::RequestRate;
 use crate::gateway::policy::homes::HomeRegions;
+use crate::gateway::policy::quota::{QUOTA_CLAIM, RequestQuota};
 use crate::gateway::route::{CallerLimits, RouteTable};
-use crate::store::StoreRevision;
+use crate::store::{StoreEra, StoreRevision};
 
 const QUOTA: RequestQuota = RequestQuota {
     rate: RequestRate(0.5),
@@ -53,7 +55,7 @@
     _asking_tasks: JoinSet<()>,
 }
 
-async fn start_vm(host: u8, listener: TcpListener, port: u16) -> (Rc<GatewayCore>, JoinSet<()>) {
+fn start_vm(host: u8, listener: TcpListener, port: u16) -> (Rc<GatewayCore>, JoinSet<()>) {
     let mut settings = settings();
     settings.place.address = IpAddr::from([127, 0, 0, host]);
     let mut core = GatewayCore::new(settings, dialect());
@@ -75,8 +77,8 @@
         let port = first_listener.local_addr().expect("a bound address").port();
         let second_listener = TcpListener::bind(("127.0.0.4", port)).await;
         let second_listener = second_listener.expect("the same port");
-        let (asking, asking_tasks) = start_vm(3, first_listener, port).await;
-        let (holding, holder_tasks) = start_vm(4, second_listener, port).await;
+        let (asking, asking_tasks) = start_vm(3, first_listener, port);
+        let (holding, holder_tasks) = start_vm(4, second_listener, port);
         for part in 0..QUOTA_PARTS as u8 {
             let revision = StoreRevision::new(u64::from(part) + 1);
             let begun_at = holding.running_time().saturating_sub(QUOTA_CLAIM.term / 2);
