Spread the entries of a new era by the number of VMs

Cause: all VMs wrote their entries again within a second of hearing of a restored store, so the calls a second grew with the fleet: 9,800 at 4,900 VMs (reckoned), above any rate stated. Change: a millisecond a VM, at least a second; nothing changes up to 1,000 VMs. Test: the writes a second stay at 1,000 from 985 to 4,900 VMs.

--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -30,9 +30,18 @@
 const MIN_RENEWAL_RETRY_WAIT: Duration = Duration::from_secs(2);
 const MAX_RENEWAL_RETRY_WAIT: Duration = RENEWAL_PERIOD;
 
-/// Longest wait before the entry is written again in a new era. Spreads the writes, since all VMs learn of the era at
-/// about the same time.
-const NEW_ERA_SPREAD: Duration = Duration::from_secs(1);
+/// Shortest time over which the entries of all VMs are written again in a new era, since all VMs learn of it at about
+/// the same time.
+const MIN_NEW_ERA_SPREAD: Duration = Duration::from_secs(1);
+/// Time that each VM adds to it, so that the writes per second don't grow with the fleet: a thousand entries, with two
+/// calls each.
+const NEW_ERA_SPREAD_PER_VM: Duration = Duration::from_millis(1);
+
+/// Returns the time over which `vms` VMs write their entries again in a new era.
+fn new_era_spread(vms: usize) -> Duration {
+    let spread = NEW_ERA_SPREAD_PER_VM * u32::try_from(vms).unwrap_or(u32::MAX);
+    spread.max(MIN_NEW_ERA_SPREAD)
+}
 
 /// Maintains the entry of this process.
 #[derive(Debug)]
@@ -94,7 +103,8 @@
         let Ok(Ok(_era)) = tokio::time::timeout(RENEWAL_PERIOD, later_era).await else {
             return;
         };
-        let delay = NEW_ERA_SPREAD.mul_f64(rand::random());
+        let spread = new_era_spread(self.core.vms.peak_count());
+        let delay = spread.mul_f64(rand::random());
         tokio::time::sleep(delay).await;
     }
 
--- a/crates/ebonyfork/src/gateway/register_tests.rs
+++ b/crates/ebonyfork/src/gateway/register_tests.rs
@@ -89,7 +89,7 @@
         );
         port.log().era = 2;
         core.enter_era(StoreEra(2));
-        tokio::time::sleep(NEW_ERA_SPREAD + Duration::from_millis(10)).await;
+        tokio::time::sleep(MIN_NEW_ERA_SPREAD + Duration::from_millis(10)).await;
         expect_that!(
             port.log().written,
             elements_are![eq(&LeaseId(1)), eq(&LeaseId(2))]
@@ -104,3 +104,14 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Load pattern: all VMs write their entries again once they know that the store was restored. The writes per second must
+/// not grow with the fleet, or a store that refuses some of them is asked again by all.
+#[gtest]
+fn the_writes_of_a_new_era_do_not_grow_with_the_fleet() {
+    let writes_per_s = |vms: usize| vms as f64 / new_era_spread(vms).as_secs_f64();
+    for vms in [7, 985, 1_970, 4_900] {
+        expect_that!(writes_per_s(vms), le(1_000.0 + 1e-6), "{vms} VMs");
+    }
+    expect_that!(new_era_spread(7), eq(MIN_NEW_ERA_SPREAD));
+}
