Read the latest pages of a store that was ever restored

Cause: an old page read just after a restore may state the new era with content from before; as the first page of a read it would have counted as the content of the new era. Change: old pages are read only while the store has stated no era; one that states an era is dropped. Test: a process that starts, and one that merges, read the latest pages.

--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -113,8 +113,8 @@
     era: StoreEra,
     /// Whether pages may be old.
     allows_stale_pages: bool,
-    /// Whether the next read of the range must be of the latest pages: the store has dropped the history that old pages
-    /// need, or has entered an era to which they may not belong.
+    /// Whether the next read of the range must be of the latest pages, because the store has dropped the history that old
+    /// pages need.
     needs_latest_pages: bool,
     backoff: Backoff,
     /// Wait before the next call, after a failed one.
@@ -149,9 +149,10 @@
         }
     }
 
-    /// Returns whether the pages that are read next may be old.
+    /// Returns whether the pages that are read next may be old. In a store that was ever restored they may not: an old
+    /// page could be from before, and its revisions would be those of another history.
     pub fn reads_stale_pages(&self) -> bool {
-        self.allows_stale_pages && !self.needs_latest_pages
+        self.allows_stale_pages && !self.needs_latest_pages && self.era == StoreEra::UNSTATED
     }
 
     /// Returns whether the range has been read and the changes since then are to be fetched without waiting for more.
@@ -187,9 +188,14 @@
     /// Applies a page; the last page of the range returns all items.
     pub fn apply_page(&mut self, page: StorePage) -> Option<MirrorChange> {
         self.backoff.reset();
+        let is_stale = self.reads_stale_pages();
         let era = self.raise_era(page.revision.era());
+        if is_stale && !self.reads_stale_pages() {
+            // The page may be from before the era that it states.
+            self.phase = MirrorPhase::reading_first_page();
+            return None;
+        }
         let page = page.with_era(era);
-        let is_stale = self.reads_stale_pages();
         let MirrorPhase::Reading {
             first_revision,
             items,
@@ -258,7 +264,6 @@
 
     /// Records the era that an answer states and returns the era that the answer counts as: the highest seen.
     fn raise_era(&mut self, stated_era: StoreEra) -> StoreEra {
-        self.needs_latest_pages |= stated_era > self.era && self.era > StoreEra::UNSTATED;
         self.era = self.era.max(stated_era);
         self.era
     }
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -232,15 +232,24 @@
     expect_that!(mirror.reads_stale_pages(), eq(true));
 }
 
-/// Old pages that are read just after the store was restored may be from before.
+/// Old pages of a store that was restored may be from before, whichever era they state.
 #[gtest]
-fn in_a_new_era_the_latest_pages_are_read() {
+fn in_a_restored_store_the_latest_pages_are_read() {
+    let in_era = |era| page(vec![item("a", 3)], false, 8).with_era(StoreEra(era));
+    // A process that starts: the era of its first page shows that the store was restored.
     let mut mirror = MirrorState::new().with_stale_pages();
-    let in_era = |era| watch(Vec::new(), 12).with_era(StoreEra(era));
-    let first_page = page(vec![item("a", 3)], false, 8).with_era(StoreEra(1));
-    expect_that!(mirror.apply_page(first_page), none());
-    expect_that!(mirror.apply_watch(in_era(1)).is_some(), eq(true));
-    expect_that!(mirror.apply_watch(in_era(2)), none());
+    expect_that!(mirror.apply_page(in_era(1)), none());
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    expect_that!(mirror.reads_stale_pages(), eq(false));
+    expect_that!(mirror.apply_page(in_era(1)).is_some(), eq(true));
+    // A process that is merging: the watch shows it.
+    let mut mirror = MirrorState::new().with_stale_pages();
+    expect_that!(
+        mirror.apply_page(page(vec![item("a", 3)], false, 8)),
+        none()
+    );
+    let later_era = watch(Vec::new(), 12).with_era(StoreEra(1));
+    expect_that!(mirror.apply_watch(later_era), none());
     expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
     expect_that!(mirror.reads_stale_pages(), eq(false));
 }
