--- a/crates/ebonyfork/src/gateway/route.rs
+++ b/crates/ebonyfork/src/gateway/route.rs
@@ -342,10 +342,7 @@
         let mut hash = Xxh3::new();
         hash.update(&scope_digest.to_be_bytes());
         hash.update(organisation.name.as_str().as_bytes());
-        hash.update(&[
-            0,
-            organisation.priority.map_or(u8::MAX, |priority| priority),
-        ]);
+        hash.update(&[0, organisation.priority.unwrap_or(u8::MAX)]);
         if let Some(quota) = organisation.quota {
             hash.update(&quota.rate.0.to_be_bytes());
             hash.update(&quota.burst.to_be_bytes());
