Keep expired upstreams on VMs that follow another one after an outage of the store

Cause: during an outage of the store, entries of upstreams expire. The VMs that call the store keep missing entries for 2.3 s once it answers again, but the other VMs get the removals from those and dropped the upstreams at once.

Ruled out: keeping missing entries on every VM whose copy is stale.

Change: a VM tells its followers that its calls to the store fail, and that the store answers again with the time for which missing entries are kept. Two failing sources in a row count as an outage.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -23,7 +23,7 @@
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::quota::QuotaDesk;
 use crate::gateway::refusal::RefusalReason;
-use crate::gateway::registry::{UpstreamList, UpstreamRegistry};
+use crate::gateway::registry::{RETURN_GRACE, UpstreamList, UpstreamRegistry};
 use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
 use crate::gateway::route_check::RouteChecks;
 use crate::gateway::settings::GatewaySettings;
@@ -295,6 +295,25 @@
         });
     }
 
+    /// Records that the store answers again after an outage, for this VM and those that follow it. Only a VM that calls
+    /// the store notices an outage, but the removals of entries that expired meanwhile reach all VMs.
+    pub fn record_store_return(&self) {
+        self.registry.record_store_return(now());
+        self.relay.announce_store_return(RETURN_GRACE);
+    }
+
+    /// Keeps missing entries for a time because the VM that this one follows does so after an outage of the store.
+    pub fn keep_missing_entries(&self, grace: Duration) {
+        if self.registry.keep_missing_entries(grace, now()) {
+            log::info!(
+                target: "ebonyfork::decision",
+                "store returned: missing upstreams are kept grace_ms={}",
+                grace.as_millis()
+            );
+            self.relay.announce_store_return(grace);
+        }
+    }
+
     /// Subscribes to increases of the store's era.
     pub fn eras(&self) -> watch::Receiver<StoreEra> {
         self.era.subscribe()
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -110,6 +110,33 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// After an outage of the store its followers' followers learn of the removals too. Only the readers have called the
+/// store; if the other VMs dropped the upstreams whose entries expired meanwhile, most of the fleet would refuse
+/// requests until these have registered again.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn every_vm_keeps_upstreams_whose_entries_expired_during_an_outage() {
+    let test = async {
+        let fleet = FollowFleet::start(&["a"; 8]).await;
+        fleet.put_config(1);
+        fleet.store.put("upstream/x", "s");
+        sleep_seconds(4.0).await;
+        fleet.set_reach(StoreReach::Refuses);
+        sleep_seconds(3.0).await;
+        fleet.store.remove("upstream/x");
+        fleet.set_reach(StoreReach::Answers);
+        sleep_seconds(1.8).await;
+        for vm in &fleet.vms {
+            expect_that!(vm.upstreams().len(), eq(1), "VM {}", vm.number);
+        }
+        sleep_seconds(MAX_CHANGE_DELAY.as_secs_f64()).await;
+        for vm in &fleet.vms {
+            expect_that!(vm.upstreams().len(), eq(0), "VM {}", vm.number);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A silent source must be abandoned before the follower's copy is stale. Suppose that a follower waits for a frozen VM
 /// until its own copy is stale, after 2 s, and only then turns to the store. For the 60 ms until the store's response,
 /// it would refuse requests for routes that do not exist with 503 instead of 404.
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
 use tokio::sync::{mpsc, watch};
 
 use crate::gateway::clock::now;
@@ -45,6 +46,8 @@
 const SOURCE_AVOID_TIME: Duration = Duration::from_secs(4);
 /// Time for which the store has to fail before another VM is followed instead.
 const STORE_FAILURE_TIME: Duration = Duration::from_millis(800);
+/// Number of followed VMs whose calls to the store have to fail in turn for an outage of the store to be assumed.
+const MIN_FAILING_SOURCES: usize = 2;
 /// Time for which a VM that the store refuses follows another one before it tries the store again.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(3);
 
@@ -68,6 +71,7 @@
         avoided_vms: Vec::new(),
         store_watched_since: now(),
         store_failing_since: None,
+        failing_sources: SmallVec::new(),
         store_avoided_until: None,
         polls: PendingPolls::default(),
         is_logged_as_stale: true,
@@ -89,9 +93,11 @@
     avoided_vms: Vec<(VmAddress, Instant)>,
     /// When this VM last started to watch the store, or last found it unusable.
     store_watched_since: Instant,
-    /// Since when calls of this VM to the store have failed; none once the store responds or a followed VM confirms
+    /// Since when calls to the store have failed, of this VM or of several that it followed; none once the store responds or a followed VM confirms
     /// that the copy is up to date.
     store_failing_since: Option<Instant>,
+    /// VMs that were followed since the copy was last up to date and that reported failing calls to the store.
+    failing_sources: SmallVec<[VmAddress; 4]>,
     /// Until when another VM is followed because the store did not respond to this VM; none if that has not happened
     /// yet.
     store_avoided_until: Option<Instant>,
@@ -147,7 +153,7 @@
         {
             self.store_avoided_until = Some(time + STORE_RETRY_DELAY);
             self.store_watched_since = time;
-            self.store_failing_since.get_or_insert(time);
+            self.note_store_failing();
         }
         let is_store_avoided = self.store_avoided_until.is_some_and(|until| until > time);
         let avoided_vms: Vec<_> = self.avoided_vms.iter().map(|(vm, _until)| *vm).collect();
@@ -230,11 +236,11 @@
     /// Applies the result of a call to the store.
     fn handle_step(&mut self, step: FeedStep) {
         if !step.store_answers {
-            self.store_failing_since.get_or_insert_with(now);
+            self.note_store_failing();
             return;
         }
-        if self.store_failing_since.take().is_some() {
-            self.core.registry.record_store_return(now());
+        if self.clear_store_failing() {
+            self.core.record_store_return();
         }
         // Of a read in pages, only the last page shows that the copy is complete.
         let Some(up_to_date_at) = step.up_to_date_at else {
@@ -266,6 +272,32 @@
         }
     }
 
+    /// Records that calls of a followed VM to the store fail. The store may refuse one VM and serve the others, so only
+    /// a second such VM in a row shows an outage.
+    fn note_failing_source(&mut self, vm: VmAddress) {
+        if !self.failing_sources.contains(&vm) {
+            self.failing_sources.push(vm);
+        }
+        if self.failing_sources.len() >= MIN_FAILING_SOURCES {
+            self.note_store_failing();
+        }
+    }
+
+    /// Records that calls to the store fail: those of this VM, or those of several VMs that it followed.
+    fn note_store_failing(&mut self) {
+        if self.store_failing_since.is_none() {
+            self.store_failing_since = Some(now());
+            self.core.relay.set_store_failing(true);
+        }
+    }
+
+    /// Records that the store responds, or that the copy is up to date. Returns whether calls had failed until then.
+    fn clear_store_failing(&mut self) -> bool {
+        self.core.relay.set_store_failing(false);
+        self.failing_sources.clear();
+        self.store_failing_since.take().is_some()
+    }
+
     /// Logs if the store states a lower revision than the copy's, with the number of changes in the response.
     fn log_behind(&self, step: &FeedStep) {
         let known_revision = self.complete_revision();
@@ -374,6 +406,15 @@
                 self.handle_chunk(following, transfer, position, &bytes)
             }
             MirrorMessage::State { poll, state } => self.handle_state(following, poll, state),
+            MirrorMessage::StoreFailing => {
+                self.note_failing_source(following.vm);
+                Ok(())
+            }
+            MirrorMessage::StoreReturned { grace_ms } => {
+                let grace = Duration::from_millis(u64::from(grace_ms));
+                self.core.keep_missing_entries(grace);
+                Ok(())
+            }
             MirrorMessage::Follow { .. } | MirrorMessage::Leave | MirrorMessage::Ack { .. } => {
                 Ok(())
             }
@@ -422,10 +463,10 @@
                 }
             }
         })?;
-        if self.core.relay.is_stale() && self.store_failing_since.take().is_some() {
+        if self.core.relay.is_stale() && self.clear_store_failing() {
             // The store may have been unreachable for all VMs, so that entries of upstreams expired in it although the
             // upstreams run. Removals are delayed until these have had time to write their entries again.
-            self.core.registry.record_store_return(now());
+            self.core.record_store_return();
         }
         let result = self.apply_change(ChangeSource::Vm(vm), change);
         result.map_err(|_gap| SourceFault::Gap)
@@ -472,7 +513,7 @@
         }
         if let Some(up_to_date_at) = following.polls.up_to_date_at(poll, up_to_date_ms) {
             self.core.relay.note_up_to_date(up_to_date_at);
-            self.store_failing_since = None;
+            self.clear_store_failing();
         }
         Ok(())
     }
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -45,7 +45,7 @@
         if is_restored {
             // Removals are delayed until upstreams whose entries the older copy lacks have had time to write them
             // again.
-            self.core.registry.record_store_return(now());
+            self.core.record_store_return();
         }
         for event in &outcome.events {
             match event {
--- a/crates/ebonyfork/src/gateway/mirror/followers.rs
+++ b/crates/ebonyfork/src/gateway/mirror/followers.rs
@@ -189,6 +189,20 @@
         }
     }
 
+    /// Sends a message to one follower.
+    pub(super) fn send_to(&self, peer: SessionId, message: MirrorMessage) {
+        if let Some(follower) = self.followers.get(&peer) {
+            send(&follower.link, message);
+        }
+    }
+
+    /// Sends a message to all followers.
+    pub(super) fn send_to_all(&self, message: &MirrorMessage) {
+        for follower in self.followers.values() {
+            send(&follower.link, message.clone());
+        }
+    }
+
     /// Sends followers the changes that they lack: messages of one chunk at once, longer ones to a few followers at a
     /// time. `up_to_date_at` is the time as of which the copy was up to date. Followers whose links are closed are
     /// removed; they poll again over a new link.
--- a/crates/ebonyfork/src/gateway/mirror/message.rs
+++ b/crates/ebonyfork/src/gateway/mirror/message.rs
@@ -65,4 +65,13 @@
         /// The sender's state with respect to the receiver.
         state: SourceState,
     },
+    /// States that the sender's calls to the store fail. A receiver that becomes the next reader may find the store
+    /// available again at its first call, and would otherwise not know that entries may have expired meanwhile.
+    StoreFailing,
+    /// States that the store answers again after an outage. Entries that the changes sent after this message remove may
+    /// have expired during the outage and may be written again.
+    StoreReturned {
+        /// Milliseconds for which entries that are missing are still kept.
+        grace_ms: u32,
+    },
 }
--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -22,6 +22,10 @@
     /// Age from which the copy counts as stale. Followers are sent no changes from a stale copy.
     max_age: Duration,
     followers: RefCell<FollowerTable>,
+    /// Whether calls to the store fail.
+    is_store_failing: Cell<bool>,
+    /// Time until which followers are to keep missing entries, because the store has answered again after an outage.
+    keep_missing_until: Cell<Option<Instant>>,
     /// Where messages from followed VMs are sent, each with its sender; none until this VM starts following.
     message_sink: RefCell<Option<UnboundedSender<(VmAddress, MirrorMessage)>>>,
 }
@@ -35,6 +39,8 @@
             up_to_date_at: Cell::default(),
             max_age,
             followers: RefCell::new(FollowerTable::new(sent_bytes)),
+            is_store_failing: Cell::default(),
+            keep_missing_until: Cell::default(),
             message_sink: RefCell::default(),
         }
     }
@@ -52,6 +58,12 @@
             } => {
                 followers.record_poll(peer, link, (known_revision, held_values), (poll, now()));
                 self.copy.borrow_mut().keep_patches(true);
+                if self.is_store_failing.get() {
+                    followers.send_to(peer, MirrorMessage::StoreFailing);
+                }
+                if let Some(grace) = self.keep_missing_grace() {
+                    followers.send_to(peer, store_returned(grace));
+                }
                 followers.send_state_to(peer, &self.state());
             }
             MirrorMessage::Leave => {
@@ -92,6 +104,28 @@
         outcome
     }
 
+    /// Informs the followers that the store answers again after an outage and that missing entries are kept for `grace`.
+    /// VMs that begin to follow this one within that time are informed as well.
+    pub fn announce_store_return(&self, grace: Duration) {
+        self.keep_missing_until.set(Some(now() + grace));
+        self.followers.borrow().send_to_all(&store_returned(grace));
+    }
+
+    /// Sets whether calls to the store fail, and informs the followers if they do.
+    pub fn set_store_failing(&self, is_failing: bool) {
+        if self.is_store_failing.replace(is_failing) || !is_failing {
+            return;
+        }
+        let followers = self.followers.borrow();
+        followers.send_to_all(&MirrorMessage::StoreFailing);
+    }
+
+    /// Returns how much longer followers are to keep missing entries.
+    fn keep_missing_grace(&self) -> Option<Duration> {
+        let until = self.keep_missing_until.get()?;
+        Some(until.saturating_duration_since(now())).filter(|grace| !grace.is_zero())
+    }
+
     /// Records a time as of which the copy is known to have been up to date, and informs the followers. Times before
     /// the last recorded one are ignored.
     pub fn note_up_to_date(&self, at: Instant) {
@@ -141,3 +175,8 @@
         }
     }
 }
+
+fn store_returned(grace: Duration) -> MirrorMessage {
+    let grace_ms = u32::try_from(grace.as_millis()).unwrap_or(u32::MAX);
+    MirrorMessage::StoreReturned { grace_ms }
+}
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -20,7 +20,7 @@
 
 /// How long after the store's return a missing entry is kept. Upstreams that are alive have registered again after
 /// about 2 s.
-const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_300);
 /// Time after the first read of the store by which most upstreams are likely to have registered. They return evenly
 /// spread over [`RETURN_GRACE`], so with two or three replicas per shard half of it brings back three quarters of the
 /// shards.
@@ -196,6 +196,21 @@
         self.return_deadline.set(Some(now + RETURN_GRACE));
     }
 
+    /// Keeps missing entries for a time because the VM that this one follows keeps them after an outage of the store.
+    /// Returns false if this VM keeps missing entries already.
+    pub fn keep_missing_entries(&self, grace: Duration, now: Instant) -> bool {
+        if self
+            .return_deadline
+            .get()
+            .is_some_and(|deadline| now < deadline)
+        {
+            return false;
+        }
+        self.return_deadline
+            .set(Some(now + grace.min(RETURN_GRACE)));
+        true
+    }
+
     /// Adds or updates an entry. `connection_share` is the number of connections that this process may hold to the
     /// upstream.
     pub fn put(
