Allow for the variation of the round trip when an answer is decided

Cause: the time at the caller contained the nominal round trip only, measured once for each connection. Delays vary, so answers that were held until the last moment missed their target by a few milliseconds, most often those to callers 4 ms away in zones without upstreams.

Ruled out: the assignment of these callers to VMs of the next zone, which has the upstreams, and the estimate of the time before the request, which follows the stated wait.

Change: half of the round trip is added, as TCP assumes for the variation after one sample.

--- a/crates/ebonyfork/src/gateway/caller_time.rs
+++ b/crates/ebonyfork/src/gateway/caller_time.rs
@@ -26,6 +26,10 @@
 /// Round trips assumed for a later request on a connection if the time before it is unknown: one in two callers has
 /// done a look-up before.
 const LATER_REQUEST_ROUND_TRIPS: u32 = 2;
+/// Variation of the round-trip time as a fraction of it. Only one round trip is measured for each connection, after which
+/// TCP assumes the same variation (RFC 6298). An answer that is late by a few milliseconds is worth far less than one that
+/// lacks the part that these milliseconds would have brought.
+const ROUND_TRIP_VARIATION: f64 = 0.5;
 /// Longest plausible time before a request. A larger difference comes from a retried request, which has a target of its
 /// own, or from a caller that waits less long than others.
 const MAX_TIME_BEFORE: Duration = Duration::from_millis(80);
@@ -72,8 +76,8 @@
 }
 
 impl CallerOverhead {
-    /// Returns the total: the time before the request was sent, assumed if `time_before` is `None`, plus the round
-    /// trip.
+    /// Returns the total: the time before the request was sent plus the round trip and its variation. If `time_before` is
+    /// `None`, returns an assumption that includes processing on the hosts.
     pub fn total(self, time_before: Option<Duration>) -> Duration {
         let round_trip = self.distance.round_trip;
         let Some(time_before) = time_before else {
@@ -90,7 +94,7 @@
         } else {
             Duration::ZERO
         };
-        time_before.max(handshake) + round_trip
+        time_before.max(handshake) + round_trip.mul_f64(1.0 + ROUND_TRIP_VARIATION)
     }
 }
 
