Take an attempt that has outlasted all others as one that may take as long again

Cause: with no sample as long as the time that an attempt has taken, the chance that it ends soon came out as 1, so that it was never hedged. An attempt at an upstream that has fallen silent was waited for until the deadline, if the target is long against the usual time.

Change: such an attempt is expected to take as long again as it has taken.

--- a/crates/ebonyfork/src/gateway/policy/latency.rs
+++ b/crates/ebonyfork/src/gateway/policy/latency.rs
@@ -158,12 +158,15 @@
 
     /// Returns the probability that an attempt which has been in flight for `waited_ms` ends within the next `left_ms`.
     pub fn ends_within(&self, waited_ms: f64, left_ms: f64) -> f64 {
-        /// Lower limit for the fraction of attempts that take as long as this one has: an attempt that has outlasted
-        /// all samples is thereby taken as unlikely to end soon.
+        /// Fraction of attempts below which the samples say nothing about the time that an attempt still takes.
         const MIN_SURVIVAL: f64 = 1e-4;
-        let survival_so_far = self.survival(waited_ms).max(MIN_SURVIVAL);
-        let survival_until_then = self.survival(waited_ms + left_ms.max(0.0));
-        (1.0 - survival_until_then / survival_so_far).clamp(0.0, 1.0)
+        let total_ms = waited_ms + left_ms.max(0.0);
+        let survival_so_far = self.survival(waited_ms);
+        if survival_so_far < MIN_SURVIVAL {
+            // An attempt that has outlasted all samples is likely to take as long again as it has taken already.
+            return 1.0 - waited_ms / total_ms;
+        }
+        (1.0 - self.survival(total_ms) / survival_so_far).clamp(0.0, 1.0)
     }
 }
 
--- a/crates/ebonyfork/src/gateway/policy/latency_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/latency_tests.rs
@@ -28,6 +28,16 @@
     expect_that!(histogram.ends_within(60.0, 400.0), gt(0.9));
 }
 
+/// Load pattern: an upstream falls silent and no attempt of the route has ever taken as long. Taking such an attempt as
+/// certain to end would mean that it is never hedged.
+#[gtest]
+fn an_attempt_that_has_outlasted_all_others_may_take_as_long_again() {
+    let histogram = histogram_of(Instant::now(), &[(10, 950), (100, 50)]);
+    expect_that!(histogram.ends_within(400.0, 100.0), near(0.2, 1e-9));
+    expect_that!(histogram.ends_within(400.0, 400.0), near(0.5, 1e-9));
+    expect_that!(histogram.ends_within(400.0, 0.0), eq(0.0));
+}
+
 #[gtest]
 fn a_slow_phase_is_forgotten_within_seconds() {
     let start = Instant::now();
