Refuse queries that can't be answered before anything is sent

After a kill of all upstreams of several shards, a query still sent its other shards, retried the missing ones at upstreams that had refused every connection for seconds, and ended as 502, because shards had been sent. Its caller then returned together with all others.

With organisations in the configuration, a query is now refused with 503 `hopeless` if more shards are missing than it can do without. A shard is missing if it has no registered upstream after the settling time, or if this VM may send nothing to any of its upstreams, if all attempts to connect to them have failed for at least as long as the caller still waits, or if the queue that an upstream reported less than 100 ms ago outlasts the deadline. `Retry-After` is the time at which enough shards may be back, plus 100 ms a priority, spread evenly within it.

Ruled out: the ejection time alone. Heartbeats in the store end the evidence, because the upstream may be reachable from another VM. Advice from other VMs and measured slowness are no evidence either: pauses and slow phases end at any time.

`fail_unserved`, `wait_for_upstreams` and the refusals without organisations are unchanged.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -20,6 +20,7 @@
 use crate::gateway::mirror::{FreshnessTimings, MirrorRelay};
 use crate::gateway::policy::answer_lag::AnswerLag;
 use crate::gateway::policy::budget::LeasedRetryBudget;
+use crate::gateway::policy::hopeless::ReturnSpread;
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::quota::QuotaDesk;
 use crate::gateway::refusal::RefusalReason;
@@ -66,6 +67,8 @@
     pub vms: VmDirectory,
     /// Budget of retries and hedges that may still be sent.
     pub retry_budget: RefCell<LeasedRetryBudget>,
+    /// Spreads the returns of callers whose queries can't be answered.
+    pub return_spread: RefCell<ReturnSpread>,
     /// Delays between deciding on an answer and writing it.
     pub answer_lag: Rc<RefCell<AnswerLag>>,
     /// Distributes the requests of weighted routes among their services.
@@ -125,6 +128,7 @@
             registry: UpstreamRegistry::new(),
             vms: VmDirectory::new(settings.listen.caller_address),
             retry_budget: RefCell::new(retry_budget),
+            return_spread: RefCell::new(ReturnSpread::new(rand::random())),
             answer_lag: Rc::new(RefCell::new(AnswerLag::new(settings.place.cores))),
             round_robin: WeightedRoundRobin::new(),
             host_needs: RefCell::default(),
--- a/crates/ebonyfork/src/gateway/policy/health.rs
+++ b/crates/ebonyfork/src/gateway/policy/health.rs
@@ -33,6 +33,10 @@
 /// Longest time for which an upstream gets no new requests after failures to connect: upstreams return after some
 /// seconds.
 const EJECTION_MAX: Duration = Duration::from_secs(2);
+/// Time without a failure to connect after which the next one no longer continues a period of failures, in addition to
+/// the time for which the upstream was assumed to be unreachable. Longer than the time between two requests to a shard
+/// on a VM with little traffic.
+const MAX_FAILURE_GAP: Duration = Duration::from_millis(500);
 /// Lower limit for the slowness of an upstream that has just started, while it is cold.
 const COLD_SLOWNESS: f64 = 1.6;
 /// Time for which an upstream is avoided after a VM in its zone advised against it: as long as several pauses, but
@@ -56,6 +60,8 @@
     ejected_until: Option<Instant>,
     /// Number of consecutive failures to connect.
     connect_failures: u32,
+    /// Times of the first and the last failure to connect since the upstream was last known to be alive.
+    unreachable_period: Option<(Instant, Instant)>,
     /// Time of the first late answer since the last answer in time.
     late_since: Option<Instant>,
     /// Time of the last request, including probes.
@@ -76,6 +82,7 @@
             cold_until: now + cold_time,
             ejected_until: None,
             connect_failures: 0,
+            unreachable_period: None,
             late_since: None,
             last_request: now,
             in_flight: SmallVec::new(),
@@ -117,6 +124,7 @@
         self.success_rate += (1.0 - self.success_rate) * SAMPLE_WEIGHT;
         self.connect_failures = 0;
         self.ejected_until = None;
+        self.unreachable_period = None;
         self.record_slowness(began, now, slowness);
     }
 
@@ -158,6 +166,26 @@
         let ejection = EJECTION_MIN * (1 << self.connect_failures.min(MAX_DOUBLINGS));
         self.ejected_until = Some(now + ejection.min(EJECTION_MAX));
         self.connect_failures += 1;
+        self.extend_unreachable_period(now);
+    }
+
+    /// Adds a failure to connect to the period of failures, or begins a new one if the upstream was not tried for a
+    /// while, in which it may have been reachable.
+    fn extend_unreachable_period(&mut self, now: Instant) {
+        let recent_period = self
+            .unreachable_period
+            .filter(|(first_failure, last_failure)| {
+                let failing_time = last_failure.saturating_duration_since(*first_failure);
+                now <= *last_failure + failing_time + MAX_FAILURE_GAP
+            });
+        let first_failure = recent_period.map_or(now, |(first_failure, _last)| first_failure);
+        self.unreachable_period = Some((first_failure, now));
+    }
+
+    /// Records that the upstream has updated its entry, so that it is alive: its connections may be restored at any
+    /// time.
+    pub fn record_heartbeat(&mut self) {
+        self.unreachable_period = None;
     }
 
     /// Records that an attempt was abandoned; `slowness` is its time so far divided by the usual one.
@@ -198,6 +226,21 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the time until which the upstream is assumed to be unreachable: for as long again as all attempts to
+    /// connect to it have failed, but not after it is tried again. The number of failures is no evidence, because
+    /// several attempts fail together. Advice from another VM isn't either: it may be about a pause.
+    pub fn unreachable_until(&self, now: Instant) -> Option<Instant> {
+        let (first_failure, last_failure) = self.unreachable_period?;
+        let failing_time = last_failure.saturating_duration_since(first_failure);
+        let until = (last_failure + failing_time).min(self.ejected_until?);
+        (now < until).then_some(until)
+    }
+
+    /// Returns the latest load report from the upstream.
+    pub fn load_report(&self) -> Option<&AgedReport> {
+        self.report.as_ref()
+    }
+
     /// Returns whether one request should be sent to find out if an avoided upstream has recovered.
     pub fn is_probe_due(&self, now: Instant) -> bool {
         let idle_long_enough = now.saturating_duration_since(self.last_request) >= PROBE_INTERVAL;
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -14,6 +14,7 @@
 //! | how many requests a cold upstream gets, and from which VM | [`cold`] | all upstreams of a zone return at once, and cold |
 //! | which VM holds an exclusive right | [`claim`] | holders that are killed, paused or cut off, and a store that is restored from an older copy |
 //! | whether an organisation's request is within its quota | [`quota`] | one organisation sends many times its usual, to a few VMs or to all, while some VMs are lost |
+//! | whether a query is refused before anything is sent | [`hopeless`] | all upstreams of several shards are lost at once |
 //! | which shards are postponed | [`postpone`] | no upstream of some shards answers in time, and the required coverage is met without them |
 //! | whether a shard is retried | [`retry`] | upstreams that decline requests or can't be reached |
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
@@ -30,6 +31,7 @@
 pub mod health;
 pub mod hedge;
 pub mod homes;
+pub mod hopeless;
 pub mod latency;
 pub mod load_report;
 pub mod postpone;
--- a/crates/ebonyfork/src/gateway/refusal.rs
+++ b/crates/ebonyfork/src/gateway/refusal.rs
@@ -31,6 +31,9 @@
     Quarantined,
     /// No upstream accepted the request.
     NoUpstream,
+    /// More shards than the query can do without have no upstream that could answer in time; that may change after the
+    /// wait.
+    Hopeless(Duration),
     /// The upstreams that could serve the request are outside the route's home regions, or their availability zones are
     /// evacuated.
     NotAtHome,
@@ -58,6 +61,7 @@
             | Self::Stopping
             | Self::Quarantined
             | Self::NoUpstream
+            | Self::Hopeless(_)
             | Self::NotAtHome
             | Self::QuotaUnknown
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,6 +85,7 @@
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::NoUpstream => "no-upstream",
+            Self::Hopeless(_) => "hopeless",
             Self::NotAtHome => "not-at-home",
             Self::Unknown => "unknown",
             Self::Late => "late",
@@ -100,7 +105,7 @@
             // Operators end an evacuation, or upstreams start, within seconds at best.
             Self::NotAtHome => Some(Duration::from_secs(1)),
             Self::Quarantined => Some(Duration::from_mins(1)),
-            Self::OverQuota(wait) => Some(wait),
+            Self::OverQuota(wait) | Self::Hopeless(wait) => Some(wait),
             // Another VM may reach the holders, and a link between VMs is usually back within a few tries.
             Self::QuotaUnknown => Some(Duration::from_millis(200)),
             Self::Malformed
--- a/crates/ebonyfork/src/gateway/reply_tests.rs
+++ b/crates/ebonyfork/src/gateway/reply_tests.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::gateway::fixture::{signed_answer, wire_names};
 
-const REASONS: [RefusalReason; 12] = [
+const REASONS: [RefusalReason; 13] = [
     RefusalReason::Malformed,
     RefusalReason::NoRoute,
     RefusalReason::TooLarge,
@@ -16,6 +16,7 @@
     RefusalReason::Stopping,
     RefusalReason::Quarantined,
     RefusalReason::NoUpstream,
+    RefusalReason::Hopeless(Duration::from_millis(100)),
     RefusalReason::Unknown,
     RefusalReason::Late,
     RefusalReason::LateUnsent,
--- a/crates/ebonyfork/src/gateway/request.rs
+++ b/crates/ebonyfork/src/gateway/request.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::dialect::WireNames;
 use crate::gateway::ident::InstanceName;
-use crate::gateway::organisation::OrganisationEntry;
+use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
 use crate::gateway::partial::PartialRequest;
 use crate::ident::RequestFingerprint;
 
@@ -72,6 +72,8 @@
     pub fingerprint: RequestFingerprint,
     /// Whether an upstream was lost during an earlier attempt.
     pub after_loss: Cell<bool>,
+    /// Organisation on whose behalf the request is made; `None` if it needs no credential.
+    pub organisation: Option<OrganisationName>,
     method: Method,
     target: Uri,
     headers: HeaderMap,
@@ -104,6 +106,7 @@
             finish_by,
             fingerprint,
             after_loss: Cell::new(false),
+            organisation: None,
             method: parts.method,
             target: origin_form(parts.uri),
             headers,
@@ -129,6 +132,7 @@
         let Some(organisation) = organisation else {
             return self;
         };
+        self.organisation = Some(organisation.name.clone());
         match HeaderValue::from_str(organisation.name.as_str()) {
             Ok(value) => {
                 self.headers.insert(names.organisation.clone(), value);
@@ -155,6 +159,8 @@
             let name = HeaderName::from_bytes(name.as_bytes())?;
             headers.append(name, HeaderValue::from_maybe_shared(value)?);
         }
+        let organisation = headers.get(&names.organisation);
+        let organisation = organisation.and_then(|name| name.to_str().ok());
         let id = headers.get(&names.request_id).cloned();
         let id = id.unwrap_or_else(|| HeaderValue::from_static(""));
         Ok(Self {
@@ -164,6 +170,7 @@
             finish_by,
             fingerprint: fingerprint(&method, &target, &headers, &partial.body),
             after_loss: Cell::new(false),
+            organisation: organisation.map(OrganisationName::new),
             method,
             target,
             headers,
--- a/crates/ebonyfork/src/gateway/run/begin.rs
+++ b/crates/ebonyfork/src/gateway/run/begin.rs
@@ -16,6 +16,9 @@
 impl QueryRun {
     pub(super) fn begin(&mut self, quarantine_status: QuarantineStatus) {
         let shards = self.state.shards().len();
+        if self.refuse_hopeless() {
+            return;
+        }
         if quarantine_status == QuarantineStatus::Suspect && shards > 1 {
             // The request may crash its upstreams, so one shard is sent as a probe before the others are risked.
             let probe = rand::random_range(0..shards);
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -102,7 +102,10 @@
             (true, _) => RefusalReason::Unknown,
             (false, GatherEnd::DeadlinePassed) => RefusalReason::LateUnsent,
             (false, _) if self.is_excluded() => RefusalReason::NotAtHome,
-            (false, _) => RefusalReason::NoUpstream,
+            (false, _) => match self.hopeless_return {
+                Some(wait) => RefusalReason::Hopeless(wait),
+                None => RefusalReason::NoUpstream,
+            },
         };
         let mut reply = refusal_reply(reason);
         if reason == RefusalReason::NoUpstream
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -8,6 +8,7 @@
 mod begin;
 mod finish;
 mod group;
+mod hopeless;
 mod retry;
 mod settle;
 mod straggler;
@@ -115,6 +116,8 @@
     denied_repeats: Cell<usize>,
     /// Number of shards that were postponed at the start.
     postponed_count: usize,
+    /// Time after which the caller should return, if the query can't be answered.
+    hopeless_return: Option<Duration>,
     /// Reason for the last denied repeat.
     last_denial: Cell<&'static str>,
     /// Time before its send deadline at which a gathered answer is decided.
@@ -202,6 +205,7 @@
             retry_count: 0,
             denied_repeats: Cell::default(),
             postponed_count: 0,
+            hopeless_return: None,
             last_denial: Cell::new("-"),
             answer_margin,
         }
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -24,10 +24,10 @@
 
 const REQUEST_ID: &str = "r-1";
 /// Much longer than any operation in these tests.
-const LONG_TIME: Duration = Duration::from_secs(10);
+pub(super) const LONG_TIME: Duration = Duration::from_secs(10);
 
 /// Creates a process that has run long enough to hold its share of the slack, from which it may send repeats.
-fn core() -> Rc<GatewayCore> {
+pub(super) fn core() -> Rc<GatewayCore> {
     core_with(settings())
 }
 
@@ -48,7 +48,7 @@
 }
 
 /// Starts and registers upstreams of a service that all behave in the same way.
-async fn upstreams(
+pub(super) async fn upstreams(
     core: &GatewayCore,
     service: &str,
     count: usize,
@@ -88,7 +88,7 @@
     (route, RunTarget::One(service))
 }
 
-fn request(time_left: Duration) -> Rc<ForwardRequest> {
+pub(super) fn request(time_left: Duration) -> Rc<ForwardRequest> {
     let (parts, ()) = Request::get("/1")
         .header("host", "t.example")
         .header("x-request-id", REQUEST_ID)
@@ -109,7 +109,7 @@
     ))
 }
 
-async fn run(core: &Rc<GatewayCore>, attempts: usize) -> RunReport {
+pub(super) async fn run(core: &Rc<GatewayCore>, attempts: usize) -> RunReport {
     let (route, target) = single_route(attempts);
     run_request(
         core,
@@ -393,7 +393,7 @@
     LocalSet::new().run_until(test).await;
 }
 
-fn gather_route(shards: &[&str], min_coverage: f64) -> (Rc<RouteEntry>, RunTarget) {
+pub(super) fn gather_route(shards: &[&str], min_coverage: f64) -> (Rc<RouteEntry>, RunTarget) {
     let gather_terms = GatherTerms {
         shards: shards
             .iter()
@@ -624,7 +624,12 @@
 }
 
 /// Registers an upstream of a service in a zone, with its port in the key.
-fn register_in(core: &GatewayCore, service: &str, zone: &str, upstream: &ScriptedUpstream) {
+pub(super) fn register_in(
+    core: &GatewayCore,
+    service: &str,
+    zone: &str,
+    upstream: &ScriptedUpstream,
+) {
     let key = format_compact!("{service}-{zone}-{}", upstream.address.port());
     let entry = entry(&key, service, zone, upstream.address);
     // The upstream has been known for long enough to be probed.
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -136,6 +136,9 @@
 
     /// Updates the entry with a newer one of the same incarnation.
     pub fn update(&self, entry: UpstreamEntry, now: Instant) {
+        if entry.heartbeats > self.entry.borrow().heartbeats {
+            self.health.borrow_mut().record_heartbeat();
+        }
         self.leaving.set(entry.leaving);
         self.reported_cold_until.set(now + entry.cold_remaining);
         *self.entry.borrow_mut() = Rc::new(entry);
