Write the claims of a restarted process as soon as the store is read

Cause: claims were checked every 200 ms from the start of the process, so that a holder that had restarted refused requests for tokens for up to that long after it had read the store.

The test of the next wake time stated times ahead of the clock. A hedge is sent now in the middle of it, whose times come from the clock, so the clock is virtual and advances with the stated times. The check is the same.

--- a/crates/ebonyfork/src/gateway/quota/claims.rs
+++ b/crates/ebonyfork/src/gateway/quota/claims.rs
@@ -17,6 +17,9 @@
 
 /// Time between two checks of the claims.
 const CLAIM_CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two checks whether the store has been read. Until a process that has restarted renews its claims, it
+/// refuses requests for tokens of its parts.
+const FIRST_READ_CHECK_PERIOD: Duration = Duration::from_millis(10);
 /// Time after the start in which a process claims no part that another VM may want: it doesn't know the VMs yet, and
 /// claims stay where they are.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -38,8 +41,10 @@
 
 /// Acquires, renews and releases claims on the parts until the future is dropped.
 pub async fn run_quota_claims(core: Rc<GatewayCore>, port: impl StorePort) {
+    while core.table().is_none() {
+        tokio::time::sleep(FIRST_READ_CHECK_PERIOD).await;
+    }
     loop {
-        tokio::time::sleep(CLAIM_CHECK_PERIOD).await;
         let table = core.table();
         let has_quotas = table
             .and_then(|table| table.organisations().map(OrganisationTable::has_quotas))
@@ -76,6 +81,7 @@
             let write = write_claim(Rc::clone(&core), port.clone(), target, write, record);
             tokio::task::spawn_local(write);
         }
+        tokio::time::sleep(CLAIM_CHECK_PERIOD).await;
     }
 }
 
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -260,7 +260,7 @@
 /// Guards against a busy loop: with a wake-up time in the past, a waiting request would keep the processor busy until
 /// its answer.
 #[gtest]
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn the_next_wake_is_never_in_the_past() {
     let test = async {
         for idempotency in [Idempotency::Idempotent, Idempotency::Once] {
@@ -274,7 +274,9 @@
             let mut run = QueryRun::new(&core, &route, target, request(LONG_TIME));
             run.begin(QuarantineStatus::Clear);
             for after_ms in [1, 40, 100, 450, 2_000, 8_000] {
+                // Hedges that are sent take the time from the clock.
                 let time = run.request.received + Duration::from_millis(after_ms);
+                tokio::time::advance(time.saturating_duration_since(now())).await;
                 run.check_stragglers(time);
                 let wake = run.next_wake(time);
                 expect_that!(wake, gt(time), "{idempotency:?} after {after_ms} ms");
