Replace credentials by digests before they enter the copy of the store

Cause: VMs kept the operators' configuration as it was written, with the credentials as text, in their copy of the store, passed it on to the VMs that follow them, and would have shown it in the Debug output of a store item.

Ruled out: - leaving `apiKeys` out of the replaced form: a VM of an older version would know the organisations but none of their credentials and answer 401. It rejects the null and keeps the configuration in force. - a new kind of message or a new protocol version: VMs of both versions could not follow one another during an update. - decoding and encoding the whole item: numbers and repeated fields would change. - patches between both forms of a value: they do not apply, and the follower would give up its source for 4 s. Held values are therefore stated under a name that only this version knows, and the value is sent whole between versions.

The Debug output of a store item shows the length of its value only. The test of a patch on a missing base builds its held value by the new constructor; it checks the same as before.

--- a/crates/ebonyfork/src/gateway/dialect.rs
+++ b/crates/ebonyfork/src/gateway/dialect.rs
@@ -104,6 +104,9 @@
     pub classify: fn(key: &str) -> StoredKind,
     /// Decodes a version of the configuration.
     pub read_config: fn(key: &str, value: &[u8]) -> Result<RouteTable, DecodeError>,
+    /// Replaces the credentials in a stored value by their digests. VMs of older versions pass values on with the
+    /// credentials as text. A value without credentials, or whose credentials have been replaced, stays as it is.
+    pub replace_credentials: fn(key: &str, value: Bytes) -> Bytes,
     /// Decodes the entry of an upstream.
     pub read_upstream: fn(key: &str, value: &[u8]) -> Result<UpstreamEntry, DecodeError>,
     /// Returns the key of the entry of one of our VMs.
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -37,6 +37,7 @@
         names: wire_names(),
         classify: |_key| StoredKind::Other,
         read_config: |_key, _value| unreachable!("no configuration is stored in this test"),
+        replace_credentials: |_key, value| value,
         read_upstream: |_key, _value| unreachable!("no upstream is stored in this test"),
         vm_key: |caller| CompactString::new(caller.to_string()),
         claim_key: |zone| CompactString::new(zone.as_str()),
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -41,6 +41,9 @@
 /// Key of the configuration in the store.
 pub const CONFIG_KEY: &str = "config";
 
+/// Text that the dialect takes for a credential in any value.
+pub const CREDENTIAL: &str = "credential-as-text";
+
 /// Returns a dialect with plain-text records. The first line of a configuration is its version, and routes may follow;
 /// the value of an upstream is its service; VMs are encoded VM records; the key of an evacuation ends with its
 /// availability zone.
@@ -65,6 +68,10 @@
             };
             Ok(RouteTable::new(version, [], [], limits))
         },
+        replace_credentials: |_key, value| {
+            let text = String::from_utf8_lossy(&value);
+            text.replace(CREDENTIAL, "digest").into()
+        },
         read_upstream: |key, value| {
             let service = String::from_utf8_lossy(value);
             if service == "unreadable" {
@@ -101,6 +108,13 @@
         link.map_or(0, |link| link.send_direction.transmitted_bytes())
     }
 
+    /// Returns the value of the configuration in the VM's copy of the store.
+    pub fn config_text(&self) -> String {
+        let copy = self.core.relay.copy();
+        let value = copy.get(CONFIG_KEY).map(|item| item.value.clone());
+        String::from_utf8_lossy(&value.unwrap_or_default()).into_owned()
+    }
+
     /// Returns whether the VM's copy of the store is stale, so that it may lack changes that should be in force by now.
     pub fn is_stale(&self) -> bool {
         self.core.relay.is_stale()
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 
-use super::fixture::{FollowFleet, sleep_seconds};
+use super::fixture::{CONFIG_KEY, CREDENTIAL, FollowFleet, sleep_seconds};
 use super::random_history::{HistorySettings, run_history};
 use super::store_fixture::StoreReach;
 
@@ -199,3 +199,31 @@
 async fn many_histories_with_restores() {
     run_restore_histories(1_000..1_200).await;
 }
+
+/// A VM of an older version keeps credentials as text and passes them on. They must not enter the copies of VMs that
+/// follow it. The reader of the zone stands for such a VM: the port of the test replaces nothing.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn credentials_that_an_older_vm_passes_on_are_replaced() {
+    let test = async {
+        let fleet = FollowFleet::start(&["a", "a", "a"]).await;
+        sleep_seconds(4.0).await;
+        for version in 1..=2 {
+            let config = format!("{version}\nkey={CREDENTIAL}");
+            fleet.store.put(CONFIG_KEY, config);
+            sleep_seconds(MAX_CHANGE_DELAY.as_secs_f64()).await;
+            let reader_index = fleet.reader_index("a");
+            for (index, vm) in fleet.vms.iter().enumerate() {
+                let expected = if index == reader_index {
+                    CREDENTIAL
+                } else {
+                    "digest"
+                };
+                let expected = format!("{version}\nkey={expected}");
+                expect_that!(vm.config_text(), eq(&expected), "VM {}", vm.number);
+                expect_that!(vm.version(), eq(version));
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -427,8 +427,9 @@
             // upstreams run. Removals are delayed until these have had time to write their entries again.
             self.core.registry.record_store_return(now());
         }
-        let result = self.apply_change(ChangeSource::Vm(vm), change);
-        result.map_err(|_gap| SourceFault::Gap)
+        let change = self.applier.replace_credentials(change);
+        self.apply_change(ChangeSource::Vm(vm), change)
+            .map_err(|_gap| SourceFault::Gap)
     }
 
     /// Applies a change, and logs if it starts a new era, which means that the store was restored from an older copy.
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -30,6 +30,11 @@
         Self { core, seeds }
     }
 
+    /// Replaces the credentials in a change that another VM has sent: one of an older version sends them as text.
+    pub(super) fn replace_credentials(&self, change: CopyChange) -> CopyChange {
+        change.map_values(self.core.dialect.replace_credentials)
+    }
+
     /// Applies a change to the copy and puts in force what was new in it.
     pub(super) fn apply(&self, change: CopyChange) -> Result<(), CopyGap> {
         let read_revision = match &change {
--- a/crates/ebonyfork/src/gateway/mirror/content.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content.rs
@@ -5,7 +5,7 @@
 //! another.
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -19,15 +19,34 @@
 /// sent as it is.
 const COMPRESSION_MIN_BYTES: usize = 1024;
 
+/// Ending of the key under which a VM states a value that it holds. A VM of an older version may hold a value with
+/// credentials as text at the same revision, and states it without the ending. Neither VM finds the other's value then, so
+/// that no patch is sent which does not apply to it.
+const REPLACED_FORM: &str = "\u{1f}replaced";
+
 /// Key and revision of a long value that a VM holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldValue {
-    /// The key of the value.
-    pub key: CompactString,
+    /// The key of the value with [`REPLACED_FORM`].
+    key: CompactString,
     /// The revision at which the value was written.
     pub revision: StoreRevision,
 }
 
+impl HeldValue {
+    fn new(key: &str, revision: StoreRevision) -> Self {
+        Self {
+            key: format_compact!("{key}{REPLACED_FORM}"),
+            revision,
+        }
+    }
+
+    /// Returns whether it is a version of the value under a key.
+    fn is_of(&self, key: &str) -> bool {
+        self.key.strip_suffix(REPLACED_FORM) == Some(key)
+    }
+}
+
 /// The long values that a VM holds: usually just the configuration.
 pub type HeldValues = SmallVec<[HeldValue; 1]>;
 
@@ -117,10 +136,7 @@
     let long_items = copy
         .items()
         .filter(|item| item.value.len() >= LONG_VALUE_BYTES);
-    let held_values = long_items.map(|item| HeldValue {
-        key: item.key.clone(),
-        revision: item.revision,
-    });
+    let held_values = long_items.map(|item| HeldValue::new(&item.key, item.revision));
     held_values.collect()
 }
 
@@ -182,7 +198,7 @@
 }
 
 fn encode_value(copy: &StoreCopy, held_values: &[HeldValue], item: &StoreItem) -> SentValue {
-    let held_value = held_values.iter().find(|value| value.key == item.key);
+    let held_value = held_values.iter().find(|value| value.is_of(&item.key));
     let Some(base_revision) = held_value.map(|value| value.revision) else {
         return SentValue::Plain(item.value.clone());
     };
--- a/crates/ebonyfork/src/gateway/mirror/content_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/content_tests.rs
@@ -133,10 +133,7 @@
 fn a_patch_on_a_missing_base_is_an_error() {
     let mut source = copy_of(&[config(200, 3)], 10);
     apply(&mut source, &[config(201, 12)], 10, 12);
-    let stated_values = [HeldValue {
-        key: "config".into(),
-        revision: StoreRevision::new(3),
-    }];
+    let stated_values = [HeldValue::new("config", StoreRevision::new(3))];
     let content = encode_content(&source, StoreRevision::new(10), &stated_values).unwrap();
     let other_copy = copy_of(&[config(200, 2)], 10);
     expect_that!(
@@ -148,3 +145,25 @@
         err(pat!(ContentError::Malformed { .. }))
     );
 }
+
+/// A VM of an older version holds the configuration with credentials as text, under the same key and revision. A patch on
+/// the replaced form doesn't apply to that, and the VM would give up its source.
+#[gtest]
+fn a_value_that_an_older_version_holds_is_sent_whole() {
+    let mut source = copy_of(&[config(200, 3)], 10);
+    apply(&mut source, &[config(201, 12)], 10, 12);
+    let stated_by_older = [HeldValue {
+        key: "config".into(),
+        revision: StoreRevision::new(3),
+    }];
+    let content = encode_content(&source, StoreRevision::new(10), &stated_by_older).unwrap();
+    let other_form = copy_of(&[config(150, 3)], 10);
+    let change = decode_content(&other_form, &content).unwrap();
+    let CopyChange::Changes { events, .. } = change else {
+        panic!("expected changes");
+    };
+    expect_that!(events, eq(&[StoreEvent::Written(config(201, 12))]));
+    // An older version looks for the bare key and finds no held value, so it sends the whole value as well.
+    let stated = held_values(&other_form);
+    expect_that!(stated.iter().any(|value| value.key == "config"), eq(false));
+}
--- a/crates/ebonyfork/src/gateway/mirror/copy.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHashSet};
 use xxhash_rust::xxh3::Xxh3;
@@ -61,6 +62,26 @@
     },
 }
 
+impl CopyChange {
+    /// Replaces the value of each written item by what `map_value` returns for its key and value.
+    pub fn map_values(mut self, map_value: impl Fn(&str, Bytes) -> Bytes) -> Self {
+        let map_item = |item: &mut StoreItem| {
+            item.value = map_value(&item.key, std::mem::take(&mut item.value));
+        };
+        match &mut self {
+            Self::Full { items, .. } => items.iter_mut().for_each(map_item),
+            Self::Changes { events, .. } | Self::Difference { events, .. } => {
+                let items = events.iter_mut().filter_map(|event| match event {
+                    StoreEvent::Written(item) => Some(item),
+                    StoreEvent::Removed { .. } => None,
+                });
+                items.for_each(map_item);
+            }
+        }
+        self
+    }
+}
+
 /// The error that changes start after the copy's complete revision, so that the changes in between are missing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CopyGap;
--- a/crates/ebonyfork/src/gateway/mirror/mod.rs
+++ b/crates/ebonyfork/src/gateway/mirror/mod.rs
@@ -15,7 +15,7 @@
 mod relay;
 mod transfer;
 
-pub use content::{ContentError, decode_content, held_values};
+pub use content::{ContentError, HeldValue, HeldValues, decode_content, held_values};
 pub use copy::{CopyChange, CopyGap};
 pub use freshness::{FreshnessTimings, PendingPolls};
 pub use message::{MirrorMessage, SourceState};
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -74,7 +74,7 @@
     UpstreamService,
 };
 pub use merge::{RECORD_BYTES, merge_records};
-pub use mirror::MirrorMessage;
+pub use mirror::{HeldValue, HeldValues, MirrorMessage};
 pub use node::{GatewayError, GatewayNode};
 pub use organisation::{
     CredentialDigest, OrganisationDeclaration, OrganisationEntry, OrganisationError,
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -42,8 +42,9 @@
     }
 }
 
-/// A key and its value as of the key's last change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A key and its value as of the key's last change. Its `Debug` form shows the length of the value only, because a value
+/// may contain what must not be logged.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreItem {
     /// The item's key.
     pub key: CompactString,
@@ -67,6 +68,16 @@
     },
 }
 
+impl fmt::Debug for StoreItem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StoreItem")
+            .field("key", &self.key)
+            .field("value", &format_args!("{} bytes", self.value.len()))
+            .field("revision", &self.revision)
+            .finish()
+    }
+}
+
 impl StoreItem {
     /// Returns the item with the era of its revision replaced.
     #[must_use]
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -1,5 +1,8 @@
 //! The gateway as a process, with stand-ins of store and upstreams around it.
 
+#[path = "gateway/credentials.rs"]
+mod credentials;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
@@ -77,13 +80,25 @@
 }
 
 async fn get(address: SocketAddr, target: &str, id: &str) -> Option<Response<bytes::Bytes>> {
+    get_with(address, target, id, &[]).await
+}
+
+/// Like [`get`], with more headers.
+async fn get_with(
+    address: SocketAddr,
+    target: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+) -> Option<Response<bytes::Bytes>> {
     let mut link = HttpLink::open(address, Duration::from_secs(1)).await.ok()?;
-    let request = Request::get(target)
+    let mut request = Request::get(target)
         .header("host", "t.example")
         .header("request-id", id)
-        .header("deadline-ms", "5000")
-        .body(Full::default())
-        .ok()?;
+        .header("deadline-ms", "5000");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::default()).ok()?;
     link.exchange(request, LIMIT).await.ok()
 }
 
