Quotas: requests wait at the holder, refused ones are promised a token, priorities share the refill

Waiting: a request states how long it can wait, and the nearest holder reserves a token that is due by then, or refuses at once. A reservation is accepted only if nobody who waits already misses a token (schedule.rs). Promises: a refused request gets the time of a token that is set aside for its fingerprint, for at most half of the refill. Shares: while an organisation is over its limit, each priority with requests in the last second is credited with its share of the refill (shares.rs). Grants state when they were made: a token is put back only within 150 ms.

Ruled out: charging a class when a token is reserved (reservations exceed any limit on debts, and the least urgent kind was served best at 60 requests a second); counting tokens on the way against the capacity of the bucket (exact, but lost a third of the tokens of small buckets); reserving the whole refill (urgent requests after a pause were refused).

The test of plan_asks moves to ask_tests.rs, because the plan is now one holder after the other. The link protocol is version 6: QuotaMessage has changed.

--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -24,6 +24,8 @@
 use crate::gateway::http_server::log_accept_error;
 use crate::gateway::metrics::OutcomeLabel;
 use crate::gateway::organisation::OrganisationEntry;
+use crate::gateway::policy::quota::TokenRequest;
+use crate::gateway::quota::TokenNeed;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::reply::{CallerReply, refusal_reply};
 use crate::gateway::request::ForwardRequest;
@@ -305,9 +307,47 @@
     let target = select_target(core, &route)?;
     if let Some(organisation) = organisation {
         // Comes last, because a request that is refused for another reason must not use up the quota.
-        core.take_quota_token(organisation, &request_log.id).await?;
+        let need = token_need(core, &route, organisation, &request);
+        let request_id = &request_log.id;
+        core.take_quota_token(organisation, need, request_id)
+            .await?;
+    }
+    let sent = now();
+    let report = run_request(core, &route, target, Rc::new(request), quarantine_status).await;
+    if report.reply.status().is_success() {
+        let answered = now();
+        let elapsed = answered.saturating_duration_since(sent);
+        latency.borrow_mut().record_answer(elapsed, answered);
+    }
+    Ok(report)
+}
+
+/// Returns how long a request can wait for a token so that its answer meets the target, and how long its caller can be
+/// told to stay away.
+fn token_need(
+    core: &GatewayCore,
+    route: &RouteEntry,
+    organisation: &OrganisationEntry,
+    request: &ForwardRequest,
+) -> TokenNeed {
+    /// Part of the remaining wait of its caller by which a request may be put off: callers obey no longer one.
+    const STAY_DIVISOR: u32 = 3;
+    let is_gathered = matches!(route.destination, RouteTarget::Gather(_));
+    let usual_time = core.latency(route).borrow().usual_time(is_gathered);
+    let time = now();
+    let passed = time.saturating_duration_since(request.received);
+    let used = passed + request.caller_overhead + usual_time;
+    let caller_wait = request.finish_by.saturating_duration_since(time);
+    let longest_wait = route.target.saturating_sub(used);
+    TokenNeed {
+        request: TokenRequest {
+            priority: organisation.priority.unwrap_or(route.priority),
+            longest_wait: longest_wait.min(caller_wait),
+            longest_stay: caller_wait / STAY_DIVISOR,
+            fingerprint: request.fingerprint,
+        },
+        caller_wait,
     }
-    Ok(run_request(core, &route, target, Rc::new(request), quarantine_status).await)
 }
 
 /// Returns the length of a request head on the wire, in bytes.
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::quota::QuotaMetrics;
 use crate::store::StoreRevision;
 
 /// Bucket bounds of the latency histogram, in seconds: finer around the targets, which lie between 0.1 and 1 s.
@@ -52,6 +53,8 @@
     pub copy_era: Gauge<u64, AtomicU64>,
     /// Bytes of the store's changes sent to VMs that follow this one.
     pub sent_change_bytes: Counter,
+    /// Decisions on tokens of organisations' quotas.
+    pub quota: QuotaMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -68,6 +71,7 @@
             copy_revision: Gauge::default(),
             copy_era: Gauge::default(),
             sent_change_bytes: Counter::default(),
+            quota: QuotaMetrics::default(),
         }
     }
 }
@@ -123,5 +127,6 @@
             "Bytes told to the VMs that follow this one",
             self.sent_change_bytes.clone(),
         );
+        self.quota.register(registry);
     }
 }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -93,8 +93,9 @@
 pub use policy::latency::{AttemptKind, LatencyHistogram};
 pub use policy::load_report::{LoadReport, LoadReportError};
 pub use policy::quota::{
-    AskPlan, PartLedger, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal,
-    RequestQuota, next_return, plan_asks,
+    AskRound, PartLedger, PartState, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage,
+    QuotaRefusal, RequestQuota, RequesterKey, TokenDecision, TokenRefusal, TokenRequest, WaitCheck,
+    WaitEnd, next_return, plan_asks,
 };
 pub use request::strip_hop_headers;
 pub use route::{
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -43,7 +43,10 @@
     while let Some(event) = events.recv().await {
         match event {
             LinkEvent::Message { from, message } => take_message(&core, from, message),
-            LinkEvent::Down { vm, unsent } => core.delegates.link_down(vm, unsent),
+            LinkEvent::Down { vm, unsent } => {
+                core.quota_desk.lose_holder(vm);
+                core.delegates.link_down(vm, unsent);
+            }
         }
     }
 }
--- a/crates/ebonyfork/src/gateway/policy/quota/ask.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/ask.rs
@@ -1,4 +1,10 @@
 //! Decides which holders a VM asks for a token.
+//!
+//! Load pattern: a busy organisation has used up all parts. If each request asks the holders of all parts in all
+//! regions, each refusal takes a trip between regions, although all parts were empty a moment ago. So the nearest holder
+//! that answers decides ([`plan_asks`]). The others are asked for a token at hand only if one may have one and the
+//! request can wait for the trip ([`other_parts`]). An organisation that doesn't exceed its limit can wait for the trip
+//! as long as its caller does: a late answer is better than a refusal within the limit.
 
 use std::fmt;
 use std::time::Duration;
@@ -19,94 +25,124 @@
     pub distance: PlaceDistance,
     /// Whether the holder has left a recent request unanswered.
     pub is_silent: bool,
-    /// Time until the part has another token, if it was empty when it was last asked.
-    pub empty_for: Option<Duration>,
+    /// What the holder answered when it was last asked.
+    pub state: PartState,
+}
+
+/// What a VM remembers of the tokens of a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartState {
+    /// Nothing: the part may have a token.
+    MayGrant,
+    /// The part had no token a moment ago.
+    Empty,
+    /// The part had no token a moment ago, and the organisation asks it for more than its limit.
+    OverLimit,
 }
 
 /// Reason for which no token can be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaRefusal {
-    /// All parts are empty.
+    /// The nearest holder has no token for the request.
     OverQuota {
-        /// Time until the first of them has another token.
+        /// Time until the request should return.
         wait: Duration,
+        /// Whether a token is set aside for the return.
+        is_promised: bool,
     },
-    /// The holders of some parts are unknown or can't be reached, and the other parts are empty.
+    /// No holder is known, or none answers.
     Unknown,
 }
 
 impl fmt::Display for QuotaRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::OverQuota { wait } => write!(f, "over-quota wait_ms={}", wait.as_millis()),
+            Self::OverQuota { wait, is_promised } => {
+                let wait_ms = wait.as_millis();
+                write!(f, "over-quota wait_ms={wait_ms} promised={is_promised}")
+            }
             Self::Unknown => f.write_str("quota-unknown"),
         }
     }
 }
 
-/// Holders to ask for a token.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AskPlan {
-    /// Ask the first part, and the others at once if it is empty or its holder doesn't answer.
-    Ask {
-        /// Part to ask first; `None` if all are to be asked at once.
-        first: Option<u8>,
-        /// The other parts that may have a token.
-        others: SmallVec<[u8; QUOTA_PARTS]>,
-    },
-    /// No part can have a token.
-    Refuse(QuotaRefusal),
-}
+/// Parts whose holders are asked together.
+pub type AskRound = SmallVec<[u8; QUOTA_PARTS]>;
 
-/// Plans which holders to ask. The nearest part that isn't known to be empty goes first: a VM in its zone or region
-/// answers within a few milliseconds, and asking all holders for each request would multiply the messages.
+/// Plans which holders are asked to decide, one round after the other until one answers: the known holders by distance,
+/// and at last all those together that have left a recent request unanswered.
 ///
 /// # Examples
 ///
 /// ```
-/// use ebonyfork::gateway::{AskPlan, PartView, PlaceDistance, plan_asks};
+/// use ebonyfork::gateway::{AskRound, PartState, PartView, PlaceDistance, plan_asks};
 ///
 /// let view = |part, distance| PartView {
 ///     part,
 ///     has_holder: true,
 ///     distance,
 ///     is_silent: false,
-///     empty_for: None,
+///     state: PartState::MayGrant,
 /// };
-/// let plan = plan_asks(&[view(0, PlaceDistance::Far), view(1, PlaceDistance::Zone)]);
-/// let others = [0].into_iter().collect();
-/// assert_eq!(plan, AskPlan::Ask { first: Some(1), others });
+/// let rounds = plan_asks(&[view(0, PlaceDistance::Far), view(1, PlaceDistance::Zone)]);
+/// let expected: Vec<AskRound> = vec![[1].into_iter().collect(), [0].into_iter().collect()];
+/// assert_eq!(rounds.to_vec(), expected);
 /// ```
-pub fn plan_asks(parts: &[PartView]) -> AskPlan {
-    let mut askable: SmallVec<[&PartView; QUOTA_PARTS]> = parts
-        .iter()
-        .filter(|view| view.has_holder && view.empty_for.is_none())
+pub fn plan_asks(parts: &[PartView]) -> SmallVec<[AskRound; QUOTA_PARTS]> {
+    let mut known: SmallVec<[&PartView; QUOTA_PARTS]> =
+        parts.iter().filter(|view| view.has_holder).collect();
+    // Promises are kept by the part that made them. So while an organisation is over its limit, its requests ask the
+    // same part again; otherwise one that may have a token goes first.
+    known.sort_by_key(|view| {
+        let is_skipped = view.state == PartState::Empty;
+        (view.distance, is_skipped, view.part)
+    });
+    let (silent, answering): (SmallVec<[&PartView; QUOTA_PARTS]>, AskRound) = {
+        let silent = known.iter().copied().filter(|view| view.is_silent);
+        let answering = known.iter().filter(|view| !view.is_silent);
+        (silent.collect(), answering.map(|view| view.part).collect())
+    };
+    let mut rounds: SmallVec<[AskRound; QUOTA_PARTS]> = answering
+        .into_iter()
+        .map(|part| AskRound::from_iter([part]))
         .collect();
-    if askable.is_empty() {
-        return AskPlan::Refuse(refusal(parts));
+    if !silent.is_empty() {
+        rounds.push(silent.iter().map(|view| view.part).collect());
     }
-    askable.sort_by_key(|view| (view.is_silent, view.distance));
-    let first = Some(askable[0])
-        .filter(|view| !view.is_silent)
-        .map(|view| view.part);
-    let others = askable
-        .iter()
-        .map(|view| view.part)
-        .filter(|part| Some(*part) != first)
-        .collect();
-    AskPlan::Ask { first, others }
+    rounds
 }
 
-/// Returns the reason for a refusal once no part can be asked any more.
-pub fn refusal(parts: &[PartView]) -> QuotaRefusal {
-    let mut shortest_wait = None;
-    for view in parts {
-        let Some(wait) = view.empty_for else {
-            return QuotaRefusal::Unknown;
-        };
-        shortest_wait = Some(shortest_wait.map_or(wait, |shortest: Duration| shortest.min(wait)));
+/// Time of a trip to a holder and back, with queueing on two VMs that are not overloaded.
+pub fn trip_time(distance: PlaceDistance) -> Duration {
+    match distance {
+        PlaceDistance::Zone => Duration::from_millis(2),
+        PlaceDistance::Region => Duration::from_millis(4),
+        PlaceDistance::Far => Duration::from_millis(30),
     }
-    shortest_wait.map_or(QuotaRefusal::Unknown, |wait| QuotaRefusal::OverQuota {
-        wait,
-    })
 }
+
+/// Returns the parts other than the `asked` ones that may have a token and whose holders answer within `reach`, the
+/// time for which the request can still wait.
+pub fn other_parts(parts: &[PartView], asked: &[u8], reach: Duration) -> AskRound {
+    let may_grant = |view: &&PartView| {
+        let may_grant = view.state == PartState::MayGrant;
+        let is_known = view.has_holder && !view.is_silent && may_grant;
+        is_known && !asked.contains(&view.part) && trip_time(view.distance) <= reach
+    };
+    let granting = parts.iter().filter(may_grant);
+    granting.map(|view| view.part).collect()
+}
+
+/// Longest time that a request for a token and its grant may spend on the way.
+const MAX_TRANSIT: Duration = Duration::from_millis(125);
+
+/// Returns whether a grant that arrives `elapsed` after it was asked for may be used, if the request `waited` at the
+/// holder. A grant that was longer on the way is given back: its request would be sent so long after the grant that it
+/// would count in a later window.
+pub fn is_timely(elapsed: Duration, waited: Duration) -> bool {
+    elapsed <= waited + MAX_TRANSIT
+}
+
+#[cfg(test)]
+#[path = "ask_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -19,17 +19,24 @@
 //! With several parts, the loss of a holder leaves the other parts usable, and each region has a holder nearby. The
 //! term of a claim is longer than the usual outage of the store, because without a valid claim no part can be used.
 
+mod account;
 mod ask;
 mod bucket;
 mod message;
+mod request;
 mod returns;
+mod schedule;
+mod shares;
 mod terms;
 
 use std::time::Duration;
 
-pub use ask::{AskPlan, PartView, QuotaRefusal, plan_asks, refusal};
+pub use ask::{
+    AskRound, PartState, PartView, QuotaRefusal, is_timely, other_parts, plan_asks, trip_time,
+};
 pub use bucket::PartLedger;
 pub use message::{QuotaAnswer, QuotaMessage};
+pub use request::{RequesterKey, TokenDecision, TokenRefusal, TokenRequest, WaitCheck, WaitEnd};
 pub use returns::next_return;
 pub use terms::{PartTerms, QuotaBound, RequestQuota};
 
@@ -50,3 +57,11 @@
 #[cfg(test)]
 #[path = "quota_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "fleet_tests.rs"]
+mod fleet_tests;
+
+#[cfg(test)]
+#[path = "commitment_history_tests.rs"]
+mod commitment_history_tests;
--- a/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
@@ -6,7 +6,6 @@
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::claim::{ClaimRecord, ClaimWrite, StoreClaim};
 use crate::gateway::policy::cold::RequestRate;
-use crate::gateway::settings::PlaceDistance;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress};
 use crate::store::{StoreEra, StoreRevision};
 
@@ -106,9 +105,10 @@
     };
     expect_that!(take(&mut ledger, held_since), eq(true));
     expect_that!(take(&mut ledger, held_since), eq(false));
-    ledger.give_back(&organisation(), terms, held_since);
+    let now = ms(20_000);
+    ledger.give_back(&organisation(), terms, held_since, now, now);
     expect_that!(take(&mut ledger, held_since), eq(true));
-    ledger.give_back(&organisation(), terms, ms(999));
+    ledger.give_back(&organisation(), terms, ms(999), now, now);
     expect_that!(take(&mut ledger, held_since), eq(false));
 }
 
@@ -145,47 +145,6 @@
     expect_that!(ledger.bucket_count(), eq(0));
 }
 
-fn view(part: u8, distance: PlaceDistance) -> PartView {
-    PartView {
-        part,
-        has_holder: true,
-        distance,
-        is_silent: false,
-        empty_for: None,
-    }
-}
-
-#[gtest]
-fn a_silent_or_empty_holder_is_not_waited_for() {
-    let near = view(1, PlaceDistance::Zone);
-    let far = view(0, PlaceDistance::Far);
-    let silent = PartView {
-        is_silent: true,
-        ..near
-    };
-    let ask = |first, others: &[u8]| AskPlan::Ask {
-        first,
-        others: others.iter().copied().collect(),
-    };
-    expect_that!(plan_asks(&[far, near]), eq(&ask(Some(1), &[0])));
-    expect_that!(plan_asks(&[far, silent]), eq(&ask(Some(0), &[1])));
-    expect_that!(plan_asks(&[silent]), eq(&ask(None, &[1])));
-    let empty = |part, wait| PartView {
-        empty_for: Some(ms(wait)),
-        ..view(part, PlaceDistance::Zone)
-    };
-    expect_that!(plan_asks(&[far, empty(1, 50)]), eq(&ask(Some(0), &[])));
-    let over_quota = QuotaRefusal::OverQuota { wait: ms(50) };
-    let plan = plan_asks(&[empty(0, 90), empty(1, 50)]);
-    expect_that!(plan, eq(&AskPlan::Refuse(over_quota)));
-    let unheld = PartView {
-        has_holder: false,
-        ..far
-    };
-    let plan = plan_asks(&[unheld, empty(1, 50)]);
-    expect_that!(plan, eq(&AskPlan::Refuse(QuotaRefusal::Unknown)));
-}
-
 /// Load pattern: one organisation sends many times its quota, and its callers return when they are told to. If all of
 /// them were told the time of the next token, most of them would be refused again at once.
 #[gtest]
--- a/crates/ebonyfork/src/gateway/policy/route_latency.rs
+++ b/crates/ebonyfork/src/gateway/policy/route_latency.rs
@@ -1,6 +1,6 @@
 //! Latency of the attempts of one route, by distance of the upstream.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::gateway::caller_time::WaitTrack;
 use crate::gateway::policy::latency::{AttemptKind, LatencyHistogram};
@@ -20,6 +20,8 @@
     histograms: [LatencyHistogram; 4],
     /// How long the route's callers wait in total, as they state it in their requests.
     pub waits: WaitTrack,
+    /// Times from the decision to send a request until its answer.
+    answer_times: LatencyHistogram,
 }
 
 impl Default for RouteLatency {
@@ -28,6 +30,7 @@
             histograms: [ASSUMED_NEAR, ASSUMED_REGION, ASSUMED_FAR, ASSUMED_FAR]
                 .map(LatencyHistogram::new),
             waits: WaitTrack::default(),
+            answer_times: LatencyHistogram::new(ASSUMED_FAR),
         }
     }
 }
@@ -66,6 +69,32 @@
         AttemptKind::Delegated
     }
 
+    /// Records the time from the decision to send a request until its answer.
+    pub fn record_answer(&mut self, elapsed: Duration, now: Instant) {
+        self.answer_times.record(elapsed, now);
+    }
+
+    /// Returns the time that the route usually takes for an answer. An answer gathered from many shards is often held
+    /// until its time runs out, so it counts as done when nearly all attempts have ended.
+    pub fn usual_time(&self, is_gathered: bool) -> Duration {
+        /// Quantile of the attempts by which an answer has enough shards.
+        const GATHERED_QUANTILE: f64 = 0.95;
+        let mut usual_ms = self.answer_times.quantile(0.5);
+        if is_gathered {
+            let kinds = [
+                AttemptKind::Zone,
+                AttemptKind::Region,
+                AttemptKind::Delegated,
+            ];
+            let slowest_ms = kinds
+                .map(|kind| self.histogram(kind).quantile(GATHERED_QUANTILE))
+                .into_iter()
+                .fold(0.0, f64::max);
+            usual_ms = usual_ms.min(slowest_ms);
+        }
+        Duration::from_secs_f64(usual_ms / 1_000.0)
+    }
+
     /// Returns the latency histogram of a kind of attempt for updates.
     pub fn histogram_mut(&mut self, kind: impl Into<AttemptKind>) -> &mut LatencyHistogram {
         &mut self.histograms[kind.into() as usize]
--- a/crates/ebonyfork/src/gateway/quota/desk.rs
+++ b/crates/ebonyfork/src/gateway/quota/desk.rs
@@ -3,18 +3,21 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use smallvec::SmallVec;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
+use super::GrantTimes;
+use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::claim::StoreClaim;
 use crate::gateway::policy::quota::{
-    PartLedger, PartTerms, QUOTA_CLAIM, QUOTA_PARTS, QuotaAnswer, RequestQuota, next_return,
+    PartLedger, PartTerms, QUOTA_CLAIM, QUOTA_PARTS, QuotaAnswer, RequesterKey, TokenDecision,
+    TokenRequest, WaitCheck,
 };
 use crate::gateway::settings::PlaceDistance;
-use crate::ident::SessionId;
+use crate::ident::{SessionId, VmAddress};
 use crate::store::StoreEra;
+use crate::wire::LinkSender;
 
 /// What this VM knows of one part.
 #[derive(Debug)]
@@ -27,6 +30,18 @@
     pub(super) distance: PlaceDistance,
     /// Time until which the holder counts as silent.
     pub(super) silent_until: Duration,
+    /// Links to the other VMs whose requests wait here.
+    responders: FxHashMap<RequesterKey, Responder>,
+    /// Organisations whose waiting requests are checked by a timer.
+    timers: FxHashSet<OrganisationName>,
+}
+
+/// Link on which a waiting request is answered.
+#[derive(Debug)]
+struct Responder {
+    link: LinkSender,
+    /// Time after which the request no longer waits.
+    until: Duration,
 }
 
 /// Part that was empty when it was last asked.
@@ -38,6 +53,8 @@
     pub(super) next_token: Duration,
     /// Time at which the holder answered.
     pub(super) answered_at: Duration,
+    /// Whether the organisation asks the part for more than its limit.
+    pub(super) is_over_limit: bool,
 }
 
 /// Empty parts of one organisation's quota.
@@ -46,6 +63,11 @@
 /// Time for which an empty part is not asked again. Its holder may have a token earlier than it has stated, if one is
 /// returned.
 const EMPTY_MEMORY: Duration = Duration::from_millis(250);
+/// Time for which a part is not asked again if other requests of the organisation take its tokens as they appear. Its
+/// bucket keeps what is refilled meanwhile, unless the quota allows less than half a second's requests at once.
+const OVER_LIMIT_MEMORY: Duration = Duration::from_millis(500);
+/// Time for which the link of a waiting request is kept after its wait should have ended.
+const RESPONDER_MARGIN: Duration = Duration::from_secs(1);
 
 /// Answer to a request for a token, with the part that answers.
 pub(super) type NumberedAnswer = (u8, QuotaAnswer);
@@ -56,16 +78,17 @@
     pub(super) parts: RefCell<Vec<QuotaPart>>,
     /// Parts that were empty when they were last asked, by organisation.
     empty_parts: RefCell<FxHashMap<OrganisationName, EmptyParts>>,
-    /// When the last refused caller of each organisation was told to return.
-    returns: RefCell<FxHashMap<OrganisationName, Duration>>,
     /// Requests that wait for answers, by number.
     pub(super) pending: RefCell<FxHashMap<u64, UnboundedSender<NumberedAnswer>>>,
     next_number: Cell<u64>,
 }
 
 impl EmptyPart {
-    /// Returns whether the part is known to be empty without asking again.
+    /// Returns whether the part is assumed to be empty without asking again.
     fn is_remembered(&self, now: Duration) -> bool {
+        if self.is_over_limit {
+            return now < self.answered_at + OVER_LIMIT_MEMORY;
+        }
         now < self.next_token && now < self.answered_at + EMPTY_MEMORY
     }
 }
@@ -78,11 +101,12 @@
             ledger: PartLedger::new(),
             distance: PlaceDistance::Far,
             silent_until: Duration::ZERO,
+            responders: FxHashMap::default(),
+            timers: FxHashSet::default(),
         };
         Self {
             parts: RefCell::new((0..QUOTA_PARTS).map(new_part).collect()),
             empty_parts: RefCell::default(),
-            returns: RefCell::default(),
             pending: RefCell::default(),
             next_number: Cell::new(0),
         }
@@ -111,52 +135,135 @@
     pub fn remove_idle(&self, now: Duration) {
         for part in self.parts.borrow_mut().iter_mut() {
             part.ledger.remove_full(now);
+            part.responders
+                .retain(|_requester, responder| now < responder.until);
         }
-        self.returns
-            .borrow_mut()
-            .retain(|_organisation, last_return| *last_return > now);
         self.empty_parts
             .borrow_mut()
             .retain(|_organisation, parts| parts.iter().any(|empty| empty.is_remembered(now)));
     }
 
-    /// Takes a token from a part that this process holds.
-    pub(super) fn take_own(
+    /// Decides on a request for a token of a part. Also returns the start of the hold; `None` if this process doesn't
+    /// hold the part.
+    pub(super) fn decide_own(
         &self,
         part: u8,
         organisation: &OrganisationName,
         terms: PartTerms,
+        (requester, request): (RequesterKey, TokenRequest),
         now: Duration,
-    ) -> QuotaAnswer {
+    ) -> Option<(TokenDecision, Duration)> {
         let mut parts = self.parts.borrow_mut();
-        let Some(part) = parts.get_mut(usize::from(part)) else {
-            return QuotaAnswer::Unknown;
-        };
-        let Some(held_since) = part.claim.usable_since(now) else {
-            return QuotaAnswer::Unknown;
-        };
-        match part.ledger.take(organisation, terms, held_since, now) {
-            Ok(()) => QuotaAnswer::Granted {
-                held_since_ns: held_since.as_nanos() as u64,
-            },
-            Err(wait) => QuotaAnswer::Empty {
-                // Rounded up, so that the token is there at the stated time.
-                wait_ms: u32::try_from(wait.as_millis() + 1).unwrap_or(u32::MAX),
-            },
+        let part = parts.get_mut(usize::from(part))?;
+        let held_since = part.claim.usable_since(now)?;
+        let asked = (requester, request);
+        let decision = part
+            .ledger
+            .decide(organisation, terms, held_since, asked, now);
+        Some((decision, held_since))
+    }
+
+    /// Grants tokens of a part that have become due. Also returns the start of the hold; `None` if this process doesn't
+    /// hold the part.
+    pub(super) fn check_waiting_own(
+        &self,
+        part: u8,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        now: Duration,
+    ) -> Option<(WaitCheck, Duration)> {
+        let mut parts = self.parts.borrow_mut();
+        let part = parts.get_mut(usize::from(part))?;
+        let held_since = part.claim.usable_since(now)?;
+        let check = part
+            .ledger
+            .check_waiting(organisation, terms, held_since, now);
+        Some((check, held_since))
+    }
+
+    /// Removes the reservation or promise of a request that no longer needs it.
+    pub(super) fn release_own(
+        &self,
+        part: u8,
+        organisation: &OrganisationName,
+        requester: RequesterKey,
+    ) {
+        if let Some(part) = self.parts.borrow_mut().get_mut(usize::from(part)) {
+            part.responders.remove(&requester);
+            part.ledger.release(organisation, requester);
+        }
+    }
+
+    /// Keeps the link of a request that waits until `until` at the latest.
+    pub(super) fn keep_responder(
+        &self,
+        part: u8,
+        requester: RequesterKey,
+        link: LinkSender,
+        until: Duration,
+    ) {
+        if let Some(part) = self.parts.borrow_mut().get_mut(usize::from(part)) {
+            let until = until + RESPONDER_MARGIN;
+            part.responders.insert(requester, Responder { link, until });
+        }
+    }
+
+    /// Removes and returns the link of a request that no longer waits.
+    pub(super) fn take_responder(&self, part: u8, requester: RequesterKey) -> Option<LinkSender> {
+        let mut parts = self.parts.borrow_mut();
+        let part = parts.get_mut(usize::from(part))?;
+        let responder = part.responders.remove(&requester)?;
+        Some(responder.link)
+    }
+
+    /// Records that a timer checks the waiting requests of an organisation. Returns false if there was one already.
+    pub(super) fn start_timer(&self, part: u8, organisation: &OrganisationName) -> bool {
+        let mut parts = self.parts.borrow_mut();
+        let part = parts.get_mut(usize::from(part));
+        part.is_some_and(|part| part.timers.insert(organisation.clone()))
+    }
+
+    /// Records that the timer of an organisation has ended.
+    pub(super) fn end_timer(&self, part: u8, organisation: &OrganisationName) {
+        if let Some(part) = self.parts.borrow_mut().get_mut(usize::from(part)) {
+            part.timers.remove(organisation);
         }
     }
 
-    /// Puts back a token that this process granted and another VM did not use.
+    /// Sends an answer to the request of this process with a number. Returns whether it still waits for one.
+    pub(super) fn answer_pending(&self, number: u64, part: u8, answer: QuotaAnswer) -> bool {
+        let pending = self.pending.borrow();
+        let waiting = pending.get(&number);
+        waiting.is_some_and(|waiting| waiting.send((part, answer)).is_ok())
+    }
+
+    /// Tells the waiting requests of this process that the link to a VM is down: its holder may have lost them.
+    pub fn lose_holder(&self, vm: VmAddress) {
+        for (number, part) in self.parts.borrow().iter().enumerate() {
+            if part.claim.holder().map(|holder| holder.vm) != Some(vm) {
+                continue;
+            }
+            for waiting in self.pending.borrow().values() {
+                // A request that doesn't wait for this part ignores the answer.
+                let _ended = waiting.send((number as u8, QuotaAnswer::Unknown));
+            }
+        }
+    }
+
+    /// Puts back a token that this process granted and that was not used.
     pub(super) fn give_back_own(
         &self,
         part: u8,
         organisation: &OrganisationName,
         terms: PartTerms,
-        held_since_ns: u64,
+        grant: GrantTimes,
+        now: Duration,
     ) {
         if let Some(part) = self.parts.borrow_mut().get_mut(usize::from(part)) {
-            let held_since = Duration::from_nanos(held_since_ns);
-            part.ledger.give_back(organisation, terms, held_since);
+            let held_since = Duration::from_nanos(grant.held_since_ns);
+            let granted_at = Duration::from_nanos(grant.granted_at_ns);
+            part.ledger
+                .give_back(organisation, terms, held_since, granted_at, now);
         }
     }
 
@@ -168,33 +275,17 @@
         parts.push(empty);
     }
 
-    /// Returns the time until a part has another token of an organisation, if it is known to be empty.
-    pub(super) fn empty_for(
+    /// Returns what is remembered of a part that had no token of an organisation.
+    pub(super) fn empty_part(
         &self,
         part: u8,
         organisation: &OrganisationName,
         now: Duration,
-    ) -> Option<Duration> {
+    ) -> Option<EmptyPart> {
         let empty_parts = self.empty_parts.borrow();
         let parts = empty_parts.get(organisation)?;
         let empty = parts.iter().find(|empty| empty.part == part)?;
-        let wait = empty.next_token.saturating_sub(now);
-        empty.is_remembered(now).then_some(wait)
-    }
-
-    /// Returns when the caller of a refused request should return, if the next token is due after `wait`.
-    pub(super) fn schedule_return(
-        &self,
-        organisation: &OrganisationEntry,
-        quota: RequestQuota,
-        wait: Duration,
-        now: Duration,
-    ) -> Duration {
-        let mut returns = self.returns.borrow_mut();
-        let last_return = returns.get(&organisation.name).copied();
-        let next_return = next_return(last_return, quota, now + wait);
-        returns.insert(organisation.name.clone(), next_return);
-        next_return.saturating_sub(now)
+        empty.is_remembered(now).then_some(*empty)
     }
 
     /// Records that the holder of a part has not answered.
--- a/crates/ebonyfork/src/gateway/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/quota/mod.rs
@@ -1,106 +1,164 @@
 //! Takes tokens of organisations' quotas from the VMs that hold the parts, and holds parts for other VMs. The rules are
 //! in [`crate::gateway::policy::quota`].
 //!
-//! [`QuotaDesk`] is the state, `wait` one request for a token, `claims` decides which parts this process holds.
+//! [`QuotaDesk`] is the state, `wait` one request for a token, `holder` answers those of the parts that this process
+//! holds, `claims` decides which parts these are.
 
 mod claims;
 mod desk;
+mod holder;
+mod metrics;
 mod wait;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
 pub use claims::run_quota_claims;
 pub use desk::QuotaDesk;
+pub use metrics::QuotaMetrics;
 
-use self::wait::TokenWait;
+use self::holder::AskedToken;
+use self::wait::{HolderDecision, TokenWait};
 use crate::gateway::core::GatewayCore;
 use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
 use crate::gateway::policy::quota::{
-    AskPlan, PartTerms, PartView, QUOTA_PARTS, QuotaAnswer, QuotaMessage, QuotaRefusal, plan_asks,
-    refusal,
+    PartState, PartTerms, PartView, QUOTA_PARTS, QuotaAnswer, QuotaMessage, QuotaRefusal,
+    TokenRequest, other_parts, plan_asks, trip_time,
 };
 use crate::gateway::refusal::RefusalReason;
+use crate::gateway::settings::PlaceDistance;
 use crate::wire::{LinkSender, PeerMessage};
 
-/// Longest wait for the nearest holder before the others are asked: one trip within a region and back (2 ms), plus
+/// Time that a holder gets for its answer in addition to the trip: queueing on two busy VMs.
+const ANSWER_MARGIN: Duration = Duration::from_millis(23);
+/// Longest wait for the answers of holders that are asked together: one trip between regions and back (24 ms), plus
 /// queueing on two busy VMs.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(25);
-/// Longest wait for all holders: one trip between regions and back (24 ms), plus queueing on two busy VMs.
 const ALL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// What a caller's request needs from its quota.
+#[derive(Debug, Clone, Copy)]
+pub struct TokenNeed {
+    /// What the holder is told, with the time until the request must have its token.
+    pub request: TokenRequest,
+    /// Time for which the caller still waits.
+    pub caller_wait: Duration,
+}
+
 impl GatewayCore {
     /// Takes a token of an organisation's quota, or returns the reason why there is none.
     pub async fn take_quota_token(
-        &self,
+        self: &Rc<Self>,
         organisation: &OrganisationEntry,
+        need: TokenNeed,
         request_id: &str,
     ) -> Result<(), RefusalReason> {
         let Some(quota) = organisation.quota else {
             return Ok(());
         };
         let terms = PartTerms::new(self.settings.quota_bound, quota);
-        let Err(mut refusal) = self.ask_holders(organisation, terms).await else {
+        let begun_at = self.running_time();
+        let Err(refusal) = self.ask_holders(organisation, terms, need).await else {
             return Ok(());
         };
-        if let QuotaRefusal::OverQuota { wait } = &mut refusal {
-            *wait =
-                self.quota_desk
-                    .schedule_return(organisation, quota, *wait, self.running_time());
-        }
         let copy_age = self.relay.copy_age();
         log::info!(
             target: "ebonyfork::decision",
-            "quota request={request_id} organisation={} limit={quota} parts={} {refusal} copy_age_ms={}",
+            "quota request={request_id} organisation={} limit={quota} parts={} {refusal} wait_limit_ms={} decided_ms={} copy_age_ms={}",
             organisation.name,
             terms.part_count,
+            need.request.longest_wait.as_millis(),
+            self.running_time().saturating_sub(begun_at).as_millis(),
             copy_age.map_or(-1, |age| age.as_millis() as i64)
         );
         Err(match refusal {
-            QuotaRefusal::OverQuota { wait } => RefusalReason::OverQuota(wait),
+            QuotaRefusal::OverQuota { wait, .. } => RefusalReason::OverQuota(wait),
             QuotaRefusal::Unknown => RefusalReason::QuotaUnknown,
         })
     }
 
-    /// Asks the holders of an organisation's quota for a token, the nearest one first.
+    /// Asks the holders of an organisation's quota for a token, the nearest one first. The first that answers decides.
     async fn ask_holders(
-        &self,
+        self: &Rc<Self>,
         organisation: &OrganisationEntry,
         terms: PartTerms,
+        need: TokenNeed,
     ) -> Result<(), QuotaRefusal> {
-        let mut views = self.part_views(organisation, terms);
-        let (first, others) = match plan_asks(&views) {
-            AskPlan::Refuse(refusal) => return Err(refusal),
-            AskPlan::Ask { first, others } => (first, others),
-        };
-        let mut wait = TokenWait::new(self, organisation, terms);
-        if let Some(first) = first {
-            if wait.ask(first) || wait.wait(FIRST_TIMEOUT).await {
+        let begun_at = self.running_time();
+        let views = self.part_views(organisation, terms);
+        let mut wait = TokenWait::new(self, organisation);
+        for round in plan_asks(&views) {
+            let elapsed = self.running_time().saturating_sub(begun_at);
+            let need = need.after(elapsed);
+            let mut timeout = ALL_TIMEOUT;
+            for part in &round {
+                if self.awaits_holder(&wait, *part) {
+                    continue;
+                }
+                let trip = trip_time(self.holder_distance(*part));
+                if round.len() == 1 {
+                    timeout = trip + ANSWER_MARGIN;
+                }
+                if wait.ask(*part, need.after(trip).request) {
+                    return Ok(());
+                }
+            }
+            let decision = wait.wait_for_decision(timeout).await;
+            if self.follow(&mut wait, decision, need, terms).await {
                 return Ok(());
             }
+            if let Some(refusal) = wait.refusal() {
+                return Err(refusal);
+            }
             wait.note_silent();
         }
-        for part in others {
-            if wait.ask(part) {
-                return Ok(());
+        Err(QuotaRefusal::Unknown)
+    }
+
+    /// Returns whether the holder of a part has left another request of this wait unanswered.
+    fn awaits_holder(&self, wait: &TokenWait<'_>, part: u8) -> bool {
+        let holder = self.quota_desk.with_claim(part, |claim| claim.holder());
+        holder
+            .flatten()
+            .is_some_and(|holder| wait.has_unanswered(holder.vm))
+    }
+
+    /// Acts on the decision of a holder: waits for the reserved token, and asks the other holders for one at hand if one
+    /// may have it in time. Returns whether a token was granted.
+    async fn follow(
+        &self,
+        wait: &mut TokenWait<'_>,
+        decision: HolderDecision,
+        need: TokenNeed,
+        terms: PartTerms,
+    ) -> bool {
+        let (reach, timeout) = match decision {
+            HolderDecision::Granted => return true,
+            HolderDecision::Unanswered => return false,
+            HolderDecision::Reserved { due } => {
+                let until_due = due.saturating_sub(self.running_time());
+                let longest_wait = need.request.longest_wait;
+                (until_due.min(longest_wait), longest_wait + ALL_TIMEOUT)
             }
-        }
-        if wait.wait(ALL_TIMEOUT).await {
-            return Ok(());
-        }
-        wait.note_silent();
-        let now = self.running_time();
-        for view in &mut views {
-            if !wait.empty.contains(&view.part) {
-                continue;
+            HolderDecision::Refused {
+                is_over_limit: true,
+            } => (need.request.longest_wait, ALL_TIMEOUT),
+            HolderDecision::Refused {
+                is_over_limit: false,
+            } => (need.caller_wait, ALL_TIMEOUT),
+        };
+        let views = self.part_views(wait.organisation(), terms);
+        for part in other_parts(&views, &wait.ever_asked, reach) {
+            if wait.ask(part, need.request.without_wait()) {
+                return true;
             }
-            // A part that was empty a moment ago may have a token by now.
-            let organisation = &organisation.name;
-            let empty_for = self.quota_desk.empty_for(view.part, organisation, now);
-            view.empty_for = Some(empty_for.unwrap_or_default());
         }
-        Err(refusal(&views))
+        wait.wait_for_token(timeout).await
+    }
+
+    fn holder_distance(&self, part: u8) -> PlaceDistance {
+        self.quota_desk.parts.borrow()[usize::from(part)].distance
     }
 
     /// Returns what this VM knows of the parts of an organisation's quota.
@@ -114,27 +172,37 @@
         let mut views = SmallVec::new();
         for number in terms.parts_of(&organisation.name) {
             let part = &parts[usize::from(number)];
+            let empty = self.quota_desk.empty_part(number, &organisation.name, now);
             views.push(PartView {
                 part: number,
                 has_holder: part.claim.holder().is_some(),
                 distance: part.distance,
                 is_silent: now < part.silent_until,
-                empty_for: self.quota_desk.empty_for(number, &organisation.name, now),
+                state: match empty {
+                    None => PartState::MayGrant,
+                    Some(empty) if empty.is_over_limit => PartState::OverLimit,
+                    Some(_empty) => PartState::Empty,
+                },
             });
         }
         views
     }
 
     /// Returns a token to the holder that granted it.
-    fn give_back(&self, part: u8, organisation: &OrganisationName, held_since_ns: u64) {
+    fn give_back(&self, part: u8, organisation: &OrganisationName, grant: GrantTimes) {
         let holder = self.quota_desk.with_claim(part, |claim| claim.holder());
         let Some(holder) = holder.flatten() else {
             return;
         };
+        if holder.vm == self.session.vm {
+            self.take_back(part, organisation, grant);
+            return;
+        }
         let message = QuotaMessage::GiveBack {
             part,
             organisation: organisation.clone(),
-            held_since_ns,
+            held_since_ns: grant.held_since_ns,
+            granted_at_ns: grant.granted_at_ns,
         };
         // A token that can't be returned is lost.
         let _sent = self
@@ -142,6 +210,15 @@
             .send_message(holder.vm, PeerMessage::Quota(message));
     }
 
+    /// Puts back a token that this process granted and that was not used.
+    fn take_back(&self, part: u8, organisation: &OrganisationName, grant: GrantTimes) {
+        if let Some(terms) = self.quota_terms(part, organisation) {
+            let now = self.running_time();
+            self.quota_desk
+                .give_back_own(part, organisation, terms, grant, now);
+        }
+    }
+
     /// Returns what a part of an organisation's quota amounts to; `None` if this VM's configuration has no such quota.
     fn quota_terms(&self, part: u8, organisation: &OrganisationName) -> Option<PartTerms> {
         let table = self.table()?;
@@ -154,21 +231,62 @@
     }
 }
 
+/// Times of a grant on the holder's clock, in nanoseconds. The holder accepts a token back only if they fit.
+#[derive(Debug, Clone, Copy)]
+struct GrantTimes {
+    /// Start of the hold.
+    held_since_ns: u64,
+    granted_at_ns: u64,
+}
+
+impl GrantTimes {
+    /// Returns the times that an answer states, if it grants a token.
+    fn of(answer: QuotaAnswer) -> Option<Self> {
+        match answer {
+            QuotaAnswer::Granted {
+                held_since_ns,
+                granted_at_ns,
+                ..
+            } => Some(Self {
+                held_since_ns,
+                granted_at_ns,
+            }),
+            _ => None,
+        }
+    }
+}
+
+impl TokenNeed {
+    /// Returns what the request needs after some time has passed.
+    fn after(self, elapsed: Duration) -> Self {
+        let mut request = self.request;
+        request.longest_wait = request.longest_wait.saturating_sub(elapsed);
+        Self {
+            request,
+            caller_wait: self.caller_wait.saturating_sub(elapsed),
+        }
+    }
+}
+
 /// Handles a message about a token from another VM.
-pub fn take_message(core: &GatewayCore, sender: &LinkSender, message: QuotaMessage) {
+pub fn take_message(core: &Rc<GatewayCore>, sender: &LinkSender, message: QuotaMessage) {
     let desk = &core.quota_desk;
     match message {
         QuotaMessage::Request {
-            number,
+            requester,
             part,
             organisation,
+            request,
         } => {
-            let terms = core.quota_terms(part, &organisation);
-            let answer = terms.map_or(QuotaAnswer::Unknown, |terms| {
-                desk.take_own(part, &organisation, terms, core.running_time())
+            let answer = core.decide_token(AskedToken {
+                part,
+                organisation: organisation.clone(),
+                requester,
+                request,
+                link: Some(sender.clone()),
             });
             let answer = QuotaMessage::Answer {
-                number,
+                number: requester.number,
                 part,
                 organisation,
                 answer,
@@ -184,23 +302,30 @@
             organisation,
             answer,
         } => {
-            let waiting = desk.pending.borrow().get(&number).cloned();
-            let is_taken = waiting.is_some_and(|waiting| waiting.send((part, answer)).is_ok());
-            if let QuotaAnswer::Granted { held_since_ns } = answer
+            let is_taken = desk.answer_pending(number, part, answer);
+            if let Some(grant) = GrantTimes::of(answer)
                 && !is_taken
             {
-                core.give_back(part, &organisation, held_since_ns);
+                core.give_back(part, &organisation, grant);
             }
         }
         QuotaMessage::GiveBack {
             part,
             organisation,
             held_since_ns,
+            granted_at_ns,
         } => {
-            if let Some(terms) = core.quota_terms(part, &organisation) {
-                desk.give_back_own(part, &organisation, terms, held_since_ns);
-            }
+            let grant = GrantTimes {
+                held_since_ns,
+                granted_at_ns,
+            };
+            core.take_back(part, &organisation, grant);
         }
+        QuotaMessage::Release {
+            requester,
+            part,
+            organisation,
+        } => desk.release_own(part, &organisation, requester),
     }
 }
 
--- a/crates/ebonyfork/src/gateway/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -1,11 +1,11 @@
 use std::net::IpAddr;
-use std::rc::Rc;
 
 use googletest::prelude::*;
 use tokio::net::TcpListener;
 use tokio::task::{JoinSet, LocalSet};
 use tokio_util::sync::CancellationToken;
 
+use super::metrics::QuotaEvent;
 use super::*;
 use crate::gateway::fixture::{dialect, settings};
 use crate::gateway::ident::ConfigVersion;
@@ -14,8 +14,9 @@
 use crate::gateway::policy::claim::ClaimRecord;
 use crate::gateway::policy::cold::RequestRate;
 use crate::gateway::policy::homes::HomeRegions;
-use crate::gateway::policy::quota::{QUOTA_CLAIM, RequestQuota};
+use crate::gateway::policy::quota::{QUOTA_CLAIM, RequestQuota, RequesterKey};
 use crate::gateway::route::{CallerLimits, RouteTable};
+use crate::ident::RequestFingerprint;
 use crate::store::{StoreEra, StoreRevision};
 
 const QUOTA: RequestQuota = RequestQuota {
@@ -32,6 +33,31 @@
     }
 }
 
+/// Returns an organisation with one part, whose bucket holds one token and has the next 100 ms later.
+fn fast_organisation() -> OrganisationEntry {
+    OrganisationEntry {
+        name: OrganisationName::new("south-office"),
+        quota: Some(RequestQuota {
+            rate: RequestRate(10.0),
+            burst: 1.0,
+        }),
+        ..organisation()
+    }
+}
+
+/// Returns the need of a request that can wait for a time, and whose caller waits a second.
+fn need(longest_wait: Duration) -> TokenNeed {
+    TokenNeed {
+        request: TokenRequest {
+            priority: 0,
+            longest_wait,
+            longest_stay: Duration::from_millis(300),
+            fingerprint: RequestFingerprint(1),
+        },
+        caller_wait: Duration::from_secs(1),
+    }
+}
+
 fn table() -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 1_000,
@@ -39,11 +65,12 @@
         header_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let declaration = OrganisationDeclaration {
-        organisation: organisation(),
+    let declaration = |organisation| OrganisationDeclaration {
+        organisation,
         credentials: SmallVec::new(),
     };
-    let organisations = OrganisationTable::new([declaration]).expect("one organisation");
+    let declarations = [organisation(), fast_organisation()].map(declaration);
+    let organisations = OrganisationTable::new(declarations).expect("two organisations");
     RouteTable::new(ConfigVersion(1), [], [], limits).with_organisations(organisations)
 }
 
@@ -103,8 +130,23 @@
         }
     }
 
+    async fn take_fast(&self, longest_wait_ms: u64) -> Result<(), RefusalReason> {
+        let need = need(Duration::from_millis(longest_wait_ms));
+        self.asking
+            .take_quota_token(&fast_organisation(), need, "r-3")
+            .await
+    }
+
+    /// Returns how often the holder took a decision.
+    fn count(&self, event: QuotaEvent) -> u64 {
+        self.holding.metrics.quota.total(event)
+    }
+
     async fn take(&self) -> Result<(), RefusalReason> {
-        self.asking.take_quota_token(&organisation(), "r-1").await
+        let need = need(Duration::ZERO);
+        self.asking
+            .take_quota_token(&organisation(), need, "r-1")
+            .await
     }
 }
 
@@ -121,7 +163,10 @@
         let refused = fleet.take().await;
         expect_that!(refused, err(matches_pattern!(RefusalReason::OverQuota(_))));
         // A holder grants its own requests without a link.
-        let own = fleet.holding.take_quota_token(&organisation(), "r-2").await;
+        let own = fleet
+            .holding
+            .take_quota_token(&organisation(), need(Duration::ZERO), "r-2")
+            .await;
         expect_that!(own, err(matches_pattern!(RefusalReason::OverQuota(_))));
     };
     LocalSet::new().run_until(test).await;
@@ -154,10 +199,91 @@
             let terms = PartTerms::new(fleet.holding.settings.quota_bound, QUOTA);
             let time = fleet.holding.running_time();
             let name = organisation().name;
-            let answer = fleet.holding.quota_desk.take_own(part, &name, terms, time);
-            expect_that!(answer, eq(QuotaAnswer::Unknown));
+            let requester = RequesterKey {
+                session: fleet.holding.session,
+                number: 1,
+            };
+            let asked = (requester, need(Duration::ZERO).request);
+            let desk = &fleet.holding.quota_desk;
+            let decision = desk.decide_own(part, &name, terms, asked, time);
+            expect_that!(decision, none());
         }
         expect_that!(fleet.take().await, err(eq(RefusalReason::QuotaUnknown)));
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against refusing a request whose token is due within its wait.
+#[gtest]
+#[tokio::test]
+async fn a_request_waits_at_the_holder_for_the_next_token() {
+    let test = async {
+        let fleet = HolderFleet::start().await;
+        expect_that!(fleet.take_fast(0).await, ok(eq(())));
+        let (first, second) = tokio::join!(fleet.take_fast(400), fleet.take_fast(600));
+        expect_that!((first, second), eq((Ok(()), Ok(()))));
+        expect_that!(fleet.count(QuotaEvent::Waited), eq(2));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a token that is granted to a request whose caller has left.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_leaves_releases_its_token() {
+    let test = async {
+        let fleet = HolderFleet::start().await;
+        expect_that!(fleet.take_fast(0).await, ok(eq(())));
+        let leaving = tokio::time::timeout(Duration::from_millis(30), fleet.take_fast(500));
+        expect_that!(leaving.await, err(anything()));
+        expect_that!(fleet.take_fast(500).await, ok(eq(())));
+        expect_that!(fleet.count(QuotaEvent::Waited), eq(1));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a return that was promised a token and finds none.
+#[gtest]
+#[tokio::test]
+async fn a_refused_request_finds_its_token_when_it_returns() {
+    let test = async {
+        let fleet = HolderFleet::start().await;
+        expect_that!(fleet.take_fast(0).await, ok(eq(())));
+        let Err(RefusalReason::OverQuota(wait)) = fleet.take_fast(0).await else {
+            panic!("the bucket is empty");
+        };
+        tokio::time::sleep(wait).await;
+        // The return may use another VM.
+        let returned = fleet
+            .holding
+            .take_quota_token(&fast_organisation(), need(Duration::ZERO), "r-4")
+            .await;
+        expect_that!(returned, ok(eq(())));
+        expect_that!(fleet.count(QuotaEvent::Promised), eq(1));
+        expect_that!(fleet.count(QuotaEvent::PromiseKept), eq(1));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a request that waits for a holder which has lost its reservation.
+#[gtest]
+#[tokio::test]
+async fn a_waiting_request_learns_that_its_holder_is_lost() {
+    let test = async {
+        let mut fleet = HolderFleet::start().await;
+        expect_that!(fleet.take_fast(0).await, ok(eq(())));
+        let asking = Rc::clone(&fleet.asking);
+        let waiting = tokio::task::spawn_local(async move {
+            let need = need(Duration::from_mins(1));
+            let organisation = fast_organisation();
+            asking.take_quota_token(&organisation, need, "r-5").await
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        fleet.holder_tasks.shutdown().await;
+        let vm = fleet.holding.session.vm;
+        fleet.asking.quota_desk.lose_holder(vm);
+        let refused = waiting.await.expect("the task ends");
+        expect_that!(refused, err(eq(RefusalReason::QuotaUnknown)));
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -12,7 +12,7 @@
 use crate::revision::RevisionMessage;
 
 /// Version of the link protocol; peers with any other version are refused.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// First message in each direction of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
