--- a/crates/ebonyfork/src/gateway/policy/quota/terms.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/terms.rs
@@ -80,9 +80,9 @@
 const CLOCK_RESERVE: f64 = 0.1;
 /// Largest difference between the clocks of two VMs.
 const CLOCK_DIFFERENCE: f64 = 0.01;
-/// Longest time from the grant of a token until it is used; a grant that arrives later is given back. A window contains
-/// requests whose tokens were granted up to that long before it.
-const MAX_GRANT_DELAY: Duration = Duration::from_millis(125);
+/// Longest time from the grant of a token until it is used or put back; later, it is lost. A window contains requests
+/// whose tokens were granted up to that long before it.
+pub(super) const MAX_GRANT_DELAY: Duration = Duration::from_millis(125);
 /// Part of the rest that enlarges the buckets, because callers come in bursts and a request that is refused within the
 /// bound is lost for no reason.
 const CAPACITY_SHARE: f64 = 0.45;
@@ -152,13 +152,16 @@
     (additional - reserve).max(0.0)
 }
 
+/// Smallest number of tokens for which a quota gets another part. Only whole tokens are granted, so each part keeps half
+/// a token unused on average: with buckets of little more than a token, organisations within their limit were refused.
+const MIN_PART_CAPACITY: f64 = 2.0;
+
 impl PartTerms {
-    /// Divides a quota. A quota whose bucket is small has fewer parts, because a bucket that can't hold a whole token
-    /// would never grant one.
+    /// Divides a quota. A quota whose bucket is small has fewer parts.
     pub fn new(bound: QuotaBound, quota: RequestQuota) -> Self {
         let additional = usable_additional(bound, quota);
         let capacity_in_all = quota.burst + additional * CAPACITY_SHARE;
-        let part_count = (capacity_in_all as usize).clamp(1, QUOTA_PARTS);
+        let part_count = ((capacity_in_all / MIN_PART_CAPACITY) as usize).clamp(1, QUOTA_PARTS);
         let parts = part_count as f64;
         let recovery_tokens = additional * RECOVERY_SHARE;
         let capacity = (capacity_in_all / parts).max(1.0);
