Divide an organisation's tokens by the route's priority

Cause: the organisation's priority is the same for all its requests, so that all were in one class, and the requests that can wait longest got the tokens.

--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -341,7 +341,7 @@
     let longest_wait = route.target.saturating_sub(used);
     TokenNeed {
         request: TokenRequest {
-            priority: organisation.priority.unwrap_or(route.priority),
+            priority: route.priority,
             longest_wait: longest_wait.min(caller_wait),
             longest_stay: caller_wait / STAY_DIVISOR,
             fingerprint: request.fingerprint,
