Let organisations take turns in the queues for upstream connections

With organisations in the configuration, requests of the same urgency are now ordered by start-time fair queueing, with the organisation's weight (4, 2, 1 by priority; 1 without one) and the usual service time as cost; within an organisation the route's priority goes before the deadline. A request that another VM gathers carries its organisation already. Turns are remembered only while others wait, and for at most 1,024 organisations for each urgency in a queue. Without organisations all requests have the same share, and the order is as before.

Ruled out: deficit round robin. Turns counted while nobody waits were ruled out as well: a connection that nobody else wanted is no advantage, and the state would grow with the number of organisations.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use crate::gateway::dialect::WireNames;
 use crate::gateway::loss::LossCheck;
 use crate::gateway::loss_check::record_loss;
+use crate::gateway::policy::fairness::{FlowKey, QueueShare};
 use crate::gateway::policy::latency::millis;
 use crate::gateway::policy::load_report::LoadReport;
 use crate::gateway::policy::route_latency::RouteLatency;
@@ -117,6 +118,8 @@
     pub latency: Rc<std::cell::RefCell<RouteLatency>>,
     /// Whether the request may run more than once.
     pub idempotency: Idempotency,
+    /// Priority of the route; 0 is the most urgent.
+    pub route_priority: u8,
     /// Longest silence within a streamed answer; `None` if answers must be buffered whole.
     pub stream_idle_timeout: Option<Duration>,
 }
@@ -215,11 +218,15 @@
         useful_until,
         service_time: record.usual_time(),
         received: request.received,
+        share: queue_share(context, request),
     };
     let outcome = match upstream.connect(priority, max_idle, CONNECT_TIMEOUT).await {
         Err(error) => AttemptOutcome::Unsent(error_text(&error)),
         Ok(active_link) => {
             let core = &context.core;
+            if active_link.has_overtaken {
+                core.metrics.fairness.overtakes.inc();
+            }
             let sent_at = now();
             let remaining = request.finish_by.saturating_duration_since(sent_at);
             let remaining_ms = remaining.as_millis() as u64;
@@ -239,6 +246,25 @@
     outcome
 }
 
+/// Returns the share of a request's organisation in the queues for connections. Without organisations in the
+/// configuration all requests have the same share.
+fn queue_share(context: &AttemptContext, request: &ForwardRequest) -> QueueShare {
+    let table = context.core.table();
+    let Some(organisations) = table.as_ref().and_then(|table| table.organisations()) else {
+        return QueueShare::default();
+    };
+    let Some(name) = &request.organisation else {
+        return QueueShare::new(FlowKey::default(), None, context.route_priority);
+    };
+    let organisation = organisations.named(name);
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    QueueShare::new(
+        FlowKey::new(name.as_str()),
+        priority,
+        context.route_priority,
+    )
+}
+
 async fn send(
     context: &AttemptContext,
     upstream: &Rc<Upstream>,
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the gateway.
 
+mod fairness;
+
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+pub use self::fairness::FairnessMetrics;
 use crate::store::StoreRevision;
 
 /// Bucket bounds of the latency histogram, in seconds: finer around the targets, which lie between 0.1 and 1 s.
@@ -52,6 +55,8 @@
     pub copy_era: Gauge<u64, AtomicU64>,
     /// Bytes of the store's changes sent to VMs that follow this one.
     pub sent_change_bytes: Counter,
+    /// Shares of organisations, and queries that can't be answered.
+    pub fairness: FairnessMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -68,6 +73,7 @@
             copy_revision: Gauge::default(),
             copy_era: Gauge::default(),
             sent_change_bytes: Counter::default(),
+            fairness: FairnessMetrics::default(),
         }
     }
 }
@@ -84,6 +90,7 @@
     /// Registers all metrics.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("ebonyfork_gateway");
+        self.fairness.register(registry);
         registry.register("requests", "Callers' requests", self.requests.clone());
         registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
         registry.register("repeats", "Hedges and retries sent", self.repeats.clone());
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -15,6 +15,7 @@
 //! | which VM holds an exclusive right | [`claim`] | holders that are killed, paused or cut off, and a store that is restored from an older copy |
 //! | whether an organisation's request is within its quota | [`quota`] | one organisation sends many times its usual, to a few VMs or to all, while some VMs are lost |
 //! | whether a query is refused before anything is sent | [`hopeless`] | all upstreams of several shards are lost at once |
+//! | which request gets the next connection to an upstream | [`fairness`] | one organisation sends many times as much as the others to the same upstreams |
 //! | which shards are postponed | [`postpone`] | no upstream of some shards answers in time, and the required coverage is met without them |
 //! | whether a shard is retried | [`retry`] | upstreams that decline requests or can't be reached |
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
@@ -27,6 +28,7 @@
 pub mod choice;
 pub mod claim;
 pub mod cold;
+pub mod fairness;
 pub mod gather;
 pub mod health;
 pub mod hedge;
--- a/crates/ebonyfork/src/gateway/run/hopeless.rs
+++ b/crates/ebonyfork/src/gateway/run/hopeless.rs
@@ -108,6 +108,8 @@
         let delay = core.return_spread.borrow_mut().next_delay(priority);
         let wait = query.back_after + delay;
         self.hopeless_return = Some(wait);
+        let missing_shards = &core.metrics.fairness.hopeless_shards;
+        missing_shards.inc_by(query.missing_count as u64);
         log::info!(
             target: "ebonyfork::decision",
             "hopeless request={} organisation={} missing={}/{} back_ms={} retry_after_ms={}",
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -181,6 +181,7 @@
             core: Rc::clone(core),
             latency: core.latency(route),
             idempotency: route.idempotency,
+            route_priority: route.priority,
             stream_idle_timeout: matches!(target, RunTarget::One(_)).then_some(route.timeout),
         };
         let (event_sender, event_receiver) = mpsc::unbounded_channel();
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -296,6 +296,7 @@
             core: Rc::clone(&core),
             latency: Rc::<RefCell<_>>::default(),
             idempotency: Idempotency::Idempotent,
+            route_priority: 0,
             stream_idle_timeout: None,
         };
         let request = request(Duration::ZERO);
--- a/crates/ebonyfork/src/gateway/slots.rs
+++ b/crates/ebonyfork/src/gateway/slots.rs
@@ -1,40 +1,22 @@
-//! Limits the number of connections to one upstream that are in use, and queues requests by deadline.
+//! Limits the number of connections to one upstream that are in use, and queues requests for them.
 //!
 //! With a first-come, first-served queue an overload makes every request late, because each waits behind requests that
 //! are late already. Here requests that can still meet their deadline go first, the most urgent of them before the
 //! others. Requests that can no longer meet it get only the connections that are left over, and at most half of all.
+//! Organisations take turns ([`SlotOrder`]).
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
+use crate::gateway::policy::fairness::SlotOrder;
+pub use crate::gateway::policy::fairness::SlotPriority;
+
 /// Divisor that yields the number of connections available to requests that can no longer meet their deadline, at least
 /// one. More would fill the upstream's own queue, in which nothing can overtake.
 const LATE_DIVISOR: usize = 2;
 
-/// Properties by which a request that waits for a connection is ranked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SlotPriority {
-    /// Time until which an answer is of full value; `None` if that time has passed.
-    pub useful_until: Option<Instant>,
-    /// Usual service time of the upstream.
-    pub service_time: Duration,
-    /// Time at which the request was received.
-    pub received: Instant,
-}
-
-impl SlotPriority {
-    /// Returns the rank at a given time; the lowest goes first.
-    fn rank(&self, now: Instant) -> (bool, Instant) {
-        match self.useful_until {
-            Some(deadline) if now + self.service_time <= deadline => (false, deadline),
-            _ => (true, self.received),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct SlotWaiter {
     priority: SlotPriority,
@@ -46,6 +28,7 @@
     limit: usize,
     in_use: usize,
     waiters: Vec<SlotWaiter>,
+    order: SlotOrder,
 }
 
 /// Queue for the connections to one upstream. Clones share it.
@@ -58,6 +41,8 @@
 #[derive(Debug)]
 pub struct SlotPermit {
     queue: SlotQueue,
+    /// Whether the request went before one of another organisation that was first by deadline.
+    pub has_overtaken: bool,
 }
 
 impl Drop for SlotPermit {
@@ -74,6 +59,7 @@
             limit,
             in_use: 0,
             waiters: Vec::new(),
+            order: SlotOrder::default(),
         };
         Self {
             state: Rc::new(RefCell::new(state)),
@@ -108,31 +94,36 @@
 
     /// Hands free permits to the first waiters.
     fn dispatch(&self) {
-        while let Some(waiter) = self.next_waiter() {
+        while let Some((waiter, has_overtaken)) = self.next_waiter() {
             self.state.borrow_mut().in_use += 1;
             let permit = SlotPermit {
                 queue: self.clone(),
+                has_overtaken,
             };
             // A waiter that has given up drops the permit, which dispatches it to the next one.
             let _given_up = waiter.sender.send(permit);
         }
     }
 
-    fn next_waiter(&self) -> Option<SlotWaiter> {
+    /// Takes the next waiter out of the queue. Also returns whether it has overtaken one of another organisation.
+    fn next_waiter(&self) -> Option<(SlotWaiter, bool)> {
         let mut state = self.state.borrow_mut();
         state.waiters.retain(|waiter| !waiter.sender.is_closed());
         if state.in_use >= state.limit {
             return None;
         }
         let now = crate::gateway::clock::now();
-        let numbered_waiters = state.waiters.iter().enumerate();
-        let (first_index, waiter) =
-            numbered_waiters.min_by_key(|(_index, waiter)| waiter.priority.rank(now))?;
-        let (is_late, _) = waiter.priority.rank(now);
-        if is_late && state.in_use >= (state.limit / LATE_DIVISOR).max(1) {
+        let priorities = state.waiters.iter().map(|waiter| &waiter.priority);
+        let next = state.order.next_waiter(priorities, now)?;
+        if next.is_late && state.in_use >= (state.limit / LATE_DIVISOR).max(1) {
             return None;
         }
-        Some(state.waiters.remove(first_index))
+        let waiter = state.waiters.remove(next.index);
+        let waiter_count = state.waiters.len();
+        state
+            .order
+            .record_grant(&waiter.priority, next.is_late, waiter_count);
+        Some((waiter, next.has_overtaken))
     }
 }
 
--- a/crates/ebonyfork/src/gateway/slots_tests.rs
+++ b/crates/ebonyfork/src/gateway/slots_tests.rs
@@ -1,7 +1,10 @@
+use std::time::{Duration, Instant};
+
 use googletest::prelude::*;
 use tokio::time::Instant as TokioInstant;
 
 use super::*;
+use crate::gateway::policy::fairness::{FlowKey, QueueShare};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -12,6 +15,7 @@
         useful_until: useful_ms.map(|useful| start + ms(useful)),
         service_time: ms(30),
         received: start + ms(received_ms),
+        share: QueueShare::default(),
     }
 }
 
@@ -108,3 +112,32 @@
     let only_permit = tokio::time::timeout(ms(10), single_slot_queue.acquire(late_priority)).await;
     expect_that!(only_permit.is_ok(), eq(true));
 }
+
+/// Guards against one organisation's requests taking all connections because their deadlines are nearer. Without
+/// organisations the order by deadline is the same as ever.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn organisations_take_turns() {
+    let start = TokioInstant::now().into_std();
+    let share = |name: &str| QueueShare::new(FlowKey::new(name), None, 0);
+    for (has_organisations, order) in [(true, "axbycd"), (false, "abcdxy")] {
+        let queue = SlotQueue::new(1);
+        let waiter = |name: char, organisation: &str, useful_ms: u64| {
+            let mut priority = priority(0, Some(useful_ms), start);
+            if has_organisations {
+                priority.share = share(organisation);
+            }
+            (name, priority)
+        };
+        let priorities = vec![
+            waiter('a', "north-office", 200),
+            waiter('b', "north-office", 210),
+            waiter('c', "north-office", 220),
+            waiter('d', "north-office", 230),
+            waiter('x', "south-office", 500),
+            waiter('y', "south-office", 510),
+        ];
+        expect_that!(service_order(&queue, priorities).await, eq(order));
+        expect_that!(queue.state.borrow().order.flow_count(), eq(0));
+    }
+}
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -103,6 +103,8 @@
     pub link: HttpLink,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
+    /// Whether the request has got the connection before one of another organisation that was first by deadline.
+    pub has_overtaken: bool,
     permit: SlotPermit,
 }
 
@@ -261,10 +263,12 @@
             let reason = "the upstream was removed".into();
             return Err(LinkError::Unsent { reason });
         };
+        let has_overtaken = permit.has_overtaken;
         if let Some(link) = self.take_idle_link(max_idle) {
             return Ok(ActiveLink {
                 link,
                 reused: true,
+                has_overtaken,
                 permit,
             });
         }
@@ -273,6 +277,7 @@
         Ok(ActiveLink {
             link,
             reused: false,
+            has_overtaken,
             permit,
         })
     }
