Deny the organisation with most repeats first when few are left

Repeats were first come, first served.

While less than half of a service's bucket is left, a repeat is now denied (`over_share`) if its organisation has spent more than its share, by weight, of the repeats in the last window. With one organisation or none the budget is as before. The bound on repeats is not affected: the rule only denies.

Ruled out: counting the requests of each organisation and service, which takes state for each pair of them.

--- a/crates/ebonyfork/src/gateway/policy/budget/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/account.rs
@@ -6,34 +6,12 @@
 
 use std::time::Duration;
 
-use snafu::Snafu;
-
-use super::bucket::{RetryBudget, RetryBudgetConfig};
+use super::bucket::{RepeatDenial, RetryBudget, RetryBudgetConfig};
 use super::lease::{LendRefusal, ShareLeases};
+use super::share::RepeatSpender;
 use crate::gateway::ident::UpstreamService;
 use crate::ident::VmAddress;
 
-/// Reason why a repeat was denied.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
-pub enum RepeatDenial {
-    /// The process holds no share: it has just started, or has leased its own share to another VM.
-    #[snafu(display("no_share"))]
-    NoShare,
-    /// The service's token bucket is empty.
-    #[snafu(display("empty"))]
-    Empty,
-}
-
-impl RepeatDenial {
-    /// Returns the reason as it appears in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::NoShare => "no_share",
-            Self::Empty => "empty",
-        }
-    }
-}
-
 /// Retry budget of one process. Times are durations since its start, on a clock that keeps running while the VM is
 /// suspended.
 #[derive(Debug)]
@@ -101,15 +79,19 @@
     /// Takes one token for a repeat to a service, or returns the reason why the repeat is denied. Either way the VM
     /// keeps its own share for some time, because it has tried to send a repeat.
     pub fn spend(&mut self, service: &UpstreamService, now: Duration) -> Result<(), RepeatDenial> {
+        self.spend_for(service, None, now)
+    }
+
+    /// Takes one token as [`Self::spend`] does, on behalf of an organisation.
+    pub fn spend_for(
+        &mut self,
+        service: &UpstreamService,
+        spender: Option<RepeatSpender>,
+        now: Duration,
+    ) -> Result<(), RepeatDenial> {
         self.apply_due_changes(now);
         self.leases.record_repeat(now);
-        if self.budget.spend(service, now) {
-            return Ok(());
-        }
-        if self.budget.shares() == 0 {
-            return Err(RepeatDenial::NoShare);
-        }
-        Err(RepeatDenial::Empty)
+        self.budget.spend_for(service, spender, now)
     }
 
     /// Returns the number of repeats that could be sent to a service now.
--- a/crates/ebonyfork/src/gateway/policy/budget/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/bucket.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use snafu::Snafu;
 
+use super::share::{RepeatShares, RepeatSpender};
 use crate::gateway::ident::UpstreamService;
 
 /// Fraction of the bound that is used. The rest allows for the delay between spending a token and the arrival of the
@@ -22,6 +24,34 @@
 /// Fraction of the slack that a bucket can store; the rest is refilled over the window.
 const STORED_FRACTION: f64 = 0.6;
 
+/// Fraction of a full bucket below which organisations that have spent more than their share are denied.
+const SHARED_FRACTION: f64 = 0.5;
+
+/// Reason why a repeat was denied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum RepeatDenial {
+    /// The process holds no share: it has just started, or has leased its own share to another VM.
+    #[snafu(display("no_share"))]
+    NoShare,
+    /// The service's token bucket is empty.
+    #[snafu(display("empty"))]
+    Empty,
+    /// Little is left, and the organisation has spent more than its share.
+    #[snafu(display("over_share"))]
+    OverShare,
+}
+
+impl RepeatDenial {
+    /// Returns the reason as it appears in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoShare => "no_share",
+            Self::Empty => "empty",
+            Self::OverShare => "over_share",
+        }
+    }
+}
+
 /// Bound on repeats for each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetConfig {
@@ -70,6 +100,8 @@
     /// State of a bucket that was never used; new services start from it.
     new_service_bucket: TokenBucket,
     buckets: FxHashMap<UpstreamService, TokenBucket>,
+    /// Repeats that each organisation has spent, by service.
+    spent_shares: FxHashMap<UpstreamService, RepeatShares>,
 }
 
 impl RetryBudget {
@@ -100,6 +132,7 @@
             shares: 1,
             new_service_bucket: TokenBucket::default(),
             buckets: FxHashMap::default(),
+            spent_shares: FxHashMap::default(),
         }
     }
 
@@ -156,12 +189,41 @@
 
     /// Takes one token for a repeat to a service and returns true, or returns false if there is none.
     pub fn spend(&mut self, service: &UpstreamService, now: Duration) -> bool {
-        let bucket = self.bucket(service, now);
-        if bucket.tokens < 1.0 {
-            return false;
+        self.spend_for(service, None, now).is_ok()
+    }
+
+    /// Takes one token for a repeat to a service on behalf of an organisation, or returns the reason why the repeat is
+    /// denied. Without an organisation the repeat counts towards nobody's share.
+    pub fn spend_for(
+        &mut self,
+        service: &UpstreamService,
+        spender: Option<RepeatSpender>,
+        now: Duration,
+    ) -> Result<(), RepeatDenial> {
+        let is_low_below = self.parameters().capacity * SHARED_FRACTION;
+        let tokens = self.bucket(service, now).tokens;
+        if tokens < 1.0 {
+            return Err(self.empty_denial());
+        }
+        if let Some(spender) = spender {
+            let window = self.config.window;
+            let shares = self.spent_shares.entry(service.clone()).or_default();
+            shares.update(window, now);
+            if tokens < is_low_below && shares.is_over_share(spender, window, now) {
+                return Err(RepeatDenial::OverShare);
+            }
+            shares.record(spender);
+        }
+        self.bucket(service, now).tokens -= 1.0;
+        Ok(())
+    }
+
+    fn empty_denial(&self) -> RepeatDenial {
+        if self.shares == 0 {
+            RepeatDenial::NoShare
+        } else {
+            RepeatDenial::Empty
         }
-        bucket.tokens -= 1.0;
-        true
     }
 
     /// Returns the number of repeats that could be sent to a service now.
@@ -181,6 +243,9 @@
         let window = self.config.window;
         self.buckets
             .retain(|_service, bucket| now.saturating_sub(bucket.last_used) < window);
+        let buckets = &self.buckets;
+        self.spent_shares
+            .retain(|service, _shares| buckets.contains_key(service));
     }
 
     fn bucket(&mut self, service: &UpstreamService, now: Duration) -> &mut TokenBucket {
--- a/crates/ebonyfork/src/gateway/policy/budget/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/mod.rs
@@ -16,6 +16,9 @@
 //! - A process that starts to hold a share starts with an empty bucket, so it needn't know what the previous holder
 //!   spent.
 //!
+//! Organisations share the tokens of each VM: while few are left, those that have spent more than their share are denied
+//! first ([`RepeatSpender`]).
+//!
 //! A lost message, a network partition or a killed VM only leaves a share unused for one term. No VM keeps accounts for
 //! the others, nothing is written to the store, and one message per second leases a share for all services.
 
@@ -23,8 +26,10 @@
 mod bucket;
 mod lease;
 mod message;
+mod share;
 
 pub use account::LeasedRetryBudget;
-pub use bucket::{RetryBudget, RetryBudgetConfig};
+pub use bucket::{RepeatDenial, RetryBudget, RetryBudgetConfig};
 pub use lease::ShareLeases;
 pub use message::ShareMessage;
+pub use share::RepeatSpender;
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -19,7 +19,7 @@
 //! | which shards are postponed | [`postpone`] | no upstream of some shards answers in time, and the required coverage is met without them |
 //! | whether a shard is retried | [`retry`] | upstreams that decline requests or can't be reached |
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
-//! | how many repeats (retries and hedges) may be sent | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use |
+//! | how many repeats (retries and hedges) may be sent, and for which organisation | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use; one organisation needs most of the repeats |
 //! | when a query is answered | [`gather`] | the last parts arrive after the target, or never |
 //! | how long before its target an answer must be decided | [`answer_lag`] | a VM that is busy or slow |
 
--- a/crates/ebonyfork/src/gateway/request_tests.rs
+++ b/crates/ebonyfork/src/gateway/request_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::gateway::fixture::wire_names;
+use crate::gateway::policy::homes::HomeRegions;
 
 fn forward(headers: &[(&str, &str)], target: &str, body: &'static [u8]) -> ForwardRequest {
     let mut builder = Request::builder().method("POST").uri(target);
@@ -92,3 +93,24 @@
         );
     }
 }
+
+/// Guards against requests that lose their organisation when another VM gathers their parts, so that they would take
+/// turns in queues as if they were nobody's. What a caller states about its organisation counts for nothing.
+#[gtest]
+fn a_passed_on_request_keeps_its_organisation() {
+    let organisation = OrganisationEntry {
+        name: OrganisationName::new("north-office"),
+        quota: None,
+        priority: None,
+        home_regions: HomeRegions::default(),
+    };
+    let now = Instant::now();
+    let pass_on = |request: ForwardRequest| {
+        let passed_on = ForwardRequest::from_partial(&wire_names(), request.to_partial(), now, now);
+        passed_on.map(|request| request.organisation)
+    };
+    let request = || forward(&[("host", "a"), ("x-organisation", "another")], "/x/", b"b");
+    expect_that!(pass_on(request()), ok(none()));
+    let with_organisation = request().with_organisation(&wire_names(), Some(&organisation));
+    expect_that!(pass_on(with_organisation), ok(some(eq(&organisation.name))));
+}
--- a/crates/ebonyfork/src/gateway/run/attempt.rs
+++ b/crates/ebonyfork/src/gateway/run/attempt.rs
@@ -11,9 +11,11 @@
 use super::QueryRun;
 use crate::gateway::clock::now;
 use crate::gateway::exchange::{AttemptOutcome, run_attempt};
-use crate::gateway::ident::UpstreamIncarnation;
+use crate::gateway::ident::{UpstreamIncarnation, UpstreamService};
 use crate::gateway::metrics::OutcomeLabel;
+use crate::gateway::policy::budget::{RepeatDenial, RepeatSpender};
 use crate::gateway::policy::choice::{UpstreamChoice, choose_upstream};
+use crate::gateway::policy::fairness::FlowKey;
 use crate::gateway::policy::hedge::HedgeCandidate;
 use crate::gateway::policy::latency::AttemptKind;
 use crate::gateway::policy::retry;
@@ -138,10 +140,11 @@
     pub(super) fn spend(&self, shard: usize) -> bool {
         let core = &self.context.core;
         let service = self.target.service(shard);
-        let spend_result = core
-            .retry_budget
-            .borrow_mut()
-            .spend(service, core.running_time());
+        let spender = self.repeat_spender();
+        let spend_result =
+            core.retry_budget
+                .borrow_mut()
+                .spend_for(service, spender, core.running_time());
         match spend_result {
             Ok(()) => {
                 core.metrics.repeats.inc();
@@ -149,6 +152,9 @@
             Err(denial) => {
                 let label = OutcomeLabel(denial.label());
                 core.metrics.unfunded.get_or_create(&label).inc();
+                if denial == RepeatDenial::OverShare {
+                    self.log_over_share(service);
+                }
                 self.denied_repeats.set(self.denied_repeats.get() + 1);
                 self.last_denial.set(denial.label());
             }
@@ -156,6 +162,29 @@
         spend_result.is_ok()
     }
 
+    /// Returns the organisation that repeats are sent for, if there are several that share the retry budget.
+    fn repeat_spender(&self) -> Option<RepeatSpender> {
+        let table = self.context.core.table()?;
+        let has_several = table.organisations()?.len() > 1;
+        let name = self.request.organisation.as_ref()?;
+        let flow = FlowKey::new(name.as_str());
+        has_several.then(|| RepeatSpender::new(flow, self.organisation_priority()))
+    }
+
+    /// Logs that a repeat was denied because of the organisation's share, once for each request and reason in a row.
+    fn log_over_share(&self, service: &UpstreamService) {
+        if self.last_denial.get() == RepeatDenial::OverShare.label() {
+            return;
+        }
+        log::info!(
+            target: "ebonyfork::decision",
+            "repeat denied request={} organisation={} service={service} reason={}",
+            self.request.id.to_str().unwrap_or("-"),
+            self.request.organisation.as_ref().map_or("-", |name| name.as_str()),
+            RepeatDenial::OverShare.label()
+        );
+    }
+
     /// Counts the request to a shard in the retry budget, once.
     pub(super) fn count_request(&mut self, shard: usize) {
         if self.state.shards()[shard].request_counted {
--- a/crates/ebonyfork/src/gateway/run/hopeless.rs
+++ b/crates/ebonyfork/src/gateway/run/hopeless.rs
@@ -123,7 +123,7 @@
     }
 
     /// Returns the priority of the organisation on whose behalf the request is made.
-    fn organisation_priority(&self) -> Option<u8> {
+    pub(super) fn organisation_priority(&self) -> Option<u8> {
         let table = self.context.core.table()?;
         let name = self.request.organisation.as_ref()?;
         table.organisations()?.named(name)?.priority
