--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -427,3 +427,7 @@
 fn error_text(error: &LinkError) -> CompactString {
     compact_str::format_compact!("{error}")
 }
+
+#[cfg(test)]
+#[path = "exchange_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/upstream_tests.rs
+++ b/crates/ebonyfork/src/gateway/upstream_tests.rs
@@ -33,3 +33,30 @@
     upstream.raise_limit(now + RAISE_PERIOD);
     expect_that!(upstream.slots.limit(), eq(2));
 }
+
+/// Guards against treating an upstream as lost because a link to it is cut, although it still updates its entry.
+#[gtest]
+fn a_heartbeat_ends_the_evidence_that_an_upstream_is_lost() {
+    let start = Instant::now();
+    let address = ([127, 0, 0, 1], 1).into();
+    let first_entry = entry("i-1", "s", "north-a", address);
+    let upstream = Upstream::new(first_entry.clone(), start, 2);
+    let mut now = start;
+    for _failure in 0..5 {
+        now += Duration::from_millis(300);
+        upstream.health.borrow_mut().record_start(now);
+        upstream.health.borrow_mut().record_unreachable(now, now);
+    }
+    // The entry is read again, which says nothing about the upstream.
+    upstream.update(first_entry.clone(), now);
+    expect_that!(
+        upstream.health.borrow().unreachable_until(now),
+        some(gt(now))
+    );
+    let next_entry = UpstreamEntry {
+        heartbeats: first_entry.heartbeats + 1,
+        ..first_entry
+    };
+    upstream.update(next_entry, now);
+    expect_that!(upstream.health.borrow().unreachable_until(now), none());
+}
