--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the gateway.
 
+mod fairness;
+
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+pub use self::fairness::FairnessMetrics;
 use crate::gateway::quota::QuotaMetrics;
 use crate::store::StoreRevision;
 
@@ -55,6 +58,8 @@
     pub sent_change_bytes: Counter,
     /// Decisions on tokens of organisations' quotas.
     pub quota: QuotaMetrics,
+    /// Shares of organisations, and queries that can't be answered.
+    pub fairness: FairnessMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -72,6 +77,7 @@
             copy_era: Gauge::default(),
             sent_change_bytes: Counter::default(),
             quota: QuotaMetrics::default(),
+            fairness: FairnessMetrics::default(),
         }
     }
 }
@@ -88,6 +94,7 @@
     /// Registers all metrics.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("ebonyfork_gateway");
+        self.fairness.register(registry);
         registry.register("requests", "Callers' requests", self.requests.clone());
         registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
         registry.register("repeats", "Hedges and retries sent", self.repeats.clone());
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -15,10 +15,11 @@
 //! | which VM holds an exclusive right | [`claim`] | holders that are killed, paused or cut off, and a store that is restored from an older copy |
 //! | whether an organisation's request is within its quota | [`quota`] | one organisation sends many times its usual, to a few VMs or to all, while some VMs are lost |
 //! | whether a query is refused before anything is sent | [`hopeless`] | all upstreams of several shards are lost at once |
+//! | which request gets the next connection to an upstream | [`fairness`] | one organisation sends many times as much as the others to the same upstreams |
 //! | which shards are postponed | [`postpone`] | no upstream of some shards answers in time, and the required coverage is met without them |
 //! | whether a shard is retried | [`retry`] | upstreams that decline requests or can't be reached |
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
-//! | how many repeats (retries and hedges) may be sent | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use |
+//! | how many repeats (retries and hedges) may be sent, and for which organisation | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use; one organisation needs most of the repeats |
 //! | when a query is answered | [`gather`] | the last parts arrive after the target, or never |
 //! | how long before its target an answer must be decided | [`answer_lag`] | a VM that is busy or slow |
 
@@ -27,6 +28,7 @@
 pub mod choice;
 pub mod claim;
 pub mod cold;
+pub mod fairness;
 pub mod gather;
 pub mod health;
 pub mod hedge;
--- a/crates/ebonyfork/src/gateway/run/hopeless.rs
+++ b/crates/ebonyfork/src/gateway/run/hopeless.rs
@@ -108,6 +108,8 @@
         let delay = core.return_spread.borrow_mut().next_delay(priority);
         let wait = query.back_after + delay;
         self.hopeless_return = Some(wait);
+        let missing_shards = &core.metrics.fairness.hopeless_shards;
+        missing_shards.inc_by(query.missing_count as u64);
         log::info!(
             target: "ebonyfork::decision",
             "hopeless request={} organisation={} missing={}/{} back_ms={} retry_after_ms={}",
@@ -121,7 +123,7 @@
     }
 
     /// Returns the priority of the organisation on whose behalf the request is made.
-    fn organisation_priority(&self) -> Option<u8> {
+    pub(super) fn organisation_priority(&self) -> Option<u8> {
         let table = self.context.core.table()?;
         let name = self.request.organisation.as_ref()?;
         table.organisations()?.named(name)?.priority
