Transfers between holders: decisions, and the random history with transfers

Cause: an organisation that sends all requests to one VM finds a sixth of its quota at the nearest holder.

policy/quota/transfer.rs decides whom a holder asks for tokens, for how many, what it remembers of empty and silent holders, and which transfers it drops. A round asks for no more tokens than fit into the bucket and no second round begins within 50 ms; otherwise two holders that ask each other all the time would keep tokens in transit while their buckets refill, so that the sum exceeds the capacities by more than the refill of 50 ms.

Ruled out: a round for each request, because a busy organisation would ask all holders for each of its requests.

--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -93,8 +93,8 @@
 pub use policy::latency::{AttemptKind, LatencyHistogram};
 pub use policy::load_report::{LoadReport, LoadReportError};
 pub use policy::quota::{
-    AskPlan, PartHold, PartLedger, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage,
-    QuotaRefusal, RequestQuota, next_return, plan_asks,
+    AskPlan, OtherHolder, PartHold, PartLedger, PartTerms, PartTransfers, PartView, QuotaAnswer,
+    QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, next_return, plan_asks,
 };
 pub use request::strip_hop_headers;
 pub use route::{
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -25,6 +25,7 @@
 mod message;
 mod returns;
 mod terms;
+mod transfer;
 
 use std::time::Duration;
 
@@ -33,6 +34,10 @@
 pub use message::{QuotaAnswer, QuotaMessage};
 pub use returns::next_return;
 pub use terms::{PartHold, PartTerms, QuotaBound, RequestQuota};
+pub use transfer::{
+    OtherHolder, PartTransfers, TRANSFER_TIMEOUT, TransferAsks, TransferDrop, add_tokens,
+    bucket_room, give_tokens,
+};
 
 use crate::gateway::policy::claim::ClaimTimings;
 
@@ -58,3 +63,5 @@
 mod history_fixture;
 #[cfg(test)]
 mod history_tests;
+#[cfg(test)]
+mod history_transfers;
--- a/crates/ebonyfork/src/gateway/policy/quota/terms.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/terms.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::QUOTA_PARTS;
+use super::transfer::TRANSFER_TIMEOUT;
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::claim::StoreClaim;
 use crate::gateway::policy::cold::RequestRate;
@@ -141,13 +142,14 @@
 }
 
 /// Returns what can be divided of the requests that the bound allows in addition to the quota. What buckets refill
-/// because of a fast clock, or while grants travel, is left unused. A tenth of the additional requests isn't enough for
+/// because of a fast clock, or while grants and transfers travel, is left unused. A tenth of the additional requests isn't enough for
 /// quotas with a high rate.
 fn usable_additional(bound: QuotaBound, quota: RequestQuota) -> f64 {
     let additional = bound.additional(quota);
     let window = bound.window.as_secs_f64();
     let refill_rate = quota.rate.0 + additional * RECOVERY_SHARE / window;
-    let uncertain_time = window * CLOCK_DIFFERENCE + MAX_GRANT_DELAY.as_secs_f64();
+    let travel_time = MAX_GRANT_DELAY + TRANSFER_TIMEOUT;
+    let uncertain_time = window * CLOCK_DIFFERENCE + travel_time.as_secs_f64();
     let reserve = (additional * CLOCK_RESERVE).max(refill_rate * uncertain_time);
     (additional - reserve).max(0.0)
 }
