--- a/crates/ebonyfork/src/gateway/policy/quota/history_fixture.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_fixture.rs
@@ -189,10 +189,10 @@
     pub(super) era: StoreEra,
     pub(super) store_down_until: Duration,
     /// Messages by the time of their arrival, and a number that makes the key unique.
-    transit: BTreeMap<(Duration, u64), Transit>,
-    transit_count: u64,
+    pub(super) transit: BTreeMap<(Duration, u64), Transit>,
+    pub(super) transit_count: u64,
     /// Messages on links that are stalled until the next burst of demand.
-    stalled: Vec<Transit>,
+    pub(super) stalled: Vec<Transit>,
     /// Send times of all requests, in order.
     sends: Vec<Duration>,
     pub(super) faults: Option<Faults>,
@@ -324,35 +324,6 @@
         }
     }
 
-    /// Sends a message that arrives after the given time.
-    pub(super) fn send(&mut self, delay: Duration, transit: Transit) {
-        self.transit_count += 1;
-        let key = (self.now + delay, self.transit_count);
-        self.transit.insert(key, transit);
-    }
-
-    /// Sends a message that usually arrives within `usual_ms`, unless its link is slow or stalled.
-    pub(super) fn send_slowly(&mut self, usual_ms: u64, transit: Transit) {
-        let slow_share = self.slow_share();
-        if !self.rng.random_bool(slow_share) {
-            let delay = self.random_ms(1..usual_ms);
-            self.send(delay, transit);
-        } else if self.rng.random_bool(0.3) {
-            let delay = self.random_ms(1..20_000);
-            self.send(delay, transit);
-        } else {
-            self.stalled.push(transit);
-        }
-    }
-
-    /// Lets the messages on stalled links arrive within the next seconds.
-    pub(super) fn release_stalled(&mut self) {
-        for transit in std::mem::take(&mut self.stalled) {
-            let delay = self.random_ms(1..2_000);
-            self.send(delay, transit);
-        }
-    }
-
     /// Delivers the messages that arrive until now, in the order of their arrival.
     fn deliver(&mut self) {
         let end = self.now;
@@ -444,7 +415,7 @@
             };
             match taken {
                 Ok(()) => self.send_slowly(40, Transit::Grant { asker, asked_at }),
-                Err(wait) => self.begin_transfers(number, part, hold, wait),
+                Err(_wait) => self.begin_transfers(number, part, hold),
             }
             return;
         }
--- a/crates/ebonyfork/src/gateway/policy/quota/history_transfers.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_transfers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::history_fixture::{LeftOut, QuotaHistory, Transit, organisation};
-use super::{OtherHolder, PartHold, PartTerms, QUOTA_PARTS, add_tokens, bucket_room, give_tokens};
+use super::{OtherHolder, PartHold, PartTerms, QUOTA_PARTS};
 use crate::gateway::settings::PlaceDistance;
 
 /// Tokens that a process asks another holder for, or gets from it.
@@ -22,19 +22,9 @@
 }
 
 impl QuotaHistory {
-    /// Lets a holder without tokens begin a round. `wait` is the time until its next token.
-    pub(super) fn begin_transfers(
-        &mut self,
-        vm_number: usize,
-        own_part: usize,
-        hold: PartHold,
-        wait: Duration,
-    ) {
+    /// Lets a holder without tokens begin a round.
+    pub(super) fn begin_transfers(&mut self, vm_number: usize, own_part: usize, hold: PartHold) {
         let terms = self.part_terms();
-        let room = match self.left_out {
-            LeftOut::TransferRoom => 1_000,
-            _ => bucket_room(terms, wait),
-        };
         let others = (0..QUOTA_PARTS as u8).filter(|part| usize::from(*part) != own_part);
         let holders: Vec<OtherHolder> = others
             .map(|part| OtherHolder {
@@ -44,6 +34,10 @@
             .collect();
         let vm = &mut self.vms[vm_number];
         let clock = vm.clock(self.now);
+        let room = match self.left_out {
+            LeftOut::TransferRoom => 1_000,
+            _ => vm.ledgers[own_part].room(&organisation(), terms, hold, clock),
+        };
         vm.next_number += 1;
         let (incarnation, number) = (vm.incarnation, vm.next_number);
         let asks = vm.transfers[own_part].begin_round(number, &holders, room, hold, clock);
@@ -75,14 +69,10 @@
             let Some(hold) = PartHold::of_claim(&vm.claims[part], clock) else {
                 continue;
             };
-            let (tokens, next_token) = give_tokens(
-                &mut vm.ledgers[part],
-                &vm.transfers[part],
-                (&organisation(), terms),
-                request.tokens,
-                hold,
-                clock,
-            );
+            let limit = vm.transfers[part].give_limit(request.tokens, clock);
+            let ledger = &mut vm.ledgers[part];
+            let tokens = ledger.give_away(&organisation(), terms, hold, limit, clock);
+            let next_token = ledger.next_spare(&organisation(), terms);
             let transfer = ModelTransfer {
                 tokens,
                 next_token,
@@ -126,7 +116,7 @@
             return;
         }
         let ledger = &mut vm.ledgers[transfer.own_part];
-        add_tokens(ledger, (&organisation(), terms), tokens, hold);
+        ledger.receive(&organisation(), terms, hold, tokens, clock);
     }
 
     fn part_terms(&self) -> PartTerms {
