--- a/crates/ebonyfork/src/gateway/policy/quota/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/account.rs
@@ -134,14 +134,19 @@
         contention.map_or(0, |contention| contention.schedule.len())
     }
 
-    /// Takes one token if there is one that is neither reserved nor promised. Otherwise returns the time of the next.
-    pub(super) fn take(&mut self, moment: PartMoment) -> Result<(), Duration> {
+    /// Returns the time of the next token that is neither reserved nor promised.
+    pub(super) fn next_slot(&mut self, moment: PartMoment) -> Duration {
         self.refill(moment);
         let supply = self.bucket.supply(moment);
-        let slot = match &self.contention {
+        match &self.contention {
             Some(contention) => contention.schedule.earliest_slot(supply, |_entry| true),
             None => supply.time_of(1.0 - TOLERANCE),
-        };
+        }
+    }
+
+    /// Takes one token if there is one that is neither reserved nor promised. Otherwise returns the time of the next.
+    pub(super) fn take(&mut self, moment: PartMoment) -> Result<(), Duration> {
+        let slot = self.next_slot(moment);
         if slot > moment.now {
             return Err(slot);
         }
--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -204,6 +204,32 @@
         account.map_or(0, OrganisationAccount::waiting_count)
     }
 
+    /// Returns the number of whole tokens that are neither reserved nor promised.
+    pub fn spare_tokens(
+        &mut self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        hold: PartHold,
+        now: Duration,
+    ) -> u32 {
+        let account = self.account(organisation, terms, hold);
+        account.refill(PartMoment { terms, hold, now });
+        account.spare_tokens()
+    }
+
+    /// Returns the time until there is a token that is neither reserved nor promised.
+    pub fn next_token(
+        &mut self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        hold: PartHold,
+        now: Duration,
+    ) -> Duration {
+        let account = self.account(organisation, terms, hold);
+        let slot = account.next_slot(PartMoment { terms, hold, now });
+        slot.saturating_sub(now)
+    }
+
     /// Removes up to `wanted` whole tokens that are neither reserved nor promised, to give them to another part, and
     /// returns how many were removed.
     pub fn give_away(
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -29,6 +29,7 @@
 mod schedule;
 mod shares;
 mod terms;
+mod transfer;
 
 use std::time::Duration;
 
@@ -40,6 +41,10 @@
 pub use request::{RequesterKey, TokenDecision, TokenRefusal, TokenRequest, WaitCheck, WaitEnd};
 pub use returns::next_return;
 pub use terms::{PartHold, PartTerms, QuotaBound, RequestQuota};
+pub use transfer::{
+    OtherHolder, PartTransfers, TRANSFER_TIMEOUT, TransferAsks, TransferDrop, add_tokens,
+    bucket_room, give_tokens,
+};
 
 use crate::gateway::policy::claim::ClaimTimings;
 
@@ -73,3 +78,5 @@
 mod history_fixture;
 #[cfg(test)]
 mod history_tests;
+#[cfg(test)]
+mod history_transfers;
