--- a/crates/ebonyfork/src/gateway/policy/quota/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/account.rs
@@ -206,8 +206,12 @@
 
     /// Returns how many whole tokens are neither reserved nor promised.
     pub(super) fn spare_tokens(&self) -> u32 {
-        let spare = self.bucket.tokens - self.committed() as f64;
-        (spare + TOLERANCE).max(0.0) as u32
+        (self.uncommitted_tokens() + TOLERANCE).max(0.0) as u32
+    }
+
+    /// Returns the tokens beyond those of waiting requests and promises; negative if these lack some.
+    pub(super) fn uncommitted_tokens(&self) -> f64 {
+        self.bucket.tokens - self.committed() as f64
     }
 
     /// Returns how many tokens waiting requests and promises lack.
--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -222,6 +222,27 @@
         given
     }
 
+    /// Returns how many whole tokens fit into the bucket of an organisation.
+    pub fn room(
+        &mut self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        hold: PartHold,
+        now: Duration,
+    ) -> u32 {
+        let account = self.account(organisation, terms, hold);
+        account.refill(PartMoment { terms, hold, now });
+        (terms.capacity - account.bucket.tokens).max(0.0) as u32
+    }
+
+    /// Returns the time until an organisation has a token that it can give to another part.
+    pub fn next_spare(&self, organisation: &OrganisationName, terms: PartTerms) -> Duration {
+        let account = self.accounts.get(organisation);
+        account.map_or(Duration::ZERO, |account| {
+            time_for(1.0 - account.uncommitted_tokens(), terms.rate)
+        })
+    }
+
     /// Adds tokens that another part has given, up to the capacity of the bucket. The caller has checked that they were
     /// asked for in this hold. [`Self::check_waiting`] then grants them.
     pub fn receive(
--- a/crates/ebonyfork/src/gateway/policy/quota/message.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/message.rs
@@ -82,4 +82,28 @@
         /// Organisation whose quota it is.
         organisation: OrganisationName,
     },
+    /// Asks the holder of a part for tokens that it doesn't need.
+    TransferRequest {
+        /// Number that the sender assigned to its round of requests, unique within its process. The answer repeats it.
+        number: u64,
+        /// Part that is asked.
+        part: u8,
+        /// Organisation whose quota it is.
+        organisation: OrganisationName,
+        /// Number of tokens.
+        wanted: u32,
+    },
+    /// Answers a [`QuotaMessage::TransferRequest`]. The tokens have been removed from the part.
+    Transfer {
+        /// The number stated in the request.
+        number: u64,
+        /// Part that gives the tokens.
+        part: u8,
+        /// Organisation whose quota it is.
+        organisation: OrganisationName,
+        /// Number of tokens.
+        tokens: u32,
+        /// Milliseconds until the part has another token to give.
+        next_token_ms: u32,
+    },
 }
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -29,6 +29,7 @@
 mod schedule;
 mod shares;
 mod terms;
+mod transfer;
 
 use std::time::Duration;
 
@@ -40,6 +41,7 @@
 pub use request::{RequesterKey, TokenDecision, TokenRefusal, TokenRequest, WaitCheck, WaitEnd};
 pub use returns::next_return;
 pub use terms::{PartHold, PartTerms, QuotaBound, RequestQuota};
+pub use transfer::{OtherHolder, PartTransfers, TransferAsks, TransferDrop};
 
 use crate::gateway::policy::claim::ClaimTimings;
 
@@ -73,3 +75,5 @@
 mod history_fixture;
 #[cfg(test)]
 mod history_tests;
+#[cfg(test)]
+mod history_transfers;
--- a/crates/ebonyfork/src/gateway/quota/desk.rs
+++ b/crates/ebonyfork/src/gateway/quota/desk.rs
@@ -11,8 +11,8 @@
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::claim::StoreClaim;
 use crate::gateway::policy::quota::{
-    PartHold, PartLedger, PartTerms, QUOTA_CLAIM, QUOTA_PARTS, QuotaAnswer, RequesterKey,
-    TokenDecision, TokenRequest, WaitCheck,
+    PartHold, PartLedger, PartTerms, PartTransfers, QUOTA_CLAIM, QUOTA_PARTS, QuotaAnswer,
+    RequesterKey, TokenDecision, TokenRequest, WaitCheck,
 };
 use crate::gateway::settings::PlaceDistance;
 use crate::ident::{SessionId, VmAddress};
@@ -25,7 +25,9 @@
     /// Claim on the part.
     pub(super) claim: StoreClaim,
     /// Buckets, used while this process holds the part.
-    ledger: PartLedger,
+    pub(super) ledger: PartLedger,
+    /// Transfers of tokens to this part and from it, by organisation.
+    pub(super) transfers: FxHashMap<OrganisationName, PartTransfers>,
     /// Distance to the holder.
     pub(super) distance: PlaceDistance,
     /// Time until which the holder counts as silent.
@@ -100,6 +102,7 @@
         let new_part = |_number| QuotaPart {
             claim: StoreClaim::new(own_session, QUOTA_CLAIM).with_allowance(window),
             ledger: PartLedger::new(),
+            transfers: FxHashMap::default(),
             distance: PlaceDistance::Far,
             silent_until: Duration::ZERO,
             responders: FxHashMap::default(),
@@ -136,6 +139,8 @@
     pub fn remove_idle(&self, now: Duration) {
         for part in self.parts.borrow_mut().iter_mut() {
             part.ledger.remove_full(now);
+            part.transfers
+                .retain(|_organisation, transfers| !transfers.is_idle(now));
             part.responders
                 .retain(|_requester, responder| now < responder.until);
         }
--- a/crates/ebonyfork/src/gateway/quota/holder.rs
+++ b/crates/ebonyfork/src/gateway/quota/holder.rs
@@ -47,6 +47,11 @@
             return QuotaAnswer::Unknown;
         };
         self.note_decision(&asked, &decision, now);
+        self.note_transfer_demand(part, organisation, now);
+        // Asked for with the last token, others are there when the next request comes.
+        if self.quota_desk.has_no_spare(part, organisation, terms) {
+            self.request_transfers(part, organisation, terms);
+        }
         match decision {
             TokenDecision::Granted { .. } => QuotaAnswer::Granted {
                 held_since_ns: held_since.as_nanos() as u64,
@@ -142,6 +147,9 @@
                 QuotaEvent::PromiseExpired.label()
             );
         }
+        if self.quota_desk.lacks_tokens(part, organisation) {
+            self.request_transfers(part, organisation, terms);
+        }
         for end in check.ended {
             self.end_wait(part, organisation, end, (held_since, now));
         }
--- a/crates/ebonyfork/src/gateway/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -24,7 +24,7 @@
     burst: 4.0,
 };
 
-fn organisation() -> OrganisationEntry {
+pub(super) fn organisation() -> OrganisationEntry {
     OrganisationEntry {
         name: OrganisationName::new("north-office"),
         quota: Some(QUOTA),
@@ -82,7 +82,11 @@
     _asking_tasks: JoinSet<()>,
 }
 
-fn start_vm(host: u8, listener: TcpListener, port: u16) -> (Rc<GatewayCore>, JoinSet<()>) {
+pub(super) fn start_vm(
+    host: u8,
+    listener: TcpListener,
+    port: u16,
+) -> (Rc<GatewayCore>, JoinSet<()>) {
     let mut settings = settings();
     settings.place.address = IpAddr::from([127, 0, 0, host]);
     let mut core = GatewayCore::new(settings, dialect());
