--- a/crates/ebonyfork/src/gateway/policy/quota/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/account.rs
@@ -140,7 +140,7 @@
         let supply = self.bucket.supply(moment);
         match &self.contention {
             Some(contention) => contention.schedule.earliest_slot(supply, |_entry| true),
-            None => supply.time_of(1.0 - TOLERANCE),
+            None => supply.time_of(1.0),
         }
     }
 
--- a/crates/ebonyfork/src/gateway/policy/quota/schedule.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/schedule.rs
@@ -84,6 +84,9 @@
     /// Returns the time from which a number of tokens can be relied on if none is granted.
     pub(super) fn time_of(&self, tokens: f64) -> Duration {
         let missing = tokens - self.tokens;
+        if missing <= TOLERANCE {
+            return self.now;
+        }
         let soon = time_for(missing, self.rate);
         if soon <= FULL_RATE_TIME || tokens <= 1.0 {
             return self.now + soon;
@@ -141,7 +144,7 @@
                 slot = commitment.deadline.max(supply.now);
             }
         }
-        slot.max(supply.time_of(ahead as f64 + 1.0 - TOLERANCE))
+        slot.max(supply.time_of(ahead as f64 + 1.0))
     }
 
     /// Returns whether the commitment with an index can get a token now: there is one, and none that comes before
--- a/crates/ebonyfork/src/gateway/policy/route_latency_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/route_latency_tests.rs
@@ -30,3 +30,25 @@
     expect_that!(latency.fastest(PlaceDistance::Far), eq(AttemptKind::Far));
     expect_that!(latency.fastest(PlaceDistance::Zone), eq(AttemptKind::Zone));
 }
+
+/// Guards against gathered answers that leave no time to wait for a token because they are held until their target.
+#[gtest]
+fn the_usual_time_of_a_gathered_answer_is_that_of_its_attempts() {
+    let mut latency = RouteLatency::default();
+    let now = Instant::now();
+    for _ in 0..500 {
+        latency.record_answer(Duration::from_millis(95), now);
+        for kind in [
+            AttemptKind::Zone,
+            AttemptKind::Region,
+            AttemptKind::Delegated,
+        ] {
+            latency
+                .histogram_mut(kind)
+                .record(Duration::from_millis(20), now);
+        }
+    }
+    let usual_ms = |is_gathered| latency.usual_time(is_gathered).as_millis();
+    expect_that!(usual_ms(false), all!(ge(90), le(115)));
+    expect_that!(usual_ms(true), all!(ge(19), le(30)));
+}
