--- a/crates/ebonyfork/src/gateway/policy/quota/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/account.rs
@@ -134,19 +134,14 @@
         contention.map_or(0, |contention| contention.schedule.len())
     }
 
-    /// Returns the time of the next token that is neither reserved nor promised.
-    pub(super) fn next_slot(&mut self, moment: PartMoment) -> Duration {
+    /// Takes one token if there is one that is neither reserved nor promised. Otherwise returns the time of the next.
+    pub(super) fn take(&mut self, moment: PartMoment) -> Result<(), Duration> {
         self.refill(moment);
         let supply = self.bucket.supply(moment);
-        match &self.contention {
+        let slot = match &self.contention {
             Some(contention) => contention.schedule.earliest_slot(supply, |_entry| true),
             None => supply.time_of(1.0),
-        }
-    }
-
-    /// Takes one token if there is one that is neither reserved nor promised. Otherwise returns the time of the next.
-    pub(super) fn take(&mut self, moment: PartMoment) -> Result<(), Duration> {
-        let slot = self.next_slot(moment);
+        };
         if slot > moment.now {
             return Err(slot);
         }
@@ -211,8 +206,12 @@
 
     /// Returns how many whole tokens are neither reserved nor promised.
     pub(super) fn spare_tokens(&self) -> u32 {
-        let spare = self.bucket.tokens - self.committed() as f64;
-        (spare + TOLERANCE).max(0.0) as u32
+        (self.uncommitted_tokens() + TOLERANCE).max(0.0) as u32
+    }
+
+    /// Returns the tokens beyond those of waiting requests and promises; negative if these lack some.
+    pub(super) fn uncommitted_tokens(&self) -> f64 {
+        self.bucket.tokens - self.committed() as f64
     }
 
     /// Returns how many tokens waiting requests and promises lack.
--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -204,48 +204,43 @@
         account.map_or(0, OrganisationAccount::waiting_count)
     }
 
-    /// Returns the number of whole tokens that are neither reserved nor promised.
-    pub fn spare_tokens(
+    /// Removes up to `wanted` whole tokens that are neither reserved nor promised, to give them to another part, and
+    /// returns how many were removed.
+    pub fn give_away(
         &mut self,
         organisation: &OrganisationName,
         terms: PartTerms,
         hold: PartHold,
+        wanted: u32,
         now: Duration,
     ) -> u32 {
         let account = self.account(organisation, terms, hold);
-        account.refill(PartMoment { terms, hold, now });
-        account.spare_tokens()
+        let moment = PartMoment { terms, hold, now };
+        account.refill(moment);
+        let given = account.spare_tokens().min(wanted);
+        account.bucket.remove(given, terms);
+        given
     }
 
-    /// Returns the time until there is a token that is neither reserved nor promised.
-    pub fn next_token(
+    /// Returns how many whole tokens fit into the bucket of an organisation.
+    pub fn room(
         &mut self,
         organisation: &OrganisationName,
         terms: PartTerms,
         hold: PartHold,
         now: Duration,
-    ) -> Duration {
+    ) -> u32 {
         let account = self.account(organisation, terms, hold);
-        let slot = account.next_slot(PartMoment { terms, hold, now });
-        slot.saturating_sub(now)
+        account.refill(PartMoment { terms, hold, now });
+        (terms.capacity - account.bucket.tokens).max(0.0) as u32
     }
 
-    /// Removes up to `wanted` whole tokens that are neither reserved nor promised, to give them to another part, and
-    /// returns how many were removed.
-    pub fn give_away(
-        &mut self,
-        organisation: &OrganisationName,
-        terms: PartTerms,
-        hold: PartHold,
-        wanted: u32,
-        now: Duration,
-    ) -> u32 {
-        let account = self.account(organisation, terms, hold);
-        let moment = PartMoment { terms, hold, now };
-        account.refill(moment);
-        let given = account.spare_tokens().min(wanted);
-        account.bucket.remove(given, terms);
-        given
+    /// Returns the time until an organisation has a token that it can give to another part.
+    pub fn next_spare(&self, organisation: &OrganisationName, terms: PartTerms) -> Duration {
+        let account = self.accounts.get(organisation);
+        account.map_or(Duration::ZERO, |account| {
+            time_for(1.0 - account.uncommitted_tokens(), terms.rate)
+        })
     }
 
     /// Adds tokens that another part has given, up to the capacity of the bucket. The caller has checked that they were
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -41,10 +41,7 @@
 pub use request::{RequesterKey, TokenDecision, TokenRefusal, TokenRequest, WaitCheck, WaitEnd};
 pub use returns::next_return;
 pub use terms::{PartHold, PartTerms, QuotaBound, RequestQuota};
-pub use transfer::{
-    OtherHolder, PartTransfers, TRANSFER_TIMEOUT, TransferAsks, TransferDrop, add_tokens,
-    bucket_room, give_tokens,
-};
+pub use transfer::{OtherHolder, PartTransfers, TransferAsks, TransferDrop};
 
 use crate::gateway::policy::claim::ClaimTimings;
 
--- a/crates/ebonyfork/src/gateway/policy/quota/terms.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/terms.rs
@@ -142,8 +142,7 @@
 }
 
 /// Returns what can be divided of the requests that the bound allows in addition to the quota. What buckets refill
-/// because of a fast clock, or while grants and transfers travel, is left unused. A tenth of the additional requests
-/// isn't enough for
+/// because of a fast clock, or while grants and transfers travel, is left unused. A tenth of the additional requests isn't enough for
 /// quotas with a high rate.
 fn usable_additional(bound: QuotaBound, quota: RequestQuota) -> f64 {
     let additional = bound.additional(quota);
--- a/crates/ebonyfork/src/gateway/policy/quota/transfer.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/transfer.rs
@@ -19,9 +19,7 @@
 use smallvec::SmallVec;
 
 use super::QUOTA_PARTS;
-use super::bucket::PartLedger;
-use super::terms::{PartHold, PartTerms};
-use crate::gateway::organisation::OrganisationName;
+use super::terms::PartHold;
 use crate::gateway::settings::PlaceDistance;
 
 /// Time after which tokens that were asked for are dropped: one trip between regions and back (24 ms), plus queueing on
@@ -174,26 +172,35 @@
         Ok(tokens.min(asked_tokens))
     }
 
-    /// Returns how many of `available` tokens this holder gives to another part that wants some: all, or half if the
-    /// part has demand of its own.
-    pub fn tokens_to_give(&self, available: u32, wanted: u32, now: Duration) -> u32 {
-        let has_demand = self
-            .last_demand
-            .is_some_and(|demand_at| now < demand_at + DEMAND_MEMORY);
-        let spare = if has_demand { available / 2 } else { available };
-        spare.min(wanted)
+    /// Returns whether a number is that of the last round.
+    pub fn has_round(&self, number: u64) -> bool {
+        self.round
+            .as_ref()
+            .is_some_and(|round| round.number == number)
+    }
+
+    /// Returns how many tokens this holder gives at most to another part that wants some: all, or half if the part has
+    /// demand of its own.
+    pub fn give_limit(&self, wanted: u32, now: Duration) -> u32 {
+        if self.has_demand(now) {
+            wanted.div_ceil(2)
+        } else {
+            wanted
+        }
     }
 
     /// Returns whether this state has become the same as none.
     pub fn is_idle(&self, now: Duration) -> bool {
-        let has_demand = self
-            .last_demand
-            .is_some_and(|demand_at| now < demand_at + DEMAND_MEMORY);
-        !has_demand
+        !self.has_demand(now)
             && !self.is_round_running(now)
             && self.empty_until.iter().all(|until| *until <= now)
     }
 
+    fn has_demand(&self, now: Duration) -> bool {
+        let last_demand = self.last_demand;
+        last_demand.is_some_and(|demand_at| now < demand_at + DEMAND_MEMORY)
+    }
+
     fn is_round_running(&self, now: Duration) -> bool {
         self.round
             .as_ref()
@@ -231,46 +238,6 @@
     asks
 }
 
-/// Returns the number of whole tokens that fit into the bucket of a part whose next token is due after `wait`.
-pub fn bucket_room(terms: PartTerms, wait: Duration) -> u32 {
-    let tokens = 1.0 - wait.as_secs_f64() * terms.rate;
-    // A margin for the rounding of the wait, so that no token is asked for that doesn't fit.
-    let room = terms.capacity - tokens.max(0.0) - 1e-6;
-    room.max(0.0) as u32
-}
-
-/// Takes the tokens out of a ledger that its holder gives to another part. Returns their number, and the time until the
-/// part has another token if it has none left.
-pub fn give_tokens(
-    ledger: &mut PartLedger,
-    transfers: &PartTransfers,
-    (organisation, terms): (&OrganisationName, PartTerms),
-    wanted: u32,
-    hold: PartHold,
-    now: Duration,
-) -> (u32, Duration) {
-    let spare = ledger.spare_tokens(organisation, terms, hold, now);
-    let given = transfers.tokens_to_give(spare, wanted, now);
-    ledger.give_away(organisation, terms, hold, given, now);
-    let next_token = if spare > 0 {
-        Duration::ZERO
-    } else {
-        ledger.next_token(organisation, terms, hold, now)
-    };
-    (given, next_token)
-}
-
-/// Adds the tokens of a transfer to a ledger, as far as they fit.
-pub fn add_tokens(
-    ledger: &mut PartLedger,
-    (organisation, terms): (&OrganisationName, PartTerms),
-    tokens: u32,
-    hold: PartHold,
-    now: Duration,
-) {
-    ledger.receive(organisation, terms, hold, tokens, now);
-}
-
 #[cfg(test)]
 #[path = "transfer_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/quota/claims.rs
+++ b/crates/ebonyfork/src/gateway/quota/claims.rs
@@ -6,11 +6,12 @@
 use compact_str::format_compact;
 use smallvec::SmallVec;
 
+use super::metrics::QuotaEvent;
 use crate::gateway::claim_write::{AppliedWrite, ClaimTarget, write_claim};
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::ident::PlaceName;
 use crate::gateway::organisation::OrganisationTable;
-use crate::gateway::policy::quota::QUOTA_PARTS;
+use crate::gateway::policy::quota::{PartHold, QUOTA_PARTS};
 use crate::gateway::settings::PlaceDistance;
 use crate::gateway::vms::rendezvous;
 use crate::store::StorePort;
@@ -34,6 +35,28 @@
             });
         }
     }
+
+    /// Logs and counts a hold that has begun with an allowance.
+    fn note_start(&self, part: u8, applied: AppliedWrite) {
+        let now = applied.answered_at;
+        let hold = self
+            .quota_desk
+            .with_claim(part, |claim| PartHold::of_claim(claim, now));
+        let Some(hold) = hold.flatten() else {
+            return;
+        };
+        // Renewals begin no hold.
+        if hold.since != now || !hold.has_allowance {
+            return;
+        }
+        self.metrics.quota.count(QuotaEvent::StartAllowance);
+        log::info!(
+            target: "ebonyfork::decision",
+            "quota part={part} {} revision={}",
+            QuotaEvent::StartAllowance.label(),
+            applied.revision
+        );
+    }
 }
 
 /// Acquires, renews and releases claims on the parts until the future is dropped.
@@ -71,6 +94,7 @@
                             applied.answered_at,
                         );
                     });
+                    core.note_start(part, applied);
                 }
             };
             let write = write_claim(Rc::clone(&core), port.clone(), target, write, record);
@@ -80,7 +104,8 @@
 }
 
 /// Returns whether this VM should hold a part: it does already, or it is the one chosen among the VMs that serve the
-/// part's availability zone. Holders keep their parts, because a new one starts with empty buckets.
+/// part's availability zone. Holders keep their parts, because a new one starts with fewer tokens. A restarted VM takes
+/// its part again without settling.
 fn wants_part(core: &GatewayCore, part: u8) -> bool {
     if core.state() != ServiceState::Serving {
         return false;
--- a/crates/ebonyfork/src/gateway/quota/metrics.rs
+++ b/crates/ebonyfork/src/gateway/quota/metrics.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::metrics::OutcomeLabel;
 
-/// Decision on a request for a token that got none at once. The label is the word that logs and metrics show.
+/// Decision on a request for a token that got none at once, on a transfer or on a start. The label is the word that logs and metrics show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaEvent {
     /// A request got its token after a wait.
@@ -23,6 +23,14 @@
     PromiseExpired,
     /// A reservation was not met.
     WaitFailed,
+    /// Tokens arrived from another part.
+    TransferReceived,
+    /// Tokens from another part were dropped.
+    TransferDropped,
+    /// Tokens were given to another part.
+    TransferGiven,
+    /// A part was taken over with start tokens.
+    StartAllowance,
 }
 
 impl QuotaEvent {
@@ -36,6 +44,10 @@
             Self::PromiseBroken => "promise-broken",
             Self::PromiseExpired => "promise-expired",
             Self::WaitFailed => "wait-failed",
+            Self::TransferReceived => "transfer-received",
+            Self::TransferDropped => "transfer-dropped",
+            Self::TransferGiven => "transfer-given",
+            Self::StartAllowance => "start-allowance",
         }
     }
 }
@@ -66,7 +78,7 @@
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
             "quota_decisions",
-            "Decisions of this holder on requests that got no token at once",
+            "Decisions of this holder on requests that got no token at once, on transfers and on starts",
             self.events.clone(),
         );
     }
--- a/crates/ebonyfork/src/gateway/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/quota/mod.rs
@@ -2,12 +2,13 @@
 //! in [`crate::gateway::policy::quota`].
 //!
 //! [`QuotaDesk`] is the state, `wait` one request for a token, `holder` answers those of the parts that this process
-//! holds, `claims` decides which parts these are.
+//! holds, `transfer` moves tokens between holders, `claims` decides which parts these are.
 
 mod claims;
 mod desk;
 mod holder;
 mod metrics;
+mod transfer;
 mod wait;
 
 use std::rc::Rc;
@@ -326,6 +327,22 @@
             part,
             organisation,
         } => desk.release_own(part, &organisation, requester),
+        QuotaMessage::TransferRequest {
+            number,
+            part,
+            organisation,
+            wanted,
+        } => core.answer_transfer(sender, (number, part, organisation), wanted),
+        QuotaMessage::Transfer {
+            number,
+            part,
+            organisation,
+            tokens,
+            next_token_ms,
+        } => {
+            let next_token = Duration::from_millis(u64::from(next_token_ms));
+            core.take_transfer((number, part, organisation), tokens, next_token);
+        }
     }
 }
 
