--- a/crates/ebonyfork/src/gateway/policy/budget/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/budget/bucket.rs
@@ -200,7 +200,7 @@
         spender: Option<RepeatSpender>,
         now: Duration,
     ) -> Result<(), RepeatDenial> {
-        let is_low_below = self.parameters().capacity * SHARED_FRACTION;
+        let shared_level = self.parameters().capacity * SHARED_FRACTION;
         let tokens = self.bucket(service, now).tokens;
         if tokens < 1.0 {
             return Err(self.empty_denial());
@@ -209,7 +209,7 @@
             let window = self.config.window;
             let shares = self.spent_shares.entry(service.clone()).or_default();
             shares.update(window, now);
-            if tokens < is_low_below && shares.is_over_share(spender, window, now) {
+            if tokens < shared_level && shares.is_over_share(spender, window, now) {
                 return Err(RepeatDenial::OverShare);
             }
             shares.record(spender);
