Add GET /quotas and ebonyforkctl quotas

Cause: what the holders of a quota granted stood nowhere, so a 429 could only be traced to "all parts are empty", and a 503 quota-unknown only by searching the logs of all VMs for claims.

`GET /quotas` on the metrics address returns, for each organisation with a limit, the limit, the parts with holder and distance, for the parts that the VM holds the time since when, the tokens left and what was granted, refused and given back, and what became of the requests of this VM's callers, by reason.

The counts are in quota/usage.rs, in two tables of at most 100,000 entries that keep the current and the last minute. A caller's request is counted in one call in ingress.rs, a holder's answer in one call in desk.rs and a returned token in one in mod.rs. PartLedger::tokens_left reads a bucket without changing it.

Reports come in pages of 250 organisations, because the process serves requests on the same thread. The table of organisations therefore keeps the list of those with a quota in order.

Ruled out: - prometheus counters by organisation: their labels are not bounded and would never be removed. - counting in PartLedger: buckets are removed when they are full, and the counts would go with them. - decoding the answer as an untyped value in ebonyforkctl: a gateway without this call answers every path with its metrics, and the type tells that apart.

--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -305,7 +305,9 @@
     let target = select_target(core, &route)?;
     if let Some(organisation) = organisation {
         // Comes last, because a request that is refused for another reason must not use up the quota.
-        core.take_quota_token(organisation, &request_log.id).await?;
+        let taken = core.take_quota_token(organisation, &request_log.id).await;
+        core.count_quota_use(organisation, &taken);
+        taken?;
     }
     Ok(run_request(core, &route, target, Rc::new(request), quarantine_status).await)
 }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -96,6 +96,7 @@
     AskPlan, PartLedger, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal,
     RequestQuota, next_return, plan_asks,
 };
+pub use quota::{HeldPartReport, OrganisationReport, PartReport, QuotaQuery, QuotaReport};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, Idempotency, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -26,7 +26,7 @@
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::share_exchange::run_leases;
-use crate::gateway::status::serve_metrics;
+use crate::gateway::status::serve_status;
 use crate::ident::{SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::store::{LeaseId, StorePort};
@@ -113,7 +113,7 @@
         tasks.spawn_local(serve_callers(Rc::clone(&core), caller_listener));
         tasks.spawn_local(serve_control(Rc::clone(&core), ready_listener));
         tasks.spawn_local(serve_control(Rc::clone(&core), directory_listener));
-        tasks.spawn_local(serve_metrics(registry, metrics_listener));
+        tasks.spawn_local(serve_status(Rc::clone(&core), registry, metrics_listener));
         let own_vm = (session.vm, own_zone(&core));
         tasks.spawn_local(follow_store(
             Rc::clone(&core),
--- a/crates/ebonyfork/src/gateway/organisation.rs
+++ b/crates/ebonyfork/src/gateway/organisation.rs
@@ -128,7 +128,8 @@
 pub struct OrganisationTable {
     by_credential: FxHashMap<CredentialDigest, Rc<OrganisationEntry>>,
     by_name: FxHashMap<OrganisationName, Rc<OrganisationEntry>>,
-    has_quotas: bool,
+    /// Organisations with a quota, ordered by name.
+    limited: Vec<Rc<OrganisationEntry>>,
 }
 
 impl OrganisationTable {
@@ -163,7 +164,9 @@
         for declaration in declarations {
             let organisation = Rc::new(declaration.organisation);
             let name = organisation.name.clone();
-            table.has_quotas |= organisation.quota.is_some();
+            if organisation.quota.is_some() {
+                table.limited.push(Rc::clone(&organisation));
+            }
             for credential in declaration.credentials {
                 let previous = table
                     .by_credential
@@ -179,6 +182,9 @@
                 return Err(OrganisationError::SameName { name });
             }
         }
+        table
+            .limited
+            .sort_unstable_by(|first, second| first.name.cmp(&second.name));
         Ok(table)
     }
 
@@ -192,9 +198,14 @@
         self.by_name.get(name)
     }
 
+    /// Returns the organisations that have a quota, ordered by name.
+    pub fn limited(&self) -> &[Rc<OrganisationEntry>] {
+        &self.limited
+    }
+
     /// Returns whether any organisation has a quota.
     pub fn has_quotas(&self) -> bool {
-        self.has_quotas
+        !self.limited.is_empty()
     }
 
     /// Returns the number of organisations.
--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -105,6 +105,45 @@
         Ok(())
     }
 
+    /// Returns the number of tokens that an organisation could take now, without changing its bucket.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use ebonyfork::gateway::{
+    ///     OrganisationName, PartLedger, PartTerms, QuotaBound, RequestQuota, RequestRate,
+    /// };
+    ///
+    /// let quota = RequestQuota { rate: RequestRate(2.0), burst: 1.0 };
+    /// let terms = PartTerms::new(QuotaBound::default(), quota);
+    /// let organisation = OrganisationName::new("north-office");
+    /// let mut ledger = PartLedger::new();
+    /// let held_since = Duration::from_secs(1);
+    /// let now = Duration::from_secs(9);
+    /// assert_eq!(ledger.tokens_left(&organisation, terms, held_since, now), 1.0);
+    /// assert!(ledger.take(&organisation, terms, held_since, now).is_ok());
+    /// assert_eq!(ledger.tokens_left(&organisation, terms, held_since, now), 0.0);
+    /// ```
+    pub fn tokens_left(
+        &self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        held_since: Duration,
+        now: Duration,
+    ) -> f64 {
+        let bucket = self.buckets.get(organisation);
+        let bucket = bucket.filter(|_bucket| self.held_since == held_since);
+        let mut bucket = bucket.copied().unwrap_or(PartBucket {
+            tokens: 0.0,
+            refilled_at: held_since,
+            full_at: held_since,
+        });
+        bucket.refill(terms, held_since, now);
+        bucket.tokens
+    }
+
     /// Puts back a token that was granted and not used. A token that was granted in an earlier hold is lost.
     pub fn give_back(
         &mut self,
--- a/crates/ebonyfork/src/gateway/quota/desk.rs
+++ b/crates/ebonyfork/src/gateway/quota/desk.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::usage::QuotaUsage;
 use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
 use crate::gateway::policy::claim::StoreClaim;
 use crate::gateway::policy::quota::{
@@ -29,6 +30,23 @@
     pub(super) silent_until: Duration,
 }
 
+impl QuotaPart {
+    /// Returns since when this process holds the part, and the tokens that an organisation could take from it now. `None`
+    /// if this process may not grant any.
+    pub(super) fn tokens_left(
+        &self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        now: Duration,
+    ) -> Option<(Duration, f64)> {
+        let held_since = self.claim.usable_since(now)?;
+        let tokens = self
+            .ledger
+            .tokens_left(organisation, terms, held_since, now);
+        Some((held_since, tokens))
+    }
+}
+
 /// Part that was empty when it was last asked.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EmptyPart {
@@ -61,6 +79,8 @@
     /// Requests that wait for answers, by number.
     pub(super) pending: RefCell<FxHashMap<u64, UnboundedSender<NumberedAnswer>>>,
     next_number: Cell<u64>,
+    /// Counts of recent outcomes, for the operators.
+    pub(super) usage: QuotaUsage,
 }
 
 impl EmptyPart {
@@ -85,6 +105,7 @@
             returns: RefCell::default(),
             pending: RefCell::default(),
             next_number: Cell::new(0),
+            usage: QuotaUsage::default(),
         }
     }
 
@@ -109,6 +130,7 @@
 
     /// Removes state that has become the same as none.
     pub fn remove_idle(&self, now: Duration) {
+        self.usage.remove_idle(now);
         for part in self.parts.borrow_mut().iter_mut() {
             part.ledger.remove_full(now);
         }
@@ -123,19 +145,19 @@
     /// Takes a token from a part that this process holds.
     pub(super) fn take_own(
         &self,
-        part: u8,
+        number: u8,
         organisation: &OrganisationName,
         terms: PartTerms,
         now: Duration,
     ) -> QuotaAnswer {
         let mut parts = self.parts.borrow_mut();
-        let Some(part) = parts.get_mut(usize::from(part)) else {
+        let Some(part) = parts.get_mut(usize::from(number)) else {
             return QuotaAnswer::Unknown;
         };
         let Some(held_since) = part.claim.usable_since(now) else {
             return QuotaAnswer::Unknown;
         };
-        match part.ledger.take(organisation, terms, held_since, now) {
+        let answer = match part.ledger.take(organisation, terms, held_since, now) {
             Ok(()) => QuotaAnswer::Granted {
                 held_since_ns: held_since.as_nanos() as u64,
             },
@@ -143,7 +165,9 @@
                 // Rounded up, so that the token is there at the stated time.
                 wait_ms: u32::try_from(wait.as_millis() + 1).unwrap_or(u32::MAX),
             },
-        }
+        };
+        self.usage.count_answer(number, organisation, answer, now);
+        answer
     }
 
     /// Puts back a token that this process granted and another VM did not use.
--- a/crates/ebonyfork/src/gateway/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/quota/mod.rs
@@ -1,10 +1,13 @@
 //! Takes tokens of organisations' quotas from the VMs that hold the parts, and holds parts for other VMs. The rules are
 //! in [`crate::gateway::policy::quota`].
 //!
-//! [`QuotaDesk`] is the state, `wait` one request for a token, `claims` decides which parts this process holds.
+//! [`QuotaDesk`] is the state, `wait` one request for a token, `claims` decides which parts this process holds. `usage`
+//! counts outcomes and `report` shows them to the operators.
 
 mod claims;
 mod desk;
+mod report;
+mod usage;
 mod wait;
 
 use std::time::Duration;
@@ -13,7 +16,9 @@
 
 pub use claims::run_quota_claims;
 pub use desk::QuotaDesk;
+pub use report::{HeldPartReport, OrganisationReport, PartReport, QuotaQuery, QuotaReport};
 
+use self::usage::HolderOutcome;
 use self::wait::TokenWait;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
@@ -199,6 +204,9 @@
         } => {
             if let Some(terms) = core.quota_terms(part, &organisation) {
                 desk.give_back_own(part, &organisation, terms, held_since_ns);
+                let now = core.running_time();
+                desk.usage
+                    .count_part(part, &organisation, HolderOutcome::GivenBack, now);
             }
         }
     }
--- a/crates/ebonyfork/src/gateway/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -127,6 +127,36 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// A VM that asks several holders at once gives back what it doesn't use. What a holder reports as granted, less what came
+/// back, must be what the requests used, or operators would take the difference for use.
+#[gtest]
+#[tokio::test]
+async fn a_holder_reports_grants_that_came_back() {
+    let test = async {
+        let fleet = HolderFleet::start().await;
+        for part in 0..QUOTA_PARTS as u8 {
+            // A silent holder is asked together with all others.
+            let until = fleet.asking.running_time() + Duration::from_mins(1);
+            fleet.asking.quota_desk.note_silent(part, until);
+        }
+        expect_that!(fleet.take().await, ok(eq(())));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let report = fleet.holding.report_quotas(&QuotaQuery::First);
+        let parts = report.organisations[0].parts.iter();
+        let held = parts.filter_map(|part| part.held.as_ref());
+        let (granted, given_back) = held.fold((0, 0), |(granted, given_back), held| {
+            (granted + held.granted, given_back + held.given_back)
+        });
+        expect_that!((granted, given_back), eq((4, 3)));
+        let asking = fleet.asking.report_quotas(&QuotaQuery::First);
+        let parts = &asking.organisations[0].parts;
+        expect_that!(parts.iter().all(|part| part.held.is_none()), eq(true));
+        let holder = Some(fleet.holding.session.vm);
+        expect_that!(parts.iter().all(|part| part.holder == holder), eq(true));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Without an answer of a holder nothing is granted, and the caller is told that another VM may know more.
 #[gtest]
 #[tokio::test]
--- a/crates/ebonyforkctl/src/arguments.rs
+++ b/crates/ebonyforkctl/src/arguments.rs
@@ -40,6 +40,7 @@
         .subcommands(declaration_commands())
         .subcommands(revision_commands())
         .subcommands(node_commands())
+        .subcommand(quotas_command())
         .subcommand(completion_command())
 }
 
@@ -225,6 +226,31 @@
     [query, locate, node, quarantine]
 }
 
+fn quotas_command() -> Command {
+    Command::new("quotas")
+        .about("Shows organisations' limits, use and holders as one VM knows them")
+        .after_help(
+            "Counts cover the last one to two minutes of this VM: requests of its callers, and what it granted as the \
+             holder of a part.\n\n\
+             Examples:\n  ebonyforkctl quotas --node 10.0.0.1:7395\n  \
+             ebonyforkctl quotas --node 10.0.0.1:7395 --organisation roofers --output json",
+        )
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .value_name("IP:PORT")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Metrics address of a VM's gateway"),
+        )
+        .arg(
+            Arg::new("organisation")
+                .long("organisation")
+                .value_name("NAME")
+                .help("The organisation to show; default: all with a limit"),
+        )
+}
+
 fn completion_command() -> Command {
     Command::new("completion")
         .about("Prints a completion script for a shell")
--- a/crates/ebonyforkctl/src/command.rs
+++ b/crates/ebonyforkctl/src/command.rs
@@ -12,7 +12,7 @@
 use crate::error::{CtlError, SystemSnafu};
 use crate::output::OutputForm;
 use crate::status::ExitStatus;
-use crate::{node, publish, revisions};
+use crate::{node, publish, quotas, revisions};
 
 /// Runs a command line and returns its exit status.
 ///
@@ -91,6 +91,7 @@
         "query" => node::run_query(matches).await,
         "locate" => node::run_locate(matches, options).await,
         "node" => node::run_node(matches, options).await,
+        "quotas" => quotas::run_quotas(matches, options).await,
         "quarantine" => node::run_quarantine(matches, options).await,
         _ => {
             let client = platform_client(options)?;
--- a/crates/ebonyforkctl/src/lib.rs
+++ b/crates/ebonyforkctl/src/lib.rs
@@ -11,6 +11,7 @@
 mod node;
 mod output;
 mod publish;
+mod quotas;
 mod revisions;
 pub mod status;
 
--- a/crates/ebonyforkctl/src/node.rs
+++ b/crates/ebonyforkctl/src/node.rs
@@ -88,7 +88,8 @@
     Ok(done_if(response.status().is_success()))
 }
 
-async fn call_vm(
+/// Sends a request to the address that an option names.
+pub(crate) async fn call_vm(
     matches: &ArgMatches,
     option: &str,
     request: Result<Request<Full<Bytes>>, http::Error>,
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "gateway/credentials.rs"]
 mod credentials;
+#[path = "gateway/quotas.rs"]
+mod quotas;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
