Add an example to OrganisationTable::limited

Public functions have runnable examples; this one lacked it. Its doc test shows the order and that organisations without a quota are left out.

--- a/crates/ebonyfork/src/gateway/organisation.rs
+++ b/crates/ebonyfork/src/gateway/organisation.rs
@@ -199,6 +199,31 @@
     }
 
     /// Returns the organisations that have a quota, ordered by name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::gateway::{
+    ///     HomeRegions, OrganisationDeclaration, OrganisationEntry, OrganisationName,
+    ///     OrganisationTable, RequestQuota, RequestRate,
+    /// };
+    ///
+    /// let declare = |name, quota| OrganisationDeclaration {
+    ///     organisation: OrganisationEntry {
+    ///         name: OrganisationName::new(name),
+    ///         quota,
+    ///         priority: None,
+    ///         home_regions: HomeRegions::default(),
+    ///     },
+    ///     credentials: Default::default(),
+    /// };
+    /// let quota = Some(RequestQuota { rate: RequestRate(4.0), burst: 4.0 });
+    /// let declarations = [declare("b", quota), declare("c", None), declare("a", quota)];
+    /// let table = OrganisationTable::new(declarations)?;
+    /// let names: Vec<_> = table.limited().iter().map(|entry| entry.name.as_str()).collect();
+    /// assert_eq!(names, ["a", "b"]);
+    /// # Ok::<(), ebonyfork::gateway::OrganisationError>(())
+    /// ```
     pub fn limited(&self) -> &[Rc<OrganisationEntry>] {
         &self.limited
     }
