--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -307,10 +307,12 @@
     let target = select_target(core, &route)?;
     if let Some(organisation) = organisation {
         // Comes last, because a request that is refused for another reason must not use up the quota.
-        let need = token_need(core, &route, organisation, &request);
-        let request_id = &request_log.id;
-        core.take_quota_token(organisation, need, request_id)
-            .await?;
+        let need = token_need(core, &route, &request);
+        let taken = core
+            .take_quota_token(organisation, need, &request_log.id)
+            .await;
+        core.count_quota_use(organisation, &taken);
+        taken?;
     }
     let sent = now();
     let report = run_request(core, &route, target, Rc::new(request), quarantine_status).await;
@@ -324,12 +326,7 @@
 
 /// Returns how long a request can wait for a token so that its answer meets the target, and how long its caller can be
 /// told to stay away.
-fn token_need(
-    core: &GatewayCore,
-    route: &RouteEntry,
-    organisation: &OrganisationEntry,
-    request: &ForwardRequest,
-) -> TokenNeed {
+fn token_need(core: &GatewayCore, route: &RouteEntry, request: &ForwardRequest) -> TokenNeed {
     /// Part of the remaining wait of its caller by which a request may be put off: callers obey no longer one.
     const STAY_DIVISOR: u32 = 3;
     let is_gathered = matches!(route.destination, RouteTarget::Gather(_));
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -97,6 +97,7 @@
     QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, RequesterKey, TokenDecision,
     TokenRefusal, TokenRequest, WaitCheck, WaitEnd, next_return, plan_asks,
 };
+pub use quota::{HeldPartReport, OrganisationReport, PartReport, QuotaQuery, QuotaReport};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, Idempotency, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -173,6 +173,42 @@
         account.is_some_and(|account| account.release(requester))
     }
 
+    /// Returns the number of tokens that an organisation could take now, without changing its account.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use ebonyfork::gateway::{
+    ///     OrganisationName, PartHold, PartLedger, PartTerms, QuotaBound, RequestQuota, RequestRate,
+    /// };
+    ///
+    /// let quota = RequestQuota { rate: RequestRate(2.0), burst: 1.0 };
+    /// let terms = PartTerms::new(QuotaBound::default(), quota);
+    /// let organisation = OrganisationName::new("north-office");
+    /// let mut ledger = PartLedger::new();
+    /// let hold = PartHold { since: Duration::from_secs(1), has_allowance: false };
+    /// let now = Duration::from_secs(9);
+    /// assert_eq!(ledger.tokens_left(&organisation, terms, hold, now), 1.0);
+    /// assert!(ledger.take(&organisation, terms, hold, now).is_ok());
+    /// assert_eq!(ledger.tokens_left(&organisation, terms, hold, now), 0.0);
+    /// ```
+    pub fn tokens_left(
+        &self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        hold: PartHold,
+        now: Duration,
+    ) -> f64 {
+        let account = self.accounts.get(organisation);
+        let bucket = account.filter(|_account| self.hold == hold);
+        let mut bucket =
+            bucket.map_or_else(|| PartBucket::new(terms, hold), |account| account.bucket);
+        bucket.refill(PartMoment { terms, hold, now });
+        bucket.tokens
+    }
+
     /// Puts back a token that was granted and not used. A token that was granted in an earlier hold is lost, and so is
     /// one that was granted longer ago than grants are used: many that are late together would add to the refill of the
     /// time since they were granted.
--- a/crates/ebonyfork/src/gateway/quota/desk.rs
+++ b/crates/ebonyfork/src/gateway/quota/desk.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::GrantTimes;
+use super::usage::QuotaUsage;
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::claim::StoreClaim;
 use crate::gateway::policy::quota::{
@@ -46,6 +47,21 @@
     until: Duration,
 }
 
+impl QuotaPart {
+    /// Returns since when this process holds the part, and the tokens that an organisation could take from it now. `None`
+    /// if this process may not grant any.
+    pub(super) fn tokens_left(
+        &self,
+        organisation: &OrganisationName,
+        terms: PartTerms,
+        now: Duration,
+    ) -> Option<(Duration, f64)> {
+        let hold = PartHold::of_claim(&self.claim, now)?;
+        let tokens = self.ledger.tokens_left(organisation, terms, hold, now);
+        Some((hold.since, tokens))
+    }
+}
+
 /// Part that was empty when it was last asked.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EmptyPart {
@@ -83,6 +99,8 @@
     /// Requests that wait for answers, by number.
     pub(super) pending: RefCell<FxHashMap<u64, UnboundedSender<NumberedAnswer>>>,
     next_number: Cell<u64>,
+    /// Counts of recent outcomes, for the operators.
+    pub(super) usage: QuotaUsage,
 }
 
 impl EmptyPart {
@@ -113,6 +131,7 @@
             empty_parts: RefCell::default(),
             pending: RefCell::default(),
             next_number: Cell::new(0),
+            usage: QuotaUsage::default(),
         }
     }
 
@@ -137,6 +156,7 @@
 
     /// Removes state that has become the same as none.
     pub fn remove_idle(&self, now: Duration) {
+        self.usage.remove_idle(now);
         for part in self.parts.borrow_mut().iter_mut() {
             part.ledger.remove_full(now);
             part.transfers
--- a/crates/ebonyfork/src/gateway/quota/holder.rs
+++ b/crates/ebonyfork/src/gateway/quota/holder.rs
@@ -33,7 +33,7 @@
 impl GatewayCore {
     /// Decides on a request for a token. If the request waits, another answer follows on its link.
     pub(super) fn decide_token(self: &Rc<Self>, asked: AskedToken) -> QuotaAnswer {
-        let (part, organisation) = (asked.part, &asked.organisation);
+        let (part, organisation) = (asked.part, &asked.organisation.clone());
         let Some(terms) = self.quota_terms(part, organisation) else {
             return QuotaAnswer::Unknown;
         };
@@ -52,7 +52,7 @@
         if self.quota_desk.has_no_spare(part, organisation, terms) {
             self.request_transfers(part, organisation, terms);
         }
-        match decision {
+        let answer = match decision {
             TokenDecision::Granted { .. } => QuotaAnswer::Granted {
                 held_since_ns: held_since.as_nanos() as u64,
                 granted_at_ns: now.as_nanos() as u64,
@@ -65,7 +65,10 @@
                 }
             }
             TokenDecision::Refused(refusal) => refused_answer(refusal, now),
-        }
+        };
+        let usage = &self.quota_desk.usage;
+        usage.count_answer(part, organisation, answer, now);
+        answer
     }
 
     /// Logs and counts a decision.
@@ -185,6 +188,8 @@
             };
             (QuotaEvent::WaitFailed, refused)
         };
+        let usage = &self.quota_desk.usage;
+        usage.count_answer(part, organisation, answer, now);
         self.metrics.quota.count(event);
         log::info!(
             target: "ebonyfork::decision",
--- a/crates/ebonyfork/src/gateway/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/quota/mod.rs
@@ -2,13 +2,16 @@
 //! in [`crate::gateway::policy::quota`].
 //!
 //! [`QuotaDesk`] is the state, `wait` one request for a token, `holder` answers those of the parts that this process
-//! holds, `transfer` moves tokens between holders, `claims` decides which parts these are.
+//! holds, `transfer` moves tokens between holders, `claims` decides which parts these are. `usage` counts outcomes and
+//! `report` shows them to the operators.
 
 mod claims;
 mod desk;
 mod holder;
 mod metrics;
+mod report;
 mod transfer;
+mod usage;
 mod wait;
 
 use std::rc::Rc;
@@ -19,8 +22,10 @@
 pub use claims::run_quota_claims;
 pub use desk::QuotaDesk;
 pub use metrics::QuotaMetrics;
+pub use report::{HeldPartReport, OrganisationReport, PartReport, QuotaQuery, QuotaReport};
 
 use self::holder::AskedToken;
+use self::usage::HolderOutcome;
 use self::wait::{HolderDecision, TokenWait};
 use crate::gateway::core::GatewayCore;
 use crate::gateway::organisation::{OrganisationEntry, OrganisationName};
@@ -217,6 +222,8 @@
             let now = self.running_time();
             self.quota_desk
                 .give_back_own(part, organisation, terms, grant, now);
+            let usage = &self.quota_desk.usage;
+            usage.count_part(part, organisation, HolderOutcome::GivenBack, now);
         }
     }
 
--- a/crates/ebonyfork/src/gateway/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -177,6 +177,44 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// A VM gives back a token that it doesn't use, because the grant came too late. What a holder reports as granted, less
+/// what came back, must be what the requests used, or operators would take the difference for use.
+#[gtest]
+#[tokio::test]
+async fn a_holder_reports_grants_that_came_back() {
+    let test = async {
+        let fleet = HolderFleet::start().await;
+        for _request in 0..2 {
+            expect_that!(fleet.take().await, ok(eq(())));
+        }
+        let counts = || {
+            let report = fleet.holding.report_quotas(&QuotaQuery::First);
+            let parts = report.organisations[0].parts.clone();
+            let held = parts.into_iter().filter_map(|part| part.held);
+            held.fold((0, 0), |(granted, given_back), held| {
+                (granted + held.granted, given_back + held.given_back)
+            })
+        };
+        expect_that!(counts(), eq((2, 0)));
+        let granted_at = fleet.holding.running_time();
+        let grant = GrantTimes {
+            held_since_ns: 0,
+            granted_at_ns: granted_at.as_nanos() as u64,
+        };
+        let report = fleet.holding.report_quotas(&QuotaQuery::First);
+        let part = report.organisations[0].parts[0].part;
+        fleet.asking.give_back(part, &organisation().name, grant);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        expect_that!(counts(), eq((2, 1)));
+        let asking = fleet.asking.report_quotas(&QuotaQuery::First);
+        let parts = &asking.organisations[0].parts;
+        expect_that!(parts.iter().all(|part| part.held.is_none()), eq(true));
+        let holder = Some(fleet.holding.session.vm);
+        expect_that!(parts.iter().all(|part| part.holder == holder), eq(true));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Without an answer of a holder nothing is granted, and the caller is told that another VM may know more.
 #[gtest]
 #[tokio::test]
