Tell the VMs of a zone which upstreams have turned slow

Cause: upstreams turn several times slower for about 600 ms at a time. Each VM sees a part of the requests and learns only by its own late answers.

Ruled out: sharing the evidence that UpstreamHealth uses (a late answer to an attempt that began after an earlier one). Advice as an ejection was ruled out because an ejected upstream gets no attempts that could contradict the advice.

Change: two late answers that are as far apart as their attempts were also show a slow upstream, because a pause ends for all attempts at the same time. A VM with the setting `share-upstream-speed` sends such changes to the other serving VMs of its zone, at most 10 times a second, and acts on its own reports in the same way. Advice raises the expected time of the upstream for 500 ms, ends with an own answer in time, and is no evidence.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -28,6 +28,7 @@
 use crate::gateway::route::{RouteEntry, RouteTable, WeightedService};
 use crate::gateway::route_check::RouteChecks;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::speed_exchange::SpeedExchange;
 use crate::gateway::upstream::Upstream;
 use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightedRoundRobin;
@@ -87,6 +88,8 @@
     pub cold_claims: ColdClaims,
     /// Tokens of organisations' quotas.
     pub quota_desk: QuotaDesk,
+    /// Changes of upstreams' speed that the other VMs of the zone are to learn of.
+    pub speed_exchange: SpeedExchange,
     /// Latest era of the store that this VM knows of.
     era: watch::Sender<StoreEra>,
     /// Quarantine of requests that crash upstreams.
@@ -138,6 +141,7 @@
             aggregates: AggregateTable::default(),
             cold_claims: ColdClaims::new(session),
             quota_desk: QuotaDesk::new(session, settings.quota_bound.window),
+            speed_exchange: SpeedExchange::default(),
             era: watch::Sender::default(),
             quarantine: QuarantineHandle::new(),
             metrics,
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::Idempotency;
 use crate::gateway::slots::SlotPriority;
+use crate::gateway::speed_exchange;
 use crate::gateway::upstream::{ActiveLink, Upstream};
 use crate::http_link::{LinkBody, LinkError};
 use crate::quarantine::LostRequest;
@@ -150,6 +151,19 @@
         latency.slowness(self.distance(), elapsed_ms)
     }
 
+    /// Records the time of the answer for the other VMs of the zone. It counts from the sending: the wait for a
+    /// connection of this VM says nothing about the upstream.
+    fn share_speed(&self, now: Instant) {
+        let Some(sent_at) = self.sent_at else { return };
+        let answer_ms = millis(now.saturating_duration_since(sent_at));
+        let slowness = {
+            let latency = self.context.latency.borrow();
+            latency.slowness(self.distance(), answer_ms)
+        };
+        let core = &self.context.core;
+        speed_exchange::record_answer(core, self.upstream, sent_at, now, slowness);
+    }
+
     fn record_outcome(&mut self, outcome: &AttemptOutcome) {
         self.is_recorded = true;
         let now = now();
@@ -157,6 +171,8 @@
         match outcome {
             AttemptOutcome::Answered(answer) if !answer.status.is_server_error() => {
                 health.record_answer(self.started_at, now, self.slowness(now));
+                drop(health);
+                self.share_speed(now);
                 let elapsed = now.saturating_duration_since(self.started_at);
                 let mut latency = self.context.latency.borrow_mut();
                 latency.histogram_mut(self.distance()).record(elapsed, now);
--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -11,7 +11,7 @@
 use crate::gateway::exchange::UpstreamAnswer;
 use crate::gateway::ident::{InstanceName, PlaceName, UpstreamService};
 use crate::gateway::policy::budget::RetryBudgetConfig;
-use crate::gateway::settings::{GatewaySettings, ListenAddresses, NodePlace};
+use crate::gateway::settings::{GatewaySettings, ListenAddresses, NodePlace, PlacementSettings};
 use crate::gateway::upstream::UpstreamEntry;
 use crate::settings::LogSettings;
 use crate::store::{StoreItem, StoreRevision};
@@ -84,6 +84,7 @@
         cold_bound: None,
         quota_bound: crate::gateway::policy::quota::QuotaBound::default(),
         credential_max_age: None,
+        placement: PlacementSettings::default(),
         budget: RetryBudgetConfig {
             ratio: 0.2,
             slack: 50.0,
--- a/crates/ebonyfork/src/gateway/load_model.rs
+++ b/crates/ebonyfork/src/gateway/load_model.rs
@@ -4,6 +4,8 @@
 //!
 //! It replays observed failures over randomly drawn deployments, to reveal limits that only suit one deployment.
 
+mod speed;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
@@ -23,6 +25,8 @@
 use crate::gateway::settings::{NodePlace, PlaceDistance};
 use crate::gateway::upstream::Upstream;
 
+pub use speed::{SpeedSharing, TurnFault, TurnPattern};
+
 /// One-way latency between two regions.
 const INTER_REGION_LATENCY: Duration = Duration::from_millis(12);
 /// One-way latency within a zone.
@@ -111,6 +115,8 @@
     /// Sum of the values of the answers. An answer in time is worth the square of its coverage, a late one a tenth of
     /// that.
     pub value: f64,
+    /// Number of queries that were answered late or not at all.
+    pub late: f64,
 }
 
 impl ReplayReport {
@@ -158,6 +164,8 @@
     Fail(usize),
     CheckHedge(usize),
     Decide(usize),
+    SendAdvice(usize),
+    ReceiveAdvice(usize),
 }
 
 /// Replay of a fault pattern on a deployment.
@@ -173,6 +181,7 @@
     vms: Vec<ModelVm>,
     queries: Vec<ModelQuery>,
     attempts: Vec<ModelAttempt>,
+    speed: speed::SpeedModel,
     /// Times of the retries and hedges of each shard.
     pub repeats: Vec<Vec<Instant>>,
     /// Value of the queries that began in each second.
@@ -186,6 +195,18 @@
         phases: impl Into<Vec<FaultPhase>>,
         seconds: usize,
         seed: u64,
+    ) -> Self {
+        let mut replay = Self::new(deployment, phases, seconds, seed);
+        replay.run_to_end();
+        replay
+    }
+
+    /// Creates a replay whose first query is about to begin.
+    fn new(
+        deployment: ModelDeployment,
+        phases: impl Into<Vec<FaultPhase>>,
+        seconds: usize,
+        seed: u64,
     ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let start = Instant::now();
@@ -215,18 +236,23 @@
             vms,
             queries: Vec::new(),
             attempts: Vec::new(),
+            speed: speed::SpeedModel::default(),
             repeats: vec![Vec::new(); deployment.shards],
             seconds: vec![ReplayReport::default(); seconds],
         };
         replay.push(start, ModelEvent::Begin);
-        let end = start + Duration::from_secs(seconds as u64);
-        while let Some(Reverse((now, _number, event))) = replay.events.pop() {
+        replay
+    }
+
+    /// Handles the events of all seconds.
+    fn run_to_end(&mut self) {
+        let end = self.start + Duration::from_secs(self.seconds.len() as u64);
+        while let Some(Reverse((now, _number, event))) = self.events.pop() {
             if now >= end {
                 break;
             }
-            replay.take(now, event);
+            self.take(now, event);
         }
-        replay
     }
 
     /// Returns the terms of the retry budget.
@@ -241,12 +267,18 @@
 
     /// Returns the mean value of the queries that began in a range of seconds.
     pub fn mean_value(&self, seconds: std::ops::Range<usize>) -> f64 {
+        self.sum_of(seconds).mean_value()
+    }
+
+    /// Returns the sums over the queries that began in a range of seconds.
+    pub fn sum_of(&self, seconds: std::ops::Range<usize>) -> ReplayReport {
         let mut sum = ReplayReport::default();
         for second in &self.seconds[seconds] {
             sum.queries += second.queries;
             sum.value += second.value;
+            sum.late += second.late;
         }
-        sum.mean_value()
+        sum
     }
 
     fn push(&mut self, at: Instant, event: ModelEvent) {
@@ -266,6 +298,8 @@
             ModelEvent::Fail(attempt) => self.fail(attempt, now),
             ModelEvent::CheckHedge(attempt) => self.check_hedge(attempt, now),
             ModelEvent::Decide(query) => self.decide(query, now),
+            ModelEvent::SendAdvice(vm) => self.send_advice(vm, now),
+            ModelEvent::ReceiveAdvice(message) => self.receive_advice(message, now),
         }
     }
 
@@ -383,7 +417,9 @@
         }
         let slot = usize::from(server.free_at[1] < server.free_at[0]);
         let starts_at = server.free_at[slot].max(at);
-        let ends_at = starts_at + self.deployment.service_time.mul_f64(factor * variation);
+        let run_time = self.deployment.service_time.mul_f64(factor * variation);
+        let (starts_at, ends_at) = self.turn_times(shard * 2 + replica, starts_at, run_time);
+        let server = &mut self.servers[shard][replica];
         server.free_at[slot] = ends_at;
         server.queued_starts.push(starts_at);
         (ends_at, !breaks)
@@ -413,6 +449,7 @@
         let mut health = upstream.health.borrow_mut();
         health.record_answer(attempt.began, now, slowness);
         drop(health);
+        self.share_speed(number, now, slowness);
         let signature = http::HeaderValue::from_static("s");
         let state = &mut self.queries[query].state;
         state.add_part(shard, signature, bytes::Bytes::new());
@@ -500,8 +537,12 @@
         let coverage = query.state.answered_count() as f64 / query.state.shards().len() as f64;
         let is_late = now > query.began + self.deployment.target;
         let timeliness = if is_late { 0.1 } else { 1.0 };
-        if matches!(end, GatherEnd::Whole | GatherEnd::Partial) {
-            let second = self.second(self.queries[number].began);
+        let second = self.second(self.queries[number].began);
+        let is_answered = matches!(end, GatherEnd::Whole | GatherEnd::Partial);
+        if is_late || !is_answered {
+            self.seconds[second].late += 1.0;
+        }
+        if is_answered {
             self.seconds[second].value += coverage * coverage * timeliness;
         }
     }
--- a/crates/ebonyfork/src/gateway/load_tests.rs
+++ b/crates/ebonyfork/src/gateway/load_tests.rs
@@ -4,7 +4,9 @@
 
 use googletest::prelude::*;
 
-use crate::gateway::load_model::{FaultPhase, LoadReplay, ModelDeployment, ModelFault};
+use crate::gateway::load_model::{
+    FaultPhase, LoadReplay, ModelDeployment, ModelFault, SpeedSharing, TurnFault, TurnPattern,
+};
 
 /// Number of deployments on which each pattern is replayed.
 const DEPLOYMENTS: u64 = 24;
@@ -97,3 +99,69 @@
     let mean_value = mean_value_of(0.2, &[breaks], 4..9);
     expect_that!(mean_value, ge(0.9));
 }
+
+/// Number of deployments on which patterns of turns are replayed.
+const TURN_DEPLOYMENTS: u64 = 12;
+
+/// Result of replaying a pattern of turns on all deployments.
+#[derive(Debug, Default)]
+struct TurnResult {
+    queries: f64,
+    late: f64,
+    messages: usize,
+}
+
+impl TurnResult {
+    /// Returns the fraction of the queries that were answered late.
+    fn late_fraction(&self) -> f64 {
+        self.late / self.queries
+    }
+}
+
+/// Replays a fault of 600 ms in turns, with the given number of VMs in each zone, and checks the limit on messages.
+fn replay_turns(fault: TurnFault, vms_per_zone: usize, sharing: SpeedSharing) -> TurnResult {
+    let pattern = TurnPattern {
+        length: Duration::from_millis(600),
+        fault,
+        sharing,
+    };
+    let mut result = TurnResult::default();
+    for seed in 0..TURN_DEPLOYMENTS {
+        let deployment = ModelDeployment::draw(seed, 0.2).with_vms(2 * vms_per_zone);
+        let replay = LoadReplay::run_turns(deployment, pattern, 12, seed);
+        expect_that!(replay.peak_message_rate(), le(10), "seed {seed}");
+        let sum = replay.sum_of(1..11);
+        result.queries += sum.queries;
+        result.late += sum.late;
+        result.messages += replay.message_count();
+    }
+    println!("{fault:?} {vms_per_zone} VMs per zone {sharing:?}: {result:?}");
+    result
+}
+
+/// Guards against each VM of a zone having to learn by its own late answers that an upstream is slow.
+#[gtest]
+fn shared_advice_about_slow_upstreams_saves_late_answers() {
+    let (mut own_only_fraction, mut shared_fraction) = (0.0, 0.0);
+    for vms_per_zone in [2, 4] {
+        let replay = |sharing| replay_turns(TurnFault::Slow(8.0), vms_per_zone, sharing);
+        let without = replay(SpeedSharing::Off);
+        let shared = replay(SpeedSharing::Shared);
+        expect_that!(shared.messages, gt(0));
+        expect_that!(shared.late_fraction(), lt(without.late_fraction()));
+        shared_fraction += shared.late_fraction();
+        own_only_fraction += replay(SpeedSharing::OwnOnly).late_fraction();
+    }
+    expect_that!(shared_fraction, lt(own_only_fraction));
+}
+
+/// Guards against advice about upstreams that only pause: the other VMs would avoid upstreams that are fast again.
+#[gtest]
+fn pauses_cause_no_advice_that_makes_answers_later() {
+    for vms_per_zone in [2, 4] {
+        let fault = TurnFault::Pause(Duration::from_millis(150));
+        let without = replay_turns(fault, vms_per_zone, SpeedSharing::Off);
+        let shared = replay_turns(fault, vms_per_zone, SpeedSharing::Shared);
+        expect_that!(shared.late_fraction(), le(without.late_fraction()));
+    }
+}
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the gateway.
 
+mod placement;
+
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -12,6 +14,8 @@
 
 use crate::store::StoreRevision;
 
+pub use placement::PlacementMetrics;
+
 /// Bucket bounds of the latency histogram, in seconds: finer around the targets, which lie between 0.1 and 1 s.
 const LATENCY_BOUNDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.6, 1.2, 5.0,
@@ -52,6 +56,8 @@
     pub copy_era: Gauge<u64, AtomicU64>,
     /// Bytes of the store's changes sent to VMs that follow this one.
     pub sent_change_bytes: Counter,
+    /// Placement decisions.
+    pub placement: PlacementMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -68,6 +74,7 @@
             copy_revision: Gauge::default(),
             copy_era: Gauge::default(),
             sent_change_bytes: Counter::default(),
+            placement: PlacementMetrics::default(),
         }
     }
 }
@@ -123,5 +130,6 @@
             "Bytes told to the VMs that follow this one",
             self.sent_change_bytes.clone(),
         );
+        self.placement.register(registry);
     }
 }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 mod settings;
 mod share_exchange;
 mod slots;
+mod speed_exchange;
 mod status;
 mod stream_activity;
 mod upstream;
@@ -96,12 +97,15 @@
     AskPlan, PartHold, PartLedger, PartTerms, PartView, QuotaAnswer, QuotaBound, QuotaMessage,
     QuotaRefusal, RequestQuota, next_return, plan_asks,
 };
+pub use policy::speed_advice::{
+    AdviceUse, SpeedChange, SpeedMessage, SpeedOutbox, SpeedReport, SpeedView,
+};
 pub use request::strip_hop_headers;
 pub use route::{
     CallerLimits, GatherTerms, Idempotency, RouteEntry, RouteTable, RouteTarget, ServiceTerms,
     WeightedService,
 };
 pub use route_check::RouteCheckMessage;
-pub use settings::{GatewaySettings, ListenAddresses, NodePlace, PlaceDistance};
+pub use settings::{GatewaySettings, ListenAddresses, NodePlace, PlaceDistance, PlacementSettings};
 pub use upstream::UpstreamEntry;
 pub use weights::WeightedRoundRobin;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -26,6 +26,7 @@
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::share_exchange::run_leases;
+use crate::gateway::speed_exchange::run_speed_exchange;
 use crate::gateway::status::serve_metrics;
 use crate::ident::{SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberHandle, MemberSettings};
@@ -127,6 +128,7 @@
         tasks.spawn_local(follow_links(Rc::clone(&core), link_events));
         tasks.spawn_local(sweep(Rc::clone(&core)));
         tasks.spawn_local(run_leases(Rc::clone(&core), own_vm.0));
+        tasks.spawn_local(run_speed_exchange(Rc::clone(&core)));
         tasks.spawn_local(run_claims(Rc::clone(&core), port.clone()));
         tasks.spawn_local(run_quota_claims(Rc::clone(&core), port.clone()));
         connect_gossip(&mut tasks, &core, &membership, own_vm);
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use crate::gateway::quota;
 use crate::gateway::route_check;
 use crate::gateway::share_exchange;
+use crate::gateway::speed_exchange;
 use crate::ident::SessionId;
 use crate::wire::{EventFuture, LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
 
@@ -61,6 +62,7 @@
         PeerMessage::Share(message) => share_exchange::take_message(core, &sender, message),
         PeerMessage::Quota(message) => quota::take_message(core, &sender, message),
         PeerMessage::RouteCheck(message) => route_check::handle_message(core, &sender, message),
+        PeerMessage::Speed(message) => speed_exchange::take_message(core, &sender, message),
         other => log::debug!("unexpected message from {:?}: {other:?}", sender.peer()),
     }
 }
--- a/crates/ebonyfork/src/gateway/policy/health.rs
+++ b/crates/ebonyfork/src/gateway/policy/health.rs
@@ -12,6 +12,7 @@
 
 use super::latency::millis;
 use super::load_report::{AgedReport, LoadReport};
+use super::speed_advice::{AdviceUse, SpeedChange, SpeedView};
 
 /// Weight of a new sample in the moving averages of slowness and success.
 const SAMPLE_WEIGHT: f64 = 0.25;
@@ -70,6 +71,8 @@
     in_flight: SmallVec<[Instant; 8]>,
     /// Latest load report from the upstream.
     report: Option<AgedReport>,
+    /// Evidence and advice that the VMs of the zone share.
+    speed: SpeedView,
 }
 
 impl UpstreamHealth {
@@ -87,6 +90,7 @@
             last_request: now,
             in_flight: SmallVec::new(),
             report: None,
+            speed: SpeedView::default(),
         }
     }
 
@@ -207,6 +211,22 @@
         }));
     }
 
+    /// Records the time of an answer as evidence for the other VMs of the zone; see [`SpeedView::record_answer`].
+    pub fn record_speed(
+        &mut self,
+        sent_at: Instant,
+        now: Instant,
+        slowness: f64,
+    ) -> Option<SpeedChange> {
+        self.speed.record_answer(sent_at, now, slowness)
+    }
+
+    /// Handles a change of speed that another VM has reported. It affects only the expected time: the averages of this
+    /// VM's own attempts stay as they are, so the advice is not passed on and leaves no trace when it ends.
+    pub fn receive_speed(&mut self, change: SpeedChange, now: Instant) -> AdviceUse {
+        self.speed.receive(change, now)
+    }
+
     /// Records that an attempt was abandoned before it was sent.
     pub fn record_unsent(&mut self, began: Instant) {
         self.remove_in_flight(began);
@@ -272,6 +292,9 @@
         };
         let mut queued_per_slot = self.in_flight.len() as f64 / slots.max(1) as f64;
         let mut slowness = decayed_health.slowness.max(cold_slowness);
+        if let Some(advised_slowness) = self.speed.advised_slowness(now) {
+            slowness = slowness.max(advised_slowness);
+        }
         if let Some(aged_report) = &self.report {
             let weight = aged_report.weight(now);
             slowness += (aged_report.report.slowness() - slowness) * weight;
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -11,6 +11,7 @@
 //! | which VMs take requests | [`serving`] | hundreds of VMs, each of which would see too few requests to know upstreams and callers |
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline requests while the others have capacity |
 //! | how an upstream performs | [`health`], [`latency`], [`route_latency`], [`load_report`] | pauses, slow phases, crashes, cold starts, other load on the upstream's machine |
+//! | what the VMs of a zone tell each other of an upstream's speed | [`speed_advice`] | upstreams that turn slow for 600 ms, VMs that each see a part of the requests |
 //! | how many requests a cold upstream gets, and from which VM | [`cold`] | all upstreams of a zone return at once, and cold |
 //! | which VM holds an exclusive right | [`claim`] | holders that are killed, paused or cut off, and a store that is restored from an older copy |
 //! | whether an organisation's request is within its quota | [`quota`] | one organisation sends many times its usual, to a few VMs or to all, while some VMs are lost |
@@ -39,3 +40,4 @@
 pub mod retry;
 pub mod route_latency;
 pub mod serving;
+pub mod speed_advice;
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -75,6 +75,13 @@
     pub peer_port: u16,
 }
 
+/// Which placement decisions are active. A deployment whose settings don't mention them behaves as without them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlacementSettings {
+    /// Whether the VMs of a zone tell each other of upstreams that turn slow.
+    pub shares_upstream_speed: bool,
+}
+
 /// Validated settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -98,6 +105,8 @@
     /// Age of the configuration above which requests with a credential are refused, because the credential may have
     /// been removed; `None` if a VM that can't learn of changes goes on with what it knows.
     pub credential_max_age: Option<Duration>,
+    /// Which placement decisions are active.
+    pub placement: PlacementSettings,
     /// Settings of the log.
     pub log: LogSettings,
 }
@@ -107,7 +116,15 @@
 /// Shortest bound that can be met: within it, a VM that loses its source must notice and ask another one.
 const MIN_CHANGE_BOUND: Duration = Duration::from_secs(1);
 
-const SECTIONS: [&str; 6] = ["node", "listen", "zones", "store", "bounds", "log"];
+const SECTIONS: [&str; 7] = [
+    "node",
+    "listen",
+    "zones",
+    "store",
+    "bounds",
+    "placement",
+    "log",
+];
 
 impl GatewaySettings {
     /// Parses settings from INI text. On failure, reports all findings together.
@@ -145,6 +162,7 @@
     let listen = read_listen(document, findings);
     let store = read_store(document, findings);
     let bounds = read_bounds(document, findings);
+    let placement = read_placement(document, findings);
     let log = LogSettings::read(document, findings);
     let bounds = bounds?;
     Some(GatewaySettings {
@@ -157,6 +175,7 @@
         cold_bound: bounds.cold_bound,
         quota_bound: bounds.quota_bound,
         credential_max_age: bounds.credential_max_age,
+        placement,
         log,
     })
 }
@@ -218,6 +237,19 @@
     address
 }
 
+/// Reads the optional section about placement.
+fn read_placement(document: &IniDocument, findings: &mut FindingList) -> PlacementSettings {
+    let Some(section) = document.find_section("placement") else {
+        return PlacementSettings::default();
+    };
+    let mut reader = SectionReader::new(&document.file, section, findings);
+    let shares_upstream_speed = reader.optional("share-upstream-speed").unwrap_or_default();
+    reader.finish();
+    PlacementSettings {
+        shares_upstream_speed,
+    }
+}
+
 /// Values of the `bounds` section.
 struct BoundsSection {
     grace: Duration,
--- a/crates/ebonyfork/src/gateway/settings_tests.rs
+++ b/crates/ebonyfork/src/gateway/settings_tests.rs
@@ -86,3 +86,17 @@
         expect_that!(findings, contains_substring(expected), "{faulty_lines}");
     }
 }
+
+/// Guards against placement decisions that are active although the settings don't mention them.
+#[gtest]
+fn placement_decisions_are_off_unless_stated() {
+    let settings = GatewaySettings::parse("g.ini", SETTINGS).expect("no findings");
+    expect_that!(settings.placement, eq(PlacementSettings::default()));
+    expect_that!(settings.placement.shares_upstream_speed, eq(false));
+    let active_text = format!("{SETTINGS}[placement]\nshare-upstream-speed = true\n");
+    let settings = GatewaySettings::parse("g.ini", &active_text).expect("no findings");
+    expect_that!(settings.placement.shares_upstream_speed, eq(true));
+    let faulty_text = format!("{SETTINGS}[placement]\nshare-speed = true\n");
+    let findings = GatewaySettings::parse("g.ini", &faulty_text).expect_err("a finding");
+    expect_that!(findings.to_string(), contains_substring("share-speed"));
+}
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -52,7 +52,8 @@
             | PeerMessage::Mirror(_)
             | PeerMessage::RouteCheck(_)
             | PeerMessage::Share(_)
-            | PeerMessage::Quota(_) => {
+            | PeerMessage::Quota(_)
+            | PeerMessage::Speed(_) => {
                 log::debug!("ignoring a gateway message from {:?}", link.peer());
             }
             PeerMessage::Hello(_) => log::debug!("ignoring a second hello from {:?}", link.peer()),
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -4,7 +4,7 @@
 
 use crate::catalog::CatalogMessage;
 use crate::gateway::{
-    MirrorMessage, PartialMessage, QuotaMessage, RouteCheckMessage, ShareMessage,
+    MirrorMessage, PartialMessage, QuotaMessage, RouteCheckMessage, ShareMessage, SpeedMessage,
 };
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
@@ -50,4 +50,6 @@
     Share(ShareMessage),
     /// Gateway to gateway: tokens of organisations' quotas.
     Quota(QuotaMessage),
+    /// Gateway to gateway: upstreams whose speed has changed. Sent only where the settings call for it.
+    Speed(SpeedMessage),
 }
