--- a/crates/ebonyfork/src/gateway/policy/speed_advice.rs
+++ b/crates/ebonyfork/src/gateway/policy/speed_advice.rs
@@ -3,11 +3,11 @@
 //!
 //! The load pattern: upstreams that turn several times slower for about 600 ms at a time. A VM needs two late answers
 //! to tell a slow upstream from a pausing one. VMs that each see a part of the requests would each pay for these late
-//! answers, and the later ones would finish learning when the slow phase is nearly over.
+//! answers.
 //!
 //! Two late answers show a slow upstream if the second attempt began after the first answer, or if the answers are as
-//! far apart as the attempts were: a pause ends for all attempts at the same time. The second kind of evidence takes
-//! half the time, which matters in a phase of 600 ms. A VM acts on its own report in the same way as on advice.
+//! far apart as the attempts were: a pause ends for all attempts at the same time. The second kind of evidence is
+//! available sooner, which matters in a phase of 600 ms. A VM acts on its own report in the same way as on advice.
 //!
 //! Only own attempts are evidence, so advice is never passed on. Advice adds to the expected time of an upstream for
 //! [`ADVICE_DURATION`]; it doesn't eject the upstream and never counts as a failure. An answer in time to an own attempt
