--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -11,6 +11,7 @@
 mod following;
 #[cfg(test)]
 mod link_fixture;
+mod outage;
 #[cfg(test)]
 mod random_history;
 mod source;
@@ -22,7 +23,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use smallvec::SmallVec;
 use tokio::sync::{mpsc, watch};
 
 use crate::gateway::clock::now;
@@ -37,6 +37,7 @@
 use crate::wire::PeerMessage;
 
 use self::following::{SourceFault, VmFollowing};
+use self::outage::StoreOutage;
 use self::source::{ChangeSource, GOSSIP_SETTLE_TIME, choose_source};
 use self::taker::StoreApplier;
 
@@ -46,8 +47,6 @@
 const SOURCE_AVOID_TIME: Duration = Duration::from_secs(4);
 /// Time for which the store has to fail before another VM is followed instead.
 const STORE_FAILURE_TIME: Duration = Duration::from_millis(800);
-/// Number of followed VMs whose calls to the store have to fail in turn for an outage of the store to be assumed.
-const MIN_FAILING_SOURCES: usize = 2;
 /// Time for which a VM that the store refuses follows another one before it tries the store again.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(3);
 
@@ -70,8 +69,7 @@
         timings: FreshnessTimings::new(core.settings.change_bound),
         avoided_vms: Vec::new(),
         store_watched_since: now(),
-        store_failing_since: None,
-        failing_sources: SmallVec::new(),
+        outage: StoreOutage::default(),
         store_avoided_until: None,
         polls: PendingPolls::default(),
         is_logged_as_stale: true,
@@ -93,11 +91,9 @@
     avoided_vms: Vec<(VmAddress, Instant)>,
     /// When this VM last started to watch the store, or last found it unusable.
     store_watched_since: Instant,
-    /// Since when calls to the store have failed, of this VM or of several that it followed; none once the store responds or a followed VM confirms
-    /// that the copy is up to date.
-    store_failing_since: Option<Instant>,
-    /// VMs that were followed since the copy was last up to date and that reported failing calls to the store.
-    failing_sources: SmallVec<[VmAddress; 4]>,
+    /// Outage of the store, assumed from failed calls of this VM or of several that it followed. It ends once the store
+    /// responds or a followed VM confirms that the copy is up to date.
+    outage: StoreOutage,
     /// Until when another VM is followed because the store did not respond to this VM; none if that has not happened
     /// yet.
     store_avoided_until: Option<Instant>,
@@ -140,12 +136,12 @@
     fn select_source(&mut self, current_source: ChangeSource) -> ChangeSource {
         let time = now();
         self.avoided_vms.retain(|(_vm, until)| *until > time);
-        if self.core.uptime() < GOSSIP_SETTLE_TIME && self.store_failing_since.is_none() {
+        if self.core.uptime() < GOSSIP_SETTLE_TIME && self.outage.since().is_none() {
             return ChangeSource::Store;
         }
         let lasts_too_long =
             |since: Instant| time.saturating_duration_since(since) >= STORE_FAILURE_TIME;
-        let is_failing = self.store_failing_since.is_some_and(lasts_too_long);
+        let is_failing = self.outage.since().is_some_and(lasts_too_long);
         let is_unusable = is_failing || self.core.relay.is_stale();
         if current_source == ChangeSource::Store
             && lasts_too_long(self.store_watched_since)
@@ -153,7 +149,8 @@
         {
             self.store_avoided_until = Some(time + STORE_RETRY_DELAY);
             self.store_watched_since = time;
-            self.note_store_failing();
+            let is_new = self.outage.note_failed_call(now());
+            self.announce_outage(is_new);
         }
         let is_store_avoided = self.store_avoided_until.is_some_and(|until| until > time);
         let avoided_vms: Vec<_> = self.avoided_vms.iter().map(|(vm, _until)| *vm).collect();
@@ -184,7 +181,7 @@
     /// the other VMs.
     fn is_awaiting_gossip(&self) -> bool {
         let has_read = self.complete_revision() > StoreRevision::ABSENT;
-        has_read && self.store_failing_since.is_none() && self.core.uptime() < GOSSIP_SETTLE_TIME
+        has_read && self.outage.since().is_none() && self.core.uptime() < GOSSIP_SETTLE_TIME
     }
 
     /// Watches the store until another source is preferred.
@@ -236,10 +233,11 @@
     /// Applies the result of a call to the store.
     fn handle_step(&mut self, step: FeedStep) {
         if !step.store_answers {
-            self.note_store_failing();
+            let is_new = self.outage.note_failed_call(now());
+            self.announce_outage(is_new);
             return;
         }
-        if self.clear_store_failing() {
+        if self.end_outage() {
             self.core.record_store_return();
         }
         // Of a read in pages, only the last page shows that the copy is complete.
@@ -272,30 +270,17 @@
         }
     }
 
-    /// Records that calls of a followed VM to the store fail. The store may refuse one VM and serve the others, so only
-    /// a second such VM in a row shows an outage.
-    fn note_failing_source(&mut self, vm: VmAddress) {
-        if !self.failing_sources.contains(&vm) {
-            self.failing_sources.push(vm);
-        }
-        if self.failing_sources.len() >= MIN_FAILING_SOURCES {
-            self.note_store_failing();
-        }
-    }
-
-    /// Records that calls to the store fail: those of this VM, or those of several VMs that it followed.
-    fn note_store_failing(&mut self) {
-        if self.store_failing_since.is_none() {
-            self.store_failing_since = Some(now());
+    /// Informs the followers of an outage of the store that is assumed from now on.
+    fn announce_outage(&self, is_new: bool) {
+        if is_new {
             self.core.relay.set_store_failing(true);
         }
     }
 
-    /// Records that the store responds, or that the copy is up to date. Returns whether calls had failed until then.
-    fn clear_store_failing(&mut self) -> bool {
+    /// Records that the store responds, or that the copy is up to date. Returns whether an outage was assumed.
+    fn end_outage(&mut self) -> bool {
         self.core.relay.set_store_failing(false);
-        self.failing_sources.clear();
-        self.store_failing_since.take().is_some()
+        self.outage.clear()
     }
 
     /// Logs if the store states a lower revision than the copy's, with the number of changes in the response.
@@ -407,7 +392,8 @@
             }
             MirrorMessage::State { poll, state } => self.handle_state(following, poll, state),
             MirrorMessage::StoreFailing => {
-                self.note_failing_source(following.vm);
+                let is_new = self.outage.note_failing_source(following.vm, now());
+                self.announce_outage(is_new);
                 Ok(())
             }
             MirrorMessage::StoreReturned { grace_ms } => {
@@ -463,7 +449,7 @@
                 }
             }
         })?;
-        if self.core.relay.is_stale() && self.clear_store_failing() {
+        if self.core.relay.is_stale() && self.end_outage() {
             // The store may have been unreachable for all VMs, so that entries of upstreams expired in it although the
             // upstreams run. Removals are delayed until these have had time to write their entries again.
             self.core.record_store_return();
@@ -514,7 +500,7 @@
         }
         if let Some(up_to_date_at) = following.polls.up_to_date_at(poll, up_to_date_ms) {
             self.core.relay.note_up_to_date(up_to_date_at);
-            self.clear_store_failing();
+            self.end_outage();
         }
         Ok(())
     }
--- a/crates/ebonyfork/src/gateway/policy/quota/history_faults.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_faults.rs
@@ -44,7 +44,11 @@
             .faults
             .as_ref()
             .is_some_and(|faults| faults.has_slow_links);
-        if has_slow_links { 0.4 } else { 0.0 }
+        match (has_slow_links, self.terms.is_steady) {
+            (true, false) => 0.4,
+            (true, true) => 0.1,
+            (false, _) => 0.0,
+        }
     }
 
     fn schedule(&mut self, delay: Duration, fault: Fault) {
@@ -58,6 +62,10 @@
         if self.now < self.demand.until {
             return;
         }
+        if self.terms.is_steady {
+            self.begin_steady_phase();
+            return;
+        }
         let asks = !self.demand.asks;
         let length = if asks { 0.8..2.0 } else { 0.4..1.0 };
         let mut windows = self.rng.random_range(length);
@@ -93,6 +101,20 @@
         }
     }
 
+    /// Begins a phase without end in which callers always ask and faults are frequent.
+    fn begin_steady_phase(&mut self) {
+        self.demand = Demand {
+            asks: true,
+            since: self.now,
+            until: Duration::MAX,
+            parts: QUOTA_PARTS,
+        };
+        if let Some(faults) = &mut self.faults {
+            faults.rate = 1.0;
+            faults.has_slow_links = true;
+        }
+    }
+
     /// Lets many holders be lost shortly after a pause of the demand, when full buckets have just been used up: then
     /// tokens that new holders have in addition count most.
     fn schedule_losses(&mut self) {
--- a/crates/ebonyfork/src/gateway/policy/quota/history_fixture.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_fixture.rs
@@ -57,6 +57,8 @@
 pub(super) struct HistoryTerms {
     pub(super) quota: RequestQuota,
     pub(super) bound: QuotaBound,
+    /// Whether faults and demand are the same all the time, instead of coming in phases.
+    pub(super) is_steady: bool,
 }
 
 impl HistoryTerms {
--- a/crates/ebonyfork/src/gateway/policy/quota/history_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_tests.rs
@@ -19,6 +19,12 @@
         overage: 0.1,
         slack: 20.0,
     },
+    is_steady: false,
+};
+/// Short window with many faults and callers that always ask at all parts, so that holds of two eras meet often.
+const STEADY_FAULTS: HistoryTerms = HistoryTerms {
+    is_steady: true,
+    ..SHORT_WINDOW
 };
 /// Quota of which most is tolerated in addition, so that start tokens are many compared with the refill.
 const LARGE_SLACK: HistoryTerms = HistoryTerms {
@@ -31,6 +37,7 @@
         overage: 0.1,
         slack: 100.0,
     },
+    is_steady: false,
 };
 /// Quota of which little is tolerated in addition, so that tokens in transit are many compared with the tolerance.
 const FAST_REFILL: HistoryTerms = HistoryTerms {
@@ -43,6 +50,7 @@
         overage: 0.05,
         slack: 0.0,
     },
+    is_steady: false,
 };
 /// Window that is longer than the wait in a new era, so that it can contain holds of two eras.
 const LONG_WINDOW: HistoryTerms = HistoryTerms {
@@ -55,6 +63,7 @@
         overage: 0.1,
         slack: 400.0,
     },
+    is_steady: false,
 };
 
 /// Returns the seeds whose histories exceed the bound, with the number of requests in the busiest window.
@@ -81,6 +90,7 @@
 fn no_window_has_more_requests_than_the_bound_allows() {
     let exceeding = |seeds, terms| exceeding_histories(seeds, 30, terms, LeftOut::Nothing);
     expect_that!(exceeding(0..8, SHORT_WINDOW), is_empty());
+    expect_that!(exceeding(0..4, STEADY_FAULTS), is_empty());
     expect_that!(exceeding(0..4, LARGE_SLACK), is_empty());
     expect_that!(exceeding(0..2, FAST_REFILL), is_empty());
     expect_that!(exceeding(0..2, LONG_WINDOW), is_empty());
@@ -91,6 +101,7 @@
 fn many_histories_stay_within_the_bound() {
     let exceeding = |seeds, vms, terms| exceeding_histories(seeds, vms, terms, LeftOut::Nothing);
     expect_that!(exceeding(1_000..1_200, 30, SHORT_WINDOW), is_empty());
+    expect_that!(exceeding(1_000..1_200, 30, STEADY_FAULTS), is_empty());
     expect_that!(exceeding(1_000..1_200, 30, LARGE_SLACK), is_empty());
     expect_that!(exceeding(1_000..1_060, 30, FAST_REFILL), is_empty());
     expect_that!(exceeding(1_000..1_060, 30, LONG_WINDOW), is_empty());
@@ -105,7 +116,7 @@
         (LeftOut::EmptyStart, SHORT_WINDOW),
         (LeftOut::Term, SHORT_WINDOW),
         (LeftOut::TakeoverDelay, SHORT_WINDOW),
-        (LeftOut::EraWait, SHORT_WINDOW),
+        (LeftOut::EraWait, STEADY_FAULTS),
         (LeftOut::LateGrants, SHORT_WINDOW),
         (LeftOut::AllowanceOffer, LARGE_SLACK),
         (LeftOut::OfferDelay, LARGE_SLACK),
