Run two tests of waits in virtual time

Cause: they worked on the wall clock, so that a wait of 100 ms could take more than 500 ms on a starved machine, and four shards were not sent again within 600 ms.

--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -26,6 +26,16 @@
 /// Much longer than any operation in these tests.
 pub(super) const LONG_TIME: Duration = Duration::from_secs(10);
 
+/// Makes a paused clock advance by a millisecond at a time. Without this limit it would jump to the next timer while data
+/// is ready on a socket.
+fn limit_clock_steps() {
+    tokio::task::spawn_local(async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
 /// Creates a process that has run long enough to hold its share of the slack, from which it may send repeats.
 pub(super) fn core() -> Rc<GatewayCore> {
     core_with(settings())
@@ -528,9 +538,10 @@
 /// Guards against treating harmless broken connections as crashes: upstreams that reset a connection and accept the
 /// next one have not crashed, so the lost shards are retried in parallel and none waits for another.
 #[gtest]
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn shards_lost_by_harmless_breaks_do_not_wait_for_one_another() {
     let test = async {
+        limit_clock_steps();
         let core = core();
         let services = ["s0", "s1", "s2", "s3"];
         let mut other_upstreams = Vec::new();
@@ -586,9 +597,10 @@
 /// A request that only waited for a connection until its deadline has not run. The reply says so and when to retry,
 /// and the request isn't sent later.
 #[gtest]
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_request_that_only_waited_for_a_connection_has_not_run() {
     let test = async {
+        limit_clock_steps();
         let core = core();
         let upstream = ScriptedUpstream::start(ScriptedReply::Hold).await;
         let entry = entry("only", "s", "north-a", upstream.address);
