Divide the refill among classes only at parts with two tokens a second or more

Cause: at a part with few tokens a second, a token that is saved for one class stays unused while requests of the others are refused.

--- a/crates/ebonyfork/src/gateway/policy/quota/account.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/account.rs
@@ -34,6 +34,9 @@
 const GRANT_MARGIN: Duration = Duration::from_millis(5);
 /// Shortest and longest time between two checks of waiting requests.
 const CHECK_PERIODS: [Duration; 2] = [Duration::from_millis(1), Duration::from_millis(20)];
+/// Smallest refill of a part, in tokens per second, that is divided among classes. With less, a token that is saved for a
+/// class stays unused for longer than its requests can wait, while requests of other classes are refused.
+const MIN_SHARED_RATE: f64 = 2.0;
 /// Smallest number of requests within a second from which an organisation can be over its limit. A small part may be
 /// empty after a single request, which says nothing of the other parts.
 const MIN_OVER_LIMIT: u32 = 3;
@@ -317,7 +320,7 @@
         let now = moment.now;
         // A full bucket would lose the next token, so whoever can use one gets it.
         let is_full = supply.tokens + TOLERANCE >= moment.terms.capacity;
-        if now >= self.ends_at || is_full {
+        if now >= self.ends_at || is_full || moment.terms.rate < MIN_SHARED_RATE {
             return now;
         }
         let class_supply = TokenSupply {
@@ -404,7 +407,13 @@
             }
         );
         let is_full = supply.tokens + TOLERANCE >= moment.terms.capacity;
-        if is_return || is_full || now + GRANT_MARGIN >= entry.deadline || now >= self.ends_at {
+        let has_no_shares = moment.terms.rate < MIN_SHARED_RATE;
+        if is_return
+            || is_full
+            || has_no_shares
+            || now + GRANT_MARGIN >= entry.deadline
+            || now >= self.ends_at
+        {
             return true;
         }
         let held = self.schedule.promise_count() as f64;
