Directory: don't name VMs lost before this process started

Cause: a registered VM that gossip doesn't know counted as usable, and a process that has just started can't learn from gossip that a VM failed before: nobody may ever have known it alive, and the failure of an unknown member is ignored.

Evidence: the restarted processes log `store read ... vms=4` and `member` lines for the two other VMs only, so gossip neither held the lost one alive nor was late to fail it; the registration ended with its lease.

Fix: each listed VM that is not a known member is pinged; three pings without an answer, while others are heard, make it unreachable until anybody hears of it. Directory, choice of VMs and topology view leave it out. The bound is the sum of the waits, 3.0 s, plus the spread of the pings (30 ms a VM that is gone); no lease or time-out was changed. The verdict is put off after a pause or while nobody is heard.

The same cause elsewhere, mended with it: a start seconds after a loss that others have noticed, a member that gossip forgets while it is still listed, the topology view of the tier's own interface.

--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -228,8 +228,12 @@
         let records = self.records.borrow();
         let mut vms = Vec::with_capacity(records.len() + 1);
         for record in records.values() {
-            let member = membership.get(VmAddress(record.caller.ip()));
-            let is_usable = member.is_none_or(|member| member.state == MemberState::Alive);
+            let vm = VmAddress(record.caller.ip());
+            let member = membership.get(vm);
+            let is_usable = member.map_or_else(
+                || !membership.is_unreachable(vm),
+                |member| member.state == MemberState::Alive,
+            );
             if record.caller == self.own_address || !is_usable {
                 continue;
             }
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -4,6 +4,7 @@
 use crate::gateway::fixture::place;
 use crate::gateway::policy::homes::HomeRegions;
 use crate::ident::IncarnationNumber;
+use crate::membership::fleet::Fleet;
 use crate::membership::{MemberDigest, MemberEntry};
 
 fn caller(last: u8) -> SocketAddr {
@@ -260,3 +261,27 @@
     ]));
     expect_that!(directory.peak_count(), eq(4));
 }
+
+/// Guards against naming a VM to callers for as long as its lease lasts, after all processes were killed and that one
+/// did not come back: no process that has started since ever knew it alive.
+#[gtest]
+fn a_vm_that_did_not_come_back_after_a_kill_of_all_is_not_named() {
+    // Callers may be told of a lost VM for 9 s, one of which has passed when the others start.
+    const LAST_NAMED_S: u64 = 8;
+    let mut fleet = Fleet::new(4, 4);
+    fleet.running[1] = false;
+    fleet.run(LAST_NAMED_S);
+    for observer in [0, 2, 3] {
+        let own_address = caller(observer + 1);
+        let directory = VmDirectory::new(own_address);
+        for last in 1..=4 {
+            directory.put(
+                &format!("vm/{last}").into(),
+                record(last, "north-a", "north"),
+            );
+        }
+        directory.apply_members(Arc::new(fleet.nodes[usize::from(observer)].snapshot()));
+        let located_vms = locate(&directory, &zone_shares_of(&[]), true);
+        expect_that!(located_vms, eq(&[1, 3, 4]), "observer {observer}");
+    }
+}
--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -310,7 +310,8 @@
     }
 
     fn set_seeds(&mut self, seeds: &[VmAddress]) {
-        self.protocol.set_seeds(seeds);
+        let now = self.now();
+        self.protocol.set_seeds(now, seeds);
     }
 
     /// Sends the queued datagrams, reports the events and records what has changed.
@@ -356,6 +357,13 @@
             } => {
                 log::info!(target: "ebonyfork::decision", "member {session} zone={zone} state={state}");
             }
+            MemberEvent::Unreachable { vm, pings, silence } => {
+                log::info!(
+                    target: "ebonyfork::decision",
+                    "listed vm={vm} unreachable pings={pings} silence_ms={}",
+                    silence.as_millis()
+                );
+            }
             MemberEvent::Notice(notice) => {
                 // An error means that there are no subscribers.
                 let _send_result = self.notices.send(notice);
--- a/crates/ebonyfork/src/membership/belief.rs
+++ b/crates/ebonyfork/src/membership/belief.rs
@@ -101,6 +101,7 @@
         }
         if effect == MergeEffect::Joined {
             self.probe.insert(update.vm, &mut self.rng);
+            self.unheard.remove(update.vm);
         }
         if forward || health == MemberHealth::Suspect {
             self.gossip_queues.members.push(update.vm);
--- a/crates/ebonyfork/src/membership/event.rs
+++ b/crates/ebonyfork/src/membership/event.rs
@@ -39,6 +39,8 @@
     pub pauses: u64,
     /// Received updates that name a newer incarnation on this VM: its clock ran backwards, or two processes run there.
     pub superseded: u64,
+    /// Listed VMs that answered no ping and were never heard of.
+    pub unreachable: u64,
 }
 
 /// An event to log or to forward to subscribers.
@@ -53,6 +55,15 @@
         /// The new state.
         state: MemberState,
     },
+    /// A listed VM that was never heard of counts as unreachable.
+    Unreachable {
+        /// Address of the VM.
+        vm: VmAddress,
+        /// Number of unanswered pings.
+        pings: usize,
+        /// Time since the first ping.
+        silence: Duration,
+    },
     /// A new notice arrived from another member.
     Notice(GossipNotice),
     /// This process was paused for about this duration.
--- a/crates/ebonyfork/src/membership/fleet_fixture.rs
+++ b/crates/ebonyfork/src/membership/fleet_fixture.rs
@@ -14,39 +14,39 @@
 use crate::membership::telling::own_update;
 
 /// Step of the virtual clock.
-pub(super) const STEP: Duration = Duration::from_millis(10);
+pub(crate) const STEP: Duration = Duration::from_millis(10);
 /// Clock steps between two ticks of a node.
-pub(super) const TICK_STEPS: usize = 10;
+pub(crate) const TICK_STEPS: usize = 10;
 
 /// Decides whether a datagram arrives, given the time, the sending node and the receiving node.
-pub(super) type DeliveryRule = Box<dyn FnMut(Duration, usize, usize) -> bool>;
+pub(crate) type DeliveryRule = Box<dyn FnMut(Duration, usize, usize) -> bool>;
 
-pub(super) struct Fleet {
-    pub(super) now: Duration,
-    pub(super) steps: usize,
-    pub(super) nodes: Vec<MemberProtocol>,
+pub(crate) struct Fleet {
+    pub(crate) now: Duration,
+    pub(crate) steps: usize,
+    pub(crate) nodes: Vec<MemberProtocol>,
     /// Whether each node runs; a node that does not run loses its datagrams.
-    pub(super) running: Vec<bool>,
+    pub(crate) running: Vec<bool>,
     /// Node whose process is not scheduled; datagrams to it wait in its socket.
-    pub(super) stalled_node: Option<usize>,
+    pub(crate) stalled_node: Option<usize>,
     /// Datagrams in flight with their senders, by time of arrival.
-    pub(super) in_flight: BTreeMap<Duration, Vec<(usize, OutgoingDatagram)>>,
+    pub(crate) in_flight: BTreeMap<Duration, Vec<(usize, OutgoingDatagram)>>,
     /// Rule by which datagrams arrive or are lost.
-    pub(super) delivers: DeliveryRule,
-    pub(super) rng: ChaCha8Rng,
+    pub(crate) delivers: DeliveryRule,
+    pub(crate) rng: ChaCha8Rng,
     /// Most bytes that any node has sent within one second.
-    pub(super) peak_bytes_per_s: u64,
+    pub(crate) peak_bytes_per_s: u64,
     /// Total bytes that each node had sent at the end of the last second.
-    pub(super) last_sent_bytes: Vec<u64>,
+    pub(crate) last_sent_bytes: Vec<u64>,
 }
 
 /// Returns the address of a node.
-pub(super) fn vm(index: usize) -> VmAddress {
+pub(crate) fn vm(index: usize) -> VmAddress {
     VmAddress(std::net::Ipv4Addr::from(0x0a00_0001 + index as u32).into())
 }
 
 /// Creates the protocol state of a node that starts at `now`.
-pub(super) fn protocol(now: Duration, index: usize, incarnation: u64) -> MemberProtocol {
+pub(crate) fn protocol(now: Duration, index: usize, incarnation: u64) -> MemberProtocol {
     let own_session = SessionId::new(vm(index), IncarnationNumber(incarnation));
     let zone = format!("zone-{}", index % 3).parse().unwrap();
     MemberProtocol::new(
@@ -60,13 +60,13 @@
 
 impl Fleet {
     /// Starts `size` nodes at once whose VM list has the first `seed_count` nodes.
-    pub(super) fn new(size: usize, seed_count: usize) -> Self {
+    pub(crate) fn new(size: usize, seed_count: usize) -> Self {
         let seeds: Vec<VmAddress> = (0..size.min(seed_count)).map(vm).collect();
         let mut nodes: Vec<MemberProtocol> = (0..size)
             .map(|index| protocol(Duration::ZERO, index, 1))
             .collect();
         for node in &mut nodes {
-            node.set_seeds(&seeds);
+            node.set_seeds(Duration::ZERO, &seeds);
         }
         Self {
             now: Duration::ZERO,
@@ -83,7 +83,7 @@
     }
 
     /// Starts nodes and runs them until each knows all others.
-    pub(super) fn converged(size: usize) -> Self {
+    pub(crate) fn converged(size: usize) -> Self {
         let mut fleet = Self::new(size, 3);
         fleet.run(15);
         for index in 0..size {
@@ -93,7 +93,7 @@
     }
 
     /// Starts nodes whose member tables already hold all others.
-    pub(super) fn fully_known(size: usize) -> Self {
+    pub(crate) fn fully_known(size: usize) -> Self {
         let mut fleet = Self::new(size, size);
         let updates: Vec<MemberUpdate> = fleet
             .nodes
@@ -112,7 +112,7 @@
     }
 
     /// Prints how many failures have been detected, how many are false, the peak send rate and the total bytes sent.
-    pub(super) fn print_progress(&self, second: u64) {
+    pub(crate) fn print_progress(&self, second: u64) {
         let stopped_nodes: Vec<usize> = (0..self.nodes.len())
             .filter(|index| !self.running[*index])
             .collect();
@@ -146,14 +146,14 @@
     }
 
     /// Drops each datagram with probability `loss`.
-    pub(super) fn with_loss(mut self, loss: f64) -> Self {
+    pub(crate) fn with_loss(mut self, loss: f64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(3);
         self.delivers = Box::new(move |_, _, _| !rng.random_bool(loss));
         self
     }
 
     /// Advances the virtual clock by whole seconds and records the peak send rate.
-    pub(super) fn run(&mut self, seconds: u64) {
+    pub(crate) fn run(&mut self, seconds: u64) {
         for _second in 0..seconds {
             for _step in 0..100 {
                 self.step();
@@ -169,7 +169,7 @@
     }
 
     /// Advances the virtual clock by one [`STEP`]: delivers datagrams and ticks the nodes that are due.
-    pub(super) fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.steps += 1;
         let mut outbox = Vec::new();
@@ -191,7 +191,7 @@
     }
 
     /// Delivers a datagram to a running node, unless the delivery rule drops it; retries later if the node is stalled.
-    pub(super) fn deliver(&mut self, sender: usize, datagram: &OutgoingDatagram) {
+    pub(crate) fn deliver(&mut self, sender: usize, datagram: &OutgoingDatagram) {
         let std::net::IpAddr::V4(ip) = datagram.destination.0 else {
             return;
         };
@@ -210,7 +210,7 @@
     }
 
     /// Puts datagrams in flight, each with a random latency.
-    pub(super) fn enqueue(&mut self, sender: usize, outbox: &mut Vec<OutgoingDatagram>) {
+    pub(crate) fn enqueue(&mut self, sender: usize, outbox: &mut Vec<OutgoingDatagram>) {
         for datagram in outbox.drain(..) {
             let arrives_at = self.now + Duration::from_millis(self.rng.random_range(1..25));
             self.in_flight
@@ -221,13 +221,13 @@
     }
 
     /// Returns the state in which `observer` sees `subject`.
-    pub(super) fn state(&self, observer: usize, subject: usize) -> Option<MemberState> {
+    pub(crate) fn state(&self, observer: usize, subject: usize) -> Option<MemberState> {
         let snapshot = self.nodes[observer].snapshot();
         snapshot.get(vm(subject)).map(|member| member.state)
     }
 
     /// Returns how many members `observer` sees in `state`, itself included.
-    pub(super) fn count(&self, observer: usize, state: MemberState) -> usize {
+    pub(crate) fn count(&self, observer: usize, state: MemberState) -> usize {
         let snapshot = self.nodes[observer].snapshot();
         let members = snapshot.members().iter();
         members.filter(|member| member.state == state).count()
@@ -235,7 +235,7 @@
 
     /// Runs until all running nodes outside `subjects` see every node of `subjects` in `state`; returns the seconds it
     /// took, or none after `limit` seconds.
-    pub(super) fn seconds_until(
+    pub(crate) fn seconds_until(
         &mut self,
         subjects: &[usize],
         state: MemberState,
@@ -257,12 +257,12 @@
     }
 
     /// Iterates over the running nodes.
-    pub(super) fn observers(&self) -> impl Iterator<Item = usize> {
+    pub(crate) fn observers(&self) -> impl Iterator<Item = usize> {
         (0..self.nodes.len()).filter(|index| self.running[*index])
     }
 
     /// Returns how many pairs of running nodes exist in which one sees the other as failed.
-    pub(super) fn false_failures(&self) -> usize {
+    pub(crate) fn false_failures(&self) -> usize {
         let mut count = 0;
         for observer in self.observers() {
             for subject in self.observers() {
--- a/crates/ebonyfork/src/membership/metrics.rs
+++ b/crates/ebonyfork/src/membership/metrics.rs
@@ -100,6 +100,11 @@
                 "Words of a newer incarnation on this VM",
                 counters.superseded,
             ),
+            (
+                "member_unreachable",
+                "Listed VMs that answered no ping",
+                counters.unreachable,
+            ),
         ];
         for (name, help, value) in counter_metrics {
             let metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
--- a/crates/ebonyfork/src/membership/mod.rs
+++ b/crates/ebonyfork/src/membership/mod.rs
@@ -11,7 +11,7 @@
 mod event;
 #[cfg(test)]
 #[path = "fleet_fixture.rs"]
-mod fleet;
+pub(crate) mod fleet;
 mod message;
 mod metrics;
 mod notice;
@@ -24,6 +24,7 @@
 mod table;
 mod telling;
 mod timing;
+mod unheard;
 
 pub use actor::{MemberHandle, MemberSettings};
 pub use event::{MemberCounters, MemberEvent, OutgoingDatagram, SnapshotChange};
--- a/crates/ebonyfork/src/membership/probing.rs
+++ b/crates/ebonyfork/src/membership/probing.rs
@@ -12,8 +12,7 @@
 use crate::membership::protocol::MemberProtocol;
 use crate::membership::table::MemberTable;
 use crate::membership::timing::{
-    DIRECT_TIMEOUT, HELPER_COUNT, INITIAL_SEED_BACKOFF, MAX_RELAYS, MIN_KNOWN_MEMBERS,
-    PROBE_PERIOD, RECONNECT_PERIOD, RELAY_TIMEOUT, SEED_FANOUT,
+    DIRECT_TIMEOUT, HELPER_COUNT, MAX_RELAYS, PROBE_PERIOD, RECONNECT_PERIOD, RELAY_TIMEOUT,
 };
 
 /// Maximum number of draws when searching for a random member that fits.
@@ -30,12 +29,8 @@
     open_probe: Option<OpenProbe>,
     /// When the open probe ends and the next one starts.
     next_probe_at: Duration,
-    /// When a failed member and a seed that has never answered are next probed.
+    /// When a failed member is next pinged.
     next_reconnect_at: Duration,
-    /// Earliest time of the next probes of seeds.
-    next_seed_at: Duration,
-    /// Current backoff between probes of seeds.
-    seed_backoff: Duration,
     /// Probes made for other members whose answers are to be forwarded.
     relays: Vec<RelayedProbe>,
 }
@@ -72,8 +67,6 @@
             open_probe: None,
             next_probe_at: now + PROBE_PERIOD.mul_f64(rng.random()),
             next_reconnect_at: now,
-            next_seed_at: now,
-            seed_backoff: INITIAL_SEED_BACKOFF,
             relays: Vec::new(),
         }
     }
@@ -158,7 +151,7 @@
 }
 
 impl MemberProtocol {
-    /// Ends the open probe and starts the next one if it is due, requests indirect probes, and probes seeds.
+    /// Ends the open probe and starts the next one if it is due, requests indirect probes, and pings a failed member.
     pub(super) fn tick_probe(&mut self, now: Duration, outbox: &mut Vec<OutgoingDatagram>) {
         self.probe.relays.retain(|relay| relay.expires_at > now);
         if now >= self.probe.next_probe_at {
@@ -167,7 +160,7 @@
         } else {
             self.ask_helpers(now, outbox);
         }
-        self.probe_seeds(now, outbox);
+        self.probe_failed(now, outbox);
     }
 
     /// Suspects the target of the open probe, unless the missing answer may be due to this process.
@@ -299,41 +292,26 @@
         self.send(now, target, MemberMessage::Ping { sequence }, outbox);
     }
 
-    /// Probes listed VMs that have never answered, often while few members are known. Also probes failed members, every
-    /// [`RECONNECT_PERIOD`], so that the end of a network partition is detected.
-    fn probe_seeds(&mut self, now: Duration, outbox: &mut Vec<OutgoingDatagram>) {
-        let reconnect_due = now >= self.probe.next_reconnect_at;
-        if reconnect_due {
-            self.probe.next_reconnect_at = now + RECONNECT_PERIOD;
-            if let Some(failed) = self.random_failed() {
-                self.ping_once(now, failed, outbox);
-            }
-        }
-        let has_few_members = self.table.present_count() < MIN_KNOWN_MEMBERS;
-        if now < self.probe.next_seed_at || !(has_few_members || reconnect_due) {
+    /// Pings a failed member every [`RECONNECT_PERIOD`], so that the end of a network partition is detected.
+    fn probe_failed(&mut self, now: Duration, outbox: &mut Vec<OutgoingDatagram>) {
+        if now < self.probe.next_reconnect_at {
             return;
         }
-        // When a whole fleet starts at once, the seeds probed first can't answer every process.
-        self.probe.seed_backoff = (self.probe.seed_backoff * 2).min(RECONNECT_PERIOD);
-        let jitter = 0.5 + self.rng.random::<f64>();
-        self.probe.next_seed_at = now + self.probe.seed_backoff.mul_f64(jitter);
-        let fanout = if has_few_members { SEED_FANOUT } else { 1 };
-        for _seed in 0..fanout {
-            if let Some(seed) = self.random_seed() {
-                self.ping_once(now, seed, outbox);
-            }
+        self.probe.next_reconnect_at = now + RECONNECT_PERIOD;
+        if let Some(failed) = self.random_failed() {
+            self.ping_once(now, failed, outbox);
         }
     }
 
-    /// Sends a ping without tracking its answer.
-    fn ping_once(
+    /// Sends a ping without tracking its answer. Returns whether the byte budget allowed it.
+    pub(super) fn ping_once(
         &mut self,
         now: Duration,
         destination: VmAddress,
         outbox: &mut Vec<OutgoingDatagram>,
-    ) {
+    ) -> bool {
         let sequence = self.draw_sequence();
-        self.send(now, destination, MemberMessage::Ping { sequence }, outbox);
+        self.send(now, destination, MemberMessage::Ping { sequence }, outbox)
     }
 
     /// Returns a random failed member.
@@ -343,17 +321,6 @@
         let failed_vms: Vec<VmAddress> = failed_records.map(|(vm, _)| vm).collect();
         pick(&failed_vms, &mut self.rng)
     }
-
-    /// Returns a random listed VM that is not a known member.
-    fn random_seed(&mut self) -> Option<VmAddress> {
-        for _draw in 0..MAX_DRAWS {
-            let seed = pick(&self.seeds, &mut self.rng)?;
-            if self.table.get(seed).is_none() {
-                return Some(seed);
-            }
-        }
-        None
-    }
 }
 
 /// Returns a random VM of `vms`; none if it is empty.
--- a/crates/ebonyfork/src/membership/protocol.rs
+++ b/crates/ebonyfork/src/membership/protocol.rs
@@ -25,9 +25,10 @@
 use crate::membership::telling::GossipQueues;
 use crate::membership::timing::{
     ACK_SILENCE_TIME, CLEANUP_TICKS, DIGEST_TICKS, DIRECT_TIMEOUT, FAILED_RETENTION_TIME,
-    ISOLATION_TIME, LATE_TICK_GAP, LEAVE_FANOUT, MEMBER_LIMIT, PAUSE_GAP, RECEIVE_SILENCE_TIME,
-    SEND_BURST, SEND_RATE, digest_period,
+    ISOLATION_TIME, LATE_TICK_GAP, LEAVE_FANOUT, MEMBER_LIMIT, PAUSE_GAP, PROBE_PERIOD,
+    RECEIVE_SILENCE_TIME, SEND_BURST, SEND_RATE, digest_period,
 };
+use crate::membership::unheard::UnheardVms;
 
 /// Protocol state of one process. Times are durations since the process started.
 #[derive(Debug)]
@@ -38,7 +39,9 @@
     pub(super) deployment: u32,
     pub(super) table: MemberTable,
     /// Other VMs in the VM list.
-    pub(super) seeds: Vec<VmAddress>,
+    seeds: Vec<VmAddress>,
+    /// Those of `seeds` that are not known members.
+    pub(super) unheard: UnheardVms,
     pub(super) probe: ProbeState,
     pub(super) page: PageState,
     pub(super) notices: NoticeTable,
@@ -98,6 +101,7 @@
             deployment,
             table: MemberTable::default(),
             seeds: Vec::new(),
+            unheard: UnheardVms::default(),
             probe,
             page,
             notices: NoticeTable::default(),
@@ -119,11 +123,17 @@
         }
     }
 
-    /// Replaces the addresses from the VM list, which are probed until they are known as members.
-    pub fn set_seeds(&mut self, seeds: &[VmAddress]) {
+    /// Replaces the addresses from the VM list, which are pinged until they are known as members.
+    pub fn set_seeds(&mut self, now: Duration, seeds: &[VmAddress]) {
         let own_vm = self.own_header.vm;
         let other_vms = seeds.iter().filter(|seed| **seed != own_vm);
         self.seeds = other_vms.copied().take(MEMBER_LIMIT).collect();
+        let is_unknown = |vm: &&VmAddress| self.table.get(**vm).is_none();
+        let unknown_vms: Vec<_> = self.seeds.iter().filter(is_unknown).copied().collect();
+        let known_members = self.table.present_count();
+        self.unheard
+            .replace(now, &unknown_vms, known_members, &mut self.rng);
+        self.change = SnapshotChange::Members;
     }
 
     /// Replaces the digest of this process. A new revision is announced at once, a new load when the next digest is
@@ -163,6 +173,7 @@
         if now.saturating_sub(self.last_tick_at) > LATE_TICK_GAP {
             self.probe.postpone(now);
             self.postpone_suspects(now + DIRECT_TIMEOUT);
+            self.unheard.postpone(now + DIRECT_TIMEOUT);
         }
         self.last_tick_at = now;
         self.ticks = self.ticks.wrapping_add(1);
@@ -170,6 +181,7 @@
         self.expire_suspects(now);
         self.announce_digest(now);
         self.tick_probe(now, outbox);
+        self.tick_unheard(now, outbox);
         self.tick_page(now, outbox);
         let is_urgent = self.gossip_queues.is_urgent();
         let digests_due =
@@ -186,8 +198,14 @@
             return;
         }
         self.notices.remove_expired(now);
-        self.table
+        let removed_vms = self
+            .table
             .remove_failed(now.saturating_sub(FAILED_RETENTION_TIME));
+        for vm in removed_vms {
+            if self.seeds.contains(&vm) {
+                self.unheard.insert_unreachable(now, vm);
+            }
+        }
         self.change = SnapshotChange::Members;
     }
 
@@ -209,6 +227,7 @@
         self.last_received = self.last_received.map(|received_at| received_at + gap);
         self.last_ack = self.last_ack.map(|received_at| received_at + gap);
         self.probe.suspend(now);
+        self.unheard.postpone(now + PROBE_PERIOD);
     }
 
     /// Returns whether any datagram has arrived within [`RECEIVE_SILENCE_TIME`]. If none has, a missing answer may be
@@ -239,6 +258,9 @@
 
     /// Records that a datagram has arrived from a peer.
     pub(super) fn record_contact(&mut self, now: Duration) {
+        if self.isolated || self.last_received.is_none() {
+            self.unheard.ping_unreachable_soon(now, &mut self.rng);
+        }
         self.last_received = Some(now);
         self.check_isolation(now);
     }
@@ -289,6 +311,7 @@
             entry
         });
         MemberSnapshot::new(other_entries.chain([own_entry]))
+            .with_unreachable(self.unheard.unreachable())
     }
 
     /// Returns the number of other members in each state: alive, suspect, leaving, failed.
--- a/crates/ebonyfork/src/membership/protocol_tests.rs
+++ b/crates/ebonyfork/src/membership/protocol_tests.rs
@@ -131,7 +131,7 @@
         fleet.run(gap_s);
         let seeds: Vec<VmAddress> = (0..3).map(vm).collect();
         fleet.nodes[4] = protocol(fleet.now, 4, 2);
-        fleet.nodes[4].set_seeds(&seeds);
+        fleet.nodes[4].set_seeds(fleet.now, &seeds);
         fleet.last_sent_bytes[4] = 0;
         fleet.running[4] = true;
         fleet.run(5);
@@ -149,7 +149,7 @@
     // The clock of the VM ran backwards between two incarnations.
     let mut fleet = Fleet::converged(3);
     fleet.nodes[2] = protocol(fleet.now, 2, 0);
-    fleet.nodes[2].set_seeds(&[vm(0), vm(1)]);
+    fleet.nodes[2].set_seeds(fleet.now, &[vm(0), vm(1)]);
     fleet.last_sent_bytes[2] = 0;
     fleet.run(20);
     expect_that!(fleet.state(0, 2), some(eq(MemberState::Failed)));
@@ -279,7 +279,7 @@
     fleet.nodes[9].publish_notice(fleet.now, notice);
     fleet.run(60);
     fleet.nodes.push(protocol(fleet.now, 150, 2));
-    fleet.nodes[150].set_seeds(&[vm(0), vm(1), vm(2)]);
+    fleet.nodes[150].set_seeds(fleet.now, &[vm(0), vm(1), vm(2)]);
     fleet.running.push(true);
     fleet.last_sent_bytes.push(0);
     fleet.run(3);
@@ -327,7 +327,7 @@
             incarnations[replaced_node] += 1;
             fleet.nodes[replaced_node] =
                 protocol(fleet.now, replaced_node, incarnations[replaced_node]);
-            fleet.nodes[replaced_node].set_seeds(&[vm(0), vm(1), vm(2)]);
+            fleet.nodes[replaced_node].set_seeds(fleet.now, &[vm(0), vm(1), vm(2)]);
             fleet.last_sent_bytes[replaced_node] = 0;
             fleet.run(rng.random_range(1..12));
             fleet.running[paused_node] = true;
--- a/crates/ebonyfork/src/membership/snapshot.rs
+++ b/crates/ebonyfork/src/membership/snapshot.rs
@@ -142,6 +142,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct MemberSnapshot {
     members: Vec<MemberEntry>,
+    /// Listed VMs that are not members and answer no ping, in ascending order.
+    unreachable_vms: Vec<VmAddress>,
 }
 
 impl MemberSnapshot {
@@ -150,7 +152,40 @@
         let mut members: Vec<_> = members.into_iter().collect();
         members.sort_unstable_by_key(|member| member.vm);
         members.dedup_by_key(|member| member.vm);
-        Self { members }
+        Self {
+            members,
+            unreachable_vms: Vec::new(),
+        }
+    }
+
+    /// Adds listed VMs that are not members and answer no ping.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::membership::MemberSnapshot;
+    ///
+    /// let vm = "127.0.0.1".parse()?;
+    /// let snapshot = MemberSnapshot::default().with_unreachable([vm]);
+    /// assert!(snapshot.is_unreachable(vm));
+    /// assert!(snapshot.get(vm).is_none());
+    /// # Ok::<(), ebonyfork::ident::IdentError>(())
+    /// ```
+    #[must_use]
+    pub fn with_unreachable(mut self, vms: impl IntoIterator<Item = VmAddress>) -> Self {
+        self.unreachable_vms = vms.into_iter().collect();
+        self.unreachable_vms.sort_unstable();
+        self
+    }
+
+    /// Returns whether a listed VM that was never heard of answers no ping.
+    pub fn is_unreachable(&self, vm: VmAddress) -> bool {
+        self.unreachable_vms.binary_search(&vm).is_ok()
+    }
+
+    /// Returns the listed VMs that are not members and answer no ping, in ascending order.
+    pub fn unreachable_vms(&self) -> &[VmAddress] {
+        &self.unreachable_vms
     }
 
     /// Returns the member on a VM.
--- a/crates/ebonyfork/src/membership/table.rs
+++ b/crates/ebonyfork/src/membership/table.rs
@@ -214,12 +214,13 @@
         })
     }
 
-    /// Removes members that failed before `failed_before`. A member that returns later counts as new, even if its
-    /// clock ran backwards.
-    pub fn remove_failed(&mut self, failed_before: Duration) {
-        self.records.retain(|_, record| {
-            record.health != MemberHealth::Failed || record.health_since >= failed_before
+    /// Removes members that failed before `failed_before` and returns them. A member that returns later counts as new,
+    /// even if its clock ran backwards.
+    pub fn remove_failed(&mut self, failed_before: Duration) -> Vec<VmAddress> {
+        let removed_records = self.records.extract_if(.., |_, record| {
+            record.health == MemberHealth::Failed && record.health_since < failed_before
         });
+        removed_records.map(|(vm, _)| vm).collect()
     }
 }
 
--- a/crates/ebonyfork/src/membership/telling.rs
+++ b/crates/ebonyfork/src/membership/telling.rs
@@ -63,14 +63,15 @@
             .random_member(&self.table, &mut self.rng, excluded_vm, zone)
     }
 
-    /// Sends a message with as many piggybacked facts as the byte budget and the datagram allow.
+    /// Sends a message with as many piggybacked facts as the byte budget and the datagram allow. Returns whether the
+    /// budget allowed it to be sent at all.
     pub(super) fn send(
         &mut self,
         now: Duration,
         destination: VmAddress,
         message: MemberMessage,
         outbox: &mut Vec<OutgoingDatagram>,
-    ) {
+    ) -> bool {
         let size_limit = self.budget.available().min(DATAGRAM_LIMIT);
         let mut writer =
             DatagramWriter::new(self.deployment, size_limit, &self.own_header, message);
@@ -82,7 +83,7 @@
             writer.push_mandatory(&GossipFact::Member(update));
         }
         self.fill(now, destination, &mut writer);
-        self.output_datagram(destination, writer.finish(), outbox);
+        self.output_datagram(destination, writer.finish(), outbox)
     }
 
     /// Adds queued facts to a datagram while they fit.
@@ -131,21 +132,23 @@
             .fill(DIGEST_TRANSMISSIONS, &mut offer_digest);
     }
 
-    /// Outputs an encoded datagram and counts it, or counts it as withheld if the byte budget is exhausted.
+    /// Outputs an encoded datagram and counts it, or counts it as withheld if the byte budget is exhausted. Returns
+    /// whether it is sent.
     pub(super) fn output_datagram(
         &mut self,
         destination: VmAddress,
         bytes: Vec<u8>,
         outbox: &mut Vec<OutgoingDatagram>,
-    ) {
+    ) -> bool {
         let size = bytes.len() + PACKET_OVERHEAD;
         if !self.budget.try_spend(size) {
             self.counters.withheld_datagrams += 1;
-            return;
+            return false;
         }
         self.counters.sent_datagrams += 1;
         self.counters.sent_bytes += size as u64;
         outbox.push(OutgoingDatagram { destination, bytes });
+        true
     }
 
     /// Returns the number of bytes that the budget allows to send now.
--- a/crates/ebonyfork/src/membership/timing.rs
+++ b/crates/ebonyfork/src/membership/timing.rs
@@ -24,14 +24,22 @@
 pub const ACK_SILENCE_TIME: Duration = Duration::from_secs(3);
 /// After this long without any datagram from a peer, this process reports all other members as failed.
 pub const ISOLATION_TIME: Duration = Duration::from_secs(5);
-/// Time between two attempts to reach a failed member or a listed VM that has never answered.
+/// Time between two attempts to reach a failed member or an unreachable listed VM.
 pub const RECONNECT_PERIOD: Duration = Duration::from_secs(2);
-/// Number of listed VMs probed at a time while fewer than [`MIN_KNOWN_MEMBERS`] members are known.
-pub const SEED_FANOUT: usize = 3;
-/// Half the wait between the first two probes of listed VMs; the wait doubles up to [`RECONNECT_PERIOD`].
-pub const INITIAL_SEED_BACKOFF: Duration = Duration::from_millis(100);
-/// Number of known members from which listed VMs are probed only once per [`RECONNECT_PERIOD`].
-pub const MIN_KNOWN_MEMBERS: usize = 3;
+/// Waits for the answers to the pings of a listed VM that has not been heard of. After the last one the VM counts as
+/// unreachable; together they last about as long as a suspicion in a small fleet.
+pub const UNHEARD_PING_WAITS: [Duration; 3] = [
+    Duration::from_millis(300),
+    Duration::from_millis(900),
+    Duration::from_millis(1_800),
+];
+/// Mean time between the first pings that a process sends to listed VMs.
+pub const UNHEARD_PING_SPACING: Duration = Duration::from_millis(30);
+/// Maximum number of listed VMs pinged in one tick.
+pub const MAX_UNHEARD_PINGS: usize = 4;
+/// Time that each known member adds to the spread of the first pings to a VM that is listed later. Gossip introduces
+/// most VMs sooner, so a VM that joins a large fleet need not answer every member.
+pub const KNOWN_MEMBER_SPREAD: Duration = Duration::from_millis(20);
 /// Timeout of a request for a page of the member table.
 pub const PAGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum time between two page requests that fetch changes missed by gossip.
--- a/crates/ebonyfork/src/topology/join.rs
+++ b/crates/ebonyfork/src/topology/join.rs
@@ -112,7 +112,9 @@
 
     /// Applies a membership snapshot and returns whether anything other than digests has changed.
     pub fn apply_members(&mut self, member_snapshot: Arc<MemberSnapshot>) -> bool {
-        let is_unchanged = member_snapshot.members().len() == self.member_snapshot.members().len()
+        let is_unchanged = member_snapshot.unreachable_vms()
+            == self.member_snapshot.unreachable_vms()
+            && member_snapshot.members().len() == self.member_snapshot.members().len()
             && member_snapshot
                 .members()
                 .iter()
@@ -237,7 +239,7 @@
 
     /// Returns whether the view includes a listed VM that membership has not discovered; false if membership knows it.
     fn includes_unconfirmed(&self, now: Duration, vm: VmAddress, listed_vm: &ListedVm) -> bool {
-        if self.member_snapshot.get(vm).is_some() {
+        if self.member_snapshot.get(vm).is_some() || self.member_snapshot.is_unreachable(vm) {
             return false;
         }
         let mut member_entries = self.member_snapshot.members().iter();
