Directory: name a VM again that returns from failure

What callers saw: a VM that was paused for 8 s, or cut off until gossip called it failed, was never named again by the directories of the others, so the rest of its zone carried its callers.

Cause: the record of a failed VM was deleted, and only a new write in the store brings one back; a VM whose lease holds writes nothing. A VM that hears nobody for 5 s forgot all others in the same way.

Evidence: gossip logs `member ... state=alive` within a second of the return and the lease was renewed throughout, so neither gossip nor the store hid it.

Fix: a record stays for as long as the store contains it; a failed VM is neither named nor counted.

--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -117,9 +117,10 @@
         self.records.borrow_mut().remove(key);
     }
 
-    /// Applies a snapshot of the gossip membership. Removes failed VMs, as well as registrations that the store no
-    /// longer contains and that gossip does not report alive or suspect. A VM that gossip reports alive is running,
-    /// even if the store was restored from a copy older than its registration.
+    /// Applies a snapshot of the gossip membership. Removes registrations that the store no longer contains and that
+    /// gossip does not report alive or suspect. A VM that gossip reports alive is running, even if the store was
+    /// restored from a copy older than its registration. The registration of a failed VM stays for as long as the store
+    /// contains it: the VM may only have been cut off or paused, and does not register again when it returns.
     pub fn apply_members(&self, members: Arc<MemberSnapshot>) {
         let other_members = members.members().iter().filter(|member| {
             member.vm.0 != self.own_address.ip() && member.state != MemberState::Failed
@@ -128,18 +129,13 @@
         self.peak_count
             .set(self.peak_count.get().max(running_count));
         *self.membership.borrow_mut() = members;
-        let members = self.membership.borrow();
-        let has_failed = |record: &VmRecord| {
-            let member = members.get(VmAddress(record.caller.ip()));
-            member.is_some_and(|member| member.state == MemberState::Failed)
-        };
         let missing_keys = self.missing_keys.borrow();
         let has_expired = |key: &CompactString, record: &VmRecord| {
             missing_keys.contains(key) && !self.is_reported_running(record)
         };
         self.records
             .borrow_mut()
-            .retain(|key, record| !has_failed(record) && !has_expired(key, record));
+            .retain(|key, record| !has_expired(key, record));
     }
 
     /// Returns whether the store no longer contains a registration.
@@ -154,13 +150,17 @@
             .is_some_and(|member| matches!(member.state, MemberState::Alive | MemberState::Suspect))
     }
 
-    /// Returns the number of VMs, including this one.
+    /// Returns the number of VMs that have not failed, including this one.
     pub fn count(&self) -> usize {
+        let membership = self.membership.borrow();
+        let has_failed = |record: &VmRecord| {
+            let member = membership.get(VmAddress(record.caller.ip()));
+            member.is_some_and(|member| member.state == MemberState::Failed)
+        };
         let records = self.records.borrow();
-        let includes_own = records
-            .values()
-            .any(|record| record.caller == self.own_address);
-        (records.len() + usize::from(!includes_own)).max(1)
+        let is_counted =
+            |record: &&VmRecord| record.caller != self.own_address && !has_failed(record);
+        records.values().filter(is_counted).count() + 1
     }
 
     /// Returns the largest number of VMs known to have run at the same time. A VM that nobody has reported yet has no
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -285,3 +285,22 @@
         expect_that!(located_vms, eq(&[1, 3, 4]), "observer {observer}");
     }
 }
+
+/// Guards against hiding a running VM for good: one that was paused or cut off until gossip called it failed, without
+/// its lease having expired, does not register again when it returns.
+#[gtest]
+fn a_vm_that_returns_from_failure_is_named_again() {
+    let directory = directory();
+    directory.apply_members(members(&[(2, MemberState::Failed)]));
+    expect_that!(directory.count(), eq(5));
+    directory.apply_members(members(&[(2, MemberState::Alive)]));
+    expect_that!(directory.count(), eq(6));
+    expect_that!(
+        locate(&directory, &zone_shares_of(&[]), true),
+        elements_are![eq(&1), eq(&2)]
+    );
+    directory.apply_members(members(&[(2, MemberState::Failed)]));
+    directory.remove(&"vm/10.0.0.2:80".into());
+    directory.apply_members(members(&[]));
+    expect_that!(directory.count(), eq(5));
+}
