Planned stop: deliver answers that are still being written

Cause: a request counted as in flight until its answer was decided on, or, if it was streamed, until the HTTP library had taken its last frame. GatewayNode::stop aborted all tasks once the count was zero; what the library had not written was lost.

Evidence: `planned stop ends: in_flight=0 took_ms=3365` while five answers were being written and the grace time was 6 s, so neither that time nor the upstreams (whole bodies, stated lengths) ended them.

Fix: a request stays in flight until the library has flushed its answer; the library drops the guard with the body, and the next flush of the connection releases it. Then connections are closed, and the process waits until the kernel has nothing unacknowledged on them. No time-out is longer: the bound is the grace time less 0.5 s as before, the waits end with the events.

The same cause elsewhere, mended with it: streamed and merged answers, refusals, directory answers; and a caller who sends the next request early and reads slowly was cut by the time-out for request heads.

--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -24,9 +24,13 @@
 /// How long the computed requirements of a host are cached.
 const HOST_NEEDS_TTL: Duration = Duration::from_secs(1);
 
-/// Serves the control calls on a listener until the future is dropped.
+/// Serves the control calls on a listener until connections are to close.
 pub async fn serve_control(core: Rc<GatewayCore>, listener: TcpListener) {
-    serve_http(listener, move |request| handle_call(&core, request)).await;
+    let connections = core.connections.clone();
+    serve_http(listener, connections, move |request| {
+        handle_call(&core, request)
+    })
+    .await;
 }
 
 fn handle_call(core: &GatewayCore, request: &Request<Incoming>) -> CallerReply {
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -12,6 +12,7 @@
 use crate::gateway::aggregate_table::AggregateTable;
 use crate::gateway::clock::{boot_time, now};
 use crate::gateway::cold_claims::ColdClaims;
+use crate::gateway::connection_drain::ConnectionDrain;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::flight::InFlightCount;
@@ -100,9 +101,11 @@
     pub started: Instant,
     /// Time at which the process started, on the clock that includes suspensions.
     started_since_boot: Duration,
-    state: Cell<ServiceState>,
-    /// Number of requests in flight.
+    state: Rc<Cell<ServiceState>>,
+    /// Requests in flight, each until its answer has been passed to the kernel.
     pub in_flight: InFlightCount,
+    /// Open connections of callers and of control calls.
+    pub connections: ConnectionDrain,
     table: RefCell<Option<Rc<RouteTable>>>,
     latencies: RefCell<FxHashMap<RouteName, Rc<RefCell<RouteLatency>>>>,
 }
@@ -147,8 +150,9 @@
             metrics,
             started: now(),
             started_since_boot: boot_time(),
-            state: Cell::new(ServiceState::Serving),
+            state: Rc::new(Cell::new(ServiceState::Serving)),
             in_flight: InFlightCount::default(),
+            connections: ConnectionDrain::default(),
             table: RefCell::default(),
             latencies: RefCell::default(),
             settings,
@@ -332,6 +336,11 @@
         self.state.get()
     }
 
+    /// Returns the shared cell that holds whether new requests are accepted.
+    pub fn shared_state(&self) -> Rc<Cell<ServiceState>> {
+        Rc::clone(&self.state)
+    }
+
     /// Sets whether new requests are accepted.
     pub fn set_state(&self, state: ServiceState) {
         self.state.set(state);
--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -376,7 +376,7 @@
             if is_reusable {
                 upstream.release(active_link, keep_alive);
             }
-            ReplyBody::Whole(body.beginning)
+            ReplyBody::from(body.beginning)
         }
         (Some(rest), Some(idle_timeout)) if !is_declined => {
             let mut stream =
@@ -384,7 +384,7 @@
             if is_reusable {
                 stream = stream.with_reuse(keep_alive);
             }
-            ReplyBody::Stream(Box::new(stream))
+            ReplyBody::from(stream)
         }
         (Some(_), _) => {
             let reason = CompactString::const_new("the response exceeds the size limit");
--- a/crates/ebonyfork/src/gateway/flight.rs
+++ b/crates/ebonyfork/src/gateway/flight.rs
@@ -1,9 +1,9 @@
-//! Counts the requests that a process has in flight. A planned shutdown waits for them.
+//! Counts the requests and connections of a process. A planned shutdown waits for them.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Number of requests in flight. Clones share the count.
+/// Number of requests in flight, or of connections that are open. Clones share the count.
 #[derive(Debug, Clone, Default)]
 pub struct InFlightCount(Rc<Cell<usize>>);
 
@@ -13,14 +13,14 @@
         self.0.get()
     }
 
-    /// Counts one more request for as long as the returned guard lives.
+    /// Counts one more for as long as the returned guard lives.
     pub fn enter(&self) -> InFlightGuard {
         self.0.set(self.0.get() + 1);
         InFlightGuard(self.clone())
     }
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Counts one request or connection until it is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard(InFlightCount);
 
--- a/crates/ebonyfork/src/gateway/http_server.rs
+++ b/crates/ebonyfork/src/gateway/http_server.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::gateway::connection_drain::ConnectionDrain;
 use crate::gateway::reply::CallerReply;
 
 /// Idle timeout of a connection.
@@ -26,16 +27,22 @@
     tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
-/// Serves requests on a listener until the future is dropped.
+/// Serves requests on a listener until `connections` are to close.
 pub async fn serve_http(
     listener: TcpListener,
+    connections: ConnectionDrain,
     answer: impl Fn(&Request<Incoming>) -> CallerReply + 'static,
 ) {
     let answer = Rc::new(answer);
     loop {
-        match listener.accept().await {
+        let accept_result = tokio::select! {
+            accept_result = listener.accept() => accept_result,
+            () = connections.closing() => return,
+        };
+        match accept_result {
             Ok((stream, _peer)) => {
-                tokio::task::spawn_local(serve_stream(stream, Rc::clone(&answer)));
+                let connection = serve_stream(stream, connections.clone(), Rc::clone(&answer));
+                tokio::task::spawn_local(connection);
             }
             Err(error) => log_accept_error(&error).await,
         }
@@ -44,8 +51,10 @@
 
 async fn serve_stream(
     stream: TcpStream,
+    connections: ConnectionDrain,
     answer: Rc<impl Fn(&Request<Incoming>) -> CallerReply + 'static>,
 ) {
+    let _open = connections.enter();
     let service = service_fn(move |request: Request<Incoming>| {
         let reply = answer(&request);
         async move { Ok::<_, Infallible>(reply) }
@@ -55,7 +64,15 @@
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = &mut connection => result,
+        () = connections.closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!("control connection: {error}");
     }
 }
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -1,6 +1,6 @@
 //! Callers' connections: enforces limits, routes each request and answers it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -32,7 +32,7 @@
 use crate::gateway::route::{RouteEntry, RouteTable, RouteTarget};
 use crate::gateway::route_check::check_route;
 use crate::gateway::run::{RunReport, RunTarget, run_request};
-use crate::gateway::stream_activity::{ActivityStream, StreamActivity};
+use crate::gateway::stream_activity::{ActivityStream, AnswerDelivery, StreamActivity};
 use crate::quarantine::QuarantineStatus;
 
 /// Idle and header timeout of connections until a configuration states them.
@@ -46,10 +46,14 @@
 /// timestamp.
 const MAX_WAIT_MS: f64 = 86_400_000.0;
 
-/// Accepts callers' connections until the future is dropped.
+/// Accepts callers' connections until connections are to close.
 pub async fn serve_callers(core: Rc<GatewayCore>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accept_result = tokio::select! {
+            accept_result = listener.accept() => accept_result,
+            () = core.connections.closing() => return,
+        };
+        match accept_result {
             Ok((stream, _peer)) => {
                 tokio::task::spawn_local(serve_stream(Rc::clone(&core), stream));
             }
@@ -68,6 +72,7 @@
 }
 
 async fn serve_stream(core: Rc<GatewayCore>, stream: TcpStream) {
+    let _open = core.connections.enter();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller connection: {error}");
         return;
@@ -82,6 +87,8 @@
         head_started: Cell::new(None),
         decided_at: Cell::new(None),
         answer_lag: Rc::clone(&core.answer_lag),
+        unwritten: RefCell::default(),
+        state: core.shared_state(),
     });
     let service = service_fn({
         let core = Rc::clone(&core);
@@ -95,10 +102,11 @@
                 let caller_overhead = activity
                     .distance
                     .for_request(activity.awaits_first_request.replace(false));
-                let (reply, decided_at) = answer(&core, request, caller_overhead).await;
+                let in_flight = core.in_flight.enter();
+                let (mut reply, decided_at) = answer(&core, request, caller_overhead).await;
                 activity.decided_at.set(decided_at);
-                activity.is_answering.set(false);
-                activity.idle_since.set(now());
+                let delivery = AnswerDelivery::new(in_flight, &activity);
+                reply.body_mut().hold_delivery(delivery);
                 Ok::<_, Infallible>(reply)
             }
         }
@@ -111,6 +119,7 @@
     let stream = ActivityStream::new(stream, Rc::clone(&activity));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let mut is_closing = false;
     loop {
         tokio::select! {
             result = &mut connection => {
@@ -119,6 +128,10 @@
                 }
                 return;
             }
+            () = core.connections.closing(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             close_reason = wait_for_close_reason(&core, &activity) => match close_reason {
                 CloseReason::Idle => connection.as_mut().graceful_shutdown(),
                 CloseReason::SlowHead => {
@@ -166,7 +179,6 @@
 ) -> (CallerReply, Option<Instant>) {
     let received = now();
     let (parts, body) = request.into_parts();
-    let in_flight = core.in_flight.enter();
     let mut request_log = RequestLog::new(core, &parts, received);
     let report = match handle(
         core,
@@ -186,7 +198,6 @@
         },
     };
     let mut reply = report.reply;
-    reply.body_mut().hold_in_flight(in_flight);
     if core.state() != ServiceState::Serving {
         // Makes the caller look up again which VMs to use.
         let close = HeaderValue::from_static("close");
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod claim_write;
 mod clock;
 mod cold_claims;
+mod connection_drain;
 mod control;
 mod core;
 mod delegate;
@@ -98,6 +99,7 @@
     QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, RequesterKey, TokenDecision,
     TokenRefusal, TokenRequest, WaitCheck, WaitEnd, next_return, plan_asks,
 };
+pub use policy::shutdown::{ShutdownBacklog, ShutdownPhase, ShutdownPlan};
 pub use policy::speed_advice::{
     AdviceUse, SpeedChange, SpeedMessage, SpeedOutbox, SpeedReport, SpeedView,
 };
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -22,6 +22,7 @@
 use crate::gateway::gossip::connect_gossip;
 use crate::gateway::ingress::serve_callers;
 use crate::gateway::peers::{accept_links, follow_links, open_links};
+use crate::gateway::policy::shutdown::{ShutdownBacklog, ShutdownPhase, ShutdownPlan};
 use crate::gateway::quota::run_quota_claims;
 use crate::gateway::register::VmRegistration;
 use crate::gateway::settings::GatewaySettings;
@@ -34,19 +35,12 @@
 
 /// Callers keep a locate answer for up to this multiple of its time to live.
 const TTL_FACTOR: u32 = 3;
-/// Time for a caller's last look-up and its answer.
-const LOOKUP_TIME: Duration = Duration::from_millis(300);
-/// Part of the grace time that is left unused, so that the process has exited before it is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
-/// How long before the end of the grace time new requests are refused so that those in flight can complete: a few times
-/// the usual duration of the slowest requests.
-const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 /// Time between two sweeps of idle connections and missing entries.
 const SWEEP_PERIOD: Duration = Duration::from_millis(250);
 /// Number of sweeps between two clean-ups of the retry budgets, which cover 10 s.
 const SWEEPS_PER_BUDGET_CLEANUP: u32 = 40;
-/// Time between two checks of the requests in flight during shutdown.
-const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(20);
+/// Time between two checks of what a process that shuts down still has to deliver.
+const SHUTDOWN_CHECK_PERIOD: Duration = Duration::from_millis(20);
 
 /// Error that prevents a gateway from starting.
 #[derive(Debug, Snafu)]
@@ -143,35 +137,57 @@
         })
     }
 
-    /// Shuts down as planned: directs callers to other VMs while still serving, then completes the requests in flight.
+    /// Shuts down as planned: directs callers to other VMs while still serving, then completes and delivers the answers.
     pub async fn stop(mut self) {
         let started_at = now();
         let grace = self.core.settings.grace;
-        let exit_by = started_at + grace.saturating_sub(KILL_MARGIN);
-        let refuse_at = started_at + grace.saturating_sub(DRAIN_TIME);
-        log::info!(
-            "planned stop begins: in_flight={} grace_ms={}",
-            self.core.in_flight.get(),
-            grace.as_millis()
-        );
+        let plan = ShutdownPlan::new(grace, LOCATE_TTL * TTL_FACTOR);
+        self.log_shutdown("begins", started_at);
         self.core.set_state(ServiceState::Leaving);
         self.membership.announce_leaving();
         self.end_lease().await;
-        let callers_moved_at = started_at + LOCATE_TTL * TTL_FACTOR + LOOKUP_TIME;
-        sleep_until(callers_moved_at.min(refuse_at)).await;
-        self.core.set_state(ServiceState::Draining);
-        while self.core.in_flight.get() > 0 && now() < exit_by {
-            tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
+        let mut phase = ShutdownPhase::Leaving;
+        while phase != ShutdownPhase::Done {
+            tokio::time::sleep(SHUTDOWN_CHECK_PERIOD).await;
+            let elapsed = now().saturating_duration_since(started_at);
+            let next_phase = plan.next_phase(phase, elapsed, self.backlog());
+            if next_phase == phase {
+                continue;
+            }
+            phase = next_phase;
+            match phase {
+                ShutdownPhase::Draining => self.core.set_state(ServiceState::Draining),
+                ShutdownPhase::Closing => {
+                    self.log_shutdown("closes connections", started_at);
+                    self.core.connections.close();
+                }
+                ShutdownPhase::Leaving | ShutdownPhase::Done => {}
+            }
         }
-        log::info!(
-            "planned stop ends: in_flight={} took_ms={}",
-            self.core.in_flight.get(),
-            now().saturating_duration_since(started_at).as_millis()
-        );
+        self.log_shutdown("ends", started_at);
         self.stop_token.cancel();
         self.tasks.abort_all();
     }
 
+    /// Returns what this process still has to deliver.
+    fn backlog(&self) -> ShutdownBacklog {
+        ShutdownBacklog {
+            answers: self.core.in_flight.get(),
+            connections: self.core.connections.open_count(),
+        }
+    }
+
+    fn log_shutdown(&self, progress: &str, started_at: std::time::Instant) {
+        let backlog = self.backlog();
+        log::info!(
+            "planned stop {progress}: in_flight={} connections={} took_ms={} grace_ms={}",
+            backlog.answers,
+            backlog.connections,
+            now().saturating_duration_since(started_at).as_millis(),
+            self.core.settings.grace.as_millis()
+        );
+    }
+
     /// Removes this VM's entry from the store by ending its lease. If the store does not answer, the lease expires on
     /// its own.
     async fn end_lease(&self) {
@@ -188,10 +204,6 @@
     }
 }
 
-async fn sleep_until(deadline: std::time::Instant) {
-    tokio::time::sleep_until(tokio::time::Instant::from_std(deadline)).await;
-}
-
 async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
     let listener = TcpListener::bind(address).await;
     listener.context(BindSnafu { role, address })
--- a/crates/ebonyfork/src/gateway/reply_body.rs
+++ b/crates/ebonyfork/src/gateway/reply_body.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-use crate::gateway::flight::InFlightGuard;
+use crate::gateway::stream_activity::AnswerDelivery;
 use crate::gateway::upstream::{ActiveLink, Upstream};
 
 /// Error that ends an answer early. It also closes the caller's connection, so that the caller can't take the answer
@@ -20,7 +20,15 @@
 
 /// Body of an answer to a caller.
 #[derive(Debug)]
-pub enum ReplyBody {
+pub struct ReplyBody {
+    content: BodyContent,
+    /// Keeps the request in flight until the answer has been written.
+    delivery: Option<AnswerDelivery>,
+}
+
+/// Bytes of an answer.
+#[derive(Debug)]
+enum BodyContent {
     /// The complete body.
     Whole(Bytes),
     /// The beginning of the body, and the stream of the rest.
@@ -29,23 +37,33 @@
 
 impl From<Bytes> for ReplyBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Whole(bytes)
+        Self {
+            content: BodyContent::Whole(bytes),
+            delivery: None,
+        }
     }
 }
 
-impl ReplyBody {
-    /// Counts the request as in flight until a streamed body has been passed on.
-    pub fn hold_in_flight(&mut self, in_flight: InFlightGuard) {
-        if let Self::Stream(stream) = self {
-            stream.in_flight = Some(in_flight);
+impl From<AnswerStream> for ReplyBody {
+    fn from(stream: AnswerStream) -> Self {
+        Self {
+            content: BodyContent::Stream(Box::new(stream)),
+            delivery: None,
         }
     }
+}
+
+impl ReplyBody {
+    /// Keeps the request in flight until the answer has been written.
+    pub fn hold_delivery(&mut self, delivery: AnswerDelivery) {
+        self.delivery = Some(delivery);
+    }
 
     /// Returns the part of the body that has been buffered.
     pub fn buffered_part(&self) -> &Bytes {
-        match self {
-            Self::Whole(bytes) => bytes,
-            Self::Stream(stream) => &stream.buffered_part,
+        match &self.content {
+            BodyContent::Whole(bytes) => bytes,
+            BodyContent::Stream(stream) => &stream.buffered_part,
         }
     }
 }
@@ -65,7 +83,6 @@
     /// Longest silence before the answer is given up.
     idle_timeout: Duration,
     silence_timer: Pin<Box<Sleep>>,
-    in_flight: Option<InFlightGuard>,
 }
 
 impl fmt::Debug for AnswerStream {
@@ -94,7 +111,6 @@
             upstream: Rc::clone(upstream),
             idle_timeout,
             silence_timer: Box::pin(tokio::time::sleep(idle_timeout)),
-            in_flight: None,
         }
     }
 
@@ -156,27 +172,31 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let buffered_part = match &mut *self {
-            Self::Whole(bytes) if bytes.is_empty() => return Poll::Ready(None),
-            Self::Whole(bytes) => bytes,
-            Self::Stream(stream) if stream.buffered_part.is_empty() => return stream.poll_rest(cx),
-            Self::Stream(stream) => &mut stream.buffered_part,
+        let buffered_part = match &mut self.content {
+            BodyContent::Whole(bytes) if bytes.is_empty() => return Poll::Ready(None),
+            BodyContent::Whole(bytes) => bytes,
+            BodyContent::Stream(stream) if stream.buffered_part.is_empty() => {
+                return stream.poll_rest(cx);
+            }
+            BodyContent::Stream(stream) => &mut stream.buffered_part,
         };
         Poll::Ready(Some(Ok(Frame::data(std::mem::take(buffered_part)))))
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(bytes) => bytes.is_empty(),
-            Self::Stream(stream) => stream.buffered_part.is_empty() && stream.rest.is_end_stream(),
+        match &self.content {
+            BodyContent::Whole(bytes) => bytes.is_empty(),
+            BodyContent::Stream(stream) => {
+                stream.buffered_part.is_empty() && stream.rest.is_end_stream()
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         let buffered_bytes = self.buffered_part().len() as u64;
-        match self {
-            Self::Whole(_) => SizeHint::with_exact(buffered_bytes),
-            Self::Stream(stream) => match stream.rest.size_hint().exact() {
+        match &self.content {
+            BodyContent::Whole(_) => SizeHint::with_exact(buffered_bytes),
+            BodyContent::Stream(stream) => match stream.rest.size_hint().exact() {
                 Some(rest_bytes) => SizeHint::with_exact(buffered_bytes + rest_bytes),
                 None => SizeHint::default(),
             },
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -19,14 +19,15 @@
 /// Path of the state of the quotas. Every other path returns the metrics.
 const QUOTAS_PATH: &str = "/quotas";
 
-/// Serves the state of the process on a listener until the future is dropped.
+/// Serves the state of the process on a listener until connections are to close.
 pub async fn serve_status(core: Rc<GatewayCore>, registry: Registry, listener: TcpListener) {
+    let connections = core.connections.clone();
     let answer = move |method: &Method, uri: &Uri| match uri.path() {
         QUOTAS_PATH if method == Method::GET => encode_quotas(&core, uri),
         QUOTAS_PATH => status_reply(StatusCode::METHOD_NOT_ALLOWED),
         _ => encode_metrics(&registry),
     };
-    serve_http(listener, move |request| {
+    serve_http(listener, connections, move |request| {
         answer(request.method(), request.uri())
     })
     .await;
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -5,14 +5,18 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
+use smallvec::SmallVec;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::gateway::caller_time::CallerDistance;
 use crate::gateway::clock::now;
+use crate::gateway::connection_drain::DeliveryWait;
+use crate::gateway::core::ServiceState;
+use crate::gateway::flight::InFlightGuard;
 use crate::gateway::policy::answer_lag::AnswerLag;
 
 /// State of a caller's connection: whether it is idle, and the progress of its current request and answer.
@@ -22,7 +26,7 @@
     pub(super) distance: CallerDistance,
     /// Whether no request has been received yet.
     pub(super) awaits_first_request: Cell<bool>,
-    /// Whether a request is being answered.
+    /// Whether a request is being answered; it is until the answer has been passed to the kernel.
     pub(super) is_answering: Cell<bool>,
     /// Time since which no request is being answered.
     pub(super) idle_since: Cell<Instant>,
@@ -32,6 +36,35 @@
     pub(super) decided_at: Cell<Option<Instant>>,
     /// Delays of this process between deciding on an answer and writing it.
     pub(super) answer_lag: Rc<RefCell<AnswerLag>>,
+    /// Requests whose answers the HTTP library has taken and not yet passed to the kernel completely.
+    pub(super) unwritten: RefCell<SmallVec<[InFlightGuard; 1]>>,
+    /// Whether this process accepts requests or is about to stop.
+    pub(super) state: Rc<Cell<ServiceState>>,
+}
+
+/// Keeps a request in flight until its answer has been passed to the kernel. The HTTP library drops it together with the
+/// body, when it has taken the last bytes of the answer but may not have written them.
+#[derive(Debug)]
+pub struct AnswerDelivery {
+    in_flight: Option<InFlightGuard>,
+    activity: Rc<StreamActivity>,
+}
+
+impl AnswerDelivery {
+    /// Creates the delivery of an answer on the connection that `activity` observes.
+    pub(super) fn new(in_flight: InFlightGuard, activity: &Rc<StreamActivity>) -> Self {
+        Self {
+            in_flight: Some(in_flight),
+            activity: Rc::clone(activity),
+        }
+    }
+}
+
+impl Drop for AnswerDelivery {
+    fn drop(&mut self) {
+        let in_flight = self.in_flight.take();
+        self.activity.unwritten.borrow_mut().extend(in_flight);
+    }
 }
 
 impl StreamActivity {
@@ -42,7 +75,18 @@
         }
     }
 
-    /// Records that an answer has been passed to the kernel.
+    /// Records that all bytes that the HTTP library had taken have been passed to the kernel.
+    pub(super) fn record_flushed(&self) {
+        let mut unwritten = self.unwritten.borrow_mut();
+        if unwritten.is_empty() {
+            return;
+        }
+        unwritten.clear();
+        self.is_answering.set(false);
+        self.idle_since.set(now());
+    }
+
+    /// Records that bytes of an answer have been passed to the kernel.
     pub(super) fn record_written(&self) {
         let Some(decided_at) = self.decided_at.take() else {
             return;
@@ -58,12 +102,17 @@
 pub(super) struct ActivityStream {
     stream: TcpStream,
     activity: Rc<StreamActivity>,
+    delivery_wait: DeliveryWait,
 }
 
 impl ActivityStream {
     /// Wraps a connection.
     pub(super) fn new(stream: TcpStream, activity: Rc<StreamActivity>) -> Self {
-        Self { stream, activity }
+        Self {
+            stream,
+            activity,
+            delivery_wait: DeliveryWait::default(),
+        }
     }
 
     fn record_write(&self, poll_result: &Poll<io::Result<usize>>) {
@@ -114,10 +163,19 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.record_flushed();
+        Poll::Ready(Ok(()))
     }
 
+    /// Ends the sending direction. A process that is about to stop also waits until the caller has received everything.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let stream = &mut *self;
+        ready!(Pin::new(&mut stream.stream).poll_shutdown(cx))?;
+        if stream.activity.state.get() == ServiceState::Serving {
+            return Poll::Ready(Ok(()));
+        }
+        let delivered = stream.delivery_wait.poll_delivered(&stream.stream, cx);
+        delivered.map(Ok)
     }
 }
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -4,6 +4,8 @@
 mod credentials;
 #[path = "gateway/quotas.rs"]
 mod quotas;
+#[path = "gateway/shutdown.rs"]
+mod shutdown;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -55,14 +57,25 @@
 /// Starts a gateway on an address of its own, so that fixed ports don't meet those of other tests, nor those of a soak on this
 /// machine, which takes loopback networks from 10 to 209: on one of these a soak's VMs answered for the gateways of six tests.
 fn start_gateway(name: &str, address: &str, store: SocketAddr) -> GatewayProcess {
+    start_gateway_for(name, address, store, Duration::from_secs(4))
+}
+
+/// Like [`start_gateway`], with the time that a planned stop may take.
+fn start_gateway_for(
+    name: &str,
+    address: &str,
+    store: SocketAddr,
+    grace: Duration,
+) -> GatewayProcess {
     let folder = TestFolder::new(name);
     let path = folder.0.join("gateway.ini");
     let text = format!(
         "[node]\nname = vm\naddress = {address}\nzone = a-1\nregion = a\ncpu-share = 1\ncpu-cores = 1\n\
          [zones]\na-1 = a\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
          directory = {address}:7102\nmetrics = {address}:7103\npeer-port = 7104\n\
-         [store]\naddress = {store}\n[bounds]\ngrace-s = 4\nconfig-in-force-ms = 3000\nretry-ratio = 0.2\nretry-slack = 54\n\
-         retry-window-s = 10\n"
+         [store]\naddress = {store}\n[bounds]\ngrace-s = {}\nconfig-in-force-ms = 3000\nretry-ratio = 0.2\nretry-slack = 54\n\
+         retry-window-s = 10\n",
+        grace.as_secs()
     );
     std::fs::write(&path, text).expect("written settings");
     let child = Command::new(env!("CARGO_BIN_EXE_ebonyfork-gateway"))
@@ -81,6 +94,14 @@
     }
 }
 
+/// Starts a planned stop.
+fn terminate(gateway: &GatewayProcess) {
+    let id = gateway.child.id().expect("a running process") as i32;
+    // SAFETY: `kill` takes two integers; the child has not been waited for, so the id is its own.
+    let sent = unsafe { libc::kill(id, libc::SIGTERM) };
+    assert_eq!(sent, 0, "the signal was not sent");
+}
+
 async fn get(address: SocketAddr, target: &str, id: &str) -> Option<Response<bytes::Bytes>> {
     get_with(address, target, id, &[]).await
 }
@@ -338,10 +359,7 @@
     store.put("op/config", config(3, "idempotent"));
     let mut gateway = start_gateway("stop", "127.230.0.4", store.address());
     wait_status(gateway.callers, "/r/1", 200).await;
-    let id = gateway.child.id().expect("a running process") as i32;
-    // SAFETY: `kill` takes two integers; the child has not been waited for, so the id is its own.
-    let sent = unsafe { libc::kill(id, libc::SIGTERM) };
-    expect_that!(sent, eq(0));
+    terminate(&gateway);
     wait_status(gateway.ready, "/v1/ready", 503).await;
     let answer = get(gateway.callers, "/r/2", "late")
         .await
