Registration: release the era before waiting

What callers saw: after the store came back from an older copy, some VMs accepted connections and never answered again, until they were killed.

Cause: VmRegistration::wait_until_due bound the result of waiting for a later era in a pattern and kept it through the wait that follows. The result is a read lock; every change of the store takes the write lock in GatewayCore::enter_era, on the same thread. A change within that second blocked the process for good.

Fix: the result is released before the wait.

Test: an_era_is_recorded_while_the_registration_waits failed before (no result within 20 s).

--- a/crates/ebonyfork/src/gateway/connection_drain.rs
+++ b/crates/ebonyfork/src/gateway/connection_drain.rs
@@ -73,9 +73,10 @@
     let mut bytes: libc::c_int = 0;
     // SAFETY: the descriptor is open for as long as `stream` is borrowed, and the kernel writes one `int` to `bytes`.
     let status = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
-    if status == 0 {
-        usize::try_from(bytes).unwrap_or_default()
-    } else {
-        0
+    if status != 0 {
+        let error = std::io::Error::last_os_error();
+        log::debug!("unacknowledged bytes of a connection not known: {error}");
+        return 0;
     }
+    usize::try_from(bytes).unwrap_or_default()
 }
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -99,10 +99,17 @@
 
     /// Waits until the lease must be renewed, or the entry must be written again because the store is in a new era.
     async fn wait_until_due(&self, eras: &mut watch::Receiver<StoreEra>) {
-        let later_era = eras.wait_for(|era| *era > self.written_era.get());
-        let Ok(Ok(_era)) = tokio::time::timeout(RENEWAL_PERIOD, later_era).await else {
-            return;
+        // The result must not keep a lock on the era: recording another one would block this thread for good.
+        let later_era = async {
+            let era = eras.wait_for(|era| *era > self.written_era.get()).await;
+            era.is_ok()
         };
+        if !matches!(
+            tokio::time::timeout(RENEWAL_PERIOD, later_era).await,
+            Ok(true)
+        ) {
+            return;
+        }
         let spread = new_era_spread(self.core.vms.peak_count());
         let delay = spread.mul_f64(rand::random());
         tokio::time::sleep(delay).await;
--- a/crates/ebonyfork/src/gateway/register_tests.rs
+++ b/crates/ebonyfork/src/gateway/register_tests.rs
@@ -105,6 +105,38 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a process that hangs for good after the store was restored: it learns of the store's era again, with any
+/// change, while the registration waits to be written in that era. The test runs on a thread of its own, because a
+/// blocked thread could not fail.
+#[gtest]
+fn an_era_is_recorded_while_the_registration_waits() {
+    const PATIENCE: Duration = Duration::from_secs(20);
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let test = async {
+            let core = Rc::new(GatewayCore::new(settings(), dialect()));
+            let port = LeasePort::default();
+            port.log().era = 1;
+            let registration = VmRegistration::new(Rc::clone(&core), port.clone());
+            tokio::task::spawn_local(registration.run());
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            port.log().era = 2;
+            for _change in 0..100 {
+                core.enter_era(StoreEra(2));
+                tokio::time::sleep(MIN_NEW_ERA_SPREAD / 50).await;
+            }
+            port.log().written.len()
+        };
+        sender.send(LocalSet::new().block_on(&runtime, test))
+    });
+    expect_that!(receiver.recv_timeout(PATIENCE), ok(eq(2)));
+}
+
 /// Load pattern: all VMs write their entries again once they know that the store was restored. The writes per second must
 /// not grow with the fleet, or a store that refuses some of them is asked again by all.
 #[gtest]
