Planned stop: answer requests that can't be completed

Cause: the stop waited for requests until 0.5 s before the grace time ended and then aborted all; nothing told those that it gave up.

Evidence: the upstreams' records hold none of these requests, their deadlines were 2.0 s away at least, and `planned stop ends` says that requests are in flight.

Fix: 1.5 s before the grace time ends, requests of which nothing has been sent are refused as not run, like new ones, whatever they wait for; 0.7 s before it ends the others are answered with 502, or with the parts that suffice.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -23,6 +23,7 @@
 use crate::gateway::policy::budget::LeasedRetryBudget;
 use crate::gateway::policy::hopeless::ReturnSpread;
 use crate::gateway::policy::route_latency::RouteLatency;
+use crate::gateway::policy::shutdown::ShutdownCut;
 use crate::gateway::quota::QuotaDesk;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::registry::{RETURN_GRACE, UpstreamList, UpstreamRegistry};
@@ -102,6 +103,8 @@
     /// Time at which the process started, on the clock that includes suspensions.
     started_since_boot: Duration,
     state: Rc<Cell<ServiceState>>,
+    /// Requests that are answered at once because of a planned shutdown.
+    shutdown_cut: watch::Sender<ShutdownCut>,
     /// Requests in flight, each until its answer has been passed to the kernel.
     pub in_flight: InFlightCount,
     /// Open connections of callers and of control calls.
@@ -151,6 +154,7 @@
             started: now(),
             started_since_boot: boot_time(),
             state: Rc::new(Cell::new(ServiceState::Serving)),
+            shutdown_cut: watch::Sender::default(),
             in_flight: InFlightCount::default(),
             connections: ConnectionDrain::default(),
             table: RefCell::default(),
@@ -341,6 +345,27 @@
         Rc::clone(&self.state)
     }
 
+    /// Sets which requests are answered at once because of a planned shutdown.
+    pub fn set_shutdown_cut(&self, cut: ShutdownCut) {
+        self.shutdown_cut.send_if_modified(|current_cut| {
+            let has_changed = *current_cut != cut;
+            *current_cut = cut;
+            has_changed
+        });
+    }
+
+    /// Subscribes to changes of the requests that are answered at once because of a planned shutdown.
+    pub fn shutdown_cuts(&self) -> watch::Receiver<ShutdownCut> {
+        self.shutdown_cut.subscribe()
+    }
+
+    /// Waits until requests of which nothing has been sent are answered at once.
+    pub async fn unsent_cut(&self) {
+        let mut cuts = self.shutdown_cuts();
+        // Fails only if the sender is gone, which lives as long as `self`.
+        let _cut = cuts.wait_for(|cut| cut.includes(false)).await;
+    }
+
     /// Sets whether new requests are accepted.
     pub fn set_state(&self, state: ServiceState) {
         self.state.set(state);
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -266,13 +266,14 @@
     }
 }
 
-async fn handle(
+/// Checks a request and selects its route; waits for its body and for a token of its organisation's quota.
+async fn prepare(
     core: &Rc<GatewayCore>,
     parts: Parts,
     body: Incoming,
     (received, caller_overhead): (Instant, CallerOverhead),
     request_log: &mut RequestLog,
-) -> Result<RunReport, RefusalReason> {
+) -> Result<PreparedRequest, RefusalReason> {
     let table = core.table().ok_or(RefusalReason::NoConfig)?;
     if head_bytes(&parts) > table.limits().header_bytes {
         return Err(RefusalReason::HeadTooLarge);
@@ -325,8 +326,42 @@
         core.count_quota_use(organisation, &taken);
         taken?;
     }
+    Ok(PreparedRequest {
+        route,
+        target,
+        request: Rc::new(request),
+        quarantine_status,
+    })
+}
+
+/// A request that is ready to be sent to upstreams.
+struct PreparedRequest {
+    route: Rc<RouteEntry>,
+    target: RunTarget,
+    request: Rc<ForwardRequest>,
+    quarantine_status: QuarantineStatus,
+}
+
+async fn handle(
+    core: &Rc<GatewayCore>,
+    parts: Parts,
+    body: Incoming,
+    arrival: (Instant, CallerOverhead),
+    request_log: &mut RequestLog,
+) -> Result<RunReport, RefusalReason> {
+    let prepared = tokio::select! {
+        prepared = prepare(core, parts, body, arrival, request_log) => prepared?,
+        () = core.unsent_cut() => return Err(RefusalReason::Stopping),
+    };
+    let PreparedRequest {
+        route,
+        target,
+        request,
+        quarantine_status,
+    } = prepared;
+    let latency = core.latency(&route);
     let sent = now();
-    let report = run_request(core, &route, target, Rc::new(request), quarantine_status).await;
+    let report = run_request(core, &route, target, request, quarantine_status).await;
     if report.reply.status().is_success() {
         let answered = now();
         let elapsed = answered.saturating_duration_since(sent);
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -150,6 +150,7 @@
         while phase != ShutdownPhase::Done {
             tokio::time::sleep(SHUTDOWN_CHECK_PERIOD).await;
             let elapsed = now().saturating_duration_since(started_at);
+            self.core.set_shutdown_cut(plan.cut(elapsed));
             let next_phase = plan.next_phase(phase, elapsed, self.backlog());
             if next_phase == phase {
                 continue;
--- a/crates/ebonyfork/src/gateway/policy/gather.rs
+++ b/crates/ebonyfork/src/gateway/policy/gather.rs
@@ -163,6 +163,12 @@
         self
     }
 
+    /// Brings the target and the deadline forward to `latest`.
+    pub fn shorten(&mut self, latest: Instant) {
+        self.answer_by = self.answer_by.min(latest);
+        self.finish_by = self.finish_by.min(latest);
+    }
+
     /// Returns the states of all shards.
     pub fn shards(&self) -> &[ShardState] {
         &self.shards
--- a/crates/ebonyfork/src/gateway/policy/shutdown.rs
+++ b/crates/ebonyfork/src/gateway/policy/shutdown.rs
@@ -16,6 +16,9 @@
 /// the usual duration of the slowest requests.
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long before its exit a process answers the requests that are still unanswered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Phase of a planned shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownPhase {
@@ -29,6 +32,29 @@
     Done,
 }
 
+/// Requests that a process which shuts down answers at once, because they can't be completed in time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShutdownCut {
+    /// None.
+    #[default]
+    Nothing,
+    /// Those of which nothing has been sent to an upstream: their callers can be told that they have not run.
+    Unsent,
+    /// All.
+    All,
+}
+
+impl ShutdownCut {
+    /// Returns whether a request is among them; `may_have_run` states whether an upstream may have run it.
+    pub fn includes(self, may_have_run: bool) -> bool {
+        match self {
+            Self::Nothing => false,
+            Self::Unsent => !may_have_run,
+            Self::All => true,
+        }
+    }
+}
+
 /// What a process that shuts down still has to deliver.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ShutdownBacklog {
@@ -58,6 +84,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownPlan {
     refuse_after: Duration,
+    refuse_unsent_after: Duration,
     exit_after: Duration,
 }
 
@@ -66,12 +93,25 @@
     /// `locate_validity`.
     pub fn new(grace: Duration, locate_validity: Duration) -> Self {
         let callers_moved_after = locate_validity + LOOKUP_TIME;
+        let refuse_unsent_after = grace.saturating_sub(DRAIN_TIME);
         Self {
-            refuse_after: callers_moved_after.min(grace.saturating_sub(DRAIN_TIME)),
+            refuse_after: callers_moved_after.min(refuse_unsent_after),
+            refuse_unsent_after,
             exit_after: grace.saturating_sub(KILL_MARGIN),
         }
     }
 
+    /// Returns which requests are answered at once after `elapsed`.
+    pub fn cut(&self, elapsed: Duration) -> ShutdownCut {
+        if elapsed + ANSWER_TIME >= self.exit_after {
+            return ShutdownCut::All;
+        }
+        if elapsed >= self.refuse_unsent_after {
+            return ShutdownCut::Unsent;
+        }
+        ShutdownCut::Nothing
+    }
+
     /// Returns the phase that follows from `phase` after `elapsed`.
     pub fn next_phase(
         &self,
--- a/crates/ebonyfork/src/gateway/policy/shutdown_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/shutdown_tests.rs
@@ -49,3 +49,24 @@
         );
     }
 }
+
+/// Guards against an exit with requests that wait for an upstream: those that have not been sent are refused while their
+/// callers have time to go elsewhere, the others are answered before the exit.
+#[gtest]
+fn requests_that_cannot_be_completed_are_answered_before_the_exit() {
+    let plan = ShutdownPlan::new(Duration::from_secs(6), Duration::from_secs(3));
+    // Milliseconds since the start; whether requests that were not sent and that were sent are answered at once.
+    let cases = [
+        (0, false, false),
+        (4_499, false, false),
+        (4_500, true, false),
+        (5_299, true, false),
+        (5_300, true, true),
+        (9_000, true, true),
+    ];
+    for (elapsed_ms, cuts_unsent, cuts_sent) in cases {
+        let cut = plan.cut(Duration::from_millis(elapsed_ms));
+        let cuts = (cut.includes(false), cut.includes(true));
+        expect_that!(cuts, eq((cuts_unsent, cuts_sent)), "{elapsed_ms}");
+    }
+}
--- a/crates/ebonyfork/src/gateway/run/finish.rs
+++ b/crates/ebonyfork/src/gateway/run/finish.rs
@@ -98,6 +98,8 @@
         // A request that only waited for a connection hasn't run, so it isn't answered with 504: after that status
         // callers don't resend requests that may run only once.
         let reason = match (self.may_have_run(), end) {
+            (true, GatherEnd::DeadlinePassed) if self.is_cut => RefusalReason::Unknown,
+            (false, GatherEnd::DeadlinePassed) if self.is_cut => RefusalReason::Stopping,
             (true, GatherEnd::DeadlinePassed) => RefusalReason::Late,
             (true, _) => RefusalReason::Unknown,
             (false, GatherEnd::DeadlinePassed) => RefusalReason::LateUnsent,
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -32,6 +32,7 @@
 use crate::gateway::policy::gather::{GatherEnd, GatherState};
 use crate::gateway::policy::latency::STRAGGLER_QUANTILE;
 use crate::gateway::policy::latency::millis;
+use crate::gateway::policy::shutdown::ShutdownCut;
 use crate::gateway::reply::CallerReply;
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{GatherTerms, Idempotency, RouteEntry};
@@ -110,6 +111,8 @@
     event_sender: mpsc::UnboundedSender<GroupEvent>,
     /// Progress of the replies to the VM for which this VM gathers the parts; `None` for a request from a caller.
     delivery: Option<PartialDelivery>,
+    /// Whether the query ends early because the process is about to exit.
+    is_cut: bool,
     hedge_count: usize,
     retry_count: usize,
     /// Number of repeats that the retry budget denied.
@@ -133,8 +136,10 @@
     quarantine_status: QuarantineStatus,
 ) -> RunReport {
     let mut run = QueryRun::new(core, route, target, request);
-    run.wait_for_upstreams().await;
-    run.begin(quarantine_status);
+    tokio::select! {
+        () = run.wait_for_upstreams() => run.begin(quarantine_status),
+        () = core.unsent_cut() => {}
+    }
     let end = run.drive().await;
     run.finish(end)
 }
@@ -202,6 +207,7 @@
             event_receiver,
             event_sender,
             delivery: None,
+            is_cut: false,
             hedge_count: 0,
             retry_count: 0,
             denied_repeats: Cell::default(),
@@ -230,8 +236,10 @@
     async fn drive_with(&mut self, reply: &mut impl FnMut(PartialReply)) -> GatherEnd {
         let timer = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(timer);
+        let mut cuts = self.context.core.shutdown_cuts();
         loop {
             let current_time = now();
+            self.apply_cut(*cuts.borrow_and_update(), current_time);
             if let Some(end) = self.state.check_end(current_time) {
                 return end;
             }
@@ -246,11 +254,23 @@
             tokio::select! {
                 Some(finished) = self.in_flight.next() => self.handle_ended(finished),
                 Some(event) = self.event_receiver.recv() => self.handle_event(event),
+                Ok(()) = cuts.changed() => {}
                 () = &mut timer => self.record_timer_delay(wake_time.max(current_time)),
             }
         }
     }
 
+    /// Ends the query now if the process is about to exit and can't complete it.
+    fn apply_cut(&mut self, cut: ShutdownCut, current_time: Instant) {
+        if cut == ShutdownCut::Nothing || self.delivery.is_some() {
+            return;
+        }
+        if cut.includes(self.may_have_run()) {
+            self.is_cut = true;
+            self.state.shorten(current_time);
+        }
+    }
+
     fn record_timer_delay(&self, planned_time: Instant) {
         let current_time = now();
         let delay = current_time.saturating_duration_since(planned_time);
--- a/crates/ebonyforkd/tests/gateway/shutdown.rs
+++ b/crates/ebonyforkd/tests/gateway/shutdown.rs
@@ -67,10 +67,7 @@
         ("stop-stream", "127.230.0.41", 1 << 20),
     ] {
         let (store, upstream) = store_and_upstream().await;
-        upstream.set_faults(UpstreamFaults {
-            least_bytes: bytes,
-            ..UpstreamFaults::default()
-        });
+        upstream.set_least_bytes(bytes);
         let config = config(3, "idempotent").replace("\"timeoutMs\":4000", "\"timeoutMs\":20000");
         store.put("op/config", config);
         let mut gateway =
@@ -118,3 +115,40 @@
     let waited = tokio::time::timeout(PATIENCE, waiting).await;
     assert!(waited.is_ok(), "the gateway goes on serving");
 }
+
+/// Guards against a planned stop that ends requests without an answer. Those that wait for an upstream are refused as not
+/// run, and then must not run; those at work are answered before the exit.
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_answers_requests_that_wait_for_an_upstream() {
+    const REQUESTS: usize = 8;
+    let (store, upstream) = store_and_upstream().await;
+    // Longer than the stop takes.
+    upstream.set_faults(UpstreamFaults {
+        slow: 4_000.0,
+        ..UpstreamFaults::default()
+    });
+    store.put("op/config", config(3, "non_idempotent"));
+    let mut gateway = start_gateway("stop-waiting", "127.230.0.42", store.address());
+    wait_status(gateway.ready, "/v1/ready", 200).await;
+    let callers = gateway.callers;
+    let mut answers = tokio::task::JoinSet::new();
+    for number in 0..REQUESTS {
+        answers.spawn(async move { get(callers, "/r/wait", &format!("w{number}")).await });
+    }
+    wait_runs(&upstream, 1).await;
+    terminate(&gateway);
+    let answers = answers.join_all().await;
+    let statuses: Vec<u16> = answers
+        .iter()
+        .map(|answer| answer.as_ref().map_or(0, |answer| answer.status().as_u16()))
+        .collect();
+    expect_that!(statuses, each(any![eq(&502), eq(&503)]));
+    let refused = statuses.iter().filter(|status| **status == 503).count();
+    expect_that!(refused, gt(0));
+    let ran = upstream.arrivals().iter().filter(|run| run.ran).count();
+    expect_that!(ran + refused, le(REQUESTS));
+    let ended = tokio::time::timeout(PATIENCE, gateway.child.wait()).await;
+    let status = ended.expect("ended in time").expect("waited for");
+    expect_that!(status.success(), eq(true));
+}
