Soak: slow callers, stale locate answers, starts after a loss

Three callers read answers of 120 and 300 kB at some 300 kB a second over connections that buffer little, and use a locate answer for three times its time to live. A VM is lost, alone or with all others, and processes start after that; nothing else happens until they must know. Every directory is asked twice a second, and a new judge holds that it names no VM that has been gone for 8 s (three answers allowed) and leaves out none that has run undisturbed for 10 s beside others of its zone.

--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -13,7 +13,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::soak::world::HOST;
+use crate::soak::judge_directory::LocateRecord;
+use crate::soak::slow_callers::{SLOW_CALLERS, SlowCaller};
+use crate::soak::world::{HOST, ZONES};
 
 /// Callers that run side by side.
 const CALLERS: usize = 12;
@@ -68,6 +70,7 @@
 pub(super) struct CallerPool {
     stop: CancellationToken,
     records: Arc<Mutex<Vec<CallRecord>>>,
+    located: Arc<Mutex<Vec<LocateRecord>>>,
     tasks: JoinSet<()>,
 }
 
@@ -92,22 +95,84 @@
                 stop.run_until_cancelled(caller.run()).await;
             });
         }
+        for number in 0..SLOW_CALLERS {
+            let caller = SlowCaller {
+                directories: directories.clone(),
+                turn: number,
+                records: Arc::clone(&records),
+                next: Arc::clone(&next),
+            };
+            let stop = stop.clone();
+            tasks.spawn(async move {
+                stop.run_until_cancelled(caller.run()).await;
+            });
+        }
+        let located = Arc::<Mutex<Vec<LocateRecord>>>::default();
+        for directory in directories {
+            let (stop, located) = (stop.clone(), Arc::clone(&located));
+            tasks.spawn(async move {
+                let watch = watch_directory(directory, located);
+                stop.run_until_cancelled(watch).await;
+            });
+        }
         Self {
             stop,
             records,
+            located,
             tasks,
         }
     }
 
     /// Ends the callers and returns what they saw. A request that is out then is left out.
-    pub(super) async fn stop(mut self) -> Vec<CallRecord> {
+    pub(super) async fn stop(mut self) -> (Vec<CallRecord>, Vec<LocateRecord>) {
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut records)
+        let mut located = self.located.lock().unwrap_or_else(PoisonError::into_inner);
+        (std::mem::take(&mut records), std::mem::take(&mut located))
+    }
+}
+
+/// Asks a directory again and again and records which VMs it names.
+async fn watch_directory(directory: SocketAddr, records: Arc<Mutex<Vec<LocateRecord>>>) {
+    /// Time between two questions.
+    const WATCH_PERIOD: Duration = Duration::from_millis(500);
+    loop {
+        tokio::time::sleep(WATCH_PERIOD).await;
+        let at = Instant::now();
+        let Some(named) = ask_directory(directory).await else {
+            continue;
+        };
+        let record = LocateRecord {
+            directory: directory.ip(),
+            zone: ZONES[0],
+            at,
+            named,
+        };
+        let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(record);
     }
 }
 
+/// Asks a directory which VMs a caller of the first zone is to use.
+pub(super) async fn ask_directory(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
+    let zone = ZONES[0];
+    let target = format!("/v1/resolve?name={HOST}&region={zone}-region&zone={zone}");
+    let opened = HttpLink::open(directory, Duration::from_millis(300)).await;
+    let mut link = opened.ok()?;
+    let request = Request::get(target)
+        .header("host", HOST)
+        .body(Full::default())
+        .ok()?;
+    let exchange = link.exchange(request, ANSWER_LIMIT);
+    let answered = tokio::time::timeout(Duration::from_millis(500), exchange).await;
+    let response = answered.ok()?.ok()?;
+    let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap_or_default();
+    let listed = body["addrs"].as_array().cloned().unwrap_or_default();
+    let addresses = listed.iter().filter_map(|text| text.as_str()?.parse().ok());
+    Some(addresses.collect())
+}
+
 struct SoakCaller {
     directories: Vec<SocketAddr>,
     turn: usize,
@@ -161,25 +226,10 @@
             return;
         }
         let directory = self.directories[self.turn % self.directories.len()];
-        let target = format!("/v1/resolve?name={HOST}&region=north-a-region&zone=north-a");
-        let Ok(mut link) = HttpLink::open(directory, Duration::from_millis(300)).await else {
-            return;
-        };
-        let Ok(request) = Request::get(target)
-            .header("host", HOST)
-            .body(Full::default())
-        else {
-            return;
-        };
-        let exchange = link.exchange(request, ANSWER_LIMIT);
-        let Ok(Ok(response)) = tokio::time::timeout(Duration::from_millis(500), exchange).await
-        else {
+        let Some(located) = ask_directory(directory).await else {
             return;
         };
-        let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap_or_default();
-        let listed = body["addrs"].as_array().cloned().unwrap_or_default();
-        let addresses = listed.iter().filter_map(|text| text.as_str()?.parse().ok());
-        self.located = addresses.collect();
+        self.located = located;
         self.located_at = Some(Instant::now());
         if let Some((vm, _link)) = &self.link
             && !self.located.contains(vm)
@@ -200,7 +250,7 @@
     }
 }
 
-fn request(route: &str, id: &str) -> Request<Full<Bytes>> {
+pub(super) fn request(route: &str, id: &str) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::default());
     let target = format!("/{route}/{id}");
     *request.uri_mut() = target.parse().unwrap_or_default();
--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -21,6 +21,10 @@
 const PLACE_KINDS: std::ops::Range<usize> = 16..20;
 /// How often an event is followed by one in which the store comes back from an older copy.
 const RESTORE_SHARE: f64 = 0.15;
+/// How often an event is followed by one in which a VM is lost and others start after it.
+const LOSS_SHARE: f64 = 0.1;
+/// How long a lost VM stays away after the others have started: until they have had to know of it for some seconds.
+const LOSS_TIME: Duration = Duration::from_secs(11);
 /// Keys that operators and upstreams write.
 const FOREIGN_KEYS: [&str; 2] = ["op/", "servers/"];
 /// How long a leaving upstream goes on serving.
@@ -53,7 +57,12 @@
     // It draws by itself, so that what else a seed draws stays the same.
     let mut restore_rng = rng.clone();
     restore_rng.set_stream(1);
+    let mut loss_rng = rng.clone();
+    loss_rng.set_stream(2);
     while Instant::now() < end {
+        if loss_rng.random_bool(LOSS_SHARE) {
+            events.extend(run_loss(&mut loss_rng, fleet).await?);
+        }
         let from = Instant::now();
         let drawn = if restore_rng.random_bool(RESTORE_SHARE) {
             run_restore(&mut restore_rng, world, fleet).await?
@@ -73,6 +82,44 @@
     Ok(events)
 }
 
+/// A VM is lost and other processes start after that, one of them or all; then nothing else happens until they must have
+/// learnt of the loss.
+async fn run_loss(
+    rng: &mut impl Rng,
+    fleet: &mut GatewayFleet,
+) -> Result<Vec<SoakEvent>, LabError> {
+    let lost = rng.random_range(0..fleet.vms.len());
+    let other = (lost + rng.random_range(1..fleet.vms.len())) % fleet.vms.len();
+    let loses_all = rng.random_bool(0.5);
+    let from = Instant::now();
+    fleet.kill(lost).await;
+    if loses_all {
+        for number in 0..fleet.vms.len() {
+            fleet.kill(number).await;
+        }
+        tokio::time::sleep(pause(rng, 50, 1_500)).await;
+    } else {
+        tokio::time::sleep(pause(rng, 500, 6_000)).await;
+        fleet.kill(other).await;
+        tokio::time::sleep(pause(rng, 50, 500)).await;
+    }
+    for number in (0..fleet.vms.len()).filter(|number| *number != lost) {
+        fleet.start_vm(number)?;
+    }
+    let event = |from: Instant, what: String| SoakEvent {
+        from,
+        until: Instant::now(),
+        what,
+        planned: false,
+        vm: None,
+    };
+    let loss = event(from, format!("kill vm-{lost} for long, all={loses_all}"));
+    tokio::time::sleep(LOSS_TIME).await;
+    let from = Instant::now();
+    fleet.start_vm(lost)?;
+    Ok(vec![loss, event(from, format!("start of vm-{lost}"))])
+}
+
 /// Ends all faults.
 fn heal(world: &SoakWorld, fleet: &mut GatewayFleet) -> Result<(), LabError> {
     world.store.set_faults(StoreFaults::default());
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -1,6 +1,6 @@
 //! The gateways as processes of their own, steered by signals. Only processes that the fleet started are touched.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 
 use crate::error::LabError;
 use crate::soak::SoakSettings;
+use crate::soak::judge_directory::VmLife;
 use crate::soak::proxy::LinkProxy;
 use crate::soak::world::{SoakWorld, ZONES};
 
@@ -48,6 +49,7 @@
 pub(crate) struct GatewayFleet {
     pub vms: Vec<GatewayVm>,
     program: PathBuf,
+    lives: Vec<VmLife>,
     /// Keeps the network to this run for as long as it lasts.
     _claim: TcpListener,
 }
@@ -86,6 +88,7 @@
             vms,
             _claim: claim,
             program: settings.program.clone(),
+            lives: Vec::new(),
         };
         for number in 0..fleet.vms.len() {
             fleet.start_vm(number)?;
@@ -128,9 +131,29 @@
             what: "a gateway",
             source,
         })?);
+        self.lives.push(VmLife {
+            vm: IpAddr::V4(vm.address),
+            zone: ZONES[number % ZONES.len()],
+            from: Instant::now(),
+            until: None,
+        });
         Ok(())
     }
 
+    /// The lives of all VMs' processes, in the order of their starts.
+    pub(super) fn lives(&self) -> &[VmLife] {
+        &self.lives
+    }
+
+    /// Records that a VM's process has ended.
+    fn end_life(&mut self, number: usize) {
+        let vm = IpAddr::V4(self.vms[number].address);
+        let open = |life: &&mut VmLife| life.vm == vm && life.until.is_none();
+        if let Some(life) = self.lives.iter_mut().find(open) {
+            life.until = Some(Instant::now());
+        }
+    }
+
     /// Sends a signal to a VM's process, if it runs.
     pub(super) fn signal(&self, number: usize, signal: i32) {
         let Some(id) = self.vms[number].child.as_ref().and_then(Child::id) else {
@@ -146,6 +169,7 @@
         if let Some(mut child) = self.vms[number].child.take() {
             // A process that has ended by itself needs no kill.
             let _gone = child.kill().await;
+            self.end_life(number);
         }
     }
 
@@ -158,6 +182,7 @@
         {
             let _gone = child.kill().await;
         }
+        self.end_life(number);
         began.elapsed()
     }
 
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -267,6 +267,20 @@
     })
 }
 
+/// Whether the store or a VM was disturbed at any time from `from` to `until`; planned work on other VMs is no disturbance.
+pub(super) fn is_disturbed(
+    events: &[SoakEvent],
+    vm: IpAddr,
+    from: Instant,
+    until: Instant,
+) -> bool {
+    events.iter().any(|event| {
+        let concerns = event.vm.is_none_or(|disturbed| disturbed == vm);
+        let store = event.what.starts_with("store") || event.what.contains("vm-");
+        store && concerns && event.from <= until && event.until >= from
+    })
+}
+
 /// A leaving upstream gets nothing new after seconds.
 fn check_drains(past: &[PastLife], events: &[SoakEvent]) -> Vec<String> {
     let mut violations = Vec::new();
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -8,8 +8,10 @@
 mod faults;
 pub(crate) mod fleet;
 pub mod judge;
+mod judge_directory;
 mod judge_places;
 mod proxy;
+mod slow_callers;
 pub(crate) mod world;
 
 use std::path::PathBuf;
@@ -24,6 +26,7 @@
 use crate::soak::faults::run_faults;
 use crate::soak::fleet::GatewayFleet;
 use crate::soak::judge::{SoakVerdict, judge_soak};
+use crate::soak::judge_directory::check_directories;
 use crate::soak::world::SoakWorld;
 
 /// Time without faults before and after them: in the second part the system must serve again.
@@ -54,13 +57,10 @@
     let events = run_faults(&mut rng, settings.time, &world, &mut fleet).await?;
     let calm_from = Instant::now();
     tokio::time::sleep(CALM).await;
-    let calls = callers.stop().await;
+    let (calls, located) = callers.stop().await;
     fleet.end().await;
-    Ok(judge_soak(
-        settings.seed,
-        &calls,
-        &world,
-        &events,
-        calm_from,
-    ))
+    let mut verdict = judge_soak(settings.seed, &calls, &world, &events, calm_from);
+    let directory_violations = check_directories(&located, fleet.lives(), &events);
+    verdict.violations.extend(directory_violations);
+    Ok(verdict)
 }
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -26,6 +26,12 @@
 /// Least share of the shards in a gathered answer.
 pub(super) const LEAST: f64 = 0.5;
 
+/// Lengths of the answers of the service with long answers, in bytes: one that a gateway buffers whole and one that it
+/// streams.
+const LONG_ANSWERS: [usize; 2] = [120_000, 300_000];
+/// Name of the service with long answers.
+const LONG_SERVICE: &str = "long";
+
 /// Requests a second that an upstream tolerates while it is cold.
 pub(super) const COLD_RATE: f64 = 20.0;
 /// How long an upstream is cold.
@@ -111,6 +117,7 @@
         }
         for zone in ZONES {
             world.add_upstream("single", zone).await?;
+            world.add_upstream(LONG_SERVICE, zone).await?;
         }
         world.write_config(false);
         Ok(world)
@@ -174,6 +181,10 @@
             source,
         })?;
         server.set_cold(ColdCause::Start, COLD_TIME);
+        if service == LONG_SERVICE {
+            let bytes = LONG_ANSWERS[usize::from(zone != ZONES[0])];
+            server.set_least_bytes(bytes);
+        }
         let proxy = LinkProxy::start(server.address()).await?;
         let upstream = SoakUpstream {
             server,
@@ -335,6 +346,7 @@
         route("gather", "idempotent", ("gather", json!(shards))),
         route("read", "idempotent", ("service", json!("single"))),
         route("once", "non_idempotent", ("service", json!("single"))),
+        route(LONG_SERVICE, "idempotent", ("service", json!(LONG_SERVICE))),
     ];
     let mut home = route("home", "idempotent", ("service", json!("single")));
     home["allowedRegions"] = json!([format!("{}-region", home_zone(version))]);
@@ -348,7 +360,7 @@
     let services: Vec<Value> = shards
         .iter()
         .map(String::as_str)
-        .chain(["single"])
+        .chain(["single", LONG_SERVICE])
         .map(|name| {
             json!({"name": name, "healthPath": "/health", "maxConns": 60,
                 "warmupS": COLD_TIME.as_secs_f64(), "warmupPerS": COLD_RATE})
