--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -342,6 +342,7 @@
     quarantine_status: QuarantineStatus,
 }
 
+/// Prepares and runs a request; refuses it if the process is about to exit before anything is sent.
 async fn handle(
     core: &Rc<GatewayCore>,
     parts: Parts,
--- a/crates/ebonyfork/src/gateway/policy/shutdown.rs
+++ b/crates/ebonyfork/src/gateway/policy/shutdown.rs
@@ -83,9 +83,12 @@
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownPlan {
-    refuse_after: Duration,
-    refuse_unsent_after: Duration,
-    exit_after: Duration,
+    /// When new requests are refused.
+    refusal: Duration,
+    /// When requests of which nothing has been sent are refused.
+    unsent_refusal: Duration,
+    /// When the process exits at the latest.
+    exit: Duration,
 }
 
 impl ShutdownPlan {
@@ -93,20 +96,20 @@
     /// `locate_validity`.
     pub fn new(grace: Duration, locate_validity: Duration) -> Self {
         let callers_moved_after = locate_validity + LOOKUP_TIME;
-        let refuse_unsent_after = grace.saturating_sub(DRAIN_TIME);
+        let unsent_refusal = grace.saturating_sub(DRAIN_TIME);
         Self {
-            refuse_after: callers_moved_after.min(refuse_unsent_after),
-            refuse_unsent_after,
-            exit_after: grace.saturating_sub(KILL_MARGIN),
+            refusal: callers_moved_after.min(unsent_refusal),
+            unsent_refusal,
+            exit: grace.saturating_sub(KILL_MARGIN),
         }
     }
 
     /// Returns which requests are answered at once after `elapsed`.
     pub fn cut(&self, elapsed: Duration) -> ShutdownCut {
-        if elapsed + ANSWER_TIME >= self.exit_after {
+        if elapsed + ANSWER_TIME >= self.exit {
             return ShutdownCut::All;
         }
-        if elapsed >= self.refuse_unsent_after {
+        if elapsed >= self.unsent_refusal {
             return ShutdownCut::Unsent;
         }
         ShutdownCut::Nothing
@@ -119,9 +122,9 @@
         elapsed: Duration,
         backlog: ShutdownBacklog,
     ) -> ShutdownPhase {
-        let is_over = elapsed >= self.exit_after;
+        let is_over = elapsed >= self.exit;
         let is_complete = match phase {
-            ShutdownPhase::Leaving => elapsed >= self.refuse_after,
+            ShutdownPhase::Leaving => elapsed >= self.refusal,
             ShutdownPhase::Draining => is_over || backlog.answers == 0,
             ShutdownPhase::Closing => is_over || backlog == ShutdownBacklog::default(),
             ShutdownPhase::Done => false,
