Soak: ask the directories for each zone, more slow callers

Directories were asked for the callers' zone only, so that a lost VM of another zone was named unseen. Each zone is asked in turn now, and six callers read slowly, of VMs of all zones.

--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -135,17 +135,17 @@
 
 /// Asks a directory again and again and records which VMs it names.
 async fn watch_directory(directory: SocketAddr, records: Arc<Mutex<Vec<LocateRecord>>>) {
-    /// Time between two questions.
-    const WATCH_PERIOD: Duration = Duration::from_millis(500);
-    loop {
+    /// Time between two questions; each is asked for the next zone.
+    const WATCH_PERIOD: Duration = Duration::from_millis(200);
+    for zone in ZONES.into_iter().cycle() {
         tokio::time::sleep(WATCH_PERIOD).await;
         let at = Instant::now();
-        let Some(named) = ask_directory(directory).await else {
+        let Some(named) = ask_directory(directory, zone).await else {
             continue;
         };
         let record = LocateRecord {
             directory: directory.ip(),
-            zone: ZONES[0],
+            zone,
             at,
             named,
         };
@@ -154,9 +154,8 @@
     }
 }
 
-/// Asks a directory which VMs a caller of the first zone is to use.
-pub(super) async fn ask_directory(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
-    let zone = ZONES[0];
+/// Asks a directory which VMs a caller of a zone is to use.
+pub(super) async fn ask_directory(directory: SocketAddr, zone: &str) -> Option<Vec<SocketAddr>> {
     let target = format!("/v1/resolve?name={HOST}&region={zone}-region&zone={zone}");
     let opened = HttpLink::open(directory, Duration::from_millis(300)).await;
     let mut link = opened.ok()?;
@@ -226,7 +225,7 @@
             return;
         }
         let directory = self.directories[self.turn % self.directories.len()];
-        let Some(located) = ask_directory(directory).await else {
+        let Some(located) = ask_directory(directory, ZONES[0]).await else {
             return;
         };
         self.located = located;
--- a/crates/ebonyfork-lab/src/soak/slow_callers.rs
+++ b/crates/ebonyfork-lab/src/soak/slow_callers.rs
@@ -16,9 +16,10 @@
 use tokio::time::Instant;
 
 use crate::soak::callers::{CallEnd, CallRecord, ask_directory, request};
+use crate::soak::world::ZONES;
 
 /// Callers that read slowly.
-pub(super) const SLOW_CALLERS: usize = 3;
+pub(super) const SLOW_CALLERS: usize = 6;
 /// How long a locate answer is used: three times its time to live.
 const SLOW_KEEP: Duration = Duration::from_secs(3);
 /// Pause between two requests.
@@ -46,8 +47,9 @@
         loop {
             tokio::time::sleep(SLOW_PAUSE).await;
             let directory = self.directories[self.turn % self.directories.len()];
+            let zone = ZONES[self.turn % ZONES.len()];
             self.turn += 1;
-            let Some(located) = ask_directory(directory).await else {
+            let Some(located) = ask_directory(directory, zone).await else {
                 continue;
             };
             let located_at = Instant::now();
