Soak: a fault of one VM excuses no cut answer of another

The judge of planned stops excused every cut while anything unplanned was going on, which is nearly always. A fault that is confined to another VM is no excuse any more.

--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -220,12 +220,14 @@
     Ok(())
 }
 
-/// A planned stop cuts no request, unless something unplanned was going on.
+/// A planned stop cuts no request, unless something unplanned was going on that was not confined to another VM.
 fn check_planned(calls: &[CallRecord], events: &[SoakEvent]) -> Vec<String> {
     const MARGIN: Duration = Duration::from_secs(5);
     let disturbed = |call: &CallRecord| {
         events.iter().any(|event| {
-            !event.planned && event.from <= call.until && event.until + MARGIN >= call.from
+            let elsewhere = event.vm.is_some_and(|vm| vm != call.vm.ip());
+            let overlaps = event.from <= call.until && event.until + MARGIN >= call.from;
+            !event.planned && !elsewhere && overlaps
         })
     };
     let stopping = |call: &CallRecord| {
--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -159,8 +159,17 @@
         check_planned(std::slice::from_ref(&cut), std::slice::from_ref(&stop)).len(),
         eq(1)
     );
-    let killed = [stop, event("kill vm-2", false)];
-    expect_that!(check_planned(&[cut], &killed).len(), eq(0));
+    let killed = [stop.clone(), event("kill vm-2", false)];
+    expect_that!(
+        check_planned(std::slice::from_ref(&cut), &killed).len(),
+        eq(0)
+    );
+    // What disturbs one VM is no excuse for another.
+    let elsewhere = SoakEvent {
+        vm: Some([127, 0, 0, 2].into()),
+        ..event("freeze vm-2", false)
+    };
+    expect_that!(check_planned(&[cut], &[stop, elsewhere]).len(), eq(1));
 }
 
 pub fn event(what: &str, from: Instant, lasting: Duration) -> SoakEvent {
