--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Ends with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod cold_while_cut;
 mod extra_after_refusal;
 mod http;
 mod platform;
@@ -43,6 +44,7 @@
     let outcome = match name.as_str() {
         "extra-after-refusal" => extra_after_refusal::run(&case),
         "top-k-change" => top_k_change::run(&case),
+        "cold-while-cut" => cold_while_cut::run(&case),
         other => Err(format!("no case {other}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin-2/tools.rs
+++ b/review/standin-2/tools.rs
@@ -311,6 +311,8 @@
     /// While set, a share of its answers is followed by an extra response that arrives late.
     pub garbles: Arc<AtomicBool>,
     pub garble_share: f64,
+    /// Time until which it is cold, as its status check tells.
+    cold_until: Arc<Mutex<Option<Instant>>>,
     runs: Arc<Runs>,
     record: Record,
 }
@@ -325,6 +327,7 @@
             load: Arc::new((Mutex::new((0, 0)), Condvar::new())),
             garbles: Arc::new(AtomicBool::new(false)),
             garble_share: 0.03,
+            cold_until: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
         };
@@ -341,11 +344,25 @@
     /// The entry in the store.
     pub fn entry(&self, state: &str, sequence: u64) -> String {
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","capacity":{},"state":"{state}","warmupLeftMs":0,"sequence":{sequence}}}"#,
-            self.plan.service, self.address, self.plan.zone, self.plan.capacity
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","capacity":{},"state":"{state}","warmupLeftMs":{},"sequence":{sequence}}}"#,
+            self.plan.service,
+            self.address,
+            self.plan.zone,
+            self.plan.capacity,
+            self.warmup_left().as_millis()
         )
     }
 
+    /// Makes it cold for a time.
+    pub fn set_cold(&self, time: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    fn warmup_left(&self) -> Duration {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     fn serve(&self, mut stream: TcpStream, number: u64) {
         let _ = stream.set_nodelay(true);
         let mut dice = Dice::new(number + 1 + (u64::from(self.address.port()) << 20) + self.plan.seed);
@@ -373,7 +390,12 @@
     fn answer(&self, head: &Head) -> Vec<u8> {
         let id = head.header("request-id").unwrap_or("").to_owned();
         if head.target == "/health" {
-            return format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id).into_bytes();
+            return format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nWarmup-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id,
+                self.warmup_left().as_millis()
+            )
+            .into_bytes();
         }
         if head.header("expect-instance").is_some_and(|expected| expected != self.id) {
             return refusal(421, &id);
