--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod extra_after_refusal;
 mod http;
 mod platform;
+mod quota_change;
 mod tools;
 mod top_k_change;
 
@@ -45,6 +46,7 @@
         "extra-after-refusal" => extra_after_refusal::run(&case),
         "top-k-change" => top_k_change::run(&case),
         "cold-while-cut" => cold_while_cut::run(&case),
+        "quota-change" => quota_change::run(&case),
         other => Err(format!("no case {other}")),
     };
     if std::env::var("KEEP").is_err() {
