--- a/review/standin-2/cold_while_cut.rs
+++ b/review/standin-2/cold_while_cut.rs
@@ -27,7 +27,8 @@
 const CALM: Duration = Duration::from_secs(9);
 
 pub fn run(case: &Case) -> Result<bool, String> {
-    let record = Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
+    let record =
+        Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
     let network = Network::choose();
     let store = Store::start();
     let runs = Arc::new(Runs::default());
@@ -43,7 +44,8 @@
             seed: u64::from(number),
         };
         let address = SocketAddr::new(network.ip(10 + number), network.port + 10);
-        let server = Server::start(&format!("i-{number}"), address, plan, &runs, &record).map_err(|error| error.to_string())?;
+        let server = Server::start(&format!("i-{number}"), address, plan, &runs, &record)
+            .map_err(|error| error.to_string())?;
         store.put(&format!("servers/{}", server.id), &server.entry("ready", 1));
         servers.push(server);
     }
@@ -56,8 +58,14 @@
             "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
         ),
     );
-    let extra = format!("evacuation-ms = 5000\ncold-overage = {COLD_OVERAGE}\ncold-slack = {COLD_SLACK}\n");
-    let bounds = Bounds { zones: ZONES.to_vec(), extra, retry_slack: 192, drain_ms: 5000 };
+    let extra =
+        format!("evacuation-ms = 5000\ncold-overage = {COLD_OVERAGE}\ncold-slack = {COLD_SLACK}\n");
+    let bounds = Bounds {
+        zones: ZONES.to_vec(),
+        extra,
+        retry_slack: 192,
+        drain_ms: 5000,
+    };
     let mut gateways = Vec::new();
     for (number, (zone, _region)) in ZONES.iter().enumerate() {
         let gateway = Gateway::start(case, &network, number as u8 + 1, zone, &store, &bounds);
@@ -72,7 +80,12 @@
     let served = Arc::new(Mutex::new(0));
     let mut consumers = Vec::new();
     for consumer in 0..CONSUMERS {
-        let (front, ends, served, record) = (gateways[1].front, Arc::clone(&ends), Arc::clone(&served), record.clone());
+        let (front, ends, served, record) = (
+            gateways[1].front,
+            Arc::clone(&ends),
+            Arc::clone(&served),
+            record.clone(),
+        );
         consumers.push(thread::spawn(move || {
             let mut caller = Caller::new(front);
             let mut number = 0;
@@ -105,13 +118,26 @@
         }
         thread::sleep(Duration::from_millis(100));
         let cold_from = record.at();
-        record.line(&format!("server {} becomes cold and writes so to the store", server.id));
+        record.line(&format!(
+            "server {} becomes cold and writes so to the store",
+            server.id
+        ));
         server.set_cold(WARMUP);
-        store.put(&format!("servers/{}", server.id), &server.entry("ready", 2 + 2 * round));
-        cold_times.push((server.id.clone(), cold_from, cold_from + WARMUP.as_secs_f64()));
+        store.put(
+            &format!("servers/{}", server.id),
+            &server.entry("ready", 2 + 2 * round),
+        );
+        cold_times.push((
+            server.id.clone(),
+            cold_from,
+            cold_from + WARMUP.as_secs_f64(),
+        ));
         thread::sleep(WARMUP);
         record.line(&format!("server {} is warm", server.id));
-        store.put(&format!("servers/{}", server.id), &server.entry("ready", 3 + 2 * round));
+        store.put(
+            &format!("servers/{}", server.id),
+            &server.entry("ready", 3 + 2 * round),
+        );
         thread::sleep(CUT - WARMUP - Duration::from_millis(100));
         store.cut(gateways[1].ip, false);
         record.line("the partition has healed");
@@ -125,8 +151,17 @@
     let mut broken = 0;
     let mut most_of_all = 0;
     for (server, from, to) in &cold_times {
-        let arrivals: Vec<f64> = runs.iter().filter(|run| run.server == *server && run.at >= *from && run.at < *to).map(|run| run.at).collect();
-        let in_second = |begin: f64| arrivals.iter().filter(|at| **at >= begin && **at < begin + 1.0).count();
+        let arrivals: Vec<f64> = runs
+            .iter()
+            .filter(|run| run.server == *server && run.at >= *from && run.at < *to)
+            .map(|run| run.at)
+            .collect();
+        let in_second = |begin: f64| {
+            arrivals
+                .iter()
+                .filter(|at| **at >= begin && **at < begin + 1.0)
+                .count()
+        };
         let most = arrivals.iter().map(|at| in_second(*at)).max().unwrap_or(0);
         most_of_all = most_of_all.max(most);
         record.line(&format!("server {server}, cold from {from:.3} to {to:.3}: at most {most} requests in one second, the bound is {bound}"));
@@ -135,7 +170,11 @@
             record.line(&format!("BROKEN FAILBACK {server}"));
         }
     }
-    let summary = format!("served={} cold={} broken={broken} most-in-a-second={most_of_all} bound={bound}", served.lock().unwrap(), cold_times.len());
+    let summary = format!(
+        "served={} cold={} broken={broken} most-in-a-second={most_of_all} bound={bound}",
+        served.lock().unwrap(),
+        cold_times.len()
+    );
     record.line(&summary);
     record.flush();
     println!("{summary}");
--- a/review/standin-2/extra_after_refusal.rs
+++ b/review/standin-2/extra_after_refusal.rs
@@ -9,7 +9,9 @@
 
 use crate::Case;
 use crate::platform::Store;
-use crate::tools::{Bounds, Caller, Gateway, Network, Record, Reply, Runs, Server, ServerPlan, runs_by_id};
+use crate::tools::{
+    Bounds, Caller, Gateway, Network, Record, Reply, Runs, Server, ServerPlan, runs_by_id,
+};
 
 const ZONE: &str = "sudogwon-a";
 /// Machines of the system, as many as the small deployment has.
@@ -25,7 +27,8 @@
 const DEADLINE_MS: u64 = 2_000;
 
 pub fn run(case: &Case) -> Result<bool, String> {
-    let record = Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
+    let record =
+        Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
     let network = Network::choose();
     let store = Store::start();
     let runs = Arc::new(Runs::default());
@@ -42,8 +45,16 @@
                 records: 0,
                 seed: u64::from(copy) + 2 * service as u64,
             };
-            let address = SocketAddr::new(network.ip(10 + copy), network.port + 10 + service as u16);
-            let server = Server::start(&format!("i-{service}-{copy}"), address, plan, &runs, &record).map_err(|error| error.to_string())?;
+            let address =
+                SocketAddr::new(network.ip(10 + copy), network.port + 10 + service as u16);
+            let server = Server::start(
+                &format!("i-{service}-{copy}"),
+                address,
+                plan,
+                &runs,
+                &record,
+            )
+            .map_err(|error| error.to_string())?;
             store.put(&format!("servers/{}", server.id), &server.entry("ready", 1));
             servers.push(server);
         }
@@ -51,7 +62,9 @@
             r#"{{"name":"update-{service}","host":"lookup.example","prefix":"/juror-{service}/","routeType":"non_idempotent",
             "timeoutMs":2000,"sloMs":300,"maxAttempts":2,"priority":1,"service":"desk-{service}"}}"#
         ));
-        services.push(format!(r#"{{"name":"desk-{service}","maxConns":26,"healthPath":"/health"}}"#));
+        services.push(format!(
+            r#"{{"name":"desk-{service}","maxConns":26,"healthPath":"/health"}}"#
+        ));
     }
     store.put(
         "op/config",
@@ -62,7 +75,12 @@
             services.join(",")
         ),
     );
-    let bounds = Bounds { zones: vec![(ZONE, "sudogwon")], extra: String::new(), retry_slack: 58, drain_ms: 4000 };
+    let bounds = Bounds {
+        zones: vec![(ZONE, "sudogwon")],
+        extra: String::new(),
+        retry_slack: 58,
+        drain_ms: 4000,
+    };
     let mut gateways = Vec::new();
     for machine in 1..=MACHINES {
         let gateway = Gateway::start(case, &network, machine, ZONE, &store, &bounds);
@@ -79,7 +97,12 @@
     let mut consumers = Vec::new();
     for (machine, gateway) in gateways.iter().enumerate() {
         for service in 0..SERVICES {
-            let (front, ends, answers, record) = (gateway.front, Arc::clone(&ends), Arc::clone(&answers), record.clone());
+            let (front, ends, answers, record) = (
+                gateway.front,
+                Arc::clone(&ends),
+                Arc::clone(&answers),
+                record.clone(),
+            );
             consumers.push(thread::spawn(move || {
                 let mut caller = Caller::new(front);
                 let mut number = 0;
@@ -112,10 +135,15 @@
     while Instant::now() < until {
         if case.trouble {
             record.line("garble begins at one server of each service");
-            servers.iter().step_by(2).for_each(|server| server.garbles.store(true, Ordering::Relaxed));
+            servers
+                .iter()
+                .step_by(2)
+                .for_each(|server| server.garbles.store(true, Ordering::Relaxed));
         }
         thread::sleep(GARBLE);
-        servers.iter().for_each(|server| server.garbles.store(false, Ordering::Relaxed));
+        servers
+            .iter()
+            .for_each(|server| server.garbles.store(false, Ordering::Relaxed));
         record.line("garble ends");
         thread::sleep(CALM);
     }
@@ -131,11 +159,15 @@
         served += usize::from(*status == 200);
         if matches!(status, 408 | 421 | 429 | 503) && count > 0 {
             refused += 1;
-            record.line(&format!("BROKEN REFUSED {id} was answered {status} and ran {count} times"));
+            record.line(&format!(
+                "BROKEN REFUSED {id} was answered {status} and ran {count} times"
+            ));
         }
         if count > 1 {
             twice += 1;
-            record.line(&format!("BROKEN TWICE {id} ran {count} times, answered {status}"));
+            record.line(&format!(
+                "BROKEN TWICE {id} ran {count} times, answered {status}"
+            ));
         }
     }
     let summary = format!(
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -14,7 +14,10 @@
 
 impl Head {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
 }
 
@@ -61,13 +64,19 @@
     }
     for line in lines {
         let (name, value) = line.split_once(':')?;
-        head.headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
+        head.headers
+            .push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
     }
-    let is_chunked = head.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let is_chunked = head
+        .header("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"));
     let body = if is_chunked {
         read_chunks(stream, buffer)?
     } else {
-        let length = head.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+        let length = head
+            .header("content-length")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
         take(stream, buffer, length)?
     };
     Some(Message { head, body })
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -204,16 +204,29 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push(Change { revision, key: key.to_owned(), item: Some(item) });
+        self.history.push(Change {
+            revision,
+            key: key.to_owned(),
+            item: Some(item),
+        });
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
             let revision = self.revision;
-            self.history.push(Change { revision, key: key.to_owned(), item: None });
+            self.history.push(Change {
+                revision,
+                key: key.to_owned(),
+                item: None,
+            });
         }
     }
 
@@ -221,7 +234,12 @@
         if self.leases.remove(&id).is_none() {
             return false;
         }
-        let keys: Vec<String> = self.items.iter().filter(|(_, item)| item.lease == id).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in keys {
             self.remove(&key);
         }
@@ -245,15 +263,25 @@
 impl Store {
     /// Starts the store.
     pub fn start() -> Self {
-        let state = State { revision: 100, ..State::default() };
-        let store = Self { shared: Arc::new((Mutex::new(state), Condvar::new())) };
+        let state = State {
+            revision: 100,
+            ..State::default()
+        };
+        let store = Self {
+            shared: Arc::new((Mutex::new(state), Condvar::new())),
+        };
         let lapsing = store.clone();
         thread::spawn(move || {
             loop {
                 thread::sleep(Duration::from_millis(50));
                 let mut state = lapsing.shared.0.lock().unwrap();
                 let now = Instant::now();
-                let ended: Vec<u64> = state.leases.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
+                let ended: Vec<u64> = state
+                    .leases
+                    .iter()
+                    .filter(|(_, (_, until))| *until <= now)
+                    .map(|(id, _)| *id)
+                    .collect();
                 for id in &ended {
                     state.end_lease(*id);
                 }
@@ -281,21 +309,14 @@
 
     /// Writes a key as the operator or a server does.
     pub fn put(&self, key: &str, value: &str) {
-        self.shared.0.lock().unwrap().put(key, base64(value.as_bytes()), 0);
-        self.shared.1.notify_all();
-    }
-
-    /// Removes a key as a server does that has left.
-    pub fn remove(&self, key: &str) {
-        self.shared.0.lock().unwrap().remove(key);
+        self.shared
+            .0
+            .lock()
+            .unwrap()
+            .put(key, base64(value.as_bytes()), 0);
         self.shared.1.notify_all();
     }
 
-    /// Number of keys below a prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        self.shared.0.lock().unwrap().items.keys().filter(|key| key.starts_with(prefix)).count()
-    }
-
     /// Partitions a machine from the store, or heals the partition. What is cut gets no answer.
     pub fn cut(&self, machine: IpAddr, cut: bool) {
         let mut state = self.shared.0.lock().unwrap();
@@ -362,8 +383,18 @@
             ("GET", "/v1/kv-range") => {
                 let state = lock.lock().unwrap();
                 let (prefix, after) = (parameter("prefix"), parameter("after"));
-                let matching: Vec<_> = state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after)).collect();
-                let items: Vec<String> = matching.iter().take(500).map(|(key, item)| State::item_json(key, item)).collect();
+                let matching: Vec<_> = state
+                    .items
+                    .iter()
+                    .filter(|(key, _)| {
+                        key.starts_with(&prefix) && (after.is_empty() || **key > after)
+                    })
+                    .collect();
+                let items: Vec<String> = matching
+                    .iter()
+                    .take(500)
+                    .map(|(key, item)| State::item_json(key, item))
+                    .collect();
                 let text = format!(
                     r#"{{"items":[{}],"hasMore":{},"storeRevision":{}}}"#,
                     items.join(","),
@@ -385,12 +416,19 @@
                         .filter(|change| change.revision > after && change.key.starts_with(&prefix))
                         .map(|change| match &change.item {
                             Some(item) => State::item_json(&change.key, item),
-                            None => format!(r#"{{"key":"{}","revision":{},"tombstone":true}}"#, change.key, change.revision),
+                            None => format!(
+                                r#"{{"key":"{}","revision":{},"tombstone":true}}"#,
+                                change.key, change.revision
+                            ),
                         })
                         .collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() || state.cut.contains(&machine) {
-                        let text = format!(r#"{{"events":[{}],"storeRevision":{}}}"#, events.join(","), state.revision);
+                        let text = format!(
+                            r#"{{"events":[{}],"storeRevision":{}}}"#,
+                            events.join(","),
+                            state.revision
+                        );
                         return (200, text);
                     }
                     state = changed.wait_timeout(state, left).unwrap().0;
@@ -399,13 +437,21 @@
             ("POST", "/v1/kv-txn") => {
                 let mut state = lock.lock().unwrap();
                 for row in body.get("expectedRev").list() {
-                    let current = state.items.get(row.get("key").text()).map_or(0, |item| item.revision);
+                    let current = state
+                        .items
+                        .get(row.get("key").text())
+                        .map_or(0, |item| item.revision);
                     if current != row.get("revision").number() as u64 {
                         let items: Vec<String> = body
                             .get("expectedRev")
                             .list()
                             .iter()
-                            .filter_map(|row| state.items.get(row.get("key").text()).map(|item| State::item_json(row.get("key").text(), item)))
+                            .filter_map(|row| {
+                                state
+                                    .items
+                                    .get(row.get("key").text())
+                                    .map(|item| State::item_json(row.get("key").text(), item))
+                            })
                             .collect();
                         return (412, format!(r#"{{"items":[{}]}}"#, items.join(",")));
                     }
@@ -417,7 +463,11 @@
                     }
                 }
                 for row in body.get("puts").list() {
-                    state.put(row.get("key").text(), row.get("value").text().to_owned(), row.get("lease").number() as u64);
+                    state.put(
+                        row.get("key").text(),
+                        row.get("value").text().to_owned(),
+                        row.get("lease").number() as u64,
+                    );
                 }
                 for key in body.get("remove").list() {
                     state.remove(key.text());
@@ -431,11 +481,21 @@
                 let mut state = lock.lock().unwrap();
                 state.next_lease += 1;
                 let id = state.next_lease;
-                state.leases.insert(id, (Duration::from_millis(ttl), Instant::now() + Duration::from_millis(ttl)));
+                state.leases.insert(
+                    id,
+                    (
+                        Duration::from_millis(ttl),
+                        Instant::now() + Duration::from_millis(ttl),
+                    ),
+                );
                 (200, format!(r#"{{"lease":{id},"ttlMs":{ttl}}}"#))
             }
             (method, path) => {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 let mut state = lock.lock().unwrap();
                 let known = if method == "POST" && path.starts_with("/v1/kv-keep/") {
                     match state.leases.get_mut(&id) {
--- a/review/standin-2/quota_change.rs
+++ b/review/standin-2/quota_change.rs
@@ -41,7 +41,8 @@
 }
 
 pub fn run(case: &Case) -> Result<bool, String> {
-    let record = Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
+    let record =
+        Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
     let network = Network::choose();
     let store = Store::start();
     let runs = Arc::new(Runs::default());
@@ -56,13 +57,20 @@
             seed: u64::from(number),
         };
         let address = SocketAddr::new(network.ip(10 + number), network.port + 10);
-        let server = Server::start(&format!("i-{number}"), address, plan, &runs, &record).map_err(|error| error.to_string())?;
+        let server = Server::start(&format!("i-{number}"), address, plan, &runs, &record)
+            .map_err(|error| error.to_string())?;
         store.put(&format!("servers/{}", server.id), &server.entry("ready", 1));
     }
     let mut version = 7;
     store.put("op/config", &config(version, BURST));
-    let extra = format!("quota-window-s = {WINDOW_S}\nquota-overage = {OVERAGE}\nquota-slack = {SLACK}\n");
-    let bounds = Bounds { zones: ZONES.to_vec(), extra, retry_slack: 192, drain_ms: 5000 };
+    let extra =
+        format!("quota-window-s = {WINDOW_S}\nquota-overage = {OVERAGE}\nquota-slack = {SLACK}\n");
+    let bounds = Bounds {
+        zones: ZONES.to_vec(),
+        extra,
+        retry_slack: 192,
+        drain_ms: 5000,
+    };
     let mut gateways = Vec::new();
     for (number, (zone, _region)) in ZONES.iter().enumerate() {
         let gateway = Gateway::start(case, &network, number as u8 + 1, zone, &store, &bounds);
@@ -83,8 +91,14 @@
     let mut consumers = Vec::new();
     for (machine, gateway) in gateways.iter().enumerate() {
         for consumer in 0..CONSUMERS {
-            let (front, ends, pressing, sent, served, record) =
-                (gateway.front, Arc::clone(&ends), Arc::clone(&pressing), Arc::clone(&sent), Arc::clone(&served), record.clone());
+            let (front, ends, pressing, sent, served, record) = (
+                gateway.front,
+                Arc::clone(&ends),
+                Arc::clone(&pressing),
+                Arc::clone(&sent),
+                Arc::clone(&served),
+                record.clone(),
+            );
             consumers.push(thread::spawn(move || {
                 let mut caller = Caller::new(front);
                 let mut number = 0;
@@ -124,7 +138,9 @@
         if case.trouble {
             version += 2;
             store.put("op/config", &config(version, LOW_BURST));
-            record.line(&format!("operator: version {version} lowers burstSize to {LOW_BURST}"));
+            record.line(&format!(
+                "operator: version {version} lowers burstSize to {LOW_BURST}"
+            ));
         }
         // A few requests under the lower quota, then none.
         thread::sleep(Duration::from_millis(300));
@@ -133,7 +149,9 @@
         if case.trouble {
             version += 3;
             store.put("op/config", &config(version, BURST));
-            record.line(&format!("operator: version {version} restores burstSize {BURST}"));
+            record.line(&format!(
+                "operator: version {version} restores burstSize {BURST}"
+            ));
         }
         thread::sleep(Duration::from_millis(400));
         pressing.store(CONSUMERS, Ordering::Relaxed);
@@ -144,17 +162,29 @@
         let _ = consumer.join();
     }
     let sent = sent.lock().unwrap();
-    let arrivals: Vec<(f64, f64)> = runs.runs.lock().unwrap().iter().filter_map(|run| Some((*sent.get(&run.id)?, run.at))).collect();
+    let arrivals: Vec<(f64, f64)> = runs
+        .runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter_map(|run| Some((*sent.get(&run.id)?, run.at)))
+        .collect();
     let mut most = 0;
     for (begin, _) in &arrivals {
-        let count = arrivals.iter().filter(|(sent, ran)| sent >= begin && *ran < begin + WINDOW_S).count();
+        let count = arrivals
+            .iter()
+            .filter(|(sent, ran)| sent >= begin && *ran < begin + WINDOW_S)
+            .count();
         if count > most {
             most = count;
             record.line(&format!("window from {begin:.3}: {count} requests"));
         }
     }
     let bound = (RATE * WINDOW_S + BURST) * (1.0 + OVERAGE) + SLACK;
-    let summary = format!("served={} most-in-a-window={most} bound={bound}", served.load(Ordering::Relaxed));
+    let summary = format!(
+        "served={} most-in-a-window={most} bound={bound}",
+        served.load(Ordering::Relaxed)
+    );
     record.line(&summary);
     if most as f64 > bound {
         record.line("BROKEN QUOTA");
--- a/review/standin-2/tools.rs
+++ b/review/standin-2/tools.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::io::{BufWriter, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -45,7 +45,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        Ok(Self { file: Arc::new(Mutex::new(BufWriter::new(fs::File::create(path)?))), begun: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(BufWriter::new(fs::File::create(path)?))),
+            begun: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -72,11 +75,20 @@
 impl Network {
     /// Chooses a network whose ports are free.
     pub fn choose() -> Self {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_nanos() as u64);
         let mut dice = Dice::new(nanos ^ u64::from(std::process::id()) << 32);
         loop {
-            let network = Self { second: 210 + (dice.next() % 40) as u8, port: 20_000 + (dice.next() % 10_000) as u16 };
-            let free = (1..=20).all(|machine| (0..5).all(|offset| TcpListener::bind((network.ip(machine), network.port + offset)).is_ok()));
+            let network = Self {
+                second: 210 + (dice.next() % 40) as u8,
+                port: 20_000 + (dice.next() % 10_000) as u16,
+            };
+            let free = (1..=20).all(|machine| {
+                (0..5).all(|offset| {
+                    TcpListener::bind((network.ip(machine), network.port + offset)).is_ok()
+                })
+            });
             if free {
                 return network;
             }
@@ -106,21 +118,32 @@
     child: Child,
     pub ip: IpAddr,
     pub front: SocketAddr,
-    pub ready: SocketAddr,
-    pub directory: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
-    program: PathBuf,
+    ready: SocketAddr,
 }
 
 impl Gateway {
-    pub fn start(case: &Case, network: &Network, machine: u8, zone: &str, store: &Store, bounds: &Bounds) -> std::io::Result<Self> {
+    pub fn start(
+        case: &Case,
+        network: &Network,
+        machine: u8,
+        zone: &str,
+        store: &Store,
+        bounds: &Bounds,
+    ) -> std::io::Result<Self> {
         let (root, folder) = (&case.root, &case.scratch);
         let ip = network.ip(machine);
         let store_address = network.at(100 + machine, 0);
         store.listen(store_address, ip)?;
-        let region = bounds.zones.iter().find(|(name, _)| *name == zone).map_or("", |(_, region)| region);
-        let zones: String = bounds.zones.iter().map(|(zone, region)| format!("{zone} = {region}\n")).collect();
+        let region = bounds
+            .zones
+            .iter()
+            .find(|(name, _)| *name == zone)
+            .map_or("", |(_, region)| region);
+        let zones: String = bounds
+            .zones
+            .iter()
+            .map(|(zone, region)| format!("{zone} = {region}\n"))
+            .collect();
         let text = format!(
             "[node]\nname = front-{machine}\naddress = {ip}\nzone = {zone}\nregion = {region}\ncpu-share = 0.25\ncpu-cores = 1\n\n\
              [zones]\n{zones}\n[listen]\ncallers = {front}\nready = {ready}\ndirectory = {directory}\nmetrics = {metrics}\npeer-port = {peer}\n\n\
@@ -145,44 +168,18 @@
             ip,
             front: network.at(machine, 0),
             ready: network.at(machine, 1),
-            directory: network.at(machine, 2),
-            settings,
-            log,
-            program,
         })
     }
 
-    /// Sends a signal by its name: `TERM`, `KILL`, `STOP`, `CONT`, `HUP`.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
-    }
-
-    /// Waits until the process has ended.
-    pub fn wait(&mut self) {
-        let _ = self.child.wait();
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
-    /// Starts the process again with the same settings.
-    pub fn restart(&mut self) -> std::io::Result<()> {
-        self.child = spawn(&self.program, &self.settings, &self.log)?;
-        Ok(())
-    }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-
     /// Waits until the readiness check is answered with 200.
     pub fn wait_ready(&self, within: Duration) -> bool {
         let until = Instant::now() + within;
         while Instant::now() < until {
             let mut caller = Caller::new(self.ready);
-            let answer = caller.ask("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n".as_bytes(), Duration::from_secs(1));
+            let answer = caller.ask(
+                "GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n".as_bytes(),
+                Duration::from_secs(1),
+            );
             if matches!(answer, Reply::Answer(message) if message.head.status == 200) {
                 return true;
             }
@@ -203,7 +200,10 @@
         .spawn()?;
     // run.sh ends what is listed here if it is interrupted itself.
     if let Ok(pids) = std::env::var("PIDS") {
-        let mut list = fs::OpenOptions::new().create(true).append(true).open(pids)?;
+        let mut list = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(pids)?;
         writeln!(list, "{}", child.id())?;
     }
     Ok(child)
@@ -237,28 +237,42 @@
 
 impl Caller {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, stream: None, buffer: Vec::new() }
+        Self {
+            address,
+            stream: None,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn ask(&mut self, request: &[u8], wait: Duration) -> Reply {
         if self.stream.is_none() {
             self.buffer.clear();
-            let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_secs(1)) else {
+            let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))
+            else {
                 return Reply::Refused;
             };
             let _ = stream.set_nodelay(true);
             self.stream = Some(stream);
         }
-        let Some(mut stream) = self.stream.take() else { return Reply::Refused };
+        let Some(mut stream) = self.stream.take() else {
+            return Reply::Refused;
+        };
         if stream.write_all(request).is_err() {
             return Reply::Closed;
         }
         let _ = stream.set_read_timeout(Some(wait));
         let begun = Instant::now();
         let Some(message) = read_message(&mut stream, &mut self.buffer) else {
-            return if begun.elapsed() + Duration::from_millis(20) >= wait { Reply::TimedOut } else { Reply::Closed };
+            return if begun.elapsed() + Duration::from_millis(20) >= wait {
+                Reply::TimedOut
+            } else {
+                Reply::Closed
+            };
         };
-        let closes = message.head.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let closes = message
+            .head
+            .header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
         if !closes {
             self.stream = Some(stream);
         }
@@ -318,7 +332,13 @@
 }
 
 impl Server {
-    pub fn start(id: &str, address: SocketAddr, plan: ServerPlan, runs: &Arc<Runs>, record: &Record) -> std::io::Result<Self> {
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        plan: ServerPlan,
+        runs: &Arc<Runs>,
+        record: &Record,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let server = Self {
             id: id.to_owned(),
@@ -360,19 +380,26 @@
 
     fn warmup_left(&self) -> Duration {
         let until = *self.cold_until.lock().unwrap();
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
     }
 
     fn serve(&self, mut stream: TcpStream, number: u64) {
         let _ = stream.set_nodelay(true);
-        let mut dice = Dice::new(number + 1 + (u64::from(self.address.port()) << 20) + self.plan.seed);
+        let mut dice =
+            Dice::new(number + 1 + (u64::from(self.address.port()) << 20) + self.plan.seed);
         let mut buffer = Vec::new();
         let mut extra: Option<Vec<u8>> = None;
         while let Some(Message { head, .. }) = read_message(&mut stream, &mut buffer) {
             if let Some(extra) = extra.take() {
                 // The extra response to the previous request arrives where the answer to this one is expected.
                 self.runs.extras.fetch_add(1, Ordering::Relaxed);
-                self.record.line(&format!("server {} extra-late before the answer to {}", self.id, head.header("request-id").unwrap_or("-")));
+                self.record.line(&format!(
+                    "server {} extra-late before the answer to {}",
+                    self.id,
+                    head.header("request-id").unwrap_or("-")
+                ));
                 if stream.write_all(&extra).is_err() {
                     return;
                 }
@@ -397,11 +424,17 @@
             )
             .into_bytes();
         }
-        if head.header("expect-instance").is_some_and(|expected| expected != self.id) {
+        if head
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return refusal(421, &id);
         }
         let arrived = Instant::now();
-        let deadline_ms: u64 = head.header("deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(60_000);
+        let deadline_ms: u64 = head
+            .header("deadline-ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(60_000);
         let until = arrived + Duration::from_millis(deadline_ms);
         let (lock, freed) = &*self.load;
         {
@@ -409,7 +442,8 @@
             if load.0 >= self.plan.capacity + self.plan.queue {
                 drop(load);
                 self.runs.declined.fetch_add(1, Ordering::Relaxed);
-                self.record.line(&format!("server {} declines {id} (full)", self.id));
+                self.record
+                    .line(&format!("server {} declines {id} (full)", self.id));
                 return refusal(503, &id);
             }
             load.0 += 1;
@@ -419,7 +453,10 @@
                     load.0 -= 1;
                     drop(load);
                     self.runs.declined.fetch_add(1, Ordering::Relaxed);
-                    self.record.line(&format!("server {} declines {id} (deadline in queue)", self.id));
+                    self.record.line(&format!(
+                        "server {} declines {id} (deadline in queue)",
+                        self.id
+                    ));
                     return refusal(503, &id);
                 }
                 load = freed.wait_timeout(load, left).unwrap().0;
@@ -429,7 +466,8 @@
         let number = self.runs.next.fetch_add(1, Ordering::Relaxed);
         let stamp = format!("{}.{number}", self.id);
         let body = self.body(number);
-        self.record.line(&format!("server {} runs {id} stamp={stamp}", self.id));
+        self.record
+            .line(&format!("server {} runs {id} stamp={stamp}", self.id));
         self.runs.runs.lock().unwrap().push(Run {
             id: id.clone(),
             server: self.id.clone(),
--- a/review/standin-2/top_k_change.rs
+++ b/review/standin-2/top_k_change.rs
@@ -27,8 +27,14 @@
 const DEADLINE_MS: u64 = 800;
 
 fn config(version: u64, top: Option<usize>) -> String {
-    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("\"owner-portal-{shard}\"")).collect();
-    let services: Vec<String> = (0..SHARDS).map(|shard| format!(r#"{{"name":"owner-portal-{shard}","maxConns":26,"healthPath":"/health"}}"#)).collect();
+    let shards: Vec<String> = (0..SHARDS)
+        .map(|shard| format!("\"owner-portal-{shard}\""))
+        .collect();
+    let services: Vec<String> = (0..SHARDS)
+        .map(|shard| {
+            format!(r#"{{"name":"owner-portal-{shard}","maxConns":26,"healthPath":"/health"}}"#)
+        })
+        .collect();
     let route = top.map_or(String::new(), |top| {
         format!(
             r#"{{"name":"sitting-history","host":"search.example","prefix":"/history/","routeType":"idempotent","timeoutMs":800,
@@ -44,7 +50,8 @@
 }
 
 pub fn run(case: &Case) -> Result<bool, String> {
-    let record = Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
+    let record =
+        Record::create(&case.folder.join("record.txt")).map_err(|error| error.to_string())?;
     let network = Network::choose();
     let store = Store::start();
     let runs = Arc::new(Runs::default());
@@ -62,13 +69,19 @@
             };
             let address = network.at(10 + copy, 0);
             let address = std::net::SocketAddr::new(address.ip(), network.port + 10 + shard as u16);
-            let server = Server::start(&format!("i-{shard}-{copy}"), address, plan, &runs, &record).map_err(|error| error.to_string())?;
+            let server = Server::start(&format!("i-{shard}-{copy}"), address, plan, &runs, &record)
+                .map_err(|error| error.to_string())?;
             store.put(&format!("servers/{}", server.id), &server.entry("ready", 1));
         }
     }
     let mut version = 7;
     store.put("op/config", &config(version, Some(TOP[0])));
-    let bounds = Bounds { zones: ZONES.to_vec(), extra: String::new(), retry_slack: 58, drain_ms: 3000 };
+    let bounds = Bounds {
+        zones: ZONES.to_vec(),
+        extra: String::new(),
+        retry_slack: 58,
+        drain_ms: 3000,
+    };
     let mut gateways = Vec::new();
     for (number, (zone, _region)) in ZONES.iter().enumerate() {
         let gateway = Gateway::start(case, &network, number as u8 + 1, zone, &store, &bounds);
@@ -86,7 +99,13 @@
     let mut consumers = Vec::new();
     for (machine, gateway) in gateways.iter().enumerate() {
         for consumer in 0..CONSUMERS {
-            let (front, ends, answers, asked, record) = (gateway.front, Arc::clone(&ends), Arc::clone(&answers), Arc::clone(&asked), record.clone());
+            let (front, ends, answers, asked, record) = (
+                gateway.front,
+                Arc::clone(&ends),
+                Arc::clone(&answers),
+                Arc::clone(&asked),
+                record.clone(),
+            );
             consumers.push(thread::spawn(move || {
                 let mut caller = Caller::new(front);
                 let mut number = 0;
@@ -125,7 +144,9 @@
         thread::sleep(GAP);
         version += 2;
         store.put("op/config", &config(version, Some(top)));
-        record.line(&format!("operator: version {version} adds the route with topK {top}"));
+        record.line(&format!(
+            "operator: version {version} adds the route with topK {top}"
+        ));
         thread::sleep(CUT);
         store.cut(gateways[1].ip, false);
         record.line("the partition has healed");
@@ -135,7 +156,13 @@
     for consumer in consumers {
         let _ = consumer.join();
     }
-    let bodies: HashMap<String, Vec<u8>> = runs.runs.lock().unwrap().iter().map(|run| (run.stamp.clone(), run.body.clone())).collect();
+    let bodies: HashMap<String, Vec<u8>> = runs
+        .runs
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|run| (run.stamp.clone(), run.body.clone()))
+        .collect();
     let mut wrong = 0;
     let answers = answers.lock().unwrap();
     for (id, stamps, body) in answers.iter() {
@@ -143,14 +170,28 @@
         for stamp in stamps.split(',') {
             match bodies.get(stamp.trim()) {
                 Some(part) => records.extend(part.chunks_exact(16)),
-                None => record.line(&format!("BROKEN MIXED {id} names a receipt that no server gave: {stamp}")),
+                None => record.line(&format!(
+                    "BROKEN MIXED {id} names a receipt that no server gave: {stamp}"
+                )),
             }
         }
         records.sort_unstable_by(|a, b| b.cmp(a));
-        let is_right = TOP.iter().any(|top| records.iter().take(*top).copied().collect::<Vec<_>>().concat() == *body);
+        let is_right = TOP.iter().any(|top| {
+            records
+                .iter()
+                .take(*top)
+                .copied()
+                .collect::<Vec<_>>()
+                .concat()
+                == *body
+        });
         if !is_right {
             wrong += 1;
-            let first_wrong = body.chunks_exact(16).zip(&records).take_while(|(got, due)| got == *due).count();
+            let first_wrong = body
+                .chunks_exact(16)
+                .zip(&records)
+                .take_while(|(got, due)| got == *due)
+                .count();
             record.line(&format!(
                 "BROKEN MIXED {id}: {} records, neither the greatest {} nor the greatest {} of its parts; wrong from record {}",
                 body.len() / 16,
@@ -160,7 +201,11 @@
             ));
         }
     }
-    let summary = format!("asked={} answered={} wrong={wrong}", asked.load(Ordering::Relaxed), answers.len());
+    let summary = format!(
+        "asked={} answered={} wrong={wrong}",
+        asked.load(Ordering::Relaxed),
+        answers.len()
+    );
     record.line(&summary);
     record.flush();
     println!("{summary}");
