Delegated shards: cut merged records to the asking VM's number, not to one's own

Cause: the VM that gathers shards took the number of records from its own version; the query didn't state it, and the reply didn't state what it was cut to. Ruled out: other shards (the digest covers them), missing route checks (they are for callers' requests; it happens without a partition too).

Fix: the query states the number and the reply what its list was cut to; the asking VM takes the parts only if that suffices. No version is refused, so nothing more crosses zones while versions differ. Both fields come last, so that VMs of the release before ignore them: asked by such a VM all records are kept, and a list of such a VM is taken only if it is long enough.

Also: a merged list above 1 MiB is reported as failed; as a frame above 2 MiB it would have broken the link.

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -60,7 +60,8 @@
     }
     let gather_terms = GatherTerms {
         shards,
-        max_records: gather_terms.max_records,
+        // This VM's version may state another number, and what it cuts can't be restored.
+        max_records: query.wanted.kept_records(),
         min_coverage: 0.0,
     };
     let organisation = stated_organisation(core, query);
--- a/crates/ebonyfork/src/gateway/delegate.rs
+++ b/crates/ebonyfork/src/gateway/delegate.rs
@@ -8,8 +8,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::gateway::clock::now;
+use crate::gateway::merge::RECORD_BYTES;
 use crate::gateway::partial::{
-    FailedShard, PartialMessage, PartialQuery, PartialReply, ShardProgress,
+    FailedShard, PartialMessage, PartialQuery, PartialReply, RecordCut, ShardProgress,
 };
 use crate::gateway::policy::health::UpstreamHealth;
 use crate::gateway::policy::latency::millis;
@@ -53,6 +54,8 @@
     vm: VmAddress,
     began_at: Instant,
     usual_latency_ms: f64,
+    /// Records that each reply must hold.
+    wanted: RecordCut,
     /// Whether a reply has arrived, which shows that the VM works on the query.
     has_replied: bool,
 }
@@ -140,6 +143,7 @@
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         query.number = number;
+        let wanted = query.wanted;
         let message = PeerMessage::Partial(PartialMessage::Query(query));
         if !self.send_message(vm, message) {
             return None;
@@ -154,21 +158,32 @@
             vm,
             began_at,
             usual_latency_ms,
+            wanted,
             has_replied: false,
         };
         self.pending.borrow_mut().insert(number, pending);
         Some(number)
     }
 
-    /// Dispatches a reply to its query. A reply to a query that has ended is ignored.
-    pub fn take_reply(&self, reply: PartialReply) {
+    /// Dispatches a reply to its query. A reply to a query that has ended is ignored. Parts whose merged records were
+    /// cut to fewer than the query needs are discarded.
+    pub fn take_reply(&self, mut reply: PartialReply) {
         let mut pending = self.pending.borrow_mut();
         let Some(query) = pending.get_mut(&reply.number) else {
             return;
         };
+        let is_complete = reply.is_complete(query.wanted);
         if !query.has_replied {
             query.has_replied = true;
-            self.record_first_reply(query, shows_known_upstreams(&reply));
+            self.record_first_reply(query, is_complete && shows_known_upstreams(&reply));
+        }
+        if !is_complete {
+            log::info!(
+                target: "ebonyfork::decision",
+                "partial reply incomplete vm={} shards={} records={} cut={:?} wanted={:?}",
+                query.vm, reply.parts.len(), reply.records.len() / RECORD_BYTES, reply.cut, query.wanted
+            );
+            reply.discard_parts();
         }
         let event = GroupEvent {
             group: query.group,
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -83,7 +83,8 @@
     OrganisationName, OrganisationTable, read_credential,
 };
 pub use partial::{
-    FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, ShardSignature,
+    FailedShard, PartialMessage, PartialQuery, PartialReply, PartialRequest, RecordCut,
+    ShardSignature,
 };
 pub use policy::budget::{
     LeasedRetryBudget, RetryBudget, RetryBudgetConfig, ShareLeases, ShareMessage,
--- a/crates/ebonyfork/src/gateway/partial.rs
+++ b/crates/ebonyfork/src/gateway/partial.rs
@@ -3,12 +3,66 @@
 //! A VM that answers a caller delegates distant shards to a VM next to their upstreams. That VM returns one merged list
 //! of records with the signatures of the partial answers instead of one HTTP answer per shard: about 400 bytes instead
 //! of 4,500 for seven shards.
+//!
+//! The two VMs may have different versions of the configuration. The query therefore states all that decides over the
+//! content of the parts, and the other VM uses that instead of its own configuration.
+//!
+//! # Earlier releases
+//!
+//! Both messages end with a field that earlier releases neither send nor read. A decoder ignores what follows the fields
+//! that it knows, and [`RecordCut::Unstated`] stands for a field that is missing.
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use smallvec::SmallVec;
 
+use crate::gateway::merge::RECORD_BYTES;
+
+/// Number of greatest records to which a merged list is cut.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordCut {
+    /// The sender's release doesn't state it.
+    #[default]
+    Unstated,
+    /// The list holds at least the greatest records of this number, or all records.
+    Greatest(u32),
+}
+
+impl RecordCut {
+    /// Creates the cut to a number of records.
+    pub fn to_greatest(records: usize) -> Self {
+        Self::Greatest(u32::try_from(records).unwrap_or(u32::MAX))
+    }
+
+    /// Returns the number of records to keep. All are kept if the number is unknown: the list is then right for any.
+    pub fn kept_records(self) -> usize {
+        match self {
+            Self::Unstated => usize::MAX,
+            Self::Greatest(records) => records as usize,
+        }
+    }
+
+    /// Returns whether a list of `records` records that was cut in this way holds all that `wanted` asks for.
+    pub fn suffices(self, records: usize, wanted: Self) -> bool {
+        match (self, wanted) {
+            (_, Self::Unstated) => true,
+            (Self::Greatest(cut), Self::Greatest(wanted)) if cut >= wanted => true,
+            // A longer list than wanted is complete, whatever it was cut to.
+            (_, Self::Greatest(wanted)) => records >= wanted as usize,
+        }
+    }
+}
+
+/// Reads the last field of a message, which earlier releases don't send.
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "serde calls a function with this signature"
+)]
+fn unstated_if_absent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<RecordCut, D::Error> {
+    Ok(RecordCut::deserialize(deserializer).unwrap_or_default())
+}
+
 /// Query that asks a VM to gather some shards.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartialQuery {
@@ -26,6 +80,9 @@
     pub longest_wait_us: u32,
     /// Request of the caller.
     pub request: PartialRequest,
+    /// Records that the asking VM needs of each reply.
+    #[serde(deserialize_with = "unstated_if_absent")]
+    pub wanted: RecordCut,
 }
 
 /// Caller's request as passed between our VMs.
@@ -88,6 +145,29 @@
     pub records: Bytes,
     /// Shards that the replying VM can't gather.
     pub failed: Vec<FailedShard>,
+    /// Cut of the merged records.
+    #[serde(deserialize_with = "unstated_if_absent")]
+    pub cut: RecordCut,
+}
+
+impl PartialReply {
+    /// Returns whether the merged records hold all that the query asks for.
+    pub fn is_complete(&self, wanted: RecordCut) -> bool {
+        let records = self.records.len() / RECORD_BYTES;
+        self.parts.is_empty() || self.cut.suffices(records, wanted)
+    }
+
+    /// Turns the parts into failed shards that may have run, because records are missing from the merged list.
+    pub fn discard_parts(&mut self) {
+        for part in self.parts.drain(..) {
+            self.failed.push(FailedShard {
+                shard: part.shard,
+                progress: ShardProgress::Run,
+                avoid: false,
+            });
+        }
+        self.records = Bytes::new();
+    }
 }
 
 /// Message between gateways about shards of a query.
@@ -100,3 +180,7 @@
     /// Ends the query with this number.
     Cancel(u64),
 }
+
+#[cfg(test)]
+#[path = "partial_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/run/group.rs
+++ b/crates/ebonyfork/src/gateway/run/group.rs
@@ -14,13 +14,16 @@
 use crate::gateway::loss::{LossCheck, LossVerdict};
 use crate::gateway::merge::merge_records;
 use crate::gateway::partial::{
-    FailedShard, PartialQuery, PartialReply, ShardProgress, ShardSignature,
+    FailedShard, PartialQuery, PartialReply, RecordCut, ShardProgress, ShardSignature,
 };
 use crate::gateway::policy::choice::UpstreamChoice;
 use crate::gateway::policy::gather::ShardOutcome;
 use crate::gateway::policy::latency::{AttemptKind, millis};
 use crate::gateway::settings::PlaceDistance;
 
+/// Longest merged list of a reply, in bytes. A longer message would break the link, and all that waits on it.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
 /// Group of shards that another VM gathers.
 #[derive(Debug)]
 pub(super) struct ShardGroup {
@@ -163,6 +166,10 @@
             finish_left_us: micros_until(self.request.finish_by),
             longest_wait_us: u32::try_from(longest_wait.as_micros()).unwrap_or(u32::MAX),
             request: self.request.to_partial(),
+            wanted: match &self.target {
+                RunTarget::Gather(terms) => RecordCut::to_greatest(terms.max_records),
+                RunTarget::One(_) => RecordCut::Unstated,
+            },
         }
     }
 
@@ -438,6 +445,10 @@
             return reply;
         };
         reply.records = merge_records(separate_records, gather_terms.max_records);
+        reply.cut = RecordCut::to_greatest(gather_terms.max_records);
+        if reply.records.len() > MAX_REPLY_BYTES {
+            reply.discard_parts();
+        }
         reply
     }
 }
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod quotas;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
+#[path = "gateway/versions.rs"]
+mod versions;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -66,12 +68,32 @@
     address: &str,
     store: SocketAddr,
     grace: Duration,
+) -> GatewayProcess {
+    start_gateway_with(name, address, store, (grace, "a-1", "a-1 = a"))
+}
+
+/// Like [`start_gateway`], in a zone of a deployment whose zones are given as lines of the settings.
+fn start_gateway_in(
+    name: &str,
+    address: &str,
+    store: SocketAddr,
+    (zone, zones): (&str, &str),
+) -> GatewayProcess {
+    start_gateway_with(name, address, store, (Duration::from_secs(4), zone, zones))
+}
+
+fn start_gateway_with(
+    name: &str,
+    address: &str,
+    store: SocketAddr,
+    (grace, zone, zones): (Duration, &str, &str),
 ) -> GatewayProcess {
     let folder = TestFolder::new(name);
     let path = folder.0.join("gateway.ini");
+    let region = zone.split('-').next().unwrap_or_default();
     let text = format!(
-        "[node]\nname = vm\naddress = {address}\nzone = a-1\nregion = a\ncpu-share = 1\ncpu-cores = 1\n\
-         [zones]\na-1 = a\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
+        "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {region}\ncpu-share = 1\ncpu-cores = 1\n\
+         [zones]\n{zones}\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
          directory = {address}:7102\nmetrics = {address}:7103\npeer-port = 7104\n\
          [store]\naddress = {store}\n[bounds]\ngrace-s = {}\nconfig-in-force-ms = 3000\nretry-ratio = 0.2\nretry-slack = 54\n\
          retry-window-s = 10\n",
