Connections to upstreams and the store: bound an answer's head with all before it

What callers saw: a final status of 101 with a signature was taken for an answer; an upstream that sends informational heads without end was read until the HTTP library's own counters stopped it, after 19 MB on a fast connection; each broken head could fill a buffer of 408 KiB, of 160 MB that the smallest VM has.

Cause: the library skips informational heads and limits each head alone; its limits are far above what honest heads need.

Fix: a connection fails once 64 KiB have come without a complete head, informational heads included; its read buffer has the same size. An informational final status is a lost answer. The tier's own relays use the same connections.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -299,7 +299,7 @@
     };
     let response = match active_link
         .link
-        .begin_exchange(upstream_request, max_buffered)
+        .begin_exchange(upstream_request, max_buffered, |_body| {})
         .await
     {
         Ok(response) => response,
--- a/crates/ebonyfork/src/relay/connection.rs
+++ b/crates/ebonyfork/src/relay/connection.rs
@@ -11,14 +11,13 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::http_link::{GuardedSender, LinkError, start_http};
 use crate::ident::{UpstreamAddress, VmAddress};
 use crate::relay::answer::{BODY_LIMIT, is_draining, read_answer};
 use crate::relay::ids::WorkId;
@@ -65,7 +64,7 @@
 
 /// An open connection to an upstream and the task that drives it.
 pub(super) struct OpenConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: GuardedSender,
     driver_task: JoinHandle<()>,
 }
 
@@ -81,7 +80,7 @@
         let upstream = route.upstream;
         let stream = route.connect().await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) = start_http(stream).await.ok()?;
         let driver_task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {upstream}: {error}");
@@ -95,15 +94,14 @@
 
     /// Sends a request and waits for the complete answer.
     pub(super) async fn call(&mut self, request: UpstreamRequest) -> Result<Answer, CallError> {
-        if self.sender.ready().await.is_err() {
+        if !self.sender.wait_until_ready().await {
             return Err(CallError::Unsent);
         }
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(error) if error.message().is_some() => return Err(CallError::Unsent),
-            Err(_) => return Err(CallError::Broken),
-        };
-        read_body(response).await
+        match self.sender.send(request).await {
+            Ok(response) => read_body(response).await,
+            Err(LinkError::Unsent { .. }) => Err(CallError::Unsent),
+            Err(LinkError::Lost { .. }) => Err(CallError::Broken),
+        }
     }
 
     /// Waits until the upstream has closed the connection.
