Links between VMs: close a link whose message doesn't come to its end

What could happen: a peer that begins a message and sends the rest byte by byte, or never, held a connection and up to 2 MiB for good.

Cause: a frame was limited in length but not in time; only links that this process opened are closed when their VM fails.

Fix: a message must be complete within two periods of 10 s. Idle links stay open.

Evidence: a_link_with_a_message_without_end_is_closed failed before: the link was open after 600 s.

--- a/crates/ebonyfork/src/traffic.rs
+++ b/crates/ebonyfork/src/traffic.rs
@@ -51,6 +51,11 @@
     pub(crate) fn new(reader: R, traffic: LinkTraffic) -> Self {
         Self { reader, traffic }
     }
+
+    /// Returns the number of bytes read so far.
+    pub(crate) fn received_bytes(&self) -> u64 {
+        self.traffic.received_bytes()
+    }
 }
 
 impl<R: AsyncRead + Unpin> AsyncRead for CountedReader<R> {
--- a/crates/ebonyfork/src/wire/link.rs
+++ b/crates/ebonyfork/src/wire/link.rs
@@ -21,6 +21,9 @@
 const MAX_FRAME_BYTES: usize = 2 << 20;
 /// Maximum number of messages queued for the writer of a link.
 pub(super) const QUEUE_LIMIT: usize = 8_192;
+/// A link is closed if a message takes longer than twice this from its first byte to its last. The longest one takes 1.2 s
+/// at 14 Mbit/s.
+const FRAME_PERIOD: Duration = Duration::from_secs(10);
 /// A link is logged as slow when a message took longer than this from queueing to writing. At 14 Mbit/s that
 /// corresponds to 0.4 MB queued before it, many times what queries and gossip put on a link.
 const SLOW_LINK_THRESHOLD: Duration = Duration::from_millis(250);
@@ -58,8 +61,8 @@
     /// The first message of the peer was not a `Hello` with the same [`PROTOCOL_VERSION`].
     #[snafu(display("expected a hello of protocol {PROTOCOL_VERSION}"))]
     Handshake,
-    /// The peer did not answer in time.
-    #[snafu(display("no answer within {within:?}"))]
+    /// The peer did not complete a message in time.
+    #[snafu(display("no complete message within {within:?}"))]
     Timeout {
         /// The timeout that was exceeded.
         within: Duration,
@@ -150,9 +153,7 @@
 }
 
 /// Reads the next message; returns none when the peer has closed the link.
-pub(super) async fn read_message(
-    reader: &mut FrameReader,
-) -> Result<Option<PeerMessage>, LinkError> {
+async fn read_message(reader: &mut FrameReader) -> Result<Option<PeerMessage>, LinkError> {
     let Some(frame) = reader.next().await else {
         return Ok(None);
     };
@@ -161,6 +162,52 @@
     Ok(Some(message))
 }
 
+/// Reads messages one after the other, and gives up on one that doesn't come to its end.
+#[derive(Debug)]
+pub(super) struct MessageReader {
+    reader: FrameReader,
+    /// Bytes that had been received, without those of complete messages, when the last message was complete.
+    complete_bytes: u64,
+    /// Whether a message was incomplete at the end of the last period.
+    was_incomplete: bool,
+}
+
+impl MessageReader {
+    pub(super) fn new(reader: FrameReader) -> Self {
+        let mut reader = Self {
+            reader,
+            complete_bytes: 0,
+            was_incomplete: false,
+        };
+        reader.record_complete();
+        reader
+    }
+
+    fn record_complete(&mut self) {
+        let buffered_bytes = self.reader.read_buffer().len() as u64;
+        self.complete_bytes = self.reader.get_ref().received_bytes() - buffered_bytes;
+        self.was_incomplete = false;
+    }
+
+    /// Reads the next message; returns none when the peer has closed the link.
+    pub(super) async fn next(&mut self) -> Result<Option<PeerMessage>, LinkError> {
+        loop {
+            let read = tokio::time::timeout(FRAME_PERIOD, read_message(&mut self.reader));
+            if let Ok(result) = read.await {
+                self.record_complete();
+                return result;
+            }
+            let is_incomplete = self.reader.get_ref().received_bytes() > self.complete_bytes;
+            if is_incomplete && self.was_incomplete {
+                return Err(LinkError::Timeout {
+                    within: FRAME_PERIOD,
+                });
+            }
+            self.was_incomplete = is_incomplete;
+        }
+    }
+}
+
 fn decode(frame: &BytesMut) -> Result<PeerMessage, LinkError> {
     postcard::from_bytes(frame).map_err(|source| LinkError::Malformed { source })
 }
--- a/crates/ebonyfork/src/wire/pool.rs
+++ b/crates/ebonyfork/src/wire/pool.rs
@@ -15,8 +15,8 @@
 use crate::ident::{SessionId, VmAddress};
 use crate::traffic::LinkTraffic;
 use crate::wire::link::{
-    FrameReader, FrameWriter, LinkError, LinkSender, QUEUE_LIMIT, QueuedMessage, drain_queue,
-    exchange_hellos, framed_halves, read_message, write_queued,
+    FrameReader, FrameWriter, LinkError, LinkSender, MessageReader, QUEUE_LIMIT, QueuedMessage,
+    drain_queue, exchange_hellos, framed_halves, write_queued,
 };
 use crate::wire::message::PeerMessage;
 
@@ -337,14 +337,14 @@
     /// Reads and writes until either ends; returns the messages that were never passed to the socket.
     async fn run_link(
         &self,
-        mut reader: FrameReader,
+        reader: FrameReader,
         reply_sender: LinkSender,
         writer_future: impl Future<Output = VecDeque<PeerMessage>>,
         close_token: CancellationToken,
     ) -> VecDeque<PeerMessage> {
         let reader_future = async {
             tokio::select! {
-                () = self.read_messages(&mut reader, &reply_sender) => {}
+                () = self.read_messages(MessageReader::new(reader), &reply_sender) => {}
                 () = close_token.cancelled() => {}
             }
             close_token.cancel();
@@ -359,9 +359,9 @@
     }
 
     /// Passes received messages to the handler until the link closes or fails.
-    async fn read_messages(&self, reader: &mut FrameReader, reply_sender: &LinkSender) {
+    async fn read_messages(&self, mut reader: MessageReader, reply_sender: &LinkSender) {
         loop {
-            match read_message(reader).await {
+            match reader.next().await {
                 Ok(Some(message)) => {
                     let event = LinkEvent::Message {
                         from: reply_sender.clone(),
--- a/crates/ebonyfork/src/wire/pool_tests.rs
+++ b/crates/ebonyfork/src/wire/pool_tests.rs
@@ -161,3 +161,42 @@
         }))
     );
 }
+
+/// Guards against holding memory and a connection for a message that never comes to its end, however slowly it arrives. An
+/// idle link stays open.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_link_with_a_message_without_end_is_closed() {
+    let (listener, port) = listener(5, 0).await;
+    let (server, _server_events) = pool(session(5), port);
+    tokio::spawn(async move { server.accept(listener).await });
+    let hello = PeerMessage::Hello(crate::wire::LinkHello {
+        protocol: crate::wire::PROTOCOL_VERSION,
+        session: session(6),
+    });
+    let hello = postcard::to_stdvec(&hello).unwrap();
+    let greeting = [&(hello.len() as u32).to_be_bytes()[..], &hello].concat();
+    let mut stream = TcpStream::connect((loopback(5).0, port)).await.unwrap();
+    stream.write_all(&greeting).await.unwrap();
+    let mut received = vec![0; 1_024];
+    let _hello_bytes = stream.read(&mut received).await.unwrap();
+    let is_open = async |stream: &mut TcpStream, wait: Duration| {
+        tokio::time::timeout(wait, stream.read(&mut [0; 16]))
+            .await
+            .is_err()
+    };
+    expect_that!(is_open(&mut stream, Duration::from_mins(2)).await, eq(true));
+    // A frame of one MiB, a byte a second.
+    stream
+        .write_all(&(1_u32 << 20).to_be_bytes())
+        .await
+        .unwrap();
+    let mut seconds = 0;
+    while is_open(&mut stream, Duration::from_secs(1)).await && seconds < 600 {
+        seconds += 1;
+        // Fails once the other side has closed.
+        let _closed = stream.write_all(b"a").await;
+    }
+    expect_that!(seconds, le(25));
+    expect_that!(seconds, ge(9));
+}
