Store: an answer that never ends counts as lost

What could happen: a store that sends its answer byte by byte kept a reader waiting for as long as the bytes came, and with it the VMs that follow this reader. Each byte extended the wait.

Cause: answer_while_receiving limited the silence between bytes, not the whole answer.

Fix: one minute after the wait for the first bytes the call is lost. The longest page (1.4 MB in base64) needs that long at 0.2 Mbit/s.

Evidence: an_answer_that_does_not_end_is_lost failed before (40,000 s); a long answer over a slow link is still whole.

--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -329,9 +329,13 @@
     }
 }
 
+/// Longest time for which an answer may arrive, after the wait for its first bytes: the longest page over a link of 0.2
+/// Mbit/s.
+const LONGEST_ARRIVAL: Duration = Duration::from_mins(1);
+
 /// Limits the wait for the first bytes of an answer to `first_timeout`, and the wait between further bytes to
 /// `silence_timeout`. A long answer over a slow link must not time out while it arrives, because the repeated answer
-/// would be as long.
+/// would be as long. One that doesn't end counts as lost after [`LONGEST_ARRIVAL`].
 pub async fn answer_while_receiving<T>(
     first_timeout: Duration,
     silence_timeout: Duration,
@@ -339,6 +343,8 @@
     call: impl Future<Output = Result<T, StoreError>>,
 ) -> Result<T, StoreError> {
     tokio::pin!(call);
+    let longest_wait = first_timeout + LONGEST_ARRIVAL;
+    let give_up_at = tokio::time::Instant::now() + longest_wait;
     let mut wait = first_timeout;
     loop {
         let byte_count = traffic.received_bytes();
@@ -347,6 +353,9 @@
             Err(_elapsed) if traffic.received_bytes() == byte_count => {
                 return Err(timeout_error(wait));
             }
+            Err(_elapsed) if tokio::time::Instant::now() >= give_up_at => {
+                return Err(timeout_error(longest_wait));
+            }
             Err(_elapsed) => wait = silence_timeout,
         }
     }
@@ -357,3 +366,7 @@
         reason: compact_str::format_compact!("no answer within {} ms", timeout.as_millis()),
     }
 }
+
+#[cfg(test)]
+#[path = "store_tests.rs"]
+mod tests;
