Streamed answers: break off a body without end when its caller stops waiting

What callers saw: a long body that never ended, chunked or until the close, was passed on until the server closed: 20 s, ten times the caller's deadline, 600 MB; one until the close then ended as a whole 200. A body with a huge length likewise.

Cause: the silence between two frames was the only bound on a streamed answer (reply_body.rs); an upstream that goes on sending, however slowly, met none. Ruled out: the caller's wait ends attempts, but not an answer that has begun.

Fix: policy/stream_bound.rs. An upstream is told how long the caller waits and stops then; 250 ms later no more bytes are awaited, and at most 8 MiB that were under way are passed on. The caller has the route's timeout again to read them, so that one who doesn't read holds no upstream for good. The connections on both sides are closed. A caller of HTTP/1.0 gets a reset, as the orderly end would look like that of the answer.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use crate::gateway::policy::latency::millis;
 use crate::gateway::policy::load_report::LoadReport;
 use crate::gateway::policy::route_latency::RouteLatency;
+use crate::gateway::policy::stream_bound::StreamBound;
 use crate::gateway::reply_body::{AnswerStream, ReplyBody};
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::Idempotency;
@@ -32,7 +33,8 @@
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(500);
 /// Longest idle time of a pooled connection that is used for a request that can be sent again.
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_mins(1);
-/// Longest answer of a shard, in bytes. It is merged with others and therefore buffered whole.
+/// Longest answer of a shard, in bytes. It is read whole before it is merged with others; only the greatest records are
+/// kept meanwhile.
 const MAX_SHARD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Longest answer that is buffered whole before it is passed on, in bytes. If an answer up to this length breaks off,
 /// the request can be sent again. A longer one is streamed to limit the memory it takes (the smallest VM has 160 MB).
@@ -121,8 +123,23 @@
     pub idempotency: Idempotency,
     /// Priority of the route; 0 is the most urgent.
     pub route_priority: u8,
-    /// Longest silence within a streamed answer; `None` if answers must be buffered whole.
-    pub stream_idle_timeout: Option<Duration>,
+    /// Use of the answers.
+    pub answer_use: AnswerUse,
+}
+
+/// What an answer is for, which decides how much of it is buffered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerUse {
+    /// It is passed on, and streamed if it is long.
+    Forward {
+        /// Longest time for which the route lets a request wait.
+        timeout: Duration,
+    },
+    /// Its greatest records are merged with those of other shards.
+    Merge {
+        /// Number of records that are needed.
+        max_records: usize,
+    },
 }
 
 /// Records the outcome of an attempt with the health of its upstream, also if the attempt is dropped before it
@@ -293,13 +310,13 @@
     let instance = upstream.entry().instance.clone();
     let upstream_request = request.build(names, &instance, remaining_ms);
     let after_loss = request.after_loss.get();
-    let max_buffered = match context.stream_idle_timeout {
-        Some(_) => MAX_BUFFERED_ANSWER_BYTES,
-        None => MAX_SHARD_ANSWER_BYTES,
+    let max_bytes = match context.answer_use {
+        AnswerUse::Forward { .. } => MAX_BUFFERED_ANSWER_BYTES,
+        AnswerUse::Merge { .. } => MAX_SHARD_ANSWER_BYTES,
     };
     let response = match active_link
         .link
-        .begin_exchange(upstream_request, max_buffered, |_body| {})
+        .begin_exchange(upstream_request, max_bytes, |_body| {})
         .await
     {
         Ok(response) => response,
@@ -371,16 +388,17 @@
     record_load(names, &head.headers, upstream);
     let is_reusable = allows_reuse(&head.headers);
     let keep_alive = keep_alive_timeout(&head.headers);
-    let body = match (body.rest, context.stream_idle_timeout) {
+    let body = match (body.rest, context.answer_use) {
         (None, _) => {
             if is_reusable {
                 upstream.release(active_link, keep_alive);
             }
             ReplyBody::from(body.beginning)
         }
-        (Some(rest), Some(idle_timeout)) if !is_declined => {
+        (Some(rest), AnswerUse::Forward { timeout }) if !is_declined => {
+            let bound = StreamBound::new(request.finish_by, timeout);
             let mut stream =
-                AnswerStream::new((body.beginning, rest), active_link, upstream, idle_timeout);
+                AnswerStream::new((body.beginning, rest), active_link, upstream, bound);
             if is_reusable {
                 stream = stream.with_reuse(keep_alive);
             }
--- a/crates/ebonyfork/src/gateway/exchange_tests.rs
+++ b/crates/ebonyfork/src/gateway/exchange_tests.rs
@@ -78,7 +78,7 @@
             latency: Rc::default(),
             idempotency: Idempotency::Idempotent,
             route_priority: 0,
-            stream_idle_timeout: None,
+            answer_use: AnswerUse::Merge { max_records: 10 },
         };
         let useful_until = Some(now() + SECOND * 5);
         let requests = [
--- a/crates/ebonyfork/src/gateway/fixture_upstream.rs
+++ b/crates/ebonyfork/src/gateway/fixture_upstream.rs
@@ -32,6 +32,17 @@
         /// Bytes that are sent.
         begun: usize,
     },
+    /// Sends these bytes, then closes the connection.
+    Script(&'static [u8]),
+    /// Sends these bytes, then the second ones without end, pausing after each time.
+    Endless {
+        /// Bytes that are sent once.
+        begun: &'static [u8],
+        /// Bytes that are repeated.
+        repeated: &'static [u8],
+        /// Pause before each repetition.
+        pause: Duration,
+    },
     /// Answers that the request was not run.
     Decline,
     /// Closes the connection without an answer and accepts no more connections.
@@ -137,6 +148,23 @@
             );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
+        ScriptedReply::Script(bytes) => {
+            // Fails if the other side has closed the connection.
+            let _closed = stream.write_all(bytes).await;
+            return false;
+        }
+        ScriptedReply::Endless {
+            begun,
+            repeated,
+            pause,
+        } => {
+            let mut result = stream.write_all(begun).await;
+            while result.is_ok() {
+                tokio::time::sleep(pause).await;
+                result = stream.write_all(repeated).await;
+            }
+            return false;
+        }
         ScriptedReply::Break | ScriptedReply::Crash => return false,
         ScriptedReply::Hold => {
             // Ends only when the other side closes the connection.
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -69,6 +69,8 @@
     Idle,
     /// Receiving a request head took too long.
     SlowHead,
+    /// The caller took too long to read an answer that is still arriving.
+    UnreadAnswer,
 }
 
 async fn serve_stream(core: Rc<GatewayCore>, stream: TcpStream) {
@@ -86,6 +88,9 @@
         idle_since: Cell::new(now()),
         head_started: Cell::new(None),
         decided_at: Cell::new(None),
+        read_by: Cell::new(None),
+        is_cut: Cell::new(false),
+        is_http_10: Cell::new(false),
         answer_lag: Rc::clone(&core.answer_lag),
         unwritten: RefCell::default(),
         state: core.shared_state(),
@@ -98,6 +103,10 @@
             let activity = Rc::clone(&activity);
             async move {
                 activity.is_answering.set(true);
+                activity.read_by.set(None);
+                activity
+                    .is_http_10
+                    .set(request.version() < Version::HTTP_11);
                 activity.head_started.set(None);
                 let caller_overhead = activity
                     .distance
@@ -105,6 +114,7 @@
                 let in_flight = core.in_flight.enter();
                 let (mut reply, decided_at) = answer(&core, request, caller_overhead).await;
                 activity.decided_at.set(decided_at);
+                activity.read_by.set(reply.body().read_by());
                 let delivery = AnswerDelivery::new(in_flight, &activity);
                 reply.body_mut().hold_delivery(delivery);
                 Ok::<_, Infallible>(reply)
@@ -138,6 +148,11 @@
                     log::info!(target: "ebonyfork::decision", "caller connection closed: timeout while receiving a request head");
                     return;
                 }
+                CloseReason::UnreadAnswer => {
+                    log::info!(target: "ebonyfork::decision", "caller connection closed: timeout while an answer is read");
+                    activity.is_cut.set(true);
+                    return;
+                }
             }
         }
     }
@@ -150,6 +165,10 @@
     loop {
         tokio::time::sleep(TIMEOUT_CHECK_PERIOD).await;
         if activity.is_answering.get() {
+            let read_by = activity.read_by.get();
+            if read_by.is_some_and(|read_by| now() > read_by) {
+                return CloseReason::UnreadAnswer;
+            }
             continue;
         }
         let limits = core.table().map(|table| table.limits());
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -22,6 +22,7 @@
 //! | whether a hedge is sent | [`hedge`] | pauses of a few hundred milliseconds |
 //! | how many repeats (retries and hedges) may be sent, and for which organisation | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use; one organisation needs most of the repeats |
 //! | when a query is answered | [`gather`] | the last parts arrive after the target, or never |
+//! | how long an answer is passed on while it arrives | [`stream_bound`] | upstreams that send bodies without end, beside honest long answers |
 //! | when a process that shuts down refuses requests, closes connections and exits | [`shutdown`] | callers that keep locate answers for as long as they may, and read slowly |
 //! | how long before its target an answer must be decided | [`answer_lag`] | a VM that is busy or slow |
 
@@ -45,3 +46,4 @@
 pub mod serving;
 pub mod shutdown;
 pub mod speed_advice;
+pub mod stream_bound;
--- a/crates/ebonyfork/src/gateway/reply_body.rs
+++ b/crates/ebonyfork/src/gateway/reply_body.rs
@@ -5,12 +5,14 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep};
+use tokio::time::Sleep;
 
+use crate::gateway::clock::now;
+use crate::gateway::policy::stream_bound::{StreamBound, StreamExcess};
 use crate::gateway::stream_activity::AnswerDelivery;
 use crate::gateway::upstream::{ActiveLink, Upstream};
 
@@ -59,6 +61,14 @@
         self.delivery = Some(delivery);
     }
 
+    /// Returns the time by which the caller must have read the body; `None` if it holds nothing but memory.
+    pub fn read_by(&self) -> Option<Instant> {
+        match &self.content {
+            BodyContent::Whole(_) => None,
+            BodyContent::Stream(stream) => Some(stream.bound.read_by()),
+        }
+    }
+
     /// Returns the part of the body that has been buffered.
     pub fn buffered_part(&self) -> &Bytes {
         match &self.content {
@@ -80,9 +90,9 @@
     /// Idle timeout of the connection that the upstream has stated.
     keep_alive: Option<Duration>,
     upstream: Rc<Upstream>,
-    /// Longest silence before the answer is given up.
-    idle_timeout: Duration,
-    silence_timer: Pin<Box<Sleep>>,
+    bound: StreamBound,
+    /// Ends when no more bytes are awaited.
+    bound_timer: Pin<Box<Sleep>>,
 }
 
 impl fmt::Debug for AnswerStream {
@@ -94,14 +104,15 @@
 }
 
 impl AnswerStream {
-    /// Creates a stream that passes on `buffered_part`, then the rest as it arrives. A silence of `idle_timeout` ends
-    /// it with an error.
+    /// Creates a stream that passes on `buffered_part`, then the rest as it arrives. Whatever exceeds the bound ends it
+    /// with an error.
     pub fn new(
         (buffered_part, rest): (Bytes, Incoming),
         link: ActiveLink,
         upstream: &Rc<Upstream>,
-        idle_timeout: Duration,
+        bound: StreamBound,
     ) -> Self {
+        let await_until = tokio::time::Instant::from_std(bound.await_until());
         Self {
             buffered_part,
             rest,
@@ -109,8 +120,8 @@
             reusable: false,
             keep_alive: None,
             upstream: Rc::clone(upstream),
-            idle_timeout,
-            silence_timer: Box::pin(tokio::time::sleep(idle_timeout)),
+            bound,
+            bound_timer: Box::pin(tokio::time::sleep_until(await_until)),
         }
     }
 
@@ -125,10 +136,11 @@
     fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match Pin::new(&mut self.rest).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                let silence_deadline = Instant::now() + self.idle_timeout;
-                self.silence_timer.as_mut().reset(silence_deadline);
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
                 if self.rest.is_end_stream() {
                     self.release_link();
+                } else if let Some(excess) = self.bound.record(now(), bytes) {
+                    return self.break_off(excess);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -142,18 +154,26 @@
                 Poll::Ready(None)
             }
             Poll::Pending => {
-                if self.silence_timer.as_mut().poll(cx).is_pending() {
+                if self.bound_timer.as_mut().poll(cx).is_pending() {
                     return Poll::Pending;
                 }
-                let (instance, waited) = (&self.upstream.entry().instance, self.idle_timeout);
-                log::info!(target: "ebonyfork::decision", "answer of {instance} given up: silent for {waited:?}");
-                Poll::Ready(Some(Err(
-                    "the upstream sent nothing within the idle timeout".into(),
-                )))
+                match self.bound.check_silence(now()) {
+                    Some(excess) => self.break_off(excess),
+                    None => Poll::Pending,
+                }
             }
         }
     }
 
+    /// Closes the upstream's connection and ends the answer with an error.
+    fn break_off(&mut self, excess: StreamExcess) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.link = None;
+        let instance = &self.upstream.entry().instance;
+        let reason = excess.label();
+        log::info!(target: "ebonyfork::decision", "answer of {instance} broken off: {reason}");
+        Poll::Ready(Some(Err(reason.into())))
+    }
+
     /// Returns the connection to the pool, since the answer is complete.
     fn release_link(&mut self) {
         if let Some(link) = self.link.take()
@@ -172,11 +192,17 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let buffered_part = match &mut self.content {
+        let body = &mut *self;
+        let buffered_part = match &mut body.content {
             BodyContent::Whole(bytes) if bytes.is_empty() => return Poll::Ready(None),
             BodyContent::Whole(bytes) => bytes,
             BodyContent::Stream(stream) if stream.buffered_part.is_empty() => {
-                return stream.poll_rest(cx);
+                let poll_result = stream.poll_rest(cx);
+                if let (Poll::Ready(Some(Err(_))), Some(delivery)) = (&poll_result, &body.delivery)
+                {
+                    delivery.record_cut();
+                }
+                return poll_result;
             }
             BodyContent::Stream(stream) => &mut stream.buffered_part,
         };
--- a/crates/ebonyfork/src/gateway/run/mod.rs
+++ b/crates/ebonyfork/src/gateway/run/mod.rs
@@ -26,7 +26,7 @@
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::delegate::GroupEvent;
-use crate::gateway::exchange::{AttemptContext, UpstreamAnswer};
+use crate::gateway::exchange::{AnswerUse, AttemptContext, UpstreamAnswer};
 use crate::gateway::ident::UpstreamService;
 use crate::gateway::partial::PartialReply;
 use crate::gateway::policy::gather::{GatherEnd, GatherState};
@@ -187,7 +187,14 @@
             latency: core.latency(route),
             idempotency: route.idempotency,
             route_priority: route.priority,
-            stream_idle_timeout: matches!(target, RunTarget::One(_)).then_some(route.timeout),
+            answer_use: match &target {
+                RunTarget::One(_) => AnswerUse::Forward {
+                    timeout: route.timeout,
+                },
+                RunTarget::Gather(gather_terms) => AnswerUse::Merge {
+                    max_records: gather_terms.max_records,
+                },
+            },
         };
         let (event_sender, event_receiver) = mpsc::unbounded_channel();
         Self {
@@ -338,6 +345,10 @@
     }
 }
 
+#[cfg(test)]
+#[path = "broken_answer_tests.rs"]
+mod broken_answer_tests;
+
 #[cfg(test)]
 #[path = "run_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/run/run_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/run_tests.rs
@@ -48,7 +48,7 @@
 }
 
 /// Counts enough requests to a service to fill its token bucket.
-fn earn_repeats(core: &GatewayCore, service: &str) {
+pub(super) fn earn_repeats(core: &GatewayCore, service: &str) {
     for _ in 0..1_000 {
         let service = UpstreamService::new(service);
         core.retry_budget
@@ -92,7 +92,7 @@
     })
 }
 
-fn single_route(attempts: usize) -> (Rc<RouteEntry>, RunTarget) {
+pub(super) fn single_route(attempts: usize) -> (Rc<RouteEntry>, RunTarget) {
     let service = UpstreamService::new("s");
     let route = route(attempts, RouteTarget::One(service.clone()));
     (route, RunTarget::One(service))
@@ -309,7 +309,7 @@
             latency: Rc::<RefCell<_>>::default(),
             idempotency: Idempotency::Idempotent,
             route_priority: 0,
-            stream_idle_timeout: None,
+            answer_use: AnswerUse::Merge { max_records: 10 },
         };
         let request = request(Duration::ZERO);
         let outcome = run_attempt(&context, &upstream, &request, None, || true).await;
@@ -321,7 +321,7 @@
 }
 
 /// Reads a body to its end; returns the number of bytes and whether the body was complete.
-async fn read_body(body: &mut ReplyBody) -> (usize, bool) {
+pub(super) async fn read_body(body: &mut ReplyBody) -> (usize, bool) {
     let mut length = 0;
     // Like an HTTP server, stop polling once the body reports its end.
     while !hyper::body::Body::is_end_stream(body) {
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -34,6 +34,13 @@
     pub(super) head_started: Cell<Option<Instant>>,
     /// Time at which the gathered answer that is about to be written was decided on.
     pub(super) decided_at: Cell<Option<Instant>>,
+    /// Time by which the caller must have read the answer; `None` if it needs no connection to an upstream.
+    pub(super) read_by: Cell<Option<Instant>>,
+    /// Whether the answer is cut, so that the caller must not take what it has for the whole. A caller of HTTP/1.0 can't
+    /// see that from the end of the connection, which is therefore reset.
+    pub(super) is_cut: Cell<bool>,
+    /// Whether the last request was one of HTTP/1.0.
+    pub(super) is_http_10: Cell<bool>,
     /// Delays of this process between deciding on an answer and writing it.
     pub(super) answer_lag: Rc<RefCell<AnswerLag>>,
     /// Requests whose answers the HTTP library has taken and not yet passed to the kernel completely.
@@ -58,6 +65,11 @@
             activity: Rc::clone(activity),
         }
     }
+
+    /// Records that the answer breaks off.
+    pub(super) fn record_cut(&self) {
+        self.activity.is_cut.set(true);
+    }
 }
 
 impl Drop for AnswerDelivery {
@@ -122,6 +134,17 @@
     }
 }
 
+impl Drop for ActivityStream {
+    fn drop(&mut self) {
+        if self.activity.is_cut.get()
+            && self.activity.is_http_10.get()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::warn!("caller connection with a cut answer not reset: {error}");
+        }
+    }
+}
+
 impl AsyncRead for ActivityStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -171,6 +194,10 @@
     /// Ends the sending direction. A process that is about to stop also waits until the caller has received everything.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = &mut *self;
+        if stream.activity.is_cut.get() && stream.activity.is_http_10.get() {
+            // The reset follows when the connection is dropped; an orderly end before it would look like that of the answer.
+            return Poll::Ready(Ok(()));
+        }
         ready!(Pin::new(&mut stream.stream).poll_shutdown(cx))?;
         if stream.activity.state.get() == ServiceState::Serving {
             return Poll::Ready(Ok(()));
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway as a process, with stand-ins of store and upstreams around it.
 
+#[path = "gateway/broken_answers.rs"]
+mod broken_answers;
 #[path = "gateway/credentials.rs"]
 mod credentials;
 #[path = "gateway/quotas.rs"]
--- /dev/null
+++ b/crates/ebonyforkd/tests/gateway/broken_answers.rs
@@ -0,0 +1,122 @@
+//! Upstreams that send bytes without end.
+
+use tokio::net::TcpListener;
+
+use super::*;
+
+/// Time for which the callers wait, in milliseconds.
+const WAIT_MS: u64 = 1_000;
+/// Longest answer that these callers take.
+const PATIENCE_BYTES: usize = 1 << 30;
+
+/// Starts an upstream that answers each request with a head and then a block without end.
+async fn start_endless(store: &StoreServer, head: &'static str, block: Vec<u8>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let entry = serde_json::json!({
+        "service": "s", "address": address.to_string(), "zone": "a-1", "version": "v1", "capacity": 2,
+        "state": "ready", "warmupLeftMs": 0, "sequence": 1,
+    });
+    store.put("servers/i-1", entry.to_string());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let block = block.clone();
+            tokio::spawn(async move {
+                let mut request = vec![0; 4_096];
+                let length = stream.read(&mut request).await.unwrap_or_default();
+                let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
+                let id = request
+                    .lines()
+                    .find_map(|line| line.strip_prefix("request-id: "));
+                let head = head.replace("ID", id.unwrap_or_default());
+                let mut sent = stream.write_all(head.as_bytes()).await;
+                while sent.is_ok() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    sent = stream.write_all(&block).await;
+                }
+            });
+        }
+    });
+}
+
+/// Returns the largest memory of a process so far, in bytes.
+fn peak_memory(gateway: &GatewayProcess) -> usize {
+    let id = gateway.child.id().expect("a running process");
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    kilobytes
+        .and_then(|text| text.trim().parse::<usize>().ok())
+        .expect("a number")
+        * 1_024
+}
+
+/// Sends a request and reads what comes. Returns the bytes, and whether the connection was reset.
+async fn read_all(gateway: &GatewayProcess, version: &str) -> (Vec<u8>, bool) {
+    let mut stream = TcpStream::connect(gateway.callers)
+        .await
+        .expect("a connection");
+    let head = format!(
+        "GET /r/1 HTTP/{version}\r\nHost: t.example\r\nRequest-Id: r1\r\nDeadline-Ms: {WAIT_MS}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut begin = Vec::new();
+    let (mut end, mut total, mut buffer) = (Vec::new(), 0, vec![0; 65_536]);
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(length) => {
+                total += length;
+                assert!(total < PATIENCE_BYTES, "the answer has no end");
+                if begin.is_empty() {
+                    begin = buffer[..length].to_vec();
+                }
+                end = buffer[..length].to_vec();
+            }
+            Err(_reset) => return ([begin, end].concat(), true),
+        }
+    }
+    ([begin, end].concat(), false)
+}
+
+/// Guards against passing on a body without end for longer than its caller waits, against the memory it could take, and
+/// against an end that looks like that of a whole answer: a last chunk, or for a caller of HTTP/1.0 the orderly end of
+/// the connection.
+#[gtest]
+#[tokio::test]
+async fn a_body_without_end_is_cut_visibly_when_its_caller_stops_waiting() {
+    let block = vec![b'a'; 0x8000];
+    let chunk = [b"8000\r\n".as_slice(), &block, b"\r\n"].concat();
+    let framings = [
+        ("transfer-encoding: chunked\r\n", chunk),
+        ("content-length: 9000000000000000000\r\n", block.clone()),
+        ("", block),
+    ];
+    for (number, (framing, block)) in framings.into_iter().enumerate() {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = StoreServer::start(free).await.expect("a store");
+        let head = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nresponse-stamp: s\r\n";
+        let head = String::leak(format!("{head}{framing}\r\n"));
+        start_endless(&store, head, block).await;
+        store.put("op/config", config(3, "idempotent"));
+        let address = format!("127.230.0.{}", 50 + number);
+        let gateway = start_gateway(&format!("endless-{number}"), &address, store.address());
+        wait_status(gateway.ready, "/v1/ready", 200).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let before = peak_memory(&gateway);
+        for version in ["1.1", "1.0"] {
+            let began = Instant::now();
+            let reading = read_all(&gateway, version);
+            let read = tokio::time::timeout(PATIENCE, reading).await;
+            let (answer, is_reset) = read.expect("the answer ends");
+            expect_that!(answer.starts_with(b"HTTP/1."), eq(true), "{framing:?}");
+            expect_that!(answer[8..].starts_with(b" 200"), eq(true), "{framing:?}");
+            expect_that!(answer.ends_with(b"0\r\n\r\n"), eq(false), "{framing:?}");
+            expect_that!(is_reset || version == "1.1", eq(true), "{framing:?}");
+            let limit = Duration::from_millis(WAIT_MS + 500);
+            expect_that!(began.elapsed(), le(limit), "{framing:?} {version}");
+        }
+        let grown = peak_memory(&gateway).saturating_sub(before);
+        expect_that!(grown, le(8 << 20), "{framing:?}");
+    }
+}
