Parts of a query: keep only the greatest records while a part arrives

What could happen: shards that send bodies without end each took 8 MiB, twice that while the buffer grew, before their parts were given up: ten of them fill the smallest VM (160 MB), which is killed with all that it serves.

Cause: a part was buffered whole up to the limit, though an answer needs its greatest records only.

Fix: once a part takes more room than twice the records that are needed (8 KiB at least), the lesser ones are dropped. A part is still read up to the limit and counts only once it is whole.

Evidence: a_part_that_is_compacted_while_it_arrives_loses_nothing (same result, bounded buffer; the function is new); a_part_without_end_is_left_out passed before too, it holds what callers get.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use compact_str::CompactString;
 use http::{HeaderMap, Response, StatusCode, header};
 
@@ -12,6 +13,7 @@
 use crate::gateway::dialect::WireNames;
 use crate::gateway::loss::LossCheck;
 use crate::gateway::loss_check::record_loss;
+use crate::gateway::merge::drop_lesser_records;
 use crate::gateway::policy::fairness::{FlowKey, QueueShare};
 use crate::gateway::policy::latency::millis;
 use crate::gateway::policy::load_report::LoadReport;
@@ -310,13 +312,18 @@
     let instance = upstream.entry().instance.clone();
     let upstream_request = request.build(names, &instance, remaining_ms);
     let after_loss = request.after_loss.get();
-    let max_bytes = match context.answer_use {
-        AnswerUse::Forward { .. } => MAX_BUFFERED_ANSWER_BYTES,
-        AnswerUse::Merge { .. } => MAX_SHARD_ANSWER_BYTES,
+    let (max_bytes, max_records) = match context.answer_use {
+        AnswerUse::Forward { .. } => (MAX_BUFFERED_ANSWER_BYTES, None),
+        AnswerUse::Merge { max_records } => (MAX_SHARD_ANSWER_BYTES, Some(max_records)),
+    };
+    let compact = |part: &mut BytesMut| {
+        if let Some(max_records) = max_records {
+            drop_lesser_records(part, max_records);
+        }
     };
     let response = match active_link
         .link
-        .begin_exchange(upstream_request, max_bytes, |_body| {})
+        .begin_exchange(upstream_request, max_bytes, compact)
         .await
     {
         Ok(response) => response,
--- a/crates/ebonyfork/src/gateway/merge.rs
+++ b/crates/ebonyfork/src/gateway/merge.rs
@@ -39,6 +39,22 @@
     body.freeze()
 }
 
+/// Drops records of a part that is still arriving and that can't be among its `top` greatest, once they take more room
+/// than these. An incomplete record at the end is kept, so that the rest of it can follow.
+pub fn drop_lesser_records(part: &mut BytesMut, top: usize) {
+    /// Bytes from which a part is worth compacting.
+    const MIN_COMPACTED_BYTES: usize = 8 * 1024;
+    let kept_bytes = top.saturating_mul(RECORD_BYTES);
+    if part.len() < kept_bytes.saturating_mul(2).max(MIN_COMPACTED_BYTES) {
+        return;
+    }
+    let whole_bytes = part.len() - part.len() % RECORD_BYTES;
+    let incomplete_record = part.split_off(whole_bytes);
+    let greatest_records = merge_records([part.as_ref()], top);
+    *part = BytesMut::from(greatest_records.as_ref());
+    part.extend_from_slice(&incomplete_record);
+}
+
 #[cfg(test)]
 #[path = "merge_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/merge_tests.rs
+++ b/crates/ebonyfork/src/gateway/merge_tests.rs
@@ -1,5 +1,5 @@
 use googletest::prelude::*;
-use proptest::prelude::{ProptestConfig, any, prop_assert_eq, proptest};
+use proptest::prelude::{ProptestConfig, any, prop_assert, prop_assert_eq, proptest};
 
 use super::*;
 
@@ -57,3 +57,23 @@
         prop_assert_eq!(merged_directly, merged_in_two_levels);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(100))]
+
+    /// Dropping lesser records of a part while it arrives does not change the result, and bounds the memory.
+    #[test]
+    fn a_part_that_is_compacted_while_it_arrives_loses_nothing(
+        part in proptest::collection::vec(any::<u8>(), 0..60_000),
+        frame_bytes in 1_usize..20_000,
+        top in 0_usize..40,
+    ) {
+        let mut compacted = BytesMut::new();
+        for frame in part.chunks(frame_bytes) {
+            compacted.extend_from_slice(frame);
+            drop_lesser_records(&mut compacted, top);
+            prop_assert!(compacted.len() <= 8 * 1024 + RECORD_BYTES);
+        }
+        prop_assert_eq!(merge_records([compacted.as_ref()], top), merge_records([part.as_slice()], top));
+    }
+}
