Refusals: never repeat a request on a connection on which it was declined

Cause: an answer is matched with its attempt by the request's id alone, and a refusal returns its connection to the pool. The repeat of the same request took that connection; a late copy of the first refusal arrived there, stated the same id and was taken for the answer to the repeat, which ran.

Fix: a connection remembers the requests that were declined on it until their callers stop waiting, and doesn't carry them again; a copy that comes there is then a copy for another id, which has been detected before. If no other connection is left, one is closed for a new one; a connection with more than 64 such requests is closed.

Evidence: a_late_copy_of_a_refusal_is_not_the_answer_to_the_repeat failed before: three arrivals on one connection, where two are right; the second and the third both ran.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -255,7 +255,8 @@
         received: request.received,
         share: queue_share(context, request),
     };
-    let outcome = match upstream.connect(priority, max_idle, CONNECT_TIMEOUT).await {
+    let connection = upstream.connect(&request.id, priority, max_idle, CONNECT_TIMEOUT);
+    let outcome = match connection.await {
         Err(error) => AttemptOutcome::Unsent(error_text(&error)),
         Ok(active_link) => {
             let core = &context.core;
@@ -365,7 +366,7 @@
     context: &AttemptContext,
     request: &ForwardRequest,
     response: Response<LinkBody>,
-    active_link: ActiveLink,
+    mut active_link: ActiveLink,
     upstream: &Rc<Upstream>,
 ) -> AttemptOutcome {
     let names = &context.core.dialect.names;
@@ -393,6 +394,9 @@
         return AttemptOutcome::Lost(reason.into());
     }
     record_load(names, &head.headers, upstream);
+    if is_declined {
+        active_link.record_declined(&request.id, request.finish_by);
+    }
     let is_reusable = allows_reuse(&head.headers);
     let keep_alive = keep_alive_timeout(&head.headers);
     let body = match (body.rest, context.answer_use) {
--- a/crates/ebonyfork/src/gateway/fixture_upstream.rs
+++ b/crates/ebonyfork/src/gateway/fixture_upstream.rs
@@ -45,6 +45,9 @@
     },
     /// Answers that the request was not run.
     Decline,
+    /// Answers the first request that it was not run, and the others after 5 ms. On a connection that has carried a
+    /// refusal, a copy of it comes first.
+    DeclineFirst,
     /// Closes the connection without an answer and accepts no more connections.
     Crash,
     /// Closes the connection without an answer.
@@ -111,9 +114,27 @@
 
 async fn serve(mut stream: TcpStream, reply: ScriptedReply, log: Rc<RefCell<UpstreamLog>>) {
     let mut has_carried_request = false;
+    let mut has_declined = false;
     while let Some(id) = read_request(&mut stream).await {
         has_carried_request = true;
         log.borrow_mut().requests.push((now(), id.clone()));
+        let reply = match reply {
+            ScriptedReply::DeclineFirst if log.borrow().requests.len() == 1 => {
+                has_declined = true;
+                ScriptedReply::Decline
+            }
+            ScriptedReply::DeclineFirst => {
+                let late_copy = has_declined.then_some(ScriptedReply::Decline);
+                if let Some(copy) = late_copy
+                    && !play(&mut stream, copy, &id).await
+                {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                ScriptedReply::Answer(16)
+            }
+            reply => reply,
+        };
         if !play(&mut stream, reply, &id).await {
             break;
         }
@@ -165,7 +186,7 @@
             }
             return false;
         }
-        ScriptedReply::Break | ScriptedReply::Crash => return false,
+        ScriptedReply::Break | ScriptedReply::Crash | ScriptedReply::DeclineFirst => return false,
         ScriptedReply::Hold => {
             // Ends only when the other side closes the connection.
             let _closed = stream.read_u8().await;
--- a/crates/ebonyfork/src/gateway/run/broken_answer_tests.rs
+++ b/crates/ebonyfork/src/gateway/run/broken_answer_tests.rs
@@ -193,3 +193,19 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a promise that nothing ran, made from a late copy of a refusal: the copy arrives where the answer to the
+/// repeat of the same request is expected, and states the same request.
+#[gtest]
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_is_not_the_answer_to_the_repeat() {
+    let test = async {
+        let core = core();
+        let started_upstreams = upstreams(&core, "s", 1, ScriptedReply::DeclineFirst).await;
+        let (report, _took) = run_for(&core, as_once(single_route(3))).await;
+        expect_that!(report.reply.status().as_u16(), eq(200));
+        expect_that!(arrived(&started_upstreams), eq(2));
+        expect_that!(started_upstreams[0].log.borrow().connections, eq(2));
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -5,6 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use http::HeaderValue;
+use smallvec::SmallVec;
+
 use crate::gateway::ident::{
     InstanceName, PlaceName, StartTime, UpstreamIncarnation, UpstreamService,
 };
@@ -57,10 +60,21 @@
 /// Idle timeout of a pooled connection whose upstream states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Most declined requests that are remembered with a connection; one with more of them is closed.
+const MAX_DECLINED_REQUESTS: usize = 64;
+
+/// A request that an upstream declined, which may be sent to it again until its caller's wait ends.
+#[derive(Debug)]
+struct DeclinedRequest {
+    id: HeaderValue,
+    repeated_until: Instant,
+}
+
 /// Pooled connection.
 #[derive(Debug)]
 struct IdleLink {
     link: HttpLink,
+    declined_requests: SmallVec<[DeclinedRequest; 2]>,
     idle_since: Instant,
     max_idle: Duration,
 }
@@ -101,6 +115,7 @@
 pub struct ActiveLink {
     /// Connection to the upstream.
     pub link: HttpLink,
+    declined_requests: SmallVec<[DeclinedRequest; 2]>,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
     /// Whether the request has got the connection before one of another organisation that was first by deadline.
@@ -108,6 +123,17 @@
     permit: SlotPermit,
 }
 
+impl ActiveLink {
+    /// Records that the upstream declined a request. The request isn't sent on this connection again: a late copy of the
+    /// refusal would be taken for the answer to it, since both state the same request.
+    pub fn record_declined(&mut self, id: &HeaderValue, repeated_until: Instant) {
+        self.declined_requests.push(DeclinedRequest {
+            id: id.clone(),
+            repeated_until,
+        });
+    }
+}
+
 impl Upstream {
     /// Creates an upstream to which this process may hold `connection_share` connections, but never more than it has
     /// slots. Excess requests would wait in the upstream's own queue, where urgent ones can't overtake.
@@ -251,10 +277,11 @@
         self.lost_requests.take()
     }
 
-    /// Waits for a permit, then returns a pooled connection that has been idle for at most `max_idle`, or opens a new
-    /// one within `connect_timeout`.
+    /// Waits for a permit, then returns a pooled connection that has been idle for at most `max_idle` and on which the
+    /// request was not declined, or opens a new one within `connect_timeout`.
     pub async fn connect(
         &self,
+        request_id: &HeaderValue,
         priority: SlotPriority,
         max_idle: Duration,
         connect_timeout: Duration,
@@ -264,9 +291,10 @@
             return Err(LinkError::Unsent { reason });
         };
         let has_overtaken = permit.has_overtaken;
-        if let Some(link) = self.take_idle_link(max_idle) {
+        if let Some(idle_link) = self.take_idle_link(request_id, max_idle) {
             return Ok(ActiveLink {
-                link,
+                link: idle_link.link,
+                declined_requests: idle_link.declined_requests,
                 reused: true,
                 has_overtaken,
                 permit,
@@ -276,6 +304,7 @@
         let link = HttpLink::open(address, connect_timeout).await?;
         Ok(ActiveLink {
             link,
+            declined_requests: SmallVec::new(),
             reused: false,
             has_overtaken,
             permit,
@@ -292,17 +321,31 @@
             })
     }
 
-    fn take_idle_link(&self, max_idle: Duration) -> Option<HttpLink> {
+    /// Takes a pooled connection for a request. If only connections are left on which it was declined, one of them is
+    /// closed in favour of a new one.
+    fn take_idle_link(&self, request_id: &HeaderValue, max_idle: Duration) -> Option<IdleLink> {
         let now = tokio::time::Instant::now().into_std();
         let mut idle_links = self.idle_links.borrow_mut();
+        let mut unusable_links: SmallVec<[IdleLink; 2]> = SmallVec::new();
+        let mut usable_link = None;
         while let Some(idle_link) = idle_links.pop() {
             let age = now.saturating_duration_since(idle_link.idle_since);
             if age > idle_link.max_idle.min(max_idle) || !idle_link.link.is_ready() {
                 continue;
             }
-            return Some(idle_link.link);
+            let mut declined_requests = idle_link.declined_requests.iter();
+            if declined_requests.any(|declined| declined.id == *request_id) {
+                unusable_links.push(idle_link);
+                continue;
+            }
+            usable_link = Some(idle_link);
+            break;
+        }
+        if usable_link.is_none() {
+            unusable_links.pop();
         }
-        None
+        idle_links.extend(unusable_links.into_iter().rev());
+        usable_link
     }
 
     /// Returns a connection to the pool. `stated_timeout` is the idle timeout that the upstream has
@@ -313,10 +356,14 @@
         });
         let now = tokio::time::Instant::now().into_std();
         let mut idle_links = self.idle_links.borrow_mut();
-        let has_room = idle_links.len() < self.connection_share.get();
+        let mut declined_requests = active_link.declined_requests;
+        declined_requests.retain(|declined| now < declined.repeated_until);
+        let has_room = idle_links.len() < self.connection_share.get()
+            && declined_requests.len() <= MAX_DECLINED_REQUESTS;
         if has_room && !self.leaving.get() && !max_idle.is_zero() && !active_link.link.is_closed() {
             idle_links.push(IdleLink {
                 link: active_link.link,
+                declined_requests,
                 idle_since: now,
                 max_idle,
             });
