--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -22,7 +22,7 @@
 /// Time between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(25);
 /// How long a caller waits for an answer.
-const WAIT: Duration = Duration::from_millis(1_500);
+pub(super) const WAIT: Duration = Duration::from_millis(1_500);
 /// How long a caller keeps a look-up.
 const KEEP: Duration = Duration::from_secs(2);
 /// Longest answer, in bytes.
