Quotas: keep an account until its bucket is full under every quota that it has had

Cause: the clean-up removes accounts whose bucket is full, because they count the same as none. Under the lower quota the bucket is full at once; without an account, the restored quota begins with a bucket that has been filling since the part is held. The rule's text counts it (the bound is exceeded by the higher of the two limits), so it is a fault.

Fix: full_at only rises until tokens have been refilled under the quotas that the bucket has had; the account stays until then.

--- a/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/bucket.rs
@@ -15,7 +15,8 @@
 pub(super) struct PartBucket {
     pub(super) tokens: f64,
     refilled_at: Duration,
-    /// Time at which the bucket is full at the latest, unless tokens are taken.
+    /// Time at which the bucket is full at the latest, unless tokens are taken: under the present quota and under those that
+    /// it has had. A lower quota that is in force for a moment fills the bucket at once, but not the one that may return.
     pub(super) full_at: Duration,
 }
 
@@ -40,7 +41,8 @@
             terms.rate * elapsed.as_secs_f64() + terms.recovery_rate * recovery.as_secs_f64();
         self.refilled_at = self.refilled_at.max(now);
         let added = self.add(refilled, terms);
-        self.full_at = now + time_for(terms.capacity - self.tokens, terms.rate);
+        let full_at = now + time_for(terms.capacity - self.tokens, terms.rate);
+        self.full_at = self.full_at.max(full_at);
         added
     }
 
--- a/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
@@ -189,3 +189,47 @@
     let (spread, together) = (replay(true), replay(false));
     expect_that!(spread, lt(together / 3), "{spread} of {together}");
 }
+
+/// Guards against granting a burst twice: under a quota that is lowered for a moment the bucket is full at once, and if
+/// its account were removed then, the restored quota would begin with a full bucket.
+#[gtest]
+fn a_quota_that_is_lowered_and_restored_grants_one_burst() {
+    let quotas = [quota(20.0, 150.0), quota(20.0, 1.0)];
+    let [high, low] = quotas.map(|quota| PartTerms::new(BOUND, quota));
+    for lowered_ms in [1_000, 2_000, 4_000] {
+        let mut ledger = PartLedger::new();
+        let start = ms(60_000);
+        let mut granted = take_all(&mut ledger, high, start, 1);
+        let lowered_at = start + ms(1_000);
+        let restored_at = lowered_at + ms(lowered_ms);
+        let hold = PartHold::default();
+        let taken = ledger.take(&organisation(), low, hold, lowered_at);
+        granted += usize::from(taken.is_ok());
+        ledger.remove_full(restored_at);
+        granted += take_all(&mut ledger, high, restored_at, 1);
+        let elapsed = 2.0 + lowered_ms as f64 / 1_000.0;
+        let allowed = high.capacity + high.rate * elapsed + 1.0;
+        expect_that!(granted as f64, le(allowed), "lowered for {lowered_ms} ms");
+    }
+}
+
+/// An account goes once its bucket would be full under any of its quotas.
+#[gtest]
+fn an_account_of_a_lowered_quota_is_removed_in_time() {
+    let quotas = [quota(20.0, 150.0), quota(20.0, 1.0)];
+    let [high, low] = quotas.map(|quota| PartTerms::new(BOUND, quota));
+    let mut ledger = PartLedger::new();
+    let start = ms(60_000);
+    take_all(&mut ledger, high, start, 1);
+    let hold = PartHold::default();
+    let lowered_at = start + ms(1_200);
+    expect_that!(
+        ledger.take(&organisation(), low, hold, lowered_at),
+        ok(eq(()))
+    );
+    let refill_time = Duration::from_secs_f64(high.capacity / high.rate + 1.0);
+    ledger.remove_full(lowered_at + ms(1_000));
+    expect_that!(ledger.bucket_count(), eq(1));
+    ledger.remove_full(lowered_at + refill_time);
+    expect_that!(ledger.bucket_count(), eq(0));
+}
