--- a/crates/ebonyfork/src/gateway/policy/quota/history_faults.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_faults.rs
@@ -69,7 +69,13 @@
         let asks = !self.demand.asks;
         let length = if asks { 0.8..2.0 } else { 0.4..1.0 };
         let mut windows = self.rng.random_range(length);
-        if asks && self.rng.random_bool(0.2) {
+        // While a lower quota is in force nobody must ask, or its small buckets are never full.
+        let short_share = if self.terms.lowered.is_some() {
+            0.8
+        } else {
+            0.2
+        };
+        if asks && self.rng.random_bool(short_share) {
             // Tokens that were asked for arrive when nobody needs them any more.
             windows /= 20.0;
         }
--- a/crates/ebonyfork/src/gateway/policy/quota/history_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_tests.rs
@@ -20,12 +20,25 @@
         slack: 20.0,
     },
     is_steady: false,
+    lowered: None,
 };
 /// Short window with many faults and callers that always ask at all parts, so that holds of two eras meet often.
 const STEADY_FAULTS: HistoryTerms = HistoryTerms {
     is_steady: true,
     ..SHORT_WINDOW
 };
+/// Burst that is taken away and given back within windows.
+const CHANGING_BURST: HistoryTerms = HistoryTerms {
+    quota: RequestQuota {
+        rate: RequestRate(20.0),
+        burst: 150.0,
+    },
+    lowered: Some(RequestQuota {
+        rate: RequestRate(20.0),
+        burst: 1.0,
+    }),
+    ..SHORT_WINDOW
+};
 /// Quota of which most is tolerated in addition, so that start tokens are many compared with the refill.
 const LARGE_SLACK: HistoryTerms = HistoryTerms {
     quota: RequestQuota {
@@ -38,6 +51,7 @@
         slack: 100.0,
     },
     is_steady: false,
+    lowered: None,
 };
 /// Quota of which little is tolerated in addition, so that tokens in transit are many compared with the tolerance.
 const FAST_REFILL: HistoryTerms = HistoryTerms {
@@ -51,6 +65,7 @@
         slack: 0.0,
     },
     is_steady: false,
+    lowered: None,
 };
 /// Window that is longer than the wait in a new era, so that it can contain holds of two eras.
 const LONG_WINDOW: HistoryTerms = HistoryTerms {
@@ -64,6 +79,7 @@
         slack: 400.0,
     },
     is_steady: false,
+    lowered: None,
 };
 
 /// Returns the seeds whose histories exceed the bound, with the number of requests in the busiest window.
@@ -91,6 +107,7 @@
     let exceeding = |seeds, terms| exceeding_histories(seeds, 30, terms, LeftOut::Nothing);
     expect_that!(exceeding(0..8, SHORT_WINDOW), is_empty());
     expect_that!(exceeding(0..4, STEADY_FAULTS), is_empty());
+    expect_that!(exceeding(0..4, CHANGING_BURST), is_empty());
     expect_that!(exceeding(0..4, LARGE_SLACK), is_empty());
     expect_that!(exceeding(0..2, FAST_REFILL), is_empty());
     expect_that!(exceeding(0..2, LONG_WINDOW), is_empty());
@@ -102,6 +119,7 @@
     let exceeding = |seeds, vms, terms| exceeding_histories(seeds, vms, terms, LeftOut::Nothing);
     expect_that!(exceeding(1_000..1_200, 30, SHORT_WINDOW), is_empty());
     expect_that!(exceeding(1_000..1_200, 30, STEADY_FAULTS), is_empty());
+    expect_that!(exceeding(1_000..1_200, 30, CHANGING_BURST), is_empty());
     expect_that!(exceeding(1_000..1_200, 30, LARGE_SLACK), is_empty());
     expect_that!(exceeding(1_000..1_060, 30, FAST_REFILL), is_empty());
     expect_that!(exceeding(1_000..1_060, 30, LONG_WINDOW), is_empty());
--- a/crates/ebonyfork/src/gateway/policy/quota/history_transfers.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/history_transfers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::history_fixture::{LeftOut, QuotaHistory, Transit, organisation};
-use super::{OtherHolder, PartHold, PartTerms, QUOTA_PARTS};
+use super::{OtherHolder, PartHold, QUOTA_PARTS};
 use crate::gateway::settings::PlaceDistance;
 
 /// Tokens that a process asks another holder for, or gets from it.
@@ -24,7 +24,7 @@
 impl QuotaHistory {
     /// Lets a holder without tokens begin a round.
     pub(super) fn begin_transfers(&mut self, vm_number: usize, own_part: usize, hold: PartHold) {
-        let terms = self.part_terms();
+        let terms = self.part_terms(vm_number);
         let others = (0..QUOTA_PARTS as u8).filter(|part| usize::from(*part) != own_part);
         let holders: Vec<OtherHolder> = others
             .map(|part| OtherHolder {
@@ -59,9 +59,10 @@
     /// Lets each VM that holds the part that is asked give tokens.
     pub(super) fn give_transfer(&mut self, request: ModelTransfer) {
         let now = self.now;
-        let terms = self.part_terms();
         let part = usize::from(request.part);
-        for vm in &mut self.vms {
+        for number in 0..self.vms.len() {
+            let terms = self.part_terms(number);
+            let vm = &mut self.vms[number];
             if now < vm.paused_until {
                 continue;
             }
@@ -84,7 +85,7 @@
     }
 
     pub(super) fn receive_transfer(&mut self, transfer: ModelTransfer) {
-        let terms = self.part_terms();
+        let terms = self.part_terms(transfer.vm);
         let left_out = self.left_out;
         let vm = &mut self.vms[transfer.vm];
         if self.now < vm.paused_until {
@@ -118,8 +119,4 @@
         let ledger = &mut vm.ledgers[transfer.own_part];
         ledger.receive(&organisation(), terms, hold, tokens, clock);
     }
-
-    fn part_terms(&self) -> PartTerms {
-        PartTerms::new(self.terms.bound, self.terms.quota)
-    }
 }
