--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -296,3 +296,29 @@
         .collect();
     expect_that!(check_repeats(&[], &spread).len(), eq(0));
 }
+
+/// Calls that end long after their callers have stopped waiting are found, unless their VM was disturbed.
+#[gtest]
+fn calls_without_end_are_found() {
+    let lasting = |route, seconds| {
+        let call = call(route, 200, &[], b"");
+        CallRecord {
+            from: call.until - Duration::from_secs(seconds),
+            ..call
+        }
+    };
+    let found = |call: CallRecord, events: &[SoakEvent]| check_ends(&[call], events).len();
+    expect_that!(found(lasting("read", 2), &[]), eq(0));
+    expect_that!(found(lasting("read", 3), &[]), eq(1));
+    expect_that!(found(lasting("long", 4), &[]), eq(0));
+    expect_that!(found(lasting("long", 5), &[]), eq(1));
+    let until = Instant::now();
+    let freeze = SoakEvent {
+        from: until - Duration::from_secs(3),
+        until,
+        what: "freeze vm-0".to_owned(),
+        planned: false,
+        vm: None,
+    };
+    expect_that!(found(lasting("read", 3), &[freeze]), eq(0));
+}
--- a/crates/ebonyfork/src/gateway/partial.rs
+++ b/crates/ebonyfork/src/gateway/partial.rs
@@ -44,6 +44,19 @@
     }
 
     /// Returns whether a list of `records` records that was cut in this way holds all that `wanted` asks for.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ebonyfork::gateway::RecordCut;
+    ///
+    /// let wanted = RecordCut::to_greatest(20);
+    /// // There were only three records.
+    /// assert!(RecordCut::to_greatest(20).suffices(3, wanted));
+    /// assert!(!RecordCut::to_greatest(5).suffices(5, wanted));
+    /// assert!(RecordCut::Unstated.suffices(20, wanted));
+    /// assert!(!RecordCut::Unstated.suffices(5, wanted));
+    /// ```
     pub fn suffices(self, records: usize, wanted: Self) -> bool {
         match (self, wanted) {
             (_, Self::Unstated) => true,
