Soak: the proxies pass a reset on without an orderly end before it

Cause: dropping the write half of a connection ends it in an orderly way first; the reset came after, so that the gateway met either, by chance. A finding in the soak, not in the gateway: PROTOCOL lets an answer without a length end with its connection. The half is now given up without that end.

--- a/crates/ebonyfork-lab/src/soak/proxy.rs
+++ b/crates/ebonyfork-lab/src/soak/proxy.rs
@@ -124,8 +124,10 @@
             Ok(0) => return,
             Ok(count) => count,
             Err(_reset) => {
-                // An orderly end would turn an answer that breaks off into a whole one.
+                // An orderly end would turn an answer that breaks off into a whole one. Dropping this half would send one
+                // before the reset.
                 let _set = write.as_ref().set_zero_linger();
+                write.forget();
                 return;
             }
         };
