Test, red: services behind an odd entry are never served

Callers of half of the services got 503 `no-upstream` for ever from a VM that counted as ready.

Cause: `warmupLeftMs` 1e22 in one entry below `servers/` ends the task that follows the store (overflow in `Instant + Duration`). A VM that starts beside it has applied what sorts before it and nothing behind it; a VM that runs applies nothing any more.

Seen on this code (debug build, real processes beside the stand-in store, six services with one upstream each, 20 requests for each): - a fourth VM, started beside the entry: [20, 20, 20, 0, 0, 0] served; the three VMs that ran before served all; - a VM that ran, and a service whose upstream registered after the entry: [20, 20, 20, 20, 20, 0].

--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod quotas;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
+#[path = "gateway/starved.rs"]
+mod starved;
 #[path = "gateway/versions.rs"]
 mod versions;
 
