--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod quotas;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
+#[path = "gateway/starved.rs"]
+mod starved;
 #[path = "gateway/versions.rs"]
 mod versions;
 
