Observability: the age of the copy is logged and measured apart from the task that follows the store

What callers saw: requests handled by an old version, on VMs whose logs and metrics said nothing. Cause: the age of the copy was logged, and its gauge set, by the very task that had ended; versions announced by other VMs, refused versions and undecodable answers of the store had no metric.

The gauges of the copy are computed when the metrics are read. A guard records the end of the following task whatever ends it. Undecodable answers of the store have an ERROR line and a counter, refused configurations a counter.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -13,9 +13,11 @@
 use crate::gateway::clock::{boot_time, now};
 use crate::gateway::cold_claims::ColdClaims;
 use crate::gateway::connection_drain::ConnectionDrain;
+use crate::gateway::copy_watch::CopyWatch;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::flight::InFlightCount;
+use crate::gateway::follow::FollowerStatus;
 use crate::gateway::ident::{ConfigVersion, RouteName, UpstreamService};
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::mirror::{FreshnessTimings, MirrorRelay};
@@ -84,6 +86,10 @@
     pub host_needs: RefCell<FxHashMap<CompactString, (Instant, Rc<HostNeeds>)>>,
     /// Passes the store's changes on to VMs that follow this one.
     pub relay: MirrorRelay,
+    /// State of the task that follows the store.
+    pub follower: FollowerStatus,
+    /// What has been reported of the copy of the store.
+    pub copy_watch: CopyWatch,
     /// Compares the routes of this VM's configuration with those of other VMs.
     pub route_checks: RouteChecks,
     /// Claims that decide which VM sends to cold upstreams.
@@ -142,6 +148,8 @@
             round_robin: WeightedRoundRobin::new(),
             host_needs: RefCell::default(),
             relay: MirrorRelay::new(max_age, metrics.sent_change_bytes.clone()),
+            follower: FollowerStatus::default(),
+            copy_watch: CopyWatch::default(),
             route_checks: RouteChecks::default(),
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -115,6 +115,11 @@
         String::from_utf8_lossy(&value.unwrap_or_default()).into_owned()
     }
 
+    /// Returns the number of the store's answers to this VM that could not be decoded.
+    pub fn malformed_answers(&self) -> u64 {
+        self.core.metrics.copy.malformed_answers.get()
+    }
+
     /// Returns whether the VM's copy of the store is stale, so that it may lack changes that should be in force by now.
     pub fn is_stale(&self) -> bool {
         self.core.relay.is_stale()
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 
-use super::fixture::{CONFIG_KEY, CREDENTIAL, FollowFleet, sleep_seconds};
+use super::fixture::{CONFIG_KEY, CREDENTIAL, FollowFleet, FollowVm, sleep_seconds};
 use super::random_history::{HistorySettings, run_history};
 use super::store_fixture::StoreReach;
 
@@ -45,6 +45,30 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a store whose answers can't be decoded looking like one that is away: operators have to look at the store's
+/// content then.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn undecodable_answers_are_counted() {
+    let test = async {
+        let fleet = FollowFleet::start(&["a", "a", "b"]).await;
+        fleet.put_config(1);
+        sleep_seconds(4.0).await;
+        let counts = || fleet.vms.iter().map(FollowVm::malformed_answers);
+        expect_that!(counts().sum::<u64>(), eq(0));
+        fleet.set_reach(StoreReach::Malformed);
+        sleep_seconds(10.0).await;
+        expect_that!(counts().all(|count| count > 0), eq(true));
+        fleet.set_reach(StoreReach::Answers);
+        fleet.put_config(2);
+        sleep_seconds(MAX_CHANGE_DELAY.as_secs_f64()).await;
+        for vm in &fleet.vms {
+            expect_that!(vm.version(), eq(2), "VM {}", vm.number);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A store restored from an older copy assigns the revisions of lost changes again, to other changes. These must be
 /// applied although VMs already know the revision numbers.
 #[gtest]
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -15,6 +15,7 @@
 #[cfg(test)]
 mod random_history;
 mod source;
+mod status;
 #[cfg(test)]
 mod store_fixture;
 mod taker;
@@ -39,6 +40,8 @@
 use self::following::{SourceFault, VmFollowing};
 use self::outage::StoreOutage;
 use self::source::{ChangeSource, GOSSIP_SETTLE_TIME, choose_source};
+use self::status::FollowerRun;
+pub use self::status::{FollowerState, FollowerStatus};
 use self::taker::StoreApplier;
 
 /// Prefix of the keys to follow: all keys below the store's root are read.
@@ -58,10 +61,14 @@
     members: watch::Receiver<Arc<MemberSnapshot>>,
     own_vm: (VmAddress, ZoneName),
 ) {
+    let _run = FollowerRun::begin(&core);
     let (sender, messages) = mpsc::unbounded_channel();
     core.relay.set_message_sink(sender);
     let applier = StoreApplier::new(Rc::clone(&core), seeds);
-    let feed = MirrorFeed::new(port, MirrorSettings::new(STORE_PREFIX)).with_stale_pages();
+    let malformed_answers = core.metrics.copy.malformed_answers.clone();
+    let feed = MirrorFeed::new(port, MirrorSettings::new(STORE_PREFIX))
+        .with_stale_pages()
+        .with_malformed_counter(malformed_answers);
     let follower = StoreFollower {
         applier,
         members,
@@ -505,12 +512,9 @@
         Ok(())
     }
 
-    /// Reports the age of the copy in metrics, and logs each change between stale and up to date once.
+    /// Records that the source is checked, and logs each change between stale and up to date once.
     fn report_age(&mut self, source: ChangeSource) {
-        let age = self.core.relay.copy_age();
-        self.core
-            .metrics
-            .record_copy_state(age, self.complete_revision());
+        self.core.follower.note_check(source, now());
         let is_stale = self.core.relay.is_stale();
         if is_stale == self.is_logged_as_stale {
             return;
--- a/crates/ebonyfork/src/gateway/follow/store_fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/store_fixture.rs
@@ -36,6 +36,8 @@
     Refuses,
     /// Neither new nor waiting calls get a response.
     Silent,
+    /// New calls get a response that can't be decoded.
+    Malformed,
 }
 
 /// The store's items and the log of its changes at one time.
@@ -276,6 +278,9 @@
             StoreReach::Answers => Ok(silence_count),
             StoreReach::Refuses => Err(Self::refusal()),
             StoreReach::Silent => std::future::pending().await,
+            StoreReach::Malformed => Err(StoreError::Malformed {
+                reason: "an item has another type".into(),
+            }),
         }
     }
 
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -142,6 +142,7 @@
     fn put_config(&self, item: &StoreItem) {
         match (self.core.dialect.read_config)(&item.key, &item.value) {
             Ok(table) => {
+                self.core.copy_watch.note_config(None);
                 self.log_unknown_homes(&table);
                 let (version, routes) = (table.version(), table.route_count());
                 let is_adopted = self.core.install_table(table);
@@ -153,11 +154,15 @@
                 );
             }
             // The version in force stays, because part of the new configuration would be worse.
-            Err(error) => log::error!(
-                "config revision={} bytes={} can't be decoded: {error}",
-                item.revision,
-                item.value.len()
-            ),
+            Err(error) => {
+                self.core.copy_watch.note_config(Some(item.revision));
+                self.core.metrics.copy.refused_versions.inc();
+                log::error!(
+                    "config revision={} bytes={} can't be decoded: {error}",
+                    item.revision,
+                    item.value.len()
+                );
+            }
         }
     }
 
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -1,6 +1,7 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::gateway::dialect::{DecodeError, GatewayDialect};
 use crate::gateway::fixture::{item, settings};
 use crate::gateway::follow::fixture::text_dialect;
 use crate::gateway::ident::UpstreamService;
@@ -94,6 +95,28 @@
     expect_that!(version(&applier), eq(7));
 }
 
+/// Guards against a refused version that leaves no trace beside a line of the log: the version in force looks the same as the
+/// newest one.
+#[gtest]
+fn a_configuration_that_is_refused_is_counted() {
+    let (seeds, _receiver) = watch::channel(Arc::default());
+    let dialect = GatewayDialect {
+        read_config: |key, _value| {
+            Err(DecodeError {
+                key: key.into(),
+                reason: "unreadable".into(),
+            })
+        },
+        ..text_dialect()
+    };
+    let core = Rc::new(GatewayCore::new(settings(), dialect));
+    let refusing = StoreApplier::new(core, seeds);
+    let items = vec![item("config", "7", 20)];
+    expect_that!(refusing.apply(full_copy(items, 20)), ok(eq(())));
+    expect_that!(version(&refusing), eq(0));
+    expect_that!(refusing.core.metrics.copy.refused_versions.get(), eq(1));
+}
+
 /// An entry that can't be decoded removes the upstream of the same key, and only that one.
 #[gtest]
 fn an_entry_that_becomes_unreadable_removes_its_upstream() {
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the gateway.
 
+mod copy;
 mod fairness;
 mod placement;
 
@@ -13,6 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+pub use self::copy::CopyMetrics;
 pub use self::fairness::FairnessMetrics;
 use crate::gateway::quota::QuotaMetrics;
 use crate::store::StoreRevision;
@@ -57,6 +59,8 @@
     pub copy_revision: Gauge<u64, AtomicU64>,
     /// Era of the store up to which the copy is complete.
     pub copy_era: Gauge<u64, AtomicU64>,
+    /// State of the copy of the store and of the configuration.
+    pub copy: CopyMetrics,
     /// Bytes of the store's changes sent to VMs that follow this one.
     pub sent_change_bytes: Counter,
     /// Decisions on tokens of organisations' quotas.
@@ -80,6 +84,7 @@
             copy_age: Gauge::default(),
             copy_revision: Gauge::default(),
             copy_era: Gauge::default(),
+            copy: CopyMetrics::default(),
             sent_change_bytes: Counter::default(),
             quota: QuotaMetrics::default(),
             fairness: FairnessMetrics::default(),
@@ -140,6 +145,7 @@
             "Bytes told to the VMs that follow this one",
             self.sent_change_bytes.clone(),
         );
+        self.copy.register(registry);
         self.quota.register(registry);
         self.placement.register(registry);
     }
--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -120,6 +120,11 @@
         followers.send_to_all(&MirrorMessage::StoreFailing);
     }
 
+    /// Returns whether calls to the store fail, as far as this VM knows.
+    pub fn is_store_failing(&self) -> bool {
+        self.is_store_failing.get()
+    }
+
     /// Returns how much longer followers are to keep missing entries.
     fn keep_missing_grace(&self) -> Option<Duration> {
         let until = self.keep_missing_until.get()?;
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod cold_claims;
 mod connection_drain;
 mod control;
+mod copy_watch;
 mod core;
 mod delegate;
 mod dialect;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -245,6 +245,7 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let time = now();
+        core.watch_copy(time);
         core.expire_missing(time);
         core.registry.for_each(|upstream| {
             upstream.close_expired(time);
--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -104,6 +104,11 @@
         self.newest_version.set(ConfigVersion(newest_version));
     }
 
+    /// Returns the newest version that another VM has in force.
+    pub fn newest_version(&self) -> ConfigVersion {
+        self.newest_version.get()
+    }
+
     /// Records this VM's version in force, and since when another VM has had a newer one.
     pub fn note_own_version(&self, own_version: ConfigVersion, now: Instant) {
         let behind_since = match self.behind_since.get() {
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -25,7 +25,10 @@
     let answer = move |method: &Method, uri: &Uri| match uri.path() {
         QUOTAS_PATH if method == Method::GET => encode_quotas(&core, uri),
         QUOTAS_PATH => status_reply(StatusCode::METHOD_NOT_ALLOWED),
-        _ => encode_metrics(&registry),
+        _ => {
+            core.refresh_copy_gauges();
+            encode_metrics(&registry)
+        }
     };
     serve_http(listener, connections, move |request| {
         answer(request.method(), request.uri())
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::Instant;
 
 use crate::store::mirror::{MirrorChange, MirrorState, MirrorStep};
@@ -84,6 +85,10 @@
     next_watch_at: Instant,
     /// When the first page of the range was requested, while the range is being read.
     reading_since: Option<Instant>,
+    /// Counts answers that could not be decoded.
+    malformed_answers: Counter,
+    /// Whether an undecodable answer has been logged since a call last succeeded.
+    is_malformed_logged: bool,
     /// Whether the store states a lower era than before; keeps the warning from being logged for every answer.
     era_has_fallen: bool,
 }
@@ -101,6 +106,8 @@
             store_answers: true,
             next_watch_at: Instant::now(),
             reading_since: None,
+            malformed_answers: Counter::default(),
+            is_malformed_logged: false,
             era_has_fallen: false,
         }
     }
@@ -112,6 +119,13 @@
         self
     }
 
+    /// Counts answers that can't be decoded in `counter`.
+    #[must_use]
+    pub fn with_malformed_counter(mut self, counter: Counter) -> Self {
+        self.malformed_answers = counter;
+        self
+    }
+
     /// Returns the counter of the bytes received in answers, including incomplete ones.
     pub fn traffic(&self) -> LinkTraffic {
         self.traffic.clone()
@@ -255,6 +269,7 @@
 
     fn record_success(&mut self) {
         self.store_answers = true;
+        self.is_malformed_logged = false;
         if let Some(failing_since) = self.failing_since.take() {
             let outage_ms = failing_since.elapsed().as_millis();
             log::info!(
@@ -278,7 +293,23 @@
         self.era_has_fallen = has_fallen;
     }
 
+    /// Counts an answer that could not be decoded, and logs it unless one has been logged since a call last succeeded. The
+    /// line is needed beside that of a lost store, which an outage of another kind may have caused before.
+    fn record_malformed(&mut self, error: &StoreError) {
+        self.malformed_answers.inc();
+        if !std::mem::replace(&mut self.is_malformed_logged, true) {
+            log::error!(
+                "store answer can't be decoded prefix=`{}` known={}: {error}",
+                self.settings.prefix,
+                self.state.revision()
+            );
+        }
+    }
+
     fn record_failure(&mut self, error: &StoreError, called_at: Instant) {
+        if matches!(error, StoreError::Malformed { .. }) {
+            self.record_malformed(error);
+        }
         self.state.apply_failure(error, &mut rand::rng());
         if self.settings.rereads_after_failure {
             self.state.reread();
