Gateway: long-lived tasks have an owner that restarts them

What callers saw: after a panic in one task the process served on and counted as ready, but no longer did that task's duty.

Cause: `GatewayNode::start` put some fifteen tasks into a `JoinSet` that nobody joined, and the membership actor's tasks into another one. The message of a panic stood on standard error only.

Now `gateway/supervisor.rs` joins them. An end is logged with the panic's message, counted and shown in a gauge. `policy/restart.rs` decides: restart at once after a run of 10 s, otherwise after waits that double up to 5 s, without a last attempt. Listeners, the links' events, the lease and the copy outlive a run. The end of gossip, whose state can't be rebuilt, is a planned stop and exit status 3.

Tests: each task is ended once on a gateway with real sockets, which has to put a new version in force and to answer within `config-in-force-ms`; a replay of restarts in virtual time.

--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! Control addresses: readiness checks, and look-ups of the VMs that a caller should use.
 
+use std::borrow::Borrow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 const HOST_NEEDS_TTL: Duration = Duration::from_secs(1);
 
 /// Serves the control calls on a listener until connections are to close.
-pub async fn serve_control(core: Rc<GatewayCore>, listener: TcpListener) {
+pub async fn serve_control(core: Rc<GatewayCore>, listener: impl Borrow<TcpListener>) {
     let connections = core.connections.clone();
     serve_http(listener, connections, move |request| {
         handle_call(&core, request)
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -31,6 +31,7 @@
 use crate::gateway::route_check::RouteChecks;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::speed_exchange::SpeedExchange;
+use crate::gateway::tasks::TaskStates;
 use crate::gateway::upstream::Upstream;
 use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightedRoundRobin;
@@ -98,6 +99,8 @@
     pub quarantine: QuarantineHandle,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// Which long-lived tasks are down.
+    pub tasks: TaskStates,
     /// Time at which the process started, on the monotonic clock.
     pub started: Instant,
     /// Time at which the process started, on the clock that includes suspensions.
@@ -151,6 +154,7 @@
             era: watch::Sender::default(),
             quarantine: QuarantineHandle::new(),
             metrics,
+            tasks: TaskStates::default(),
             started: now(),
             started_since_boot: boot_time(),
             state: Rc::new(Cell::new(ServiceState::Serving)),
@@ -371,9 +375,12 @@
         self.state.set(state);
     }
 
-    /// Returns whether callers should be sent here: a configuration is in force and no shutdown has begun.
+    /// Returns whether callers should be sent here: a configuration is in force, no shutdown has begun and no task is down
+    /// that callers need.
     pub fn is_ready(&self) -> bool {
-        self.state.get() == ServiceState::Serving && self.table.borrow().is_some()
+        self.state.get() == ServiceState::Serving
+            && self.table.borrow().is_some()
+            && !self.tasks.hinders_callers()
     }
 
     /// Returns the time since the start without suspensions of the VM.
--- a/crates/ebonyfork/src/gateway/gossip.rs
+++ b/crates/ebonyfork/src/gateway/gossip.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::JoinSet;
-
 use crate::gateway::core::GatewayCore;
 use crate::gateway::policy::latency::millis;
+use crate::gateway::supervisor::TaskSupervisor;
+use crate::gateway::tasks::TaskName;
 use crate::ident::{RevisionNumber, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberHandle};
 use crate::quarantine::{publish_notices, receive_notices};
@@ -20,15 +20,35 @@
 
 /// Starts the tasks that exchange information between the gateway and gossip.
 pub(super) fn connect_gossip(
-    tasks: &mut JoinSet<()>,
+    tasks: &mut TaskSupervisor,
     core: &Rc<GatewayCore>,
     membership: &MemberHandle,
     own_vm: (VmAddress, ZoneName),
 ) {
-    tasks.spawn_local(follow_members(Rc::clone(core), membership.clone(), own_vm));
-    tasks.spawn_local(publish_digest(Rc::clone(core), membership.clone()));
-    tasks.spawn(publish_notices(membership.clone(), core.quarantine.clone()));
-    tasks.spawn(receive_notices(membership.clone(), core.quarantine.clone()));
+    let (shared_core, members) = (Rc::clone(core), membership.clone());
+    tasks.start(TaskName::MemberFollower, move || {
+        follow_members(Rc::clone(&shared_core), members.clone(), own_vm.clone())
+    });
+    let (shared_core, members) = (Rc::clone(core), membership.clone());
+    tasks.start(TaskName::DigestPublisher, move || {
+        publish_digest(Rc::clone(&shared_core), members.clone())
+    });
+    let (members, quarantine) = (membership.clone(), core.quarantine.clone());
+    tasks.start(TaskName::NoticePublisher, move || {
+        publish_notices(members.clone(), quarantine.clone())
+    });
+    let (members, quarantine) = (membership.clone(), core.quarantine.clone());
+    tasks.start(TaskName::NoticeReceiver, move || {
+        receive_notices(members.clone(), quarantine.clone())
+    });
+    let members = membership.clone();
+    tasks.start_required(TaskName::Membership, move || wait_for_end(members.clone()));
+}
+
+/// Returns when one of the tasks of gossip has ended. Its state (the incarnation, what it knows of the members) is lost then.
+async fn wait_for_end(membership: MemberHandle) {
+    let reason = membership.ended().await;
+    log::error!("gossip ended: {reason}");
 }
 
 async fn follow_members(
--- a/crates/ebonyfork/src/gateway/http_server.rs
+++ b/crates/ebonyfork/src/gateway/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP server for control calls and metrics.
 
+use std::borrow::Borrow;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -29,14 +30,14 @@
 
 /// Serves requests on a listener until `connections` are to close.
 pub async fn serve_http(
-    listener: TcpListener,
+    listener: impl Borrow<TcpListener>,
     connections: ConnectionDrain,
     answer: impl Fn(&Request<Incoming>) -> CallerReply + 'static,
 ) {
     let answer = Rc::new(answer);
     loop {
         let accept_result = tokio::select! {
-            accept_result = listener.accept() => accept_result,
+            accept_result = listener.borrow().accept() => accept_result,
             () = connections.closing() => return,
         };
         match accept_result {
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -47,7 +47,7 @@
 const MAX_WAIT_MS: f64 = 86_400_000.0;
 
 /// Accepts callers' connections until connections are to close.
-pub async fn serve_callers(core: Rc<GatewayCore>, listener: TcpListener) {
+pub async fn serve_callers(core: Rc<GatewayCore>, listener: Rc<TcpListener>) {
     loop {
         let accept_result = tokio::select! {
             accept_result = listener.accept() => accept_result,
--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -2,6 +2,7 @@
 
 mod fairness;
 mod placement;
+mod tasks;
 
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::store::StoreRevision;
 
 pub use placement::PlacementMetrics;
+pub use tasks::{TaskLabel, TaskMetrics};
 
 /// Bucket bounds of the latency histogram, in seconds: finer around the targets, which lie between 0.1 and 1 s.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -65,6 +67,8 @@
     pub fairness: FairnessMetrics,
     /// Placement decisions.
     pub placement: PlacementMetrics,
+    /// Ends of long-lived tasks.
+    pub tasks: TaskMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -84,6 +88,7 @@
             quota: QuotaMetrics::default(),
             fairness: FairnessMetrics::default(),
             placement: PlacementMetrics::default(),
+            tasks: TaskMetrics::default(),
         }
     }
 }
@@ -142,5 +147,6 @@
         );
         self.quota.register(registry);
         self.placement.register(registry);
+        self.tasks.register(registry);
     }
 }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -64,6 +64,8 @@
 mod speed_exchange;
 mod status;
 mod stream_activity;
+mod supervisor;
+mod tasks;
 mod upstream;
 mod vms;
 mod weights;
@@ -100,6 +102,7 @@
     QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, RequesterKey, TokenDecision,
     TokenRefusal, TokenRequest, WaitCheck, WaitEnd, next_return, plan_asks,
 };
+pub use policy::restart::{EndAction, RestartState, TaskEnd, TaskRecovery};
 pub use policy::shutdown::{ShutdownBacklog, ShutdownCut, ShutdownPhase, ShutdownPlan};
 pub use policy::speed_advice::{
     AdviceUse, SpeedChange, SpeedMessage, SpeedOutbox, SpeedReport, SpeedView,
@@ -112,5 +115,7 @@
 };
 pub use route_check::RouteCheckMessage;
 pub use settings::{GatewaySettings, ListenAddresses, NodePlace, PlaceDistance, PlacementSettings};
+pub use supervisor::TaskFailure;
+pub use tasks::{TaskName, TaskStates};
 pub use upstream::UpstreamEntry;
 pub use weights::WeightedRoundRobin;
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -1,4 +1,5 @@
-//! Assembles a gateway process: listeners, store mirror, registration, gossip and planned shutdown.
+//! Assembles a gateway process: listeners, store mirror, registration, gossip and planned shutdown. The long-lived tasks
+//! are owned by a [`TaskSupervisor`].
 
 use std::fmt;
 use std::io;
@@ -10,8 +11,9 @@
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, mpsc, watch};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::clock::now;
 use crate::gateway::cold_claims::run_claims;
@@ -29,9 +31,12 @@
 use crate::gateway::share_exchange::run_leases;
 use crate::gateway::speed_exchange::run_speed_exchange;
 use crate::gateway::status::serve_status;
+use crate::gateway::supervisor::{TaskAborter, TaskFailure, TaskSupervisor};
+use crate::gateway::tasks::TaskName;
 use crate::ident::{SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::store::{LeaseId, StorePort};
+use crate::wire::{LinkEvent, PeerPool};
 
 /// Callers keep a locate answer for up to this multiple of its time to live.
 const TTL_FACTOR: u32 = 3;
@@ -64,7 +69,9 @@
     registration_lease: Rc<std::cell::Cell<Option<LeaseId>>>,
     membership: MemberHandle,
     stop_token: CancellationToken,
-    tasks: tokio::task::JoinSet<()>,
+    failure: watch::Receiver<Option<TaskFailure>>,
+    aborter: TaskAborter,
+    supervisor: AbortOnDropHandle<()>,
 }
 
 impl<P> fmt::Debug for GatewayNode<P> {
@@ -81,16 +88,16 @@
         port: P,
     ) -> Result<Self, GatewayError> {
         let listen = settings.listen;
-        let caller_listener = bind("caller", listen.caller_address).await?;
-        let ready_listener = bind("ready", listen.ready_address).await?;
-        let directory_listener = bind("directory", listen.directory_address).await?;
-        let metrics_listener = bind("metrics", listen.metrics_address).await?;
+        let caller = bind("caller", listen.caller_address).await?;
+        let ready = bind("ready", listen.ready_address).await?;
+        let directory = bind("directory", listen.directory_address).await?;
+        let metrics = bind("metrics", listen.metrics_address).await?;
         let peer_address = SocketAddr::new(settings.place.address, listen.peer_port);
         let gossip_socket = UdpSocket::bind(peer_address).await.context(BindSnafu {
             role: "peer",
             address: peer_address,
         })?;
-        let peer_listener = bind("peer", peer_address).await?;
+        let peer = bind("peer", peer_address).await?;
         let core = Rc::new(GatewayCore::new(settings, dialect));
         let session = core.session;
         let stop_token = CancellationToken::new();
@@ -102,29 +109,35 @@
         core.metrics.register(&mut registry);
         core.quarantine.register(&mut registry);
         membership.register(&mut registry);
-        let registration = VmRegistration::new(Rc::clone(&core), port.clone());
+        let registration = Rc::new(VmRegistration::new(Rc::clone(&core), port.clone()));
         let registration_lease = registration.lease();
-        let mut tasks = tokio::task::JoinSet::new();
-        tasks.spawn_local(serve_callers(Rc::clone(&core), caller_listener));
-        tasks.spawn_local(serve_control(Rc::clone(&core), ready_listener));
-        tasks.spawn_local(serve_control(Rc::clone(&core), directory_listener));
-        tasks.spawn_local(serve_status(Rc::clone(&core), registry, metrics_listener));
         let own_vm = (session.vm, own_zone(&core));
-        tasks.spawn_local(follow_store(
-            Rc::clone(&core),
-            port.clone(),
-            seed_sender,
-            membership.snapshot(),
-            own_vm.clone(),
-        ));
-        tasks.spawn_local(registration.run());
-        tasks.spawn_local(accept_links(pool, peer_listener));
-        tasks.spawn_local(follow_links(Rc::clone(&core), link_events));
-        tasks.spawn_local(sweep(Rc::clone(&core)));
-        tasks.spawn_local(run_leases(Rc::clone(&core), own_vm.0));
-        tasks.spawn_local(run_speed_exchange(Rc::clone(&core)));
-        tasks.spawn_local(run_claims(Rc::clone(&core), port.clone()));
-        tasks.spawn_local(run_quota_claims(Rc::clone(&core), port.clone()));
+        let mut tasks = TaskSupervisor::new(Rc::clone(&core));
+        start_listeners(&mut tasks, &core, [caller, ready, directory]);
+        let (shared_core, registry) = (Rc::clone(&core), Rc::new(registry));
+        tasks.start(TaskName::StatusListener, move || {
+            serve_status(
+                Rc::clone(&shared_core),
+                Rc::clone(&registry),
+                Rc::clone(&metrics),
+            )
+        });
+        start_store_tasks(&mut tasks, &core, &port);
+        let (shared_core, store, vm) = (Rc::clone(&core), port.clone(), own_vm.clone());
+        let members = membership.snapshot();
+        tasks.start(TaskName::StoreFollower, move || {
+            follow_store(
+                Rc::clone(&shared_core),
+                store.clone(),
+                seed_sender.clone(),
+                members.clone(),
+                vm.clone(),
+            )
+        });
+        tasks.start(TaskName::Registration, move || {
+            Rc::clone(&registration).run()
+        });
+        start_peer_tasks(&mut tasks, &core, (pool, peer), link_events);
         connect_gossip(&mut tasks, &core, &membership, own_vm);
         log_start(&core);
         Ok(Self {
@@ -133,12 +146,36 @@
             registration_lease,
             membership,
             stop_token,
-            tasks,
+            failure: tasks.failure(),
+            aborter: tasks.aborter(),
+            supervisor: AbortOnDropHandle::new(tokio::task::spawn_local(tasks.run())),
+        })
+    }
+
+    /// Waits until a task ends that can't be restarted. The process should stop as planned then and exit with an error,
+    /// so that the platform starts it again.
+    pub async fn failure(&mut self) -> TaskFailure {
+        // Fails only if the supervisor, which owns the sender, has ended itself, and all tasks with it.
+        let _is_told = self.failure.wait_for(Option::is_some).await.is_ok();
+        let failure = self.failure.borrow().clone();
+        failure.unwrap_or_else(|| TaskFailure {
+            task: "supervisor".into(),
+            reason: "it ended".into(),
         })
     }
 
+    /// Ends the current run of a task, for tests of what follows. Returns false if this process has no such task.
+    pub fn abort_task(&self, task: TaskName) -> bool {
+        self.aborter.abort(task)
+    }
+
+    /// Returns whether a task is down: it has ended against its purpose and not started again yet.
+    pub fn is_task_down(&self, task: TaskName) -> bool {
+        self.core.tasks.is_down(task)
+    }
+
     /// Shuts down as planned: directs callers to other VMs while still serving, then completes and delivers the answers.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
         let started_at = now();
         let grace = self.core.settings.grace;
         let plan = ShutdownPlan::new(grace, LOCATE_TTL * TTL_FACTOR);
@@ -167,7 +204,7 @@
         }
         self.log_shutdown("ends", started_at);
         self.stop_token.cancel();
-        self.tasks.abort_all();
+        self.supervisor.abort();
     }
 
     /// Returns what this process still has to deliver.
@@ -205,9 +242,77 @@
     }
 }
 
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+/// Opens a listener that all runs of a task share, so that connections are not refused between two runs.
+async fn bind(role: &'static str, address: SocketAddr) -> Result<Rc<TcpListener>, GatewayError> {
     let listener = TcpListener::bind(address).await;
-    listener.context(BindSnafu { role, address })
+    listener.map(Rc::new).context(BindSnafu { role, address })
+}
+
+/// Starts the tasks that accept callers' connections and control calls.
+fn start_listeners(
+    tasks: &mut TaskSupervisor,
+    core: &Rc<GatewayCore>,
+    [caller, ready, directory]: [Rc<TcpListener>; 3],
+) {
+    let shared_core = Rc::clone(core);
+    tasks.start(TaskName::CallerListener, move || {
+        serve_callers(Rc::clone(&shared_core), Rc::clone(&caller))
+    });
+    let control_listeners = [
+        (TaskName::ReadyListener, ready),
+        (TaskName::DirectoryListener, directory),
+    ];
+    for (name, listener) in control_listeners {
+        let shared_core = Rc::clone(core);
+        tasks.start(name, move || {
+            serve_control(Rc::clone(&shared_core), Rc::clone(&listener))
+        });
+    }
+}
+
+/// Starts the tasks that sweep and that write claims. Tasks for which the settings have no use are not started.
+fn start_store_tasks(tasks: &mut TaskSupervisor, core: &Rc<GatewayCore>, port: &impl StorePort) {
+    let shared_core = Rc::clone(core);
+    tasks.start(TaskName::Sweep, move || sweep(Rc::clone(&shared_core)));
+    if core.settings.cold_bound.is_some() {
+        let (shared_core, store) = (Rc::clone(core), port.clone());
+        tasks.start(TaskName::ColdClaims, move || {
+            run_claims(Rc::clone(&shared_core), store.clone())
+        });
+    }
+    let (shared_core, store) = (Rc::clone(core), port.clone());
+    tasks.start(TaskName::QuotaClaims, move || {
+        run_quota_claims(Rc::clone(&shared_core), store.clone())
+    });
+}
+
+/// Starts the tasks that exchange messages with other VMs.
+fn start_peer_tasks(
+    tasks: &mut TaskSupervisor,
+    core: &Rc<GatewayCore>,
+    (pool, listener): (PeerPool, Rc<TcpListener>),
+    link_events: mpsc::Receiver<LinkEvent>,
+) {
+    tasks.start(TaskName::PeerListener, move || {
+        accept_links(pool.clone(), Rc::clone(&listener))
+    });
+    // Each run holds the lock until it ends; events stay in the queue between two runs.
+    let link_events = Rc::new(Mutex::new(link_events));
+    let shared_core = Rc::clone(core);
+    tasks.start(TaskName::PeerMessages, move || {
+        let (core, link_events) = (Rc::clone(&shared_core), Rc::clone(&link_events));
+        async move { follow_links(core, &mut *link_events.lock().await).await }
+    });
+    let (shared_core, own_vm) = (Rc::clone(core), core.session.vm);
+    tasks.start(TaskName::RetryShares, move || {
+        run_leases(Rc::clone(&shared_core), own_vm)
+    });
+    if core.settings.placement.shares_upstream_speed {
+        let shared_core = Rc::clone(core);
+        tasks.start(TaskName::SpeedExchange, move || {
+            run_speed_exchange(Rc::clone(&shared_core))
+        });
+    }
 }
 
 /// Returns the name of the own zone in gossip.
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! Links to the gateways of other VMs, and the dispatch of the messages received on them.
 
+use std::borrow::{Borrow, BorrowMut};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -40,8 +41,11 @@
 }
 
 /// Dispatches events of the links until the future is dropped.
-pub async fn follow_links(core: Rc<GatewayCore>, mut events: mpsc::Receiver<LinkEvent>) {
-    while let Some(event) = events.recv().await {
+pub async fn follow_links(
+    core: Rc<GatewayCore>,
+    mut events: impl BorrowMut<mpsc::Receiver<LinkEvent>>,
+) {
+    while let Some(event) = events.borrow_mut().recv().await {
         match event {
             LinkEvent::Message { from, message } => take_message(&core, from, message),
             LinkEvent::Down { vm, unsent } => {
@@ -71,6 +75,6 @@
 }
 
 /// Accepts links until the future is dropped.
-pub async fn accept_links(pool: PeerPool, listener: TcpListener) {
+pub async fn accept_links(pool: PeerPool, listener: impl Borrow<TcpListener>) {
     pool.accept(listener).await;
 }
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -24,6 +24,7 @@
 //! | when a query is answered | [`gather`] | the last parts arrive after the target, or never |
 //! | how long an answer is passed on while it arrives | [`stream_bound`] | upstreams that send bodies without end, beside honest long answers |
 //! | when a process that shuts down refuses requests, closes connections and exits | [`shutdown`] | callers that keep locate answers for as long as they may, and read slowly |
+//! | what follows the end of a long-lived task | [`restart`] | a value from outside that ends a task on every VM, once or again and again |
 //! | how long before its target an answer must be decided | [`answer_lag`] | a VM that is busy or slow |
 
 pub mod answer_lag;
@@ -41,6 +42,7 @@
 pub mod load_report;
 pub mod postpone;
 pub mod quota;
+pub mod restart;
 pub mod retry;
 pub mod route_latency;
 pub mod serving;
--- a/crates/ebonyfork/src/gateway/register.rs
+++ b/crates/ebonyfork/src/gateway/register.rs
@@ -69,8 +69,9 @@
         Rc::clone(&self.lease)
     }
 
-    /// Registers and renews until the future is dropped or a shutdown begins.
-    pub async fn run(self) {
+    /// Registers and renews until the future is dropped or a shutdown begins. The lease stays as it is when the future
+    /// is dropped, and another run continues with it.
+    pub async fn run(self: Rc<Self>) {
         let mut backoff = Backoff::new(MIN_RETRY_WAIT, MAX_RETRY_WAIT);
         let mut eras = self.core.eras();
         let mut renewal_backoff = Backoff::new(MIN_RENEWAL_RETRY_WAIT, MAX_RENEWAL_RETRY_WAIT);
--- a/crates/ebonyfork/src/gateway/register_tests.rs
+++ b/crates/ebonyfork/src/gateway/register_tests.rs
@@ -79,7 +79,7 @@
         let core = Rc::new(GatewayCore::new(settings(), dialect()));
         let port = LeasePort::default();
         port.log().era = 1;
-        let registration = VmRegistration::new(Rc::clone(&core), port.clone());
+        let registration = Rc::new(VmRegistration::new(Rc::clone(&core), port.clone()));
         let lease = registration.lease();
         tokio::task::spawn_local(registration.run());
         tokio::time::sleep(Duration::from_secs(9)).await;
@@ -122,7 +122,7 @@
             let core = Rc::new(GatewayCore::new(settings(), dialect()));
             let port = LeasePort::default();
             port.log().era = 1;
-            let registration = VmRegistration::new(Rc::clone(&core), port.clone());
+            let registration = Rc::new(VmRegistration::new(Rc::clone(&core), port.clone()));
             tokio::task::spawn_local(registration.run());
             tokio::time::sleep(Duration::from_secs(1)).await;
             port.log().era = 2;
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -1,5 +1,6 @@
 //! Serves the state of this process to the operators: the metrics in the OpenMetrics text format, and the quotas as JSON.
 
+use std::borrow::Borrow;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -20,7 +21,11 @@
 const QUOTAS_PATH: &str = "/quotas";
 
 /// Serves the state of the process on a listener until connections are to close.
-pub async fn serve_status(core: Rc<GatewayCore>, registry: Registry, listener: TcpListener) {
+pub async fn serve_status(
+    core: Rc<GatewayCore>,
+    registry: Rc<Registry>,
+    listener: impl Borrow<TcpListener>,
+) {
     let connections = core.connections.clone();
     let answer = move |method: &Method, uri: &Uri| match uri.path() {
         QUOTAS_PATH if method == Method::GET => encode_quotas(&core, uri),
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node;
 pub mod once;
 pub mod operator;
+pub mod panic_reason;
 pub mod quantity;
 pub mod quarantine;
 pub mod query;
--- a/crates/ebonyfork/src/membership/actor.rs
+++ b/crates/ebonyfork/src/membership/actor.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use compact_str::{CompactString, format_compact};
 use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use prometheus_client::registry::Registry;
 use tokio::net::UdpSocket;
 use tokio::sync::{broadcast, watch};
@@ -21,6 +24,7 @@
 use crate::membership::protocol::MemberProtocol;
 use crate::membership::snapshot::{GossipNotice, MemberDigest, MemberSnapshot};
 use crate::membership::timing::TICK_PERIOD;
+use crate::panic_reason::panic_reason;
 
 /// Maximum number of datagrams passed to the actor in one message.
 const MAX_READ_BATCH: usize = 32;
@@ -98,6 +102,8 @@
     snapshot: watch::Receiver<Arc<MemberSnapshot>>,
     notices: broadcast::WeakSender<GossipNotice>,
     metrics: Arc<Mutex<MemberMetrics>>,
+    /// Why the first of the tasks that has ended did so; `None` while all of them run.
+    end_reason: watch::Receiver<Option<CompactString>>,
     _tasks: Arc<JoinSet<()>>,
 }
 
@@ -118,11 +124,16 @@
         let metrics = Arc::clone(&actor.metrics);
         let (address, mailbox) = Mailbox::unbounded();
         let mut tasks = JoinSet::new();
-        tasks.spawn(xtra::run(mailbox, actor));
-        tasks.spawn(read_socket(address.downgrade(), socket));
-        tasks.spawn(follow_seeds(address.downgrade(), seeds));
-        tasks.spawn(tick(address.downgrade()));
+        let end_reason = Arc::new(watch::Sender::default());
+        let mut spawn = |name, task: BoxFuture<'static, ()>| {
+            tasks.spawn(report_end(name, Arc::clone(&end_reason), task));
+        };
+        spawn("actor", xtra::run(mailbox, actor).boxed());
+        spawn("socket", read_socket(address.downgrade(), socket).boxed());
+        spawn("seeds", follow_seeds(address.downgrade(), seeds).boxed());
+        spawn("timer", tick(address.downgrade()).boxed());
         Self {
+            end_reason: end_reason.subscribe(),
             actor: address,
             snapshot,
             notices,
@@ -131,6 +142,15 @@
         }
     }
 
+    /// Waits until one of the tasks of membership has ended, and returns which and why. They share their state, so the
+    /// others are of no use then: the process doesn't notice failures and counts as failed itself.
+    pub async fn ended(&self) -> CompactString {
+        let mut end_reason = self.end_reason.clone();
+        let _is_told = end_reason.wait_for(Option::is_some).await.is_ok();
+        let reason = end_reason.borrow().clone();
+        reason.unwrap_or_else(|| CompactString::const_new("its tasks were aborted"))
+    }
+
     /// Returns a receiver of the current snapshot of all members.
     pub fn snapshot(&self) -> watch::Receiver<Arc<MemberSnapshot>> {
         self.snapshot.clone()
@@ -186,6 +206,23 @@
     }
 }
 
+/// Runs a task and records its end, unless another one has ended before.
+async fn report_end(
+    name: &'static str,
+    end_reason: Arc<watch::Sender<Option<CompactString>>>,
+    task: BoxFuture<'static, ()>,
+) {
+    let reason = match AssertUnwindSafe(task).catch_unwind().await {
+        Ok(()) => CompactString::const_new("it returned"),
+        Err(payload) => panic_reason(&*payload),
+    };
+    end_reason.send_if_modified(|known_reason| {
+        let is_first = known_reason.is_none();
+        known_reason.get_or_insert_with(|| format_compact!("{name}: {reason}"));
+        is_first
+    });
+}
+
 /// Passes received datagrams to the actor in batches.
 async fn read_socket(actor: WeakAddress<MemberActor>, socket: Arc<UdpSocket>) {
     // One byte more than the limit, so that an oversized datagram is recognized.
--- a/crates/ebonyfork/src/membership/actor_tests.rs
+++ b/crates/ebonyfork/src/membership/actor_tests.rs
@@ -58,3 +58,22 @@
         contains_substring("member_dropped_datagrams_total{cause=\"foreign\"} 0")
     );
 }
+
+/// Guards against a process that goes on without gossip after its actor has panicked: the end is reported with its reason.
+#[gtest]
+#[tokio::test]
+async fn the_end_of_the_actor_is_reported() {
+    let own_address = VmAddress([127, 0, 0, 1].into());
+    let own_session = SessionId::new(own_address, IncarnationNumber(1));
+    let socket = UdpSocket::bind((own_address.0, 0)).await.expect("a socket");
+    let port = socket.local_addr().expect("a bound address").port();
+    let zone = "a".parse().expect("a zone");
+    // The actor calls the delay function for the first datagram to the seed.
+    let settings = MemberSettings::new(own_session, zone, port, 1)
+        .with_delay(|_vm| panic!("no delay in this test"));
+    let seed = VmAddress([127, 0, 0, 2].into());
+    let (_sender, seeds) = watch::channel(Arc::from([seed]));
+    let handle = MemberHandle::start(settings, socket, seeds);
+    let reason = tokio::time::timeout(Duration::from_secs(20), handle.ended()).await;
+    expect_that!(reason, ok(eq("actor: no delay in this test")));
+}
--- a/crates/ebonyfork/src/wire/pool.rs
+++ b/crates/ebonyfork/src/wire/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of the links of one process: opens links on demand, accepts links of peers and reports link events.
 
+use std::borrow::Borrow;
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
@@ -161,10 +162,10 @@
     }
 
     /// Accepts links from peers until the pool stops.
-    pub async fn accept(&self, listener: TcpListener) {
+    pub async fn accept(&self, listener: impl Borrow<TcpListener>) {
         loop {
             let accept_result = tokio::select! {
-                accept_result = listener.accept() => accept_result,
+                accept_result = listener.borrow().accept() => accept_result,
                 () = self.shared.stop.cancelled() => return,
             };
             match accept_result {
--- a/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
+++ b/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
@@ -1,7 +1,8 @@
 //! The gateway's daemon: reads its settings, joins the product to the platform's adapter, stops when it is told to.
 //!
 //! `SIGTERM` and `SIGINT` start a planned stop. `SIGHUP` reads the settings again and puts the logging section in force;
-//! every other section needs a restart, which the log says. One thread runs everything but the writing of log lines.
+//! every other section needs a restart, which the log says. If a task ends that can't be restarted, the process stops as
+//! planned and exits with an error, so that the platform starts it again. One thread runs everything but the writing of log lines.
 
 use std::process::ExitCode;
 
@@ -53,18 +54,25 @@
     let mut interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SystemSnafu)?;
     let store = PlatformStore::new(settings.store);
-    let node = GatewayNode::start(settings.clone(), platform_dialect(), store)
+    let mut node = GatewayNode::start(settings.clone(), platform_dialect(), store)
         .await
         .map_err(DaemonError::start)?;
-    loop {
+    let failure = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            _ = terminate.recv() => break None,
+            _ = interrupt.recv() => break None,
+            failure = node.failure() => break Some(failure),
             () = hang_up(&mut hangup) => reload_logging(handle, read_logging(arguments, &settings)),
         }
-    }
+    };
     node.stop().await;
-    Ok(())
+    match failure {
+        Some(failure) => {
+            log::error!("exit: {failure}");
+            Err(DaemonError::task(failure))
+        }
+        None => Ok(()),
+    }
 }
 
 async fn hang_up(signal: &mut Signal) {
--- a/crates/ebonyforkd/src/daemon.rs
+++ b/crates/ebonyforkd/src/daemon.rs
@@ -15,6 +15,8 @@
 const EXIT_FINDINGS: u8 = 2;
 /// Exit status when the process can't start.
 const EXIT_START: u8 = 1;
+/// Exit status when a task has ended that can't be restarted. The platform starts the process again.
+const EXIT_TASK: u8 = 3;
 
 /// Why a daemon ends with an error.
 #[derive(Debug, Snafu)]
@@ -52,6 +54,12 @@
         /// The cause.
         reason: String,
     },
+    /// A task has ended without which the process can't do its work.
+    #[snafu(display("{reason}"))]
+    Task {
+        /// The cause.
+        reason: String,
+    },
 }
 
 impl DaemonError {
@@ -61,10 +69,17 @@
         Self::Start { reason }
     }
 
+    /// A task has ended that can't be restarted.
+    pub fn task(reason: impl Display) -> Self {
+        let reason = reason.to_string();
+        Self::Task { reason }
+    }
+
     fn status(&self) -> u8 {
         match self {
             Self::Read { .. } | Self::Settings { .. } => EXIT_FINDINGS,
             Self::Logging { .. } | Self::System { .. } | Self::Start { .. } => EXIT_START,
+            Self::Task { .. } => EXIT_TASK,
         }
     }
 }
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod quotas;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
+#[path = "gateway/supervision.rs"]
+mod supervision;
 #[path = "gateway/versions.rs"]
 mod versions;
 
@@ -92,15 +94,7 @@
 ) -> GatewayProcess {
     let folder = TestFolder::new(name);
     let path = folder.0.join("gateway.ini");
-    let region = zone.split('-').next().unwrap_or_default();
-    let text = format!(
-        "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {region}\ncpu-share = 1\ncpu-cores = 1\n\
-         [zones]\n{zones}\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
-         directory = {address}:7102\nmetrics = {address}:7103\npeer-port = 7104\n\
-         [store]\naddress = {store}\n[bounds]\ngrace-s = {}\nconfig-in-force-ms = 3000\nretry-ratio = 0.2\nretry-slack = 54\n\
-         retry-window-s = 10\n",
-        grace.as_secs()
-    );
+    let text = settings_text(name, address, store, (grace, zone, zones));
     std::fs::write(&path, text).expect("written settings");
     let child = Command::new(env!("CARGO_BIN_EXE_ebonyfork-gateway"))
         .arg("--settings")
@@ -118,6 +112,24 @@
     }
 }
 
+/// Returns the settings of a gateway, as text.
+fn settings_text(
+    name: &str,
+    address: &str,
+    store: SocketAddr,
+    (grace, zone, zones): (Duration, &str, &str),
+) -> String {
+    let region = zone.split('-').next().unwrap_or_default();
+    format!(
+        "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {region}\ncpu-share = 1\ncpu-cores = 1\n\
+         [zones]\n{zones}\n[listen]\ncallers = {address}:7100\nready = {address}:7101\n\
+         directory = {address}:7102\nmetrics = {address}:7103\npeer-port = 7104\n\
+         [store]\naddress = {store}\n[bounds]\ngrace-s = {}\nconfig-in-force-ms = 3000\nretry-ratio = 0.2\nretry-slack = 54\n\
+         retry-window-s = 10\n",
+        grace.as_secs()
+    )
+}
+
 /// Starts a planned stop.
 fn terminate(gateway: &GatewayProcess) {
     let id = gateway.child.id().expect("a running process") as i32;
