--- a/crates/ebonyfork/src/gateway/metrics.rs
+++ b/crates/ebonyfork/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 mod copy;
 mod fairness;
 mod placement;
+mod tasks;
 
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use crate::store::StoreRevision;
 
 pub use placement::PlacementMetrics;
+pub use tasks::{TaskLabel, TaskMetrics};
 
 /// Bucket bounds of the latency histogram, in seconds: finer around the targets, which lie between 0.1 and 1 s.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -69,6 +71,8 @@
     pub fairness: FairnessMetrics,
     /// Placement decisions.
     pub placement: PlacementMetrics,
+    /// Ends of long-lived tasks.
+    pub tasks: TaskMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -89,6 +93,7 @@
             quota: QuotaMetrics::default(),
             fairness: FairnessMetrics::default(),
             placement: PlacementMetrics::default(),
+            tasks: TaskMetrics::default(),
         }
     }
 }
@@ -148,5 +153,6 @@
         self.copy.register(registry);
         self.quota.register(registry);
         self.placement.register(registry);
+        self.tasks.register(registry);
     }
 }
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -66,6 +66,8 @@
 mod stated;
 mod status;
 mod stream_activity;
+mod supervisor;
+mod tasks;
 mod upstream;
 mod vms;
 mod weights;
@@ -102,6 +104,7 @@
     QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, RequesterKey, TokenDecision,
     TokenRefusal, TokenRequest, WaitCheck, WaitEnd, next_return, plan_asks,
 };
+pub use policy::restart::{EndAction, RestartState, TaskEnd, TaskRecovery};
 pub use policy::shutdown::{ShutdownBacklog, ShutdownCut, ShutdownPhase, ShutdownPlan};
 pub use policy::speed_advice::{
     AdviceUse, SpeedChange, SpeedMessage, SpeedOutbox, SpeedReport, SpeedView,
@@ -118,5 +121,7 @@
     MAX_STATED_BURST, MAX_STATED_BYTES, MAX_STATED_CORES, MAX_STATED_COUNT, MAX_STATED_RATE,
     MAX_STATED_TIME, MAX_STATED_WEIGHT,
 };
+pub use supervisor::TaskFailure;
+pub use tasks::{TaskName, TaskStates};
 pub use upstream::UpstreamEntry;
 pub use weights::WeightedRoundRobin;
