Cold upstreams: store readers notify one another of upstreams that become cold

Cause: the store is the only channel by which a VM learns of it, and a copy counts as up to date for two thirds of the time within which a change must be in force.

A VM that reads in the store that an upstream has become cold now notifies the store readers of all zones, and one for which that is news passes it on to its followers. Nothing is sent where the configuration states no rate for cold upstreams.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -12,6 +12,7 @@
 use crate::gateway::aggregate_table::AggregateTable;
 use crate::gateway::clock::{boot_time, now};
 use crate::gateway::cold_claims::ColdClaims;
+use crate::gateway::cold_notice::ColdOutbox;
 use crate::gateway::connection_drain::ConnectionDrain;
 use crate::gateway::delegate::DelegateTable;
 use crate::gateway::dialect::GatewayDialect;
@@ -88,6 +89,8 @@
     pub route_checks: RouteChecks,
     /// Claims that decide which VM sends to cold upstreams.
     pub cold_claims: ColdClaims,
+    /// Upstreams of whose becoming cold other VMs are to be notified.
+    pub cold_outbox: ColdOutbox,
     /// Tokens of organisations' quotas.
     pub quota_desk: QuotaDesk,
     /// Changes of upstreams' speed that the other VMs of the zone are to learn of.
@@ -146,6 +149,7 @@
             delegates: DelegateTable::default(),
             aggregates: AggregateTable::default(),
             cold_claims: ColdClaims::new(session),
+            cold_outbox: ColdOutbox::default(),
             quota_desk: QuotaDesk::new(session, settings.quota_bound.window),
             speed_exchange: SpeedExchange::default(),
             era: watch::Sender::default(),
--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -23,9 +23,11 @@
 use crate::gateway::core::GatewayCore;
 use crate::gateway::dialect::{DecodeError, GatewayDialect, StoredKind};
 use crate::gateway::fixture::{dialect, entry, settings};
-use crate::gateway::ident::{ConfigVersion, PlaceName};
+use crate::gateway::ident::{ConfigVersion, PlaceName, UpstreamService};
 use crate::gateway::peers::{accept_links, follow_links, open_links};
-use crate::gateway::route::{CallerLimits, RouteTable};
+use crate::gateway::policy::cold::{ColdBound, RequestRate};
+use crate::gateway::route::{CallerLimits, RouteTable, ServiceTerms};
+use crate::gateway::upstream::UpstreamEntry;
 use crate::gateway::vms::VmRecord;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberEntry, MemberSnapshot, MemberState};
@@ -44,8 +46,11 @@
 /// Text that the dialect takes for a credential in any value.
 pub const CREDENTIAL: &str = "credential-as-text";
 
+/// Time for which a cold upstream stays cold.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
 /// Returns a dialect with plain-text records. The first line of a configuration is its version, and routes may follow;
-/// the value of an upstream is its service; VMs are encoded VM records; the key of an evacuation ends with its
+/// the value of an upstream is its service, and ` cold` after it if it is cold; VMs are encoded VM records; the key of an evacuation ends with its
 /// availability zone.
 pub fn text_dialect() -> GatewayDialect {
     GatewayDialect {
@@ -66,7 +71,8 @@
                 header_timeout: Duration::from_secs(1),
                 idle_timeout: Duration::from_secs(1),
             };
-            Ok(RouteTable::new(version, [], [], limits))
+            let services = [(UpstreamService::new("s"), service_terms())];
+            Ok(RouteTable::new(version, [], services, limits))
         },
         replace_credentials: |_key, value| {
             let text = String::from_utf8_lossy(&value);
@@ -80,12 +86,30 @@
                     reason: "unreadable".into(),
                 });
             }
-            Ok(entry(key, &service, "north-a", ([127, 0, 0, 1], 1).into()))
+            let (service, is_cold) = match service.strip_suffix(" cold") {
+                Some(service) => (service, true),
+                None => (&*service, false),
+            };
+            let address = ([127, 0, 0, 1], 1).into();
+            let cold_remaining = if is_cold { COLD_TIME } else { Duration::ZERO };
+            Ok(UpstreamEntry {
+                cold_remaining,
+                ..entry(key, service, "north-a", address)
+            })
         },
         ..dialect()
     }
 }
 
+/// Returns terms of a service whose upstreams tolerate few requests while they are cold.
+fn service_terms() -> ServiceTerms {
+    ServiceTerms {
+        connections: 20,
+        cold_rate: RequestRate(2.0),
+        cold_time: COLD_TIME,
+    }
+}
+
 /// A running VM of the fleet, with its gateway and its links.
 pub struct FollowVm {
     /// The last byte of the VM's address.
@@ -135,6 +159,14 @@
         keys.into_inner()
     }
 
+    /// Returns whether the VM may send to an upstream of service `s` now, as to a warm one.
+    pub fn may_send(&self, key: &str) -> bool {
+        let upstreams = self.core.registry.upstreams(&UpstreamService::new("s"));
+        let mut upstreams = upstreams.iter();
+        let upstream = upstreams.find(|upstream| upstream.entry().instance.as_str() == key);
+        upstream.is_some_and(|upstream| self.core.allows_cold_send(upstream))
+    }
+
     /// Returns the keys of the evacuations in force on the VM.
     pub fn evacuations(&self) -> BTreeSet<CompactString> {
         let zones = self.core.registry.evacuated_zones();
@@ -244,6 +276,10 @@
         let mut settings = settings();
         settings.place.address = vm.0;
         settings.change_bound = self.max_change_delay;
+        settings.cold_bound = Some(ColdBound {
+            overage: 1.5,
+            slack: 5.0,
+        });
         settings.listen.caller_address = SocketAddr::new(vm.0, self.peer_port);
         let core = Rc::new(GatewayCore::new(settings, text_dialect()));
         let session = SessionId::new(vm, IncarnationNumber(incarnation));
--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -254,3 +254,37 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A VM that the store has stopped answering must not send to an upstream that has become cold as to a warm one. Its copy
+/// counts as up to date for 2 s, and in one second of them it would exceed what the upstream tolerates. The VMs that
+/// follow it depend on it as well.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_vm_without_the_store_learns_of_a_cold_upstream() {
+    let test = async {
+        let fleet = FollowFleet::start(&["a", "a", "a", "b", "b"]).await;
+        fleet.put_config(1);
+        fleet.store.put("upstream/warm", "s");
+        fleet.store.put("upstream/u", "s");
+        sleep_seconds(4.0).await;
+        for zone in ["a", "b"] {
+            let reader_number = fleet.vms[fleet.reader_index(zone)].number;
+            fleet.store.set_reach(reader_number, StoreReach::Silent);
+            sleep_seconds(0.1).await;
+            fleet.store.put("upstream/u", "s cold");
+            sleep_seconds(0.2).await;
+            for vm in &fleet.vms {
+                let case = format!("VM {}, reader of {zone} cut off", vm.number);
+                expect_that!(vm.may_send("upstream/u"), eq(false), "{case}");
+                expect_that!(vm.may_send("upstream/warm"), eq(true), "{case}");
+            }
+            fleet.store.set_reach(reader_number, StoreReach::Answers);
+            fleet.store.put("upstream/u", "s");
+            sleep_seconds(8.0).await;
+            for vm in &fleet.vms {
+                expect_that!(vm.may_send("upstream/u"), eq(true), "VM {}", vm.number);
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -38,7 +38,7 @@
 
 use self::following::{SourceFault, VmFollowing};
 use self::outage::StoreOutage;
-use self::source::{ChangeSource, GOSSIP_SETTLE_TIME, choose_source};
+use self::source::{ChangeSource, GOSSIP_SETTLE_TIME, all_store_readers, choose_source};
 use self::taker::StoreApplier;
 
 /// Prefix of the keys to follow: all keys below the store's root are read.
@@ -463,6 +463,13 @@
     fn apply_change(&self, source: ChangeSource, change: CopyChange) -> Result<(), CopyGap> {
         let old_revision = self.complete_revision();
         let result = self.applier.apply(change);
+        match source {
+            ChangeSource::Store => self
+                .core
+                .send_cold_notices(|| all_store_readers(&self.members.borrow(), self.own_vm.0)),
+            // The VM that has read them from the store has sent the notices.
+            ChangeSource::Vm(_) => self.core.drop_cold_notices(),
+        }
         let new_revision = self.complete_revision();
         if old_revision > StoreRevision::ABSENT && new_revision.era() > old_revision.era() {
             log::warn!(
--- a/crates/ebonyfork/src/gateway/follow/source.rs
+++ b/crates/ebonyfork/src/gateway/follow/source.rs
@@ -58,6 +58,25 @@
     readers
 }
 
+/// Returns the VMs of all zones that read the store, without `own_vm`.
+pub fn all_store_readers(members: &MemberSnapshot, own_vm: VmAddress) -> Vec<VmAddress> {
+    let readers = member_zones(members)
+        .into_iter()
+        .flat_map(|zone| store_readers(members, zone));
+    readers.filter(|vm| *vm != own_vm).collect()
+}
+
+fn member_zones(members: &MemberSnapshot) -> Vec<&ZoneName> {
+    let mut zones: Vec<&ZoneName> = members
+        .members()
+        .iter()
+        .map(|member| &member.zone)
+        .collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
 /// Returns the live VMs of a zone in hash order. The tree is built from this order, so each VM comes after the one that
 /// it follows.
 fn zone_order(members: &MemberSnapshot, zone: &ZoneName) -> Vec<VmAddress> {
@@ -106,14 +125,7 @@
     }
     // The store does not respond to this VM, and no VM of its zone can be followed. A VM that reads the store for
     // another zone may be able to reach it.
-    let mut zones: Vec<&ZoneName> = members
-        .members()
-        .iter()
-        .map(|member| &member.zone)
-        .collect();
-    zones.sort_unstable();
-    zones.dedup();
-    for other_zone in zones {
+    for other_zone in member_zones(members) {
         if let Some(vm) = store_readers(members, other_zone)
             .into_iter()
             .find(is_usable)
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -13,7 +13,9 @@
 use crate::gateway::ident::PlaceName;
 use crate::gateway::mirror::{CopyChange, CopyGap};
 use crate::gateway::policy::claim::ClaimRecord;
+use crate::gateway::policy::cold::is_notice_due;
 use crate::gateway::route::RouteTable;
+use crate::gateway::upstream::UpstreamEntry;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
 use crate::store::{StoreEvent, StoreItem, StoreRevision};
@@ -184,6 +186,7 @@
             Ok(entry) => {
                 let connection_share = self.core.connection_share(&entry.service);
                 let registry = &self.core.registry;
+                self.queue_cold_notice(&item.key, &entry);
                 if is_restored {
                     registry.put_restored(&item.key, entry, now(), connection_share);
                 } else {
@@ -202,6 +205,18 @@
         }
     }
 
+    /// Notes that other VMs have to be notified if an entry states that its upstream has become cold. The first read of
+    /// the store shows upstreams of which the others know.
+    fn queue_cold_notice(&self, key: &CompactString, entry: &UpstreamEntry) {
+        let registry = &self.core.registry;
+        let stated_cold_before = registry.is_stated_cold(key, now());
+        if !registry.is_first_read() && is_notice_due(stated_cold_before, entry.cold_remaining) {
+            let instance = entry.instance.as_str();
+            self.core
+                .queue_cold_notice(&entry.service, instance, entry.cold_remaining);
+        }
+    }
+
     /// Puts an evacuation in force; the item's value has no meaning.
     fn evacuate(&self, zone: &PlaceName, item: &StoreItem) {
         if self.core.settings.place.region_of(zone).is_none() {
--- a/crates/ebonyfork/src/gateway/mirror/followers.rs
+++ b/crates/ebonyfork/src/gateway/mirror/followers.rs
@@ -11,7 +11,7 @@
 use super::copy::StoreCopy;
 use super::message::{MirrorMessage, SourceState};
 use super::transfer::{CHUNK_BYTES, OutgoingTransfer};
-use crate::ident::SessionId;
+use crate::ident::{SessionId, VmAddress};
 use crate::store::StoreRevision;
 use crate::wire::{LinkSender, PeerMessage};
 
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Iterates over the VMs that follow this one.
+    pub(super) fn vms(&self) -> impl Iterator<Item = VmAddress> {
+        self.followers.keys().map(|session| session.vm)
+    }
+
     /// Returns whether there are no followers.
     pub(super) fn is_empty(&self) -> bool {
         self.followers.is_empty()
--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -97,6 +97,11 @@
         self.copy.borrow()
     }
 
+    /// Returns the VMs that follow this one.
+    pub fn follower_vms(&self) -> Vec<VmAddress> {
+        self.followers.borrow().vms().collect()
+    }
+
     /// Applies a change to the copy and sends it to the followers.
     pub fn apply(&self, change: CopyChange) -> ChangeOutcome {
         let outcome = self.copy.borrow_mut().apply(change);
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod claim_write;
 mod clock;
 mod cold_claims;
+mod cold_notice;
 mod connection_drain;
 mod control;
 mod core;
@@ -90,7 +91,7 @@
     LeasedRetryBudget, RetryBudget, RetryBudgetConfig, ShareLeases, ShareMessage,
 };
 pub use policy::claim::{ClaimRecord, ClaimTimings, ClaimWrite, StoreClaim};
-pub use policy::cold::{ColdBound, RequestRate, SendWindow};
+pub use policy::cold::{ColdBound, ColdMessage, ColdReport, RequestRate, SendWindow};
 pub use policy::gather::{GatherEnd, GatherState};
 pub use policy::homes::HomeRegions;
 pub use policy::latency::{AttemptKind, LatencyHistogram};
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::aggregate;
+use crate::gateway::cold_notice;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::partial::PartialMessage;
 use crate::gateway::quota;
@@ -66,6 +67,7 @@
         PeerMessage::Quota(message) => quota::take_message(core, &sender, message),
         PeerMessage::RouteCheck(message) => route_check::handle_message(core, &sender, message),
         PeerMessage::Speed(message) => speed_exchange::take_message(core, &sender, message),
+        PeerMessage::Cold(message) => cold_notice::take_message(core, &sender, message),
         other => log::debug!("unexpected message from {:?}: {other:?}", sender.peer()),
     }
 }
--- a/crates/ebonyfork/src/gateway/policy/cold/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/mod.rs
@@ -16,13 +16,16 @@
 //!   back; it then waits for one more window before it sends.
 //!
 //! If the holder is killed, paused or partitioned, or the store is unavailable, cold upstreams are only left unused for
-//! some seconds. The send rate ([`ColdBound::pace`]) is below the bound, which leaves room for requests that were
+//! some seconds. A VM that the store doesn't answer is notified by other VMs of an upstream that becomes cold
+//! ([`ColdMessage`]). The send rate ([`ColdBound::pace`]) is below the bound, which leaves room for requests that were
 //! delayed by a pause and for requests from VMs that don't know yet that an upstream is cold.
 
 mod bound;
+mod notice;
 mod window;
 
 pub use bound::{ColdBound, RequestRate};
+pub use notice::{ColdMessage, ColdReport, MAX_COLD_REPORTS, is_notice_due};
 pub use window::SendWindow;
 
 use std::time::Duration;
--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -97,6 +97,13 @@
         services.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns whether the entry under a key states that its upstream is cold.
+    pub fn is_stated_cold(&self, key: &str, now: Instant) -> bool {
+        let entries = self.entries.borrow();
+        let upstream = entries.get(key);
+        upstream.is_some_and(|upstream| upstream.is_stated_cold(now))
+    }
+
     /// Calls a function with each upstream.
     pub fn for_each(&self, mut visit: impl FnMut(&Upstream)) {
         for upstream in self.entries.borrow().values() {
--- a/crates/ebonyfork/src/gateway/upstream.rs
+++ b/crates/ebonyfork/src/gateway/upstream.rs
@@ -204,6 +204,11 @@
         now < self.cold_until()
     }
 
+    /// Returns whether the upstream is cold according to its entry.
+    pub fn is_stated_cold(&self, now: Instant) -> bool {
+        now < self.reported_cold_until.get()
+    }
+
     /// Returns the time until which the upstream is cold or assumed to be.
     pub fn cold_until(&self) -> Instant {
         self.reported_cold_until
--- a/crates/ebonyfork/src/node/dispatch.rs
+++ b/crates/ebonyfork/src/node/dispatch.rs
@@ -53,7 +53,8 @@
             | PeerMessage::RouteCheck(_)
             | PeerMessage::Share(_)
             | PeerMessage::Quota(_)
-            | PeerMessage::Speed(_) => {
+            | PeerMessage::Speed(_)
+            | PeerMessage::Cold(_) => {
                 log::debug!("ignoring a gateway message from {:?}", link.peer());
             }
             PeerMessage::Hello(_) => log::debug!("ignoring a second hello from {:?}", link.peer()),
--- a/crates/ebonyfork/src/wire/message.rs
+++ b/crates/ebonyfork/src/wire/message.rs
@@ -4,7 +4,8 @@
 
 use crate::catalog::CatalogMessage;
 use crate::gateway::{
-    MirrorMessage, PartialMessage, QuotaMessage, RouteCheckMessage, ShareMessage, SpeedMessage,
+    ColdMessage, MirrorMessage, PartialMessage, QuotaMessage, RouteCheckMessage, ShareMessage,
+    SpeedMessage,
 };
 use crate::ident::SessionId;
 use crate::once::OnceMessage;
@@ -52,4 +53,6 @@
     Quota(QuotaMessage),
     /// Gateway to gateway: upstreams whose speed has changed. Sent only where the settings call for it.
     Speed(SpeedMessage),
+    /// Gateway to gateway: upstreams that have become cold. Sent only where the configuration limits requests to them.
+    Cold(ColdMessage),
 }
