Gateway: an entry of the store that panics costs itself

What callers saw: after one entry at which the gateway panics, every VM followed the store no longer: routes that had moved were run by the old service. At VMs that started beside it, services whose servers' entries sort behind it got 503.

Cause: the copy counts all changes of an answer as known once it has accepted them; a panic while one is put in force dropped those behind it for good, also if the follower is restarted.

Now each event is put in force under `catch_panic`. One that panics is left out, with an error line that names key and revision, and an upstream under its key is removed as after an entry that can't be decoded. All others are put in force without a restart.

Tests: a gateway on real sockets whose `read_upstream` panics at one value.

--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -1,5 +1,9 @@
 //! Puts the store's changes in force: configuration, upstreams and this fleet's own VMs.
+//!
+//! Anybody may write an entry, so an entry must cost no more than itself, even if putting it in force panics: the copy already
+//! counts the changes that came with it as known, so they would never be put in force if the panic ended the follower.
 
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,8 +18,10 @@
 use crate::gateway::mirror::{CopyChange, CopyGap};
 use crate::gateway::policy::claim::ClaimRecord;
 use crate::gateway::route::RouteTable;
+use crate::gateway::tasks::TaskName;
 use crate::gateway::vms::VmRecord;
 use crate::ident::VmAddress;
+use crate::panic_reason::catch_panic;
 use crate::store::{StoreEvent, StoreItem, StoreRevision};
 
 /// Applies the store's changes to the gateway.
@@ -53,26 +59,53 @@
             self.core.record_store_return();
         }
         for event in &outcome.events {
-            match event {
-                StoreEvent::Written(item) => self.put_item(item, is_restored),
-                StoreEvent::Removed { key, .. } if is_restored => self.remove_lost_key(key),
-                StoreEvent::Removed { key, .. } => self.remove_key(key),
-            }
+            self.put_in_force(event, is_restored);
         }
         if let Some(read_revision) = read_revision {
             if self.core.registry.is_first_read() {
-                self.core.assume_cold_where_claimed();
+                self.run_caught("assuming upstreams cold", || {
+                    self.core.assume_cold_where_claimed();
+                });
             }
             self.core.registry.record_read(now());
             self.log_full_read(read_revision, outcome.events.len());
         }
         if !outcome.events.is_empty() {
-            self.core.redistribute_shares();
+            self.run_caught("sharing connections", || self.core.redistribute_shares());
             self.publish_seeds();
         }
         outcome.result
     }
 
+    /// Puts an event in force. If that panics, the event is left out, and an upstream under its key is removed, as after an
+    /// entry that can't be decoded. All other events stay in force.
+    fn put_in_force(&self, event: &StoreEvent, is_restored: bool) {
+        let is_done = self.run_caught(event_label(event), || match event {
+            StoreEvent::Written(item) => self.put_item(item, is_restored),
+            StoreEvent::Removed { key, .. } if is_restored => self.remove_lost_key(key),
+            StoreEvent::Removed { key, .. } => self.remove_key(key),
+        });
+        if is_done {
+            return;
+        }
+        let _is_removed = self.run_caught(event_label(event), || {
+            if (self.core.dialect.classify)(event.key()) == StoredKind::Upstream {
+                self.core.registry.remove_invalid(event.key());
+            }
+        });
+    }
+
+    /// Runs a step, and logs and counts a panic in it. Returns whether it completed.
+    fn run_caught(&self, step: impl fmt::Display, run: impl FnOnce()) -> bool {
+        let result = catch_panic(run);
+        if let Err(reason) = &result {
+            log::error!("store change not in force: {step}: {reason}");
+            let metrics = &self.core.metrics.tasks;
+            metrics.count_caught_panic(TaskName::StoreFollower);
+        }
+        result.is_ok()
+    }
+
     fn log_full_read(&self, read_revision: StoreRevision, change_count: usize) {
         let copy = self.core.relay.copy();
         log::info!(
@@ -228,6 +261,11 @@
     }
 }
 
+/// Names an event in the log.
+fn event_label(event: &StoreEvent) -> impl fmt::Display + '_ {
+    fmt::from_fn(|f| write!(f, "entry {} revision={}", event.key(), event.revision()))
+}
+
 #[cfg(test)]
 #[path = "taker_tests.rs"]
 mod tests;
--- a/crates/ebonyfork/src/gateway/metrics/tasks.rs
+++ b/crates/ebonyfork/src/gateway/metrics/tasks.rs
@@ -20,16 +20,23 @@
     }
 }
 
-/// Ends of tasks.
+/// Ends of tasks, and panics that were kept from ending one.
 #[derive(Debug, Clone, Default)]
 pub struct TaskMetrics {
     /// Ends against the task's purpose.
     pub ends: Family<TaskLabel, Counter>,
     /// 1 while a task is down, otherwise 0.
     pub down: Family<TaskLabel, Gauge<u64, AtomicU64>>,
+    /// Panics that cost a single item, such as an entry of the store, by the task that handled it.
+    pub caught_panics: Family<TaskLabel, Counter>,
 }
 
 impl TaskMetrics {
+    /// Counts a panic that cost a single item.
+    pub fn count_caught_panic(&self, task: TaskName) {
+        self.caught_panics.get_or_create(&TaskLabel(task)).inc();
+    }
+
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
@@ -42,5 +49,10 @@
             "Long-lived tasks that have ended and not started again yet",
             self.down.clone(),
         );
+        registry.register(
+            "caught_panics",
+            "Panics that cost a single entry or message",
+            self.caught_panics.clone(),
+        );
     }
 }
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -4,6 +4,10 @@
 mod broken_answers;
 #[path = "gateway/credentials.rs"]
 mod credentials;
+#[path = "gateway/local.rs"]
+mod local;
+#[path = "gateway/odd_entries.rs"]
+mod odd_entries;
 #[path = "gateway/quotas.rs"]
 mod quotas;
 #[path = "gateway/shutdown.rs"]
