Gateway: a change that was not applied completely is read again

What callers would see: after a panic within the copy of the store, or between the copy and what is in force, a restarted follower goes on, but the changes of that moment are never in force: the copy counts them as known. Upstreams that had left keep getting requests.

Cause: nothing tied the copy's acceptance of a change to its being in force.

`ApplyGuard` discards the copy when a change is not put in force completely. Followers take the VM for a stale source until then. Another run of the follower keeps an assumed outage, numbers its polls anew and reads the store in full if it is a reader. A panic while another VM's content is decoded makes that VM unusable as a source instead of ending the follower; one in `replace_credentials` costs the entry. A gap after a call to the store is followed by a pause of a poll interval.

Tests drop the guard as unwinding does.

--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -31,8 +31,10 @@
     ChunkOutcome, ContentError, CopyChange, CopyGap, FreshnessTimings, MirrorMessage, PendingPolls,
     SourceState, decode_content, held_values,
 };
+use crate::gateway::tasks::TaskName;
 use crate::ident::{VmAddress, ZoneName};
 use crate::membership::{MemberSnapshot, MemberState};
+use crate::panic_reason::catch_panic;
 use crate::store::{FeedStep, MirrorChange, MirrorFeed, MirrorSettings, StorePort, StoreRevision};
 use crate::wire::PeerMessage;
 
@@ -51,6 +53,9 @@
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(3);
 
 /// Puts the store's changes in force until the future is dropped. `own_vm` are this VM's address and zone.
+///
+/// Another run continues with the same copy; it reads the store in full if it follows the store itself, so that nothing that
+/// the previous run may have missed stays unknown.
 pub async fn follow_store(
     core: Rc<GatewayCore>,
     port: impl StorePort,
@@ -62,16 +67,23 @@
     core.relay.set_message_sink(sender);
     let applier = StoreApplier::new(Rc::clone(&core), seeds);
     let feed = MirrorFeed::new(port, MirrorSettings::new(STORE_PREFIX)).with_stale_pages();
+    let earlier_runs = core.relay.count_follower_run();
+    let mut outage = StoreOutage::default();
+    if core.relay.is_store_failing() {
+        // Otherwise entries that expired in the outage would be removed at once when the store answers again.
+        outage.note_failed_call(now());
+    }
     let follower = StoreFollower {
+        is_rereading: earlier_runs > 0,
         applier,
         members,
         own_vm,
         timings: FreshnessTimings::new(core.settings.change_bound),
         avoided_vms: Vec::new(),
         store_watched_since: now(),
-        outage: StoreOutage::default(),
+        outage,
         store_avoided_until: None,
-        polls: PendingPolls::default(),
+        polls: PendingPolls::of_run(earlier_runs),
         is_logged_as_stale: true,
         messages,
         core,
@@ -99,6 +111,8 @@
     store_avoided_until: Option<Instant>,
     /// Polls of the VM that was followed last. They are kept while no VM is followed, so that poll numbers continue.
     polls: PendingPolls,
+    /// Whether the next watch of the store begins with a full read.
+    is_rereading: bool,
     /// Whether the last log line about the copy's age states that the copy is stale.
     is_logged_as_stale: bool,
     /// Messages from followed VMs, each with its sender.
@@ -107,7 +121,7 @@
 
 impl StoreFollower {
     async fn run(mut self, mut feed: MirrorFeed<impl StorePort>) {
-        let mut source = ChangeSource::Store;
+        let mut source = self.select_source(ChangeSource::Store);
         loop {
             log::info!(
                 target: "ebonyfork::decision",
@@ -187,7 +201,9 @@
     /// Watches the store until another source is preferred.
     async fn watch_store(&mut self, feed: &mut MirrorFeed<impl StorePort>) {
         self.store_watched_since = now();
-        feed.resume_at(self.complete_revision());
+        if !std::mem::take(&mut self.is_rereading) {
+            feed.resume_at(self.complete_revision());
+        }
         let mut next_check = now();
         let traffic = feed.traffic();
         loop {
@@ -202,7 +218,7 @@
             }
             let mut received_bytes = traffic.received_bytes();
             let age = self.core.relay.copy_age().unwrap_or(self.timings.max_age);
-            if age > self.timings.max_age_to_watch {
+            if age > self.timings.max_age_to_watch || self.core.relay.needs_full_read() {
                 feed.reread();
             }
             feed.set_watch_wait(self.timings.watch_time(age + feed.time_until_next_watch()));
@@ -226,23 +242,26 @@
                     }
                 }
             };
-            self.handle_step(completed_step);
+            if self.handle_step(completed_step).is_err() {
+                // A store that lags behind would otherwise be read again and again without a pause.
+                tokio::time::sleep(self.timings.poll_interval).await;
+            }
         }
     }
 
-    /// Applies the result of a call to the store.
-    fn handle_step(&mut self, step: FeedStep) {
+    /// Applies the result of a call to the store. Fails if it leaves a gap.
+    fn handle_step(&mut self, step: FeedStep) -> Result<(), CopyGap> {
         if !step.store_answers {
             let is_new = self.outage.note_failed_call(now());
             self.announce_outage(is_new);
-            return;
+            return Ok(());
         }
         if self.end_outage() {
             self.core.record_store_return();
         }
         // Of a read in pages, only the last page shows that the copy is complete.
         let Some(up_to_date_at) = step.up_to_date_at else {
-            return;
+            return Ok(());
         };
         let (base_revision, revision) = (step.previous_revision, step.revision);
         self.log_behind(&step);
@@ -254,7 +273,8 @@
                 revision,
             },
         };
-        match self.apply_change(ChangeSource::Store, change) {
+        let result = self.apply_change(ChangeSource::Store, change);
+        match &result {
             Ok(()) => {
                 self.core.relay.note_up_to_date(up_to_date_at.into_std());
                 if let Some(table) = self.core.table() {
@@ -268,6 +288,7 @@
                 self.complete_revision()
             ),
         }
+        result
     }
 
     /// Informs the followers of an outage of the store that is assumed from now on.
@@ -436,7 +457,15 @@
     }
 
     fn apply_content(&mut self, vm: VmAddress, content: &[u8]) -> Result<(), SourceFault> {
-        let change = decode_content(&self.core.relay.copy(), content);
+        let decoded = catch_panic(|| decode_content(&self.core.relay.copy(), content));
+        let change = decoded.map_err(|reason| {
+            log::error!("decoding store changes from {vm} failed: {reason}");
+            self.core
+                .metrics
+                .tasks
+                .count_caught_panic(TaskName::StoreFollower);
+            SourceFault::Unreadable
+        })?;
         let change = change.map_err(|error| {
             log::warn!(
                 "store changes from {vm} can't be decoded bytes={}: {error}",
@@ -526,7 +555,8 @@
     }
 
     /// Logs why a followed VM is abandoned. It is avoided for [`SOURCE_AVOID_TIME`], except after a gap, which a new
-    /// poll closes.
+    /// poll closes. A gap after this VM's copy was discarded is not closed by it: the VM's copy is older than what is in
+    /// force here.
     fn abandon(&mut self, following: &VmFollowing, fault: SourceFault) {
         let vm = following.vm;
         let received_bytes = self.core.delegates.received_bytes(vm);
@@ -538,7 +568,7 @@
             now().saturating_duration_since(following.followed_since).as_millis(),
             received_bytes.saturating_sub(following.received_bytes_before)
         );
-        if fault != SourceFault::Gap {
+        if fault != SourceFault::Gap || self.core.relay.needs_full_read() {
             self.avoided_vms.push((vm, now() + SOURCE_AVOID_TIME));
         }
     }
--- a/crates/ebonyfork/src/gateway/follow/taker.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use tokio::sync::watch;
 
@@ -38,7 +39,17 @@
 
     /// Replaces the credentials in a change that another VM has sent: one of an older version sends them as text.
     pub(super) fn replace_credentials(&self, change: CopyChange) -> CopyChange {
-        change.map_values(self.core.dialect.replace_credentials)
+        let replace = self.core.dialect.replace_credentials;
+        change.map_values(|key, value| {
+            let result = catch_panic(|| replace(key, value));
+            // Without a value the entry can't be decoded, and no credential stays as text.
+            result.unwrap_or_else(|reason| {
+                log::error!("store change not in force: entry {key}: {reason}");
+                let metrics = &self.core.metrics.tasks;
+                metrics.count_caught_panic(TaskName::StoreFollower);
+                Bytes::new()
+            })
+        })
     }
 
     /// Applies a change to the copy and puts in force what was new in it.
@@ -47,7 +58,9 @@
             CopyChange::Full { revision, .. } => Some(*revision),
             CopyChange::Changes { .. } | CopyChange::Difference { .. } => None,
         };
-        let old_revision = self.core.relay.copy().complete_revision();
+        // A copy that was discarded has no revision, but what was put in force from it has.
+        let old_revision = self.core.relay.applied_revision();
+        let guard = self.core.relay.begin_apply();
         let outcome = self.core.relay.apply(change);
         let new_revision = self.core.relay.copy().complete_revision();
         self.core.enter_era(new_revision.era());
@@ -60,6 +73,7 @@
         }
         for event in &outcome.events {
             self.put_in_force(event, is_restored);
+            self.core.relay.record_applied(event);
         }
         if let Some(read_revision) = read_revision {
             if self.core.registry.is_first_read() {
@@ -74,6 +88,7 @@
             self.run_caught("sharing connections", || self.core.redistribute_shares());
             self.publish_seeds();
         }
+        guard.finish();
         outcome.result
     }
 
--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -210,3 +210,79 @@
     applier.core.expire_missing(now() + Duration::from_secs(3));
     expect_that!(upstream_count(&applier, "s"), eq(1));
 }
+
+/// Guards against changes that are lost for good because a panic came between the copy, which counts them as known, and what
+/// is in force. The guard is dropped without an end here, as unwinding drops it. What is in force stays meanwhile; then a full
+/// read brings the lost changes and the removals, and nothing older is accepted.
+#[gtest]
+fn a_change_that_was_not_applied_completely_is_read_again() {
+    let applier = applier();
+    let relay = &applier.core.relay;
+    let items = vec![
+        item("config", "7", 20),
+        item("evacuate/north-b", "{}", 16),
+        item("upstream/a", "s", 17),
+        item("upstream/b", "s", 18),
+        item("upstream/d", "s", 19),
+    ];
+    expect_that!(applier.apply(full_copy(items, 20)), ok(eq(())));
+    let events = vec![
+        StoreEvent::Removed {
+            key: "upstream/b".into(),
+            revision: StoreRevision::new(21),
+        },
+        StoreEvent::Written(item("upstream/c", "t", 22)),
+    ];
+    let change = CopyChange::Changes {
+        events,
+        base_revision: StoreRevision::new(20),
+        revision: StoreRevision::new(22),
+    };
+    let guard = relay.begin_apply();
+    expect_that!(relay.apply(change).events.len(), eq(2));
+    drop(guard);
+    expect_that!(complete_revision(&applier), eq(StoreRevision::ABSENT));
+    let in_force = || {
+        let upstreams = upstream_count(&applier, "s") + upstream_count(&applier, "t");
+        let zones = applier.core.registry.evacuated_zones().len();
+        (version(&applier), upstreams, zones)
+    };
+    expect_that!(in_force(), eq((7, 3, 1)), "stays while the copy is read");
+    let next_change = single_change(StoreEvent::Written(item("config", "8", 23)), 23);
+    expect_that!(applier.apply(next_change), err(eq(CopyGap)));
+    let older_items = vec![item("config", "5", 10)];
+    expect_that!(applier.apply(full_copy(older_items, 12)), err(eq(CopyGap)));
+    expect_that!(in_force(), eq((7, 3, 1)), "nothing older is accepted");
+    let items = vec![
+        item("config", "7", 20),
+        item("upstream/a", "s", 17),
+        item("upstream/c", "t", 22),
+    ];
+    expect_that!(applier.apply(full_copy(items, 24)), ok(eq(())));
+    expect_that!(in_force(), eq((7, 2, 0)), "removals since then");
+    expect_that!(upstream_count(&applier, "t"), eq(1), "the lost change");
+    expect_that!(complete_revision(&applier), eq(StoreRevision::new(24)));
+    let removal = StoreEvent::Removed {
+        key: "upstream/a".into(),
+        revision: StoreRevision::new(25),
+    };
+    expect_that!(applier.apply(single_change(removal, 25)), ok(eq(())));
+    expect_that!(in_force(), eq((7, 1, 0)));
+}
+
+/// Guards against upstreams that are dropped because the change that was not applied completely was the first of a store
+/// restored from an older copy: they write their entries again with their next heartbeats.
+#[gtest]
+fn a_restored_store_that_is_read_again_drops_nothing_at_once() {
+    let applier = applier();
+    let relay = &applier.core.relay;
+    let items = vec![item("upstream/a", "s", 3), item("upstream/b", "s", 4)];
+    expect_that!(applier.apply(full_copy(items.clone(), 4)), ok(eq(())));
+    let guard = relay.begin_apply();
+    relay.apply(restored_copy(&items[..1], 3, 1));
+    drop(guard);
+    expect_that!(applier.apply(restored_copy(&items[..1], 3, 1)), ok(eq(())));
+    expect_that!(upstream_count(&applier, "s"), eq(2));
+    applier.core.expire_missing(now() + Duration::from_secs(3));
+    expect_that!(upstream_count(&applier, "s"), eq(1));
+}
--- a/crates/ebonyfork/src/gateway/mirror/freshness.rs
+++ b/crates/ebonyfork/src/gateway/mirror/freshness.rs
@@ -78,6 +78,17 @@
 const MAX_PENDING_POLLS: usize = 8;
 
 impl PendingPolls {
+    /// Creates the polls of a run of the task that follows the store, after a number of earlier runs. Their numbers differ
+    /// from those of earlier runs, whose answers may still arrive.
+    pub fn of_run(earlier_runs: u64) -> Self {
+        /// More polls than one run sends.
+        const POLLS_PER_RUN: u64 = 1 << 32;
+        Self {
+            next_number: earlier_runs.wrapping_mul(POLLS_PER_RUN),
+            ..Self::default()
+        }
+    }
+
     /// Drops all polls, before another VM or the same one again is followed, but continues their numbering.
     #[must_use]
     pub fn reset(self) -> Self {
--- a/crates/ebonyfork/src/gateway/mirror/mod.rs
+++ b/crates/ebonyfork/src/gateway/mirror/mod.rs
@@ -5,6 +5,7 @@
 //! [`followers::FollowerTable`] tracks and schedules them, [`content`] encodes what each of them lacks, and
 //! [`transfer`] sends that in chunks. The module `follow` selects the source of the changes.
 
+mod applied;
 mod content;
 mod copy;
 mod followers;
--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -6,17 +6,25 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::copy::{ChangeOutcome, CopyChange, StoreCopy};
+use super::applied::AppliedState;
+use super::copy::{ChangeOutcome, CopyChange, CopyGap, StoreCopy};
 use super::followers::{CopyState, FollowerTable};
 use super::message::MirrorMessage;
 use crate::gateway::clock::now;
 use crate::ident::VmAddress;
+use crate::store::{StoreEvent, StoreRevision};
 use crate::wire::LinkSender;
 
 /// The copy of the store, the VMs that follow this one, and where messages from followed VMs are delivered.
 #[derive(Debug)]
 pub struct MirrorRelay {
     copy: RefCell<StoreCopy>,
+    /// What has been put in force from the copy.
+    applied: RefCell<AppliedState>,
+    /// Whether the copy was discarded and not read in full since.
+    needs_full_read: Cell<bool>,
+    /// Number of runs of the task that follows the store.
+    follower_runs: Cell<u64>,
     /// The time as of which the copy was last known to be up to date; none if it never was.
     up_to_date_at: Cell<Option<Instant>>,
     /// Age from which the copy counts as stale. Followers are sent no changes from a stale copy.
@@ -36,6 +44,9 @@
     pub fn new(max_age: Duration, sent_bytes: Counter) -> Self {
         Self {
             copy: RefCell::default(),
+            applied: RefCell::default(),
+            needs_full_read: Cell::default(),
+            follower_runs: Cell::default(),
             up_to_date_at: Cell::default(),
             max_age,
             followers: RefCell::new(FollowerTable::new(sent_bytes)),
@@ -97,13 +108,81 @@
         self.copy.borrow()
     }
 
-    /// Applies a change to the copy and sends it to the followers.
+    /// Begins to apply a change and to put it in force. The copy is discarded unless [`ApplyGuard::finish`] is called.
+    pub fn begin_apply(&self) -> ApplyGuard<'_> {
+        ApplyGuard {
+            relay: self,
+            is_finished: false,
+        }
+    }
+
+    /// Applies a change to the copy and sends it to the followers. After the copy was discarded, only a full read that is
+    /// no older than what is in force is accepted; its outcome has the removals since then.
     pub fn apply(&self, change: CopyChange) -> ChangeOutcome {
-        let outcome = self.copy.borrow_mut().apply(change);
+        let is_accepted = match &change {
+            CopyChange::Full { revision, .. } => *revision >= self.applied_revision(),
+            CopyChange::Changes { .. } | CopyChange::Difference { .. } => false,
+        };
+        if self.needs_full_read.get() && !is_accepted {
+            return ChangeOutcome {
+                events: Vec::new(),
+                result: Err(CopyGap),
+            };
+        }
+        let mut outcome = self.copy.borrow_mut().apply(change);
+        if self.needs_full_read.replace(false) {
+            let applied = self.applied.borrow();
+            outcome.events.extend(applied.missing_in(&self.copy()));
+        }
         self.send_updates(&mut self.followers.borrow_mut());
         outcome
     }
 
+    /// Records an event that was put in force.
+    pub fn record_applied(&self, event: &StoreEvent) {
+        self.applied.borrow_mut().record_event(event);
+    }
+
+    /// Returns the revision up to which all changes were put in force.
+    pub fn applied_revision(&self) -> StoreRevision {
+        self.applied.borrow().revision()
+    }
+
+    /// Returns whether the copy was discarded and has to be read in full.
+    pub fn needs_full_read(&self) -> bool {
+        self.needs_full_read.get()
+    }
+
+    /// Discards the copy. What is in force stays, and followers are told nothing until the copy has been read in full.
+    fn discard_copy(&self) {
+        let (Ok(mut copy), Ok(followers)) =
+            (self.copy.try_borrow_mut(), self.followers.try_borrow())
+        else {
+            // Nothing holds a borrow across the application of a change.
+            log::error!("copy of the store is in use and can't be discarded");
+            return;
+        };
+        log::error!(
+            "copy of the store discarded at revision={}: a change was not applied completely",
+            copy.complete_revision()
+        );
+        *copy = StoreCopy::default();
+        copy.keep_patches(!followers.is_empty());
+        self.needs_full_read.set(true);
+    }
+
+    /// Counts a run of the task that follows the store, and returns the number of earlier ones.
+    pub fn count_follower_run(&self) -> u64 {
+        let earlier_runs = self.follower_runs.get();
+        self.follower_runs.set(earlier_runs + 1);
+        earlier_runs
+    }
+
+    /// Returns whether calls to the store fail.
+    pub fn is_store_failing(&self) -> bool {
+        self.is_store_failing.get()
+    }
+
     /// Informs the followers that the store answers again after an outage and that missing entries are kept for `grace`.
     /// VMs that begin to follow this one within that time are informed as well.
     pub fn announce_store_return(&self, grace: Duration) {
@@ -159,11 +238,15 @@
             .is_none_or(|remaining| remaining.is_zero())
     }
 
-    /// Returns the copy's complete revision and the time as of which it was up to date; no time if the copy is stale.
+    /// Returns the copy's complete revision and the time as of which it was up to date; no time if the copy is stale or was
+    /// discarded, so that followers switch to another source.
     fn state(&self) -> CopyState {
         CopyState {
             revision: self.copy.borrow().complete_revision(),
-            up_to_date_at: self.up_to_date_at.get().filter(|_time| !self.is_stale()),
+            up_to_date_at: self
+                .up_to_date_at
+                .get()
+                .filter(|_time| !self.is_stale() && !self.needs_full_read.get()),
         }
     }
 
@@ -176,6 +259,33 @@
     }
 }
 
+/// Discards the copy on drop, unless the change was applied and put in force completely: a copy that counts changes as known
+/// that are not in force would never show them again.
+#[derive(Debug)]
+pub struct ApplyGuard<'a> {
+    relay: &'a MirrorRelay,
+    is_finished: bool,
+}
+
+impl ApplyGuard<'_> {
+    /// Records that the change was applied and put in force.
+    pub fn finish(mut self) {
+        self.is_finished = true;
+        if !self.relay.needs_full_read.get() {
+            let revision = self.relay.copy().complete_revision();
+            self.relay.applied.borrow_mut().record_revision(revision);
+        }
+    }
+}
+
+impl Drop for ApplyGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.relay.discard_copy();
+        }
+    }
+}
+
 fn store_returned(grace: Duration) -> MirrorMessage {
     let grace_ms = u32::try_from(grace.as_millis()).unwrap_or(u32::MAX);
     MirrorMessage::StoreReturned { grace_ms }
