Gateway: a message of another VM that panics costs itself

What callers saw: after one message that panics, the task that handles all messages of other VMs ended; quotas' tokens, far shards and changes from the followed VM were never handled again. With the restart of tasks alone, a VM that repeats such a message keeps the task in its waits of up to 5 s.

Each event of the links now runs under `catch_panic`; a panic is logged with the peer and counted.

Test: an event panics because what it needs is borrowed. Without the catch: "RefCell already mutably borrowed" ends the task.

--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -1,9 +1,11 @@
 //! Links to the gateways of other VMs, and the dispatch of the messages received on them.
 
 use std::borrow::{Borrow, BorrowMut};
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -15,7 +17,9 @@
 use crate::gateway::route_check;
 use crate::gateway::share_exchange;
 use crate::gateway::speed_exchange;
+use crate::gateway::tasks::TaskName;
 use crate::ident::SessionId;
+use crate::panic_reason::catch_panic;
 use crate::wire::{EventFuture, LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
 
 /// Number of queued events from which links apply backpressure.
@@ -40,22 +44,40 @@
     (pool, receiver)
 }
 
-/// Dispatches events of the links until the future is dropped.
+/// Dispatches events of the links until the future is dropped. One that panics costs itself: messages of other VMs must not
+/// wait for a restart of the task.
 pub async fn follow_links(
     core: Rc<GatewayCore>,
     mut events: impl BorrowMut<mpsc::Receiver<LinkEvent>>,
 ) {
     while let Some(event) = events.borrow_mut().recv().await {
         match event {
-            LinkEvent::Message { from, message } => take_message(&core, from, message),
+            LinkEvent::Message { from, message } => {
+                let peer = from.peer();
+                let result = catch_panic(|| take_message(&core, from, message));
+                note_panic(&core, result, format_args!("message from {peer:?}"));
+            }
             LinkEvent::Down { vm, unsent } => {
-                core.quota_desk.lose_holder(vm);
-                core.delegates.link_down(vm, unsent);
+                let result = catch_panic(|| {
+                    core.quota_desk.lose_holder(vm);
+                    core.delegates.link_down(vm, unsent);
+                });
+                note_panic(&core, result, format_args!("end of the link to {vm}"));
             }
         }
     }
 }
 
+/// Logs and counts the panic of an event.
+fn note_panic(core: &GatewayCore, result: Result<(), CompactString>, event: impl fmt::Display) {
+    if let Err(reason) = result {
+        log::error!("{event} not handled: {reason}");
+        core.metrics
+            .tasks
+            .count_caught_panic(TaskName::PeerMessages);
+    }
+}
+
 fn take_message(core: &Rc<GatewayCore>, sender: LinkSender, message: PeerMessage) {
     match message {
         PeerMessage::Partial(PartialMessage::Query(query)) => {
@@ -78,3 +100,7 @@
 pub async fn accept_links(pool: PeerPool, listener: impl Borrow<TcpListener>) {
     pool.accept(listener).await;
 }
+
+#[cfg(test)]
+#[path = "peers_tests.rs"]
+mod tests;
