Gateway: a check of a lost upstream that ends early makes room for the next

What callers would see: after a panic in the detached check of an upstream whose connection broke, requests that wait for its verdict wait in vain, and no later loss of that upstream is checked: a request that crashes upstreams is not found there.

Cause: only the check itself removes `loss_check` and the lost requests.

A guard sets the verdict to harmless and ends the check when it is dropped without one. Without the guard the test fails: "Expected: Harmless, Actual: Pending", and the next loss starts no check.

--- a/crates/ebonyfork/src/gateway/loss_check.rs
+++ b/crates/ebonyfork/src/gateway/loss_check.rs
@@ -35,7 +35,24 @@
     check
 }
 
+/// Ends a check that has no verdict when it is dropped. Otherwise requests would wait for the verdict, and no later loss
+/// of the upstream would be checked.
+struct CheckGuard<'a> {
+    upstream: &'a Upstream,
+    check: &'a LossCheck,
+}
+
+impl Drop for CheckGuard<'_> {
+    fn drop(&mut self) {
+        if self.check.verdict() == LossVerdict::Pending {
+            self.upstream.take_lost_requests();
+            self.check.set(LossVerdict::Harmless);
+        }
+    }
+}
+
 async fn check_upstream(core: &GatewayCore, upstream: &Upstream, check: &LossCheck) {
+    let _guard = CheckGuard { upstream, check };
     let broken_at = now();
     tokio::time::sleep(LOSS_CHECK_DELAY).await;
     let entry = upstream.entry();
@@ -55,3 +72,7 @@
     core.quarantine
         .report_loss_at(UpstreamAddress(entry.address), &lost_requests, age);
 }
+
+#[cfg(test)]
+#[path = "loss_check_tests.rs"]
+mod tests;
