Links: a link whose task panics is reported as down

What callers would see: after a panic in the task of an opened link, nobody who waits for an answer over it (far shards, tokens of quotas) learns that none will come, until the request's own time is over.

Cause: `LinkEvent::Down` was sent by the same task after its work.

The work runs under `catch_unwind`; its panic is logged and the link is reported as down without unsent messages. Without it the test fails: no `Down` within 20 s ("Err(Elapsed(()))").

--- a/crates/ebonyfork/src/wire/pool.rs
+++ b/crates/ebonyfork/src/wire/pool.rs
@@ -4,16 +4,19 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use rustc_hash::FxHashMap;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::ident::{SessionId, VmAddress};
+use crate::panic_reason::panic_reason;
 use crate::traffic::LinkTraffic;
 use crate::wire::link::{
     FrameReader, FrameWriter, LinkError, LinkSender, MessageReader, QUEUE_LIMIT, QueuedMessage,
@@ -261,18 +264,36 @@
         }
     }
 
-    /// Opens a link to a VM, runs it until it closes, and reports [`LinkEvent::Down`].
+    /// Runs a link to a VM until it closes, and reports [`LinkEvent::Down`], also after a panic: whoever waits for an
+    /// answer over the link has to learn that none will come.
     async fn serve_opened(
         self,
         vm: VmAddress,
-        mut queue: mpsc::Receiver<QueuedMessage>,
+        queue: mpsc::Receiver<QueuedMessage>,
         close_token: CancellationToken,
         traffic: LinkTraffic,
     ) {
+        let run = self.run_opened(vm, queue, close_token, traffic);
+        let result = AssertUnwindSafe(run).catch_unwind().await;
+        let unsent = result.unwrap_or_else(|payload| {
+            log::error!("link to {vm} ended: {}", panic_reason(&*payload));
+            VecDeque::new()
+        });
+        (self.shared.handler)(LinkEvent::Down { vm, unsent }).await;
+    }
+
+    /// Opens a link to a VM and runs it until it closes. Returns the messages that were never passed to the socket.
+    async fn run_opened(
+        &self,
+        vm: VmAddress,
+        mut queue: mpsc::Receiver<QueuedMessage>,
+        close_token: CancellationToken,
+        traffic: LinkTraffic,
+    ) -> VecDeque<PeerMessage> {
         let address = SocketAddr::new(vm.0, self.shared.settings.peer_port);
         let delay = (self.shared.settings.delay)(vm);
         let open_result = tokio::time::timeout(OPEN_TIMEOUT, self.open(address, traffic)).await;
-        let unsent = match open_result {
+        match open_result {
             Ok(Ok((reader, writer, peer))) => {
                 let (sender, _receiver) = mpsc::channel(1);
                 let reply_sender = LinkSender {
@@ -291,8 +312,7 @@
                 log::debug!("failed to open a link to {vm}: no answer within {OPEN_TIMEOUT:?}");
                 drain_queue(&mut queue)
             }
-        };
-        (self.shared.handler)(LinkEvent::Down { vm, unsent }).await;
+        }
     }
 
     /// Connects to a peer and exchanges `Hello` messages.
--- a/crates/ebonyfork/src/wire/pool_tests.rs
+++ b/crates/ebonyfork/src/wire/pool_tests.rs
@@ -200,3 +200,29 @@
     expect_that!(seconds, le(25));
     expect_that!(seconds, ge(9));
 }
+
+/// Guards against requests that wait for an answer over a link whose task has panicked: its end is reported.
+#[gtest]
+#[tokio::test]
+async fn a_link_that_panics_is_reported_as_down() {
+    let (listener, port) = listener(16, 0).await;
+    let (server, mut server_events) = pool(session(16), port);
+    tokio::spawn(async move { server.accept(listener).await });
+    let (sender, mut client_events) = mpsc::unbounded_channel();
+    let settings = PoolSettings::new(session(17), port);
+    let client = PeerPool::new(settings, CancellationToken::new(), move |event| {
+        let LinkEvent::Down { vm, .. } = event else {
+            panic!("no messages in this test");
+        };
+        let is_sent = sender.send(vm).is_ok();
+        Box::pin(async move { assert!(is_sent, "the test has ended") })
+    });
+    client.send(loopback(16), message(1)).unwrap();
+    let Some(LinkEvent::Message { from, message }) = server_events.recv().await else {
+        fail!("no message").unwrap();
+        return;
+    };
+    from.send(message).unwrap();
+    let down = tokio::time::timeout(Duration::from_secs(20), client_events.recv()).await;
+    expect_that!(down, ok(some(eq(&loopback(16)))));
+}
