Quotas, gather: tables keep nothing of a task that panicked

What callers would see: after a panic in the timer that checks an organisation's waiting requests, no later request that waits gets a timer; its token is granted only with the next request. A query gathered for another VM that panics stayed in the table of running queries for good.

Cause: the tasks removed their entries themselves, at their end.

Guards remove them on drop. Without it the test of the timer fails: the next timer isn't started ("Expected: true, Actual: false").

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::{AbortHandle, Abortable};
 
+use crate::gateway::aggregate_table::AggregateKey;
 use crate::gateway::authorise::route_of_passed_on;
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
@@ -32,14 +33,27 @@
     let core = Rc::clone(core);
     let (abort, registration) = AbortHandle::new_pair();
     core.aggregates.begin(key, abort);
+    let running = RunningAggregate { core, key };
     tokio::task::spawn_local(async move {
-        let gather_task = gather_parts(&core, route, gather_terms, query, &asking_vm);
+        let core = &running.core;
+        let gather_task = gather_parts(core, route, gather_terms, query, &asking_vm);
         // Fails if the asking VM has cancelled the query.
         let _aborted = Abortable::new(gather_task, registration).await;
-        core.aggregates.end(key);
     });
 }
 
+/// Query of another VM that is being gathered. It is removed on drop, so that one that panics doesn't stay in the table.
+struct RunningAggregate {
+    core: Rc<GatewayCore>,
+    key: AggregateKey,
+}
+
+impl Drop for RunningAggregate {
+    fn drop(&mut self) {
+        self.core.aggregates.end(self.key);
+    }
+}
+
 /// Returns the route of a query and the terms for the requested shards; `None` if this process does not know the same
 /// shards or is about to stop.
 fn find_route_and_shards(
--- a/crates/ebonyfork/src/gateway/quota/holder.rs
+++ b/crates/ebonyfork/src/gateway/quota/holder.rs
@@ -121,13 +121,16 @@
         if !desk.start_timer(part, &organisation) {
             return;
         }
-        let core = Rc::clone(self);
+        let timer = WaitTimer {
+            core: Rc::clone(self),
+            part,
+            organisation,
+        };
         tokio::task::spawn_local(async move {
-            while let Some(next_check) = core.check_waiting(part, &organisation) {
-                let pause = next_check.saturating_sub(core.running_time());
+            while let Some(next_check) = timer.core.check_waiting(part, &timer.organisation) {
+                let pause = next_check.saturating_sub(timer.core.running_time());
                 tokio::time::sleep(pause).await;
             }
-            core.quota_desk.end_timer(part, &organisation);
         });
     }
 
@@ -227,6 +230,21 @@
     }
 }
 
+/// Timer that checks the waiting requests of an organisation. It is removed on drop: otherwise no later request that waits
+/// would get a timer.
+struct WaitTimer {
+    core: Rc<GatewayCore>,
+    part: u8,
+    organisation: OrganisationName,
+}
+
+impl Drop for WaitTimer {
+    fn drop(&mut self) {
+        let desk = &self.core.quota_desk;
+        desk.end_timer(self.part, &self.organisation);
+    }
+}
+
 /// Returns the milliseconds until a time, rounded up, so that what is due by then is there.
 fn millis_until(time: Duration, now: Duration) -> u32 {
     let wait = time.saturating_sub(now);
@@ -241,3 +259,7 @@
         is_over_limit: refusal.is_over_limit,
     }
 }
+
+#[cfg(test)]
+#[path = "holder_tests.rs"]
+mod tests;
