--- a/crates/ebonyfork/src/gateway/follow/status.rs
+++ b/crates/ebonyfork/src/gateway/follow/status.rs
@@ -85,8 +85,6 @@
     fn drop(&mut self) {
         let follower = &self.0.follower;
         follower.is_running.set(false);
-        // Nobody would learn of the end of an outage any more.
-        self.0.relay.set_store_failing(false);
     }
 }
 
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -4,8 +4,12 @@
 mod broken_answers;
 #[path = "gateway/credentials.rs"]
 mod credentials;
+#[path = "gateway/local.rs"]
+mod local;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
+#[path = "gateway/panicking_entries.rs"]
+mod panicking_entries;
 #[path = "gateway/quotas.rs"]
 mod quotas;
 #[path = "gateway/shutdown.rs"]
