Readiness: a VM whose copy nothing keeps up to date sends callers to other VMs

What callers saw: VMs that followed nothing answered 200 to the readiness check for as long as they ran, and named themselves in locate answers; a VM that had read part of the store was ready too. Cause: readiness asked only for a configuration in force.

The decision is plain code (policy/readiness.rs): beyond the bound, a VM is unfit if the task that follows the store has ended, has not confirmed the copy since its restart or stands still; if others have had a newer version for the bound and the store is not known to be away, or others read the store after this VM; or if it refuses a version that others have. It needs two observations to leave and four to return, so a process that was paused does not flap. A VM that has never read the store to its end is not ready.

--- a/crates/ebonyfork/src/gateway/copy_watch.rs
+++ b/crates/ebonyfork/src/gateway/copy_watch.rs
@@ -1,16 +1,16 @@
-//! Reports the state of this VM's copy of the store: log lines when it goes unconfirmed for too long, and gauges.
+//! Reports the state of this VM's copy of the store: log lines when it goes unconfirmed for too long, gauges, and readiness.
 //!
 //! This runs apart from the task that follows the store, because that task may have ended, and a copy that nobody
 //! refreshes looks as complete as before.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::time::{Duration, Instant};
 
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
-use crate::gateway::follow::FollowerState;
 use crate::gateway::ident::ConfigVersion;
+use crate::gateway::policy::readiness::{CopyView, FollowerState, ReadinessState};
 use crate::store::StoreRevision;
 
 /// What has been reported of the copy, and which configuration was refused.
@@ -20,9 +20,15 @@
     unconfirmed_since: Cell<Option<Instant>>,
     /// Revision of the store's configuration if it could not be decoded.
     refused_config: Cell<Option<StoreRevision>>,
+    readiness: RefCell<ReadinessState>,
 }
 
 impl CopyWatch {
+    /// Returns whether callers need not use other VMs because of this VM's copy.
+    pub fn is_fit(&self) -> bool {
+        self.readiness.borrow().reason().is_none()
+    }
+
     /// Records that the configuration at a revision of the store could not be decoded, or that the store's configuration
     /// could be.
     pub fn note_config(&self, refused_revision: Option<StoreRevision>) {
@@ -78,10 +84,11 @@
     fn copy_report(&self, time: Instant) -> CopyReport {
         let bound = self.settings.change_bound;
         let table = self.table();
+        let copy_age = self.relay.copy_age();
         CopyReport {
-            age: self.relay.copy_age().unwrap_or_else(|| self.uptime()),
+            age: copy_age.unwrap_or_else(|| self.uptime()),
             bound,
-            follower: self.follower.state(time, bound),
+            follower: self.follower.state(time, bound, copy_age),
             source: self.follower.source(),
             revision: self.relay.copy().complete_revision(),
             version: table.map_or(ConfigVersion(0), |table| table.version()),
@@ -91,9 +98,41 @@
         }
     }
 
+    /// Decides whether callers should use other VMs, and logs each change with what it rests on.
+    fn watch_readiness(&self, time: Instant) {
+        let bound = self.settings.change_bound;
+        let copy_age = self.relay.copy_age();
+        let view = CopyView {
+            copy_age: copy_age.unwrap_or_else(|| self.uptime()),
+            follower: self.follower.state(time, bound, copy_age),
+            is_store_failing: self.relay.is_store_failing(),
+            behind_for: self.route_checks.behind_for(time),
+            news_age: self.route_checks.news_age(time),
+            is_config_refused: self.copy_watch.refused_config.get().is_some(),
+        };
+        let mut readiness = self.copy_watch.readiness.borrow_mut();
+        if !readiness.observe(view.unfit_reason(bound)) {
+            return;
+        }
+        let millis = |duration: Option<Duration>| {
+            duration.map_or(-1, |duration| duration.as_millis() as i64)
+        };
+        let reason = readiness.reason();
+        log::warn!(
+            target: "ebonyfork::decision",
+            "readiness fit={} reason={} behind_ms={} news_ms={} {}",
+            reason.is_none(),
+            reason.map_or_else(|| "-".to_owned(), |reason| reason.to_string()),
+            millis(view.behind_for),
+            millis(view.news_age),
+            self.copy_report(time)
+        );
+    }
+
     /// Logs once that the copy has not been confirmed within the time in which a change must be in force, and once that it
-    /// is confirmed again.
+    /// is confirmed again. Also decides on readiness.
     pub fn watch_copy(&self, time: Instant) {
+        self.watch_readiness(time);
         let bound = self.settings.change_bound;
         let age = self.relay.copy_age().unwrap_or_else(|| self.uptime());
         let unconfirmed_since = self.copy_watch.unconfirmed_since.get();
@@ -123,6 +162,7 @@
         metrics.unconfirmed.set(u64::from(report.is_unconfirmed()));
         let is_running = report.follower != FollowerState::Ended;
         metrics.follower_running.set(u64::from(is_running));
+        metrics.ready.set(u64::from(self.is_ready()));
         metrics.version.set(report.version.0);
         metrics.newest_version.set(report.newest_version.0);
     }
--- a/crates/ebonyfork/src/gateway/copy_watch_tests.rs
+++ b/crates/ebonyfork/src/gateway/copy_watch_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::gateway::fixture::{dialect, settings};
+use crate::gateway::route::{CallerLimits, RouteTable};
 
 /// Guards against a gauge that stands still: the age of the copy was set by the task that follows the store, so it stayed low
 /// after that task had ended.
@@ -72,3 +73,35 @@
     core.watch_copy(now());
     expect_that!(is_reported(), eq(false));
 }
+
+/// Guards against a VM that follows nothing and answers the readiness check with 200 for ever, and against one that is ready
+/// before it has read the store to its end.
+#[gtest]
+fn a_vm_that_follows_nothing_is_not_ready() {
+    let core = GatewayCore::new(settings(), dialect());
+    let Some(long_ago) = now().checked_sub(settings().change_bound * 2) else {
+        return;
+    };
+    core.install_table(RouteTable::new(
+        ConfigVersion(1),
+        [],
+        [],
+        CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    ));
+    expect_that!(core.is_ready(), eq(false), "not read to its end");
+    core.relay.note_up_to_date(long_ago);
+    expect_that!(core.is_ready(), eq(true));
+    core.watch_copy(now());
+    core.watch_copy(now());
+    expect_that!(core.is_ready(), eq(false), "nothing follows the store");
+    core.relay.note_up_to_date(now());
+    for _ in 0..4 {
+        core.watch_copy(now());
+    }
+    expect_that!(core.is_ready(), eq(true), "confirmed again");
+}
--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -379,9 +379,13 @@
         self.state.set(state);
     }
 
-    /// Returns whether callers should be sent here: a configuration is in force and no shutdown has begun.
+    /// Returns whether callers should be sent here: a configuration is in force, the store has been read to its end, other
+    /// VMs are not better off, and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
-        self.state.get() == ServiceState::Serving && self.table.borrow().is_some()
+        self.state.get() == ServiceState::Serving
+            && self.table.borrow().is_some()
+            && self.relay.copy_age().is_some()
+            && self.copy_watch.is_fit()
     }
 
     /// Returns the time since the start without suspensions of the VM.
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -41,7 +41,7 @@
 use self::outage::StoreOutage;
 use self::source::{ChangeSource, GOSSIP_SETTLE_TIME, choose_source};
 use self::status::FollowerRun;
-pub use self::status::{FollowerState, FollowerStatus};
+pub use self::status::FollowerStatus;
 use self::taker::StoreApplier;
 
 /// Prefix of the keys to follow: all keys below the store's root are read.
--- a/crates/ebonyfork/src/gateway/follow/status.rs
+++ b/crates/ebonyfork/src/gateway/follow/status.rs
@@ -1,50 +1,43 @@
 //! State of the task that follows the store, kept outside the task so that it stays readable after the task has ended.
 
 use std::cell::Cell;
-use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::source::ChangeSource;
 use crate::gateway::clock::now;
 use crate::gateway::core::GatewayCore;
-
-/// Whether the task follows the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FollowerState {
-    /// It has checked its source recently.
-    Active,
-    /// It runs, but has not checked its source for longer than a change may take to be in force.
-    Stalled,
-    /// It has ended and not run since.
-    Ended,
-}
-
-impl fmt::Display for FollowerState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Active => "active",
-            Self::Stalled => "stalled",
-            Self::Ended => "ended",
-        })
-    }
-}
+use crate::gateway::policy::readiness::FollowerState;
 
 /// State of the task that follows the store.
 #[derive(Debug, Default)]
 pub struct FollowerStatus {
     is_running: Cell<bool>,
+    /// When a run of the task last ended.
+    ended_at: Cell<Option<Instant>>,
     /// When the task last checked its source.
     checked_at: Cell<Option<Instant>>,
     source: Cell<Option<ChangeSource>>,
 }
 
 impl FollowerStatus {
-    /// Returns the state of the task; it counts as stalled if it has not checked its source for `max_silence`.
-    pub fn state(&self, now: Instant, max_silence: Duration) -> FollowerState {
+    /// Returns the state of the task; it counts as stalled if it has not checked its source for `max_silence`. `copy_age` is
+    /// the time since the copy was last confirmed; `None` if it never was.
+    pub fn state(
+        &self,
+        now: Instant,
+        max_silence: Duration,
+        copy_age: Option<Duration>,
+    ) -> FollowerState {
         if !self.is_running.get() {
             return FollowerState::Ended;
         }
+        if let Some(ended_at) = self.ended_at.get() {
+            let time_since_end = now.saturating_duration_since(ended_at);
+            if copy_age.is_none_or(|age| age > time_since_end) {
+                return FollowerState::Restarted;
+            }
+        }
         let silence = self
             .checked_at
             .get()
@@ -85,6 +78,7 @@
     fn drop(&mut self) {
         let follower = &self.0.follower;
         follower.is_running.set(false);
+        follower.ended_at.set(Some(now()));
         // Nobody would learn of the end of an outage any more.
         self.0.relay.set_store_failing(false);
     }
--- a/crates/ebonyfork/src/gateway/follow/status_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/status_tests.rs
@@ -8,7 +8,8 @@
 fn the_state_of_a_run_outlives_the_run() {
     let core = Rc::new(GatewayCore::new(settings(), dialect()));
     let bound = settings().change_bound;
-    let state = |time| core.follower.state(time, bound);
+    let age = Some(Duration::from_millis(1));
+    let state = |time| core.follower.state(time, bound, age);
     let run = FollowerRun::begin(&core);
     let time = now();
     expect_that!(state(time), eq(FollowerState::Active));
@@ -22,5 +23,9 @@
     expect_that!(core.follower.source(), eq("store"));
     expect_that!(core.relay.is_store_failing(), eq(false));
     let _next_run = FollowerRun::begin(&core);
-    expect_that!(state(now()), eq(FollowerState::Active));
+    // A task that ends again and again runs most of the time, but never confirms the copy.
+    let state = |age| core.follower.state(now(), bound, age);
+    expect_that!(state(None), eq(FollowerState::Restarted));
+    expect_that!(state(Some(bound)), eq(FollowerState::Restarted));
+    expect_that!(state(Some(Duration::ZERO)), eq(FollowerState::Active));
 }
--- a/crates/ebonyfork/src/gateway/metrics/copy.rs
+++ b/crates/ebonyfork/src/gateway/metrics/copy.rs
@@ -14,6 +14,8 @@
     pub unconfirmed: Gauge<u64, AtomicU64>,
     /// 1 while the task that follows the store runs, otherwise 0.
     pub follower_running: Gauge<u64, AtomicU64>,
+    /// 1 if callers are sent here, otherwise 0.
+    pub ready: Gauge<u64, AtomicU64>,
     /// Configuration version in force; 0 if there is none.
     pub version: Gauge<u64, AtomicU64>,
     /// Newest configuration version that another VM announces.
@@ -37,6 +39,7 @@
             "Whether the task that follows the store runs",
             self.follower_running.clone(),
         );
+        registry.register("ready", "Whether callers are sent here", self.ready.clone());
         registry.register(
             "config_version",
             "Configuration version in force",
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -101,6 +101,7 @@
     QuotaAnswer, QuotaBound, QuotaMessage, QuotaRefusal, RequestQuota, RequesterKey, TokenDecision,
     TokenRefusal, TokenRequest, WaitCheck, WaitEnd, next_return, plan_asks,
 };
+pub use policy::readiness::{CopyView, FollowerState, ReadinessState, UnfitReason};
 pub use policy::shutdown::{ShutdownBacklog, ShutdownCut, ShutdownPhase, ShutdownPlan};
 pub use policy::speed_advice::{
     AdviceUse, SpeedChange, SpeedMessage, SpeedOutbox, SpeedReport, SpeedView,
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -23,6 +23,7 @@
 //! | how many repeats (retries and hedges) may be sent, and for which organisation | [`budget`] | many VMs that share one bound; an equal part of it for each of them is too small to use; one organisation needs most of the repeats |
 //! | when a query is answered | [`gather`] | the last parts arrive after the target, or never |
 //! | how long an answer is passed on while it arrives | [`stream_bound`] | upstreams that send bodies without end, beside honest long answers |
+//! | whether callers should use other VMs because this VM's copy of the store is old | [`readiness`] | a VM that no longer follows the store, beside a store that is away for all |
 //! | when a process that shuts down refuses requests, closes connections and exits | [`shutdown`] | callers that keep locate answers for as long as they may, and read slowly |
 //! | how long before its target an answer must be decided | [`answer_lag`] | a VM that is busy or slow |
 
@@ -41,6 +42,7 @@
 pub mod load_report;
 pub mod postpone;
 pub mod quota;
+pub mod readiness;
 pub mod retry;
 pub mod route_latency;
 pub mod serving;
--- a/crates/ebonyfork/src/gateway/route_check/state.rs
+++ b/crates/ebonyfork/src/gateway/route_check/state.rs
@@ -51,6 +51,8 @@
     /// The version in force on this VM, and since when another VM has had a newer one in force; none if no other VM
     /// has.
     behind_since: Cell<Option<(ConfigVersion, Instant)>>,
+    /// The highest version that any other VM ever had in force, and when it was first announced here.
+    highest_version: Cell<Option<(ConfigVersion, Instant)>>,
     /// The VMs that have the newest version in force; only those in this VM's zone if any of them are in it.
     holders: RefCell<SmallVec<[VmAddress; 8]>>,
     /// Routes that are the same in another VM's version as in this VM's own, each with that other version.
@@ -111,6 +113,11 @@
 
     /// Records this VM's version in force, and since when another VM has had a newer one.
     pub fn note_own_version(&self, own_version: ConfigVersion, now: Instant) {
+        let newest_version = self.newest_version.get();
+        let highest_version = self.highest_version.get();
+        if highest_version.is_none_or(|(version, _since)| newest_version > version) {
+            self.highest_version.set(Some((newest_version, now)));
+        }
         let behind_since = match self.behind_since.get() {
             Some((version, behind_since)) if version == own_version => behind_since,
             _ => now,
@@ -120,6 +127,18 @@
             .set(is_behind.then_some((own_version, behind_since)));
     }
 
+    /// Returns for how long another VM has had a newer version than this one; `None` if none has.
+    pub fn behind_for(&self, now: Instant) -> Option<Duration> {
+        let (_version, since) = self.behind_since.get()?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    /// Returns the time since another VM first announced a version newer than all before; `None` before gossip was heard.
+    pub fn news_age(&self, now: Instant) -> Option<Duration> {
+        let (_version, since) = self.highest_version.get()?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Returns whether another VM has had a newer version than `own_version` in force for at least `max_delay`, the
     /// time within which a change must be in force everywhere. If the store still held that version, this VM would have
     /// it by then.
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod odd_entries;
 #[path = "gateway/quotas.rs"]
 mod quotas;
+#[path = "gateway/readiness.rs"]
+mod readiness;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
 #[path = "gateway/versions.rs"]
