--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -387,11 +387,13 @@
         self.state.set(state);
     }
 
-    /// Returns whether callers should be sent here: a configuration is in force, no shutdown has begun and no task is down
-    /// that callers need.
+    /// Returns whether callers should be sent here: a configuration is in force, the store has been read to its end, other
+    /// VMs are not better off, no task is down that callers need, and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
         self.state.get() == ServiceState::Serving
             && self.table.borrow().is_some()
+            && self.relay.copy_age().is_some()
+            && self.copy_watch.is_fit()
             && !self.tasks.hinders_callers()
     }
 
--- a/crates/ebonyforkd/tests/gateway.rs
+++ b/crates/ebonyforkd/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod panicking_entries;
 #[path = "gateway/quotas.rs"]
 mod quotas;
+#[path = "gateway/readiness.rs"]
+mod readiness;
 #[path = "gateway/shutdown.rs"]
 mod shutdown;
 #[path = "gateway/starved.rs"]
