Peer messages: a stated time has a maximum

A request for a token with a wait of 2^64 seconds, or a quarantine notice with such an age, ended the task that handles the messages of other VMs. The serving process then answers no token requests, or hears no gossip.

Cause: both messages carry `Duration` values as they were encoded, and the receiver adds them to the present time or to each other.

Evidence: `a_stated_wait_that_no_clock_can_add_is_bounded` and `a_notice_with_times_that_no_clock_can_add_is_bounded` panicked with "overflow when adding durations".

The times are bounded by `MAX_STATED_TIME` where they are decoded. The ranges move to the crate's root, because the quarantine uses them too.

--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -62,13 +62,16 @@
 mod share_exchange;
 mod slots;
 mod speed_exchange;
-mod stated;
 mod status;
 mod stream_activity;
 mod upstream;
 mod vms;
 mod weights;
 
+pub use crate::stated::{
+    MAX_STATED_BURST, MAX_STATED_BYTES, MAX_STATED_CORES, MAX_STATED_COUNT, MAX_STATED_RATE,
+    MAX_STATED_TIME, MAX_STATED_WEIGHT,
+};
 pub use dialect::{
     ControlCall, DecodeError, GatewayDialect, LocateQuery, LocateReply, StoredKind, WireNames,
 };
@@ -113,9 +116,5 @@
 };
 pub use route_check::RouteCheckMessage;
 pub use settings::{GatewaySettings, ListenAddresses, NodePlace, PlaceDistance, PlacementSettings};
-pub use stated::{
-    MAX_STATED_BURST, MAX_STATED_BYTES, MAX_STATED_CORES, MAX_STATED_COUNT, MAX_STATED_RATE,
-    MAX_STATED_TIME, MAX_STATED_WEIGHT,
-};
 pub use upstream::UpstreamEntry;
 pub use weights::WeightedRoundRobin;
--- a/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/quota_tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::policy::cold::RequestRate;
+use crate::ident::{IncarnationNumber, RequestFingerprint, SessionId};
 
 const BOUND: QuotaBound = QuotaBound {
     window: Duration::from_secs(5),
@@ -233,3 +234,38 @@
     ledger.remove_full(lowered_at + refill_time);
     expect_that!(ledger.bucket_count(), eq(0));
 }
+
+/// A wait of 584 billion years in another VM's message overflowed the addition to the present time, which ended the task
+/// that answers the VMs.
+#[gtest]
+fn a_stated_wait_that_no_clock_can_add_is_bounded() {
+    let stated = TokenRequest {
+        priority: 0,
+        longest_wait: Duration::MAX,
+        longest_stay: Duration::MAX,
+        fingerprint: RequestFingerprint(1),
+    };
+    let bytes = postcard::to_stdvec(&stated).expect("encoded");
+    let request: TokenRequest = postcard::from_bytes(&bytes).expect("decoded");
+    let terms = PartTerms::new(BOUND, quota(2.0, 1.0));
+    let hold = PartHold::default();
+    let mut ledger = PartLedger::new();
+    for number in 0..200 {
+        let requester = RequesterKey {
+            session: SessionId::new(
+                "127.0.0.1".parse().expect("an address"),
+                IncarnationNumber(1),
+            ),
+            number,
+        };
+        let _decision = ledger.decide(
+            &organisation(),
+            terms,
+            hold,
+            (requester, request),
+            ms(9_000),
+        );
+    }
+    let check = ledger.check_waiting(&organisation(), terms, hold, ms(10_000));
+    expect_that!(check.next_check, some(gt(ms(10_000))));
+}
--- a/crates/ebonyfork/src/gateway/policy/quota/request.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/request.rs
@@ -16,8 +16,10 @@
     /// Priority of the organisation or route; 0 is the most urgent.
     pub priority: u8,
     /// Longest time for which the holder may keep the request waiting.
+    #[serde(deserialize_with = "crate::stated::bounded_time")]
     pub longest_wait: Duration,
     /// Longest time for which the caller may be told to stay away; zero if no promise is wanted.
+    #[serde(deserialize_with = "crate::stated::bounded_time")]
     pub longest_stay: Duration,
     /// Fingerprint of the request, by which its return is recognised.
     pub fingerprint: RequestFingerprint,
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 pub mod revision;
 pub mod settings;
+mod stated;
 pub mod store;
 pub mod topology;
 pub mod traffic;
--- a/crates/ebonyfork/src/quarantine/notice.rs
+++ b/crates/ebonyfork/src/quarantine/notice.rs
@@ -26,6 +26,7 @@
         /// The lost upstream.
         upstream: UpstreamAddress,
         /// Time since the loss.
+        #[serde(deserialize_with = "crate::stated::bounded_time")]
         age: Duration,
     },
     /// An attempt of a suspected request that was sent after the losses was answered: the request did not cause them.
@@ -46,8 +47,10 @@
         /// Whether other requests could equally have caused the losses.
         ambiguous: bool,
         /// Time since the request was quarantined.
+        #[serde(deserialize_with = "crate::stated::bounded_time")]
         age: Duration,
         /// Time until the quarantine expires if it is not extended.
+        #[serde(deserialize_with = "crate::stated::bounded_time")]
         remaining: Duration,
     },
     /// An operator lifted the quarantine or suspicion of a request; earlier losses and quarantines no longer count.
@@ -57,6 +60,7 @@
         /// Fingerprint of the request.
         fingerprint: RequestFingerprint,
         /// Time since the lift.
+        #[serde(deserialize_with = "crate::stated::bounded_time")]
         age: Duration,
     },
 }
--- a/crates/ebonyfork/src/quarantine/table_tests.rs
+++ b/crates/ebonyfork/src/quarantine/table_tests.rs
@@ -278,3 +278,33 @@
         eq(QuarantineStatus::Quarantined)
     );
 }
+
+/// Times of 584 billion years in another VM's notice overflowed their sum, which ended the task that reads gossip.
+#[gtest]
+fn a_notice_with_times_that_no_clock_can_add_is_bounded() {
+    let notices = [
+        QuarantineNotice::Quarantined {
+            id: NoticeId(1),
+            fingerprint: CRASHING_REQUEST,
+            lost_upstreams: SmallVec::new(),
+            ambiguous: false,
+            age: Duration::MAX,
+            remaining: Duration::MAX,
+        },
+        QuarantineNotice::Lifted {
+            id: NoticeId(2),
+            fingerprint: CRASHING_REQUEST,
+            age: Duration::MAX,
+        },
+    ];
+    let mut table = QuarantineTable::new(1);
+    for notice in notices {
+        let bytes = postcard::to_stdvec(&notice).expect("encoded");
+        let notice: QuarantineNotice = postcard::from_bytes(&bytes).expect("decoded");
+        let _number = notice.number();
+        let _decisions = table.merge(notice, ms(50));
+    }
+    for notice in table.take_notices(ms(90)) {
+        let _number = notice.number();
+    }
+}
--- a/crates/ebonyfork/src/gateway/stated.rs
+++ b/crates/ebonyfork/src/stated.rs
@@ -1,7 +1,7 @@
-//! Ranges of the numbers that the gateway takes from outside: entries, configurations, headers, messages.
+//! Ranges of the numbers that come from outside: entries, configurations, headers, messages.
 //!
-//! A number is checked once, where it is decoded: it becomes a typed value within its range, or an error. Inside the
-//! gateway, such values are added to times and multiplied with counts without further checks. An [`std::time::Instant`]
+//! A number is checked once, where it is decoded: it becomes a typed value within its range, or an error. Inside, such
+//! values are added to times and multiplied with counts without further checks. An [`std::time::Instant`]
 //! can't represent the sum of now and 2⁶³ seconds, and an addition that overflows ends the task that does it.
 //!
 //! The maxima exceed what any deployment needs by orders of magnitude, and sums of millions of such values can still be
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Deserializer};
+
 /// Longest time that is accepted: a longer one is a mistake, because no caller, warm-up or connection lasts for a day.
 pub const MAX_STATED_TIME: Duration = Duration::from_hours(24);
 /// Largest rate that is accepted, in requests per second.
@@ -23,3 +25,8 @@
 pub const MAX_STATED_BYTES: usize = 1 << 30;
 /// Largest processor capacity of a VM, in cores.
 pub const MAX_STATED_CORES: f32 = 100_000.0;
+
+/// Deserializes a time that another VM states. One above [`MAX_STATED_TIME`] counts as that.
+pub fn bounded_time<'de, D: Deserializer<'de>>(field: D) -> Result<Duration, D::Error> {
+    Ok(Duration::deserialize(field)?.min(MAX_STATED_TIME))
+}
