VM records: cores out of range name no VM

A record below `ebonyfork/vm/` of another writer whose cores are infinite, negative or no number changed which VMs every VM tells callers of: sums over the fleet became infinite or no number, and all VMs counted as weak.

Evidence: `a_record_whose_cores_are_out_of_range_names_no_vm` failed: NaN, inf, -inf, -1, 0 and 3.4e38 were decoded.

Cores are checked where the record is decoded; the record is then ignored with a line in the log, and the others stay in force.

--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -39,6 +39,7 @@
     /// Region of the VM.
     pub region: CompactString,
     /// Processor capacity of the VM, in cores.
+    #[serde(deserialize_with = "crate::stated::checked_cores")]
     pub cores: f32,
     /// Number of VMs that this one knew when it registered. A process that starts while other VMs are partitioned and
     /// their entries have expired learns from this that they may still be running.
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -304,3 +304,31 @@
     directory.apply_members(members(&[]));
     expect_that!(directory.count(), eq(5));
 }
+
+/// One record with an infinite or no number of cores, written by another program, made all VMs count as weak or as
+/// strong.
+#[gtest]
+fn a_record_whose_cores_are_out_of_range_names_no_vm() {
+    for cores in [
+        f32::NAN,
+        f32::INFINITY,
+        f32::NEG_INFINITY,
+        -1.0,
+        0.0,
+        f32::MAX,
+    ] {
+        let odd = VmRecord {
+            cores,
+            ..record(2, "north-a", "north")
+        };
+        let bytes = postcard::to_stdvec(&odd).expect("encoded");
+        expect_that!(
+            postcard::from_bytes::<VmRecord>(&bytes).is_err(),
+            eq(true),
+            "{cores}"
+        );
+    }
+    let good = record(2, "north-a", "north");
+    let bytes = postcard::to_stdvec(&good).expect("encoded");
+    expect_that!(postcard::from_bytes::<VmRecord>(&bytes), ok(eq(&good)));
+}
--- a/crates/ebonyfork/src/stated.rs
+++ b/crates/ebonyfork/src/stated.rs
@@ -30,3 +30,14 @@
 pub fn bounded_time<'de, D: Deserializer<'de>>(field: D) -> Result<Duration, D::Error> {
     Ok(Duration::deserialize(field)?.min(MAX_STATED_TIME))
 }
+
+/// Deserializes the processor capacity of a VM, in cores. One that is not above 0 and at most [`MAX_STATED_CORES`] is an
+/// error.
+pub fn checked_cores<'de, D: Deserializer<'de>>(field: D) -> Result<f32, D::Error> {
+    let cores = f32::deserialize(field)?;
+    if cores > 0.0 && cores <= MAX_STATED_CORES {
+        return Ok(cores);
+    }
+    log::warn!("cores of a VM record are out of range: {cores}");
+    Err(serde::de::Error::custom("cores are out of range"))
+}
