Settings: an extreme time or capacity is a finding

A process whose settings state a time of 1e300 s ended at its start or reload with a message that names no setting; the product of two capacities could be infinite or zero, which the estimate of an answer's delay divides by. A quota window of that length was replaced silently by the default.

Evidence: `an_extreme_number_is_a_finding` panicked with "cannot convert float seconds to Duration: value is either too big or NaN".

--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 use crate::gateway::policy::quota::QuotaBound;
 use crate::ini::{IniDocument, IniSection, SectionReader};
 use crate::settings::LogSettings;
+use crate::stated::{MAX_STATED_CORES, MAX_STATED_TIME};
 
 /// Distance between two places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -113,6 +114,8 @@
 
 /// Default for how soon a change must be in force: the shortest time that any user requires.
 const DEFAULT_CHANGE_BOUND: Duration = Duration::from_secs(3);
+/// Smallest number or fraction of cores.
+const MIN_CORES: f64 = 0.001;
 /// Shortest bound that can be met: within it, a VM that loses its source must notice and ask another one.
 const MIN_CHANGE_BOUND: Duration = Duration::from_secs(1);
 
@@ -187,8 +190,8 @@
     let address = reader.required("address");
     let zone = reader.required("zone");
     let region = reader.required("region");
-    let cpu_share = read_positive(&mut reader, "cpu-share");
-    let cpu_cores = read_positive(&mut reader, "cpu-cores");
+    let cpu_share = read_cores(&mut reader, "cpu-share");
+    let cpu_cores = read_cores(&mut reader, "cpu-cores");
     reader.finish();
     let zones = document.required_section("zones", findings)?;
     Some(NodePlace {
@@ -300,9 +303,7 @@
     let default = QuotaBound::default();
     let (window_key, overage_key, slack_key) = ("quota-window-s", "quota-overage", "quota-slack");
     let window = reader.optional::<f64>(window_key);
-    if window.is_some_and(|seconds| !seconds.is_finite() || seconds <= 0.0) {
-        reader.report(window_key, "expected more than 0");
-    }
+    let window = window.and_then(|seconds| check_seconds(reader, window_key, seconds));
     let mut amount = |key: &'static str, default: f64| {
         let amount = reader.optional::<f64>(key).unwrap_or(default);
         if !amount.is_finite() || amount < 0.0 {
@@ -310,7 +311,6 @@
         }
         amount
     };
-    let window = window.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     QuotaBound {
         window: window.unwrap_or(default.window),
         overage: amount(overage_key, default.overage),
@@ -357,6 +357,19 @@
     None
 }
 
+/// Reads a number of cores, or a fraction of them, whose product with another one is neither infinite nor zero.
+fn read_cores(reader: &mut SectionReader<'_>, key: &'static str) -> Option<f64> {
+    let cores = read_positive(reader, key)?;
+    if (MIN_CORES..=f64::from(MAX_STATED_CORES)).contains(&cores) {
+        return Some(cores);
+    }
+    reader.report(
+        key,
+        format_args!("expected {MIN_CORES} to {MAX_STATED_CORES}"),
+    );
+    None
+}
+
 /// Reads how soon a change must be in force, in whole milliseconds; `None` if not stated.
 fn read_change_bound(reader: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
     let bound = Duration::from_millis(reader.optional::<u64>(key)?);
@@ -364,12 +377,35 @@
         let min_ms = MIN_CHANGE_BOUND.as_millis();
         reader.report(key, format_args!("expected at least {min_ms} ms"));
     }
+    if bound > MAX_STATED_TIME {
+        let max_ms = MAX_STATED_TIME.as_millis();
+        reader.report(key, format_args!("expected at most {max_ms} ms"));
+        return None;
+    }
     Some(bound)
 }
 
 /// Reads a positive number of seconds.
 fn read_seconds(reader: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
-    let seconds = read_positive(reader, key)?;
+    let seconds = reader.required(key)?;
+    check_seconds(reader, key, seconds)
+}
+
+/// Returns a time in seconds, if it is positive and at most [`MAX_STATED_TIME`].
+fn check_seconds(
+    reader: &mut SectionReader<'_>,
+    key: &'static str,
+    seconds: f64,
+) -> Option<Duration> {
+    if !seconds.is_finite() || seconds <= 0.0 {
+        reader.report(key, "expected more than 0");
+        return None;
+    }
+    let max_s = MAX_STATED_TIME.as_secs();
+    if seconds > max_s as f64 {
+        reader.report(key, format_args!("expected at most {max_s} s"));
+        return None;
+    }
     Some(Duration::from_secs_f64(seconds))
 }
 
--- a/crates/ebonyfork/src/gateway/settings_tests.rs
+++ b/crates/ebonyfork/src/gateway/settings_tests.rs
@@ -100,3 +100,37 @@
     let findings = GatewaySettings::parse("g.ini", &faulty_text).expect_err("a finding");
     expect_that!(findings.to_string(), contains_substring("share-speed"));
 }
+
+/// A time or capacity that can't be represented ended the process at its start, without naming the setting.
+#[gtest]
+fn an_extreme_number_is_a_finding() {
+    let changes = [
+        ("grace-s = 6.5", "grace-s = 1e300"),
+        ("retry-window-s = 10", "retry-window-s = 1e300"),
+        (
+            "retry-window-s = 10",
+            "retry-window-s = 10\nquota-window-s = 1e300",
+        ),
+        (
+            "config-in-force-ms = 5000",
+            "config-in-force-ms = 18446744073709551615",
+        ),
+        ("cpu-share = 0.5", "cpu-share = 1e300"),
+        ("cpu-cores = 2", "cpu-cores = 1e300"),
+        ("cpu-cores = 2", "cpu-cores = 1e-300"),
+    ];
+    for (stated, changed) in changes {
+        let text = SETTINGS.replace(stated, changed);
+        let settings = GatewaySettings::parse("g.ini", &text);
+        let report = settings.err().map(|findings| findings.to_string());
+        let key = changed
+            .rsplit('\n')
+            .next()
+            .and_then(|line| line.split(' ').next());
+        expect_that!(
+            report,
+            some(contains_substring(key.expect("a key"))),
+            "{changed}"
+        );
+    }
+}
