Tests, red: organisations behind an odd entry, odd organisations, and a VM that is ready with a part of its copy

What callers saw, and what the tests show on this code: - An organisation that a later version adds is never served by a VM that runs beside the odd entry: 401, and 503 `old-config` from the time at which the copy is old. Same cause as for services: the task that follows the store has ended. - One organisation of `op/config` that can't be read costs all callers the version: with 13 of 16 odd ones (a rate, priority, name or credentials of another type, a negative rate or priority, a priority above 255, a rate beyond all numbers, a burst of null, no name, a name stated twice, no object) the version in force stays, and the route's new prefix answers 404. Large and tiny rates and an empty name are accepted, and a request of such an organisation costs the others nothing. What should be expected: the odd organisation alone is refused, with a status that promises that nothing ran, because a version that is refused leaves removed credentials valid and routes where they were. - A VM whose first copy was applied in part counts as ready: readiness asks for a configuration only, and its key sorts before those of the upstreams.

--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -1,6 +1,7 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::fixture::{item, settings};
 use crate::gateway::follow::fixture::text_dialect;
 use crate::gateway::ident::UpstreamService;
@@ -210,3 +211,34 @@
     applier.core.expire_missing(now() + Duration::from_secs(3));
     expect_that!(upstream_count(&applier, "s"), eq(1));
 }
+
+/// Guards against a VM that counts as ready after it has applied only a part of its first copy: it answered 503 to all
+/// requests for the services whose entries it hadn't applied, while callers were still told of it.
+#[gtest]
+fn a_vm_that_has_applied_a_part_of_its_first_copy_is_not_ready() {
+    let core = Rc::new(GatewayCore::new(
+        settings(),
+        GatewayDialect {
+            read_upstream: |_key, _value| panic!("an entry that ends the task"),
+            ..text_dialect()
+        },
+    ));
+    let (seeds, _receiver) = watch::channel(Arc::default());
+    let applier = StoreApplier::new(core, seeds);
+    let items = vec![item("config", "7", 20), item("upstream/a", "s", 18)];
+    let applied = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        applier.apply(full_copy(items, 20))
+    }));
+    expect_that!(applied.is_err(), eq(true));
+    expect_that!(applier.core.is_ready(), eq(false));
+}
+
+#[gtest]
+fn a_vm_that_has_applied_its_first_copy_is_ready() {
+    let applier = applier();
+    expect_that!(applier.core.is_ready(), eq(false));
+    let items = vec![item("config", "7", 20), item("upstream/a", "s", 18)];
+    expect_that!(applier.apply(full_copy(items, 20)), ok(eq(())));
+    applier.core.relay.note_up_to_date(now());
+    expect_that!(applier.core.is_ready(), eq(true));
+}
--- a/crates/ebonyforkd/tests/gateway/starved.rs
+++ b/crates/ebonyforkd/tests/gateway/starved.rs
@@ -1,5 +1,7 @@
 //! Callers of one service, organisation or kind that are never served while all others are.
 
+use ebonyfork_stand_in::store_faults::StoreFaults;
+
 use super::*;
 
 /// Requests of each service that are judged.
@@ -69,15 +71,19 @@
         self.upstreams.push(upstream);
     }
 
-    /// Registers an entry that is that of an upstream but for the time for which it stays slow.
     fn put_odd_entry(&self) {
-        let entry = self.upstreams[0].entry("a-1", "ready");
-        let mut entry: serde_json::Value = serde_json::from_str(&entry).expect("an entry");
-        entry["warmupLeftMs"] = 1e22.into();
-        self.store.put(ODD_KEY, entry.to_string());
+        self.store.put(ODD_KEY, odd_entry(&self.upstreams[0]));
     }
 }
 
+/// Returns an entry that is that of an upstream but for the time for which it stays slow.
+fn odd_entry(upstream: &UpstreamServer) -> String {
+    let entry = upstream.entry("a-1", "ready");
+    let mut entry: serde_json::Value = serde_json::from_str(&entry).expect("an entry");
+    entry["warmupLeftMs"] = 1e22.into();
+    entry.to_string()
+}
+
 /// Returns how many requests of each service a VM answers with success.
 async fn count_served(gateway: &GatewayProcess) -> [usize; SERVICES] {
     let mut served = [0; SERVICES];
@@ -132,3 +138,166 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     expect_that!(count_served(&gateway).await, eq([TRIES; SERVICES]));
 }
+
+const CREDENTIAL: &str = "bc582dm2buc7takhi73v";
+const ADDED_CREDENTIAL: &str = "r5y2k9d7w3nq0a8x4v6t";
+
+/// Returns an organisation of the configuration.
+fn organisation(name: &str, credential: &str) -> String {
+    format!(r#"{{"name":"{name}","apiKeys":["{credential}"],"ratePerS":50,"burstSize":50}}"#)
+}
+
+/// Returns a configuration with organisations and with one route at a prefix.
+fn organisations_config(version: u64, prefix: &str, organisations: &[&str]) -> String {
+    let tenants = format!(r#""tenants":[{}],"routes""#, organisations.join(","));
+    let config = config(version, "idempotent").replace("\"routes\"", &tenants);
+    config.replace("/r/", prefix)
+}
+
+async fn status_for(gateway: &GatewayProcess, target: &str, credential: &str) -> Option<u16> {
+    let bearer = format!("Bearer {credential}");
+    let answer = get_with(
+        gateway.callers,
+        target,
+        "o-1",
+        &[("authorization", &bearer)],
+    )
+    .await;
+    answer.map(|answer| answer.status().as_u16())
+}
+
+/// Asks again for two seconds, far more than a change takes on one machine. Returns the last status.
+async fn wait_served(gateway: &GatewayProcess, target: &str, credential: &str) -> Option<u16> {
+    let begun = Instant::now();
+    loop {
+        let status = status_for(gateway, target, credential).await;
+        if status == Some(200) || begun.elapsed() > Duration::from_secs(2) {
+            return status;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Starts a store that states no era: a process that learns of one writes no claim on a quota for 28 s.
+async fn store_without_era() -> (StoreServer, UpstreamServer) {
+    let (store, upstream) = store_and_upstream().await;
+    store.set_faults(StoreFaults {
+        omits_era: true,
+        ..StoreFaults::default()
+    });
+    (store, upstream)
+}
+
+/// Guards against an organisation that is never served because its credential came with a version later than an odd
+/// entry: its callers got 401, which nobody repeats, and 503 `old-config` once the copy of the store was old.
+#[gtest]
+#[tokio::test]
+async fn an_organisation_that_is_added_after_an_odd_entry_is_served() {
+    let (store, upstream) = store_without_era().await;
+    let first = organisation("first", CREDENTIAL);
+    let added = organisation("added", ADDED_CREDENTIAL);
+    store.put("op/config", organisations_config(3, "/r/", &[&first]));
+    let gateway = start_gateway("starved-f", "127.230.0.105", store.address());
+    wait_status(gateway.ready, "/v1/ready", 200).await;
+    // A new process claims no part of a quota in its first seconds.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    expect_that!(
+        wait_served(&gateway, "/r/1", CREDENTIAL).await,
+        some(eq(200))
+    );
+    store.put(ODD_KEY, odd_entry(&upstream));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let config = organisations_config(4, "/r/", &[&first, &added]);
+    store.put("op/config", config);
+    let status = wait_served(&gateway, "/r/2", ADDED_CREDENTIAL).await;
+    expect_that!(status, some(eq(200)));
+}
+
+/// One odd organisation must cost just itself. If the whole version is refused, all callers of a moved route are sent to
+/// where it was, a credential that the version removes stays valid, and one that it adds gets 401.
+#[gtest]
+#[tokio::test]
+async fn an_odd_organisation_does_not_cost_the_others_the_version() {
+    let (store, _upstream) = store_without_era().await;
+    let good = organisation("good", CREDENTIAL);
+    store.put("op/config", organisations_config(1, "/r/", &[&good]));
+    let gateway = start_gateway("starved-g", "127.230.0.106", store.address());
+    wait_status(gateway.ready, "/v1/ready", 200).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    expect_that!(
+        wait_served(&gateway, "/r/1", CREDENTIAL).await,
+        some(eq(200))
+    );
+    let odd_organisations = [
+        (
+            "rate of another type",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":"2"}"#,
+        ),
+        (
+            "negative rate",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":-1}"#,
+        ),
+        (
+            "rate beyond all numbers",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":1e400}"#,
+        ),
+        (
+            "large rate",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":1e300,"burstSize":1e300}"#,
+        ),
+        (
+            "tiny rate",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":1e-300}"#,
+        ),
+        (
+            "no burst",
+            r#"{"name":"odd","apiKeys":["k"],"ratePerS":1,"burstSize":null}"#,
+        ),
+        (
+            "priority out of range",
+            r#"{"name":"odd","apiKeys":["k"],"priority":300}"#,
+        ),
+        (
+            "negative priority",
+            r#"{"name":"odd","apiKeys":["k"],"priority":-1}"#,
+        ),
+        (
+            "priority of another type",
+            r#"{"name":"odd","apiKeys":["k"],"priority":"high"}"#,
+        ),
+        ("empty name", r#"{"name":"","apiKeys":["k"]}"#),
+        ("no name", r#"{"apiKeys":["k"]}"#),
+        ("name of another type", r#"{"name":7,"apiKeys":["k"]}"#),
+        (
+            "credentials of another type",
+            r#"{"name":"odd","apiKeys":7}"#,
+        ),
+        (
+            "a credential of another type",
+            r#"{"name":"odd","apiKeys":["k",7]}"#,
+        ),
+        (
+            "the name of another organisation",
+            r#"{"name":"good","apiKeys":["k"]}"#,
+        ),
+        ("not an object", "7"),
+    ];
+    let mut refused = Vec::new();
+    for (number, (case, odd)) in odd_organisations.into_iter().enumerate() {
+        let version = number as u64 + 2;
+        let prefix = format!("/v{version}/");
+        let config = organisations_config(version, &prefix, &[odd, &good]);
+        store.put("op/config", config);
+        let target = format!("{prefix}1");
+        let mut status = wait_served(&gateway, &target, CREDENTIAL).await;
+        if status == Some(200) {
+            // The odd organisation itself may be refused, but its request must not cost the others anything.
+            let _status = status_for(&gateway, &target, "k").await;
+            status = wait_served(&gateway, &target, CREDENTIAL).await;
+        }
+        if status != Some(200) {
+            refused.push((case, status));
+        }
+    }
+    expect_that!(refused, is_empty());
+}
