Quotas: a part that its chosen VM leaves free is claimed by another one

What callers saw: organisations with a small quota got 503 `quota-unknown` for good while others were served, if the VMs chosen for some parts were alive for gossip but wrote no claims (the task that writes them had ended). Only the chosen VM ever claimed a free part.

A small quota has four parts of the six, so four broken holders are enough to starve it. The two tests of `starved_tests.rs` fail with `MAX_PART_CANDIDATES = 1`, which is the old rule.

Why it works: the claim is written under the condition of its revision, so one of several candidates wins, and the bound doesn't depend on who claims. The next candidates write only after 4, 8 and 12 s in which nobody held the part, so a fleet without faults makes no further call to the store. VMs no longer rank the fleet every 200 ms for parts that are held.

Not reproduced with the same model: small quotas in calm, all holders or all VMs killed at once, holders killed in series, a zone cut off, holders that stand still, the store away (also with a kill within), limits lowered and raised.

`a_refused_request_finds_its_token_when_it_returns` failed once beside 90 other tests at a load average of 23, and passed three times alone; it waits by the real clock and doesn't use the changed code.

--- a/crates/ebonyfork/src/gateway/policy/claim.rs
+++ b/crates/ebonyfork/src/gateway/policy/claim.rs
@@ -366,17 +366,24 @@
     /// Returns whether no other process can be using the right any more. It may have stopped only now; a process that
     /// takes the claim over therefore waits for the quiet time.
     fn is_free(&self, now: Duration) -> bool {
+        now >= self.free_since()
+    }
+
+    /// Returns the time from which no other process can be using the right, by the latest known record. It may be in the
+    /// future.
+    pub fn free_since(&self) -> Duration {
         let Some(observed) = self.observed_claim else {
-            return true;
+            return Duration::ZERO;
         };
+        let taken_over_at = observed.first_seen + self.timings.takeover_delay;
         if observed.record.era != self.era {
-            return now >= observed.first_seen + self.timings.takeover_delay;
+            return taken_over_at;
         }
         match observed.record.holder {
-            None => true,
+            None => observed.first_seen,
             // The holder is a previous process on this VM, which has ended.
-            Some(holder) if holder.vm == self.own_session.vm => true,
-            Some(_other) => now >= observed.first_seen + self.timings.takeover_delay,
+            Some(holder) if holder.vm == self.own_session.vm => observed.first_seen,
+            Some(_other) => taken_over_at,
         }
     }
 
--- a/crates/ebonyfork/src/gateway/policy/quota/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/quota/mod.rs
@@ -57,6 +57,18 @@
     quiet_time: Duration::ZERO,
 };
 
+/// Time for which a part that nobody holds is left to the VM chosen for it, and then to each of the next ones: that VM may
+/// be alive for gossip and not write claims. Longer than a VM needs to know the others after its start (3 s).
+const FREE_PART_WAIT: Duration = Duration::from_secs(4);
+/// Largest number of VMs that write the claim on a part at the same time. Each costs a call to the store.
+const MAX_PART_CANDIDATES: usize = 4;
+
+/// Returns whether a VM should claim a part that nobody has held for `free_time`; `rank` is the number of VMs that are
+/// preferred to it.
+pub fn wants_free_part(rank: usize, free_time: Duration) -> bool {
+    rank < MAX_PART_CANDIDATES && free_time >= FREE_PART_WAIT * rank as u32
+}
+
 #[cfg(test)]
 #[path = "quota_tests.rs"]
 mod tests;
@@ -82,3 +94,5 @@
 
 #[cfg(test)]
 mod start_tests;
+#[cfg(test)]
+mod starved_tests;
--- a/crates/ebonyfork/src/gateway/quota/claims.rs
+++ b/crates/ebonyfork/src/gateway/quota/claims.rs
@@ -11,9 +11,9 @@
 use crate::gateway::core::{GatewayCore, ServiceState};
 use crate::gateway::ident::PlaceName;
 use crate::gateway::organisation::OrganisationTable;
-use crate::gateway::policy::quota::{PartHold, QUOTA_PARTS};
+use crate::gateway::policy::quota::{PartHold, QUOTA_PARTS, wants_free_part};
 use crate::gateway::settings::PlaceDistance;
-use crate::gateway::vms::rendezvous;
+use crate::gateway::vms::rendezvous_rank;
 use crate::store::StorePort;
 
 /// Time between two checks of the claims.
@@ -109,21 +109,30 @@
     }
 }
 
-/// Returns whether this VM should hold a part: it does already, or it is the one chosen among the VMs that serve the
-/// part's availability zone. Holders keep their parts, because a new one starts with fewer tokens. A restarted VM takes
-/// its part again without settling.
+/// Returns whether this VM should hold a part: it does already, or nobody does and it is the one chosen among the VMs that
+/// serve the part's availability zone, or one of the next if those before it leave the part free. Holders keep their
+/// parts, because a new one starts with fewer tokens. A restarted VM takes its part again without settling.
 fn wants_part(core: &GatewayCore, part: u8) -> bool {
     if core.state() != ServiceState::Serving {
         return false;
     }
     let own_vm = core.session.vm;
-    let holder = core.quota_desk.with_claim(part, |claim| claim.holder());
-    if holder.flatten().is_some_and(|holder| holder.vm == own_vm) {
+    let claim = core
+        .quota_desk
+        .with_claim(part, |claim| (claim.holder(), claim.free_since()));
+    let Some((holder, free_since)) = claim else {
+        return false;
+    };
+    if holder.is_some_and(|holder| holder.vm == own_vm) {
         return true;
     }
-    if core.uptime() < SETTLE_TIME {
+    let Some(free_time) = core
+        .running_time()
+        .checked_sub(free_since.max(SETTLE_TIME))
+        .filter(|_free_time| core.uptime() >= SETTLE_TIME)
+    else {
         return false;
-    }
+    };
     let place = &core.settings.place;
     let mut zones: SmallVec<[&PlaceName; 8]> = place.zones.keys().collect();
     zones.sort_unstable();
@@ -131,5 +140,6 @@
         return false;
     };
     let vms = core.vms.serving_near(zone, place);
-    rendezvous(&vms, format_args!("quota part {part}")) == Some(own_vm)
+    let rank = rendezvous_rank(&vms, format_args!("quota part {part}"), own_vm);
+    rank.is_some_and(|rank| wants_free_part(rank, free_time))
 }
--- a/crates/ebonyfork/src/gateway/vms.rs
+++ b/crates/ebonyfork/src/gateway/vms.rs
@@ -324,6 +324,18 @@
     vms.iter().copied().max_by_key(score)
 }
 
+/// Returns how many VMs rendezvous hashing prefers to the given one for a purpose; `None` if that is not among them.
+pub fn rendezvous_rank(
+    vms: &[VmAddress],
+    purpose: impl fmt::Display,
+    vm: VmAddress,
+) -> Option<usize> {
+    let score = |vm: &VmAddress| (xxh3_64(format!("{vm} {purpose}").as_bytes()), *vm);
+    let own_score = vms.contains(&vm).then(|| score(&vm))?;
+    let preferred = vms.iter().filter(|other| score(other) > own_score);
+    Some(preferred.count())
+}
+
 /// Returns the serving ones of the given VMs.
 fn serving_vms<'a>(vms: impl Iterator<Item = &'a UsableVm>) -> Vec<&'a UsableVm> {
     let mut vms: Vec<_> = vms.collect();
