Test: small organisations and all kinds are served by nine processes, in calm and after three were killed

Guards against an organisation with a small quota, or a kind of its requests, that is served less than a quarter as often as all.

--- a/crates/ebonyforkd/tests/gateway/starved.rs
+++ b/crates/ebonyforkd/tests/gateway/starved.rs
@@ -301,3 +301,148 @@
     }
     expect_that!(refused, is_empty());
 }
+
+/// Number of organisations with small quotas.
+const SMALL_ORGANISATIONS: usize = 40;
+/// Routes of three kinds: name, target and priority.
+const KINDS: [(&str, u32, u8); 3] = [("urgent", 100, 0), ("usual", 300, 1), ("patient", 1_500, 2)];
+
+/// What is tolerated in addition to a quota, as large deployments state it: a small quota then has four parts.
+const QUOTA_BOUND: &str = "quota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
+
+/// Returns a configuration with small organisations and a route for each kind of request.
+fn small_config() -> String {
+    let organisations = (0..SMALL_ORGANISATIONS).map(|number| {
+        let (rate, burst) = (1 + number % 3, 1 + number % 2);
+        format!(
+            r#"{{"name":"small-{number}","apiKeys":["credential-{number}"],"ratePerS":{rate},"burstSize":{burst}}}"#
+        )
+    });
+    let routes = KINDS.map(|(name, target, priority)| {
+        format!(
+            r#"{{"name":"{name}","host":"t.example","prefix":"/{name}/","routeType":"idempotent","timeoutMs":4000,
+            "sloMs":{target},"maxAttempts":2,"service":"s","priority":{priority}}}"#
+        )
+    });
+    format!(
+        r#"{{"version":3,"tenants":[{}],"routes":[{}],"services":[{{"name":"s","maxConns":400}}],
+        "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        organisations.collect::<Vec<_>>().join(","),
+        routes.join(",")
+    )
+}
+
+/// Served and sent requests by organisation and by kind.
+#[derive(Debug)]
+struct ServedCounts {
+    organisations: [(usize, usize); SMALL_ORGANISATIONS],
+    kinds: [(usize, usize); 3],
+}
+
+impl ServedCounts {
+    /// Returns the share of all requests that is served, and the smallest share of an organisation and of a kind.
+    fn shares(&self) -> (f64, f64, f64) {
+        let share = |(served, sent): &(usize, usize)| *served as f64 / (*sent).max(1) as f64;
+        let sum = |counts: &[(usize, usize)]| {
+            counts
+                .iter()
+                .fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1))
+        };
+        let least = |counts: &[(usize, usize)]| counts.iter().map(share).fold(1.0, f64::min);
+        (
+            share(&sum(&self.kinds)),
+            least(&self.organisations),
+            least(&self.kinds),
+        )
+    }
+}
+
+/// Sends requests of all organisations at half of their limit, each at a random VM.
+async fn send_calm(gateways: &[GatewayProcess], period: Duration) -> ServedCounts {
+    let mut sent = tokio::task::JoinSet::new();
+    let callers: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
+    for organisation in 0..SMALL_ORGANISATIONS {
+        let callers = callers.clone();
+        sent.spawn(async move {
+            let pause = Duration::from_secs(2) / (1 + organisation as u32 % 3);
+            // Organisations send at different times.
+            tokio::time::sleep(pause.mul_f64(organisation as f64 / SMALL_ORGANISATIONS as f64))
+                .await;
+            let begun = Instant::now();
+            let mut answers = Vec::new();
+            while begun.elapsed() < period {
+                let number = answers.len();
+                let kind = (organisation + number) % KINDS.len();
+                let address = callers[(organisation * 7 + number * 5) % callers.len()];
+                let bearer = format!("Bearer credential-{organisation}");
+                let target = format!("/{}/1", KINDS[kind].0);
+                let id = format!("c-{organisation}-{number}");
+                let answer = get_with(address, &target, &id, &[("authorization", &bearer)]).await;
+                answers.push((kind, answer.is_some_and(|answer| answer.status() == 200)));
+                tokio::time::sleep(pause).await;
+            }
+            (organisation, answers)
+        });
+    }
+    let mut counts = ServedCounts {
+        organisations: [(0, 0); SMALL_ORGANISATIONS],
+        kinds: [(0, 0); 3],
+    };
+    while let Some(result) = sent.join_next().await {
+        let (organisation, answers) = result.expect("the task ends");
+        for (kind, is_served) in answers {
+            for count in [
+                &mut counts.organisations[organisation],
+                &mut counts.kinds[kind],
+            ] {
+                count.0 += usize::from(is_served);
+                count.1 += 1;
+            }
+        }
+    }
+    counts
+}
+
+/// Guards against organisations with small quotas, or kinds of their requests, that are served less than a quarter as
+/// often as all: in calm, and after three of nine VMs were killed.
+#[gtest]
+#[tokio::test]
+async fn small_organisations_and_all_kinds_are_served() {
+    let (store, _upstream) = store_without_era().await;
+    store.put("op/config", small_config());
+    let zones = "a-1 = a\na-2 = a\nb-1 = b";
+    let mut gateways = Vec::new();
+    for number in 0..9 {
+        let zone = ["a-1", "a-2", "b-1"][number % 3];
+        let name = format!("small-{number}");
+        let address = format!("127.230.0.{}", 110 + number);
+        let place = (Duration::from_secs(4), zone, zones);
+        let store = store.address();
+        gateways.push(start_gateway_with(
+            &name,
+            &address,
+            store,
+            place,
+            QUOTA_BOUND,
+        ));
+    }
+    for gateway in &gateways {
+        wait_status(gateway.ready, "/v1/ready", 200).await;
+    }
+    // Parts are claimed 3 s after the start.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let calm = send_calm(&gateways, Duration::from_secs(10)).await.shares();
+    let mut killed = gateways.split_off(6);
+    for gateway in &mut killed {
+        gateway.child.kill().await.expect("a killed process");
+    }
+    let after = send_calm(&gateways, Duration::from_secs(10)).await.shares();
+    for (all, organisation, kind) in [calm, after] {
+        println!(
+            "served: all {all:.3}, worst organisation {organisation:.3}, worst kind {kind:.3}"
+        );
+        expect_that!(organisation, ge(all / 4.0));
+        expect_that!(kind, ge(all / 4.0));
+        expect_that!(all, ge(0.8));
+    }
+}
