--- a/crates/ebonyfork/src/gateway/follow/taker_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/taker_tests.rs
@@ -309,3 +309,27 @@
     applier.core.expire_missing(now() + Duration::from_secs(3));
     expect_that!(upstream_count(&applier, "s"), eq(1));
 }
+
+/// Guards against a VM that counts as ready after it has applied only a part of its first copy: it answered 503 to all
+/// requests for the services whose entries it hadn't applied, while callers were still told of it.
+#[gtest]
+fn a_vm_that_has_applied_a_part_of_its_first_copy_is_not_ready() {
+    let applier = applier();
+    let items = vec![item("config", "7", 20), item("upstream/a", "s", 18)];
+    let guard = applier.core.relay.begin_apply();
+    applier.core.relay.apply(full_copy(items.clone(), 20));
+    applier.put_item(&items[0], false);
+    drop(guard);
+    expect_that!(version(&applier), eq(7));
+    expect_that!(applier.core.is_ready(), eq(false));
+}
+
+#[gtest]
+fn a_vm_that_has_applied_its_first_copy_is_ready() {
+    let applier = applier();
+    expect_that!(applier.core.is_ready(), eq(false));
+    let items = vec![item("config", "7", 20), item("upstream/a", "s", 18)];
+    expect_that!(applier.apply(full_copy(items, 20)), ok(eq(())));
+    applier.core.relay.note_up_to_date(now());
+    expect_that!(applier.core.is_ready(), eq(true));
+}
