Soak: processes that end by themselves and panics in logs fail the run

The judge saw neither: a gateway that ended was started again by a later event, and a task that panicked only left a line on standard error.

--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -6,12 +6,13 @@
 use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use ebonyfork_stand_in::upstream::UpstreamFaults;
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
 use crate::error::LabError;
 use crate::soak::fleet::GatewayFleet;
+use crate::soak::place_events::run_place_event;
 use crate::soak::proxy::LinkFault;
 use crate::soak::world::{SoakWorld, ZONES};
 
@@ -60,6 +61,7 @@
     let mut loss_rng = rng.clone();
     loss_rng.set_stream(2);
     while Instant::now() < end {
+        fleet.restart_ended()?;
         if loss_rng.random_bool(LOSS_SHARE) {
             events.extend(run_loss(&mut loss_rng, fleet).await?);
         }
@@ -149,19 +151,19 @@
     }
 }
 
-fn pause(rng: &mut impl Rng, least_ms: u64, most_ms: u64) -> Duration {
+pub(super) fn pause(rng: &mut impl Rng, least_ms: u64, most_ms: u64) -> Duration {
     Duration::from_millis(rng.random_range(least_ms..most_ms))
 }
 
 /// What an event was.
-struct DrawnEvent {
+pub(super) struct DrawnEvent {
     what: String,
     planned: bool,
     vm: Option<IpAddr>,
 }
 
 impl DrawnEvent {
-    fn new(what: String) -> Self {
+    pub(super) fn new(what: String) -> Self {
         Self {
             what,
             planned: false,
@@ -169,7 +171,7 @@
         }
     }
 
-    fn with_plan(self) -> Self {
+    pub(super) fn with_plan(self) -> Self {
         Self {
             planned: true,
             ..self
@@ -295,51 +297,6 @@
     Ok(DrawnEvent::new(what))
 }
 
-/// One of the events that concern whole availability zones.
-async fn run_place_event(
-    kind: usize,
-    rng: &mut ChaCha8Rng,
-    world: &SoakWorld,
-    fleet: &mut GatewayFleet,
-) -> Result<DrawnEvent, LabError> {
-    let vm = rng.random_range(0..fleet.vms.len());
-    let lasting = pause(rng, 300, 4_000);
-    let what = match kind {
-        kind @ (16 | 17) => {
-            let zones = evacuate(rng, world, lasting, kind == 17).await;
-            return Ok(DrawnEvent::new(format!("evacuation of {zones:?}")).with_plan());
-        }
-        18 => {
-            let mut other = ChaCha8Rng::seed_from_u64(rng.random());
-            let away = rng.random_bool(0.5);
-            let disturbance = async {
-                if away {
-                    run_outage(true, lasting, &mut other, world).await;
-                    return Ok(());
-                }
-                fleet.kill(vm).await;
-                tokio::time::sleep(lasting).await;
-                fleet.start_vm(vm)
-            };
-            let evacuation = evacuate(rng, world, lasting, false);
-            let (zones, disturbed) = tokio::join!(evacuation, disturbance);
-            disturbed?;
-            let what = if away {
-                "store".to_owned()
-            } else {
-                format!("vm-{vm}")
-            };
-            format!("{what} away beside an evacuation of {zones:?}")
-        }
-        _ => {
-            let zone = ZONES[rng.random_range(0..ZONES.len())];
-            return_cold(world, zone, pause(rng, 100, 2_000)).await?;
-            format!("cold return of {zone}")
-        }
-    };
-    Ok(DrawnEvent::new(what))
-}
-
 /// The store is away for a moment and comes back from an older copy, perhaps twice, while a VM may start; then operators and
 /// upstreams write again what it has lost.
 async fn run_restore(
@@ -394,7 +351,7 @@
 }
 
 /// The store is away, or slow and forgetful, for a time.
-async fn run_outage(
+pub(super) async fn run_outage(
     away: bool,
     lasting: Duration,
     rng: &mut ChaCha8Rng,
@@ -428,54 +385,6 @@
     what
 }
 
-/// A zone is evacuated for a time, and another one before the first is taken back if they are to overlap.
-async fn evacuate(
-    rng: &mut impl Rng,
-    world: &SoakWorld,
-    lasting: Duration,
-    overlapping: bool,
-) -> Vec<&'static str> {
-    /// Beyond the time that an evacuation may take to be in force.
-    const LEAST: Duration = Duration::from_secs(4);
-    let first = rng.random_range(0..ZONES.len());
-    let mut zones = vec![ZONES[first]];
-    world.evacuate(zones[0]);
-    tokio::time::sleep(LEAST).await;
-    if overlapping {
-        let second = ZONES[(first + 1) % ZONES.len()];
-        zones.push(second);
-        world.evacuate(second);
-        tokio::time::sleep(LEAST).await;
-    }
-    for zone in &zones {
-        world.readmit(zone);
-        tokio::time::sleep(lasting).await;
-    }
-    zones
-}
-
-/// All upstreams of a zone crash together and come back together, cold.
-async fn return_cold(
-    world: &SoakWorld,
-    zone: &'static str,
-    away: Duration,
-) -> Result<(), LabError> {
-    let mut services = Vec::new();
-    loop {
-        let place = lock(&world.upstreams)
-            .iter()
-            .position(|upstream| upstream.zone == zone);
-        let Some(place) = place else { break };
-        let (service, _zone) = world.end_upstream(place, None);
-        services.push(service);
-    }
-    tokio::time::sleep(away).await;
-    for service in services {
-        world.add_upstream(&service, zone).await?;
-    }
-    Ok(())
-}
-
 /// All VMs lose power at the same moment and come back together.
 async fn kill_all(fleet: &mut GatewayFleet, away: Duration) -> Result<(), LabError> {
     for number in 0..fleet.vms.len() {
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -25,6 +25,9 @@
 /// Time between SIGTERM and SIGKILL.
 pub(super) const GRACE: Duration = Duration::from_secs(6);
 
+/// Words by which the standard library reports a panic.
+const PANIC_WORDS: &str = "panicked at";
+
 /// The budget of repeats that all VMs share: a ratio of the requests and a slack, in every such span.
 pub(super) const RETRY_RATIO: f64 = 0.2;
 pub(super) const RETRY_SLACK: f64 = 54.0;
@@ -50,6 +53,8 @@
     pub vms: Vec<GatewayVm>,
     program: PathBuf,
     lives: Vec<VmLife>,
+    /// Processes that ended without having been told to.
+    ended: Vec<String>,
     /// Keeps the network to this run for as long as it lasts.
     _claim: TcpListener,
 }
@@ -76,11 +81,14 @@
                 what: "a gateway's settings",
                 source,
             })?;
+            let log = settings.folder.join(format!("{name}.log"));
+            // The judge reads the log; lines of an earlier run in the same folder are not this run's.
+            let _absent = std::fs::remove_file(&log);
             vms.push(GatewayVm {
                 address,
                 link,
                 settings: path,
-                log: settings.folder.join(format!("{name}.log")),
+                log,
                 child: None,
             });
         }
@@ -89,6 +97,7 @@
             _claim: claim,
             program: settings.program.clone(),
             lives: Vec::new(),
+            ended: Vec::new(),
         };
         for number in 0..fleet.vms.len() {
             fleet.start_vm(number)?;
@@ -122,6 +131,7 @@
 
     /// Starts a VM's process unless it runs.
     pub(super) fn start_vm(&mut self, number: usize) -> Result<(), LabError> {
+        self.note_end(number);
         let program = &self.program;
         let vm = &mut self.vms[number];
         if vm.child.is_some() {
@@ -164,10 +174,43 @@
         let _sent = unsafe { libc::kill(id as i32, signal) };
     }
 
+    /// Records processes that have ended by themselves and starts them again, as the platform does.
+    pub(super) fn restart_ended(&mut self) -> Result<(), LabError> {
+        for number in 0..self.vms.len() {
+            if self.vms[number].child.is_some() {
+                self.start_vm(number)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Records it if a VM's process has ended by itself.
+    fn note_end(&mut self, number: usize) {
+        let child = self.vms[number].child.as_mut();
+        let Some(status) = child.and_then(|child| child.try_wait().ok().flatten()) else {
+            return;
+        };
+        self.ended
+            .push(format!("vm-{number} ended by itself: {status}"));
+        self.vms[number].child = None;
+        self.end_life(number);
+    }
+
+    /// Processes that ended by themselves or, in a planned stop, with an error, and panics that the logs report.
+    pub(super) fn failures(&self) -> Vec<String> {
+        let mut failures = self.ended.clone();
+        for (number, vm) in self.vms.iter().enumerate() {
+            let log = std::fs::read(&vm.log).unwrap_or_default();
+            failures.extend(panics_in(&format!("vm-{number}"), &log));
+        }
+        failures
+    }
+
     /// Kills a VM's process.
     pub(super) async fn kill(&mut self, number: usize) {
+        self.note_end(number);
         if let Some(mut child) = self.vms[number].child.take() {
-            // A process that has ended by itself needs no kill.
+            // It may have ended since; then it needs no kill.
             let _gone = child.kill().await;
             self.end_life(number);
         }
@@ -175,14 +218,22 @@
 
     /// Stops a VM's process as planned and waits for its end; tells how long that took.
     pub(super) async fn terminate(&mut self, number: usize) -> Duration {
+        self.note_end(number);
         let began = Instant::now();
         self.signal(number, libc::SIGTERM);
-        if let Some(mut child) = self.vms[number].child.take()
-            && tokio::time::timeout(GRACE, child.wait()).await.is_err()
-        {
-            let _gone = child.kill().await;
+        if let Some(mut child) = self.vms[number].child.take() {
+            match tokio::time::timeout(GRACE, child.wait()).await {
+                Ok(Ok(status)) if !status.success() => {
+                    let failure = format!("vm-{number} ended a planned stop with {status}");
+                    self.ended.push(failure);
+                }
+                Ok(_ended) => {}
+                Err(_elapsed) => {
+                    let _gone = child.kill().await;
+                }
+            }
+            self.end_life(number);
         }
-        self.end_life(number);
         began.elapsed()
     }
 
@@ -194,6 +245,16 @@
     }
 }
 
+/// The panics that a VM's log reports, standard error included: their number and the first one.
+fn panics_in(vm: &str, log: &[u8]) -> Option<String> {
+    let log = String::from_utf8_lossy(log);
+    let mut lines = log.lines().skip_while(|line| !line.contains(PANIC_WORDS));
+    let first = lines.next()?;
+    let reason = lines.next().unwrap_or_default();
+    let count = 1 + lines.filter(|line| line.contains(PANIC_WORDS)).count();
+    Some(format!("{vm} panicked {count} times: {first} {reason}"))
+}
+
 /// Finds a loopback network that no other run uses, beginning with one named by the seed, and claims it. Two runs on one
 /// network answered one another's callers, which looked like answers to requests that nobody had sent.
 fn claim_network(seed: u64) -> Result<(u8, TcpListener), LabError> {
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 pub mod judge;
 mod judge_directory;
 mod judge_places;
+mod place_events;
 mod proxy;
 mod slow_callers;
 pub(crate) mod world;
@@ -62,5 +63,6 @@
     let mut verdict = judge_soak(settings.seed, &calls, &world, &events, calm_from);
     let directory_violations = check_directories(&located, fleet.lives(), &events);
     verdict.violations.extend(directory_violations);
+    verdict.violations.extend(fleet.failures());
     Ok(verdict)
 }
