Soak: versions move routes between services, other writers leave odd entries drawn from the seed

Each version has the routes at one of two services, all or some of them; the judge finds requests that a service runs which only a replaced version names, and VMs that go back to an older version.

--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -11,7 +11,9 @@
 use tokio::time::Instant;
 
 use crate::error::LabError;
+use crate::soak::SoakSettings;
 use crate::soak::fleet::GatewayFleet;
+use crate::soak::odd_entries::OddWriter;
 use crate::soak::place_events::run_place_event;
 use crate::soak::proxy::LinkFault;
 use crate::soak::world::{SoakWorld, ZONES};
@@ -24,6 +26,8 @@
 const RESTORE_SHARE: f64 = 0.15;
 /// How often an event is followed by one in which a VM is lost and others start after it.
 const LOSS_SHARE: f64 = 0.1;
+/// How often an event is followed by a round of odd entries; there is one before all events and one after them as well.
+const ODD_SHARE: f64 = 0.06;
 /// How long a lost VM stays away after the others have started: until they have had to know of it for some seconds.
 const LOSS_TIME: Duration = Duration::from_secs(11);
 /// Keys that operators and upstreams write.
@@ -49,19 +53,27 @@
 /// Runs events one after another, some of them overlapping, for a time.
 pub(super) async fn run_faults(
     rng: &mut ChaCha8Rng,
-    time: Duration,
+    settings: &SoakSettings,
     world: &SoakWorld,
     fleet: &mut GatewayFleet,
 ) -> Result<Vec<SoakEvent>, LabError> {
-    let end = Instant::now() + time;
+    let end = Instant::now() + settings.time;
     let mut events = Vec::new();
     // It draws by itself, so that what else a seed draws stays the same.
     let mut restore_rng = rng.clone();
     restore_rng.set_stream(1);
     let mut loss_rng = rng.clone();
     loss_rng.set_stream(2);
+    let mut odd_rng = rng.clone();
+    odd_rng.set_stream(3);
+    let mut odd_writer = OddWriter::new(odd_rng.clone(), settings.seed);
+    odd_rng.set_stream(4);
+    events.extend(odd_writer.run(world, fleet).await?);
     while Instant::now() < end {
         fleet.restart_ended()?;
+        if odd_rng.random_bool(ODD_SHARE) {
+            events.extend(odd_writer.run(world, fleet).await?);
+        }
         if loss_rng.random_bool(LOSS_SHARE) {
             events.extend(run_loss(&mut loss_rng, fleet).await?);
         }
@@ -81,6 +93,8 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
     }
     heal(world, fleet)?;
+    // What another writer has left is no excuse for the calm time that follows.
+    events.extend(odd_writer.begin(world, fleet).await?);
     Ok(events)
 }
 
@@ -198,7 +212,7 @@
 }
 
 /// Writes a configuration with the extra route if the last one was without it, and the other way round.
-fn write_next_config(world: &SoakWorld) -> bool {
+pub(super) fn write_next_config(world: &SoakWorld) -> bool {
     let extra = lock(&world.versions).len() % 2 == 1;
     world.write_config(extra);
     extra
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -13,6 +13,7 @@
 use crate::soak::callers::{CallEnd, CallRecord, WAIT};
 use crate::soak::faults::SoakEvent;
 use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::soak::judge_moves::{MoveRecord, check_moves};
 use crate::soak::judge_places::{check_cold, check_evacuations, check_homes};
 use crate::soak::world::{LEAST, PastLife, ROUTE_TIMEOUT, SHARDS, SoakWorld, TOPS, WrittenVersion};
 
@@ -21,6 +22,8 @@
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 /// Time after which a version must be in force everywhere.
 pub(super) const CONFIG_BOUND: Duration = Duration::from_secs(3);
+/// Time after a disturbance for which it is an excuse.
+pub(super) const DISTURBED_MARGIN: Duration = Duration::from_secs(5);
 /// Share of the requests that must be served once all faults have ended.
 const CALM_SHARE: f64 = 0.95;
 /// Time after the last fault from which that holds: the recovery of all VMs at once takes about 2 s.
@@ -62,7 +65,7 @@
 }
 
 /// Runs of each request, with the service that ran it.
-type RunIndex<'a> = BTreeMap<&'a str, Vec<(&'a str, &'a ArrivalRecord)>>;
+pub(super) type RunIndex<'a> = BTreeMap<&'a str, Vec<(&'a str, &'a ArrivalRecord)>>;
 
 /// Checks everything.
 pub(super) fn judge_soak(
@@ -101,9 +104,16 @@
     violations.extend(check_planned(calls, events));
     violations.extend(check_ends(calls, events));
     violations.extend(check_drains(&lives, events));
-    violations.extend(check_versions(calls, &lock(&world.versions), events));
     let versions = lock(&world.versions).clone();
+    violations.extend(check_versions(calls, &versions, events));
     violations.extend(check_homes(calls, &lives, &versions, events));
+    let moves = MoveRecord {
+        seed,
+        runs: &runs,
+        versions: &versions,
+        events,
+    };
+    violations.extend(check_moves(&calls.iter().collect::<Vec<_>>(), moves));
     violations.extend(check_evacuations(&lives, &lock(&world.evacuations), events));
     violations.extend(check_cold(&lives, events));
     violations.extend(check_repeats(calls, &arrivals));
@@ -288,7 +298,7 @@
     !events.iter().any(|event| {
         let elsewhere = vm.is_some() && event.vm.is_some() && event.vm != vm;
         let store = event.what.starts_with("store") || event.what.contains("vm-");
-        store && !elsewhere && event.from <= until && event.until + Duration::from_secs(5) >= from
+        store && !elsewhere && event.from <= until && event.until + DISTURBED_MARGIN >= from
     })
 }
 
--- a/crates/ebonyfork-lab/src/soak/judge_places.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_places.rs
@@ -34,7 +34,8 @@
             let Some(call) = calls.get(arrival.request.as_str()) else {
                 continue;
             };
-            if !allows(call, life.zone, versions, events) {
+            let at_home = |version| home_zone(version) == life.zone;
+            if !allows(call, versions, events, at_home) {
                 violations.push(format!(
                     "home {} reached {} and no version in force allows it",
                     call.id, life.zone
@@ -45,13 +46,13 @@
     violations
 }
 
-/// Whether a version allows an upstream's zone that may be in force while a call is out: the newest before it, those
-/// written meanwhile, and older ones for as long as a change may take.
-fn allows(
+/// Whether a version allows something that may be in force while a call is out: the newest before it, those written
+/// meanwhile, and older ones for as long as a change may take.
+pub(super) fn allows(
     call: &CallRecord,
-    zone: &str,
     versions: &[WrittenVersion],
     events: &[SoakEvent],
+    is_allowed: impl Fn(u64) -> bool,
 ) -> bool {
     let replaced = versions.iter().skip(1).map(|(_version, at, _extra)| *at);
     let replaced = replaced.map(Some).chain([None]);
@@ -64,7 +65,7 @@
                 let settled = call.from > gone + CONFIG_BOUND;
                 !settled || !is_calm(events, Some(call.vm.ip()), gone, call.until)
             });
-            written && in_force && home_zone(*version) == zone
+            written && in_force && is_allowed(*version)
         })
 }
 
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::error::LabError;
+use crate::soak::moves::{MOVE_SERVICES, service_of};
 use crate::soak::proxy::LinkProxy;
 
 /// Zones, each a region of its own.
@@ -89,6 +90,8 @@
 pub(crate) struct SoakWorld {
     pub store: StoreServer,
     pub upstreams: Mutex<Vec<SoakUpstream>>,
+    /// Upstreams whose entries another writer has written.
+    pub odd_upstreams: Mutex<Vec<SoakUpstream>>,
     pub past: Mutex<Vec<PastLife>>,
     /// Zones that were to get nothing for a time.
     pub evacuations: Mutex<Vec<EvacuationRecord>>,
@@ -110,6 +113,7 @@
         let world = Self {
             store,
             upstreams: Mutex::default(),
+            odd_upstreams: Mutex::default(),
             past: Mutex::default(),
             evacuations: Mutex::default(),
             versions: Mutex::default(),
@@ -124,7 +128,9 @@
             }
         }
         for zone in ZONES {
-            world.add_upstream("single", zone).await?;
+            for service in MOVE_SERVICES {
+                world.add_upstream(service, zone).await?;
+            }
             world.add_upstream(LONG_SERVICE, zone).await?;
         }
         world.write_config(false);
@@ -181,29 +187,26 @@
         zone: &'static str,
         instance: &str,
     ) -> Result<(), LabError> {
-        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-        let work = Duration::from_millis(if service == "single" { 20 } else { 8 });
-        let server = UpstreamServer::start(listen, instance, service, work).await;
-        let server = server.map_err(|source| LabError::System {
-            what: "an upstream's listener",
-            source,
-        })?;
-        server.set_cold(ColdCause::Start, COLD_TIME);
-        if service == LONG_SERVICE {
-            let bytes = LONG_ANSWERS[usize::from(zone != ZONES[0])];
-            server.set_least_bytes(bytes);
-        }
-        let proxy = LinkProxy::start(server.address()).await?;
-        let upstream = SoakUpstream {
-            server,
-            proxy,
-            zone,
-        };
+        let upstream = launch(service, zone, instance).await?;
+        upstream.server.set_cold(ColdCause::Start, COLD_TIME);
         self.register(&upstream, "ready");
         lock(&self.upstreams).push(upstream);
         Ok(())
     }
 
+    /// Starts an upstream whose entry another writer writes. Returns the entry that it would write itself.
+    pub(super) async fn start_odd_upstream(
+        &self,
+        service: &str,
+        zone: &'static str,
+        instance: &str,
+    ) -> Result<Value, LabError> {
+        let upstream = launch(service, zone, instance).await?;
+        let entry = entry(&upstream, "ready");
+        lock(&self.odd_upstreams).push(upstream);
+        Ok(entry.parse().unwrap_or_default())
+    }
+
     /// Writes an upstream's entry; callers reach it by its proxy.
     pub(super) fn register(&self, upstream: &SoakUpstream, state: &str) {
         self.store.put(&key(upstream), entry(upstream, state));
@@ -293,15 +296,18 @@
         let version = versions
             .last()
             .map_or(3, |(version, _at, _extra)| version + 3);
-        self.store
-            .put("op/config", config(version, extra, idle).to_string());
+        self.store.put(
+            "op/config",
+            config(self.seed, version, extra, idle).to_string(),
+        );
         versions.push((version, Instant::now(), extra));
     }
 
     /// What each upstream saw, those that have ended included.
     pub(super) fn lives(&self) -> Vec<PastLife> {
         let mut lives: Vec<PastLife> = lock(&self.past).clone();
-        for upstream in lock(&self.upstreams).iter() {
+        let (upstreams, odd) = (lock(&self.upstreams), lock(&self.odd_upstreams));
+        for upstream in upstreams.iter().chain(odd.iter()) {
             lives.push(PastLife {
                 service: upstream.server.service().to_owned(),
                 zone: upstream.zone,
@@ -313,6 +319,32 @@
     }
 }
 
+/// Starts an upstream with the proxy before it.
+async fn launch(
+    service: &str,
+    zone: &'static str,
+    instance: &str,
+) -> Result<SoakUpstream, LabError> {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let is_moved = MOVE_SERVICES.contains(&service);
+    let work = Duration::from_millis(if is_moved { 20 } else { 8 });
+    let server = UpstreamServer::start(listen, instance, service, work).await;
+    let server = server.map_err(|source| LabError::System {
+        what: "an upstream's listener",
+        source,
+    })?;
+    if service == LONG_SERVICE {
+        let bytes = LONG_ANSWERS[usize::from(zone != ZONES[0])];
+        server.set_least_bytes(bytes);
+    }
+    let proxy = LinkProxy::start(server.address()).await?;
+    Ok(SoakUpstream {
+        server,
+        proxy,
+        zone,
+    })
+}
+
 /// An upstream's entry, with the address of the proxy before it.
 fn entry(upstream: &SoakUpstream, state: &str) -> String {
     let entry = upstream.server.entry(upstream.zone, state);
@@ -339,7 +371,7 @@
     })
 }
 
-fn config(version: u64, extra: bool, idle: u64) -> Value {
+fn config(seed: u64, version: u64, extra: bool, idle: u64) -> Value {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
     let route = |name: &str, kind: &str, target: (&str, Value)| {
         let mut route = json!({
@@ -350,17 +382,21 @@
         route[target.0] = target.1;
         route
     };
+    let moved = |name: &str, kind: &str| {
+        let service = service_of(seed, version, name);
+        route(name, kind, ("service", json!(service)))
+    };
     let mut routes = vec![
         route("gather", "idempotent", ("gather", json!(shards))),
-        route("read", "idempotent", ("service", json!("single"))),
-        route("once", "non_idempotent", ("service", json!("single"))),
+        moved("read", "idempotent"),
+        moved("once", "non_idempotent"),
         route(LONG_SERVICE, "idempotent", ("service", json!(LONG_SERVICE))),
     ];
-    let mut home = route("home", "idempotent", ("service", json!("single")));
+    let mut home = moved("home", "idempotent");
     home["allowedRegions"] = json!([format!("{}-region", home_zone(version))]);
     routes.push(home);
     if extra {
-        routes.push(route("extra", "idempotent", ("service", json!("single"))));
+        routes.push(moved("extra", "idempotent"));
     }
     for number in 0..idle {
         routes.push(idle_route(number));
@@ -368,7 +404,8 @@
     let services: Vec<Value> = shards
         .iter()
         .map(String::as_str)
-        .chain(["single", LONG_SERVICE])
+        .chain(MOVE_SERVICES)
+        .chain([LONG_SERVICE])
         .map(|name| {
             json!({"name": name, "healthPath": "/health", "maxConns": 60,
                 "warmupS": COLD_TIME.as_secs_f64(), "warmupPerS": COLD_RATE})
