Soak: calm windows in which every VM serves every kind of request, organisation and service

The configuration has organisations with credentials: one without a limit, two small ones below theirs and a loud one. Probes ask each VM in turn, whatever the directories say.

--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use ebonyfork::http_link::{HttpLink, LinkError};
+use ebonyfork_stand_in::guard::lock;
 use http::{HeaderMap, Request};
 use http_body_util::Full;
 use tokio::task::JoinSet;
@@ -14,6 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::soak::judge_directory::LocateRecord;
+use crate::soak::organisations::{MAIN, credential};
+use crate::soak::probes::{LOUD_CALLERS, ProbeRecords, Prober};
 use crate::soak::slow_callers::{SLOW_CALLERS, SlowCaller};
 use crate::soak::world::{HOST, ZONES};
 
@@ -26,7 +29,7 @@
 /// How long a caller keeps a look-up.
 const KEEP: Duration = Duration::from_secs(2);
 /// Longest answer, in bytes.
-const ANSWER_LIMIT: usize = 1 << 20;
+pub(super) const ANSWER_LIMIT: usize = 1 << 20;
 
 /// What became of a request.
 #[derive(Debug, Clone)]
@@ -71,9 +74,18 @@
     stop: CancellationToken,
     records: Arc<Mutex<Vec<CallRecord>>>,
     located: Arc<Mutex<Vec<LocateRecord>>>,
+    probes: Arc<Mutex<ProbeRecords>>,
     tasks: JoinSet<()>,
 }
 
+/// What all callers saw.
+#[derive(Debug, Default)]
+pub(super) struct CallerRecords {
+    pub calls: Vec<CallRecord>,
+    pub located: Vec<LocateRecord>,
+    pub probes: ProbeRecords,
+}
+
 impl CallerPool {
     pub(super) fn start(directories: Vec<SocketAddr>) -> Self {
         let stop = CancellationToken::new();
@@ -107,6 +119,20 @@
                 stop.run_until_cancelled(caller.run()).await;
             });
         }
+        let probes = Arc::<Mutex<ProbeRecords>>::default();
+        for directory in &directories {
+            let prober = || Prober::new(directory.ip(), Arc::clone(&probes), Arc::clone(&next));
+            let (probe, probe_stop) = (prober(), stop.clone());
+            tasks.spawn(async move {
+                probe_stop.run_until_cancelled(probe.run()).await;
+            });
+            for _ in 0..LOUD_CALLERS {
+                let (loud, stop) = (prober(), stop.clone());
+                tasks.spawn(async move {
+                    stop.run_until_cancelled(loud.run_loud()).await;
+                });
+            }
+        }
         let located = Arc::<Mutex<Vec<LocateRecord>>>::default();
         for directory in directories {
             let (stop, located) = (stop.clone(), Arc::clone(&located));
@@ -119,17 +145,20 @@
             stop,
             records,
             located,
+            probes,
             tasks,
         }
     }
 
     /// Ends the callers and returns what they saw. A request that is out then is left out.
-    pub(super) async fn stop(mut self) -> (Vec<CallRecord>, Vec<LocateRecord>) {
+    pub(super) async fn stop(mut self) -> CallerRecords {
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
-        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut located = self.located.lock().unwrap_or_else(PoisonError::into_inner);
-        (std::mem::take(&mut records), std::mem::take(&mut located))
+        CallerRecords {
+            calls: std::mem::take(&mut lock(&self.records)),
+            located: std::mem::take(&mut lock(&self.located)),
+            probes: std::mem::take(&mut lock(&self.probes)),
+        }
     }
 }
 
@@ -196,13 +225,7 @@
             let id = format!("q{:x}", self.next.fetch_add(1, Ordering::Relaxed));
             let from = Instant::now();
             let request = request(route, &id);
-            let exchange = link.exchange(request, ANSWER_LIMIT);
-            let (end, keep) = match tokio::time::timeout(WAIT + KEEP, exchange).await {
-                Ok(Ok(response)) => answered(response),
-                Ok(Err(LinkError::Unsent { .. })) => (CallEnd::Unsent, false),
-                Ok(Err(LinkError::Lost { reason })) => (CallEnd::Broken(reason.to_string()), false),
-                Err(_elapsed) => (CallEnd::Silent, false),
-            };
+            let (end, keep) = exchange(&mut link, request).await;
             if keep && link.wait_until_ready().await {
                 self.link = Some((vm, link));
             }
@@ -249,7 +272,31 @@
     }
 }
 
+/// Sends a request and waits for what becomes of it; tells whether the connection can be used again.
+pub(super) async fn exchange(
+    link: &mut HttpLink,
+    request: Request<Full<Bytes>>,
+) -> (CallEnd, bool) {
+    let exchange = link.exchange(request, ANSWER_LIMIT);
+    match tokio::time::timeout(WAIT + KEEP, exchange).await {
+        Ok(Ok(response)) => answered(response),
+        Ok(Err(LinkError::Unsent { .. })) => (CallEnd::Unsent, false),
+        Ok(Err(LinkError::Lost { reason })) => (CallEnd::Broken(reason.to_string()), false),
+        Err(_elapsed) => (CallEnd::Silent, false),
+    }
+}
+
 pub(super) fn request(route: &str, id: &str) -> Request<Full<Bytes>> {
+    request_of(MAIN, route, id, WAIT)
+}
+
+/// A request in the name of an organisation, whose caller waits for a time.
+pub(super) fn request_of(
+    organisation: &str,
+    route: &str,
+    id: &str,
+    wait: Duration,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::default());
     let target = format!("/{route}/{id}");
     *request.uri_mut() = target.parse().unwrap_or_default();
@@ -257,7 +304,8 @@
     let texts = [
         ("host", HOST.to_owned()),
         ("request-id", id.to_owned()),
-        ("deadline-ms", WAIT.as_millis().to_string()),
+        ("deadline-ms", wait.as_millis().to_string()),
+        ("authorization", credential(organisation)),
     ];
     for (name, text) in texts {
         if let Ok(value) = text.parse() {
--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -15,8 +15,8 @@
 use crate::soak::world::{SoakWorld, ZONES};
 
 /// Ports of each VM, which has an address of its own on the loopback network.
-const CALLER_PORT: u16 = 7_100;
-const READY_PORT: u16 = 7_101;
+pub(super) const CALLER_PORT: u16 = 7_100;
+pub(super) const READY_PORT: u16 = 7_101;
 const DIRECTORY_PORT: u16 = 7_102;
 const METRICS_PORT: u16 = 7_103;
 const PEER_PORT: u16 = 7_104;
--- a/crates/ebonyfork-lab/src/soak/fleet_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet_tests.rs
@@ -21,7 +21,9 @@
         program: PathBuf::from("false"),
         folder: std::env::temp_dir().join(format!("ebonyfork-fleet-{}", std::process::id())),
     };
-    let world = SoakWorld::start(settings.seed).await.expect("a world");
+    let world = SoakWorld::start(settings.seed, ZONES.len())
+        .await
+        .expect("a world");
     let mut fleet = GatewayFleet::start(&settings, &world)
         .await
         .expect("processes start");
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::IpAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use ebonyfork_stand_in::guard::lock;
@@ -10,11 +11,13 @@
 use http::HeaderMap;
 use tokio::time::Instant;
 
-use crate::soak::callers::{CallEnd, CallRecord, WAIT};
+use crate::soak::callers::{CallEnd, CallRecord, CallerRecords, WAIT};
 use crate::soak::faults::SoakEvent;
 use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::soak::judge_directory::VmLife;
 use crate::soak::judge_moves::{MoveRecord, check_moves};
 use crate::soak::judge_places::{check_cold, check_evacuations, check_homes};
+use crate::soak::judge_starved::{ServiceRecord, check_starved};
 use crate::soak::world::{LEAST, PastLife, ROUTE_TIMEOUT, SHARDS, SoakWorld, TOPS, WrittenVersion};
 
 /// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
@@ -27,7 +30,7 @@
 /// Share of the requests that must be served once all faults have ended.
 const CALM_SHARE: f64 = 0.95;
 /// Time after the last fault from which that holds: the recovery of all VMs at once takes about 2 s.
-const CALM_AFTER: Duration = Duration::from_secs(3);
+pub(super) const CALM_AFTER: Duration = Duration::from_secs(3);
 /// Length of one record, in bytes.
 const RECORD_BYTES: usize = 16;
 
@@ -70,11 +73,15 @@
 /// Checks everything.
 pub(super) fn judge_soak(
     seed: u64,
-    calls: &[CallRecord],
+    records: &CallerRecords,
     world: &SoakWorld,
     events: &[SoakEvent],
-    calm_from: Instant,
+    vm_lives: &[VmLife],
+    calm: Range<Instant>,
 ) -> SoakVerdict {
+    let calls = &records.calls;
+    let probes = records.probes.calls.iter().map(|probe| &probe.call);
+    let all_calls: Vec<&CallRecord> = calls.iter().chain(probes).collect();
     let lives = world.lives();
     let arrivals = arrivals_of(&lives);
     let mut runs = RunIndex::new();
@@ -87,7 +94,7 @@
     }
     let mut violations = Vec::new();
     let mut served = 0;
-    for call in calls {
+    for call in &all_calls {
         let found = runs.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         if is_served(call) {
             served += 1;
@@ -106,21 +113,30 @@
     violations.extend(check_drains(&lives, events));
     let versions = lock(&world.versions).clone();
     violations.extend(check_versions(calls, &versions, events));
-    violations.extend(check_homes(calls, &lives, &versions, events));
+    violations.extend(check_homes(&all_calls, &lives, &versions, events));
     let moves = MoveRecord {
         seed,
         runs: &runs,
         versions: &versions,
         events,
     };
-    violations.extend(check_moves(&calls.iter().collect::<Vec<_>>(), moves));
+    violations.extend(check_moves(&all_calls, moves));
     violations.extend(check_evacuations(&lives, &lock(&world.evacuations), events));
     violations.extend(check_cold(&lives, events));
-    violations.extend(check_repeats(calls, &arrivals));
-    violations.extend(check_calm(calls, calm_from));
+    violations.extend(check_repeats(&all_calls, &arrivals));
+    violations.extend(check_calm(calls, calm.start));
+    let service = ServiceRecord {
+        seed,
+        probes: &records.probes,
+        runs: &runs,
+        versions: &versions,
+        lives: vm_lives,
+        events,
+    };
+    violations.extend(check_starved(service, calm.end));
     SoakVerdict {
         seed,
-        calls: calls.len(),
+        calls: all_calls.len(),
         served,
         events: events.len(),
         violations,
@@ -137,7 +153,7 @@
     all
 }
 
-fn is_served(call: &CallRecord) -> bool {
+pub(super) fn is_served(call: &CallRecord) -> bool {
     matches!(call.end, CallEnd::Answered { status: 200, .. })
 }
 
@@ -390,7 +406,7 @@
 
 /// In no span do upstreams of a service get more arrivals beyond the first of each request than the budget of all VMs
 /// together allows.
-fn check_repeats(calls: &[CallRecord], arrivals: &[(String, ArrivalRecord)]) -> Vec<String> {
+fn check_repeats(calls: &[&CallRecord], arrivals: &[(String, ArrivalRecord)]) -> Vec<String> {
     let mut by_service: BTreeMap<&str, Vec<&ArrivalRecord>> = BTreeMap::new();
     for (service, arrival) in arrivals {
         by_service.entry(service).or_default().push(arrival);
@@ -406,7 +422,7 @@
             }
         }
         let gathered = service.starts_with("shard");
-        let sent = |call: &&CallRecord| (call.route == "gather") == gathered;
+        let sent = |call: &&&CallRecord| (call.route == "gather") == gathered;
         let requests: Vec<Instant> = calls.iter().filter(sent).map(|call| call.from).collect();
         violations.extend(most_repeats(service, &repeats, &requests));
     }
--- a/crates/ebonyfork-lab/src/soak/judge_places.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_places.rs
@@ -21,13 +21,13 @@
 
 /// A request on a route with a home reaches an upstream in no zone that a version allows which may be in force.
 pub(super) fn check_homes(
-    calls: &[CallRecord],
+    calls: &[&CallRecord],
     lives: &[PastLife],
     versions: &[WrittenVersion],
     events: &[SoakEvent],
 ) -> Vec<String> {
     let homes = calls.iter().filter(|call| call.route == HOME_ROUTE);
-    let calls: BTreeMap<&str, &CallRecord> = homes.map(|call| (call.id.as_str(), call)).collect();
+    let calls: BTreeMap<&str, &CallRecord> = homes.map(|call| (call.id.as_str(), *call)).collect();
     let mut violations = Vec::new();
     for life in lives {
         for arrival in &life.arrivals {
--- a/crates/ebonyfork-lab/src/soak/judge_places_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_places_tests.rs
@@ -67,14 +67,14 @@
     ] {
         let at = begin + Duration::from_secs(after_s);
         let lives = [life(zone, vec![arrival("q1", at)])];
-        let found = check_homes(&[call(at)], &lives, &versions, &[]);
+        let found = check_homes(&[&call(at)], &lives, &versions, &[]);
         expect_that!(found.len(), eq(broken), "{after_s} s {zone}");
     }
     let at = begin + Duration::from_secs(30);
     let lives = [life(ZONES[0], vec![arrival("q1", at)])];
     let away = event("store Busy", at, Duration::ZERO);
     expect_that!(
-        check_homes(&[call(at)], &lives, &versions, &[away]).len(),
+        check_homes(&[&call(at)], &lives, &versions, &[away]).len(),
         eq(0)
     );
 }
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -11,9 +11,12 @@
 mod judge_directory;
 mod judge_moves;
 mod judge_places;
+mod judge_starved;
 mod moves;
 mod odd_entries;
+mod organisations;
 mod place_events;
+mod probes;
 mod proxy;
 mod slow_callers;
 pub(crate) mod world;
@@ -31,7 +34,7 @@
 use crate::soak::fleet::GatewayFleet;
 use crate::soak::judge::{SoakVerdict, judge_soak};
 use crate::soak::judge_directory::check_directories;
-use crate::soak::world::SoakWorld;
+use crate::soak::world::{SoakWorld, ZONES};
 
 /// Time without faults before and after them: in the second part the system must serve again.
 const CALM: Duration = Duration::from_secs(6);
@@ -54,17 +57,26 @@
 /// Runs one soak. All processes that it started have ended when it returns.
 pub async fn run_soak(settings: &SoakSettings) -> Result<SoakVerdict, LabError> {
     let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
-    let world = SoakWorld::start(settings.seed).await?;
+    let world = SoakWorld::start(settings.seed, settings.vms * ZONES.len()).await?;
     let mut fleet = GatewayFleet::start(settings, &world).await?;
     let callers = CallerPool::start(fleet.addresses());
     tokio::time::sleep(CALM).await;
     let events = run_faults(&mut rng, settings, &world, &mut fleet).await?;
     let calm_from = Instant::now();
     tokio::time::sleep(CALM).await;
-    let (calls, located) = callers.stop().await;
+    let until = Instant::now();
+    let records = callers.stop().await;
     fleet.end().await;
-    let mut verdict = judge_soak(settings.seed, &calls, &world, &events, calm_from);
-    let directory_violations = check_directories(&located, fleet.lives(), &events);
+    let calm = calm_from..until;
+    let mut verdict = judge_soak(
+        settings.seed,
+        &records,
+        &world,
+        &events,
+        fleet.lives(),
+        calm,
+    );
+    let directory_violations = check_directories(&records.located, fleet.lives(), &events);
     verdict.violations.extend(directory_violations);
     verdict.violations.extend(fleet.failures());
     Ok(verdict)
--- a/crates/ebonyfork-lab/src/soak/odd_entries.rs
+++ b/crates/ebonyfork-lab/src/soak/odd_entries.rs
@@ -17,7 +17,7 @@
 use crate::soak::world::{SHARDS, SoakWorld, ZONES};
 
 /// Entries of a round.
-const ROUND_ENTRIES: usize = 8;
+const ROUND_ENTRIES: usize = 16;
 /// Numbers that overflow a time, a count or the number type itself. A third of all odd entries have one.
 const ODD_NUMBERS: [&str; 11] = [
     "9.3e21",
@@ -32,8 +32,14 @@
     "2.5",
     "0",
 ];
-/// Fields of an entry that are numbers.
-const NUMBER_FIELDS: [&str; 4] = ["warmupLeftMs", "capacity", "sequence", "born"];
+/// Fields of an entry that are numbers; the one that is a time twice, because it reaches more arithmetic.
+const NUMBER_FIELDS: [&str; 5] = [
+    "warmupLeftMs",
+    "warmupLeftMs",
+    "capacity",
+    "sequence",
+    "born",
+];
 /// Addresses at which nobody listens, and some that are none.
 const ODD_ADDRESSES: [&str; 12] = [
     "127.0.0.1:65536",
--- a/crates/ebonyfork-lab/src/soak/world.rs
+++ b/crates/ebonyfork-lab/src/soak/world.rs
@@ -14,6 +14,7 @@
 
 use crate::error::LabError;
 use crate::soak::moves::{MOVE_SERVICES, service_of};
+use crate::soak::organisations::declare;
 use crate::soak::proxy::LinkProxy;
 
 /// Zones, each a region of its own.
@@ -34,7 +35,7 @@
 /// streams.
 const LONG_ANSWERS: [usize; 2] = [120_000, 300_000];
 /// Name of the service with long answers.
-const LONG_SERVICE: &str = "long";
+pub(super) const LONG_SERVICE: &str = "long";
 
 /// Requests a second that an upstream tolerates while it is cold.
 pub(super) const COLD_RATE: f64 = 20.0;
@@ -99,10 +100,11 @@
     pub versions: Mutex<Vec<WrittenVersion>>,
     lives: Mutex<u64>,
     seed: u64,
+    vms: usize,
 }
 
 impl SoakWorld {
-    pub(crate) async fn start(seed: u64) -> Result<Self, LabError> {
+    pub(crate) async fn start(seed: u64, vms: usize) -> Result<Self, LabError> {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = StoreServer::start(listen)
             .await
@@ -119,6 +121,7 @@
             versions: Mutex::default(),
             lives: Mutex::default(),
             seed,
+            vms,
         };
         for shard in 0..SHARDS {
             for copy in 0..2 {
@@ -296,10 +299,9 @@
         let version = versions
             .last()
             .map_or(3, |(version, _at, _extra)| version + 3);
-        self.store.put(
-            "op/config",
-            config(self.seed, version, extra, idle).to_string(),
-        );
+        let mut config = config(self.seed, version, extra, idle);
+        config["tenants"] = declare(self.vms);
+        self.store.put("op/config", config.to_string());
         versions.push((version, Instant::now(), extra));
     }
 
--- a/crates/ebonyfork-lab/src/spread.rs
+++ b/crates/ebonyfork-lab/src/spread.rs
@@ -86,7 +86,7 @@
         folder: settings.folder.clone(),
     };
     clear_folder(&settings.folder)?;
-    let world = SoakWorld::start(soak.seed).await?;
+    let world = SoakWorld::start(soak.seed, soak.vms * 3).await?;
     world.write_config_of(false, settings.routes);
     let mut fleet = GatewayFleet::start(&soak, &world).await?;
     let start = until_in_force(&fleet, newest_version(&world)).await?;
