--- a/crates/ebonyfork-lab/src/soak/organisations.rs
+++ b/crates/ebonyfork-lab/src/soak/organisations.rs
@@ -1,9 +1,11 @@
-//! Organisations of the soak's configuration: one without a limit, small ones below their limits, a loud one above its own.
+//! Organisations of the soak's configuration: two without a limit, small ones below their limits, a loud one above its own.
 
 use serde_json::{Value, json};
 
-/// Organisation without a limit.
+/// Organisation without a limit, in whose name most requests are sent.
 pub(super) const MAIN: &str = "main";
+/// Organisation without a limit, of the lowest priority.
+pub(super) const LOW: &str = "low";
 /// Organisations that stay below their limit, each of a priority of its own.
 pub(super) const SMALL: [&str; 2] = ["small-a", "small-b"];
 /// Organisation that asks for more than its limit.
@@ -23,6 +25,7 @@
     let small_rate = SMALL_RATE_PER_VM * vms as f64;
     json!([
         organisation(MAIN, 1, 0.0),
+        organisation(LOW, 3, 0.0),
         organisation(SMALL[0], 0, small_rate),
         organisation(SMALL[1], 2, small_rate),
         organisation(LOUD, 1, LOUD_RATE),
