--- a/crates/ebonyfork-lab/src/soak/judge_starved.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_starved.rs
@@ -97,14 +97,12 @@
 
     /// The VMs that have run undisturbed since some time before a window, to its end.
     fn settled_vms(&self, window: CalmWindow) -> BTreeSet<IpAddr> {
-        let mut vms: BTreeSet<_> = self.lives.iter().map(|life| life.vm).collect();
-        for life in self.lives {
-            let is_new = life.from + CALM_AFTER > window.from && life.from < window.until;
-            let ends = |until: Instant| until + CALM_AFTER > window.from && until < window.until;
-            if is_new || life.until.is_some_and(ends) {
-                vms.remove(&life.vm);
-            }
-        }
+        let runs = |life: &&VmLife| {
+            life.from + CALM_AFTER <= window.from
+                && life.until.is_none_or(|until| until >= window.until)
+        };
+        let lives = self.lives.iter().filter(runs);
+        let mut vms: BTreeSet<_> = lives.map(|life| life.vm).collect();
         for event in self.events {
             let overlaps = event.from < window.until && event.until + CALM_AFTER > window.from;
             if let Some(vm) = event.vm.filter(|_vm| overlaps) {
--- a/crates/ebonyfork-lab/src/soak/judge_starved_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_starved_tests.rs
@@ -266,3 +266,18 @@
     let found = check_starved(record, fixture.begin + LASTING);
     expect_that!(found.len(), eq(windows));
 }
+
+/// Seeds 2 and 3 were red for a VM that the soak had killed for 11 s: its own event had ended, and no process ran.
+#[gtest]
+fn a_vm_that_is_away_is_not_judged() {
+    let mut fixture = Fixture::new().refuse(|probe| probe.call.vm.ip() == vm(1));
+    fixture.lives[1].until = Some(fixture.begin - CALM_AFTER * 2);
+    expect_that!(fixture.judge(), eq(""));
+    let again = VmLife {
+        from: fixture.begin - CALM_AFTER,
+        until: None,
+        ..fixture.lives[1]
+    };
+    fixture.lives.push(again);
+    expect_that!(fixture.judge(), contains_substring("127.0.0.2: 0 of"));
+}
