--- a/crates/ebonyfork-lab/src/soak/judge_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_tests.rs
@@ -2,6 +2,7 @@
 use http::HeaderValue;
 
 use super::*;
+use crate::soak::probes::ProbeRecord;
 
 const SIGNED: [(&str, u8); 6] = [
     ("a.1", 1),
@@ -322,3 +323,25 @@
     };
     expect_that!(found(lasting("read", 3), &[freeze]), eq(0));
 }
+
+/// Requests that a quota refuses must not add to the budget of repeats.
+#[gtest]
+fn probes_that_reach_no_upstream_add_nothing_to_the_budget() {
+    let probe = |id: &str| ProbeRecord {
+        organisation: "loud",
+        call: CallRecord {
+            id: id.to_owned(),
+            ..call("read", 429, &[], b"")
+        },
+    };
+    let mut records = CallerRecords::default();
+    records.calls.push(call("read", 200, &[], b""));
+    records.probes.calls = vec![probe("p1"), probe("p2")];
+    let reached = ArrivalRecord {
+        request: "p2".to_owned(),
+        ..run("a.1", 1)
+    };
+    let counted = budgeted_calls(&records, &[("single".to_owned(), reached)]);
+    let ids: Vec<&str> = counted.iter().map(|call| call.id.as_str()).collect();
+    expect_that!(ids, eq(&["q1", "p2"]));
+}
