--- a/crates/ebonyfork-lab/src/soak/probes.rs
+++ b/crates/ebonyfork-lab/src/soak/probes.rs
@@ -89,7 +89,7 @@
 
     async fn ask_ready(&self) {
         let at = Instant::now();
-        let asked = tokio::time::timeout(OPEN_WAIT, is_ready(self.vm)).await;
+        let asked = tokio::time::timeout(WAIT, is_ready(self.vm)).await;
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
         records.ready.push(ReadyRecord {
             vm: self.vm,
