--- a/crates/ebonyfork-lab/src/soak/faults.rs
+++ b/crates/ebonyfork-lab/src/soak/faults.rs
@@ -6,12 +6,15 @@
 use ebonyfork_stand_in::guard::lock;
 use ebonyfork_stand_in::store_faults::{StoreFaults, StoreOutage};
 use ebonyfork_stand_in::upstream::UpstreamFaults;
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
 use crate::error::LabError;
+use crate::soak::SoakSettings;
 use crate::soak::fleet::GatewayFleet;
+use crate::soak::odd_entries::OddWriter;
+use crate::soak::place_events::run_place_event;
 use crate::soak::proxy::LinkFault;
 use crate::soak::world::{SoakWorld, ZONES};
 
@@ -23,6 +26,8 @@
 const RESTORE_SHARE: f64 = 0.15;
 /// How often an event is followed by one in which a VM is lost and others start after it.
 const LOSS_SHARE: f64 = 0.1;
+/// How often an event is followed by a round of odd entries; there is one before all events and one after them as well.
+const ODD_SHARE: f64 = 0.06;
 /// How long a lost VM stays away after the others have started: until they have had to know of it for some seconds.
 const LOSS_TIME: Duration = Duration::from_secs(11);
 /// Keys that operators and upstreams write.
@@ -48,18 +53,27 @@
 /// Runs events one after another, some of them overlapping, for a time.
 pub(super) async fn run_faults(
     rng: &mut ChaCha8Rng,
-    time: Duration,
+    settings: &SoakSettings,
     world: &SoakWorld,
     fleet: &mut GatewayFleet,
 ) -> Result<Vec<SoakEvent>, LabError> {
-    let end = Instant::now() + time;
+    let end = Instant::now() + settings.time;
     let mut events = Vec::new();
     // It draws by itself, so that what else a seed draws stays the same.
     let mut restore_rng = rng.clone();
     restore_rng.set_stream(1);
     let mut loss_rng = rng.clone();
     loss_rng.set_stream(2);
+    let mut odd_rng = rng.clone();
+    odd_rng.set_stream(3);
+    let mut odd_writer = OddWriter::new(odd_rng.clone(), settings.seed);
+    odd_rng.set_stream(4);
+    events.extend(odd_writer.run(world, fleet).await?);
     while Instant::now() < end {
+        fleet.restart_ended()?;
+        if odd_rng.random_bool(ODD_SHARE) {
+            events.extend(odd_writer.run(world, fleet).await?);
+        }
         if loss_rng.random_bool(LOSS_SHARE) {
             events.extend(run_loss(&mut loss_rng, fleet).await?);
         }
@@ -79,6 +93,8 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
     }
     heal(world, fleet)?;
+    // What another writer has left is no excuse for the calm time that follows.
+    events.extend(odd_writer.begin(world, fleet).await?);
     Ok(events)
 }
 
@@ -149,19 +165,19 @@
     }
 }
 
-fn pause(rng: &mut impl Rng, least_ms: u64, most_ms: u64) -> Duration {
+pub(super) fn pause(rng: &mut impl Rng, least_ms: u64, most_ms: u64) -> Duration {
     Duration::from_millis(rng.random_range(least_ms..most_ms))
 }
 
 /// What an event was.
-struct DrawnEvent {
+pub(super) struct DrawnEvent {
     what: String,
     planned: bool,
     vm: Option<IpAddr>,
 }
 
 impl DrawnEvent {
-    fn new(what: String) -> Self {
+    pub(super) fn new(what: String) -> Self {
         Self {
             what,
             planned: false,
@@ -169,7 +185,7 @@
         }
     }
 
-    fn with_plan(self) -> Self {
+    pub(super) fn with_plan(self) -> Self {
         Self {
             planned: true,
             ..self
@@ -196,7 +212,7 @@
 }
 
 /// Writes a configuration with the extra route if the last one was without it, and the other way round.
-fn write_next_config(world: &SoakWorld) -> bool {
+pub(super) fn write_next_config(world: &SoakWorld) -> bool {
     let extra = lock(&world.versions).len() % 2 == 1;
     world.write_config(extra);
     extra
@@ -295,51 +311,6 @@
     Ok(DrawnEvent::new(what))
 }
 
-/// One of the events that concern whole availability zones.
-async fn run_place_event(
-    kind: usize,
-    rng: &mut ChaCha8Rng,
-    world: &SoakWorld,
-    fleet: &mut GatewayFleet,
-) -> Result<DrawnEvent, LabError> {
-    let vm = rng.random_range(0..fleet.vms.len());
-    let lasting = pause(rng, 300, 4_000);
-    let what = match kind {
-        kind @ (16 | 17) => {
-            let zones = evacuate(rng, world, lasting, kind == 17).await;
-            return Ok(DrawnEvent::new(format!("evacuation of {zones:?}")).with_plan());
-        }
-        18 => {
-            let mut other = ChaCha8Rng::seed_from_u64(rng.random());
-            let away = rng.random_bool(0.5);
-            let disturbance = async {
-                if away {
-                    run_outage(true, lasting, &mut other, world).await;
-                    return Ok(());
-                }
-                fleet.kill(vm).await;
-                tokio::time::sleep(lasting).await;
-                fleet.start_vm(vm)
-            };
-            let evacuation = evacuate(rng, world, lasting, false);
-            let (zones, disturbed) = tokio::join!(evacuation, disturbance);
-            disturbed?;
-            let what = if away {
-                "store".to_owned()
-            } else {
-                format!("vm-{vm}")
-            };
-            format!("{what} away beside an evacuation of {zones:?}")
-        }
-        _ => {
-            let zone = ZONES[rng.random_range(0..ZONES.len())];
-            return_cold(world, zone, pause(rng, 100, 2_000)).await?;
-            format!("cold return of {zone}")
-        }
-    };
-    Ok(DrawnEvent::new(what))
-}
-
 /// The store is away for a moment and comes back from an older copy, perhaps twice, while a VM may start; then operators and
 /// upstreams write again what it has lost.
 async fn run_restore(
@@ -394,7 +365,7 @@
 }
 
 /// The store is away, or slow and forgetful, for a time.
-async fn run_outage(
+pub(super) async fn run_outage(
     away: bool,
     lasting: Duration,
     rng: &mut ChaCha8Rng,
@@ -428,54 +399,6 @@
     what
 }
 
-/// A zone is evacuated for a time, and another one before the first is taken back if they are to overlap.
-async fn evacuate(
-    rng: &mut impl Rng,
-    world: &SoakWorld,
-    lasting: Duration,
-    overlapping: bool,
-) -> Vec<&'static str> {
-    /// Beyond the time that an evacuation may take to be in force.
-    const LEAST: Duration = Duration::from_secs(4);
-    let first = rng.random_range(0..ZONES.len());
-    let mut zones = vec![ZONES[first]];
-    world.evacuate(zones[0]);
-    tokio::time::sleep(LEAST).await;
-    if overlapping {
-        let second = ZONES[(first + 1) % ZONES.len()];
-        zones.push(second);
-        world.evacuate(second);
-        tokio::time::sleep(LEAST).await;
-    }
-    for zone in &zones {
-        world.readmit(zone);
-        tokio::time::sleep(lasting).await;
-    }
-    zones
-}
-
-/// All upstreams of a zone crash together and come back together, cold.
-async fn return_cold(
-    world: &SoakWorld,
-    zone: &'static str,
-    away: Duration,
-) -> Result<(), LabError> {
-    let mut services = Vec::new();
-    loop {
-        let place = lock(&world.upstreams)
-            .iter()
-            .position(|upstream| upstream.zone == zone);
-        let Some(place) = place else { break };
-        let (service, _zone) = world.end_upstream(place, None);
-        services.push(service);
-    }
-    tokio::time::sleep(away).await;
-    for service in services {
-        world.add_upstream(&service, zone).await?;
-    }
-    Ok(())
-}
-
 /// All VMs lose power at the same moment and come back together.
 async fn kill_all(fleet: &mut GatewayFleet, away: Duration) -> Result<(), LabError> {
     for number in 0..fleet.vms.len() {
--- a/crates/ebonyfork-lab/src/soak/judge.rs
+++ b/crates/ebonyfork-lab/src/soak/judge.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::IpAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use ebonyfork_stand_in::guard::lock;
@@ -10,10 +11,13 @@
 use http::HeaderMap;
 use tokio::time::Instant;
 
-use crate::soak::callers::{CallEnd, CallRecord, WAIT};
+use crate::soak::callers::{CallEnd, CallRecord, CallerRecords, WAIT};
 use crate::soak::faults::SoakEvent;
 use crate::soak::fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::soak::judge_directory::VmLife;
+use crate::soak::judge_moves::{MoveRecord, check_moves};
 use crate::soak::judge_places::{check_cold, check_evacuations, check_homes};
+use crate::soak::judge_starved::{ServiceRecord, check_starved};
 use crate::soak::world::{LEAST, PastLife, ROUTE_TIMEOUT, SHARDS, SoakWorld, TOPS, WrittenVersion};
 
 /// Time after a leaving upstream's entry was written from which it must get nothing new. The entry, a VM that follows
@@ -21,10 +25,12 @@
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 /// Time after which a version must be in force everywhere.
 pub(super) const CONFIG_BOUND: Duration = Duration::from_secs(3);
+/// Time after a disturbance for which it is an excuse.
+pub(super) const DISTURBED_MARGIN: Duration = Duration::from_secs(5);
 /// Share of the requests that must be served once all faults have ended.
 const CALM_SHARE: f64 = 0.95;
 /// Time after the last fault from which that holds: the recovery of all VMs at once takes about 2 s.
-const CALM_AFTER: Duration = Duration::from_secs(3);
+pub(super) const CALM_AFTER: Duration = Duration::from_secs(3);
 /// Length of one record, in bytes.
 const RECORD_BYTES: usize = 16;
 
@@ -62,16 +68,20 @@
 }
 
 /// Runs of each request, with the service that ran it.
-type RunIndex<'a> = BTreeMap<&'a str, Vec<(&'a str, &'a ArrivalRecord)>>;
+pub(super) type RunIndex<'a> = BTreeMap<&'a str, Vec<(&'a str, &'a ArrivalRecord)>>;
 
 /// Checks everything.
 pub(super) fn judge_soak(
     seed: u64,
-    calls: &[CallRecord],
+    records: &CallerRecords,
     world: &SoakWorld,
     events: &[SoakEvent],
-    calm_from: Instant,
+    vm_lives: &[VmLife],
+    calm: Range<Instant>,
 ) -> SoakVerdict {
+    let calls = &records.calls;
+    let probes = records.probes.calls.iter().map(|probe| &probe.call);
+    let all_calls: Vec<&CallRecord> = calls.iter().chain(probes).collect();
     let lives = world.lives();
     let arrivals = arrivals_of(&lives);
     let mut runs = RunIndex::new();
@@ -84,7 +94,7 @@
     }
     let mut violations = Vec::new();
     let mut served = 0;
-    for call in calls {
+    for call in &all_calls {
         let found = runs.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         if is_served(call) {
             served += 1;
@@ -101,16 +111,35 @@
     violations.extend(check_planned(calls, events));
     violations.extend(check_ends(calls, events));
     violations.extend(check_drains(&lives, events));
-    violations.extend(check_versions(calls, &lock(&world.versions), events));
     let versions = lock(&world.versions).clone();
-    violations.extend(check_homes(calls, &lives, &versions, events));
+    violations.extend(check_versions(calls, &versions, events));
+    violations.extend(check_homes(&all_calls, &lives, &versions, events));
+    let moves = MoveRecord {
+        seed,
+        runs: &runs,
+        versions: &versions,
+        events,
+    };
+    violations.extend(check_moves(&all_calls, moves));
     violations.extend(check_evacuations(&lives, &lock(&world.evacuations), events));
     violations.extend(check_cold(&lives, events));
-    violations.extend(check_repeats(calls, &arrivals));
-    violations.extend(check_calm(calls, calm_from));
+    violations.extend(check_repeats(
+        &budgeted_calls(records, &arrivals),
+        &arrivals,
+    ));
+    violations.extend(check_calm(calls, calm.start));
+    let service = ServiceRecord {
+        seed,
+        probes: &records.probes,
+        runs: &runs,
+        versions: &versions,
+        lives: vm_lives,
+        events,
+    };
+    violations.extend(check_starved(service, calm.end));
     SoakVerdict {
         seed,
-        calls: calls.len(),
+        calls: all_calls.len(),
         served,
         events: events.len(),
         violations,
@@ -127,7 +156,7 @@
     all
 }
 
-fn is_served(call: &CallRecord) -> bool {
+pub(super) fn is_served(call: &CallRecord) -> bool {
     matches!(call.end, CallEnd::Answered { status: 200, .. })
 }
 
@@ -288,7 +317,7 @@
     !events.iter().any(|event| {
         let elsewhere = vm.is_some() && event.vm.is_some() && event.vm != vm;
         let store = event.what.starts_with("store") || event.what.contains("vm-");
-        store && !elsewhere && event.from <= until && event.until + Duration::from_secs(5) >= from
+        store && !elsewhere && event.from <= until && event.until + DISTURBED_MARGIN >= from
     })
 }
 
@@ -378,9 +407,22 @@
     (!enough).then(|| format!("served {served} of {all} after all faults"))
 }
 
+/// The calls that count for the budget of repeats: of the probes, which a quota may refuse again and again, only those that
+/// reached an upstream.
+fn budgeted_calls<'a>(
+    records: &'a CallerRecords,
+    arrivals: &[(String, ArrivalRecord)],
+) -> Vec<&'a CallRecord> {
+    let reached = arrivals.iter().map(|(_service, arrival)| arrival);
+    let reached: BTreeSet<_> = reached.map(|arrival| &arrival.request).collect();
+    let probes = records.probes.calls.iter().map(|probe| &probe.call);
+    let probes = probes.filter(|call| reached.contains(&call.id));
+    records.calls.iter().chain(probes).collect()
+}
+
 /// In no span do upstreams of a service get more arrivals beyond the first of each request than the budget of all VMs
 /// together allows.
-fn check_repeats(calls: &[CallRecord], arrivals: &[(String, ArrivalRecord)]) -> Vec<String> {
+fn check_repeats(calls: &[&CallRecord], arrivals: &[(String, ArrivalRecord)]) -> Vec<String> {
     let mut by_service: BTreeMap<&str, Vec<&ArrivalRecord>> = BTreeMap::new();
     for (service, arrival) in arrivals {
         by_service.entry(service).or_default().push(arrival);
@@ -396,7 +438,7 @@
             }
         }
         let gathered = service.starts_with("shard");
-        let sent = |call: &&CallRecord| (call.route == "gather") == gathered;
+        let sent = |call: &&&CallRecord| (call.route == "gather") == gathered;
         let requests: Vec<Instant> = calls.iter().filter(sent).map(|call| call.from).collect();
         violations.extend(most_repeats(service, &repeats, &requests));
     }
