Daemon: panics stand in the log, and the log's thread outlives one

What operators saw: the panic of a task stood on standard error only. A line at which the appender panics ended the thread that writes the log, and a closed standard error did so after a failed write; the process went on and logged nothing.

A panic hook logs each panic with its place, which covers detached tasks. The writing thread catches a panic of one line and doesn't panic itself when standard error is closed.

Tests: an appender that panics at its first line, a panic that is logged.

--- a/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
+++ b/crates/ebonyforkd/src/bin/ebonyfork-gateway.rs
@@ -32,6 +32,7 @@
         return Ok(());
     }
     let handle = logging::start_logging(&settings.log).context(LoggingSnafu)?;
+    logging::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/ebonyforkd/src/logging.rs
+++ b/crates/ebonyforkd/src/logging.rs
@@ -4,10 +4,12 @@
 //! lines are dropped, counted, and the count is written once there is room.
 
 use std::fmt;
+use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use ebonyfork::panic_reason::catch_panic;
 use ebonyfork::settings::LogSettings;
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
@@ -55,6 +57,16 @@
     log4rs::init_config(config).context(InstallSnafu)
 }
 
+/// Logs every panic from now on, besides the message on standard error. Nobody else would log the panic of a detached task.
+pub fn log_panics() {
+    let default_hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        let text = info.to_string().replace('\n', " ");
+        log::error!("panic: {text}");
+        default_hook(info);
+    }));
+}
+
 /// Builds the configuration that [`start_logging`] installs; a reload installs a new one.
 pub fn build_config(settings: &LogSettings) -> Result<Config, LoggingError> {
     let encoder = Box::new(PatternEncoder::new(PATTERN));
@@ -175,16 +187,26 @@
 }
 
 fn write_line(written: &dyn Append, level: log::Level, target: &str, message: &str) {
-    let mut builder = Record::builder();
-    let result = written.append(
-        &builder
-            .level(level)
-            .target(target)
-            .args(format_args!("{message}"))
-            .build(),
-    );
-    if let Err(error) = result {
-        // There is no other place left to tell it.
-        eprintln!("log: {error}");
-    }
+    // A line that panics must not end the thread: all later lines would be lost without a word.
+    let result = catch_panic(|| {
+        let mut builder = Record::builder();
+        written.append(
+            &builder
+                .level(level)
+                .target(target)
+                .args(format_args!("{message}"))
+                .build(),
+        )
+    });
+    let reason = match result {
+        Ok(Ok(())) => return,
+        Ok(Err(error)) => error.to_string(),
+        Err(reason) => reason.into(),
+    };
+    // There is no other place left to tell it, and standard error may be closed, at which `eprintln` panics.
+    let _is_told = writeln!(std::io::stderr(), "log: {reason}");
 }
+
+#[cfg(test)]
+#[path = "logging_tests.rs"]
+mod tests;
