Test, red: the least urgent kind is starved at an upstream in overload

What callers see: when an upstream is asked for twice its capacity or more, the requests of the least urgent route at the same service are hardly ever served, while those of others are.

Cause: within an organisation the route's priority decides alone, so a kind gets what the more urgent ones leave.

--- a/crates/ebonyfork/src/gateway/policy/fairness_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/fairness_tests.rs
@@ -206,3 +206,20 @@
         }
     }
 }
+
+/// Guards against a kind of request that is served less than a quarter as often as all, at an upstream that is asked for
+/// twice its capacity or more: within an organisation, the route's priority decides alone.
+#[gtest]
+fn no_kind_is_starved_in_overload() {
+    for (count, rate) in [(20, 40.0), (20, 80.0), (1, 1_000.0)] {
+        let demands = vec![OrganisationDemand::new(rate); count];
+        let report = FairReplay::new(&demands, ReplayOrder::FairTurns, 1).run();
+        let served: Vec<f64> = (0..KINDS.len())
+            .map(|kind| report.served_fraction(0..count, kind))
+            .collect();
+        // All kinds are sent equally often.
+        let all = served.iter().sum::<f64>() / KINDS.len() as f64;
+        let least = served.iter().copied().fold(1.0, f64::min);
+        expect_that!(least, ge(all / 4.0), "{count} at {rate}/s: {served:?}");
+    }
+}
