Tests: the follow fixture keeps values that are no text

Four tests of `gateway::follow` failed with the check of a VM record's cores ("vm.vms(): expected {vm/10.9.0.2}, actual {}"). The fixture's replacement of credentials ran every value through a lossy conversion to text, so the record's 4 bytes of cores (00 00 80 3f) became a number that is out of range. The adapter replaces credentials in the configuration's value only. The fixture now leaves values alone that are no UTF-8, so the tests compare records as they were written. The comment of `a_record_whose_cores_are_out_of_range_names_no_vm` says what the fault did: weak VMs took requests.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -68,9 +68,10 @@
             };
             Ok(RouteTable::new(version, [], [], limits))
         },
-        replace_credentials: |_key, value| {
-            let text = String::from_utf8_lossy(&value);
-            text.replace(CREDENTIAL, "digest").into()
+        // Values that are no text, such as the records of VMs, stay as they are.
+        replace_credentials: |_key, value| match std::str::from_utf8(&value) {
+            Ok(text) => text.replace(CREDENTIAL, "digest").into(),
+            Err(_error) => value,
         },
         read_upstream: |key, value| {
             let service = String::from_utf8_lossy(value);
--- a/crates/ebonyfork/src/gateway/vms_tests.rs
+++ b/crates/ebonyfork/src/gateway/vms_tests.rs
@@ -305,8 +305,7 @@
     expect_that!(directory.count(), eq(5));
 }
 
-/// One record with an infinite or no number of cores, written by another program, made all VMs count as weak or as
-/// strong.
+/// One record with an infinite or no number of cores, written by another program, made all weak VMs take requests.
 #[gtest]
 fn a_record_whose_cores_are_out_of_range_names_no_vm() {
     for cores in [
