Tests: fuzz the decoders of all input from outside

Seeded tests now change samples of entries, configurations, credentials, keys, look-ups, store answers, records, copies, messages of other VMs, notices and headers, and use what is accepted as the gateway does, for instance in additions to the present time.

The bounds of `Deadline-Ms` and `Keep-Alive` use the shared maximum.

--- a/crates/ebonyfork/src/gateway/exchange.rs
+++ b/crates/ebonyfork/src/gateway/exchange.rs
@@ -27,6 +27,7 @@
 use crate::gateway::upstream::{ActiveLink, Upstream};
 use crate::http_link::{LinkBody, LinkError};
 use crate::quarantine::LostRequest;
+use crate::stated::MAX_STATED_TIME;
 
 /// Longest time for opening a connection. In the same region a handshake takes 1 to 6 ms, more on a busy upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -461,12 +462,13 @@
 }
 
 /// Returns the idle timeout that an upstream states in its `Keep-Alive` header.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+pub(super) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let header_value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = header_value
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let timeout = seconds.trim().parse().ok().map(Duration::from_secs);
+    timeout.map(|timeout: Duration| timeout.min(MAX_STATED_TIME))
 }
 
 fn error_text(error: &LinkError) -> CompactString {
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -34,6 +34,7 @@
 use crate::gateway::run::{RunReport, RunTarget, run_request};
 use crate::gateway::stream_activity::{ActivityStream, AnswerDelivery, StreamActivity};
 use crate::quarantine::QuarantineStatus;
+use crate::stated::MAX_STATED_TIME;
 
 /// Idle and header timeout of connections until a configuration states them.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
@@ -42,10 +43,6 @@
 /// Buffer for a request head until a configuration states its limit, in bytes.
 const DEFAULT_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Upper bound on the wait that a caller states, in milliseconds. A longer wait is a mistake and could overflow a
-/// timestamp.
-const MAX_WAIT_MS: f64 = 86_400_000.0;
-
 /// Accepts callers' connections until connections are to close.
 pub async fn serve_callers(core: Rc<GatewayCore>, listener: TcpListener) {
     loop {
@@ -448,15 +445,18 @@
     let Some(header_value) = parts.headers.get(&core.dialect.names.deadline) else {
         return Ok(None);
     };
-    let header_value = header_value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse::<f64>().ok());
-    let millis = header_value.filter(|millis| millis.is_finite() && *millis >= 0.0);
-    let millis = millis.ok_or(RefusalReason::Malformed)?;
-    Ok(Some(Duration::from_secs_f64(
-        millis.min(MAX_WAIT_MS) / 1_000.0,
-    )))
+    let wait = stated_wait(header_value).ok_or(RefusalReason::Malformed)?;
+    Ok(Some(wait))
+}
+
+/// Returns the wait that a caller states, at most [`MAX_STATED_TIME`]; `None` if it is no time.
+pub(super) fn stated_wait(header_value: &HeaderValue) -> Option<Duration> {
+    let millis = header_value.to_str().ok()?.trim().parse::<f64>().ok()?;
+    if !millis.is_finite() || millis < 0.0 {
+        return None;
+    }
+    let seconds = (millis / 1_000.0).min(MAX_STATED_TIME.as_secs_f64());
+    Some(Duration::from_secs_f64(seconds))
 }
 
 async fn read_body(
--- a/crates/ebonyfork/src/gateway/mirror/mod.rs
+++ b/crates/ebonyfork/src/gateway/mirror/mod.rs
@@ -15,7 +15,11 @@
 mod relay;
 mod transfer;
 
+#[cfg(test)]
+pub use content::encode_content;
 pub use content::{ContentError, HeldValue, HeldValues, decode_content, held_values};
+#[cfg(test)]
+pub use copy::StoreCopy;
 pub use copy::{CopyChange, CopyGap};
 pub use freshness::{FreshnessTimings, PendingPolls};
 pub use message::{MirrorMessage, SourceState};
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -21,6 +21,8 @@
 mod connection_drain;
 mod control;
 mod core;
+#[cfg(test)]
+mod decoder_tests;
 mod delegate;
 mod dialect;
 mod exchange;
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod declaration;
 pub mod entry;
 pub mod finding;
+#[cfg(test)]
+mod fuzz_input;
 pub mod gateway;
 pub mod http_link;
 pub mod ident;
