--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -23,6 +23,8 @@
 mod control;
 mod copy_watch;
 mod core;
+#[cfg(test)]
+mod decoder_tests;
 mod delegate;
 mod dialect;
 mod exchange;
