Store: changes that don't fit into an answer are read as the range that they lead to

What callers would see: changes in force late.

Cause: an answer beyond the limit counted as a lost call, and the same watch was repeated after a pause, for the same changes and more, until the copy was too old to be watched.

It is an error of its own now, for which the range is read at once, without the versions in between; the store counts as answering. A page that is too long is retried after a pause as before.

--- a/crates/ebonyfork-lab/src/soak/callers.rs
+++ b/crates/ebonyfork-lab/src/soak/callers.rs
@@ -281,7 +281,7 @@
     match tokio::time::timeout(WAIT + KEEP, exchange).await {
         Ok(Ok(response)) => answered(response),
         Ok(Err(LinkError::Unsent { .. })) => (CallEnd::Unsent, false),
-        Ok(Err(LinkError::Lost { reason })) => (CallEnd::Broken(reason.to_string()), false),
+        Ok(Err(error)) => (CallEnd::Broken(error.to_string()), false),
         Err(_elapsed) => (CallEnd::Silent, false),
     }
 }
--- a/crates/ebonyfork-lab/tests/store_client.rs
+++ b/crates/ebonyfork-lab/tests/store_client.rs
@@ -33,6 +33,7 @@
         Err(StoreError::Lost { .. }) => "lost",
         Err(StoreError::LeaseEnded) => "ended",
         Err(StoreError::HistoryGone) => "gone",
+        Err(StoreError::TooLong { .. }) => "too long",
         Err(StoreError::Malformed { .. }) => "malformed",
     }
 }
--- a/crates/ebonyfork/src/http_link.rs
+++ b/crates/ebonyfork/src/http_link.rs
@@ -40,6 +40,12 @@
         /// Cause of the failure, in words.
         reason: CompactString,
     },
+    /// The request was answered, with a body beyond the limit.
+    #[snafu(display("answered with more than {limit} bytes"))]
+    TooLong {
+        /// The limit, in bytes.
+        limit: usize,
+    },
 }
 
 /// The body of an answer, at least its beginning.
@@ -171,9 +177,7 @@
         let response = Response::from_parts(head, body);
         let (head, body) = response.into_parts();
         if body.rest.is_some() {
-            return Err(lost_error(format_compact!(
-                "longer than {body_limit} bytes"
-            )));
+            return Err(LinkError::TooLong { limit: body_limit });
         }
         Ok(Response::from_parts(head, body.beginning))
     }
--- a/crates/ebonyfork/src/relay/connection.rs
+++ b/crates/ebonyfork/src/relay/connection.rs
@@ -100,7 +100,7 @@
         match self.sender.send(request).await {
             Ok(response) => read_body(response).await,
             Err(LinkError::Unsent { .. }) => Err(CallError::Unsent),
-            Err(LinkError::Lost { .. }) => Err(CallError::Broken),
+            Err(LinkError::Lost { .. } | LinkError::TooLong { .. }) => Err(CallError::Broken),
         }
     }
 
--- a/crates/ebonyfork/src/store/feed.rs
+++ b/crates/ebonyfork/src/store/feed.rs
@@ -314,10 +314,10 @@
         if self.settings.rereads_after_failure {
             self.state.reread();
         }
-        self.store_answers = matches!(error, StoreError::HistoryGone);
+        self.store_answers = matches!(error, StoreError::HistoryGone | StoreError::TooLong { .. });
         if self.store_answers {
             log::info!(
-                "store history gone prefix=`{}`: reading the range again",
+                "store changes not read prefix=`{}`: reading the range again: {error}",
                 self.settings.prefix
             );
             return;
--- a/crates/ebonyfork/src/store/mirror.rs
+++ b/crates/ebonyfork/src/store/mirror.rs
@@ -270,15 +270,18 @@
 
     /// Applies the failure of a call.
     pub fn apply_failure(&mut self, error: &StoreError, rng: &mut impl rand::Rng) {
+        let was_reading = matches!(self.phase, MirrorPhase::Reading { .. });
         if matches!(
             error,
-            StoreError::HistoryGone | StoreError::Malformed { .. }
+            StoreError::HistoryGone | StoreError::Malformed { .. } | StoreError::TooLong { .. }
         ) {
             // Old pages would be from before the gap.
             self.needs_latest_pages = true;
             self.phase = MirrorPhase::reading_first_page();
         }
-        if matches!(error, StoreError::HistoryGone) {
+        // Repeating the watch would ask for the same changes, and more.
+        let is_watch_too_long = matches!(error, StoreError::TooLong { .. }) && !was_reading;
+        if matches!(error, StoreError::HistoryGone) || is_watch_too_long {
             return;
         }
         if let MirrorPhase::Reading { .. } = self.phase {
--- a/crates/ebonyfork/src/store/mirror_tests.rs
+++ b/crates/ebonyfork/src/store/mirror_tests.rs
@@ -150,6 +150,23 @@
     expect_that!(mirror.is_following(), eq(false));
 }
 
+/// Changes that don't fit into an answer were asked for again and again, together with more and more later ones, until the
+/// copy was too old to be watched.
+#[gtest]
+fn a_watch_that_returns_too_much_causes_an_immediate_full_read() {
+    let mut mirror = following_mirror(vec![item("a", 1)], 1);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let too_long = StoreError::TooLong { limit: 8 };
+    mirror.apply_failure(&too_long, &mut rng);
+    expect_that!(mirror.next_step(), eq(&MirrorStep::Read { after: None }));
+    // A page that is too long doesn't become shorter at once.
+    mirror.apply_failure(&too_long, &mut rng);
+    expect_that!(
+        mirror.next_step(),
+        matches_pattern!(MirrorStep::Pause(anything()))
+    );
+}
+
 #[gtest]
 fn a_failed_watch_resumes_at_its_revision_after_a_pause() {
     let mut mirror = following_mirror(vec![item("a", 1)], 7);
--- a/crates/ebonyfork/src/store/mod.rs
+++ b/crates/ebonyfork/src/store/mod.rs
@@ -216,6 +216,13 @@
     /// The store no longer holds the changes after the requested revision, so the range has to be read again.
     #[snafu(display("the store no longer holds the history that was asked for"))]
     HistoryGone,
+    /// The store answered with more bytes than this process reads. Changes that don't fit into an answer have to be read
+    /// as the range that they lead to.
+    #[snafu(display("the store's answer has more than {limit} bytes"))]
+    TooLong {
+        /// The limit, in bytes.
+        limit: usize,
+    },
     /// The lease has ended.
     #[snafu(display("the lease has ended"))]
     LeaseEnded,
@@ -245,7 +252,10 @@
     /// assert!(!StoreError::Refused { reason: "503".into() }.is_ambiguous());
     /// ```
     pub fn is_ambiguous(&self) -> bool {
-        matches!(self, Self::Lost { .. } | Self::Malformed { .. })
+        matches!(
+            self,
+            Self::Lost { .. } | Self::Malformed { .. } | Self::TooLong { .. }
+        )
     }
 
     /// Returns whether the call certainly had no effect, so that repeating it is safe.
