Registry: an entry that becomes invalid while it is withheld names no upstream

Callers' requests went to an upstream that had left, after a store was restored from an older copy and another writer had overwritten the entry: remove_invalid left the withheld entry, which came into force 5 s later.

Red before: registry_tests: a_withheld_entry_that_becomes_unreadable_names_no_upstream (one upstream instead of none).

--- a/crates/ebonyfork/src/gateway/registry.rs
+++ b/crates/ebonyfork/src/gateway/registry.rs
@@ -326,6 +326,7 @@
 
     /// Removes an entry that no longer names an upstream, even if missing entries are currently kept.
     pub fn remove_invalid(&self, key: &CompactString) {
+        self.withheld_entries.borrow_mut().remove(key);
         self.drop_entry(key, "its entry no longer names an upstream");
     }
 
--- a/crates/ebonyfork/src/gateway/registry_tests.rs
+++ b/crates/ebonyfork/src/gateway/registry_tests.rs
@@ -242,3 +242,17 @@
     registry.expire(now + ms(4_500));
     expect_that!(registry.upstreams(&service()).len(), eq(1));
 }
+
+/// Guards against an entry that was overwritten by another writer while it was withheld, and is put in force afterwards.
+#[gtest]
+fn a_withheld_entry_that_becomes_unreadable_names_no_upstream() {
+    let now = Instant::now();
+    let registry = UpstreamRegistry::new();
+    let departed_entry = entry("i-1", "s", "north-a", address());
+    registry.put(&KEY, departed_entry.clone(), now, 1);
+    registry.remove(&KEY, now);
+    registry.put_restored(&KEY, departed_entry, now + ms(2_000), 1);
+    registry.remove_invalid(&KEY);
+    registry.expire(now + ms(60_000));
+    expect_that!(registry.upstreams(&service()).len(), eq(0));
+}
