Copy of the store: a time in the future proves no more than the present one

A followed VM states how long after a poll its copy was up to date. A stated 2^40 ms made the follower's copy count as up to date for ever: staleness, the change of source, the log, the gauge and readiness were all silent, and its own followers inherited it. The time is now at most the present one.

--- a/crates/ebonyfork/src/gateway/mirror/relay.rs
+++ b/crates/ebonyfork/src/gateway/mirror/relay.rs
@@ -211,8 +211,10 @@
     }
 
     /// Records a time as of which the copy is known to have been up to date, and informs the followers. Times before
-    /// the last recorded one are ignored.
+    /// the last recorded one are ignored. A time in the future proves no more than the present one: the copy would count
+    /// as up to date until then, whatever happens.
     pub fn note_up_to_date(&self, at: Instant) {
+        let at = at.min(now());
         if self
             .up_to_date_at
             .get()
