Cold notices: one that comes back is no news

Two VMs that follow each other for a moment would pass a notice on between them as long as the stated time was shorter than a round trip: each time it came back the upstream counted as warm again. Reports below 300 ms are dropped, and a notice isn't returned to its sender.

--- a/crates/ebonyfork/src/gateway/cold_notice.rs
+++ b/crates/ebonyfork/src/gateway/cold_notice.rs
@@ -83,16 +83,21 @@
         .filter(|report| apply_report(core, report, peer))
         .collect();
     if !news.is_empty() {
-        core.send_cold_reports(&news, &core.relay.follower_vms());
+        let mut receivers = core.relay.follower_vms();
+        receivers.retain(|vm| *vm != peer);
+        core.send_cold_reports(&news, &receivers);
     }
 }
 
 /// Applies a report. Returns whether it was news: this VM knows the upstream and took it for warm.
 fn apply_report(core: &GatewayCore, report: &ColdReport, peer: VmAddress) -> bool {
     let service = UpstreamService::new(&report.service);
-    if !core.limits_cold_sends(&service) {
+    let Some(assumed_time) = report
+        .assumed_time()
+        .filter(|_time| core.limits_cold_sends(&service))
+    else {
         return false;
-    }
+    };
     let upstreams = core.registry.upstreams(&service);
     let mut upstreams = upstreams.iter();
     let Some(upstream) =
@@ -102,7 +107,7 @@
     };
     let time = now();
     let is_news = !upstream.is_cold(time);
-    upstream.assume_cold(time + report.assumed_time());
+    upstream.assume_cold(time + assumed_time);
     if is_news {
         log::info!(
             target: "ebonyfork::decision",
@@ -112,3 +117,7 @@
     }
     is_news
 }
+
+#[cfg(test)]
+#[path = "cold_notice_tests.rs"]
+mod tests;
--- a/crates/ebonyfork/src/gateway/policy/cold/notice.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/notice.rs
@@ -16,6 +16,10 @@
 /// it is up to date again, so a notice only has to outlast the time for which a VM can be behind.
 pub const MAX_NOTICE_TIME: Duration = Duration::from_mins(1);
 
+/// Shortest remaining time that is worth a notice. It exceeds the round trip between two VMs, so that a notice which comes
+/// back is no news.
+const MIN_NOTICE_TIME: Duration = Duration::from_millis(300);
+
 /// An upstream that has become cold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdReport {
@@ -41,9 +45,10 @@
         }
     }
 
-    /// Returns the time for which the receiver treats the upstream as cold.
-    pub fn assumed_time(&self) -> Duration {
-        Duration::from_millis(u64::from(self.remaining_ms)).min(MAX_NOTICE_TIME)
+    /// Returns the time for which the receiver treats the upstream as cold; `None` if it is too short to matter.
+    pub fn assumed_time(&self) -> Option<Duration> {
+        let remaining = Duration::from_millis(u64::from(self.remaining_ms));
+        (remaining >= MIN_NOTICE_TIME).then_some(remaining.min(MAX_NOTICE_TIME))
     }
 }
 
@@ -66,7 +71,7 @@
 /// Returns whether other VMs have to be notified of an upstream's entry: it states that the upstream is cold, and the
 /// entry before it, if there was one, did not.
 pub fn is_notice_due(stated_cold_before: bool, cold_remaining: Duration) -> bool {
-    !stated_cold_before && !cold_remaining.is_zero()
+    !stated_cold_before && cold_remaining >= MIN_NOTICE_TIME
 }
 
 #[cfg(test)]
--- a/crates/ebonyfork/src/gateway/policy/cold/notice_tests.rs
+++ b/crates/ebonyfork/src/gateway/policy/cold/notice_tests.rs
@@ -9,14 +9,15 @@
     expect_that!(is_notice_due(true, remaining), eq(false));
     expect_that!(is_notice_due(false, Duration::ZERO), eq(false));
     expect_that!(is_notice_due(true, Duration::ZERO), eq(false));
+    expect_that!(is_notice_due(false, Duration::from_millis(3)), eq(false));
 }
 
 #[gtest]
 fn a_notice_holds_for_a_limited_time() {
     let report = ColdReport::new("s", "i-1", Duration::MAX);
-    expect_that!(report.assumed_time(), eq(MAX_NOTICE_TIME));
+    expect_that!(report.assumed_time(), some(eq(MAX_NOTICE_TIME)));
     let report = ColdReport::new("s", "i-1", Duration::from_secs(3));
-    expect_that!(report.assumed_time(), eq(Duration::from_secs(3)));
+    expect_that!(report.assumed_time(), some(eq(Duration::from_secs(3))));
 }
 
 #[gtest]
