--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -13,7 +13,7 @@
 use compact_str::{CompactString, format_compact};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -124,6 +124,7 @@
     /// Ends the VM's links when it is cancelled.
     link_cancellation: CancellationToken,
     tasks: JoinSet<()>,
+    follower: AbortHandle,
 }
 
 impl FollowVm {
@@ -296,7 +297,7 @@
         tasks.spawn_local(accept_links(pool.clone(), listener));
         tasks.spawn_local(follow_links(Rc::clone(&core), events));
         tasks.spawn_local(expire_regularly(Rc::clone(&core)));
-        tasks.spawn_local(follow_store(
+        let follower = tasks.spawn_local(follow_store(
             Rc::clone(&core),
             self.store.port(number, self.links.clone()),
             seeds,
@@ -311,6 +312,7 @@
             links: self.links.clone(),
             link_cancellation,
             tasks,
+            follower,
         }
     }
 
@@ -345,6 +347,38 @@
         self.vms.insert(index, vm);
     }
 
+    /// Ends the tasks of all VMs that follow the store.
+    pub fn end_followers(&self) {
+        for vm in &self.vms {
+            vm.follower.abort();
+        }
+    }
+
+    /// Returns how many VMs callers may use, after two observations.
+    pub fn fit_count(&self) -> usize {
+        let is_fit = |vm: &&FollowVm| {
+            vm.core.watch_copy(crate::gateway::clock::now());
+            vm.core.watch_copy(crate::gateway::clock::now());
+            vm.core.is_ready()
+        };
+        self.vms.iter().filter(is_fit).count()
+    }
+
+    /// Ends the task of a VM that follows the store and starts it again, as the supervisor does.
+    pub fn restart_follower(&mut self, index: usize) {
+        let (seeds, _receiver) = watch::channel(Arc::default());
+        let vm = &mut self.vms[index];
+        vm.follower.abort();
+        let address = vm_address(vm.number);
+        vm.follower = vm.tasks.spawn_local(follow_store(
+            Rc::clone(&vm.core),
+            self.store.port(vm.number, self.links.clone()),
+            seeds,
+            self.members.subscribe(),
+            (address, vm.zone.clone()),
+        ));
+    }
+
     /// Sets the outcome of all VMs' calls to the store.
     pub fn set_reach(&self, reach: StoreReach) {
         for vm in &self.vms {
--- a/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/large_config_tests.rs
@@ -229,3 +229,42 @@
 async fn large_configurations_survive_store_restores() {
     run_slow_link_histories(100..106, true).await;
 }
+
+/// Guards against a follower of another VM whose task is restarted while a change is being sent to it: the source goes on
+/// with the transfer that nobody receives any more.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_follower_that_restarts_during_a_transfer_is_soon_whole() {
+    let test = async {
+        for (rate, wait) in [
+            (20_000.0, 0.5),
+            (20_000.0, 1.0),
+            (20_000.0, 1.5),
+            (20_000.0, 2.0),
+            (60_000.0, 0.5),
+        ] {
+            for is_restarted in [false, true] {
+                let mut fleet = slow_fleet(3).await;
+                fleet.put_routes(1, 50);
+                sleep_seconds(6.0).await;
+                let reader = fleet.reader_index("a");
+                let index = (reader + 1) % 3;
+                let number = fleet.vms[index].number;
+                fleet.set_link_rate(number, rate);
+                fleet.put_routes(2, 2_850);
+                sleep_seconds(wait).await;
+                if is_restarted {
+                    fleet.restart_follower(index);
+                }
+                fleet.set_link_rate(number, SLOW_LINK_BYTES_PER_SECOND);
+                let times = times_to_version(&fleet, 2).await;
+                expect_that!(
+                    times[index],
+                    some(lt(Duration::from_secs(1))),
+                    "{is_restarted}"
+                );
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/follow/mod.rs
+++ b/crates/ebonyfork/src/gateway/follow/mod.rs
@@ -82,6 +82,7 @@
     }
     let follower = StoreFollower {
         is_rereading: earlier_runs > 0,
+        has_earlier_run: earlier_runs > 0,
         applier,
         members,
         own_vm,
@@ -120,6 +121,8 @@
     polls: PendingPolls,
     /// Whether the next watch of the store begins with a full read.
     is_rereading: bool,
+    /// Whether an earlier run of the task may have followed the VM that is followed next.
+    has_earlier_run: bool,
     /// Whether the last log line about the copy's age states that the copy is stale.
     is_logged_as_stale: bool,
     /// Messages from followed VMs, each with its sender.
@@ -331,6 +334,11 @@
     /// Follows another VM until it fails as a source or another source is preferred.
     async fn follow_vm(&mut self, vm: VmAddress) {
         while self.messages.try_recv().is_ok() {}
+        if std::mem::take(&mut self.has_earlier_run) {
+            // The VM may still be sending a change to the earlier run.
+            let leave_message = PeerMessage::Mirror(MirrorMessage::Leave);
+            self.core.delegates.send_message(vm, leave_message);
+        }
         let polls = std::mem::take(&mut self.polls).reset();
         let received_bytes = self.core.delegates.received_bytes(vm);
         let mut following = VmFollowing::new(vm, received_bytes, polls);
