Readiness: a follower that has ended is no evidence that others are better off

One cause may end the task that follows the store on every VM; then all of them left, and a stale but working tier became an outage: 0 of 6 VMs were ready. A VM leaves now if others have also had a newer configuration for longer than a change may take. The copy's age stays in the log and the gauges, and the supervisor restarts the task.

--- a/crates/ebonyfork/src/gateway/follow/follow_tests.rs
+++ b/crates/ebonyfork/src/gateway/follow/follow_tests.rs
@@ -312,3 +312,29 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against one cause that ends the task that follows the store on every VM, and takes the whole fleet out.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn followers_that_end_everywhere_leave_vms_for_callers() {
+    let test = async {
+        let mut fleet = FollowFleet::start(&["a", "b", "c", "a", "b", "c"]).await;
+        fleet.put_routes(1, 50);
+        sleep_seconds(6.0).await;
+        expect_that!(fleet.fit_count(), eq(6));
+        fleet.end_followers();
+        sleep_seconds(10.0).await;
+        expect_that!(fleet.fit_count(), gt(0), "all ended");
+        for _ in 0..3 {
+            for index in 0..6 {
+                // The run ends before its first read is answered, as at an entry that the adapter can't survive.
+                fleet.restart_follower(index);
+            }
+            sleep_seconds(0.002).await;
+            expect_that!(fleet.fit_count(), gt(0), "restarted");
+            fleet.end_followers();
+            sleep_seconds(2.0).await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/ebonyfork/src/gateway/policy/readiness.rs
+++ b/crates/ebonyfork/src/gateway/policy/readiness.rs
@@ -4,7 +4,9 @@
 //! An old copy alone is no reason: while the store is away, the copies of all VMs grow old together, and sending callers
 //! away everywhere would be an outage. So there has to be evidence that this VM alone is behind:
 //!
-//! - The task that follows the store has ended, has not confirmed the copy since it was started again, or stands still.
+//! - The task that follows the store has ended, has not confirmed the copy since it was started again, or stands still, and
+//!   others have had a newer configuration for longer than a change may take. The task alone is no evidence: one cause may end
+//!   it on all VMs.
 //! - Other VMs have had a newer configuration in force for longer than a change may take, and the store is not known to be
 //!   away, or the newer configuration was announced so long after this VM's last confirmation that the others must have read
 //!   it from the store since.
@@ -108,7 +110,7 @@
             FollowerState::Stalled | FollowerState::Ended => false,
         };
         if !is_following {
-            return Some(UnfitReason::NotFollowing);
+            return is_behind.then_some(UnfitReason::NotFollowing);
         }
         let are_others_reading = !self.is_store_failing || self.is_news_later(bound);
         let is_old = self.copy_age >= bound * MIN_BEHIND_AGE_FACTOR;
