Known red: a configuration that a source could not read stays at the VMs that follow it

Found by the review, by a test on the copy. The value that an unreadable configuration is replaced by has the true revision, and a value at a known revision is never replaced.

--- a/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
+++ b/crates/ebonyfork/src/gateway/mirror/copy_tests.rs
@@ -430,3 +430,24 @@
         MirrorStep::Pause(_pause) => None,
     }
 }
+
+/// Guards against a value that a source of another release could not read and passed on as unreadable: the store has the
+/// readable one at the same revision.
+#[gtest]
+fn a_value_that_a_source_could_not_read_is_replaced_by_that_of_the_store() {
+    let mut copy = StoreCopy::default();
+    let unreadable = [item(
+        "config",
+        r#"{"apiKeysUnreadable":"a field has another type"}"#,
+        5,
+    )];
+    expect_that!(copy.apply(full_copy(&unreadable, 5)).events.len(), eq(1));
+    let readable = [item("config", "5", 5)];
+    for revision in [5, 6] {
+        copy.apply(full_copy(&readable, revision));
+    }
+    expect_that!(
+        copy.get("config").unwrap().value.as_ref(),
+        eq(b"5".as_slice())
+    );
+}
