--- a/crates/ebonyfork-lab/src/soak/judge_moves_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_moves_tests.rs
@@ -84,7 +84,7 @@
     expect_that!(all.iter().filter(|places| !is_one(places)).count(), gt(5));
 }
 
-/// The incident's rule CONFIG: every VM went on serving by a version long replaced.
+/// Guards against VMs that go on serving by a version that was replaced long ago.
 #[gtest]
 fn a_service_that_only_a_replaced_version_names_is_found() {
     let begin = Instant::now();
--- a/crates/ebonyfork-lab/src/soak/judge_starved_tests.rs
+++ b/crates/ebonyfork-lab/src/soak/judge_starved_tests.rs
@@ -154,7 +154,7 @@
     expect_that!(mixed.judge(), eq(""));
 }
 
-/// The incident's rule STARVED: some callers were never served while others were.
+/// Guards against callers that are never served while others are.
 #[gtest]
 fn what_a_vm_never_serves_is_found() {
     let at = |probe: &ProbeRecord| probe.call.vm.ip() == vm(1);
