Settings: memory and descriptors of the VM

The processes did not know what their VM has, so nothing could be limited by it. Nothing follows from them yet.

--- a/crates/ebonyfork/src/gateway/fixture.rs
+++ b/crates/ebonyfork/src/gateway/fixture.rs
@@ -72,6 +72,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     GatewaySettings {
         place: place(),
+        capacity: crate::intake::VmCapacity::default(),
         listen: ListenAddresses {
             caller_address: address,
             ready_address: address,
--- a/crates/ebonyfork/src/gateway/settings.rs
+++ b/crates/ebonyfork/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use crate::gateway::policy::cold::ColdBound;
 use crate::gateway::policy::quota::QuotaBound;
 use crate::ini::{IniDocument, IniSection, SectionReader};
+use crate::intake::VmCapacity;
 use crate::settings::LogSettings;
 use crate::stated::{MAX_STATED_CORES, MAX_STATED_TIME};
 
@@ -88,6 +89,8 @@
 pub struct GatewaySettings {
     /// Location and capacity of the VM.
     pub place: NodePlace,
+    /// Memory and descriptors of the VM.
+    pub capacity: VmCapacity,
     /// Addresses on which the process listens.
     pub listen: ListenAddresses,
     /// Address of the store.
@@ -119,8 +122,9 @@
 /// Shortest bound that can be met: within it, a VM that loses its source must notice and ask another one.
 const MIN_CHANGE_BOUND: Duration = Duration::from_secs(1);
 
-const SECTIONS: [&str; 7] = [
+const SECTIONS: [&str; 8] = [
     "node",
+    "limits",
     "listen",
     "zones",
     "store",
@@ -162,6 +166,7 @@
 
 fn read_settings(document: &IniDocument, findings: &mut FindingList) -> Option<GatewaySettings> {
     let place = read_place(document, findings);
+    let capacity = VmCapacity::read(document, findings);
     let listen = read_listen(document, findings);
     let store = read_store(document, findings);
     let bounds = read_bounds(document, findings);
@@ -170,6 +175,7 @@
     let bounds = bounds?;
     Some(GatewaySettings {
         place: place?,
+        capacity,
         listen: listen?,
         store: store?,
         grace: bounds.grace,
--- a/crates/ebonyfork/src/lib.rs
+++ b/crates/ebonyfork/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http_link;
 pub mod ident;
 pub mod ini;
+pub mod intake;
 pub mod lifecycle;
 pub mod locate;
 pub mod membership;
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -12,6 +12,7 @@
 use crate::finding::FindingList;
 use crate::ident::{VmAddress, ZoneName};
 use crate::ini::{IniDocument, SectionReader};
+use crate::intake::VmCapacity;
 use crate::quantity::TimeSpan;
 
 /// Which VMs hold the connections to an upstream.
@@ -151,6 +152,8 @@
     pub vm: VmAddress,
     /// Availability zone of this VM.
     pub zone: ZoneName,
+    /// Memory and descriptors of this VM.
+    pub capacity: VmCapacity,
     /// TCP port for callers; the same on every VM of the deployment.
     pub caller_port: u16,
     /// TCP and UDP port for messages between VMs; the same on every VM.
@@ -175,7 +178,14 @@
 pub const DEFAULT_LOCATE_TTL: Duration = Duration::from_secs(5);
 
 /// Sections of a settings file.
-const KNOWN_SECTIONS: [&str; 5] = ["node", "platform", "locate", "log", "experiment"];
+const KNOWN_SECTIONS: [&str; 6] = [
+    "node",
+    "limits",
+    "platform",
+    "locate",
+    "log",
+    "experiment",
+];
 /// Values of a key that switches something on or off.
 const ON_OFF: [(&str, bool); 2] = [("on", true), ("off", false)];
 
@@ -186,6 +196,7 @@
         Self {
             vm,
             zone,
+            capacity: VmCapacity::default(),
             caller_port,
             peer_port,
             operator_port,
@@ -246,6 +257,7 @@
 impl SettingsReader {
     fn read(document: &IniDocument, findings: &mut FindingList) -> Option<NodeSettings> {
         let node = Self::read_node(document, findings);
+        let capacity = VmCapacity::read(document, findings);
         let platform = Self::read_platform(document, findings);
         let locate_ttl = Self::read_locate(document, findings);
         let log = LogSettings::read(document, findings);
@@ -254,6 +266,7 @@
         let (platform, platform_timeout) = platform?;
         let settings = NodeSettings::new(vm, zone, ports, platform);
         Some(NodeSettings {
+            capacity,
             platform_timeout,
             locate_ttl,
             log,
