Callers: a budget for connections and bodies, from the VM's memory and descriptors

What callers saw: a crowd that sends bodies of legal size and stops short of their end ended the process (out of memory), or took all descriptors, after which nobody was answered.

Cause: each body was limited, their sum was not; a frame of one byte kept the read buffer it came in; joining the frames copied each body once more; connections were not limited at all, and the kernel's receive buffers were as large as it liked.

Change: connections, their memory and the memory of bodies are budgets of the VM.

--- a/crates/ebonyfork/src/gateway/core.rs
+++ b/crates/ebonyfork/src/gateway/core.rs
@@ -25,6 +25,7 @@
 use crate::gateway::policy::answer_lag::AnswerLag;
 use crate::gateway::policy::budget::LeasedRetryBudget;
 use crate::gateway::policy::hopeless::ReturnSpread;
+use crate::gateway::policy::intake::IntakeBudget;
 use crate::gateway::policy::route_latency::RouteLatency;
 use crate::gateway::policy::shutdown::ShutdownCut;
 use crate::gateway::quota::QuotaDesk;
@@ -39,6 +40,7 @@
 use crate::gateway::vms::{HostNeeds, VmDirectory};
 use crate::gateway::weights::WeightedRoundRobin;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress};
+use crate::intake::IntakeTable;
 use crate::quarantine::QuarantineHandle;
 use crate::store::StoreEra;
 
@@ -119,6 +121,8 @@
     shutdown_cut: watch::Sender<ShutdownCut>,
     /// Requests in flight, each until its answer has been passed to the kernel.
     pub in_flight: InFlightCount,
+    /// What callers hold, and the budget for it.
+    pub intake: IntakeTable,
     /// Open connections of callers and of control calls.
     pub connections: ConnectionDrain,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -172,6 +176,10 @@
             state: Rc::new(Cell::new(ServiceState::Serving)),
             shutdown_cut: watch::Sender::default(),
             in_flight: InFlightCount::default(),
+            intake: IntakeTable::new(IntakeBudget::new(
+                settings.capacity.memory_bytes,
+                settings.capacity.descriptors,
+            )),
             connections: ConnectionDrain::default(),
             table: RefCell::default(),
             latencies: RefCell::default(),
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -10,7 +10,6 @@
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Request, Version};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,6 +23,7 @@
 use crate::gateway::http_server::log_accept_error;
 use crate::gateway::metrics::OutcomeLabel;
 use crate::gateway::organisation::OrganisationEntry;
+use crate::gateway::policy::intake::IntakePhase;
 use crate::gateway::policy::quota::TokenRequest;
 use crate::gateway::quota::TokenNeed;
 use crate::gateway::refusal::RefusalReason;
@@ -33,6 +33,7 @@
 use crate::gateway::route_check::check_route;
 use crate::gateway::run::{RunReport, RunTarget, run_request};
 use crate::gateway::stream_activity::{ActivityStream, AnswerDelivery, StreamActivity};
+use crate::intake::{BodyError, IntakeSlot, connection_bytes, receive_body};
 use crate::quarantine::QuarantineStatus;
 use crate::stated::MAX_STATED_TIME;
 
@@ -52,7 +53,11 @@
         };
         match accept_result {
             Ok((stream, _peer)) => {
-                tokio::task::spawn_local(serve_stream(Rc::clone(&core), stream));
+                let base_bytes = connection_bytes(head_buffer_bytes(&core));
+                // A connection that finds no room is closed before anything of it is read.
+                if let Some(slot) = core.intake.admit(base_bytes).await {
+                    tokio::task::spawn_local(serve_stream(Rc::clone(&core), stream, slot));
+                }
             }
             Err(error) => log_accept_error(&error).await,
         }
@@ -70,15 +75,21 @@
     UnreadAnswer,
 }
 
-async fn serve_stream(core: Rc<GatewayCore>, stream: TcpStream) {
+/// Returns the size of the buffer for a request head under the configuration in force, in bytes.
+fn head_buffer_bytes(core: &GatewayCore) -> usize {
+    let limits = core.table().map(|table| table.limits());
+    let max_head_bytes = limits.map_or(DEFAULT_HEAD_BUFFER_BYTES, |limits| limits.header_bytes);
+    max_head_bytes.max(MIN_HEAD_BUFFER_BYTES)
+}
+
+async fn serve_stream(core: Rc<GatewayCore>, stream: TcpStream, slot: IntakeSlot) {
     let _open = core.connections.enter();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller connection: {error}");
         return;
     }
-    let limits = core.table().map(|table| table.limits());
-    let max_head_bytes = limits.map_or(DEFAULT_HEAD_BUFFER_BYTES, |limits| limits.header_bytes);
     let activity = Rc::new(StreamActivity {
+        slot,
         distance: CallerDistance::measure(&stream),
         awaits_first_request: Cell::new(true),
         is_answering: Cell::new(false),
@@ -109,7 +120,9 @@
                     .distance
                     .for_request(activity.awaits_first_request.replace(false));
                 let in_flight = core.in_flight.enter();
-                let (mut reply, decided_at) = answer(&core, request, caller_overhead).await;
+                activity.slot.enter_phase(IntakePhase::Running, now());
+                let (mut reply, decided_at) =
+                    answer(&core, request, caller_overhead, &activity).await;
                 activity.decided_at.set(decided_at);
                 activity.read_by.set(reply.body().read_by());
                 let delivery = AnswerDelivery::new(in_flight, &activity);
@@ -122,10 +135,12 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(max_head_bytes.max(MIN_HEAD_BUFFER_BYTES));
+        .max_buf_size(head_buffer_bytes(&core));
     let stream = ActivityStream::new(stream, Rc::clone(&activity));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let yielding = activity.slot.close_requested();
+    tokio::pin!(yielding);
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -139,6 +154,10 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = &mut yielding => {
+                activity.is_cut.set(activity.is_answering.get());
+                return;
+            }
             close_reason = wait_for_close_reason(&core, &activity) => match close_reason {
                 CloseReason::Idle => connection.as_mut().graceful_shutdown(),
                 CloseReason::SlowHead => {
@@ -161,6 +180,12 @@
     const TIMEOUT_CHECK_PERIOD: Duration = Duration::from_secs(1);
     loop {
         tokio::time::sleep(TIMEOUT_CHECK_PERIOD).await;
+        let limits = core.table().map(|table| table.limits());
+        let (header_timeout, idle_timeout) = limits
+            .map_or((DEFAULT_TIMEOUT, DEFAULT_TIMEOUT), |limits| {
+                (limits.header_timeout, limits.idle_timeout)
+            });
+        let elapsed = |since: Instant| now().saturating_duration_since(since);
         if activity.is_answering.get() {
             let read_by = activity.read_by.get();
             if read_by.is_some_and(|read_by| now() > read_by) {
@@ -168,12 +193,6 @@
             }
             continue;
         }
-        let limits = core.table().map(|table| table.limits());
-        let (header_timeout, idle_timeout) = limits
-            .map_or((DEFAULT_TIMEOUT, DEFAULT_TIMEOUT), |limits| {
-                (limits.header_timeout, limits.idle_timeout)
-            });
-        let elapsed = |since: Instant| now().saturating_duration_since(since);
         if activity
             .head_started
             .get()
@@ -192,9 +211,11 @@
     core: &Rc<GatewayCore>,
     request: Request<Incoming>,
     caller_overhead: CallerOverhead,
+    activity: &StreamActivity,
 ) -> (CallerReply, Option<Instant>) {
     let received = now();
     let (parts, body) = request.into_parts();
+    let body = ArrivingBody { body, activity };
     let mut request_log = RequestLog::new(core, &parts, received);
     let report = match handle(
         core,
@@ -286,7 +307,7 @@
 async fn prepare(
     core: &Rc<GatewayCore>,
     parts: Parts,
-    body: Incoming,
+    body: ArrivingBody<'_>,
     (received, caller_overhead): (Instant, CallerOverhead),
     request_log: &mut RequestLog,
 ) -> Result<PreparedRequest, RefusalReason> {
@@ -362,7 +383,7 @@
 async fn handle(
     core: &Rc<GatewayCore>,
     parts: Parts,
-    body: Incoming,
+    body: ArrivingBody<'_>,
     arrival: (Instant, CallerOverhead),
     request_log: &mut RequestLog,
 ) -> Result<RunReport, RefusalReason> {
@@ -459,26 +480,31 @@
     Some(Duration::from_secs_f64(seconds))
 }
 
-async fn read_body(
+/// Body of a request that is still arriving.
+struct ArrivingBody<'a> {
     body: Incoming,
+    activity: &'a StreamActivity,
+}
+
+async fn read_body(
+    ArrivingBody { body, activity }: ArrivingBody<'_>,
     max_bytes: usize,
     finish_by: Instant,
 ) -> Result<Bytes, RefusalReason> {
-    let body_future = Limited::new(body, max_bytes).collect();
+    let body_future = receive_body(&activity.slot, body, max_bytes);
     let finish_by = tokio::time::Instant::from_std(finish_by);
     let Ok(result) = tokio::time::timeout_at(finish_by, body_future).await else {
         return Err(RefusalReason::LateUnsent);
     };
-    match result {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(RefusalReason::TooLarge)
-        }
-        Err(error) => {
+    let bytes = result.map_err(|error| match error {
+        BodyError::TooLarge => RefusalReason::TooLarge,
+        BodyError::Full => RefusalReason::Overloaded,
+        BodyError::Broken(error) => {
             log::debug!("caller body not received: {error}");
-            Err(RefusalReason::Malformed)
+            RefusalReason::Malformed
         }
-    }
+    })?;
+    Ok(bytes)
 }
 
 fn select_target(core: &GatewayCore, route: &RouteEntry) -> Result<RunTarget, RefusalReason> {
--- a/crates/ebonyfork/src/gateway/mod.rs
+++ b/crates/ebonyfork/src/gateway/mod.rs
@@ -103,6 +103,9 @@
 pub use policy::cold::{ColdBound, ColdMessage, ColdReport, RequestRate, SendWindow};
 pub use policy::gather::{GatherEnd, GatherState};
 pub use policy::homes::HomeRegions;
+pub use policy::intake::{
+    IntakeBudget, IntakeHolding, IntakePhase, ScarceResource, choose_yielding,
+};
 pub use policy::latency::{AttemptKind, LatencyHistogram};
 pub use policy::load_report::{LoadReport, LoadReportError};
 pub use policy::quota::{
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -34,6 +34,7 @@
 use crate::gateway::supervisor::{TaskAborter, TaskFailure, TaskSupervisor};
 use crate::gateway::tasks::TaskName;
 use crate::ident::{SessionId, VmAddress, ZoneName};
+use crate::intake::open_listener;
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::store::{LeaseId, StorePort};
 use crate::wire::{LinkEvent, PeerPool};
@@ -88,16 +89,16 @@
         port: P,
     ) -> Result<Self, GatewayError> {
         let listen = settings.listen;
-        let caller = bind("caller", listen.caller_address).await?;
-        let ready = bind("ready", listen.ready_address).await?;
-        let directory = bind("directory", listen.directory_address).await?;
-        let metrics = bind("metrics", listen.metrics_address).await?;
+        let caller = bind("caller", listen.caller_address)?;
+        let ready = bind("ready", listen.ready_address)?;
+        let directory = bind("directory", listen.directory_address)?;
+        let metrics = bind("metrics", listen.metrics_address)?;
         let peer_address = SocketAddr::new(settings.place.address, listen.peer_port);
         let gossip_socket = UdpSocket::bind(peer_address).await.context(BindSnafu {
             role: "peer",
             address: peer_address,
         })?;
-        let peer = bind("peer", peer_address).await?;
+        let peer = bind("peer", peer_address)?;
         let core = Rc::new(GatewayCore::new(settings, dialect));
         let session = core.session;
         let stop_token = CancellationToken::new();
@@ -107,6 +108,9 @@
         let membership = MemberHandle::start(member_settings(&core, session), gossip_socket, seeds);
         let mut registry = Registry::default();
         core.metrics.register(&mut registry);
+        core.intake
+            .metrics()
+            .register(registry.sub_registry_with_prefix("ebonyfork_gateway"));
         core.quarantine.register(&mut registry);
         membership.register(&mut registry);
         let registration = Rc::new(VmRegistration::new(Rc::clone(&core), port.clone()));
@@ -243,8 +247,8 @@
 }
 
 /// Opens a listener that all runs of a task share, so that connections are not refused between two runs.
-async fn bind(role: &'static str, address: SocketAddr) -> Result<Rc<TcpListener>, GatewayError> {
-    let listener = TcpListener::bind(address).await;
+fn bind(role: &'static str, address: SocketAddr) -> Result<Rc<TcpListener>, GatewayError> {
+    let listener = open_listener(address);
     listener.map(Rc::new).context(BindSnafu { role, address })
 }
 
--- a/crates/ebonyfork/src/gateway/policy/mod.rs
+++ b/crates/ebonyfork/src/gateway/policy/mod.rs
@@ -9,6 +9,7 @@
 //! | --- | --- | --- |
 //! | where a request may be served | [`homes`] | routes that are limited to regions, and limits that change while in use |
 //! | which VMs take requests | [`serving`] | hundreds of VMs, each of which would see too few requests to know upstreams and callers |
+//! | what callers may hold, and which connection gives way when they hold all of it | [`intake`] | crowds that stop just short of the end of heads or bodies, or don't read their answers |
 //! | which upstream gets a shard | [`choice`] | half of a service's upstreams decline requests while the others have capacity |
 //! | how an upstream performs | [`health`], [`latency`], [`route_latency`], [`load_report`] | pauses, slow phases, crashes, cold starts, other load on the upstream's machine |
 //! | what the VMs of a zone tell each other of an upstream's speed | [`speed_advice`] | upstreams that turn slow for 600 ms, VMs that each see a part of the requests |
@@ -39,6 +40,7 @@
 pub mod hedge;
 pub mod homes;
 pub mod hopeless;
+pub mod intake;
 pub mod latency;
 pub mod load_report;
 pub mod postpone;
--- a/crates/ebonyfork/src/gateway/refusal.rs
+++ b/crates/ebonyfork/src/gateway/refusal.rs
@@ -17,6 +17,8 @@
     QuotaUnknown,
     /// No route matches.
     NoRoute,
+    /// Other callers hold the memory for bodies.
+    Overloaded,
     /// The body exceeds the limit.
     TooLarge,
     /// The head exceeds the limit.
@@ -59,6 +61,7 @@
             Self::NoConfig
             | Self::OldConfig
             | Self::Stopping
+            | Self::Overloaded
             | Self::Quarantined
             | Self::NoUpstream
             | Self::Hopeless(_)
@@ -78,6 +81,7 @@
             Self::OverQuota(_) => "over-quota",
             Self::QuotaUnknown => "quota-unknown",
             Self::NoRoute => "no-route",
+            Self::Overloaded => "overloaded",
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
             Self::NoConfig => "no-config",
@@ -100,8 +104,10 @@
             Self::Stopping => Some(Duration::ZERO),
             // The store answers within milliseconds while it is available.
             Self::NoConfig | Self::OldConfig => Some(Duration::from_millis(300)),
-            // An upstream's queue drains within a few service times.
-            Self::NoUpstream | Self::LateUnsent => Some(Duration::from_millis(100)),
+            // An upstream's queue drains within a few service times, as do the bodies of ordinary callers.
+            Self::NoUpstream | Self::LateUnsent | Self::Overloaded => {
+                Some(Duration::from_millis(100))
+            }
             // Operators end an evacuation, or upstreams start, within seconds at best.
             Self::NotAtHome => Some(Duration::from_secs(1)),
             Self::Quarantined => Some(Duration::from_mins(1)),
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -18,10 +18,14 @@
 use crate::gateway::core::ServiceState;
 use crate::gateway::flight::InFlightGuard;
 use crate::gateway::policy::answer_lag::AnswerLag;
+use crate::gateway::policy::intake::IntakePhase;
+use crate::intake::IntakeSlot;
 
 /// State of a caller's connection: whether it is idle, and the progress of its current request and answer.
 #[derive(Debug)]
 pub(super) struct StreamActivity {
+    /// Place of the connection in the budget for callers.
+    pub(super) slot: IntakeSlot,
     /// Network distance of the caller.
     pub(super) distance: CallerDistance,
     /// Whether no request has been received yet.
@@ -83,7 +87,9 @@
     /// Records that bytes have been received.
     pub(super) fn record_read(&self) {
         if !self.is_answering.get() && self.head_started.get().is_none() {
-            self.head_started.set(Some(now()));
+            let time = now();
+            self.head_started.set(Some(time));
+            self.slot.enter_phase(IntakePhase::Head, time);
         }
     }
 
@@ -95,7 +101,9 @@
         }
         unwritten.clear();
         self.is_answering.set(false);
-        self.idle_since.set(now());
+        let time = now();
+        self.idle_since.set(time);
+        self.slot.finish_answer(time);
     }
 
     /// Records that bytes of an answer have been passed to the kernel.
--- a/crates/ebonyfork/src/settings/mod.rs
+++ b/crates/ebonyfork/src/settings/mod.rs
@@ -178,14 +178,7 @@
 pub const DEFAULT_LOCATE_TTL: Duration = Duration::from_secs(5);
 
 /// Sections of a settings file.
-const KNOWN_SECTIONS: [&str; 6] = [
-    "node",
-    "limits",
-    "platform",
-    "locate",
-    "log",
-    "experiment",
-];
+const KNOWN_SECTIONS: [&str; 6] = ["node", "limits", "platform", "locate", "log", "experiment"];
 /// Values of a key that switches something on or off.
 const ON_OFF: [(&str, bool); 2] = [("on", true), ("off", false)];
 
