Callers: a refusal reaches a caller that is still sending

What callers saw: a caller whose request is refused before its body was received (404, 413, 503) got a reset instead of the answer, and could not know that nothing ran.

Cause: the connection was closed with unread bytes, which resets it; the reset takes the unread answer with it.

--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Request, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -99,6 +99,7 @@
         read_by: Cell::new(None),
         is_cut: Cell::new(false),
         is_http_10: Cell::new(false),
+        is_body_unread: Cell::new(false),
         answer_lag: Rc::clone(&core.answer_lag),
         unwritten: RefCell::default(),
         state: core.shared_state(),
@@ -215,6 +216,7 @@
 ) -> (CallerReply, Option<Instant>) {
     let received = now();
     let (parts, body) = request.into_parts();
+    activity.is_body_unread.set(!body.is_end_stream());
     let body = ArrivingBody { body, activity };
     let mut request_log = RequestLog::new(core, &parts, received);
     let report = match handle(
@@ -504,6 +506,7 @@
             RefusalReason::Malformed
         }
     })?;
+    activity.is_body_unread.set(false);
     Ok(bytes)
 }
 
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -19,7 +19,7 @@
 use crate::gateway::flight::InFlightGuard;
 use crate::gateway::policy::answer_lag::AnswerLag;
 use crate::gateway::policy::intake::IntakePhase;
-use crate::intake::IntakeSlot;
+use crate::intake::{IntakeSlot, LingerRead};
 
 /// State of a caller's connection: whether it is idle, and the progress of its current request and answer.
 #[derive(Debug)]
@@ -45,6 +45,8 @@
     pub(super) is_cut: Cell<bool>,
     /// Whether the last request was one of HTTP/1.0.
     pub(super) is_http_10: Cell<bool>,
+    /// Whether the body of the last request was not received to its end.
+    pub(super) is_body_unread: Cell<bool>,
     /// Delays of this process between deciding on an answer and writing it.
     pub(super) answer_lag: Rc<RefCell<AnswerLag>>,
     /// Requests whose answers the HTTP library has taken and not yet passed to the kernel completely.
@@ -122,6 +124,7 @@
 pub(super) struct ActivityStream {
     stream: TcpStream,
     activity: Rc<StreamActivity>,
+    linger_read: LingerRead,
     delivery_wait: DeliveryWait,
 }
 
@@ -131,6 +134,7 @@
         Self {
             stream,
             activity,
+            linger_read: LingerRead::default(),
             delivery_wait: DeliveryWait::default(),
         }
     }
@@ -199,7 +203,8 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Ends the sending direction. A process that is about to stop also waits until the caller has received everything.
+    /// Ends the sending direction, and reads on for a while if the caller is still sending a refused body. A process that is
+    /// about to stop also waits until the caller has received everything.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = &mut *self;
         if stream.activity.is_cut.get() && stream.activity.is_http_10.get() {
@@ -208,6 +213,14 @@
         }
         ready!(Pin::new(&mut stream.stream).poll_shutdown(cx))?;
         if stream.activity.state.get() == ServiceState::Serving {
+            if stream.activity.is_body_unread.get() {
+                if !stream.linger_read.has_begun() {
+                    let slot = &stream.activity.slot;
+                    slot.enter_phase(IntakePhase::Closing, now());
+                }
+                let socket = Pin::new(&mut stream.stream);
+                ready!(stream.linger_read.poll_end(socket, cx));
+            }
             return Poll::Ready(Ok(()));
         }
         let delivered = stream.delivery_wait.poll_delivered(&stream.stream, cx);
--- a/crates/ebonyfork/src/intake/mod.rs
+++ b/crates/ebonyfork/src/intake/mod.rs
@@ -7,12 +7,14 @@
 
 mod body;
 mod capacity;
+mod linger;
 mod listener;
 mod metrics;
 mod table;
 
 pub use body::{BodyError, receive_body};
 pub use capacity::VmCapacity;
+pub use linger::LingerRead;
 pub use listener::{connection_bytes, open_listener};
 pub use metrics::IntakeMetrics;
 pub use table::{IntakeRefusal, IntakeSlot, IntakeTable};
--- a/crates/ebonyforkd/tests/crowd/bodies.rs
+++ b/crates/ebonyforkd/tests/crowd/bodies.rs
@@ -119,3 +119,27 @@
         crowd.leave().await;
     }
 }
+
+/// Guards against refusals that don't reach their callers: a connection that is closed with unread bytes is reset, and the
+/// answer is lost with it.
+#[gtest]
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let fixture = CrowdFixture::start("refusal", "127.231.0.8", SMALL_VM).await;
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(fixture.gateway.callers)
+            .await
+            .expect("a connection");
+        let head = "POST /none/1 HTTP/1.1\r\nhost: t.example\r\nrequest-id: refused\r\ncontent-length: 200000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        let body = vec![b'a'; 20_000];
+        for _ in 0..10 {
+            stream.write_all(&body).await.expect("sent");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let mut answer = vec![0; 1_024];
+        let read = stream.read(&mut answer).await.expect("an answer");
+        let answer = String::from_utf8_lossy(&answer[..read]);
+        expect_that!(answer.starts_with("HTTP/1.1 404"), eq(true), "{answer}");
+    }
+}
