Callers: answers that nobody reads are bounded, in memory and in time

What callers saw: nothing; but a caller that asked and never read kept its connection and up to 256 kB for good.

Cause: an answer that is buffered whole had no time by which it must be read, and the sum of such answers no limit.

Without any progress for the configuration's idle time, the connection closes.

--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -99,6 +99,7 @@
         read_by: Cell::new(None),
         is_cut: Cell::new(false),
         is_http_10: Cell::new(false),
+        unread_since: Cell::new(None),
         is_body_unread: Cell::new(false),
         answer_lag: Rc::clone(&core.answer_lag),
         unwritten: RefCell::default(),
@@ -126,6 +127,11 @@
                     answer(&core, request, caller_overhead, &activity).await;
                 activity.decided_at.set(decided_at);
                 activity.read_by.set(reply.body().read_by());
+                if let Some(bytes) = reply.body().whole_bytes() {
+                    let time = now();
+                    activity.unread_since.set(Some(time));
+                    activity.slot.hold_answer(bytes, time);
+                }
                 let delivery = AnswerDelivery::new(in_flight, &activity);
                 reply.body_mut().hold_delivery(delivery);
                 Ok::<_, Infallible>(reply)
@@ -189,7 +195,10 @@
         let elapsed = |since: Instant| now().saturating_duration_since(since);
         if activity.is_answering.get() {
             let read_by = activity.read_by.get();
-            if read_by.is_some_and(|read_by| now() > read_by) {
+            let unread_since = activity.unread_since.get();
+            if read_by.is_some_and(|read_by| now() > read_by)
+                || unread_since.is_some_and(|since| elapsed(since) > idle_timeout)
+            {
                 return CloseReason::UnreadAnswer;
             }
             continue;
--- a/crates/ebonyfork/src/gateway/reply_body.rs
+++ b/crates/ebonyfork/src/gateway/reply_body.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Returns the length of a body that is buffered whole, in bytes.
+    pub fn whole_bytes(&self) -> Option<usize> {
+        match &self.content {
+            BodyContent::Whole(bytes) => Some(bytes.len()),
+            BodyContent::Stream(_) => None,
+        }
+    }
+
     /// Returns the part of the body that has been buffered.
     pub fn buffered_part(&self) -> &Bytes {
         match &self.content {
--- a/crates/ebonyfork/src/gateway/stream_activity.rs
+++ b/crates/ebonyfork/src/gateway/stream_activity.rs
@@ -45,6 +45,8 @@
     pub(super) is_cut: Cell<bool>,
     /// Whether the last request was one of HTTP/1.0.
     pub(super) is_http_10: Cell<bool>,
+    /// Time since which the caller has read nothing of an answer that is buffered whole; `None` if there is none.
+    pub(super) unread_since: Cell<Option<Instant>>,
     /// Whether the body of the last request was not received to its end.
     pub(super) is_body_unread: Cell<bool>,
     /// Delays of this process between deciding on an answer and writing it.
@@ -103,6 +105,7 @@
         }
         unwritten.clear();
         self.is_answering.set(false);
+        self.unread_since.set(None);
         let time = now();
         self.idle_since.set(time);
         self.slot.finish_answer(time);
@@ -110,10 +113,14 @@
 
     /// Records that bytes of an answer have been passed to the kernel.
     pub(super) fn record_written(&self) {
+        let time = now();
+        if self.unread_since.get().is_some() {
+            self.unread_since.set(Some(time));
+            self.slot.record_answer_progress(time);
+        }
         let Some(decided_at) = self.decided_at.take() else {
             return;
         };
-        let time = now();
         let elapsed = time.saturating_duration_since(decided_at);
         self.answer_lag.borrow_mut().record_work(elapsed, time);
     }
--- a/crates/ebonyforkd/tests/crowd.rs
+++ b/crates/ebonyforkd/tests/crowd.rs
@@ -5,6 +5,8 @@
 //! The bounds are the capacity of the VM, never what a run has shown. The tests run one after the other: those of a crowd
 //! would slow one another down.
 
+#[path = "crowd/answers.rs"]
+mod answers;
 #[path = "crowd/bodies.rs"]
 mod bodies;
 #[path = "crowd/callers.rs"]
