Control listeners: connections and heads are bounded

What callers saw: connections to the listeners for readiness, look-ups and metrics, to which callers may open them, took the descriptors of all; then neither the platform's check nor any caller was answered.

Cause: these listeners had no limit on connections and the HTTP library's own on heads (400 kB).

Change: each has a budget of its own, with the decision of the callers' listener; heads have 8 KiB.

--- a/crates/ebonyfork/src/gateway/control.rs
+++ b/crates/ebonyfork/src/gateway/control.rs
@@ -18,6 +18,7 @@
 use crate::gateway::route::{RouteTable, RouteTarget};
 use crate::gateway::settings::NodePlace;
 use crate::gateway::vms::{HostNeeds, ZoneShares, zone_shares};
+use crate::intake::IntakeTable;
 
 /// How long a caller may cache a locate answer. Some callers keep it three times as long, so callers have left a
 /// stopping VM after 3 s, half of the stated grace time.
@@ -28,7 +29,8 @@
 /// Serves the control calls on a listener until connections are to close.
 pub async fn serve_control(core: Rc<GatewayCore>, listener: impl Borrow<TcpListener>) {
     let connections = core.connections.clone();
-    serve_http(listener, connections, move |request| {
+    let intake = IntakeTable::new(core.intake.budget().for_control());
+    serve_http(listener, connections, intake, move |request| {
         handle_call(&core, request)
     })
     .await;
--- a/crates/ebonyfork/src/gateway/status.rs
+++ b/crates/ebonyfork/src/gateway/status.rs
@@ -14,6 +14,7 @@
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::quota::QuotaQuery;
 use crate::gateway::reply::CallerReply;
+use crate::intake::IntakeTable;
 
 const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const JSON: &str = "application/json";
@@ -27,6 +28,7 @@
     listener: impl Borrow<TcpListener>,
 ) {
     let connections = core.connections.clone();
+    let intake = IntakeTable::new(core.intake.budget().for_control());
     let answer = move |method: &Method, uri: &Uri| match uri.path() {
         QUOTAS_PATH if method == Method::GET => encode_quotas(&core, uri),
         QUOTAS_PATH => status_reply(StatusCode::METHOD_NOT_ALLOWED),
@@ -35,7 +37,7 @@
             encode_metrics(&registry)
         }
     };
-    serve_http(listener, connections, move |request| {
+    serve_http(listener, connections, intake, move |request| {
         answer(request.method(), request.uri())
     })
     .await;
--- a/crates/ebonyforkd/tests/crowd/connections.rs
+++ b/crates/ebonyforkd/tests/crowd/connections.rs
@@ -25,3 +25,42 @@
     fixture.expect_whole("beside the crowd").await;
     crowd.leave().await;
 }
+
+/// Guards against connections to the listeners for control calls that take the descriptors of all.
+#[gtest]
+#[tokio::test]
+async fn connections_to_the_listeners_for_control_calls() {
+    let mut fixture = CrowdFixture::start("control", "127.231.0.34", NARROW_VM).await;
+    let gateway = &fixture.gateway;
+    let listeners = [gateway.ready, gateway.directory, gateway.metrics];
+    let mut crowds = Vec::new();
+    for listener in listeners {
+        for kind in [CallerKind::Idle, CallerKind::Head] {
+            crowds.push(CallerCrowd::gather(listener, CROWD, &[kind]).await);
+        }
+    }
+    for address in [fixture.gateway.ready, fixture.gateway.directory] {
+        let asking = async {
+            while !is_ready(address).await {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let asked = tokio::time::timeout(PATIENCE, asking).await;
+        expect_that!(asked.is_ok(), eq(true), "readiness at {address}");
+    }
+    fixture.expect_whole("beside the crowds").await;
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let asking = async {
+        let mut link = HttpLink::open(address, Duration::from_secs(1)).await.ok()?;
+        let request = Request::get("/v1/ready").header("host", "t.example");
+        let request = request.body(Full::default()).ok()?;
+        link.exchange(request, MAX_ANSWER).await.ok()
+    };
+    let asked = tokio::time::timeout(Duration::from_secs(10), asking).await;
+    asked
+        .ok()
+        .flatten()
+        .is_some_and(|answer| answer.status() == 200)
+}
--- a/crates/ebonyforkd/tests/crowd/process.rs
+++ b/crates/ebonyforkd/tests/crowd/process.rs
@@ -206,6 +206,9 @@
 pub struct GatewayProcess {
     process: MeasuredProcess,
     pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 impl GatewayProcess {
@@ -225,6 +228,9 @@
         Self {
             process: MeasuredProcess::start(program, name, address, &settings, vm),
             callers: at(7100),
+            ready: at(7101),
+            directory: at(7102),
+            metrics: at(7103),
         }
     }
 
