Peer port: links, and messages before they are complete, are bounded

What callers saw: whoever connects to the peer port could make the process take 2 MiB a connection within the second that a hello may take, and all descriptors.

Cause: the first frame could be as long as any, its buffer was reserved when its length arrived, and neither links nor the sum of incomplete frames had a limit.

Change: before a hello a frame has 256 bytes. Accepted links are a fifth of the descriptors; the one that has waited longest for a hello gives way, one that has said it never does. Incomplete frames above 16 KiB draw on a tenth of the memory before their buffer is reserved; shorter ones, as of queries and gossip, need none of it.

Open: complete messages of a peer that has said hello wait in a queue of 1,024, whatever their length.

--- a/crates/ebonyfork/src/gateway/follow/fixture.rs
+++ b/crates/ebonyfork/src/gateway/follow/fixture.rs
@@ -31,7 +31,7 @@
 use crate::gateway::vms::VmRecord;
 use crate::ident::{IncarnationNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberEntry, MemberSnapshot, MemberState};
-use crate::wire::PeerPool;
+use crate::wire::{PeerPool, PoolSettings};
 
 /// Address on which the processes of VMs listen if their links have a rate. The VM's own address then belongs to the
 /// proxy that limits the rate and forwards connections to the process.
@@ -291,7 +291,10 @@
         let core = Rc::new(GatewayCore::new(settings, text_dialect()));
         let session = SessionId::new(vm, IncarnationNumber(incarnation));
         let link_cancellation = CancellationToken::new();
-        let (pool, events) = open_links(session, self.peer_port, link_cancellation.clone());
+        let (pool, events) = open_links(
+            PoolSettings::new(session, self.peer_port),
+            link_cancellation.clone(),
+        );
         core.delegates.set_pool(pool.clone());
         let (seeds, _receiver) = watch::channel(Arc::default());
         tasks.spawn_local(accept_links(pool.clone(), listener));
--- a/crates/ebonyfork/src/gateway/node.rs
+++ b/crates/ebonyfork/src/gateway/node.rs
@@ -37,7 +37,7 @@
 use crate::intake::open_listener;
 use crate::membership::{MemberHandle, MemberSettings};
 use crate::store::{LeaseId, StorePort};
-use crate::wire::{LinkEvent, PeerPool};
+use crate::wire::{LinkEvent, PeerPool, PoolSettings};
 
 /// Callers keep a locate answer for up to this multiple of its time to live.
 const TTL_FACTOR: u32 = 3;
@@ -98,11 +98,18 @@
             role: "peer",
             address: peer_address,
         })?;
-        let peer = bind("peer", peer_address)?;
+        // Messages of other VMs are long, and their way may be, so the kernel's default buffers stay.
+        let peer = TcpListener::bind(peer_address).await.context(BindSnafu {
+            role: "peer",
+            address: peer_address,
+        })?;
+        let peer = Rc::new(peer);
         let core = Rc::new(GatewayCore::new(settings, dialect));
         let session = core.session;
         let stop_token = CancellationToken::new();
-        let (pool, link_events) = open_links(session, listen.peer_port, stop_token.clone());
+        let pool_settings =
+            PoolSettings::new(session, listen.peer_port).with_budget(*core.intake.budget());
+        let (pool, link_events) = open_links(pool_settings, stop_token.clone());
         core.delegates.set_pool(pool.clone());
         let (seed_sender, seeds) = watch::channel(Arc::<[VmAddress]>::default());
         let membership = MemberHandle::start(member_settings(&core, session), gossip_socket, seeds);
--- a/crates/ebonyfork/src/gateway/peers.rs
+++ b/crates/ebonyfork/src/gateway/peers.rs
@@ -19,7 +19,6 @@
 use crate::gateway::share_exchange;
 use crate::gateway::speed_exchange;
 use crate::gateway::tasks::TaskName;
-use crate::ident::SessionId;
 use crate::panic_reason::catch_panic;
 use crate::wire::{EventFuture, LinkEvent, LinkSender, PeerMessage, PeerPool, PoolSettings};
 
@@ -28,8 +27,7 @@
 
 /// Creates the links of a process. Their events are sent to the returned receiver.
 pub fn open_links(
-    session: SessionId,
-    peer_port: u16,
+    settings: PoolSettings,
     stop: CancellationToken,
 ) -> (PeerPool, mpsc::Receiver<LinkEvent>) {
     let (events, receiver) = mpsc::channel(EVENT_QUEUE);
@@ -41,7 +39,7 @@
             let _ending = events.send(event).await;
         })
     };
-    let pool = PeerPool::new(PoolSettings::new(session, peer_port), stop, handler);
+    let pool = PeerPool::new(settings, stop, handler);
     (pool, receiver)
 }
 
--- a/crates/ebonyfork/src/gateway/policy/intake.rs
+++ b/crates/ebonyfork/src/gateway/policy/intake.rs
@@ -154,6 +154,29 @@
         }
     }
 
+    /// Creates a budget without limits, for processes that serve no callers.
+    pub fn unlimited() -> Self {
+        const UNLIMITED: usize = usize::MAX / 2;
+        Self {
+            connections: UNLIMITED,
+            connection_bytes: UNLIMITED,
+            body_bytes: UNLIMITED,
+            answer_bytes: UNLIMITED,
+            control_connections: UNLIMITED,
+            peer_connections: UNLIMITED,
+            peer_bytes: UNLIMITED,
+        }
+    }
+
+    /// Returns the budget of the listener for other VMs.
+    #[must_use]
+    pub fn for_peers(&self) -> Self {
+        Self {
+            connections: self.peer_connections,
+            ..*self
+        }
+    }
+
     /// Returns the budget of a listener that callers don't send requests to.
     #[must_use]
     pub fn for_control(&self) -> Self {
--- a/crates/ebonyfork/src/gateway/quota/quota_tests.rs
+++ b/crates/ebonyfork/src/gateway/quota/quota_tests.rs
@@ -18,6 +18,7 @@
 use crate::gateway::route::{CallerLimits, RouteTable};
 use crate::ident::RequestFingerprint;
 use crate::store::{StoreEra, StoreRevision};
+use crate::wire::PoolSettings;
 
 const QUOTA: RequestQuota = RequestQuota {
     rate: RequestRate(0.5),
@@ -94,7 +95,10 @@
     core.started -= Duration::from_mins(2);
     let core = Rc::new(core);
     core.install_table(table());
-    let (pool, events) = open_links(core.session, port, CancellationToken::new());
+    let (pool, events) = open_links(
+        PoolSettings::new(core.session, port),
+        CancellationToken::new(),
+    );
     core.delegates.set_pool(pool.clone());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(accept_links(pool, listener));
--- a/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
+++ b/crates/ebonyfork/src/gateway/route_check/route_check_tests.rs
@@ -16,6 +16,7 @@
 use crate::gateway::route::{CallerLimits, Idempotency, RouteTarget};
 use crate::ident::{IncarnationNumber, RevisionNumber, SessionId, VmAddress, ZoneName};
 use crate::membership::{MemberDigest, MemberEntry, MemberSnapshot, MemberState};
+use crate::wire::PoolSettings;
 
 fn vm(host_number: u8) -> VmAddress {
     format!("127.0.0.{host_number}")
@@ -90,7 +91,8 @@
         for (host_number, listener) in (1..).zip(listeners) {
             let core = Rc::new(GatewayCore::new(settings(), dialect()));
             let session = SessionId::new(vm(host_number), IncarnationNumber(1));
-            let (pool, events) = open_links(session, port, CancellationToken::new());
+            let (pool, events) =
+                open_links(PoolSettings::new(session, port), CancellationToken::new());
             core.delegates.set_pool(pool.clone());
             let mut vm_tasks = JoinSet::new();
             vm_tasks.spawn_local(accept_links(pool, listener));
--- a/crates/ebonyfork/src/wire/link.rs
+++ b/crates/ebonyfork/src/wire/link.rs
@@ -15,10 +15,13 @@
 
 use crate::ident::{SessionId, VmAddress};
 use crate::traffic::{CountedReader, LinkTraffic};
+use crate::wire::frame::{FrameDecoder, FrameMemory};
 use crate::wire::message::{LinkHello, PROTOCOL_VERSION, PeerMessage};
 
 /// Maximum frame size, in bytes: fits a configuration part (1 MiB) with its envelope.
 const MAX_FRAME_BYTES: usize = 2 << 20;
+/// Maximum size of the first frame, in bytes, before the peer has said who it is.
+const MAX_HELLO_BYTES: usize = 256;
 /// Maximum number of messages queued for the writer of a link.
 pub(super) const QUEUE_LIMIT: usize = 8_192;
 /// A link is closed if a message takes longer than twice this from its first byte to its last. The longest one takes 1.2 s
@@ -116,14 +119,16 @@
 }
 
 /// Receiving half of a link.
-pub(super) type FrameReader = FramedRead<CountedReader<OwnedReadHalf>, LengthDelimitedCodec>;
+pub(super) type FrameReader = FramedRead<CountedReader<OwnedReadHalf>, FrameDecoder>;
 /// Sending half of a link.
 pub(super) type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
-/// Splits a connected socket into framed halves; `traffic` counts the bytes read.
+/// Splits a connected socket into framed halves; `traffic` counts the bytes read. The first frame that is read may only be
+/// as long as a `Hello`; `memory` bounds the others.
 pub(super) fn framed_halves(
     stream: TcpStream,
     traffic: LinkTraffic,
+    memory: FrameMemory,
 ) -> Result<(FrameReader, FrameWriter), LinkError> {
     stream
         .set_nodelay(true)
@@ -132,7 +137,8 @@
     codec.max_frame_length(MAX_FRAME_BYTES);
     let (read_half, write_half) = stream.into_split();
     let read_half = CountedReader::new(read_half, traffic);
-    Ok((codec.new_read(read_half), codec.new_write(write_half)))
+    let reader = FramedRead::new(read_half, FrameDecoder::new(MAX_HELLO_BYTES, memory));
+    Ok((reader, codec.new_write(write_half)))
 }
 
 /// Exchanges `Hello` messages and returns the peer's process incarnation.
@@ -147,7 +153,10 @@
     };
     write_message(writer, &PeerMessage::Hello(hello)).await?;
     match read_message(reader).await? {
-        Some(PeerMessage::Hello(hello)) if hello.protocol == PROTOCOL_VERSION => Ok(hello.session),
+        Some(PeerMessage::Hello(hello)) if hello.protocol == PROTOCOL_VERSION => {
+            reader.decoder_mut().set_max_frame(MAX_FRAME_BYTES);
+            Ok(hello.session)
+        }
         _ => Err(LinkError::Handshake),
     }
 }
--- a/crates/ebonyfork/src/wire/mod.rs
+++ b/crates/ebonyfork/src/wire/mod.rs
@@ -5,6 +5,7 @@
 //! batches. When a link breaks, the messages that were not yet written are returned to their sender: they were
 //! certainly never sent, so that the sender can report "not run".
 
+mod frame;
 mod link;
 mod message;
 mod pool;
--- a/crates/ebonyfork/src/wire/pool.rs
+++ b/crates/ebonyfork/src/wire/pool.rs
@@ -13,11 +13,15 @@
 use rustc_hash::FxHashMap;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::gateway::{IntakeBudget, IntakePhase};
 use crate::ident::{SessionId, VmAddress};
+use crate::intake::{IntakeSlot, IntakeTable};
 use crate::panic_reason::panic_reason;
 use crate::traffic::LinkTraffic;
+use crate::wire::frame::FrameMemory;
 use crate::wire::link::{
     FrameReader, FrameWriter, LinkError, LinkSender, MessageReader, QUEUE_LIMIT, QueuedMessage,
     drain_queue, exchange_hellos, framed_halves, write_queued,
@@ -63,6 +67,7 @@
     own_session: SessionId,
     peer_port: u16,
     delay: Arc<DelayFunction>,
+    budget: IntakeBudget,
 }
 
 impl fmt::Debug for PoolSettings {
@@ -82,9 +87,17 @@
             own_session,
             peer_port,
             delay: Arc::new(|_vm| Duration::ZERO),
+            budget: IntakeBudget::unlimited(),
         }
     }
 
+    /// Bounds the links that peers open, and the memory for their incomplete messages.
+    #[must_use]
+    pub fn with_budget(mut self, budget: IntakeBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Delays the messages to each VM, to simulate network distance. Only the lab uses this.
     #[must_use]
     pub fn with_delay(
@@ -108,10 +121,20 @@
     handler: Box<EventHandler>,
     /// Links that this process has opened, by peer.
     links: Mutex<FxHashMap<VmAddress, OpenedLink>>,
+    /// Links that peers have opened.
+    accepted: IntakeTable,
+    /// Memory for incomplete messages.
+    frame_memory: FrameMemory,
     /// Closes all links when cancelled.
     stop: CancellationToken,
 }
 
+/// Connection of a peer that has not said yet who it is, with its place among the accepted links.
+struct AcceptedLink {
+    stream: TcpStream,
+    slot: IntakeSlot,
+}
+
 /// A link that this process opened.
 struct OpenedLink {
     sender: LinkSender,
@@ -137,6 +160,8 @@
     ) -> Self {
         let links = Mutex::default();
         let shared = PoolShared {
+            accepted: IntakeTable::new(settings.budget.for_peers()),
+            frame_memory: FrameMemory::new(settings.budget.peer_bytes),
             settings,
             handler: Box::new(handler),
             links,
@@ -173,7 +198,13 @@
             };
             match accept_result {
                 Ok((stream, peer_address)) => {
-                    tokio::spawn(self.clone().serve_accepted(stream, peer_address));
+                    // The link that has waited longest for a hello gives way to a new one.
+                    let Some(slot) = self.shared.accepted.admit(0).await else {
+                        log::warn!("link from {peer_address} refused: too many links");
+                        continue;
+                    };
+                    let link = AcceptedLink { stream, slot };
+                    tokio::spawn(self.clone().serve_accepted(link, peer_address));
                 }
                 Err(error) => {
                     log::warn!("failed to accept a peer link: {error}");
@@ -323,19 +354,28 @@
     ) -> Result<(FrameReader, FrameWriter, SessionId), LinkError> {
         let connect_result = TcpStream::connect(address).await;
         let stream = connect_result.map_err(|source| LinkError::Socket { source })?;
-        let (mut reader, mut writer) = framed_halves(stream, traffic)?;
+        let memory = self.shared.frame_memory.clone();
+        let (mut reader, mut writer) = framed_halves(stream, traffic, memory)?;
         let peer =
             exchange_hellos(&mut reader, &mut writer, self.shared.settings.own_session).await?;
         Ok((reader, writer, peer))
     }
 
     /// Runs a link that a peer has opened, until it closes.
-    async fn serve_accepted(self, stream: TcpStream, peer_address: SocketAddr) {
-        let Ok((mut reader, mut writer)) = framed_halves(stream, LinkTraffic::default()) else {
+    async fn serve_accepted(self, link: AcceptedLink, peer_address: SocketAddr) {
+        let AcceptedLink { stream, slot } = link;
+        let memory = self.shared.frame_memory.clone();
+        let halves = framed_halves(stream, LinkTraffic::default(), memory);
+        let Ok((mut reader, mut writer)) = halves else {
             return;
         };
         let handshake = exchange_hellos(&mut reader, &mut writer, self.shared.settings.own_session);
-        let peer = match tokio::time::timeout(OPEN_TIMEOUT, handshake).await {
+        let handshake = tokio::time::timeout(OPEN_TIMEOUT, handshake);
+        let result = tokio::select! {
+            result = handshake => result,
+            () = slot.close_requested() => return,
+        };
+        let peer = match result {
             Ok(Ok(peer)) => peer,
             Ok(Err(error)) => {
                 log::warn!("link from {peer_address} refused: {error}");
@@ -343,6 +383,7 @@
             }
             Err(_elapsed) => return,
         };
+        slot.enter_phase(IntakePhase::Running, Instant::now().into_std());
         let delay = (self.shared.settings.delay)(peer.vm);
         let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
         let link = LinkSender {
--- a/crates/ebonyforkd/tests/crowd/process.rs
+++ b/crates/ebonyforkd/tests/crowd/process.rs
@@ -209,6 +209,7 @@
     pub ready: SocketAddr,
     pub directory: SocketAddr,
     pub metrics: SocketAddr,
+    pub peers: SocketAddr,
 }
 
 impl GatewayProcess {
@@ -231,6 +232,7 @@
             ready: at(7101),
             directory: at(7102),
             metrics: at(7103),
+            peers: at(7104),
         }
     }
 
