ebonyforkd: what callers and operators hold is bounded by the VM

What callers saw: 8,192 connections with selections of 64 KiB are 512 MB; connections to the operators' and the peer port took the descriptors of all.

Cause: a fixed number of connections, whatever the VM has, and no limit on the sum of selections or on the other ports.

Change: the budgets and the decision of the gateway, on the caller, operator and peer ports.

--- a/crates/ebonyfork/src/caller/server.rs
+++ b/crates/ebonyfork/src/caller/server.rs
@@ -7,11 +7,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::service::CallerService;
+use crate::intake::{IntakeSlot, IntakeTable, connection_bytes};
 
 /// Maximum idle time between requests on a connection, and maximum time to receive a request head.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -19,34 +19,33 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum number of headers per request.
 const MAX_HEADERS: usize = 64;
-/// Maximum number of open caller connections; further connections wait to be accepted.
-const MAX_CONNECTIONS: usize = 8_192;
 /// Pause after a failed accept, which avoids a busy loop when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves callers until `stop` is cancelled and all requests in flight have been answered.
 ///
-/// After the stop no connection is accepted; requests in flight are completed, and their answers carry
+/// `intake` bounds the connections and what they hold. After the stop no connection is accepted; requests in flight are completed, and their answers carry
 /// `connection: close`.
-pub async fn serve_callers(listener: TcpListener, service: CallerService, stop: CancellationToken) {
+pub async fn serve_callers(
+    listener: TcpListener,
+    service: CallerService,
+    intake: IntakeTable,
+    stop: CancellationToken,
+) {
     let connections = TaskTracker::new();
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let accept_future = async {
-            let permit = Arc::clone(&permits).acquire_owned().await;
-            (permit, listener.accept().await)
-        };
-        let (permit, accept_result) = tokio::select! {
-            accept_result = accept_future => accept_result,
+        let accept_result = tokio::select! {
+            accept_result = listener.accept() => accept_result,
             () = stop.cancelled() => break,
         };
         match accept_result {
             Ok((stream, _from)) => {
-                let connection = serve_connection(stream, service.clone(), stop.clone());
-                connections.spawn(async move {
-                    connection.await;
-                    drop(permit);
-                });
+                // A connection that finds no room is closed before anything of it is read.
+                let Some(slot) = intake.admit(connection_bytes(MAX_HEAD_BYTES)).await else {
+                    continue;
+                };
+                let service = service.clone();
+                connections.spawn(serve_connection((stream, slot), service, stop.clone()));
             }
             Err(error) => {
                 log::warn!("accepting a caller connection failed: {error}");
@@ -60,12 +59,20 @@
 }
 
 /// Serves one caller connection until it closes, or until its current request is answered after a stop.
-async fn serve_connection(stream: TcpStream, service: CallerService, stop: CancellationToken) {
+async fn serve_connection(
+    (stream, slot): (TcpStream, IntakeSlot),
+    service: CallerService,
+    stop: CancellationToken,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller connection failed: {error}");
         return;
     }
-    let http_service = service_fn(move |request| service.clone().handle_request(request));
+    let slot = Arc::new(slot);
+    let http_service = service_fn({
+        let slot = Arc::clone(&slot);
+        move |request| service.clone().handle_request(request, Arc::clone(&slot))
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
@@ -82,6 +89,7 @@
             connection.await
         }
         serve_result = connection.as_mut() => serve_result,
+        () = slot.close_requested() => return,
     };
     if let Err(error) = serve_result {
         log::debug!("caller connection failed: {error}");
--- a/crates/ebonyfork/src/caller/server_tests.rs
+++ b/crates/ebonyfork/src/caller/server_tests.rs
@@ -10,6 +10,7 @@
 
 use super::*;
 use crate::caller::LocateAnswer;
+use crate::gateway::IntakeBudget;
 use crate::ident::{RunState, SnapshotVersion};
 use crate::query::{QueryAnswer, QueryCoverage, QueryOutcome, QueryRefusal, RefusalCode};
 use crate::views::{NodeReadiness, view_channels};
@@ -73,8 +74,9 @@
         session: "127.0.0.1-17".parse().unwrap(),
     };
     let stop = CancellationToken::new();
+    let intake = IntakeTable::new(IntakeBudget::unlimited());
     let service = CallerService::new(run, answer_locate, views);
-    let server_task = tokio::spawn(serve_callers(listener, service, stop.clone()));
+    let server_task = tokio::spawn(serve_callers(listener, service, intake, stop.clone()));
     CallerFixture {
         address,
         stop,
--- a/crates/ebonyfork/src/caller/service.rs
+++ b/crates/ebonyfork/src/caller/service.rs
@@ -3,21 +3,23 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 use http::header::{ALLOW, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::message::{LocateAnswer, answer_body, refusal_body, refusal_status};
 use super::request::{
     IDEMPOTENCY_KEY_HEADER, QUERY_ID_HEADER, read_organisation, read_query, read_query_id,
 };
+use crate::gateway::IntakePhase;
 use crate::ident::{OrganisationName, RunState};
+use crate::intake::{BodyError, IntakeSlot, receive_body};
 use crate::query::{
     MAX_SELECTION_BYTES, QueryAnswer, QueryOutcome, QueryRefusal, QueryRequest, RefusalCode,
 };
@@ -34,6 +36,8 @@
 const LOCATE_PATH: &str = "/v1/locate";
 /// Maximum time to receive the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Retry-after sent while other callers hold the memory for bodies.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry-after sent while this VM is not ready.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -72,15 +76,19 @@
     pub(super) async fn handle_request(
         self,
         request: Request<Incoming>,
+        slot: Arc<IntakeSlot>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let query_id = read_query_id(request.headers());
-        let response = self.route_request(request).await;
+        slot.enter_phase(IntakePhase::Running, Instant::now());
+        let response = self.route_request(request, &slot).await;
+        slot.enter_phase(IntakePhase::Idle, Instant::now());
         Ok(response.unwrap_or_else(|refusal| refusal_response(&refusal, query_id.as_ref())))
     }
 
     async fn route_request(
         &self,
         request: Request<Incoming>,
+        slot: &IntakeSlot,
     ) -> Result<Response<Full<Bytes>>, QueryRefusal> {
         let path = request.uri().path();
         if path == LOCATE_PATH {
@@ -102,13 +110,14 @@
             return Ok(method_not_allowed_response("POST"));
         }
         let class = CompactString::new(class);
-        self.run_query(&class, request).await
+        self.run_query(&class, request, slot).await
     }
 
     async fn run_query(
         &self,
         class: &str,
         request: Request<Incoming>,
+        slot: &IntakeSlot,
     ) -> Result<Response<Full<Bytes>>, QueryRefusal> {
         // A request with an idempotency key may repeat one that has run, so it must not be refused as "not run" here.
         if !request.headers().contains_key(IDEMPOTENCY_KEY_HEADER) {
@@ -117,7 +126,7 @@
         let (head, body) = request.into_parts();
         // The selection is empty here and is set below, once the size of the body has been checked.
         let query = read_query(class, &head.headers, Bytes::new())?;
-        let selection = read_selection(body).await?;
+        let selection = read_selection(body, slot).await?;
         let query = QueryRequest { selection, ..query };
         let answer = (self.run)(query).await?;
         answer_response(&answer)
@@ -138,20 +147,23 @@
     }
 }
 
-async fn read_selection(body: Incoming) -> Result<Bytes, QueryRefusal> {
-    let body_future = Limited::new(body, MAX_SELECTION_BYTES).collect();
+async fn read_selection(body: Incoming, slot: &IntakeSlot) -> Result<Bytes, QueryRefusal> {
+    let body_future = receive_body(slot, body, MAX_SELECTION_BYTES);
     let read_result = match tokio::time::timeout(BODY_TIMEOUT, body_future).await {
         Ok(read_result) => read_result,
         Err(_elapsed) => return Err(bad_body_refusal("the body did not come in time")),
     };
-    match read_result {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+    read_result.map_err(|error| match error {
+        BodyError::TooLarge => {
             let message = "the selection exceeds 64 KiB";
-            Err(not_run_refusal(RefusalCode::TooLarge, message).with_field("body"))
+            not_run_refusal(RefusalCode::TooLarge, message).with_field("body")
         }
-        Err(_error) => Err(bad_body_refusal("the body broke off")),
-    }
+        BodyError::Full => {
+            let message = "other callers hold the memory for bodies";
+            not_run_refusal(RefusalCode::Overloaded, message).with_retry_after(FULL_RETRY_AFTER)
+        }
+        BodyError::Broken(_error) => bad_body_refusal("the body broke off"),
+    })
 }
 
 fn bad_body_refusal(message: &str) -> QueryRefusal {
--- a/crates/ebonyfork/src/node/assembly.rs
+++ b/crates/ebonyfork/src/node/assembly.rs
@@ -16,7 +16,9 @@
 use crate::catalog::CatalogHandle;
 use crate::declaration::DeclaredConfig;
 use crate::entry::{EntryHandle, EntrySettings};
+use crate::gateway::IntakeBudget;
 use crate::ident::{IncarnationNumber, OrganisationName, SessionId, VmAddress};
+use crate::intake::IntakeTable;
 use crate::lifecycle::{LifecycleHandle, LifecycleSettings, StopPlan, StopReport, StopSteps};
 use crate::locate::{LocateSettings, locate_addresses};
 use crate::membership::{MemberHandle, MemberSettings};
@@ -369,11 +371,18 @@
         self.quarantine.register(&mut self.registry);
     }
 
+    /// Returns what callers may hold of the VM.
+    fn budget(&self) -> IntakeBudget {
+        let capacity = &self.settings.capacity;
+        IntakeBudget::new(capacity.memory_bytes, capacity.descriptors)
+    }
+
     /// Creates the peer pool and accepts links from peers.
     fn start_links(&mut self, listener: TcpListener, dispatch: &PeerDispatch, views: &NodeViews) {
         let delay = Arc::clone(&self.options.link_delay);
         let settings = PoolSettings::new(self.session, self.settings.peer_port)
-            .with_delay(move |vm| delay(vm));
+            .with_delay(move |vm| delay(vm))
+            .with_budget(self.budget());
         let dispatch = dispatch.clone();
         let handler = move |event: LinkEvent| -> EventFuture {
             Box::pin(dispatch.clone().handle_event(event))
@@ -407,8 +416,10 @@
         };
         let locate = self.address_selector(views, membership);
         let service = CallerService::new(run, locate, views.clone());
+        let intake = IntakeTable::new(self.budget());
+        intake.metrics().register(&mut self.registry);
         self.servers
-            .spawn(serve_callers(listener, service, self.stop.clone()));
+            .spawn(serve_callers(listener, service, intake, self.stop.clone()));
     }
 
     /// Returns the function that selects the addresses for a locate request.
@@ -459,8 +470,13 @@
             move || crate::node::status::quarantine_statuses(&list_quarantine),
             move |fingerprint| lift_quarantine.lift(fingerprint),
         );
-        self.tasks
-            .spawn(serve_operators(listener, service, self.stop.clone()));
+        let intake = IntakeTable::new(self.budget().for_control());
+        self.tasks.spawn(serve_operators(
+            listener,
+            service,
+            intake,
+            self.stop.clone(),
+        ));
     }
 }
 
--- a/crates/ebonyfork/src/node/listening.rs
+++ b/crates/ebonyfork/src/node/listening.rs
@@ -5,6 +5,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 
+use crate::intake::open_listener;
 use crate::settings::NodeSettings;
 
 /// Why a node can't start.
@@ -38,16 +39,20 @@
 impl NodeSockets {
     /// Binds all sockets of a node.
     pub(super) async fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
-        let caller_listener = listen("callers", settings.caller_address(settings.vm)).await?;
+        let caller_listener = listen("callers", settings.caller_address(settings.vm))?;
         let address = settings.peer_address(settings.vm);
-        let peer_listener = listen("peers", address).await?;
+        let bind_result = TcpListener::bind(address).await;
+        let peer_listener = bind_result.context(BindSnafu {
+            role: "peers",
+            address,
+        })?;
         let bind_result = UdpSocket::bind(address).await;
         let membership_socket = bind_result.context(BindSnafu {
             role: "membership",
             address,
         })?;
         let address = SocketAddr::new(settings.vm.0, settings.operator_port);
-        let operator_listener = listen("operators", address).await?;
+        let operator_listener = listen("operators", address)?;
         Ok(Self {
             caller_listener,
             peer_listener,
@@ -57,9 +62,7 @@
     }
 }
 
-/// Binds a TCP listener.
-async fn listen(role: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address)
-        .await
-        .context(BindSnafu { role, address })
+/// Binds a TCP listener for callers or operators.
+fn listen(role: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    open_listener(address).context(BindSnafu { role, address })
 }
--- a/crates/ebonyfork/src/operator/server.rs
+++ b/crates/ebonyfork/src/operator/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
@@ -17,11 +17,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::gateway::IntakePhase;
 use crate::ident::RequestFingerprint;
+use crate::intake::{IntakeSlot, IntakeTable, connection_bytes};
 use crate::operator::status::{NodeStatus, QuarantineStatus};
 
 /// Longest wait for the head of a request before the connection is closed.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Content type of the metrics.
 const OPENMETRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const JSON_TYPE: &str = "application/json";
@@ -151,10 +155,11 @@
     response
 }
 
-/// Serves the operators' port on `listener` until `stop` is cancelled.
+/// Serves the operators' port on `listener` until `stop` is cancelled. `intake` bounds the connections.
 pub async fn serve_operators(
     listener: TcpListener,
     service: OperatorService,
+    intake: IntakeTable,
     stop: CancellationToken,
 ) {
     loop {
@@ -166,19 +171,34 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
-        tokio::spawn(serve_connection(stream, service.clone(), stop.clone()));
+        // A connection that finds no room is closed before anything of it is read.
+        let Some(slot) = intake.admit(connection_bytes(MAX_HEAD_BYTES)).await else {
+            continue;
+        };
+        tokio::spawn(serve_connection(
+            (stream, Arc::new(slot)),
+            service.clone(),
+            stop.clone(),
+        ));
     }
 }
 
-async fn serve_connection(stream: TcpStream, service: OperatorService, stop: CancellationToken) {
+async fn serve_connection(
+    (stream, slot): (TcpStream, Arc<IntakeSlot>),
+    service: OperatorService,
+    stop: CancellationToken,
+) {
+    let handler_slot = Arc::clone(&slot);
     let handler = service_fn(move |request| {
         let response = service.answer(&request);
+        handler_slot.enter_phase(IntakePhase::Idle, Instant::now());
         async move { Ok::<_, Infallible>(response) }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT);
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), handler);
     tokio::select! {
         result = connection => {
@@ -186,6 +206,7 @@
                 log::debug!("operator connection: {error}");
             }
         }
+        () = slot.close_requested() => {}
         () = stop.cancelled() => {}
     }
 }
--- a/crates/ebonyforkd/tests/crowd.rs
+++ b/crates/ebonyforkd/tests/crowd.rs
@@ -13,6 +13,8 @@
 mod callers;
 #[path = "crowd/connections.rs"]
 mod connections;
+#[path = "crowd/node.rs"]
+mod node;
 #[path = "crowd/process.rs"]
 mod process;
 
