--- a/crates/ebonyfork/src/http_link.rs
+++ b/crates/ebonyfork/src/http_link.rs
@@ -4,12 +4,13 @@
 //! after any other error it may have run.
 //!
 //! What a peer sends is bounded: the head of an answer and all informational heads before it by [`MAX_HEAD_BYTES`], the
-//! body by the limit that the user of the connection states. An answer that breaks off under its framing is an error. A
-//! connection whose exchange has failed accepts no other request.
+//! body by the limit that the user of the connection states. An answer that breaks off under its framing is an error, and so is
+//! a final status outside 200 to 599. A connection whose exchange has failed accepts no other request.
 
 mod head_guard;
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -25,6 +26,9 @@
 use self::head_guard::{GuardedStream, HeadBudget, MAX_HEAD_BYTES};
 use crate::traffic::LinkTraffic;
 
+/// Status codes of a final answer (RFC 9110, section 15). A peer that sends another one has sent no answer.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Why an exchange returned no complete answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum LinkError {
@@ -62,6 +66,8 @@
 pub(crate) struct GuardedSender {
     request_sender: SendRequest<Full<Bytes>>,
     head_budget: HeadBudget,
+    /// Whether the peer has sent a status that is none: nothing that follows can be trusted.
+    is_broken: bool,
 }
 
 /// Task of a connection; it ends with the connection.
@@ -77,6 +83,7 @@
     let sender = GuardedSender {
         request_sender,
         head_budget,
+        is_broken: false,
     };
     Ok((sender, driver))
 }
@@ -84,7 +91,7 @@
 impl GuardedSender {
     /// Waits until another request can be sent; returns false if the connection is closed instead.
     pub(crate) async fn wait_until_ready(&mut self) -> bool {
-        self.request_sender.ready().await.is_ok()
+        !self.is_broken && self.request_sender.ready().await.is_ok()
     }
 
     /// Sends a request and reads the head of the answer.
@@ -96,9 +103,11 @@
         let result = self.request_sender.try_send_request(request).await;
         self.head_budget.end_head();
         match result {
-            Ok(response) if response.status().is_informational() => Err(lost_error(
-                format_compact!("final status {}", response.status().as_u16()),
-            )),
+            Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+                self.is_broken = true;
+                let status = response.status().as_u16();
+                Err(lost_error(format_compact!("final status {status}")))
+            }
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
@@ -145,12 +154,12 @@
 
     /// Returns whether another request can be sent.
     pub fn is_ready(&self) -> bool {
-        self.sender.request_sender.is_ready()
+        !self.sender.is_broken && self.sender.request_sender.is_ready()
     }
 
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
-        self.sender.request_sender.is_closed()
+        self.sender.is_broken || self.sender.request_sender.is_closed()
     }
 
     /// Sends a request and reads the whole answer, up to `body_limit` bytes. Dropping the future closes the connection.
--- a/crates/ebonyfork/src/http_link_tests.rs
+++ b/crates/ebonyfork/src/http_link_tests.rs
@@ -195,6 +195,51 @@
     expect_that!(is_ready, eq(false));
 }
 
+/// Guards against status lines that the protocol doesn't know: whatever follows them is no answer, also if it is whole.
+#[gtest]
+#[tokio::test]
+async fn a_status_that_is_none_is_no_answer() {
+    let invalid = [
+        "000 X",
+        "000",
+        "001 X",
+        "099 X",
+        "20 OK",
+        "2000 OK",
+        "-20 X",
+        "+20 X",
+        "0x1 X",
+        "2 0 X",
+        " 200 X",
+        "100 X",
+        "101 X",
+        "199 X",
+        "600 X",
+        "601",
+        "999 X",
+        "99999999999999999999 X",
+        "",
+        "\u{663}00 X",
+    ];
+    for status in invalid {
+        let script = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: 20\r\n\r\n{}",
+            "a".repeat(20)
+        );
+        let (result, is_ready) = exchange(script.as_bytes(), ScriptEnd::Close).await;
+        expect_that!(is_lost(&result), eq(true), "{status}");
+        expect_that!(is_ready, eq(false), "{status}");
+    }
+    for status in ["200", "299", "404", "599"] {
+        let script = format!(
+            "HTTP/1.1 {status} X\r\ncontent-length: 20\r\n\r\n{}",
+            "a".repeat(20)
+        );
+        let (result, _is_ready) = exchange(script.as_bytes(), ScriptEnd::Close).await;
+        expect_that!(result, ok(anything()), "{status}");
+    }
+}
+
 /// Informational heads before an answer are skipped.
 #[gtest]
 #[tokio::test]
--- a/crates/ebonyforkd/tests/gateway/broken_answers.rs
+++ b/crates/ebonyforkd/tests/gateway/broken_answers.rs
@@ -156,3 +156,78 @@
     let waited = tokio::time::timeout(PATIENCE, waiting).await;
     expect_that!(waited.is_ok(), eq(true));
 }
+
+/// Status lines that are none in the protocol.
+const INVALID_STATUSES: [&str; 8] = [
+    "000 X", "099 X", "20 OK", "2000 OK", "-20 X", "199 X", "600 X", "999 X",
+];
+
+/// Starts an upstream that answers each request with a status line that is none, and a whole signed body. The number that it
+/// returns counts the requests that have run.
+async fn start_lying(
+    store: &StoreServer,
+    instance: &'static str,
+    status: &'static str,
+) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let entry = serde_json::json!({
+        "service": "s", "address": address.to_string(), "zone": "a-1", "version": "v1", "capacity": 2,
+        "state": "ready", "warmupLeftMs": 0, "sequence": 1,
+    });
+    store.put(&format!("servers/{instance}"), entry.to_string());
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            tokio::spawn(async move {
+                let mut request = vec![0; 4_096];
+                while let Ok(length @ 1..) = stream.read(&mut request).await {
+                    let request = String::from_utf8_lossy(&request[..length]).to_lowercase();
+                    counted.fetch_add(1, Ordering::Relaxed);
+                    let id = request
+                        .lines()
+                        .find_map(|line| line.strip_prefix("request-id: "));
+                    let answer = format!(
+                        "HTTP/1.1 {status}\r\nrequest-id: {}\r\nresponse-stamp: s\r\ncontent-length: 16\r\n\r\n{}",
+                        id.unwrap_or_default(),
+                        "a".repeat(16)
+                    );
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    runs
+}
+
+/// Guards against passing on a status that is none, from a single upstream and from a shard: its request may have run.
+#[gtest]
+#[tokio::test]
+async fn a_status_that_is_none_reaches_no_caller() {
+    for (number, status) in INVALID_STATUSES.into_iter().enumerate() {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = StoreServer::start(free).await.expect("a store");
+        let runs = start_lying(&store, "i-1", status).await;
+        let gathered = r#"{"name":"g","host":"t.example","prefix":"/g/","routeType":"idempotent",
+            "timeoutMs":1000,"sloMs":500,"maxAttempts":2,"gather":["s"],"topK":2,"minCoverage":0.5},{"name":"r""#;
+        let config = config(3, "non_idempotent").replace(r#"{"name":"r""#, gathered);
+        store.put("op/config", config);
+        let address = format!("127.230.0.{}", 60 + number);
+        let gateway = start_gateway(&format!("status-{number}"), &address, store.address());
+        wait_status(gateway.ready, "/v1/ready", 200).await;
+        let answer = get(gateway.callers, "/r/1", "once").await;
+        let answer = answer.expect("an answer");
+        expect_that!(answer.status().as_u16(), eq(502), "{status}");
+        expect_that!(answer.headers().contains_key("response-stamp"), eq(false));
+        expect_that!(runs.load(Ordering::Relaxed), eq(1), "{status}");
+        let answer = get(gateway.callers, "/g/1", "gathered").await;
+        let answer = answer.expect("an answer");
+        expect_that!(answer.status().as_u16(), ge(502), "{status}");
+        expect_that!(answer.status().as_u16(), le(504), "{status}");
+        expect_that!(answer.headers().contains_key("part-stamps"), eq(false));
+    }
+}
