--- a/crates/ebonyforkd/tests/crowd/bodies.rs
+++ b/crates/ebonyforkd/tests/crowd/bodies.rs
@@ -143,3 +143,25 @@
         expect_that!(answer.starts_with("HTTP/1.1 404"), eq(true), "{answer}");
     }
 }
+
+/// Guards against an answer that leaves open whether a request ran whose body did not arrive in time.
+#[gtest]
+#[tokio::test]
+async fn a_body_that_does_not_arrive_in_time_has_not_run() {
+    let fixture = CrowdFixture::start("late", "127.231.0.9", SMALL_VM).await;
+    let mut stream = TcpStream::connect(fixture.gateway.callers)
+        .await
+        .expect("a connection");
+    let request = "POST /r/1 HTTP/1.1\r\nhost: t.example\r\nrequest-id: late\r\ndeadline-ms: 300\r\ncontent-length: 20\r\n\r\na";
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = vec![0; 1_024];
+    let read = stream.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..read]).to_lowercase();
+    expect_that!(answer.starts_with("http/1.1 503"), eq(true), "{answer}");
+    expect_that!(answer, contains_substring("retry-after"));
+    let arrivals = fixture.upstream.arrivals();
+    expect_that!(
+        arrivals.iter().any(|arrival| arrival.request == "late"),
+        eq(false)
+    );
+}
