Callers: requests to many shards pay for their attempts

What callers saw: a crowd that asks a route over many shards while its upstreams don't answer takes memory for an attempt at each shard, with no limit but that on connections; other VMs that pass such requests on add to it.

Cause: an attempt at a shard takes 5.8 kB, so that 100 shards take 7 times what its connection has paid for.

Change: the memory for bodies is one for requests, three tenths of the VM's. A request to many shards takes 6 KiB a shard before its quota token is taken, bodies that stall give way to it, and it gets 503 at once if there is no room; a request that another VM passes on is declined as not sent.

--- a/crates/ebonyfork/src/gateway/aggregate.rs
+++ b/crates/ebonyfork/src/gateway/aggregate.rs
@@ -9,6 +9,7 @@
 use crate::gateway::authorise::route_of_passed_on;
 use crate::gateway::clock::now;
 use crate::gateway::core::{GatewayCore, ServiceState};
+use crate::gateway::ingress::ATTEMPT_BYTES;
 use crate::gateway::organisation::OrganisationName;
 use crate::gateway::partial::{
     FailedShard, PartialMessage, PartialQuery, PartialReply, ShardProgress,
@@ -16,6 +17,7 @@
 use crate::gateway::request::ForwardRequest;
 use crate::gateway::route::{GatherTerms, RouteEntry, RouteTarget};
 use crate::gateway::run::run_partial;
+use crate::intake::WorkMemory;
 use crate::wire::{LinkSender, PeerMessage};
 
 /// Starts gathering the shards of another VM's query.
@@ -24,6 +26,11 @@
         refuse(&asking_vm, &query);
         return;
     };
+    let work_bytes = gather_terms.shards.len() * ATTEMPT_BYTES;
+    let Some(work_memory) = core.intake.take_work(work_bytes) else {
+        refuse(&asking_vm, &query);
+        return;
+    };
     let longest_wait = Duration::from_micros(u64::from(query.longest_wait_us));
     core.latency(&route)
         .borrow_mut()
@@ -33,7 +40,11 @@
     let core = Rc::clone(core);
     let (abort, registration) = AbortHandle::new_pair();
     core.aggregates.begin(key, abort);
-    let running = RunningAggregate { core, key };
+    let running = RunningAggregate {
+        core,
+        key,
+        _work_memory: work_memory,
+    };
     tokio::task::spawn_local(async move {
         let core = &running.core;
         let gather_task = gather_parts(core, route, gather_terms, query, &asking_vm);
@@ -46,6 +57,7 @@
 struct RunningAggregate {
     core: Rc<GatewayCore>,
     key: AggregateKey,
+    _work_memory: WorkMemory,
 }
 
 impl Drop for RunningAggregate {
--- a/crates/ebonyfork/src/gateway/ingress.rs
+++ b/crates/ebonyfork/src/gateway/ingress.rs
@@ -33,7 +33,7 @@
 use crate::gateway::route_check::check_route;
 use crate::gateway::run::{RunReport, RunTarget, run_request};
 use crate::gateway::stream_activity::{ActivityStream, AnswerDelivery, StreamActivity};
-use crate::intake::{BodyError, IntakeSlot, connection_bytes, receive_body};
+use crate::intake::{BodyError, IntakeSlot, WorkMemory, connection_bytes, receive_body};
 use crate::quarantine::QuarantineStatus;
 use crate::stated::MAX_STATED_TIME;
 
@@ -41,6 +41,8 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Smallest buffer that the HTTP library accepts for a request head, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
+/// Memory of an attempt at one of many shards, in bytes.
+pub(super) const ATTEMPT_BYTES: usize = 6 * 1024;
 /// Buffer for a request head until a configuration states its limit, in bytes.
 const DEFAULT_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -365,6 +367,8 @@
         return Err(RefusalReason::Quarantined);
     }
     let target = select_target(core, &route)?;
+    let work_memory = core.intake.take_work(work_bytes(&target));
+    let work_memory = work_memory.ok_or(RefusalReason::Overloaded)?;
     if let Some(organisation) = organisation {
         // Comes last, because a request that is refused for another reason must not use up the quota.
         let need = token_need(core, &route, &request);
@@ -379,6 +383,7 @@
         target,
         request: Rc::new(request),
         quarantine_status,
+        work_memory,
     })
 }
 
@@ -388,6 +393,8 @@
     target: RunTarget,
     request: Rc<ForwardRequest>,
     quarantine_status: QuarantineStatus,
+    /// Held until the request is answered.
+    work_memory: WorkMemory,
 }
 
 /// Prepares and runs a request; refuses it if the process is about to exit before anything is sent.
@@ -407,6 +414,7 @@
         target,
         request,
         quarantine_status,
+        work_memory: _work_memory,
     } = prepared;
     let latency = core.latency(&route);
     let sent = now();
@@ -419,6 +427,14 @@
     Ok(report)
 }
 
+/// Returns the memory that the attempts of a request take, in bytes. A single attempt belongs to the state of a connection.
+fn work_bytes(target: &RunTarget) -> usize {
+    match target {
+        RunTarget::One(_) => 0,
+        RunTarget::Gather(terms) => terms.shards.len() * ATTEMPT_BYTES,
+    }
+}
+
 /// Returns how long a request can wait for a token so that its answer meets the target, and how long its caller can be
 /// told to stay away.
 fn token_need(core: &GatewayCore, route: &RouteEntry, request: &ForwardRequest) -> TokenNeed {
--- a/crates/ebonyfork/src/gateway/policy/intake.rs
+++ b/crates/ebonyfork/src/gateway/policy/intake.rs
@@ -46,8 +46,8 @@
 pub enum ScarceResource {
     /// Room for connections.
     Connections,
-    /// Memory for request bodies.
-    Bodies,
+    /// Memory for requests.
+    Requests,
     /// Memory for answers that are not read yet.
     Answers,
 }
@@ -57,7 +57,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Connections => "connections",
-            Self::Bodies => "bodies",
+            Self::Requests => "requests",
             Self::Answers => "answers",
         }
     }
@@ -67,7 +67,7 @@
         match (self, phase) {
             (_, IntakePhase::Running) => false,
             (Self::Connections, _) => true,
-            (Self::Bodies, phase) => phase == IntakePhase::Body,
+            (Self::Requests, phase) => phase == IntakePhase::Body,
             (Self::Answers, phase) => phase == IntakePhase::Answer,
         }
     }
@@ -89,7 +89,7 @@
 ///     bytes,
 /// };
 /// let holdings = [("small", body(200, 3)), ("large", body(260_000, 2)), ("old", body(260_000, 9))];
-/// assert_eq!(choose_yielding(holdings, ScarceResource::Bodies, now), Some("old"));
+/// assert_eq!(choose_yielding(holdings, ScarceResource::Requests, now), Some("old"));
 /// ```
 pub fn choose_yielding<K>(
     holdings: impl IntoIterator<Item = (K, IntakeHolding)>,
@@ -120,8 +120,8 @@
     pub connections: usize,
     /// Memory of all connections of callers, in bytes.
     pub connection_bytes: usize,
-    /// Memory for request bodies, in bytes.
-    pub body_bytes: usize,
+    /// Memory for request bodies, and for the attempts of requests to many shards, in bytes.
+    pub request_bytes: usize,
     /// Memory for answers that are not read yet, in bytes.
     pub answer_bytes: usize,
     /// Connections at each of the listeners that callers don't send requests to.
@@ -132,9 +132,9 @@
     pub peer_bytes: usize,
 }
 
-/// Longest request body that may take the last part of the memory for bodies, in bytes: ordinary requests find room there when
-/// long bodies have filled the rest.
-pub const SMALL_BODY_BYTES: usize = 16 * 1024;
+/// Most that a request may take of the last part of the memory for requests, in bytes: ordinary requests find room there when
+/// large ones have filled the rest.
+pub const SMALL_REQUEST_BYTES: usize = 16 * 1024;
 
 impl IntakeBudget {
     /// Creates the budget of a VM with so much memory, in bytes, and so many descriptors.
@@ -146,7 +146,7 @@
         Self {
             connections: descriptors / 2,
             connection_bytes: memory_bytes / 5,
-            body_bytes: memory_bytes / 5,
+            request_bytes: memory_bytes * 3 / 10,
             answer_bytes: memory_bytes / 10,
             control_connections: (descriptors / 32).clamp(control_min, control_max),
             peer_connections: descriptors / 5,
@@ -160,7 +160,7 @@
         Self {
             connections: UNLIMITED,
             connection_bytes: UNLIMITED,
-            body_bytes: UNLIMITED,
+            request_bytes: UNLIMITED,
             answer_bytes: UNLIMITED,
             control_connections: UNLIMITED,
             peer_connections: UNLIMITED,
@@ -186,17 +186,17 @@
         }
     }
 
-    /// Returns the part of the memory for bodies that long ones may take, in bytes.
-    pub fn long_body_bytes(&self) -> usize {
-        self.body_bytes - self.body_bytes / 4
+    /// Returns the part of the memory for requests that large ones may take, in bytes.
+    pub fn long_request_bytes(&self) -> usize {
+        self.request_bytes - self.request_bytes / 4
     }
 
-    /// Returns whether a body may grow from one size to another while all bodies together take `used` bytes.
-    pub fn allows_body(&self, used: usize, from: usize, to: usize) -> bool {
-        let limit = if to <= SMALL_BODY_BYTES {
-            self.body_bytes
+    /// Returns whether a request may grow from one size to another while all requests together take `used` bytes.
+    pub fn allows_request(&self, used: usize, from: usize, to: usize) -> bool {
+        let limit = if to <= SMALL_REQUEST_BYTES {
+            self.request_bytes
         } else {
-            self.long_body_bytes()
+            self.long_request_bytes()
         };
         used + to.saturating_sub(from) <= limit
     }
--- a/crates/ebonyfork/src/gateway/refusal.rs
+++ b/crates/ebonyfork/src/gateway/refusal.rs
@@ -17,7 +17,7 @@
     QuotaUnknown,
     /// No route matches.
     NoRoute,
-    /// Other callers hold the memory for bodies.
+    /// Other callers hold the memory for requests.
     Overloaded,
     /// The body exceeds the limit.
     TooLarge,
--- a/crates/ebonyfork/src/intake/metrics.rs
+++ b/crates/ebonyfork/src/intake/metrics.rs
@@ -27,8 +27,8 @@
     pub connections: Gauge<u64, AtomicU64>,
     /// Memory of these connections, in bytes.
     pub connection_bytes: Gauge<u64, AtomicU64>,
-    /// Memory of request bodies, in bytes.
-    pub body_bytes: Gauge<u64, AtomicU64>,
+    /// Memory of request bodies and of attempts at many shards, in bytes.
+    pub request_bytes: Gauge<u64, AtomicU64>,
     /// Memory of answers that are not written yet, in bytes.
     pub answer_bytes: Gauge<u64, AtomicU64>,
     /// The limits on these four.
@@ -46,7 +46,7 @@
         let limits = [
             budget.connections,
             budget.connection_bytes,
-            budget.body_bytes,
+            budget.request_bytes,
             budget.answer_bytes,
         ];
         for (gauge, limit) in metrics.limits.iter().zip(limits) {
@@ -67,7 +67,7 @@
 
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
-        let [connections, connection_bytes, body_bytes, answer_bytes] = &self.limits;
+        let [connections, connection_bytes, request_bytes, answer_bytes] = &self.limits;
         for (name, help, gauge, limit) in [
             (
                 "connections",
@@ -82,10 +82,10 @@
                 connection_bytes,
             ),
             (
-                "body_bytes",
-                "Memory of request bodies",
-                &self.body_bytes,
-                body_bytes,
+                "request_bytes",
+                "Memory of request bodies and of attempts at many shards",
+                &self.request_bytes,
+                request_bytes,
             ),
             (
                 "answer_bytes",
--- a/crates/ebonyfork/src/intake/mod.rs
+++ b/crates/ebonyfork/src/intake/mod.rs
@@ -17,4 +17,4 @@
 pub use linger::LingerRead;
 pub use listener::{connection_bytes, open_listener};
 pub use metrics::IntakeMetrics;
-pub use table::{IntakeRefusal, IntakeSlot, IntakeTable};
+pub use table::{IntakeRefusal, IntakeSlot, IntakeTable, WorkMemory};
--- a/crates/ebonyfork/src/intake/table.rs
+++ b/crates/ebonyfork/src/intake/table.rs
@@ -43,7 +43,7 @@
     connections: FxHashMap<u64, OpenConnection>,
     next_id: u64,
     connection_bytes: usize,
-    body_bytes: usize,
+    request_bytes: usize,
     answer_bytes: usize,
     /// When an exhausted budget was last logged, and how often it was met since.
     last_logged: Option<Instant>,
@@ -102,12 +102,12 @@
         true
     }
 
-    /// Drops the body that gives way to that of another connection. Returns false if none does, or that of `own_id`.
-    fn drop_body(&mut self, own_id: u64, now: Instant) -> bool {
+    /// Drops the body that gives way to another request. Returns false if none does, or that of `own_id`.
+    fn drop_body(&mut self, own_id: Option<u64>, now: Instant) -> bool {
         let open = self.connections.iter();
         let holdings = open.map(|(id, connection)| (*id, connection.holding()));
-        let chosen = choose_yielding(holdings, ScarceResource::Bodies, now);
-        let Some(id) = chosen.filter(|id| *id != own_id) else {
+        let chosen = choose_yielding(holdings, ScarceResource::Requests, now);
+        let Some(id) = chosen.filter(|id| Some(*id) != own_id) else {
             return false;
         };
         let Some(connection) = self.connections.get_mut(&id) else {
@@ -117,7 +117,7 @@
         connection.body_dropped = true;
         connection.phase = IntakePhase::Running;
         connection.signals.body_drop.notify_one();
-        self.body_bytes -= body.capacity();
+        self.request_bytes -= body.capacity();
         true
     }
 
@@ -133,8 +133,8 @@
         }
         log::warn!(
             target: "ebonyfork::decision",
-            "callers hold all resource={} connections={} connection_bytes={} body_bytes={} answer_bytes={} times={}",
-            resource.label(), self.connections.len(), self.connection_bytes, self.body_bytes, self.answer_bytes,
+            "callers hold all resource={} connections={} connection_bytes={} request_bytes={} answer_bytes={} times={}",
+            resource.label(), self.connections.len(), self.connection_bytes, self.request_bytes, self.answer_bytes,
             self.unlogged
         );
         self.last_logged = Some(now);
@@ -151,7 +151,7 @@
         let metrics = &self.metrics;
         metrics.connections.set(state.connections.len() as u64);
         metrics.connection_bytes.set(state.connection_bytes as u64);
-        metrics.body_bytes.set(state.body_bytes as u64);
+        metrics.request_bytes.set(state.request_bytes as u64);
         metrics.answer_bytes.set(state.answer_bytes as u64);
     }
 }
@@ -222,6 +222,29 @@
         is_asked
     }
 
+    /// Takes memory for the work on a complete request, such as its attempts at many shards. Bodies that are still arriving
+    /// give way to it; returns `None` if there is no room even so.
+    pub fn take_work(&self, bytes: usize) -> Option<WorkMemory> {
+        let now = now();
+        let mut state = self.shared.lock();
+        while !self
+            .shared
+            .budget
+            .allows_request(state.request_bytes, 0, bytes)
+        {
+            state.log_exhausted(ScarceResource::Requests, now);
+            if !state.drop_body(None, now) {
+                self.shared.metrics.count_refusal(ScarceResource::Requests);
+                return None;
+            }
+            self.shared.metrics.count_yield(ScarceResource::Requests);
+        }
+        state.request_bytes += bytes;
+        self.shared.record_use(&state);
+        let shared = Arc::clone(&self.shared);
+        Some(WorkMemory { bytes, shared })
+    }
+
     fn try_admit(&self, base_bytes: usize, now: Instant) -> Option<IntakeSlot> {
         let budget = &self.shared.budget;
         let mut state = self.shared.lock();
@@ -387,24 +410,24 @@
             connection.body.extend_from_slice(bytes);
             return Ok(());
         }
-        if !budget.allows_body(0, 0, needed) {
+        if !budget.allows_request(0, 0, needed) {
             return Err(IntakeRefusal::TooLarge);
         }
         let target = buffer_size(needed, capacity, longest);
-        let target = if budget.allows_body(0, 0, target) {
+        let target = if budget.allows_request(0, 0, target) {
             target
         } else {
             needed
         };
-        while !budget.allows_body(state.body_bytes, capacity, target) {
-            state.log_exhausted(ScarceResource::Bodies, now);
-            if !state.drop_body(self.id, now) {
-                self.shared.metrics.count_refusal(ScarceResource::Bodies);
+        while !budget.allows_request(state.request_bytes, capacity, target) {
+            state.log_exhausted(ScarceResource::Requests, now);
+            if !state.drop_body(Some(self.id), now) {
+                self.shared.metrics.count_refusal(ScarceResource::Requests);
                 return Err(IntakeRefusal::Full);
             }
-            self.shared.metrics.count_yield(ScarceResource::Bodies);
+            self.shared.metrics.count_yield(ScarceResource::Requests);
         }
-        state.body_bytes += target - capacity;
+        state.request_bytes += target - capacity;
         self.shared.record_use(&state);
         let Some(connection) = state.connections.get_mut(&self.id) else {
             return Err(IntakeRefusal::Full);
@@ -443,7 +466,7 @@
         connection.phase = IntakePhase::Running;
         connection.body_dropped = false;
         let body = std::mem::take(&mut connection.body);
-        state.body_bytes -= body.capacity();
+        state.request_bytes -= body.capacity();
         self.shared.record_use(&state);
     }
 }
@@ -454,7 +477,7 @@
         if let Some(connection) = state.connections.remove(&self.id) {
             state.connection_bytes -= connection.base_bytes;
             state.answer_bytes -= connection.answer_bytes;
-            state.body_bytes -= connection.body.capacity();
+            state.request_bytes -= connection.body.capacity();
         }
         self.shared.record_use(&state);
         drop(state);
@@ -469,6 +492,21 @@
     grown.min(longest).max(needed)
 }
 
+/// Memory for the work on a request. It is returned to the budget when this is dropped.
+#[derive(Debug)]
+pub struct WorkMemory {
+    bytes: usize,
+    shared: Arc<IntakeShared>,
+}
+
+impl Drop for WorkMemory {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        state.request_bytes -= self.bytes;
+        self.shared.record_use(&state);
+    }
+}
+
 /// Complete body whose memory is returned to the budget when it is freed.
 struct PaidBody {
     body: Vec<u8>,
@@ -484,7 +522,7 @@
 impl Drop for PaidBody {
     fn drop(&mut self) {
         let mut state = self.shared.lock();
-        state.body_bytes -= self.body.capacity();
+        state.request_bytes -= self.body.capacity();
         self.shared.record_use(&state);
     }
 }
--- a/crates/ebonyforkd/tests/crowd/callers.rs
+++ b/crates/ebonyforkd/tests/crowd/callers.rs
@@ -31,6 +31,8 @@
     SmallChunks,
     /// A whole body.
     Complete,
+    /// A request with a long head to many shards.
+    Gathered,
     /// Whole requests one after the other whose answers it doesn't read.
     Unread,
 }
@@ -144,6 +146,11 @@
                 stream.write_all(&block).await.ok()?;
             }
         }
+        CallerKind::Gathered => {
+            let start = start.replace("/r/1", "/g/1");
+            let head = format!("{start}x-fill: {}\r\n\r\n", "a".repeat(15_000));
+            stream.write_all(head.as_bytes()).await.ok()?;
+        }
         CallerKind::Unread => {
             for _ in 0..4 {
                 let request = format!("{start}content-length: 0\r\n\r\n");
--- a/crates/ebonyforkd/tests/crowd/process.rs
+++ b/crates/ebonyforkd/tests/crowd/process.rs
@@ -115,6 +115,19 @@
     unsafe { libc::setrlimit(libc::RLIMIT_NOFILE, limit) }
 }
 
+impl MeasuredProcess {
+    /// Starts a planned stop and expects the process to end as planned within a time.
+    async fn expect_planned_stop(&mut self, patience: Duration) {
+        let id = self.child.id().expect("a running process") as i32;
+        // SAFETY: `kill` takes two integers; the child has not been waited for, so the id is its own.
+        let sent = unsafe { libc::kill(id, libc::SIGTERM) };
+        assert_eq!(sent, 0, "the signal was not sent");
+        let ended = tokio::time::timeout(patience, self.child.wait()).await;
+        let status = ended.expect("ended in time").expect("waited for");
+        expect_that!(status.success(), eq(true));
+    }
+}
+
 impl Drop for MeasuredProcess {
     fn drop(&mut self) {
         self.measuring.abort();
@@ -236,6 +249,11 @@
         }
     }
 
+    /// Starts a planned stop and expects the process to end as planned within a time.
+    pub async fn expect_planned_stop(&mut self, patience: Duration) {
+        self.process.expect_planned_stop(patience).await;
+    }
+
     /// Expects the process to live and to have stayed within its VM so far.
     pub fn expect_within_vm(&mut self, when: &str) {
         self.process.expect_within_vm(when);
