Soak: callers that stall, and a bound on what a process takes

Crowds of a random size and kind stop short of the end of a head or body at a random VM; the VMs state 64 MB and 512 descriptors, and the judge takes a process for broken that is seen to exceed either.

--- a/crates/ebonyfork-lab/src/soak/fleet.rs
+++ b/crates/ebonyfork-lab/src/soak/fleet.rs
@@ -37,6 +37,35 @@
 pub(super) const COLD_OVERAGE: f64 = 1.5;
 pub(super) const COLD_SLACK: f64 = 5.0;
 
+/// Memory, in megabytes, and descriptors of each VM.
+const MEMORY_MB: usize = 64;
+const DESCRIPTORS: usize = 512;
+
+/// What a process takes of its VM.
+#[derive(Debug, Clone, Copy)]
+struct ProcessUse {
+    /// Most resident memory so far, in megabytes.
+    peak_memory_mb: usize,
+    /// Descriptors that are open now.
+    descriptors: usize,
+}
+
+impl ProcessUse {
+    /// Reads it from the kernel; `None` if the process has ended.
+    fn read(id: u32) -> Option<Self> {
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: usize = line.trim().strip_suffix(" kB")?.trim().parse().ok()?;
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?;
+        Some(Self {
+            peak_memory_mb: kilobytes * 1_024 / 1_000_000,
+            descriptors: descriptors.count(),
+        })
+    }
+}
+
 /// One VM with its process and its link to the store.
 #[derive(Debug)]
 pub(crate) struct GatewayVm {
@@ -53,7 +82,7 @@
     pub vms: Vec<GatewayVm>,
     program: PathBuf,
     lives: Vec<VmLife>,
-    /// Processes that ended without having been told to.
+    /// Processes that ended without having been told to, or have taken more than their VM has.
     ended: Vec<String>,
     /// Keeps the network to this run for as long as it lasts.
     _claim: TcpListener,
@@ -129,6 +158,26 @@
         self.vms.iter().map(directory).collect()
     }
 
+    /// The addresses for callers of all VMs.
+    pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let address = |vm: &GatewayVm| SocketAddr::from((vm.address, CALLER_PORT));
+        self.vms.iter().map(address).collect()
+    }
+
+    /// Records it if a VM's process takes more than its VM has.
+    fn note_use(&mut self, number: usize) {
+        let Some(id) = self.vms[number].child.as_ref().and_then(Child::id) else {
+            return;
+        };
+        let Some(process_use) = ProcessUse::read(id) else {
+            return;
+        };
+        if process_use.peak_memory_mb > MEMORY_MB || process_use.descriptors > DESCRIPTORS {
+            let use_text = format!("vm-{number} exceeds its VM: {process_use:?}");
+            self.ended.push(use_text);
+        }
+    }
+
     /// Starts a VM's process unless it runs.
     pub(super) fn start_vm(&mut self, number: usize) -> Result<(), LabError> {
         self.note_end(number);
@@ -177,6 +226,7 @@
     /// Records processes that have ended by themselves and starts them again, as the platform does.
     pub(super) fn restart_ended(&mut self) -> Result<(), LabError> {
         for number in 0..self.vms.len() {
+            self.note_use(number);
             if self.vms[number].child.is_some() {
                 self.start_vm(number)?;
             }
@@ -209,6 +259,7 @@
     /// Kills a VM's process.
     pub(super) async fn kill(&mut self, number: usize) {
         self.note_end(number);
+        self.note_use(number);
         if let Some(mut child) = self.vms[number].child.take() {
             // It may have ended since; then it needs no kill.
             let _gone = child.kill().await;
@@ -219,6 +270,7 @@
     /// Stops a VM's process as planned and waits for its end; tells how long that took.
     pub(super) async fn terminate(&mut self, number: usize) -> Duration {
         self.note_end(number);
+        self.note_use(number);
         let began = Instant::now();
         self.signal(number, libc::SIGTERM);
         if let Some(mut child) = self.vms[number].child.take() {
@@ -301,7 +353,7 @@
     let window = RETRY_WINDOW.as_secs();
     format!(
         "[node]\nname = {name}\naddress = {address}\nzone = {zone}\nregion = {zone}-region\n\
-         cpu-share = 1\ncpu-cores = 1\n[zones]\n{zones}[listen]\n\
+         cpu-share = 1\ncpu-cores = 1\n[limits]\nmemory-mb = {MEMORY_MB}\nmax-descriptors = {DESCRIPTORS}\n[zones]\n{zones}[listen]\n\
          callers = {address}:{CALLER_PORT}\nready = {address}:{READY_PORT}\n\
          directory = {address}:{DIRECTORY_PORT}\nmetrics = {address}:{METRICS_PORT}\n\
          peer-port = {PEER_PORT}\n[store]\naddress = {store}\n[bounds]\ngrace-s = 6\nconfig-in-force-ms = 3000\nleaving-upstream-ms = 3000\n\
--- a/crates/ebonyfork-lab/src/soak/mod.rs
+++ b/crates/ebonyfork-lab/src/soak/mod.rs
@@ -19,6 +19,7 @@
 mod probes;
 mod proxy;
 mod slow_callers;
+mod stalling_callers;
 pub(crate) mod world;
 
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::error::LabError;
 use crate::soak::callers::CallerPool;
@@ -34,6 +36,7 @@
 use crate::soak::fleet::GatewayFleet;
 use crate::soak::judge::{SoakVerdict, judge_soak};
 use crate::soak::judge_directory::check_directories;
+use crate::soak::stalling_callers::stall;
 use crate::soak::world::{SoakWorld, ZONES};
 
 /// Time without faults before and after them: in the second part the system must serve again.
@@ -60,8 +63,11 @@
     let world = SoakWorld::start(settings.seed, settings.vms * ZONES.len()).await?;
     let mut fleet = GatewayFleet::start(settings, &world).await?;
     let callers = CallerPool::start(fleet.addresses());
+    let stalling =
+        AbortOnDropHandle::new(tokio::spawn(stall(settings.seed, fleet.caller_addresses())));
     tokio::time::sleep(CALM).await;
     let events = run_faults(&mut rng, settings, &world, &mut fleet).await?;
+    drop(stalling);
     let calm_from = Instant::now();
     tokio::time::sleep(CALM).await;
     let until = Instant::now();
