Callers: what gives way is weighed by what it frees

What callers saw: a short body that arrives slowly could be refused in favour of large ones; and a request to more shards than the budget has room for would have been refused for good, also in calm.

Cause: the weight of a body counted the memory of its connection too, which its end doesn't free; work was compared with the budget without a cap.

Change: a holding counts what its end frees of the resource that is scarce. Work beyond the budget takes all of it and is done alone. One function chooses for all three resources.

Evidence: unit tests; that of the work was red before. That of the short body was written with a time at which the code before passed too, was then lengthened to where its weight exceeds the large body's (72,000 to 41,000 by the formula before), and was not run on the code before in that form.

--- a/crates/ebonyfork/src/intake/body.rs
+++ b/crates/ebonyfork/src/intake/body.rs
@@ -5,6 +5,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::gateway::IntakePhase;
+use crate::intake::now;
 use crate::intake::table::{IntakeRefusal, IntakeSlot};
 
 /// Why a request body is not received.
@@ -72,8 +73,3 @@
         self.0.end_body();
     }
 }
-
-/// Returns the time of the monotonic clock, which is virtual in tests.
-fn now() -> std::time::Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/ebonyfork/src/intake/mod.rs
+++ b/crates/ebonyfork/src/intake/mod.rs
@@ -18,3 +18,8 @@
 pub use listener::{connection_bytes, open_listener};
 pub use metrics::IntakeMetrics;
 pub use table::{IntakeRefusal, IntakeSlot, IntakeTable, WorkMemory};
+
+/// Returns the time of the monotonic clock, which is virtual in tests.
+fn now() -> std::time::Instant {
+    tokio::time::Instant::now().into_std()
+}
--- a/crates/ebonyfork/src/intake/table.rs
+++ b/crates/ebonyfork/src/intake/table.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::{IntakeBudget, IntakeHolding, IntakePhase, ScarceResource, choose_yielding};
 use crate::intake::metrics::IntakeMetrics;
+use crate::intake::now;
 
 /// Longest wait for a connection that gives way to be closed. Its task only has to run.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -83,30 +84,44 @@
 }
 
 impl OpenConnection {
-    fn holding(&self) -> IntakeHolding {
+    /// Returns what the connection holds of a resource.
+    fn holding(&self, resource: ScarceResource) -> IntakeHolding {
+        let bytes = match resource {
+            ScarceResource::Connections => {
+                self.base_bytes + self.body.capacity() + self.answer_bytes
+            }
+            ScarceResource::Requests => self.body.capacity(),
+            ScarceResource::Answers => self.answer_bytes,
+        };
         IntakeHolding {
             phase: self.phase,
             since: self.since,
-            bytes: self.base_bytes + self.body.capacity() + self.answer_bytes,
+            bytes,
         }
     }
 }
 
 impl IntakeState {
-    fn ask_to_close(&mut self, chosen: Option<u64>) -> bool {
-        let Some(connection) = chosen.and_then(|id| self.connections.get_mut(&id)) else {
-            return false;
-        };
+    /// Returns the connection that gives way so that a resource is free, among those that were not asked to close already.
+    fn choose(&self, resource: ScarceResource, now: Instant) -> Option<u64> {
+        let open = self.connections.iter();
+        let candidates = open.filter(|(_id, connection)| !connection.closes);
+        let holdings = candidates.map(|(id, connection)| (*id, connection.holding(resource)));
+        choose_yielding(holdings, resource, now)
+    }
+
+    /// Asks the connection that gives way to close; returns what it holds, or `None` if none gives way.
+    fn close_one(&mut self, resource: ScarceResource, now: Instant) -> Option<IntakeHolding> {
+        let id = self.choose(resource, now)?;
+        let connection = self.connections.get_mut(&id)?;
         connection.closes = true;
         connection.signals.close.notify_one();
-        true
+        Some(connection.holding(resource))
     }
 
     /// Drops the body that gives way to another request. Returns false if none does, or that of `own_id`.
     fn drop_body(&mut self, own_id: Option<u64>, now: Instant) -> bool {
-        let open = self.connections.iter();
-        let holdings = open.map(|(id, connection)| (*id, connection.holding()));
-        let chosen = choose_yielding(holdings, ScarceResource::Requests, now);
+        let chosen = self.choose(ScarceResource::Requests, now);
         let Some(id) = chosen.filter(|id| Some(*id) != own_id) else {
             return false;
         };
@@ -211,11 +226,7 @@
     fn close_one(&self, now: Instant) -> bool {
         let mut state = self.shared.lock();
         state.log_exhausted(ScarceResource::Connections, now);
-        let open = state.connections.iter();
-        let candidates = open.filter(|(_id, connection)| !connection.closes);
-        let holdings = candidates.map(|(id, connection)| (*id, connection.holding()));
-        let chosen = choose_yielding(holdings, ScarceResource::Connections, now);
-        let is_asked = state.ask_to_close(chosen);
+        let is_asked = state.close_one(ScarceResource::Connections, now).is_some();
         if is_asked {
             self.shared.metrics.count_yield(ScarceResource::Connections);
         }
@@ -223,9 +234,10 @@
     }
 
     /// Takes memory for the work on a complete request, such as its attempts at many shards. Bodies that are still arriving
-    /// give way to it; returns `None` if there is no room even so.
+    /// give way to it; returns `None` if there is no room even so. Work that exceeds the budget alone takes all of it.
     pub fn take_work(&self, bytes: usize) -> Option<WorkMemory> {
         let now = now();
+        let bytes = bytes.min(self.shared.budget.long_request_bytes());
         let mut state = self.shared.lock();
         while !self
             .shared
@@ -278,11 +290,6 @@
     }
 }
 
-/// Returns the time of the monotonic clock, which is virtual in tests.
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
-
 /// Place of one connection in the table. It is free again when this is dropped.
 #[derive(Debug)]
 pub struct IntakeSlot {
@@ -331,16 +338,11 @@
         let closing = open.filter(|connection| connection.closes);
         let mut freed: usize = closing.map(|connection| connection.answer_bytes).sum();
         while state.answer_bytes - freed > self.shared.budget.answer_bytes {
-            let open = state.connections.iter();
-            let candidates = open.filter(|(_id, connection)| !connection.closes);
-            let holdings = candidates.map(|(id, connection)| (*id, connection.holding()));
-            let chosen = choose_yielding(holdings, ScarceResource::Answers, now);
-            if !state.ask_to_close(chosen) {
+            let Some(unread) = state.close_one(ScarceResource::Answers, now) else {
                 return;
-            }
+            };
             self.shared.metrics.count_yield(ScarceResource::Answers);
-            let chosen = chosen.and_then(|id| state.connections.get(&id));
-            freed += chosen.map_or(0, |connection| connection.answer_bytes);
+            freed += unread.bytes;
         }
     }
 
--- a/crates/ebonyfork/src/intake/table_tests.rs
+++ b/crates/ebonyfork/src/intake/table_tests.rs
@@ -162,3 +162,32 @@
     drop(work);
     expect_that!(table.metrics().request_bytes.get(), eq(0));
 }
+
+/// Guards against dropping a short body that arrives slowly, which frees next to nothing, in favour of large ones.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_short_body_does_not_give_way_before_a_large_one() {
+    let table = table();
+    let short = admit_body(&table).await;
+    short.push_body(&[1; 100], 200, now()).expect("room");
+    tokio::time::advance(SECOND * 60).await;
+    let large = admit_body(&table).await;
+    large
+        .push_body(&vec![1; 40_000], 40_001, now())
+        .expect("room");
+    tokio::time::advance(SECOND).await;
+    let _work = table.take_work(30_000).expect("room");
+    large.body_dropped().await;
+    short.push_body(&[1; 100], 200, now()).expect("room");
+}
+
+/// Guards against refusing for good what is within the limits but takes more than the budget has.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn work_beyond_the_budget_is_done_alone() {
+    let table = table();
+    let work = table.take_work(1_000_000).expect("room");
+    expect_that!(table.take_work(20_000).is_none(), eq(true));
+    drop(work);
+    expect_that!(table.take_work(20_000).is_some(), eq(true));
+}
